feat: workspace with value types, catalogue and house rules

The repository was empty. This lays the packages, the linter and formatter settings, the newtypes that all packages share, the catalogue with its checks, and the interfaces that stand-ins and clients are written against.

Ruled out: one package with modules (no boundary between decisions and I/O), catalogue as JSON (operators get no comments and no line numbers).

Nothing runs end to end yet.

--- /dev/null
+++ b/crates/apricotd/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/decide/src/configs/mod.rs
@@ -0,0 +1,29 @@
+//! Settings of each module of decisions, with defaults, in a file of the same name.
+
+mod admission;
+mod claims;
+mod dedupe;
+mod drain;
+mod limits;
+mod membership;
+mod outlier;
+mod quarantine;
+mod retry;
+mod revision;
+mod rollout;
+mod routing;
+mod transfer;
+
+pub use admission::AdmissionConfig;
+pub use claims::ClaimsConfig;
+pub use dedupe::DedupeConfig;
+pub use drain::DrainConfig;
+pub use limits::LimitsConfig;
+pub use membership::MembershipConfig;
+pub use outlier::OutlierConfig;
+pub use quarantine::QuarantineConfig;
+pub use retry::RetryConfig;
+pub use revision::RevisionConfig;
+pub use rollout::RolloutConfig;
+pub use routing::RoutingConfig;
+pub use transfer::TransferConfig;
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,21 @@
+//! The decisions of apricothall, one module for each matter.
+//!
+//! Pure code: the present time and the source of randomness are arguments, nothing does I/O and
+//! nothing blocks. Daemons call these functions; other programs may embed them.
+
+pub mod configs;
+
+pub mod admission;
+pub mod claims;
+pub mod dedupe;
+pub mod drain;
+pub mod limits;
+pub mod membership;
+pub mod outlier;
+pub mod quarantine;
+pub mod rank;
+pub mod retry;
+pub mod revision;
+pub mod rollout;
+pub mod routing;
+pub mod transfer;
--- /dev/null
+++ b/crates/decide/src/limits.rs
@@ -0,0 +1,1 @@
+//! Limits on callers and entries without shared state.
--- /dev/null
+++ b/crates/decide/src/membership.rs
@@ -0,0 +1,1 @@
+//! Membership: heartbeats, incarnations and failure timeouts.
--- /dev/null
+++ b/crates/decide/src/outlier.rs
@@ -0,0 +1,1 @@
+//! Ejection of members that fail more often than others.
--- /dev/null
+++ b/crates/decide/src/quarantine.rs
@@ -0,0 +1,1 @@
+//! Requests suspected of crashing backend servers.
--- /dev/null
+++ b/crates/decide/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budgets and what may be retried.
--- /dev/null
+++ b/crates/decide/src/revision.rs
@@ -0,0 +1,1 @@
+//! The revision in force: the highest valid one, never an older one.
--- /dev/null
+++ b/crates/decide/src/rollout.rs
@@ -0,0 +1,1 @@
+//! Rolling a version over while a stated number of replicas serves.
--- /dev/null
+++ b/crates/decide/src/routing.rs
@@ -0,0 +1,1 @@
+//! Choice of a replica for a request.
--- /dev/null
+++ b/crates/decide/src/transfer.rs
@@ -0,0 +1,1 @@
+//! Transfer of weights: which chunk to fetch, from whom and when.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/types/src/catalogue.rs
@@ -0,0 +1,310 @@
+//! The catalogue: what operators publish and apricothall brings about.
+//!
+//! The configuration service holds it as TOML text. The same parser and check run in every
+//! daemon and in `apricotctl check`, so a revision is accepted everywhere or nowhere.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::num::NonZeroU32;
+
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, format_smolstr};
+use thiserror::Error;
+
+use crate::{CallerId, Digest, EntryName, MemberId, Owner, Version};
+
+/// Largest catalogue text, in bytes: the largest value of the configuration service.
+pub const MAX_CATALOGUE_BYTES: usize = 1 << 20;
+
+/// Why a catalogue is refused as a whole.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum CatalogueError {
+    /// The text exceeds [`MAX_CATALOGUE_BYTES`].
+    #[error("the catalogue has {found} bytes, more than {MAX_CATALOGUE_BYTES}")]
+    TooLarge {
+        /// Size found, in bytes.
+        found: usize,
+    },
+    /// The text is not TOML of the documented form.
+    #[error("line {line}: {reason}")]
+    Syntax {
+        /// Line of the fault, from 1.
+        line: usize,
+        /// What is wrong and what would be right.
+        reason: SmolStr,
+    },
+    /// An entry contradicts itself or another one.
+    #[error("line {line}: entry {name}: {reason}")]
+    Entry {
+        /// Line where the entry starts, from 1.
+        line: usize,
+        /// Name of the entry.
+        name: EntryName,
+        /// What is wrong and what would be right.
+        reason: SmolStr,
+    },
+}
+
+/// What an entry offers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A model that engines load.
+    Model,
+    /// A plain service beside the engines.
+    Service,
+}
+
+/// Rank of an entry's requests. A request may ask for a lower class than its entry's.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Class {
+    /// Work that may wait.
+    Batch,
+    /// Work that a person waits for.
+    #[default]
+    Interactive,
+    /// Hazard summaries and the like: short, and never shed.
+    Critical,
+}
+
+impl fmt::Display for Class {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Batch => "batch",
+            Self::Interactive => "interactive",
+            Self::Critical => "critical",
+        })
+    }
+}
+
+/// What a transfer of the entry's weights saves first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Weighting {
+    /// Bytes drawn from the origin and over links between regions.
+    #[default]
+    Bytes,
+    /// Time until the replicas serve.
+    Time,
+}
+
+/// One version of a model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelVersion {
+    /// Name of the version.
+    pub version: Version,
+    /// Digest of the version's manifest.
+    pub manifest: Digest,
+}
+
+/// Limits on the requests for one entry, over all entry VMs together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Requests a second.
+    pub rate: NonZeroU32,
+    /// Requests that may come at once above the rate.
+    pub burst: NonZeroU32,
+    /// Requests a second of one caller that is not listed by name.
+    pub caller: NonZeroU32,
+}
+
+const DEFAULT_RATE: NonZeroU32 = NonZeroU32::new(1_000).unwrap();
+const DEFAULT_BURST: NonZeroU32 = NonZeroU32::new(200).unwrap();
+const DEFAULT_CALLER: NonZeroU32 = NonZeroU32::new(200).unwrap();
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            rate: DEFAULT_RATE,
+            burst: DEFAULT_BURST,
+            caller: DEFAULT_CALLER,
+        }
+    }
+}
+
+/// Limit of one caller that differs from the entry's.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimit {
+    /// The caller.
+    pub caller: CallerId,
+    /// Requests a second.
+    pub rate: NonZeroU32,
+}
+
+/// A model or plain service with its owner, class and limits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CatalogueEntry {
+    /// Name by which callers ask for it.
+    pub name: EntryName,
+    /// Model or plain service.
+    pub kind: Kind,
+    /// Owner of the entry.
+    pub owner: Owner,
+    /// Rank of its requests.
+    #[serde(default)]
+    pub class: Class,
+    /// Version to serve; models only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub current: Option<Version>,
+    /// Known versions; models only.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub versions: Vec<ModelVersion>,
+    /// VMs that should serve it.
+    pub replicas: NonZeroU32,
+    /// Replicas that may reload at once in a zone.
+    #[serde(default = "default_window")]
+    pub window: NonZeroU32,
+    /// Whether a call may be run more than once.
+    #[serde(default = "default_repeatable")]
+    pub repeatable: bool,
+    /// Whether its backend servers refuse an order with an old fence.
+    #[serde(default)]
+    pub fenced: bool,
+    /// What a transfer saves first.
+    #[serde(default)]
+    pub weighting: Weighting,
+    /// Agents that may run calls that are not repeatable.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub pool: Vec<MemberId>,
+    /// Limits on its requests.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Limits of callers by name.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub callers: Vec<CallerLimit>,
+}
+
+fn default_window() -> NonZeroU32 {
+    NonZeroU32::MIN
+}
+
+fn default_repeatable() -> bool {
+    true
+}
+
+impl CatalogueEntry {
+    /// The version to serve, with the digest of its manifest.
+    #[must_use]
+    pub fn current(&self) -> Option<&ModelVersion> {
+        let current = self.current.as_ref()?;
+        self.versions.iter().find(|v| v.version == *current)
+    }
+
+    /// First contradiction in the entry, as a text for operators.
+    fn fault(&self) -> Option<SmolStr> {
+        match self.kind {
+            Kind::Model => self.model_fault(),
+            Kind::Service => self.service_fault(),
+        }
+    }
+
+    fn model_fault(&self) -> Option<SmolStr> {
+        let Some(current) = &self.current else {
+            return Some("a model needs `current`, the version to serve".into());
+        };
+        if self.current().is_none() {
+            return Some(format_smolstr!(
+                "current version {current} is not under `versions`"
+            ));
+        }
+        if !self.pool.is_empty() {
+            return Some("`pool` is for services whose calls are not repeatable".into());
+        }
+        let mut seen = BTreeSet::new();
+        let twice = self.versions.iter().find(|v| !seen.insert(&v.version))?;
+        Some(format_smolstr!("version {} is listed twice", twice.version))
+    }
+
+    fn service_fault(&self) -> Option<SmolStr> {
+        if self.current.is_some() || !self.versions.is_empty() {
+            return Some("a service has neither `current` nor `versions`".into());
+        }
+        if !self.repeatable && self.pool.is_empty() {
+            return Some("a service with `repeatable = false` needs a `pool` of agents".into());
+        }
+        let mut seen = BTreeSet::new();
+        let twice = self.pool.iter().find(|id| !seen.insert(*id))?;
+        Some(format_smolstr!("agent {twice} is in the pool twice"))
+    }
+}
+
+/// All entries of one revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Catalogue {
+    /// The entries, in the order published.
+    pub entries: Vec<CatalogueEntry>,
+}
+
+/// Form of the catalogue's text, which keeps the place of each entry.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CatalogueText {
+    #[serde(default)]
+    entries: Vec<toml::Spanned<CatalogueEntry>>,
+}
+
+impl Catalogue {
+    /// Parses and checks a catalogue.
+    ///
+    /// # Errors
+    /// The first fault with its line. Nothing of a faulty catalogue is used.
+    pub fn parse(text: &str) -> Result<Self, CatalogueError> {
+        let found = text.len();
+        if found > MAX_CATALOGUE_BYTES {
+            return Err(CatalogueError::TooLarge { found });
+        }
+        let parsed: CatalogueText = toml::from_str(text).map_err(|e| CatalogueError::Syntax {
+            line: e.span().map_or(1, |span| line_of(text, span.start)),
+            reason: SmolStr::new(e.message()),
+        })?;
+        let mut names = BTreeSet::new();
+        for entry in &parsed.entries {
+            let value = entry.get_ref();
+            let twice = !names.insert(value.name.clone());
+            let fault = twice
+                .then(|| "the name is used twice".into())
+                .or_else(|| value.fault());
+            if let Some(reason) = fault {
+                let line = line_of(text, entry.span().start);
+                return Err(CatalogueError::Entry {
+                    line,
+                    name: value.name.clone(),
+                    reason,
+                });
+            }
+        }
+        let entries = parsed
+            .entries
+            .into_iter()
+            .map(toml::Spanned::into_inner)
+            .collect();
+        Ok(Self { entries })
+    }
+
+    /// The text that [`Catalogue::parse`] reads back to an equal value.
+    ///
+    /// # Errors
+    /// When a value has no TOML form, which no parsed catalogue has.
+    pub fn to_text(&self) -> Result<String, toml::ser::Error> {
+        toml::to_string(self)
+    }
+
+    /// The entry called `name`.
+    #[must_use]
+    pub fn entry(&self, name: &EntryName) -> Option<&CatalogueEntry> {
+        self.entries.iter().find(|entry| entry.name == *name)
+    }
+}
+
+/// Line of the byte at `offset`, from 1.
+#[must_use]
+pub fn line_of(text: &str, offset: usize) -> usize {
+    text.bytes().take(offset).filter(|b| *b == b'\n').count() + 1
+}
--- /dev/null
+++ b/crates/types/src/digest.rs
@@ -0,0 +1,87 @@
+//! The BLAKE3 digest of a chunk or manifest.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use thiserror::Error;
+
+const DIGEST_BYTES: usize = 32;
+
+/// The text is not the 64 hexadecimal digits of a digest.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("a digest has 64 hexadecimal digits")]
+pub struct DigestError;
+
+/// A BLAKE3 digest. Text form: 64 hexadecimal digits.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Digest(pub [u8; DIGEST_BYTES]);
+
+impl Digest {
+    /// Digest of `data`.
+    #[must_use]
+    pub fn of(data: &[u8]) -> Self {
+        Self(*blake3::hash(data).as_bytes())
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        blake3::Hash::from_bytes(self.0).fmt(f)
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for Digest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, DigestError> {
+        let hash = blake3::Hash::from_hex(text).map_err(|_| DigestError)?;
+        Ok(Self(*hash.as_bytes()))
+    }
+}
+
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        serializer.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            return deserializer.deserialize_str(DigestVisitor);
+        }
+        deserializer.deserialize_bytes(DigestVisitor)
+    }
+}
+
+/// Reads a digest from text or from raw bytes without a copy on the heap.
+struct DigestVisitor;
+
+impl de::Visitor<'_> for DigestVisitor {
+    type Value = Digest;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("64 hexadecimal digits or 32 bytes")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<Digest, E> {
+        text.parse().map_err(E::custom)
+    }
+
+    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<Digest, E> {
+        let array = bytes
+            .try_into()
+            .map_err(|_| E::invalid_length(bytes.len(), &self))?;
+        Ok(Digest(array))
+    }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,28 @@
+//! Value types shared by every package of apricothall.
+//!
+//! Nothing here does I/O or reads a clock. Each id, size and rate is a newtype with `Display`
+//! and `FromStr`, so that settings, logs and the command line all use the same notation.
+
+pub mod catalogue;
+pub mod digest;
+pub mod ids;
+pub mod manifest;
+pub mod member;
+pub mod numbers;
+pub mod outcome;
+pub mod size;
+pub mod time;
+pub mod vms;
+
+pub use catalogue::{CallerLimit, Catalogue, CatalogueEntry, Class, Kind, Limits, ModelVersion};
+pub use catalogue::{CatalogueError, Weighting};
+pub use digest::Digest;
+pub use ids::{CallerId, EntryName, IdempotencyKey, MemberId, Owner, Region, TextError, Version};
+pub use ids::{RequestId, Zone};
+pub use manifest::Manifest;
+pub use member::{Holding, HoldingState, Load, Member, MemberState, Role};
+pub use numbers::{ChunkIndex, Fence, Incarnation, Revision, Sequence};
+pub use outcome::Outcome;
+pub use size::{Bytes, Rate};
+pub use time::{Interval, Timestamp, WallTime};
+pub use vms::{Vm, VmList, VmState};
--- /dev/null
+++ b/crates/types/tests/values.rs
@@ -0,0 +1,78 @@
+//! Text forms of the newtypes and the rules of the catalogue.
+
+use apricothall_types::{Bytes, Catalogue, Digest, Interval, MemberId, Rate, RequestId};
+use proptest::prelude::*;
+
+macro_rules! refused {
+    ($($case:ident: $kind:ty, $text:expr;)*) => {
+        $(#[test] fn $case() { assert!($text.parse::<$kind>().is_err()); })*
+    };
+}
+
+refused! {
+    empty_member_id: MemberId, "";
+    member_id_with_space: MemberId, "a b";
+    size_without_unit: Bytes, "16";
+    size_with_unit_of_a_rate: Bytes, "16 Mb/s";
+    negative_size: Bytes, "-1 MiB";
+    size_beyond_64_bits: Bytes, "99999999999999 GiB";
+    rate_with_unit_of_a_size: Rate, "22 MiB";
+    interval_without_unit: Interval, "20";
+    short_digest: Digest, "abcd";
+    short_request_id: RequestId, "12";
+}
+
+proptest! {
+    #[test]
+    fn size_reads_back(value in 0..u64::MAX) {
+        prop_assert_eq!(Bytes(value).to_string().parse(), Ok(Bytes(value)));
+    }
+
+    #[test]
+    fn rate_reads_back(value in 0..u64::MAX) {
+        prop_assert_eq!(Rate(value).to_string().parse(), Ok(Rate(value)));
+    }
+
+    #[test]
+    fn digest_reads_back_in_both_encodings(value: [u8; 32]) {
+        let digest = Digest(value);
+        prop_assert_eq!(digest.to_string().parse(), Ok(digest));
+        let config = bincode::config::standard();
+        let bytes = bincode::serde::encode_to_vec(digest, config).expect("encodes");
+        let (back, _): (Digest, usize) =
+            bincode::serde::borrow_decode_from_slice(&bytes, config).expect("decodes");
+        prop_assert_eq!(back, digest);
+    }
+}
+
+const HEAD: &str = "[[entries]]\nname = \"m\"\nkind = \"model\"\nowner = \"o\"\nreplicas = 2\n";
+
+macro_rules! catalogue_fault {
+    ($($case:ident: $text:expr => $message:expr;)*) => {
+        $(#[test] fn $case() {
+            let error = Catalogue::parse(AsRef::<str>::as_ref(&$text)).expect_err("must be refused").to_string();
+            assert!(error.contains($message), "{error}");
+        })*
+    };
+}
+
+catalogue_fault! {
+    model_without_current: HEAD => "line 1: entry m: a model needs `current`";
+    current_not_listed: format!("{HEAD}current = \"1\"\n") => "not under `versions`";
+    unknown_key: format!("{HEAD}colour = \"red\"\n") => "line 6: unknown field `colour`";
+    no_replicas: HEAD.replace('2', "0") => "line 5";
+    not_toml: "entries = [" => "line 1";
+    same_name_twice: SERVICE.repeat(2) => "line 8: entry s: the name is used twice";
+    booking_without_pool: SERVICE.replace("pool = [\"a\"]", "") => "needs a `pool`";
+    pool_with_twin: SERVICE.replace("[\"a\"]", "[\"a\", \"a\"]") => "in the pool twice";
+}
+
+const SERVICE: &str = "[[entries]]\nname = \"s\"\nkind = \"service\"\nowner = \"o\"\nreplicas = 1\n\
+                       repeatable = false\npool = [\"a\"]\n";
+
+#[test]
+fn catalogue_reads_back() {
+    let catalogue = Catalogue::parse(SERVICE).expect("valid");
+    let text = catalogue.to_text().expect("has a text form");
+    assert_eq!(Catalogue::parse(&text), Ok(catalogue));
+}
