--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Plug-ins of the agent: weights in memory, backend servers and the work on them.
+
+pub mod chunks;
+pub mod completion;
+pub mod fetch;
+pub mod loader;
+pub mod run;
+pub mod servers;
+pub mod service_call;
+pub mod upload;
+pub mod weights_port;
--- /dev/null
+++ b/crates/agent/src/run.rs
@@ -0,0 +1,150 @@
+//! Plug-in that runs orders of entries on the backend servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricothall_fleet::{PeerRoutes, Trace};
+use apricothall_kernel::{Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture};
+use apricothall_types::{Load, Outcome, RequestId, Role, Sequence};
+use apricothall_wire::{
+    Answer, AnswerFrame, Call, Channel, Incoming, Order, RUN_PATH, Refusal, WireError,
+};
+use futures::{SinkExt, StreamExt};
+use linkme::distributed_slice;
+use tracing::Instrument;
+
+use crate::servers::Servers;
+use crate::{completion, service_call};
+
+#[distributed_slice(PLUGINS)]
+static RUN: Plugin = Plugin {
+    name: "run",
+    stage: Stage::Serving,
+    roles: &[Role::Agent],
+    start: |context| -> StartFuture { Box::pin(async move { start(&context) }) },
+};
+
+/// When to come back to an agent that is leaving.
+const LEAVING_RETRY: Duration = Duration::from_secs(1);
+
+/// The entry's side of one order.
+pub struct Reply {
+    channel: Channel<Order, AnswerFrame>,
+    request: RequestId,
+    sequence: Sequence,
+}
+
+impl Reply {
+    /// Sends the next step of the answer.
+    ///
+    /// # Errors
+    /// When the entry has gone.
+    pub async fn send(&mut self, answer: Answer) -> Result<(), WireError> {
+        let frame = AnswerFrame {
+            request: self.request,
+            sequence: self.sequence,
+            answer,
+        };
+        self.sequence = self.sequence.next();
+        self.channel.send(frame).await
+    }
+
+    /// Waits until the entry gives up the request.
+    pub async fn cancelled(&mut self) {
+        while let Some(Ok(_)) = self.channel.next().await {}
+    }
+
+    /// Ends the stream after its last step.
+    ///
+    /// # Errors
+    /// When the entry has gone.
+    pub async fn close(mut self) -> Result<(), WireError> {
+        self.channel.close().await
+    }
+}
+
+/// What a run needs to know of this agent.
+#[derive(Clone)]
+pub struct Runner {
+    /// Backend servers of the VM.
+    pub servers: Arc<Servers>,
+    lifecycle: Lifecycle,
+}
+
+fn start(context: &Context) -> Result<(), StartError> {
+    let runner = Runner {
+        servers: context.part::<Servers>()?,
+        lifecycle: context.lifecycle.clone(),
+    };
+    context
+        .part::<PeerRoutes>()?
+        .add(RUN_PATH, move |incoming| {
+            let runner = runner.clone();
+            async move {
+                if let Err(error) = serve(&runner, incoming).await {
+                    tracing::debug!(%error, "order ended early");
+                }
+            }
+        });
+    Ok(())
+}
+
+async fn serve(runner: &Runner, incoming: Incoming) -> Result<(), WireError> {
+    let trace = incoming.trace.as_deref().and_then(Trace::parse);
+    let mut channel: Channel<Order, AnswerFrame> = incoming.accept()?;
+    let order = channel.next().await.ok_or(WireError::Ended)??;
+    let trace = trace.unwrap_or(Trace {
+        request: order.request,
+        span: 1,
+    });
+    let span = tracing::info_span!("run", request = %order.request, entry = %order.name);
+    let reply = Reply {
+        channel,
+        request: order.request,
+        sequence: Sequence(0),
+    };
+    run(runner, order, reply, trace).instrument(span).await
+}
+
+async fn run(
+    runner: &Runner,
+    order: Order,
+    mut reply: Reply,
+    trace: Trace,
+) -> Result<(), WireError> {
+    // Counted before the check, so that a stop between the two waits for this order.
+    let _work = runner.lifecycle.begin();
+    if runner.lifecycle.is_leaving() {
+        reply
+            .send(refused(leaving(), runner.servers.load()))
+            .await?;
+        return reply.close().await;
+    }
+    let trace = trace.child(&mut rand::rng());
+    let last = match &order.call {
+        Call::Completion { version, body } => {
+            let body = body.0.clone();
+            completion::run(runner, &order, version, body, trace, &mut reply).await?
+        }
+        Call::Service { .. } => service_call::run(runner, &order, trace, &mut reply).await?,
+    };
+    reply.send(last).await?;
+    reply.close().await
+}
+
+/// The last step of an answer that is not whole.
+#[must_use]
+pub fn refused(refusal: Refusal, load: Load) -> Answer {
+    metrics::counter!("apricothall_run_refused_total", "outcome" => refusal.outcome.to_string())
+        .increment(1);
+    Answer::Refused { refusal, load }
+}
+
+fn leaving() -> Refusal {
+    Refusal {
+        outcome: Outcome::NotRun,
+        status: 503,
+        detail: "the agent is leaving".into(),
+        retry: Some(LEAVING_RETRY),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/servers.rs
@@ -0,0 +1,259 @@
+//! Plug-in that knows the backend servers of this VM and what they serve.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use apricothall_fleet::{CatalogueState, StatusBoard, View};
+use apricothall_kernel::configs::{ServerConfig, ServerKind};
+use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
+use apricothall_platform::{EngineClient, EngineState, HttpClient, ServiceClient, Serving};
+use apricothall_types::{EntryName, Holding, HoldingState, Load, Role, Version};
+use linkme::distributed_slice;
+use serde_json::json;
+use smol_str::SmolStr;
+
+#[distributed_slice(PLUGINS)]
+static SERVERS: Plugin = Plugin {
+    name: "backend servers",
+    stage: Stage::Weights,
+    roles: &[Role::Agent],
+    start: |context| -> StartFuture { Box::pin(async move { start(&context) }) },
+};
+
+/// Time between two reads of an engine's state.
+const STATE_PERIOD: Duration = Duration::from_millis(200);
+
+/// Longest wait for an engine's state.
+const STATE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Version under which a plain service is announced.
+pub const SERVICE_VERSION: &str = "service";
+
+/// One engine of this VM.
+pub struct Engine {
+    /// Its settings.
+    pub config: ServerConfig,
+    /// Calls it.
+    pub client: EngineClient,
+    state: RwLock<Option<EngineState>>,
+    running: AtomicU32,
+}
+
+/// One plain service of this VM.
+pub struct Service {
+    /// Its catalogue entry.
+    pub name: EntryName,
+    /// Its settings.
+    pub config: ServerConfig,
+    /// Calls it.
+    pub client: ServiceClient,
+    running: AtomicU32,
+}
+
+/// Counts a request at a server as running until dropped.
+pub struct RunningGuard<'a>(&'a AtomicU32);
+
+impl Drop for RunningGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Engine {
+    /// What the engine last said of itself; `None` while it does not answer.
+    #[must_use]
+    pub fn state(&self) -> Option<EngineState> {
+        self.state
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// The version that the engine last said it serves.
+    #[must_use]
+    pub fn serving(&self) -> Option<Serving> {
+        self.state()?.serving
+    }
+
+    /// Records what the engine says of itself.
+    pub fn observe(&self, state: Option<EngineState>) {
+        *self.state.write().unwrap_or_else(PoisonError::into_inner) = state;
+    }
+
+    /// Counts a request as running.
+    #[must_use]
+    pub fn begin(&self) -> RunningGuard<'_> {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        RunningGuard(&self.running)
+    }
+
+    fn serves(&self, name: &EntryName, version: &Version) -> bool {
+        self.serving()
+            .is_some_and(|s| s.name == *name && s.version == *version)
+    }
+}
+
+impl Service {
+    /// Counts a request as running.
+    #[must_use]
+    pub fn begin(&self) -> RunningGuard<'_> {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        RunningGuard(&self.running)
+    }
+}
+
+/// All backend servers of this VM.
+pub struct Servers {
+    /// Model engines.
+    pub engines: Vec<Arc<Engine>>,
+    /// Plain services.
+    pub services: Vec<Arc<Service>>,
+}
+
+impl Servers {
+    fn new(context: &Context, http: &HttpClient) -> Self {
+        let configs = &context.settings.servers;
+        let engines = configs.iter().filter(|c| c.kind == ServerKind::Engine);
+        let engines = engines.map(|config| {
+            Arc::new(Engine {
+                config: config.clone(),
+                client: EngineClient::new(http.clone(), config.address),
+                state: RwLock::default(),
+                running: AtomicU32::new(0),
+            })
+        });
+        let services = configs.iter().filter_map(|config| {
+            let name = config.name.clone()?;
+            let client = ServiceClient::new(http.clone(), config.address);
+            let running = AtomicU32::new(0);
+            Some(Arc::new(Service {
+                name,
+                config: config.clone(),
+                client,
+                running,
+            }))
+        });
+        Self {
+            engines: engines.collect(),
+            services: services.collect(),
+        }
+    }
+
+    /// The engine with the fewest running requests of those that serve `version`.
+    #[must_use]
+    pub fn engine(&self, name: &EntryName, version: &Version) -> Option<Arc<Engine>> {
+        let able = self.engines.iter().filter(|e| e.serves(name, version));
+        able.min_by_key(|e| e.running.load(Ordering::Relaxed))
+            .cloned()
+    }
+
+    /// The plain service behind a catalogue entry.
+    #[must_use]
+    pub fn service(&self, name: &EntryName) -> Option<Arc<Service>> {
+        let able = self.services.iter().filter(|s| s.name == *name);
+        able.min_by_key(|s| s.running.load(Ordering::Relaxed))
+            .cloned()
+    }
+
+    /// Work at all servers together.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let engines = self.engines.iter().map(|e| (&e.running, e.config.slots));
+        let services = self.services.iter().map(|s| (&s.running, s.config.slots));
+        engines
+            .chain(services)
+            .fold(Load::default(), |sum, (running, slots)| Load {
+                running: sum.running + running.load(Ordering::Relaxed),
+                queued: sum.queued,
+                slots: sum.slots + slots.get(),
+            })
+    }
+
+    /// Versions in service and plain services, for the member record.
+    #[must_use]
+    pub fn serving(&self) -> Vec<Holding> {
+        let mut found = BTreeSet::new();
+        for serving in self.engines.iter().filter_map(|e| e.serving()) {
+            found.insert((serving.name, serving.version));
+        }
+        if let Ok(version) = SERVICE_VERSION.parse::<Version>() {
+            for service in &self.services {
+                found.insert((service.name.clone(), version.clone()));
+            }
+        }
+        let state = HoldingState::Serving;
+        let keys = found.into_iter();
+        keys.map(|(name, version)| Holding {
+            name,
+            version,
+            state,
+        })
+        .collect()
+    }
+}
+
+fn start(context: &Context) -> Result<(), StartError> {
+    let http = context.part::<HttpClient>()?;
+    let servers = Arc::new(Servers::new(context, &http));
+    context.provide(servers.clone());
+    let view = context.part::<View>()?;
+    announce(&servers, &view);
+    for engine in &servers.engines {
+        let watched = watch_engine(engine.clone(), servers.clone(), view.clone());
+        context.lifecycle.spawn(watched);
+    }
+    add_status(context, servers)
+}
+
+fn add_status(context: &Context, servers: Arc<Servers>) -> Result<(), StartError> {
+    let board = context.part::<StatusBoard>()?;
+    let catalogue = context.part::<CatalogueState>()?;
+    let shown = servers.clone();
+    board.section("servers", move || {
+        let states = shown.engines.iter().map(|e| {
+            json!({
+                "address": e.config.address, "state": e.state()
+            })
+        });
+        let services = shown.services.iter().map(|s| {
+            json!({
+                "address": s.config.address, "name": s.name
+            })
+        });
+        json!({ "load": shown.load(), "engines": states.collect::<Vec<_>>(),
+                "services": services.collect::<Vec<_>>() })
+    });
+    board.condition(move || unready(&servers, &catalogue));
+    Ok(())
+}
+
+fn unready(servers: &Servers, _: &CatalogueState) -> Option<SmolStr> {
+    let silent = servers.engines.iter().find(|e| e.state().is_none())?;
+    Some(smol_str::format_smolstr!(
+        "engine {} does not answer",
+        silent.config.address
+    ))
+}
+
+/// Keeps the member record equal to what the servers say.
+pub fn announce(servers: &Servers, view: &View) {
+    let serving = servers.serving();
+    view.update_own(|own| {
+        let rest = own
+            .holdings
+            .iter()
+            .filter(|h| h.state != HoldingState::Serving);
+        own.holdings = serving.iter().chain(rest).cloned().collect();
+    });
+}
+
+async fn watch_engine(engine: Arc<Engine>, servers: Arc<Servers>, view: Arc<View>) {
+    loop {
+        let state = engine.client.state(STATE_LIMIT).await;
+        engine.observe(state.ok());
+        announce(&servers, &view);
+        tokio::time::sleep(STATE_PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/agent/src/service_call.rs
@@ -0,0 +1,119 @@
+//! Runs a call on a plain service.
+
+use std::time::Duration;
+
+use apricothall_fleet::Trace;
+use apricothall_platform::{PlatformError, ServiceAnswer, ServiceCall};
+use apricothall_types::Outcome;
+use apricothall_wire::{Answer, Call, Header, Order, Payload, Refusal, WireError};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use smol_str::{SmolStr, ToSmolStr};
+
+use crate::run::{Reply, Runner, refused};
+
+/// When to come back after a refusal that passes.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// Headers that concern a single connection, or that are set anew.
+const OWN_HEADERS: [&str; 5] = [
+    "connection",
+    "content-length",
+    "host",
+    "transfer-encoding",
+    "traceparent",
+];
+
+/// Runs `order` and returns the last step of its answer.
+///
+/// # Errors
+/// When the entry has gone.
+pub async fn run(
+    runner: &Runner,
+    order: &Order,
+    trace: Trace,
+    reply: &mut Reply,
+) -> Result<Answer, WireError> {
+    let Some(service) = runner.servers.service(&order.name) else {
+        let refusal = refusal(Outcome::NotRun, 503, "no such service on this VM".into());
+        return Ok(refused(refusal, runner.servers.load()));
+    };
+    let Some(call) = call_of(order, trace) else {
+        let refusal = refusal(Outcome::NotRun, 400, "the call is malformed".into());
+        return Ok(refused(refusal, runner.servers.load()));
+    };
+    let running = service.begin();
+    let answered = service.client.call(call, order.budget).await;
+    drop(running);
+    let load = runner.servers.load();
+    match answered {
+        Ok(answer) => {
+            let length = answer.body.len() as u64;
+            reply.send(head(&answer)).await?;
+            reply.send(Answer::Data(Payload(answer.body))).await?;
+            Ok(Answer::End { length, load })
+        }
+        Err(error) => Ok(refused(fault(&error), load)),
+    }
+}
+
+fn call_of(order: &Order, trace: Trace) -> Option<ServiceCall> {
+    let Call::Service {
+        method,
+        path,
+        headers,
+        body,
+    } = &order.call
+    else {
+        return None;
+    };
+    let mut passed = HeaderMap::new();
+    for header in headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        passed.append(name, HeaderValue::from_str(&header.value).ok()?);
+    }
+    Some(ServiceCall {
+        request: order.request,
+        method: Method::from_bytes(method.as_bytes()).ok()?,
+        path: path.clone(),
+        headers: passed,
+        body: body.0.clone(),
+        trace: trace.to_smolstr(),
+    })
+}
+
+fn head(answer: &ServiceAnswer) -> Answer {
+    let shown = answer
+        .headers
+        .iter()
+        .filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()));
+    let headers = shown.filter_map(|(name, value)| {
+        Some(Header {
+            name: name.as_str().into(),
+            value: SmolStr::new(value.to_str().ok()?),
+        })
+    });
+    Answer::Head {
+        status: answer.status.as_u16(),
+        headers: headers.collect(),
+        version: None,
+    }
+}
+
+fn fault(error: &PlatformError) -> Refusal {
+    if error.is_unsent() {
+        return refusal(Outcome::NotRun, 503, error.to_smolstr());
+    }
+    Refusal {
+        retry: None,
+        ..refusal(Outcome::Unknown, 502, error.to_smolstr())
+    }
+}
+
+fn refusal(outcome: Outcome, status: u16, detail: SmolStr) -> Refusal {
+    Refusal {
+        outcome,
+        status,
+        detail,
+        retry: Some(RETRY),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/weights_port.rs
@@ -0,0 +1,75 @@
+//! Plug-in that lets the engines of this VM read complete versions over loopback.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricothall_fleet::StatusBoard;
+use apricothall_fleet::http_server::{Body, listen, serve, text, with_type};
+use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
+use apricothall_types::{ChunkIndex, Digest, Role};
+use http::{Response, StatusCode};
+use linkme::distributed_slice;
+use serde_json::json;
+
+use crate::chunks::ChunkStore;
+
+#[distributed_slice(PLUGINS)]
+static WEIGHTS_PORT: Plugin = Plugin {
+    name: "weights port",
+    stage: Stage::Weights,
+    roles: &[Role::Agent],
+    start: |context| -> StartFuture { Box::pin(start(context)) },
+};
+
+/// Longest wait for the head of a request.
+const READ_LIMIT: Duration = Duration::from_secs(5);
+
+const BINARY: &str = "application/octet-stream";
+
+async fn start(context: Context) -> Result<(), StartError> {
+    let store = Arc::new(ChunkStore::default());
+    context.provide(store.clone());
+    let shown = store.clone();
+    let board = context.part::<StatusBoard>()?;
+    board.section("weights", move || json!({ "bytes": shown.size().0 }));
+    let Some(config) = &context.settings.weights else {
+        return Ok(());
+    };
+    let listener = listen(config.listen).await?;
+    let closing = context.lifecycle.stop_token();
+    context
+        .lifecycle
+        .spawn(serve(listener, READ_LIMIT, closing, move |request| {
+            let store = store.clone();
+            async move { answer(&store, request.uri().path()) }
+        }));
+    Ok(())
+}
+
+fn answer(store: &ChunkStore, path: &str) -> Response<Body> {
+    let found = find(store, path);
+    found.unwrap_or_else(|| text(StatusCode::NOT_FOUND, "no complete version holds this\n"))
+}
+
+/// Serves `/weights/{digest}/manifest` and `/weights/{digest}/chunks/{index}`.
+fn find(store: &ChunkStore, path: &str) -> Option<Response<Body>> {
+    let rest = path.strip_prefix("/weights/")?;
+    let (digest, rest) = rest.split_once('/')?;
+    let digest: Digest = digest.parse().ok()?;
+    if !store.is_complete(digest) {
+        return None;
+    }
+    if rest == "manifest" {
+        return Some(with_type(
+            StatusCode::OK,
+            "application/json",
+            store.published(digest)?,
+        ));
+    }
+    let index: ChunkIndex = rest.strip_prefix("chunks/")?.parse().ok()?;
+    Some(with_type(
+        StatusCode::OK,
+        BINARY,
+        store.chunk(digest, index)?,
+    ))
+}
--- /dev/null
+++ b/crates/entry/src/ask.rs
@@ -0,0 +1,143 @@
+//! What the headers of a caller's request say.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use apricothall_fleet::Trace;
+use apricothall_kernel::configs::CallersConfig;
+use apricothall_types::{CallerId, Class, IdempotencyKey};
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+
+use crate::problem::Problem;
+
+/// Account of requests without `x-caller`.
+const ANONYMOUS: &str = "anonymous";
+
+/// Longest ticket, in bytes.
+const MAX_TICKET_BYTES: usize = 512;
+
+/// A caller's request, but for what it asks.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Account that is charged.
+    pub caller: CallerId,
+    /// Class asked for, if any.
+    pub class: Option<Class>,
+    /// Time until the deadline.
+    pub budget: Duration,
+    /// Value of `Idempotency-Key`.
+    pub key: Option<IdempotencyKey>,
+    /// Value of `x-ticket`.
+    pub ticket: Option<SmolStr>,
+    /// Trace of the request, the caller's or a new one.
+    pub trace: Trace,
+}
+
+impl Ask {
+    /// Reads the headers.
+    ///
+    /// # Errors
+    /// When a header is malformed.
+    pub fn read(
+        headers: &HeaderMap,
+        trace: Trace,
+        config: &CallersConfig,
+    ) -> Result<Self, Problem> {
+        let caller = parsed(headers, "x-caller")?;
+        let anonymous = || {
+            ANONYMOUS
+                .parse()
+                .map_err(|_| Problem::bad_request("no caller"))
+        };
+        let deadline = parsed::<u64>(headers, "x-deadline-ms")?.map(Duration::from_millis);
+        let ticket = text(headers, "x-ticket")?.map(SmolStr::new);
+        if ticket.as_ref().is_some_and(|t| t.len() > MAX_TICKET_BYTES) {
+            return Err(Problem::bad_request("x-ticket: too long"));
+        }
+        Ok(Self {
+            caller: caller.map_or_else(anonymous, Ok)?,
+            class: class(headers)?,
+            budget: deadline.unwrap_or(config.deadline.0),
+            key: parsed(headers, "idempotency-key")?,
+            ticket,
+            trace,
+        })
+    }
+}
+
+/// The caller's trace, or a new one when it sent none that is valid.
+#[must_use]
+pub fn trace(headers: &HeaderMap) -> Trace {
+    let sent = headers
+        .get("traceparent")
+        .and_then(|v| v.to_str().ok())
+        .and_then(Trace::parse);
+    sent.unwrap_or_else(|| Trace::random(&mut rand::rng()))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Problem> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(Problem::bad_request(format_smolstr!("{name}: sent twice")));
+    }
+    let text = value.to_str();
+    text.map(Some)
+        .map_err(|_| Problem::bad_request(format_smolstr!("{name}: not visible ASCII")))
+}
+
+fn parsed<T>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Problem>
+where
+    T: FromStr,
+    T::Err: ToSmolStr,
+{
+    let value = text(headers, name)?.map(str::parse).transpose();
+    value.map_err(|e: T::Err| Problem::bad_request(format_smolstr!("{name}: {}", e.to_smolstr())))
+}
+
+fn class(headers: &HeaderMap) -> Result<Option<Class>, Problem> {
+    Ok(match text(headers, "x-class")? {
+        None => None,
+        Some("critical") => Some(Class::Critical),
+        Some("interactive") => Some(Class::Interactive),
+        Some("batch") => Some(Class::Batch),
+        Some(_) => {
+            return Err(Problem::bad_request(
+                "x-class: use critical, interactive or batch",
+            ));
+        }
+    })
+}
+
+/// Reads the whole body within the limits of the settings.
+///
+/// # Errors
+/// When the body is too large, too slow or cut off.
+pub async fn body(request: Request<Incoming>, config: &CallersConfig) -> Result<Bytes, Problem> {
+    let limit = usize::try_from(config.body.0).unwrap_or(usize::MAX);
+    let read = Limited::new(request.into_body(), limit).collect();
+    let Ok(read) = tokio::time::timeout(config.read.0, read).await else {
+        let status = StatusCode::REQUEST_TIMEOUT;
+        return Err(Problem {
+            status,
+            ..Problem::bad_request("the body came too slowly")
+        });
+    };
+    read.map(http_body_util::Collected::to_bytes).map_err(|e| {
+        if e.is::<LengthLimitError>() {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            let detail = format_smolstr!("the body exceeds {}", config.body);
+            return Problem {
+                status,
+                ..Problem::bad_request(detail)
+            };
+        }
+        Problem::bad_request("the body was cut off")
+    })
+}
--- /dev/null
+++ b/crates/entry/src/entries.rs
@@ -0,0 +1,52 @@
+//! `GET /v1/entries`: the addresses that callers should use.
+
+use std::net::SocketAddr;
+
+use apricothall_fleet::http_server::{Body, json};
+use apricothall_types::{Region, Role, Zone};
+use http::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::callers::Entry;
+
+/// One address for callers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryAddress {
+    /// Address to connect to.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Region.
+    pub region: Region,
+}
+
+/// Answer to `GET /v1/entries`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryList {
+    /// Addresses, those in the zone of the asked entry first.
+    pub entries: Vec<EntryAddress>,
+    /// How long the answer may be kept, in milliseconds.
+    pub keep_ms: u64,
+}
+
+/// Lists the entries that take new work.
+#[must_use]
+pub fn list(entry: &Entry) -> Response<Body> {
+    let alive = entry
+        .view
+        .alive()
+        .into_iter()
+        .filter(|m| m.role == Role::Entry);
+    let mut entries: Vec<_> = alive
+        .filter_map(|m| {
+            Some(EntryAddress {
+                address: m.public?,
+                zone: m.zone,
+                region: m.region,
+            })
+        })
+        .collect();
+    entries.sort_by_key(|e| (e.zone != entry.zone, e.address));
+    let keep_ms = u64::try_from(entry.config.keep.0.as_millis()).unwrap_or(u64::MAX);
+    json(StatusCode::OK, &EntryList { entries, keep_ms })
+}
--- /dev/null
+++ b/crates/entry/src/forward.rs
@@ -0,0 +1,129 @@
+//! One try of a request at one agent.
+
+use apricothall_types::{Load, Member, Outcome, RequestId, Sequence};
+use apricothall_wire::{
+    Answer, AnswerFrame, Channel, Connector, Lane, Order, RUN_PATH, Refusal, WireError,
+};
+use futures::{SinkExt, StreamExt};
+use smol_str::ToSmolStr;
+use thiserror::Error;
+
+/// Why a try has no whole answer.
+#[derive(Debug, Error)]
+pub enum ForwardError {
+    /// No byte of the order reached the agent.
+    #[error("not sent: {0}")]
+    Unsent(WireError),
+    /// The agent refused.
+    #[error("refused: {}", .0.detail)]
+    Refused(Refusal),
+    /// The connection was lost after the order may have arrived.
+    #[error("lost: {0}")]
+    Lost(WireError),
+    /// A frame belongs to another answer or place.
+    #[error("a frame is out of place")]
+    Crossed,
+    /// The pieces do not add up to the length stated at the end.
+    #[error("the answer is not whole")]
+    Truncated,
+}
+
+impl ForwardError {
+    /// What the caller may conclude when nothing else is tried.
+    #[must_use]
+    pub fn refusal(&self) -> Refusal {
+        match self {
+            Self::Refused(refusal) => refusal.clone(),
+            Self::Unsent(_) => self.as_refusal(Outcome::NotRun, 503),
+            _ => self.as_refusal(Outcome::Unknown, 502),
+        }
+    }
+
+    /// Whether it is certain that the request was not run by this try.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        match self {
+            Self::Unsent(_) => true,
+            Self::Refused(refusal) => refusal.outcome == Outcome::NotRun,
+            _ => false,
+        }
+    }
+
+    fn as_refusal(&self, outcome: Outcome, status: u16) -> Refusal {
+        Refusal {
+            outcome,
+            status,
+            detail: self.to_smolstr(),
+            retry: None,
+        }
+    }
+}
+
+/// A piece of an answer that is known to be in its place.
+#[derive(Debug)]
+pub enum Step {
+    /// The backend server has accepted the request.
+    Head(Answer),
+    /// The next piece.
+    Data(bytes::Bytes),
+    /// The answer is whole.
+    End(Load),
+}
+
+/// The answer of one agent to one order.
+pub struct Attempt {
+    channel: Channel<AnswerFrame, Order>,
+    request: RequestId,
+    due: Sequence,
+    length: u64,
+}
+
+impl Attempt {
+    /// Sends `order` to `agent`.
+    ///
+    /// # Errors
+    /// [`ForwardError::Unsent`] when no byte was sent.
+    pub async fn start(
+        connector: &Connector,
+        agent: &Member,
+        order: Order,
+        trace: &str,
+    ) -> Result<Self, ForwardError> {
+        let opened = connector
+            .open(agent.address, Lane::Live, RUN_PATH, Some(trace))
+            .await;
+        let mut channel: Channel<AnswerFrame, Order> = opened.map_err(ForwardError::Unsent)?;
+        let request = order.request;
+        channel.send(order).await.map_err(ForwardError::Lost)?;
+        Ok(Self {
+            channel,
+            request,
+            due: Sequence(0),
+            length: 0,
+        })
+    }
+
+    /// The next step of the answer.
+    ///
+    /// # Errors
+    /// When the answer cannot become whole any more.
+    pub async fn next(&mut self) -> Result<Step, ForwardError> {
+        let frame = self.channel.next().await.unwrap_or(Err(WireError::Ended));
+        let frame = frame.map_err(ForwardError::Lost)?;
+        if frame.request != self.request || frame.sequence != self.due {
+            metrics::counter!("apricothall_frames_crossed_total").increment(1);
+            return Err(ForwardError::Crossed);
+        }
+        self.due = self.due.next();
+        match frame.answer {
+            Answer::Data(payload) => {
+                self.length += payload.len() as u64;
+                Ok(Step::Data(payload.0))
+            }
+            Answer::End { length, load } if length == self.length => Ok(Step::End(load)),
+            Answer::End { .. } => Err(ForwardError::Truncated),
+            Answer::Refused { refusal, .. } => Err(ForwardError::Refused(refusal)),
+            head @ Answer::Head { .. } => Ok(Step::Head(head)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/http_server.rs
@@ -0,0 +1,137 @@
+//! HTTP servers for callers, operators and engines, bounded in time.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricothall_kernel::StartError;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// Body of all answers.
+pub type Body = BoxBody<Bytes, Infallible>;
+
+/// Streams that one HTTP/2 connection may have open.
+const MAX_STREAMS: u32 = 256;
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: u32 = 16 << 10;
+
+/// Pause after a failed accept, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Listens on `address`.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| StartError::Listen { address, source })
+}
+
+/// Serves connections until `closing`; then finishes the requests in progress.
+///
+/// A request whose head takes longer than `read` ends its connection.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    read: Duration,
+    closing: CancellationToken,
+    handle: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    loop {
+        tokio::select! {
+            () = closing.cancelled() => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => connection(stream, read, &graceful, handle.clone()),
+                Err(error) => {
+                    tracing::warn!(%error, "cannot accept");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+    graceful.shutdown().await;
+}
+
+fn connection<H, F>(stream: TcpStream, read: Duration, graceful: &GracefulShutdown, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    // Without the option small answers wait longer; the connection still works.
+    let _ = stream.set_nodelay(true);
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(read);
+    builder.http1().max_buf_size(MAX_HEAD_BYTES as usize);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS);
+    builder
+        .http2()
+        .max_header_list_size(MAX_HEAD_BYTES)
+        .keep_alive_interval(read);
+    let service = service_fn(move |request| {
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let serving = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .into_owned();
+    let watched = graceful.watch(serving);
+    tokio::spawn(async move {
+        if let Err(error) = watched.await {
+            tracing::debug!(%error, "connection ended");
+        }
+    });
+}
+
+/// A body held in memory.
+#[must_use]
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).boxed()
+}
+
+/// An answer of plain text.
+#[must_use]
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    with_type(status, "text/plain; charset=utf-8", body)
+}
+
+/// An answer of JSON.
+#[must_use]
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(body) => with_type(status, "application/json", body),
+        Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+    }
+}
+
+/// An answer with a content type.
+#[must_use]
+pub fn with_type(status: StatusCode, kind: &'static str, body: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(body));
+    *response.status_mut() = status;
+    let value = http::HeaderValue::from_static(kind);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,18 @@
+//! Plug-ins that every daemon runs: the port for other daemons, membership, the catalogue and the
+//! port for operators.
+
+pub mod catalogue;
+pub mod http_server;
+pub mod membership;
+pub mod operators;
+pub mod peers;
+pub mod rpc;
+pub mod shared;
+pub mod status;
+pub mod trace;
+
+pub use catalogue::{CatalogueState, InForce};
+pub use membership::View;
+pub use peers::PeerRoutes;
+pub use status::StatusBoard;
+pub use trace::Trace;
--- /dev/null
+++ b/crates/fleet/src/operators.rs
@@ -0,0 +1,54 @@
+//! Plug-in for the port of operators: `/healthz`, `/readyz`, `/metrics`, `/status`.
+
+use std::time::Duration;
+
+use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
+use apricothall_types::Role;
+use http::{Method, Response, StatusCode};
+use linkme::distributed_slice;
+
+use crate::StatusBoard;
+use crate::http_server::{Body, json, listen, serve, text};
+
+#[distributed_slice(PLUGINS)]
+static OPERATORS: Plugin = Plugin {
+    name: "operators",
+    stage: Stage::Operators,
+    roles: &[Role::Entry, Role::Agent],
+    start: |context| -> StartFuture { Box::pin(start(context)) },
+};
+
+/// Longest wait for the head of a request.
+const READ_LIMIT: Duration = Duration::from_secs(5);
+
+async fn start(context: Context) -> Result<(), StartError> {
+    let listener = listen(context.settings.operators.listen).await?;
+    let board = context.part::<StatusBoard>()?;
+    let closing = context.lifecycle.stop_token();
+    let telemetry = context.telemetry.clone();
+    context
+        .lifecycle
+        .spawn(serve(listener, READ_LIMIT, closing, move |request| {
+            let (board, telemetry) = (board.clone(), telemetry.clone());
+            async move {
+                if request.method() != Method::GET {
+                    return text(StatusCode::METHOD_NOT_ALLOWED, "only GET is served here\n");
+                }
+                match request.uri().path() {
+                    "/healthz" => text(StatusCode::OK, "ok\n"),
+                    "/readyz" => ready(&board),
+                    "/metrics" => text(StatusCode::OK, telemetry.render()),
+                    "/status" => json(StatusCode::OK, &board.status()),
+                    _ => text(StatusCode::NOT_FOUND, "no such path\n"),
+                }
+            }
+        }));
+    Ok(())
+}
+
+fn ready(board: &StatusBoard) -> Response<Body> {
+    match board.unready() {
+        None => text(StatusCode::OK, "ready\n"),
+        Some(reason) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/status.rs
@@ -0,0 +1,56 @@
+//! What `/status` and `/readyz` say, gathered from the plug-ins.
+
+use std::sync::{PoisonError, RwLock};
+
+use serde_json::{Map, Value};
+use smol_str::SmolStr;
+
+type Section = Box<dyn Fn() -> Value + Send + Sync>;
+type Condition = Box<dyn Fn() -> Option<SmolStr> + Send + Sync>;
+
+/// Sections of the status and conditions of readiness.
+#[derive(Default)]
+pub struct StatusBoard {
+    sections: RwLock<Vec<(&'static str, Section)>>,
+    conditions: RwLock<Vec<Condition>>,
+}
+
+impl StatusBoard {
+    /// Adds a section that is computed at each request.
+    pub fn section(&self, name: &'static str, value: impl Fn() -> Value + Send + Sync + 'static) {
+        let mut sections = self
+            .sections
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        sections.push((name, Box::new(value)));
+    }
+
+    /// Adds a condition; it gives the reason while the daemon is not ready.
+    pub fn condition(&self, reason: impl Fn() -> Option<SmolStr> + Send + Sync + 'static) {
+        let mut conditions = self
+            .conditions
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        conditions.push(Box::new(reason));
+    }
+
+    /// The whole status.
+    #[must_use]
+    pub fn status(&self) -> Value {
+        let sections = self.sections.read().unwrap_or_else(PoisonError::into_inner);
+        let fields = sections
+            .iter()
+            .map(|(name, value)| ((*name).to_owned(), value()));
+        Value::Object(fields.collect::<Map<_, _>>())
+    }
+
+    /// First reason for which the daemon is not ready.
+    #[must_use]
+    pub fn unready(&self) -> Option<SmolStr> {
+        let conditions = self
+            .conditions
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        conditions.iter().find_map(|reason| reason())
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/configs/platform.rs
@@ -0,0 +1,36 @@
+//! Where the platform's services are.
+
+use std::net::SocketAddr;
+
+use apricothall_types::{Interval, Region};
+use serde::{Deserialize, Serialize};
+
+/// Addresses of the platform's services.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformConfig {
+    /// Configuration service.
+    pub configuration: SocketAddr,
+    /// VM list.
+    pub vms: SocketAddr,
+    /// Weight store.
+    pub store: SocketAddr,
+    /// Origin of weights.
+    pub origin: SocketAddr,
+    /// Region of the weight store.
+    pub region: Region,
+    /// Longest that a watch waits for a change.
+    #[serde(default = "default_watch")]
+    pub watch: Interval,
+    /// Longest wait for an answer beyond the watch itself.
+    #[serde(default = "default_answer")]
+    pub answer: Interval,
+}
+
+fn default_watch() -> Interval {
+    Interval::secs(10)
+}
+
+fn default_answer() -> Interval {
+    Interval::secs(2)
+}
--- /dev/null
+++ b/crates/kernel/src/run.rs
@@ -0,0 +1,82 @@
+//! Runs a daemon from start to exit.
+
+use std::time::Duration;
+
+use apricothall_types::Role;
+use thiserror::Error;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::plugin::{self, StartError};
+use crate::telemetry::{Telemetry, TelemetryError};
+use crate::{Context, Settings};
+
+/// Why a daemon ended with an error.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// A plug-in did not start.
+    #[error("plug-in {name}: {source}")]
+    Start {
+        /// Name of the plug-in.
+        name: &'static str,
+        /// What went wrong.
+        source: StartError,
+    },
+    /// Metrics cannot be recorded.
+    #[error(transparent)]
+    Telemetry(#[from] TelemetryError),
+    /// Signals cannot be received.
+    #[error("cannot receive signals: {0}")]
+    Signal(#[from] std::io::Error),
+}
+
+/// Runs the plug-ins of `role` until a signal has been obeyed.
+///
+/// # Errors
+/// When a plug-in does not start.
+pub async fn run(settings: Settings, role: Role) -> Result<(), RunError> {
+    let term = signal(SignalKind::terminate())?;
+    let interrupt = signal(SignalKind::interrupt())?;
+    let context = Context::new(settings, role, Telemetry::install()?);
+    start(&context).await?;
+    tracing::info!(id = %context.settings.daemon.id, %role, "started");
+    watch_signals(&context, term, interrupt);
+    context.lifecycle.left().await;
+    finish(context).await;
+    Ok(())
+}
+
+async fn start(context: &Context) -> Result<(), RunError> {
+    for plugin in plugin::for_role(context.role) {
+        tracing::debug!(plugin = plugin.name, "starting");
+        let started = (plugin.start)(context.clone()).await;
+        started.map_err(|source| RunError::Start {
+            name: plugin.name,
+            source,
+        })?;
+    }
+    Ok(())
+}
+
+/// Leaves at the first signal. Later ones change nothing: work in progress is not cut off.
+fn watch_signals(context: &Context, mut term: Signal, mut interrupt: Signal) {
+    let lifecycle = context.lifecycle.clone();
+    context.lifecycle.spawn(async move {
+        loop {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            tracing::info!(in_progress = lifecycle.in_progress(), "signal to leave");
+            lifecycle.leave();
+        }
+    });
+}
+
+async fn finish(context: Context) {
+    let grace: Duration = context.settings.drain.grace.0;
+    tracing::info!(?grace, "leaving");
+    tokio::time::sleep(grace).await;
+    context.lifecycle.idle().await;
+    tracing::info!("stopped");
+    context.lifecycle.clone().close().await;
+}
--- /dev/null
+++ b/crates/platform/src/engine.rs
@@ -0,0 +1,232 @@
+//! Client of a model engine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricothall_types::{Class, Digest, EntryName, Fence, RequestId, Version};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, ToSmolStr};
+
+use crate::PlatformError;
+use crate::http_client::{HttpClient, failure, get};
+use crate::sse::{DONE, EventReader};
+
+/// Largest answer that is no stream, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
+/// The version that an engine says it serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Serving {
+    /// Catalogue entry.
+    pub name: EntryName,
+    /// Version.
+    pub version: Version,
+    /// Digest of its manifest.
+    pub manifest: Digest,
+}
+
+/// What an engine says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineState {
+    /// Differs after each restart of the engine.
+    pub boot: SmolStr,
+    /// Version served.
+    pub serving: Option<Serving>,
+    /// Whether a load is under way.
+    pub loading: bool,
+    /// Highest fence seen.
+    pub fence: Fence,
+    /// Requests that run; lags.
+    pub running: u32,
+    /// Requests that wait; lags.
+    pub waiting: u32,
+    /// Requests that may run at once.
+    pub slots: u32,
+}
+
+/// An order to load a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadOrder {
+    /// Catalogue entry.
+    pub name: EntryName,
+    /// Version.
+    pub version: Version,
+    /// Digest of its manifest.
+    pub manifest: Digest,
+    /// Base URL of the weights.
+    pub source: SmolStr,
+    /// Fence of the order.
+    pub fence: Fence,
+}
+
+/// One event of a completion.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EngineEvent {
+    /// A token, as the engine wrote it, with the version that made it.
+    Token {
+        /// Data of the event.
+        data: Bytes,
+        /// Version that the event names.
+        version: Version,
+        /// Position of the token.
+        index: u64,
+    },
+    /// The answer is whole.
+    Done,
+}
+
+#[derive(Deserialize)]
+struct TokenHead {
+    version: Version,
+    index: u64,
+}
+
+/// Calls one engine.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    http: HttpClient,
+    address: SocketAddr,
+}
+
+impl EngineClient {
+    /// A client of the engine at `address`.
+    #[must_use]
+    pub const fn new(http: HttpClient, address: SocketAddr) -> Self {
+        Self { http, address }
+    }
+
+    /// What the engine says of itself.
+    ///
+    /// # Errors
+    /// When it does not answer in time.
+    pub async fn state(&self, wait: Duration) -> Result<EngineState, PlatformError> {
+        let request = get(self.address, "/v1/state")?;
+        let answer = self
+            .http
+            .call(request, wait, MAX_ANSWER_BYTES)
+            .await?
+            .accepted()?;
+        parse(&answer.body)
+    }
+
+    /// Orders a load and waits until the engine serves the version.
+    ///
+    /// # Errors
+    /// [`PlatformError::Status`] 409 when the fence is old, 422 when the weights cannot be read.
+    pub async fn load(
+        &self,
+        order: &LoadOrder,
+        wait: Duration,
+    ) -> Result<EngineState, PlatformError> {
+        let body = serde_json::to_vec(order);
+        let body = body.map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
+        let request = Request::post(format!("http://{}/v1/load", self.address))
+            .body(Full::from(body))
+            .map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
+        let answer = self
+            .http
+            .call(request, wait, MAX_ANSWER_BYTES)
+            .await?
+            .accepted()?;
+        parse(&answer.body)
+    }
+
+    /// Starts a completion on `version`.
+    ///
+    /// # Errors
+    /// When the engine does not accept the request.
+    pub async fn complete(
+        &self,
+        request: RequestId,
+        class: Class,
+        version: &Version,
+        body: Bytes,
+        trace: &str,
+    ) -> Result<Completion, PlatformError> {
+        let call = Request::post(format!("http://{}/v1/completions", self.address))
+            .header("x-request-id", request.to_string())
+            .header("x-priority", (class as u8).to_string())
+            .header("x-version", version.as_str())
+            .header("traceparent", trace)
+            .header("content-type", "application/json")
+            .body(Full::from(body))
+            .map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
+        let (parts, body) = self.http.send(call).await?.into_parts();
+        if parts.status != StatusCode::OK {
+            let start = body
+                .collect()
+                .await
+                .map(http_body_util::Collected::to_bytes);
+            return Err(failure(
+                parts.status,
+                &parts.headers,
+                &start.unwrap_or_default(),
+            ));
+        }
+        Ok(Completion {
+            body,
+            events: EventReader::default(),
+        })
+    }
+
+    /// Cancels a request; whether the engine knew it.
+    ///
+    /// # Errors
+    /// When the engine does not answer in time.
+    pub async fn cancel(&self, request: RequestId, wait: Duration) -> Result<bool, PlatformError> {
+        let call = Request::post(format!("http://{}/v1/cancel/{request}", self.address))
+            .body(Full::default())
+            .map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
+        let answer = self.http.call(call, wait, MAX_ANSWER_BYTES).await?;
+        Ok(answer.status.is_success())
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|e| PlatformError::Malformed(e.to_smolstr()))
+}
+
+/// The stream of one completion.
+#[derive(Debug)]
+pub struct Completion {
+    body: Incoming,
+    events: EventReader,
+}
+
+impl Completion {
+    /// The next event.
+    ///
+    /// # Errors
+    /// [`PlatformError::Lost`] when the stream ends before its last event.
+    pub async fn next(&mut self) -> Result<EngineEvent, PlatformError> {
+        loop {
+            let event = self.events.next_event();
+            if let Some(data) = event.map_err(|e| PlatformError::Malformed(e.to_smolstr()))? {
+                return read_event(data);
+            }
+            let Some(frame) = self.body.frame().await else {
+                return Err(PlatformError::Lost("the stream ended early".into()));
+            };
+            let frame = frame.map_err(|e| PlatformError::Lost(e.to_smolstr()))?;
+            if let Some(data) = frame.data_ref() {
+                self.events.push(data);
+            }
+        }
+    }
+}
+
+fn read_event(data: Bytes) -> Result<EngineEvent, PlatformError> {
+    if data == DONE {
+        return Ok(EngineEvent::Done);
+    }
+    let head: TokenHead = parse(&data)?;
+    Ok(EngineEvent::Token {
+        data,
+        version: head.version,
+        index: head.index,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/http_client.rs
@@ -0,0 +1,151 @@
+//! The HTTP client that all calls use.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use tokio::time::timeout;
+
+use crate::PlatformError;
+
+/// Start of a failure's body that is kept, in bytes.
+const DETAIL_BYTES: usize = 200;
+
+/// An answer whose body has been read whole.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Makes calls from the address of this VM.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// A client whose connections start at `source`.
+    #[must_use]
+    pub fn new(source: Option<IpAddr>, connect: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_local_address(source);
+        connector.set_connect_timeout(Some(connect));
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends `request` and returns the answer as soon as its head has arrived.
+    ///
+    /// # Errors
+    /// When there is no answer; see [`PlatformError::is_unsent`].
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, PlatformError> {
+        self.client.request(request).await.map_err(|e| {
+            let text = source_text(&e);
+            if e.is_connect() {
+                PlatformError::Connect(text)
+            } else {
+                PlatformError::Lost(text)
+            }
+        })
+    }
+
+    /// Sends `request` and reads the whole answer, of at most `limit` bytes, within `wait`.
+    ///
+    /// # Errors
+    /// When there is no whole answer in time.
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+        limit: usize,
+    ) -> Result<Answer, PlatformError> {
+        let answer = async {
+            let (parts, body) = self.send(request).await?.into_parts();
+            let read = Limited::new(body, limit).collect().await;
+            let body = read
+                .map_err(|e| PlatformError::Lost(e.to_smolstr()))?
+                .to_bytes();
+            Ok(Answer {
+                status: parts.status,
+                headers: parts.headers,
+                body,
+            })
+        };
+        timeout(wait, answer)
+            .await
+            .map_err(|_| PlatformError::Timeout)?
+    }
+}
+
+/// A request without body to `address`.
+///
+/// # Errors
+/// When the path is not valid.
+pub fn get(address: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>, PlatformError> {
+    Request::get(format!("http://{address}{path}"))
+        .body(Full::default())
+        .map_err(|e| PlatformError::Malformed(e.to_smolstr()))
+}
+
+impl Answer {
+    /// The answer, unless its status means failure.
+    ///
+    /// # Errors
+    /// [`PlatformError::Busy`] for 429 and 503, [`PlatformError::Status`] for other failures.
+    pub fn accepted(self) -> Result<Self, PlatformError> {
+        if self.status.is_success() || self.status == StatusCode::NOT_MODIFIED {
+            return Ok(self);
+        }
+        Err(failure(self.status, &self.headers, &self.body))
+    }
+}
+
+/// The error that an answer with a failure status stands for.
+#[must_use]
+pub fn failure(status: StatusCode, headers: &HeaderMap, body: &[u8]) -> PlatformError {
+    if matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    ) {
+        return PlatformError::Busy {
+            retry: retry_after(headers),
+        };
+    }
+    let start = &body[..body.len().min(DETAIL_BYTES)];
+    let detail = SmolStr::new(String::from_utf8_lossy(start));
+    PlatformError::Status {
+        status: status.as_u16(),
+        detail,
+    }
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
+fn source_text(error: &dyn std::error::Error) -> SmolStr {
+    match error.source() {
+        Some(source) => format_smolstr!("{error}: {source}"),
+        None => error.to_smolstr(),
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder.
+//! Clients of the systems around apricothall, each by its published protocol.
+//!
+//! docs/INTERFACES.md states what is assumed of them.
+
+pub mod configuration;
+pub mod engine;
+pub mod error;
+pub mod http_client;
+pub mod service;
+pub mod sse;
+pub mod vm_list;
+pub mod weights;
+
+pub use configuration::{ConfigurationClient, Value, Watched};
+pub use engine::{EngineClient, EngineEvent, EngineState, LoadOrder, Serving};
+pub use error::PlatformError;
+pub use http_client::HttpClient;
+pub use service::{ServiceAnswer, ServiceCall, ServiceClient};
+pub use vm_list::VmListClient;
+pub use weights::WeightsClient;
--- /dev/null
+++ b/crates/platform/src/vm_list.rs
@@ -0,0 +1,58 @@
+//! Client of the platform's VM list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricothall_types::{Revision, VmList};
+use http::StatusCode;
+use smol_str::ToSmolStr;
+
+use crate::PlatformError;
+use crate::http_client::{HttpClient, get};
+
+/// Largest list, in bytes.
+const MAX_LIST_BYTES: usize = 8 << 20;
+
+/// Reads and watches the list.
+#[derive(Clone, Debug)]
+pub struct VmListClient {
+    http: HttpClient,
+    address: SocketAddr,
+    answer: Duration,
+}
+
+impl VmListClient {
+    /// A client of the list at `address` that waits `answer` beyond a watch.
+    #[must_use]
+    pub const fn new(http: HttpClient, address: SocketAddr, answer: Duration) -> Self {
+        Self {
+            http,
+            address,
+            answer,
+        }
+    }
+
+    /// Waits up to `wait` for a revision beyond `after`; `None` when there was none.
+    ///
+    /// # Errors
+    /// When the service does not answer as the interface states.
+    pub async fn watch(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Option<VmList>, PlatformError> {
+        let path = format!("/v1/vms?after={after}&wait_ms={}", wait.as_millis());
+        let request = get(self.address, &path)?;
+        let answer = self
+            .http
+            .call(request, wait + self.answer, MAX_LIST_BYTES)
+            .await?;
+        let answer = answer.accepted()?;
+        if answer.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        let list = serde_json::from_slice(&answer.body);
+        list.map(Some)
+            .map_err(|e| PlatformError::Malformed(e.to_smolstr()))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/weights.rs
@@ -0,0 +1,82 @@
+//! Client of the weight store and of the origin, which speak the same protocol.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricothall_types::{Bytes as Size, ChunkIndex, Digest, Manifest};
+use bytes::Bytes;
+use smol_str::ToSmolStr;
+
+use crate::PlatformError;
+use crate::http_client::{HttpClient, get};
+
+/// Largest manifest, in bytes.
+pub const MAX_MANIFEST_BYTES: usize = 4 << 20;
+
+/// Reads manifests and chunks. Nothing read is trusted before its digest has been checked.
+#[derive(Clone, Debug)]
+pub struct WeightsClient {
+    http: HttpClient,
+    address: SocketAddr,
+}
+
+impl WeightsClient {
+    /// A client of the store or origin at `address`.
+    #[must_use]
+    pub const fn new(http: HttpClient, address: SocketAddr) -> Self {
+        Self { http, address }
+    }
+
+    /// The published bytes of the manifest with `digest`, checked against it.
+    ///
+    /// # Errors
+    /// When there is no answer in time or the bytes do not have the digest.
+    pub async fn manifest(&self, digest: Digest, wait: Duration) -> Result<Bytes, PlatformError> {
+        let request = get(self.address, &format!("/v1/manifests/{digest}"))?;
+        let answer = self
+            .http
+            .call(request, wait, MAX_MANIFEST_BYTES)
+            .await?
+            .accepted()?;
+        if Digest::of(&answer.body) != digest {
+            return Err(PlatformError::Malformed(
+                "manifest has another digest".into(),
+            ));
+        }
+        Ok(answer.body)
+    }
+
+    /// The bytes of a chunk, unverified.
+    ///
+    /// # Errors
+    /// When there is no whole answer in time.
+    pub async fn chunk(
+        &self,
+        manifest: Digest,
+        index: ChunkIndex,
+        size: Size,
+        wait: Duration,
+    ) -> Result<Bytes, PlatformError> {
+        let request = get(
+            self.address,
+            &format!("/v1/manifests/{manifest}/chunks/{index}"),
+        )?;
+        let limit = usize::try_from(size.0).unwrap_or(usize::MAX);
+        Ok(self.http.call(request, wait, limit).await?.accepted()?.body)
+    }
+}
+
+/// Reads a manifest from its published bytes.
+///
+/// # Errors
+/// When the bytes are not a consistent manifest.
+pub fn parse_manifest(bytes: &[u8]) -> Result<Manifest, PlatformError> {
+    let parsed = serde_json::from_slice::<Manifest>(bytes);
+    let manifest = parsed.map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
+    if !manifest.is_consistent() {
+        return Err(PlatformError::Malformed(
+            "sizes in the manifest disagree".into(),
+        ));
+    }
+    Ok(manifest)
+}
--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,209 @@
+//! Connections to other daemons, kept open and shared by streams.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use http::Request;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::{SmolStr, ToSmolStr};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+use crate::io::H2Stream;
+use crate::peer::PeerClient;
+use crate::{
+    Channel, FrameCodec, PROTOCOL_HEADER, PROTOCOL_VERSION, RPC_PATH, TRACE_HEADER, WireError,
+};
+
+/// Bytes that may be under way in one stream.
+const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+
+/// Bytes that may be under way in one connection.
+const CONNECTION_WINDOW_BYTES: u32 = 8 << 20;
+
+/// Separate connections keep transfers from delaying live requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Lane {
+    /// Requests and their answers.
+    Live,
+    /// Plain calls: gossip, claims.
+    Control,
+    /// Chunks of weights.
+    Bulk,
+}
+
+/// How connections are made.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectorConfig {
+    /// Address of this VM, from which connections start.
+    pub source: IpAddr,
+    /// Longest wait for a connection.
+    pub connect: Duration,
+}
+
+type Key = (SocketAddr, Lane);
+type Slot<T> = Arc<Mutex<Option<T>>>;
+
+/// Opens streams to other daemons.
+#[derive(Clone)]
+pub struct Connector {
+    config: ConnectorConfig,
+    connections: Arc<Mutex<HashMap<Key, Slot<SendRequest<Bytes>>>>>,
+    sessions: Arc<Mutex<HashMap<SocketAddr, Slot<PeerClient>>>>,
+}
+
+impl Connector {
+    /// A connector without connections.
+    #[must_use]
+    pub fn new(config: ConnectorConfig) -> Self {
+        Self {
+            config,
+            connections: Arc::default(),
+            sessions: Arc::default(),
+        }
+    }
+
+    /// Opens a stream for `path`.
+    ///
+    /// # Errors
+    /// [`WireError::Connect`] when no connection could be made: no byte was sent.
+    pub async fn open<In, Out>(
+        &self,
+        address: SocketAddr,
+        lane: Lane,
+        path: &'static str,
+        trace: Option<&str>,
+    ) -> Result<Channel<In, Out>, WireError>
+    where
+        In: DeserializeOwned,
+        Out: Serialize,
+    {
+        let mut sender = self.sender(address, lane).await?;
+        let request = head(address, path, trace)?;
+        let (response, stream) = match sender.send_request(request, false) {
+            Ok(pair) => pair,
+            Err(e) => {
+                self.forget(address, lane).await;
+                return Err(connect_error(address, &e));
+            }
+        };
+        Ok(Framed::new(
+            H2Stream::client(stream, response),
+            FrameCodec::default(),
+        ))
+    }
+
+    /// The session for plain calls to the daemon at `address`.
+    ///
+    /// # Errors
+    /// When no connection could be made.
+    pub async fn peer(&self, address: SocketAddr) -> Result<PeerClient, WireError> {
+        let slot = self
+            .sessions
+            .lock()
+            .await
+            .entry(address)
+            .or_default()
+            .clone();
+        let mut session = slot.lock().await;
+        if let Some(client) = session.as_ref() {
+            return Ok(client.clone());
+        }
+        let channel = self.open(address, Lane::Control, RPC_PATH, None).await?;
+        let client = PeerClient::new(tarpc::client::Config::default(), channel).spawn();
+        *session = Some(client.clone());
+        Ok(client)
+    }
+
+    /// Drops the session for plain calls after it has failed.
+    pub async fn drop_peer(&self, address: SocketAddr) {
+        self.sessions.lock().await.remove(&address);
+        self.forget(address, Lane::Control).await;
+    }
+
+    /// Drops a connection, so that the next stream makes a new one.
+    pub async fn forget(&self, address: SocketAddr, lane: Lane) {
+        self.connections.lock().await.remove(&(address, lane));
+    }
+
+    async fn sender(
+        &self,
+        address: SocketAddr,
+        lane: Lane,
+    ) -> Result<SendRequest<Bytes>, WireError> {
+        let slot = self
+            .connections
+            .lock()
+            .await
+            .entry((address, lane))
+            .or_default()
+            .clone();
+        let mut connection = slot.lock().await;
+        if let Some(sender) = connection.as_ref() {
+            // An error here means that the connection has ended since.
+            if let Ok(ready) = sender.clone().ready().await {
+                return Ok(ready);
+            }
+        }
+        *connection = None;
+        let connecting = timeout(self.config.connect, self.connect(address)).await;
+        let sender = connecting.map_err(|_| connect_error(address, &"no answer in time"))??;
+        *connection = Some(sender.clone());
+        sender.ready().await.map_err(|e| connect_error(address, &e))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Bytes>, WireError> {
+        let stream = self
+            .dial(address)
+            .await
+            .map_err(|e| connect_error(address, &e))?;
+        let handshake = h2::client::Builder::new()
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .handshake(stream)
+            .await;
+        let (sender, connection) = handshake.map_err(|e| connect_error(address, &e))?;
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                tracing::debug!(%address, error = %e, "connection ended");
+            }
+        });
+        Ok(sender)
+    }
+
+    async fn dial(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(self.config.source, 0))?;
+        let stream = socket.connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+}
+
+fn head(
+    address: SocketAddr,
+    path: &'static str,
+    trace: Option<&str>,
+) -> Result<Request<()>, WireError> {
+    let mut builder = Request::post(format!("http://{address}{path}"));
+    builder = builder.header(PROTOCOL_HEADER, PROTOCOL_VERSION);
+    if let Some(trace) = trace {
+        builder = builder.header(TRACE_HEADER, trace);
+    }
+    builder.body(()).map_err(|e| connect_error(address, &e))
+}
+
+fn connect_error(address: SocketAddr, reason: &impl ToSmolStr) -> WireError {
+    let reason: SmolStr = reason.to_smolstr();
+    WireError::Connect { address, reason }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,42 @@
-//! Placeholder.
+//! Protocol between daemons: `h2` streams of `bincode` frames, and `tarpc` for plain calls.
+//!
+//! One TCP port a daemon. Each stream names a path and the protocol's version in its head; a peer
+//! of another version is refused with the version understood.
+
+pub mod answer;
+pub mod chunk;
+pub mod client;
+pub mod codec;
+pub mod error;
+pub mod io;
+pub mod order;
+pub mod payload;
+pub mod peer;
+pub mod server;
+
+pub use answer::{Answer, AnswerFrame, Refusal};
+pub use chunk::{ChunkFrame, ChunkRequest};
+pub use client::{Connector, ConnectorConfig, Lane};
+pub use codec::{Channel, FrameCodec};
+pub use error::WireError;
+pub use order::{Call, Header, Order};
+pub use payload::Payload;
+pub use server::{Incoming, serve};
+
+/// Version of the protocol between daemons.
+pub const PROTOCOL_VERSION: &str = "1";
+
+/// Header that carries [`PROTOCOL_VERSION`].
+pub const PROTOCOL_HEADER: &str = "x-apricothall-protocol";
+
+/// Header that carries the trace of the request, as W3C `traceparent`.
+pub const TRACE_HEADER: &str = "traceparent";
+
+/// Path of streams that carry one order and its answer.
+pub const RUN_PATH: &str = "/run";
+
+/// Path of streams that carry one chunk of weights.
+pub const CHUNK_PATH: &str = "/chunk";
+
+/// Path of streams that carry a `tarpc` session.
+pub const RPC_PATH: &str = "/rpc";
