feat(standin): configuration service, VM list, weight store, engine and plain service

Tests and the main job need the systems around apricothall in-process, with faults at will. Each stand-in is an HTTP/1.1 server behind a gate (open, refusing, dropping, frozen, closed to named sources) with counters of what it was asked. The engine makes its text from the digest of the bytes that it really loaded, so that partial or mixed weights show in the answer.

--- /dev/null
+++ b/crates/standin/src/engine/answer.rs
@@ -0,0 +1,234 @@
+//! The calls of the engine interface and the streamed answer.
+
+use std::io;
+use std::sync::Arc;
+
+use apricothall_types::{Digest, Version};
+use bytes::Bytes;
+use futures::stream;
+use http::{HeaderValue, Method, Response, StatusCode, header};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use super::batch::Place;
+use super::load::load;
+use super::{Core, Run, Serving};
+use crate::server::{Call, Reply, json, reply, retry_later};
+use crate::text;
+
+const RETRY_SECONDS: u64 = 1;
+const DEFAULT_TOKENS: u32 = 16;
+const DEFAULT_PRIORITY: u8 = 1;
+
+/// Body of `POST /v1/completions`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Completion {
+    /// Name of the model.
+    pub model: SmolStr,
+    /// What to answer.
+    pub prompt: SmolStr,
+    /// Length of the answer in tokens.
+    #[serde(default = "default_tokens")]
+    pub max_tokens: u32,
+    /// Must be true.
+    #[serde(default)]
+    pub stream: bool,
+}
+
+fn default_tokens() -> u32 {
+    DEFAULT_TOKENS
+}
+
+/// One event of a streamed answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// Id of the request.
+    pub id: SmolStr,
+    /// Name of the model.
+    pub model: SmolStr,
+    /// Version that made the token, as reported.
+    pub version: Version,
+    /// Text of the token.
+    pub text: String,
+    /// Place of the token, from 0.
+    pub index: u32,
+}
+
+pub(super) async fn answer(core: Arc<Core>, call: Call) -> Reply {
+    let method = call.request.method().clone();
+    match (method, call.path()) {
+        (Method::GET, "/v1/state") => json(StatusCode::OK, &core.report(Instant::now())),
+        (Method::POST, "/v1/load") => match serde_json::from_slice(call.request.body()) {
+            Ok(order) => load(core, order).await,
+            Err(e) => reply(StatusCode::BAD_REQUEST, e.to_string()),
+        },
+        (Method::POST, "/v1/completions") => complete(&core, &call),
+        (Method::POST, path) => match path.strip_prefix("/v1/cancel/") {
+            Some(request) => cancel(&core, request),
+            None => reply(StatusCode::NOT_FOUND, ""),
+        },
+        _ => reply(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+fn cancel(core: &Core, request: &str) -> Reply {
+    let mut state = core.lock();
+    let found = state.active.iter().find(|(_, a)| a.request == request);
+    let Some((&ticket, active)) = found else {
+        return reply(StatusCode::NOT_FOUND, "");
+    };
+    active.stop.cancel();
+    state.waiting.retain(|(_, waiting), _| *waiting != ticket);
+    reply(StatusCode::OK, "")
+}
+
+fn complete(core: &Arc<Core>, call: &Call) -> Reply {
+    let body: Completion = match serde_json::from_slice(call.request.body()) {
+        Ok(body) => body,
+        Err(e) => return reply(StatusCode::BAD_REQUEST, e.to_string()),
+    };
+    if !body.stream {
+        return reply(StatusCode::BAD_REQUEST, "stream must be true");
+    }
+    let Some((serving, weights)) = core.lock().serving.clone() else {
+        return reply(StatusCode::CONFLICT, "nothing is served");
+    };
+    let reported = core.lock().faults.reported.clone();
+    let version = reported.unwrap_or_else(|| serving.version.clone());
+    let wanted = call.header("x-version");
+    if serving.name.as_str() != body.model || wanted.is_some_and(|v| v != version.as_str()) {
+        return reply(StatusCode::CONFLICT, "not served");
+    }
+    let request = SmolStr::new(call.header("x-request-id").unwrap_or_default());
+    let priority = call.header("x-priority").and_then(|p| p.parse().ok());
+    let priority = priority.unwrap_or(DEFAULT_PRIORITY);
+    let Some(place) = Place::take(core, request.clone(), priority) else {
+        return retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_SECONDS);
+    };
+    let session = Session {
+        core: core.clone(),
+        place,
+        request,
+        body,
+        serving,
+        weights,
+        version,
+        index: 0,
+        step: Step::Start,
+    };
+    streamed(session)
+}
+
+fn streamed(session: Session) -> Reply {
+    let frames = stream::unfold(session, |mut session| async move {
+        let frame = session.next().await?;
+        Some((frame.map(Frame::data), session))
+    });
+    let mut reply = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+    let kind = HeaderValue::from_static("text/event-stream");
+    reply.headers_mut().insert(header::CONTENT_TYPE, kind);
+    reply
+}
+
+/// Where an answer stands.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Step {
+    Start,
+    Tokens,
+    End,
+}
+
+/// One request that is being answered.
+struct Session {
+    core: Arc<Core>,
+    place: Place,
+    request: SmolStr,
+    body: Completion,
+    serving: Serving,
+    weights: Digest,
+    version: Version,
+    index: u32,
+    step: Step,
+}
+
+impl Session {
+    /// The next part of the answer, an error where it is cut off, `None` after its end.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        if self.step == Step::End {
+            return None;
+        }
+        let stop = self.place.stop.clone();
+        let part = tokio::select! {
+            biased;
+            () = stop.cancelled() => None,
+            part = self.part() => part,
+        };
+        if part.is_none() {
+            self.step = Step::End;
+        }
+        Some(part.ok_or_else(|| io::Error::other("cut off")))
+    }
+
+    async fn part(&mut self) -> Option<Bytes> {
+        if self.step == Step::Start {
+            self.start().await?;
+        }
+        if self.index == self.body.max_tokens {
+            self.place.finish();
+            self.step = Step::End;
+            return Some(Bytes::from_static(b"data: [DONE]\n\n"));
+        }
+        self.token_time().await;
+        if self.is_poison() {
+            self.core.crash();
+            return None;
+        }
+        let event = Event {
+            id: self.request.clone(),
+            model: self.body.model.clone(),
+            version: self.version.clone(),
+            text: text::token(self.weights, &self.body.prompt, self.index),
+            index: self.index,
+        };
+        self.index += 1;
+        let event = serde_json::to_string(&event).ok()?;
+        Some(format!("data: {event}\n\n").into())
+    }
+
+    async fn start(&mut self) -> Option<()> {
+        if !self.place.started().await {
+            return None;
+        }
+        self.place.record(Run {
+            request: self.request.clone(),
+            prompt: self.body.prompt.clone(),
+            version: self.serving.version.clone(),
+            weights: self.weights,
+            finished: false,
+        });
+        self.step = Step::Tokens;
+        tokio::time::sleep(self.core.settings.prefill).await;
+        Some(())
+    }
+
+    /// Waits the time of one token, longer with more running and while held back.
+    async fn token_time(&self) {
+        let running = self.core.lock().running;
+        let settings = &self.core.settings;
+        tokio::time::sleep(settings.base + settings.share * running).await;
+        let index = self.index;
+        let mut pause = self.core.pause.subscribe();
+        let passes = |at: &Option<u32>| at.is_none_or(|at| index < at);
+        let _ = pause.wait_for(passes).await;
+        self.core.gate.thawed().await;
+    }
+
+    fn is_poison(&self) -> bool {
+        let state = self.core.lock();
+        let marker = state.faults.poison.as_ref();
+        marker.is_some_and(|m| self.body.prompt.contains(m.as_str()))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/batch.rs
@@ -0,0 +1,130 @@
+//! Which requests run and which wait.
+
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::{Active, Core, Run, State};
+
+/// Highest priority of a request.
+pub(super) const TOP_PRIORITY: u8 = 2;
+
+/// Changes of the running count that are kept for the lagging report.
+const HISTORY: usize = 1_024;
+
+/// The place of one request. Dropping it lets the next one run.
+pub(super) struct Place {
+    core: Arc<Core>,
+    ticket: u64,
+    rank: u8,
+    /// Cancelled when the request is cut off.
+    pub(super) stop: CancellationToken,
+    start: Option<oneshot::Receiver<()>>,
+}
+
+impl Place {
+    /// Takes a slot or a place in the queue. `None` when the queue is full.
+    pub(super) fn take(core: &Arc<Core>, request: SmolStr, priority: u8) -> Option<Self> {
+        let mut state = core.lock();
+        let rank = TOP_PRIORITY.saturating_sub(priority);
+        let free = state.running < core.settings.slots && state.waiting.is_empty();
+        if !free && state.waiting.len() >= core.settings.queue as usize {
+            return None;
+        }
+        state.tickets += 1;
+        let ticket = state.tickets;
+        let stop = CancellationToken::new();
+        let active = Active {
+            request,
+            stop: stop.clone(),
+            run: None,
+        };
+        state.active.insert(ticket, active);
+        let start = if free {
+            state.count(1);
+            None
+        } else {
+            let (sender, receiver) = oneshot::channel();
+            state.waiting.insert((rank, ticket), sender);
+            Some(receiver)
+        };
+        drop(state);
+        Some(Self {
+            core: core.clone(),
+            ticket,
+            rank,
+            stop,
+            start,
+        })
+    }
+
+    /// Waits for a slot. False when the request was cut off meanwhile.
+    pub(super) async fn started(&mut self) -> bool {
+        let Some(start) = &mut self.start else {
+            return true;
+        };
+        let started = start.await.is_ok();
+        if started {
+            self.start = None;
+        }
+        started
+    }
+
+    /// Writes down that the request runs.
+    pub(super) fn record(&self, run: Run) {
+        let mut state = self.core.lock();
+        let index = state.runs.len();
+        state.runs.push(run);
+        if let Some(active) = state.active.get_mut(&self.ticket) {
+            active.run = Some(index);
+        }
+    }
+
+    /// Writes down that the whole answer was sent.
+    pub(super) fn finish(&self) {
+        let mut state = self.core.lock();
+        let run = state.active.get(&self.ticket).and_then(|a| a.run);
+        if let Some(run) = run {
+            state.runs[run].finished = true;
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.core.lock();
+        state.active.remove(&self.ticket);
+        let waited = state.waiting.remove(&(self.rank, self.ticket)).is_some();
+        let granted = match &mut self.start {
+            None => true,
+            Some(start) => !waited && start.try_recv().is_ok(),
+        };
+        if granted {
+            state.release();
+        }
+    }
+}
+
+impl State {
+    /// Changes the count of running requests by `change`.
+    fn count(&mut self, change: i32) {
+        self.running = self.running.saturating_add_signed(change);
+        self.history.push_back((Instant::now(), self.running));
+        if self.history.len() > HISTORY {
+            self.history.pop_front();
+        }
+    }
+
+    /// Frees a slot and gives it to the first in the queue.
+    fn release(&mut self) {
+        while let Some((_, sender)) = self.waiting.pop_first() {
+            if sender.send(()).is_ok() {
+                return;
+            }
+        }
+        self.count(-1);
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! Stand-ins for the systems around apricothall, for tests and `xtask`; never shipped.
+//!
+//! Each stand-in runs as tokio tasks of the calling process, is bound to a given address and has
+//! a handle with counters, faults and `close`. What they answer is pinned by docs/INTERFACES.md.
+
+pub mod bucket;
+pub mod client;
+pub mod config;
+pub mod engine;
+pub mod error;
+pub mod server;
+pub mod service;
+pub mod text;
+pub mod vms;
+pub mod weights;
+
+pub use error::StandinError;
--- /dev/null
+++ b/crates/standin/src/vms.rs
@@ -0,0 +1,177 @@
+//! The platform's list of VMs, which lags behind the fleet.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use apricothall_types::{MemberId, Revision, Vm, VmList, VmState};
+use http::{Method, StatusCode};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::server::{Call, Gate, Mode, Reply, Server, json, reply};
+
+struct State {
+    list: VmList,
+    lag: Duration,
+    held: bool,
+}
+
+/// Handle of a running VM list.
+pub struct VmService {
+    state: Mutex<State>,
+    shown: Arc<watch::Sender<VmList>>,
+    gate: Gate,
+    server: Server,
+}
+
+impl VmService {
+    /// Starts an empty list without lag.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let shown = Arc::new(watch::Sender::new(VmList::default()));
+        let gate = Gate::default();
+        let inner = shown.clone();
+        let handler = move |call: Call| {
+            let shown = inner.subscribe();
+            async move { answer(shown, &call).await }
+        };
+        let server = Server::start(address, gate.clone(), handler).await?;
+        let state = Mutex::new(State {
+            list: VmList::default(),
+            lag: Duration::ZERO,
+            held: false,
+        });
+        Ok(Self {
+            state,
+            shown,
+            gate,
+            server,
+        })
+    }
+
+    /// The bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Lists VMs. `since` is set here: kept for a VM that is listed, new for another.
+    pub fn list(&self, vms: impl IntoIterator<Item = Vm>) -> Revision {
+        self.change(|list| {
+            for mut vm in vms {
+                let known = list.vms.iter().position(|v| v.id == vm.id);
+                let Some(place) = known else {
+                    vm.since = list.revision;
+                    list.vms.push(vm);
+                    continue;
+                };
+                vm.since = list.vms[place].since;
+                list.vms[place] = vm;
+            }
+        })
+    }
+
+    /// Takes a VM off the list, whether it lives or not.
+    pub fn drop_vm(&self, id: &MemberId) -> Revision {
+        self.change(|list| list.vms.retain(|vm| vm.id != *id))
+    }
+
+    /// Marks a VM as leaving.
+    pub fn mark_leaving(&self, id: &MemberId) -> Revision {
+        self.change(|list| {
+            let found = list.vms.iter_mut().filter(|vm| vm.id == *id);
+            found.for_each(|vm| vm.state = VmState::Leaving);
+        })
+    }
+
+    /// Time until readers see changes made from now on.
+    pub fn set_lag(&self, lag: Duration) {
+        self.lock().lag = lag;
+    }
+
+    /// Shows readers no change while `held`; letting go shows the newest list.
+    pub fn set_held(&self, held: bool) {
+        let mut state = self.lock();
+        state.held = held;
+        if !held {
+            self.shown.send_replace(state.list.clone());
+        }
+    }
+
+    /// Sets what happens to connections.
+    pub fn set_mode(&self, mode: Mode) {
+        self.gate.set_mode(mode);
+    }
+
+    /// Makes the list unreachable from `sources`, and from these only.
+    pub fn block(&self, sources: impl IntoIterator<Item = IpAddr>) {
+        self.gate.block(sources);
+    }
+
+    /// The list that readers are shown.
+    #[must_use]
+    pub fn shown(&self) -> VmList {
+        self.shown.borrow().clone()
+    }
+
+    /// Ends the service.
+    pub async fn close(self) {
+        self.server.close().await;
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn change(&self, edit: impl FnOnce(&mut VmList)) -> Revision {
+        let mut state = self.lock();
+        state.list.revision = state.list.revision.next();
+        edit(&mut state.list);
+        let list = state.list.clone();
+        let revision = list.revision;
+        if state.held {
+            return revision;
+        }
+        if state.lag.is_zero() {
+            show(&self.shown, list);
+            return revision;
+        }
+        let (lag, shown) = (state.lag, self.shown.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(lag).await;
+            show(&shown, list);
+        });
+        revision
+    }
+}
+
+/// Shows `list` unless a newer one is shown.
+fn show(shown: &watch::Sender<VmList>, list: VmList) {
+    shown.send_if_modified(|old| {
+        let newer = list.revision > old.revision;
+        if newer {
+            *old = list;
+        }
+        newer
+    });
+}
+
+async fn answer(mut shown: watch::Receiver<VmList>, call: &Call) -> Reply {
+    if call.path() != "/v1/vms" {
+        return reply(StatusCode::NOT_FOUND, "");
+    }
+    if call.request.method() != Method::GET {
+        return reply(StatusCode::METHOD_NOT_ALLOWED, "");
+    }
+    let after = call.number("after").map(Revision);
+    let wait = Duration::from_millis(call.number("wait_ms").unwrap_or(0));
+    let newer = shown.wait_for(|list| after.is_none_or(|after| list.revision > after));
+    match tokio::time::timeout_at(Instant::now() + wait, newer).await {
+        Ok(Ok(list)) => json(StatusCode::OK, &*list),
+        _ => reply(StatusCode::NOT_MODIFIED, ""),
+    }
+}
