feat(standin): fault-injecting proxy

TCP-level listeners stand before the ports of daemons and platform services, know source and destination and apply rates, delays and fault rules that may change under live connections. A listener closes while the port behind it refuses connections, so that a killed daemon refuses them here too.

--- a/crates/standin/src/bucket.rs
+++ b/crates/standin/src/bucket.rs
@@ -16,6 +16,12 @@
     next: Instant,
 }
 
+impl std::fmt::Debug for Bucket {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Bucket")
+    }
+}
+
 /// A shared limit. Clones share it. Without a rate nothing waits.
 #[derive(Clone)]
 pub struct Bucket(Arc<Mutex<State>>);
@@ -44,7 +50,7 @@
     }
 
     /// Books `count` bytes and gives the time when they may pass, when that lies ahead.
-    fn reserve(&self, count: usize) -> Option<Instant> {
+    pub(crate) fn reserve(&self, count: usize) -> Option<Instant> {
         let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let rate = state.rate?.max(1);
         let now = Instant::now();
--- /dev/null
+++ b/crates/standin/src/proxy.rs
@@ -0,0 +1,228 @@
+//! The fault-injecting proxy at TCP level.
+//!
+//! One listener stands for one port of one VM. It knows the other end of a connection by its
+//! source address, and opens its own connection to the VM from that same address. It listens only
+//! while the port behind it accepts connections, so that a dead daemon refuses them.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::{JoinHandle, JoinSet};
+
+use crate::network::{Fault, Network, Place, Port, RuleWatch, effects};
+use crate::pump::{Way, pump};
+
+/// Receive buffer of accepted connections, in bytes. A large one would hide slow links.
+const RECEIVE_BUFFER: u32 = 256 << 10;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Wait between two tries to reach a port that refuses connections.
+const RETRY_WAIT: Duration = Duration::from_millis(50);
+
+/// What a proxy listener stands for.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Address that others connect to.
+    pub listen: SocketAddr,
+    /// Address of the port itself.
+    pub behind: SocketAddr,
+    /// The VM or service.
+    pub place: Place,
+    /// Kind of the port.
+    pub port: Port,
+}
+
+/// Handle of one running listener.
+pub struct Proxy {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Proxy {
+    /// Starts a listener.
+    ///
+    /// # Errors
+    /// When its address cannot be bound.
+    pub async fn start(network: &Network, mut target: Target) -> io::Result<Self> {
+        let listener = listen(target.listen)?;
+        let address = listener.local_addr()?;
+        target.listen = address;
+        let task = tokio::spawn(accept(listener, network.clone(), target));
+        tokio::task::yield_now().await;
+        Ok(Self { address, task })
+    }
+
+    /// Address that others connect to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all its connections.
+    pub async fn close(self) {
+        self.task.abort();
+        let _ = self.task.await;
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// What became of one connection.
+enum Ended {
+    Refused,
+    Closed,
+}
+
+async fn accept(first: TcpListener, network: Network, target: Target) {
+    let mut listener = first;
+    let mut conns = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, peer)) = accepted else { continue };
+                conns.spawn(carry(network.clone(), target.clone(), stream, peer.ip()));
+            }
+            Some(ended) = conns.join_next() => {
+                if !matches!(ended, Ok(Ended::Refused)) {
+                    continue;
+                }
+                drop(listener);
+                listener = reopen(&target).await;
+            }
+        }
+    }
+}
+
+/// Waits until the port behind accepts connections again and listens anew.
+async fn reopen(target: &Target) -> TcpListener {
+    loop {
+        tokio::time::sleep(RETRY_WAIT).await;
+        if TcpStream::connect(target.behind).await.is_err() {
+            continue;
+        }
+        if let Ok(listener) = listen(target.listen) {
+            return listener;
+        }
+    }
+}
+
+async fn carry(network: Network, target: Target, near: TcpStream, peer: IpAddr) -> Ended {
+    let source = network
+        .place(peer)
+        .unwrap_or_else(|| unknown(&target.place));
+    let mut rules = network.watch();
+    let faults = effects(
+        &rules.borrow_and_update(),
+        &source,
+        &target.place,
+        target.port,
+    );
+    if faults
+        .iter()
+        .any(|f| matches!(f, Fault::Refuse | Fault::Reset))
+    {
+        return reset(&[&near]);
+    }
+    if await_cuts(&mut rules, &source, &target).await {
+        return reset(&[&near]);
+    }
+    let far = match connect(peer, target.behind).await {
+        Ok(far) => far,
+        Err(e) => {
+            reset(&[&near]);
+            let refused = e.kind() == io::ErrorKind::ConnectionRefused;
+            return if refused {
+                Ended::Refused
+            } else {
+                Ended::Closed
+            };
+        }
+    };
+    exchange(&network, &target, source, near, far).await
+}
+
+/// Waits while bytes are cut either way, since no connection comes about then. Says whether any
+/// were.
+async fn await_cuts(rules: &mut RuleWatch, source: &Place, target: &Target) -> bool {
+    let mut waited = false;
+    loop {
+        let now = rules.borrow_and_update().clone();
+        let there = effects(&now, source, &target.place, target.port);
+        let back = effects(&now, &target.place, source, target.port);
+        if !there.iter().chain(&back).any(|f| matches!(f, Fault::Cut)) {
+            return waited;
+        }
+        waited = true;
+        let _ = rules.changed().await;
+    }
+}
+
+async fn exchange(
+    network: &Network,
+    target: &Target,
+    source: Place,
+    mut near: TcpStream,
+    mut far: TcpStream,
+) -> Ended {
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    let number = network.number();
+    let rng = |salt| ChaCha8Rng::seed_from_u64(network.seed() ^ (number << 1) ^ salt);
+    let there = Way::new(network, &source, &target.place, target.port, true);
+    let back = Way::new(network, &target.place, &source, target.port, false);
+    let whole = {
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
+        tokio::try_join!(
+            pump(there, near_read, far_write, rng(0)),
+            pump(back, far_read, near_write, rng(1)),
+        )
+    };
+    if whole.is_err() {
+        return reset(&[&near, &far]);
+    }
+    Ended::Closed
+}
+
+/// Ends connections by RST.
+fn reset(streams: &[&TcpStream]) -> Ended {
+    for stream in streams {
+        let _ = stream.set_zero_linger();
+    }
+    Ended::Closed
+}
+
+/// Stands for a source that is not registered: next to the target.
+fn unknown(target: &Place) -> Place {
+    Place {
+        id: "unknown".into(),
+        client: false,
+        ..target.clone()
+    }
+}
+
+async fn connect(source: IpAddr, behind: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if behind.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(behind).await
+}
