feat(standin): harness for fleets of real daemons

A fleet reserves a loopback prefix for itself, gives each VM an address of its own, starts stand-ins and proxies, writes settings files and runs the shipped binary. Waits are on events with a generous limit, and a wait that fails prints what was seen last.

--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -32,6 +32,12 @@
     /// The answer is not of the documented form.
     #[error("{0}")]
     Json(#[from] serde_json::Error),
+    /// A name is not permitted.
+    #[error("{0}")]
+    Name(#[from] apricothall_types::TextError),
+    /// Settings are no TOML.
+    #[error("{0}")]
+    Settings(#[from] toml::de::Error),
     /// Something awaited did not come about within the limit.
     #[error("{what} did not come about; last seen: {last}")]
     Timeout {
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,282 @@
+//! A fleet of real daemons with stand-ins around them.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use apricothall_types::{Region, Role, Zone};
+use serde_json::Value;
+use smol_str::SmolStr;
+use tokio::time::Instant;
+use toml::Table;
+
+use crate::StandinError;
+use crate::addresses::Addresses;
+use crate::network::{Network, Place};
+use crate::node::Node;
+use crate::plan::{Plan, VmPlan};
+use crate::platform::Platform;
+use crate::settings::{DaemonSettings, merge};
+
+/// Limit of all waits. It is far above what a loaded machine needs.
+pub const WAIT_LIMIT: Duration = Duration::from_mins(1);
+
+/// Time between two looks at something awaited.
+const POLL: Duration = Duration::from_millis(25);
+
+/// Set to keep the folder with settings and logs after a run.
+const KEEP_VARIABLE: &str = "APRICOTHALL_KEEP";
+
+static COUNTER: AtomicU32 = AtomicU32::new(0);
+
+/// A folder for settings and logs. It is kept when the test fails.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn make() -> Result<Self, StandinError> {
+        let number = COUNTER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("apricothall-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path)?;
+        Ok(Self(path))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if std::thread::panicking() || std::env::var_os(KEEP_VARIABLE).is_some() {
+            eprintln!("settings and logs are kept in {}", self.0.display());
+            return;
+        }
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// The network between all of it.
+    pub network: Network,
+    /// The platform's services.
+    pub platform: Platform,
+    /// The VMs by id.
+    pub nodes: BTreeMap<SmolStr, Node>,
+    addresses: Addresses,
+    folder: Folder,
+    binary: PathBuf,
+    store: Region,
+    extra: Table,
+}
+
+impl Fleet {
+    /// Starts the platform, lists the VMs and starts all daemons. Does not wait for them.
+    ///
+    /// # Errors
+    /// When something cannot be started.
+    pub async fn start(plan: Plan) -> Result<Self, StandinError> {
+        let mut addresses = Addresses::reserve()?;
+        let network = Network::new(plan.shape.clone(), plan.seed);
+        let platform = Platform::start(&plan, addresses.take()?, &network).await?;
+        if let Some(text) = &plan.catalogue {
+            platform.config.publish("catalogue", text.clone());
+        }
+        let mut fleet = Self {
+            network,
+            platform,
+            nodes: BTreeMap::new(),
+            addresses,
+            folder: Folder::make()?,
+            binary: plan.binary,
+            store: plan.home.0,
+            extra: plan.extra,
+        };
+        let mut ids = Vec::new();
+        for vm in plan.vms {
+            ids.push(fleet.prepare(vm).await?);
+        }
+        let vms: Result<Vec<_>, _> = fleet.nodes.values().map(Node::vm).collect();
+        fleet.platform.vms.list(vms?);
+        for id in ids {
+            fleet.node_mut(&id).launch()?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts one more VM, lists it and starts its daemon.
+    ///
+    /// # Errors
+    /// When something cannot be started.
+    pub async fn add(&mut self, vm: VmPlan) -> Result<(), StandinError> {
+        let id = self.prepare(vm).await?;
+        let listed = self.node(&id).vm()?;
+        self.platform.vms.list([listed]);
+        self.node_mut(&id).launch()
+    }
+
+    /// Ends a VM with all that runs on it and takes it off the list.
+    ///
+    /// # Errors
+    /// When its id is not permitted.
+    pub async fn remove(&mut self, id: &str) -> Result<(), StandinError> {
+        if let Some(node) = self.nodes.remove(id) {
+            let vm = node.vm()?;
+            node.close().await;
+            self.platform.vms.drop_vm(&vm.id);
+        }
+        Ok(())
+    }
+
+    async fn prepare(&mut self, vm: VmPlan) -> Result<SmolStr, StandinError> {
+        let ip = self.addresses.take()?;
+        let id = vm.id.clone();
+        let mut settings = DaemonSettings {
+            id: vm.id.clone(),
+            role: vm.role,
+            region: vm.region.clone(),
+            zone: vm.zone.clone(),
+            ip,
+            platform: self.platform.addresses,
+            store: self.store.clone(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            extra: self.extra.clone(),
+        };
+        merge(&mut settings.extra, &vm.extra);
+        let node = Node::start(vm, ip, &self.network, &self.binary, &self.folder.0).await?;
+        node.fill(&mut settings);
+        std::fs::write(node.settings_path(), settings.render())?;
+        self.nodes.insert(id.clone(), node);
+        Ok(id)
+    }
+
+    /// The VM called `id`.
+    ///
+    /// # Panics
+    /// When there is none.
+    #[must_use]
+    pub fn node(&self, id: &str) -> &Node {
+        self.nodes
+            .get(id)
+            .unwrap_or_else(|| panic!("no VM is called {id}"))
+    }
+
+    /// The VM called `id`.
+    ///
+    /// # Panics
+    /// When there is none.
+    #[must_use]
+    pub fn node_mut(&mut self, id: &str) -> &mut Node {
+        let found = self.nodes.get_mut(id);
+        found.unwrap_or_else(|| panic!("no VM is called {id}"))
+    }
+
+    /// Folder with the settings and logs.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        &self.folder.0
+    }
+
+    /// The entries, in order of their ids.
+    pub fn entries(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.values().filter(|n| n.plan.role == Role::Entry)
+    }
+
+    /// The agents, in order of their ids.
+    pub fn agents(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.values().filter(|n| n.plan.role == Role::Agent)
+    }
+
+    /// Addresses of the VMs that match, for outages by source address.
+    pub fn sources(&self, matches: impl Fn(&VmPlan) -> bool) -> Vec<IpAddr> {
+        let nodes = self.nodes.values();
+        nodes.filter(|n| matches(&n.plan)).map(|n| n.ip).collect()
+    }
+
+    /// An address for a client at the given place.
+    ///
+    /// # Errors
+    /// When no address is left or a name is not permitted.
+    pub fn client(&mut self, id: &str, region: &str, zone: &str) -> Result<IpAddr, StandinError> {
+        let ip = self.addresses.take()?;
+        let (region, zone): (Region, Zone) = (region.parse()?, zone.parse()?);
+        let place = Place {
+            id: SmolStr::new(id),
+            region,
+            zone,
+            client: true,
+        };
+        self.network.register(ip, place);
+        Ok(ip)
+    }
+
+    /// Waits until all daemons that run are ready.
+    ///
+    /// # Errors
+    /// With the log of a daemon that is not ready in time.
+    pub async fn ready(&self) -> Result<(), StandinError> {
+        for node in self.nodes.values() {
+            let Some(process) = &node.process else {
+                continue;
+            };
+            let check = async || {
+                if node.is_ready().await {
+                    Ok(())
+                } else {
+                    Err(process.tail())
+                }
+            };
+            until(&format!("readiness of {}", node.plan.id), check).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until the `/status` of one VM satisfies `test`.
+    ///
+    /// # Errors
+    /// With the last status seen.
+    pub async fn status_until(
+        &self,
+        id: &str,
+        what: &str,
+        test: impl Fn(&Value) -> bool,
+    ) -> Result<Value, StandinError> {
+        let node = self.node(id);
+        let check = async || match node.status().await {
+            Ok(status) if test(&status) => Ok(status),
+            Ok(status) => Err(status.to_string()),
+            Err(e) => Err(e.to_string()),
+        };
+        until(&format!("{what} at {id}"), check).await
+    }
+
+    /// Ends everything.
+    pub async fn close(self) {
+        for node in self.nodes.into_values() {
+            node.close().await;
+        }
+        self.platform.close().await;
+    }
+}
+
+/// Repeats `check` until it succeeds.
+///
+/// # Errors
+/// With what the last check gave, after [`WAIT_LIMIT`].
+pub async fn until<T>(
+    what: &str,
+    check: impl AsyncFn() -> Result<T, String>,
+) -> Result<T, StandinError> {
+    let end = Instant::now() + WAIT_LIMIT;
+    loop {
+        let last = match check().await {
+            Ok(value) => return Ok(value),
+            Err(last) => last,
+        };
+        if Instant::now() >= end {
+            let what = SmolStr::new(what);
+            return Err(StandinError::Timeout { what, last });
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,16 +3,23 @@
 //! Each stand-in runs as tokio tasks of the calling process, is bound to a given address and has
 //! a handle with counters, faults and `close`. What they answer is pinned by docs/INTERFACES.md.
 
+pub mod addresses;
 pub mod bucket;
 pub mod client;
 pub mod config;
 pub mod engine;
 pub mod error;
+pub mod fleet;
 pub mod network;
+pub mod node;
+pub mod plan;
+pub mod platform;
+pub mod process;
 pub mod proxy;
 mod pump;
 pub mod server;
 pub mod service;
+pub mod settings;
 pub mod text;
 pub mod vms;
 pub mod weights;
--- /dev/null
+++ b/crates/standin/src/node.rs
@@ -0,0 +1,208 @@
+//! One VM of a fleet: its daemon, its backend servers and its proxies.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use apricothall_types::{MemberId, Revision};
+use apricothall_types::{Role, Vm, VmState};
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde_json::Value;
+
+use crate::StandinError;
+use crate::client::{Answer, Client};
+use crate::engine::Engine;
+use crate::network::{Network, Place, Port};
+use crate::plan::VmPlan;
+use crate::process::Process;
+use crate::proxy::{Proxy, Target};
+use crate::service::PlainService;
+use crate::settings::{
+    CALLERS_BEHIND, CALLERS_PORT, DaemonSettings, OPERATORS_PORT, PEERS_BEHIND, PEERS_PORT,
+    SERVER_PORT,
+};
+
+/// Longest wait for one answer on the port for operators.
+const OPERATOR_LIMIT: Duration = Duration::from_secs(2);
+
+/// A VM with what runs on it.
+pub struct Node {
+    /// What it was made from.
+    pub plan: VmPlan,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Its daemon, unless killed and not started again.
+    pub process: Option<Process>,
+    /// Its engines.
+    pub engines: Vec<Engine>,
+    /// Its plain services.
+    pub services: Vec<PlainService>,
+    proxies: Vec<Proxy>,
+    binary: PathBuf,
+    dir: PathBuf,
+}
+
+impl Node {
+    /// Starts backend servers and proxies, but not the daemon.
+    pub(crate) async fn start(
+        plan: VmPlan,
+        ip: IpAddr,
+        network: &Network,
+        binary: &Path,
+        dir: &Path,
+    ) -> Result<Self, StandinError> {
+        let place = Place {
+            id: plan.id.clone(),
+            region: plan.region.clone(),
+            zone: plan.zone.clone(),
+            client: false,
+        };
+        network.register(ip, place.clone());
+        let mut node = Self {
+            plan,
+            ip,
+            process: None,
+            engines: Vec::new(),
+            services: Vec::new(),
+            proxies: Vec::new(),
+            binary: binary.to_owned(),
+            dir: dir.to_owned(),
+        };
+        node.start_servers().await?;
+        let peers = (PEERS_PORT, PEERS_BEHIND, Port::Peers);
+        let callers = (CALLERS_PORT, CALLERS_BEHIND, Port::Callers);
+        let is_entry = node.plan.role == Role::Entry;
+        for (listen, behind, port) in std::iter::once(peers).chain(is_entry.then_some(callers)) {
+            let target = Target {
+                listen: SocketAddr::new(ip, listen),
+                behind: SocketAddr::new(ip, behind),
+                place: place.clone(),
+                port,
+            };
+            node.proxies.push(Proxy::start(network, target).await?);
+        }
+        Ok(node)
+    }
+
+    async fn start_servers(&mut self) -> Result<(), StandinError> {
+        let mut port = SERVER_PORT;
+        for settings in &self.plan.engines {
+            let address = SocketAddr::new(self.ip, port);
+            self.engines
+                .push(Engine::start(address, settings.clone()).await?);
+            port += 1;
+        }
+        for _ in &self.plan.services {
+            let address = SocketAddr::new(self.ip, port);
+            self.services.push(PlainService::start(address).await?);
+            port += 1;
+        }
+        Ok(())
+    }
+
+    /// Backend servers as they stand in the settings.
+    pub(crate) fn fill(&self, settings: &mut DaemonSettings) {
+        let engines = self.engines.iter().zip(&self.plan.engines);
+        settings.engines = engines.map(|(e, plan)| (e.address(), plan.slots)).collect();
+        let services = self.services.iter().zip(&self.plan.services);
+        settings.services = services
+            .map(|(s, name)| (s.address(), name.clone()))
+            .collect();
+    }
+
+    /// The VM as the platform lists it.
+    ///
+    /// # Errors
+    /// When its id is not permitted.
+    pub fn vm(&self) -> Result<Vm, StandinError> {
+        let id: MemberId = self.plan.id.parse()?;
+        Ok(Vm {
+            id,
+            address: SocketAddr::new(self.ip, PEERS_PORT),
+            role: self.plan.role,
+            region: self.plan.region.clone(),
+            zone: self.plan.zone.clone(),
+            state: VmState::Live,
+            since: Revision(0),
+        })
+    }
+
+    /// Path of the daemon's settings file.
+    #[must_use]
+    pub fn settings_path(&self) -> PathBuf {
+        self.dir.join(format!("{}.toml", self.plan.id))
+    }
+
+    /// Starts the daemon, after a kill too.
+    ///
+    /// # Errors
+    /// When the binary cannot be started.
+    pub fn launch(&mut self) -> Result<(), StandinError> {
+        let path = self.settings_path();
+        let path = path.to_string_lossy();
+        let role = self.plan.role.to_string();
+        let args = [role.as_str(), "--config", &path];
+        let process = Process::spawn(&self.plan.id, &self.binary, &args, &self.dir)?;
+        self.process = Some(process);
+        Ok(())
+    }
+
+    /// Kills the daemon and waits for its end.
+    pub async fn kill(&mut self) {
+        if let Some(process) = self.process.take() {
+            process.close().await;
+        }
+    }
+
+    /// Address that callers use, whether the VM is an entry or not.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLERS_PORT)
+    }
+
+    /// Reads a path on the port for operators.
+    ///
+    /// # Errors
+    /// When the daemon does not answer in time.
+    pub async fn operator(&self, path: &str) -> Result<Answer, StandinError> {
+        let uri = format!("http://{}{path}", SocketAddr::new(self.ip, OPERATORS_PORT));
+        let client = Client::default();
+        let call = client.call(Method::GET, &uri, Bytes::new());
+        let limited = tokio::time::timeout(OPERATOR_LIMIT, call).await;
+        limited.unwrap_or_else(|_| {
+            Err(StandinError::Timeout {
+                what: uri.as_str().into(),
+                last: "no answer".into(),
+            })
+        })
+    }
+
+    /// Reads `/status`.
+    ///
+    /// # Errors
+    /// When the daemon does not answer in time, or not with JSON.
+    pub async fn status(&self) -> Result<Value, StandinError> {
+        self.operator("/status").await?.json()
+    }
+
+    /// Whether `/readyz` answers 200.
+    pub async fn is_ready(&self) -> bool {
+        let answer = self.operator("/readyz").await;
+        answer.is_ok_and(|a| a.status == StatusCode::OK)
+    }
+
+    /// Ends all that runs on the VM.
+    pub async fn close(mut self) {
+        self.kill().await;
+        for proxy in self.proxies {
+            proxy.close().await;
+        }
+        for engine in self.engines {
+            engine.close().await;
+        }
+        for service in self.services {
+            service.close().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/process.rs
@@ -0,0 +1,120 @@
+//! A shipped binary as a child process.
+
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use smol_str::SmolStr;
+use tokio::process::{Child, Command};
+
+use crate::StandinError;
+
+/// A child process with its log file. Dropping it kills that child and nothing else.
+pub struct Process {
+    name: SmolStr,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts `program`. Its output is appended to `{dir}/{name}.log`.
+    ///
+    /// # Errors
+    /// When the log cannot be opened or the program cannot be started.
+    pub fn spawn(name: &str, program: &Path, args: &[&str], dir: &Path) -> io::Result<Self> {
+        let log = dir.join(format!("{name}.log"));
+        let output = File::options().create(true).append(true).open(&log)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .kill_on_drop(true)
+            .spawn()?;
+        Ok(Self {
+            name: SmolStr::new(name),
+            child,
+            log,
+        })
+    }
+
+    /// Id of the process, unless its end was seen.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
+    /// All output so far.
+    #[must_use]
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Asks it to stop (SIGTERM).
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Kills it (SIGKILL).
+    pub fn kill(&self) {
+        self.signal(Signal::KILL);
+    }
+
+    /// Freezes it (SIGSTOP).
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on (SIGCONT).
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    /// When it still runs after `limit`.
+    pub async fn wait(&mut self, limit: Duration) -> Result<ExitStatus, StandinError> {
+        if let Ok(status) = tokio::time::timeout(limit, self.child.wait()).await {
+            return Ok(status?);
+        }
+        Err(StandinError::Timeout {
+            what: smol_str::format_smolstr!("the end of {}", self.name),
+            last: self.tail(),
+        })
+    }
+
+    /// Its exit status, once it has ended.
+    ///
+    /// # Errors
+    /// When the operating system cannot tell.
+    pub fn status(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.child.try_wait()
+    }
+
+    /// The last lines of its output.
+    #[must_use]
+    pub fn tail(&self) -> String {
+        const LINES: usize = 20;
+        let log = self.log();
+        let lines: Vec<_> = log.lines().rev().take(LINES).collect();
+        lines.into_iter().rev().collect::<Vec<_>>().join("\n")
+    }
+
+    /// Kills it and waits for its end.
+    pub async fn close(mut self) {
+        self.kill();
+        let _ = self.child.wait().await;
+    }
+
+    fn signal(&self, signal: Signal) {
+        // The id is absent once the end was seen, so it can belong to nothing else.
+        let id = self.child.id().and_then(|id| i32::try_from(id).ok());
+        if let Some(pid) = id.and_then(Pid::from_raw) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
