feat(standin): test caller and open-loop load

The caller asks for the entries, keeps the answer, sends completions and service calls with all headers of docs/INTERFACES.md and judges each streamed answer token by token against the true weights: whole, refused, truncated, lost, crossed or mixed. The load starts requests at seeded times and measures from when each was due.

--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -50,11 +50,22 @@
     /// A client whose connections come from `source`, or from any address.
     #[must_use]
     pub fn new(source: Option<IpAddr>) -> Self {
+        Self::make(source, false)
+    }
+
+    /// As [`Client::new`], by HTTP/2 with prior knowledge.
+    #[must_use]
+    pub fn http2(source: Option<IpAddr>) -> Self {
+        Self::make(source, true)
+    }
+
+    fn make(source: Option<IpAddr>, http2: bool) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_local_address(source);
         let pool = hyper_util::client::legacy::Builder::new(TokioExecutor::new())
             .retry_canceled_requests(false)
+            .http2_only(http2)
             .build(connector);
         Self(pool)
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,21 +5,26 @@
 
 pub mod addresses;
 pub mod bucket;
+pub mod caller;
 pub mod client;
+pub mod completion;
 pub mod config;
 pub mod engine;
 pub mod error;
 pub mod fleet;
+pub mod load;
 pub mod network;
 pub mod node;
 pub mod plan;
 pub mod platform;
+pub mod problem;
 pub mod process;
 pub mod proxy;
 mod pump;
 pub mod server;
 pub mod service;
 pub mod settings;
+pub mod sse;
 pub mod text;
 pub mod vms;
 pub mod weights;
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,248 @@
+//! Open-loop load: requests start at seeded times, however long others take.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use apricothall_types::{Digest, Version};
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol_str::SmolStr;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::caller::{CallOptions, Caller};
+use crate::completion::{Ended, Streamed, Verdict, completion};
+
+/// Significant digits of latencies.
+const DIGITS: u8 = 3;
+
+/// Entries that a request tries when it cannot connect.
+const TRIES: u32 = 3;
+
+/// What is sent.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// Requests a second.
+    pub rate: f64,
+    /// Models, drawn evenly.
+    pub models: Vec<SmolStr>,
+    /// Tokens of an answer: least and most.
+    pub tokens: (u32, u32),
+    /// Headers of each request.
+    pub options: CallOptions,
+    /// Seed of times and prompts.
+    pub seed: u64,
+}
+
+/// Digests of the true bytes of each version. Clones share it.
+#[derive(Clone, Default)]
+pub struct TrueWeights(Arc<Mutex<HashMap<Version, Digest>>>);
+
+impl TrueWeights {
+    /// Adds a version whose bytes have this digest.
+    pub fn add(&self, version: Version, bytes: Digest) {
+        lock(&self.0).insert(version, bytes);
+    }
+
+    /// All versions.
+    #[must_use]
+    pub fn all(&self) -> HashMap<Version, Digest> {
+        lock(&self.0).clone()
+    }
+}
+
+/// What became of the requests of one span of time.
+#[derive(Clone, Debug)]
+pub struct LoadReport {
+    /// Requests that ended.
+    pub ended: u64,
+    /// Requests by verdict.
+    pub verdicts: HashMap<Verdict, u64>,
+    /// Times to the first token, in microseconds, from when the request was due.
+    pub first: Histogram<u64>,
+    /// Times between tokens, in microseconds.
+    pub gaps: Histogram<u64>,
+    /// Answers that were neither whole nor refused, at most a few.
+    pub samples: Vec<String>,
+}
+
+impl LoadReport {
+    fn new() -> Self {
+        let histogram = || Histogram::new(DIGITS).expect("three digits are permitted");
+        Self {
+            ended: 0,
+            verdicts: HashMap::new(),
+            first: histogram(),
+            gaps: histogram(),
+            samples: Vec::new(),
+        }
+    }
+
+    /// Requests with this verdict.
+    #[must_use]
+    pub fn count(&self, verdict: Verdict) -> u64 {
+        self.verdicts.get(&verdict).copied().unwrap_or(0)
+    }
+
+    /// Whole answers.
+    #[must_use]
+    pub fn whole(&self) -> u64 {
+        self.count(Verdict::Whole)
+    }
+
+    /// Errors with an outcome.
+    #[must_use]
+    pub fn refused(&self) -> u64 {
+        let refused = |(verdict, _): &(&Verdict, &u64)| matches!(verdict, Verdict::Refused(_));
+        self.verdicts.iter().filter(refused).map(|(_, n)| n).sum()
+    }
+
+    fn add(&mut self, answer: &Streamed, verdict: Verdict, late: Duration) {
+        const SAMPLES: usize = 5;
+        self.ended += 1;
+        *self.verdicts.entry(verdict).or_default() += 1;
+        if let Some(first) = answer.first {
+            record(&mut self.first, first + late);
+        }
+        for gap in &answer.gaps {
+            record(&mut self.gaps, *gap);
+        }
+        let calm = matches!(verdict, Verdict::Whole | Verdict::Refused(_));
+        if !calm && self.samples.len() < SAMPLES {
+            let tokens = answer.events.len();
+            self.samples.push(format!(
+                "{verdict:?} after {tokens} tokens: {:?}",
+                answer.ended
+            ));
+        }
+    }
+}
+
+fn record(histogram: &mut Histogram<u64>, span: Duration) {
+    histogram.saturating_record(u64::try_from(span.as_micros()).unwrap_or(u64::MAX));
+}
+
+/// A running load.
+pub struct Load {
+    report: Arc<Mutex<LoadReport>>,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+    requests: TaskTracker,
+}
+
+impl Load {
+    /// Starts sending from `callers` by turns.
+    #[must_use]
+    pub fn start(plan: LoadPlan, callers: Vec<Caller>, weights: TrueWeights) -> Self {
+        let report = Arc::new(Mutex::new(LoadReport::new()));
+        let stop = CancellationToken::new();
+        let requests = TaskTracker::new();
+        let sender = Sender {
+            plan,
+            callers,
+            weights,
+            report: report.clone(),
+            requests: requests.clone(),
+        };
+        let token = stop.clone();
+        let task = tokio::spawn(async move {
+            // Requests under way go on; only the making of new ones stops here.
+            token.run_until_cancelled(sender.run()).await;
+        });
+        Self {
+            report,
+            stop,
+            task,
+            requests,
+        }
+    }
+
+    /// The report since the start or the last call of this.
+    #[must_use]
+    pub fn take(&self) -> LoadReport {
+        std::mem::replace(&mut *lock(&self.report), LoadReport::new())
+    }
+
+    /// Requests that have ended since the start or the last [`Load::take`].
+    #[must_use]
+    pub fn ended(&self) -> u64 {
+        lock(&self.report).ended
+    }
+
+    /// Stops sending, waits for all answers and gives the report since the last
+    /// [`Load::take`].
+    pub async fn close(self) -> LoadReport {
+        self.stop.cancel();
+        let _ = self.task.await;
+        self.requests.close();
+        self.requests.wait().await;
+        lock(&self.report).clone()
+    }
+}
+
+struct Sender {
+    plan: LoadPlan,
+    callers: Vec<Caller>,
+    weights: TrueWeights,
+    report: Arc<Mutex<LoadReport>>,
+    requests: TaskTracker,
+}
+
+impl Sender {
+    async fn run(self) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.plan.seed);
+        let mut due = Instant::now();
+        for number in 0_u64.. {
+            due += exponential(self.plan.rate, &mut rng);
+            tokio::time::sleep_until(due).await;
+            let (least, most) = self.plan.tokens;
+            let tokens = rng.random_range(least..=most);
+            let model = &self.plan.models[rng.random_range(0..self.plan.models.len())];
+            let prompt = format!("load {} request {number}", self.plan.seed);
+            let request = completion(model, &prompt, tokens);
+            let callers = self.callers.len() as u64;
+            let turn = usize::try_from(number % callers).unwrap_or(0);
+            let caller = self.callers[turn].clone();
+            let options = self.plan.options.clone();
+            let (weights, report) = (self.weights.clone(), self.report.clone());
+            self.requests.spawn(async move {
+                let (answer, sent) = send(&caller, request, &options).await;
+                let verdict = answer.verdict(&weights.all());
+                let late = sent.duration_since(due);
+                lock(&report).add(&answer, verdict, late);
+            });
+        }
+    }
+}
+
+/// Sends a request, once more through another entry while no connection is made.
+async fn send(
+    caller: &Caller,
+    request: crate::engine::answer::Completion,
+    options: &CallOptions,
+) -> (Streamed, Instant) {
+    let mut tries = 1;
+    loop {
+        let sent = Instant::now();
+        let answer = caller.complete(request.clone(), options).await;
+        let unreachable = matches!(answer.ended, Ended::Unreachable(_));
+        if !unreachable || tries == TRIES {
+            return (answer, sent);
+        }
+        tries += 1;
+    }
+}
+
+/// Time to the next request of a Poisson process.
+fn exponential(rate: f64, rng: &mut impl Rng) -> Duration {
+    let uniform: f64 = 1.0 - rng.random::<f64>();
+    Duration::from_secs_f64(-uniform.ln() / rate.max(f64::MIN_POSITIVE))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
