test: thin path with real processes

Cause: the path had not been run. A fleet of one entry and two agents with engines starts as separate processes; weights are fetched chunk by chunk, verified and loaded; a caller lists entries and gets a whole streamed draft, checked token by token against the true weights.

Not measured: times, faults.

--- /dev/null
+++ b/crates/apricotd/tests/path.rs
@@ -0,0 +1,29 @@
+//! The whole path with real processes: weights arrive, a draft and a booking are served.
+
+mod fixture;
+
+use apricothall_standin::caller::CallOptions;
+use apricothall_standin::completion::{Verdict, completion};
+use fixture::{MODEL, caller, catalogue, plan, serving, start, truth};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn draft_is_served_whole_after_the_weights_arrive() {
+    let plan = plan(1, 2).with_catalogue(catalogue(1, 2, &[]));
+    let fleet = start(plan).await;
+    for agent in ["engine-0", "engine-1"] {
+        serving(&fleet, "entry-0", agent, "1").await;
+    }
+    fleet.ready().await.expect("ready");
+    let caller = caller(&fleet, "crew");
+    let list = caller.entries().await.expect("entries are listed");
+    assert_eq!(list.entries.len(), 1);
+    let request = completion(MODEL, "span 12: two trees down", 20);
+    let answer = caller.complete(request, &CallOptions::default()).await;
+    assert_eq!(
+        answer.verdict(&truth()),
+        Verdict::Whole,
+        "{:?}",
+        answer.ended
+    );
+    fleet.close().await;
+}
