feat(xtask): burst, the main job of a fresh clone

Cause: nothing showed the system spread a model. The task starts seven entries, N agents with engines in three regions, a shaped network and ten callers, lets version 1 serve, publishes version 2 and prints progress, a table and a line of JSON.

Latency histograms saturate at 2 us and bytes between regions leave out the store's: faults of the stand-in, to be mended there. Memory is not measured.

--- /dev/null
+++ b/xtask/src/build.rs
@@ -0,0 +1,25 @@
+//! Builds the daemon that the tasks start.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use crate::burst::TaskError;
+
+/// Builds `apricotd` with optimisations and returns its path.
+///
+/// # Errors
+/// When the build fails.
+pub fn daemon() -> Result<PathBuf, TaskError> {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("..");
+    let status = Command::new(cargo)
+        .args(["build", "--release", "--quiet", "--package", "apricotd"])
+        .current_dir(&root)
+        .status()?;
+    if !status.success() {
+        return Err(TaskError::Build);
+    }
+    let target =
+        std::env::var_os("CARGO_TARGET_DIR").map_or_else(|| root.join("target"), PathBuf::from);
+    Ok(target.join("release/apricotd").canonicalize()?)
+}
--- /dev/null
+++ b/xtask/src/burst.rs
@@ -0,0 +1,256 @@
+//! The burst: a version spreads to all agents while live requests go on.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use apricothall_standin::StandinError;
+use apricothall_standin::caller::{CallOptions, Caller};
+use apricothall_standin::fleet::Fleet;
+use apricothall_standin::load::{Load, LoadPlan, TrueWeights};
+use apricothall_types::{Bytes, Digest, Rate};
+use clap::Args;
+use smol_str::SmolStr;
+use thiserror::Error;
+
+use crate::figures::{Figures, Traffic};
+use crate::fleet::{MODEL, REGIONS, Versions, agent_id, plan};
+use crate::progress::{Arrivals, latest, watch};
+use crate::table;
+
+/// Live traffic before the burst.
+const WARM_UP: Duration = Duration::from_secs(4);
+
+/// Longest wait for a version on all agents.
+const LIMIT: Duration = Duration::from_mins(2);
+
+/// Client accounts, as today.
+const CALLERS: usize = 10;
+
+/// Tokens of an answer: least and most.
+const TOKENS: (u32, u32) = (8, 24);
+
+/// Why a task failed.
+#[derive(Debug, Error)]
+pub enum TaskError {
+    /// The daemon does not build.
+    #[error("the daemon does not build")]
+    Build,
+    /// A program cannot be started or a file not read.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    /// A stand-in failed.
+    #[error(transparent)]
+    Standin(#[from] StandinError),
+    /// The figures have no JSON form.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// A version did not reach all agents.
+    #[error("version {version} did not reach all agents in time; end of a log:\n{log}")]
+    Late {
+        /// The version.
+        version: SmolStr,
+        /// End of the log of an agent that lacks it.
+        log: String,
+    },
+}
+
+/// Size and kind of a burst.
+#[derive(Args, Clone)]
+pub struct BurstArguments {
+    /// Agents, spread evenly over three regions.
+    #[arg(long, default_value_t = 12)]
+    pub agents: usize,
+    /// Size of the weights.
+    #[arg(long, default_value = "16 MiB")]
+    pub size: Bytes,
+    /// Size of a chunk.
+    #[arg(long, default_value = "256 KiB")]
+    pub chunk: Bytes,
+    /// Rate of each VM's link, each way; the store's link has twice this.
+    #[arg(long, default_value = "32 Mb/s")]
+    pub link: Rate,
+    /// Rate between two regions, each way, shared by all traffic.
+    #[arg(long, default_value = "22 Mb/s")]
+    pub between: Rate,
+    /// Live requests a second.
+    #[arg(long, default_value_t = 40.0)]
+    pub rate: f64,
+    /// How weights are transferred.
+    #[arg(long, default_value = "origin")]
+    pub strategy: SmolStr,
+    /// What the transfer saves first: bytes or time.
+    #[arg(long, default_value = "bytes")]
+    pub weighting: Weighting,
+    /// Replicas that may reload at once in a zone.
+    #[arg(long, default_value_t = 1)]
+    pub window: u32,
+    /// Seed of weights, load and jitter.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Print only the line of JSON.
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// What a transfer saves first, as in the catalogue.
+#[derive(Clone, Copy, Debug, clap::ValueEnum)]
+pub enum Weighting {
+    /// Bytes from the origin and between regions.
+    Bytes,
+    /// Time.
+    Time,
+}
+
+impl std::fmt::Display for Weighting {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Bytes => "bytes",
+            Self::Time => "time",
+        })
+    }
+}
+
+/// Runs a burst and prints its figures.
+///
+/// # Errors
+/// When the fleet does not start or the version does not reach all agents.
+pub async fn run(arguments: BurstArguments, binary: PathBuf) -> Result<(), TaskError> {
+    let versions = Versions::generate(&arguments);
+    let plan = plan(&arguments, binary, versions.catalogue(1, &arguments))?;
+    let shown = !arguments.json;
+    let mut fleet = Fleet::start(plan).await?;
+    publish(&fleet, &versions);
+    let agents: Vec<_> = (0..arguments.agents).map(agent_id).collect();
+    watch(&fleet, &agents, "1", LIMIT, false).await?;
+    fleet.ready().await?;
+    let load = start_load(&mut fleet, &arguments, &versions)?;
+    tokio::time::sleep(WARM_UP).await;
+    let before = Traffic::of(&load.take());
+    let drawn = drawn(&fleet);
+    let crossed = crossed(&fleet);
+    fleet
+        .platform
+        .config
+        .publish("catalogue", versions.catalogue(2, &arguments));
+    let arrivals = watch(&fleet, &agents, "2", LIMIT, shown).await?;
+    let during = Traffic::of(&load.close().await);
+    let figures = Figures {
+        agents: arguments.agents,
+        strategy: arguments.strategy.to_string(),
+        weighting: arguments.weighting.to_string(),
+        faults: Vec::new(),
+        seed: arguments.seed,
+        size: arguments.size.0,
+        link: arguments.link.0,
+        between: arguments.between.0,
+        near: near(&arrivals, &arguments),
+        far: far(&arrivals, &arguments),
+        complete: last(&arrivals.complete),
+        serving: last(&arrivals.serving),
+        origin: ratio(self::drawn(&fleet) - drawn, arguments.size),
+        crossed: most_crossed(&fleet, &crossed, arguments.size),
+        slowdown: during.first.p95 / before.first.p95,
+        before,
+        during,
+        memory: 0,
+    };
+    fleet.close().await;
+    if shown {
+        table::print(&figures);
+    }
+    println!("{}", serde_json::to_string(&figures)?);
+    Ok(())
+}
+
+fn publish(fleet: &Fleet, versions: &Versions) {
+    for weights in [&versions.first, &versions.second] {
+        fleet.platform.store.publish(weights.clone());
+        fleet.platform.origin.publish(weights.clone());
+    }
+}
+
+fn start_load(
+    fleet: &mut Fleet,
+    arguments: &BurstArguments,
+    versions: &Versions,
+) -> Result<Load, TaskError> {
+    let weights = TrueWeights::default();
+    for (name, version) in [("1", &versions.first), ("2", &versions.second)] {
+        let name = name.parse().map_err(StandinError::from)?;
+        weights.add(name, Digest::of(&version.bytes));
+    }
+    let known: Vec<_> = fleet
+        .entries()
+        .map(apricothall_standin::node::Node::callers)
+        .collect();
+    let mut callers = Vec::new();
+    for index in 0..CALLERS {
+        let (region, zone) = REGIONS[index % REGIONS.len()];
+        let name = format!("caller-{index}");
+        let source = fleet.client(&name, region, zone)?;
+        callers.push(Caller::new(&name, Some(source), known.clone()));
+    }
+    let plan = LoadPlan {
+        rate: arguments.rate,
+        models: vec![SmolStr::new(MODEL)],
+        tokens: TOKENS,
+        options: CallOptions::default(),
+        seed: arguments.seed,
+    };
+    Ok(Load::start(plan, callers, weights))
+}
+
+fn drawn(fleet: &Fleet) -> u64 {
+    fleet.platform.store.sent().total() + fleet.platform.origin.sent().total()
+}
+
+type Crossed = BTreeMap<(&'static str, &'static str), u64>;
+
+fn crossed(fleet: &Fleet) -> Crossed {
+    let names = REGIONS.map(|(region, _)| region);
+    let pairs = names.into_iter().flat_map(|a| names.map(|b| (a, b)));
+    let bytes = pairs.filter(|(a, b)| a != b).filter_map(|(a, b)| {
+        let (from, to) = (a.parse().ok()?, b.parse().ok()?);
+        Some(((a, b), fleet.network.between(&from, &to)))
+    });
+    bytes.collect()
+}
+
+fn most_crossed(fleet: &Fleet, before: &Crossed, size: Bytes) -> f64 {
+    let now = crossed(fleet);
+    let grown = now
+        .iter()
+        .map(|(pair, bytes)| bytes - before.get(pair).unwrap_or(&0));
+    ratio(grown.max().unwrap_or(0), size)
+}
+
+fn near(arrivals: &Arrivals, arguments: &BurstArguments) -> Option<f64> {
+    let ideal = arguments.link.time_for(arguments.size);
+    latest(&arrivals.complete, 0).map(|t| t.as_secs_f64() / ideal.as_secs_f64())
+}
+
+fn far(arrivals: &Arrivals, arguments: &BurstArguments) -> Option<f64> {
+    let ideal = arguments.between.time_for(arguments.size);
+    let far = (1..REGIONS.len())
+        .filter_map(|region| latest(&arrivals.complete, region))
+        .max();
+    far.map(|t| t.as_secs_f64() / ideal.as_secs_f64())
+}
+
+fn last(arrivals: &BTreeMap<String, Duration>) -> f64 {
+    arrivals
+        .values()
+        .max()
+        .copied()
+        .unwrap_or_default()
+        .as_secs_f64()
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "sizes stay far below 2^52 bytes"
+)]
+fn ratio(bytes: u64, size: Bytes) -> f64 {
+    bytes as f64 / size.0 as f64
+}
--- /dev/null
+++ b/xtask/src/fleet.rs
@@ -0,0 +1,107 @@
+//! The fleet of a burst: three regions with one zone each, entries and agents in each.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use apricothall_standin::engine::EngineSettings;
+use apricothall_standin::network::Shape;
+use apricothall_standin::plan::Plan;
+use apricothall_standin::weights::Weights;
+use apricothall_types::{Bytes, Rate};
+
+use crate::burst::{BurstArguments, TaskError};
+
+/// Regions with their zones; the weight store is in the first.
+pub const REGIONS: [(&str, &str); 3] = [
+    ("lima", "lima-a"),
+    ("arequipa", "arequipa-a"),
+    ("cusco", "cusco-a"),
+];
+
+/// Name of the model.
+pub const MODEL: &str = "drafter";
+
+/// Entry VMs: seven, as today.
+const ENTRIES: usize = 7;
+
+/// Copies of the model that the store's link carries while a VM's link carries one.
+const STORE_LINKS: u64 = 2;
+
+/// Size of the weights served before the burst.
+const FIRST_SIZE: Bytes = Bytes::kib(256);
+
+/// Both versions of the model.
+pub struct Versions {
+    /// Served before the burst.
+    pub first: Weights,
+    /// Spread by the burst.
+    pub second: Weights,
+}
+
+impl Versions {
+    /// Weights made from the seed of the run.
+    #[must_use]
+    pub fn generate(arguments: &BurstArguments) -> Self {
+        let first = Weights::generate(arguments.seed, FIRST_SIZE, arguments.chunk);
+        let second = Weights::generate(arguments.seed + 1, arguments.size, arguments.chunk);
+        Self { first, second }
+    }
+
+    /// The catalogue with `current` in force.
+    #[must_use]
+    pub fn catalogue(&self, current: u32, arguments: &BurstArguments) -> String {
+        let weighting = arguments.weighting;
+        let replicas = arguments.agents;
+        let window = arguments.window;
+        let (first, second) = (self.first.digest, self.second.digest);
+        format!(
+            "[[entries]]\nname = \"{MODEL}\"\nkind = \"model\"\nowner = \"desbroce\"\n\
+             replicas = {replicas}\nwindow = {window}\nweighting = \"{weighting}\"\n\
+             current = \"{current}\"\n\
+             [[entries.versions]]\nversion = \"1\"\nmanifest = \"{first}\"\n\
+             [[entries.versions]]\nversion = \"2\"\nmanifest = \"{second}\"\n"
+        )
+    }
+}
+
+/// Id of the agent with this number.
+#[must_use]
+pub fn agent_id(index: usize) -> String {
+    format!("{}-agent-{index}", REGIONS[index % REGIONS.len()].0)
+}
+
+/// The plan of the fleet.
+///
+/// # Errors
+/// When a name is not permitted.
+pub fn plan(
+    arguments: &BurstArguments,
+    binary: PathBuf,
+    catalogue: String,
+) -> Result<Plan, TaskError> {
+    let (region, zone) = REGIONS[0];
+    let mut plan = Plan::new(binary, region, zone)?;
+    for index in 0..ENTRIES {
+        let (region, zone) = REGIONS[index % REGIONS.len()];
+        plan = plan.entry(&format!("{region}-entry-{index}"), region, zone)?;
+    }
+    for index in 0..arguments.agents {
+        let (region, zone) = REGIONS[index % REGIONS.len()];
+        plan = plan.engine(&agent_id(index), region, zone, EngineSettings::default())?;
+    }
+    plan.shape = shape(arguments);
+    plan.seed = arguments.seed;
+    Ok(plan.with_catalogue(catalogue))
+}
+
+fn shape(arguments: &BurstArguments) -> Shape {
+    Shape {
+        zones: Duration::from_millis(4),
+        regions: Duration::from_millis(3),
+        clients: Duration::from_millis(2),
+        jitter: Duration::from_millis(1),
+        between: Some(arguments.between),
+        vm: Some(arguments.link),
+        store: Some(Rate(arguments.link.0 * STORE_LINKS)),
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,3 +1,44 @@
-//! Placeholder.
+//! Tasks for developers: the burst, the main job of a fresh clone.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+mod build;
+mod burst;
+mod figures;
+mod fleet;
+mod progress;
+mod table;
+
+/// Tasks for developers of apricothall.
+#[derive(Parser)]
+#[command(name = "cargo xtask")]
+struct Arguments {
+    #[command(subcommand)]
+    task: Task,
+}
+
+#[derive(Subcommand)]
+enum Task {
+    /// Spreads a model to all agents under live traffic, with real daemons on loopback.
+    #[command(after_help = "Example: cargo xtask burst --agents 12 --fault kill,corrupt --json")]
+    Burst(burst::BurstArguments),
+}
+
+fn main() -> ExitCode {
+    let Task::Burst(arguments) = Arguments::parse().task;
+    let done = build::daemon().and_then(|binary| {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .enable_all()
+            .build()?;
+        runtime.block_on(burst::run(arguments, binary))
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("xtask: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/progress.rs
@@ -0,0 +1,110 @@
+//! Watches how far the version has come on each agent.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use apricothall_standin::fleet::Fleet;
+use apricothall_standin::process::Process;
+use serde_json::Value;
+use tokio::time::Instant;
+
+use crate::burst::TaskError;
+use crate::fleet::{REGIONS, agent_id};
+
+/// Time between two looks.
+const PERIOD: Duration = Duration::from_millis(50);
+
+/// Looks between two lines of progress.
+const LOOKS_PER_LINE: u32 = 20;
+
+/// Times at which agents reached a stage, by id.
+#[derive(Clone, Debug, Default)]
+pub struct Arrivals {
+    /// All chunks held and verified.
+    pub complete: BTreeMap<String, Duration>,
+    /// Engines serve it.
+    pub serving: BTreeMap<String, Duration>,
+}
+
+/// The stages of an agent as it tells them in its status.
+fn stages(status: &Value, id: &str, version: &str) -> (bool, bool) {
+    let members = status["members"].as_array().into_iter().flatten();
+    let own = members.filter(|m| m["id"] == id);
+    let holdings = own.flat_map(|m| m["holdings"].as_array().into_iter().flatten());
+    let found = holdings
+        .filter(|h| h["version"] == version)
+        .map(|h| &h["state"]);
+    found.fold((false, false), |(complete, serving), state| {
+        let serves = state == "serving";
+        (complete || serves || state == "complete", serving || serves)
+    })
+}
+
+/// Waits until `agents` serve `version`; prints progress when `shown`.
+///
+/// # Errors
+/// When they do not within `limit`.
+pub async fn watch(
+    fleet: &Fleet,
+    agents: &[String],
+    version: &str,
+    limit: Duration,
+    shown: bool,
+) -> Result<Arrivals, TaskError> {
+    let start = Instant::now();
+    let mut arrivals = Arrivals::default();
+    for look in 0_u32.. {
+        for id in agents.iter().filter(|id| fleet.node(id).process.is_some()) {
+            if arrivals.serving.contains_key(id) {
+                continue;
+            }
+            let Ok(status) = fleet.node(id).status().await else {
+                continue;
+            };
+            let (complete, serving) = stages(&status, id, version);
+            let now = start.elapsed();
+            if complete {
+                arrivals.complete.entry(id.clone()).or_insert(now);
+            }
+            if serving {
+                arrivals.serving.insert(id.clone(), now);
+            }
+        }
+        if shown && look % LOOKS_PER_LINE == 0 {
+            print_line(&arrivals, agents.len(), start.elapsed());
+        }
+        if arrivals.serving.len() == agents.len() {
+            return Ok(arrivals);
+        }
+        if start.elapsed() > limit {
+            let missing = agents.iter().find(|id| !arrivals.serving.contains_key(*id));
+            let log = missing
+                .and_then(|id| fleet.node(id).process.as_ref())
+                .map(Process::tail);
+            return Err(TaskError::Late {
+                version: version.into(),
+                log: log.unwrap_or_default(),
+            });
+        }
+        tokio::time::sleep(PERIOD).await;
+    }
+    Ok(arrivals)
+}
+
+fn print_line(arrivals: &Arrivals, total: usize, elapsed: Duration) {
+    let (complete, serving) = (arrivals.complete.len(), arrivals.serving.len());
+    let seconds = elapsed.as_secs_f64();
+    eprintln!("{seconds:6.1} s  complete {complete:>3}/{total}  serving {serving:>3}/{total}");
+}
+
+/// Latest arrival in the region with this number.
+#[must_use]
+pub fn latest(arrivals: &BTreeMap<String, Duration>, region: usize) -> Option<Duration> {
+    let ids = (0..arrivals.len() + REGIONS.len()).filter(|i| i % REGIONS.len() == region);
+    let ids: Vec<_> = ids.map(agent_id).collect();
+    arrivals
+        .iter()
+        .filter(|(id, _)| ids.contains(id))
+        .map(|(_, t)| *t)
+        .max()
+}
