--- /dev/null
+++ b/crates/apricotctl/src/check.rs
@@ -0,0 +1,81 @@
+//! `apricotctl check`: settings and catalogues, by the code that daemons run.
+
+use std::path::PathBuf;
+
+use apricothall_kernel::Settings;
+use apricothall_kernel::settings::DEFAULT_FILE;
+use apricothall_types::{Catalogue, Role};
+use clap::Args;
+use serde_json::json;
+use smol_str::format_smolstr;
+
+use crate::error::ControlError;
+
+const EXAMPLES: &str = "Examples:
+  apricotctl check lima-entry-1.toml
+  apricotctl check --role agent lima-agent-1.toml
+  apricotctl check --catalogue catalogue.toml
+  apricotctl check --print-default > lima-entry-1.toml";
+
+/// What to check.
+#[derive(Args)]
+#[command(after_help = EXAMPLES)]
+pub struct CheckArguments {
+    /// Settings files.
+    #[arg(required_unless_present_any = ["catalogue", "print_default"])]
+    files: Vec<PathBuf>,
+    /// Role that the settings are for; guessed from the sections when absent.
+    #[arg(long)]
+    role: Option<Role>,
+    /// A catalogue file.
+    #[arg(long, value_name = "FILE")]
+    catalogue: Option<PathBuf>,
+    /// Print a whole settings file with comments.
+    #[arg(long)]
+    print_default: bool,
+    /// Print one line of JSON a file.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Checks all files given.
+///
+/// # Errors
+/// The first fault.
+pub fn run(arguments: &CheckArguments) -> Result<(), ControlError> {
+    if arguments.print_default {
+        print!("{DEFAULT_FILE}");
+        return Ok(());
+    }
+    for path in &arguments.files {
+        let settings = Settings::load(path, arguments.role)?;
+        let role = arguments.role.unwrap_or_else(|| settings.likely_role());
+        let id = &settings.daemon.id;
+        if arguments.json {
+            println!(
+                "{}",
+                json!({ "file": path, "role": role, "id": id, "fine": true })
+            );
+        } else {
+            println!("{}: fine, settings of {role} {id}", path.display());
+        }
+    }
+    let Some(path) = &arguments.catalogue else {
+        return Ok(());
+    };
+    let text = std::fs::read_to_string(path)?;
+    let catalogue = Catalogue::parse(&text).map_err(|source| {
+        let path = format_smolstr!("{}", path.display());
+        ControlError::Catalogue { path, source }
+    })?;
+    let count = catalogue.entries.len();
+    if arguments.json {
+        println!(
+            "{}",
+            json!({ "file": path, "entries": count, "fine": true })
+        );
+    } else {
+        println!("{}: fine, {count} catalogue entries", path.display());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/apricotctl/src/explain.rs
@@ -0,0 +1,54 @@
+//! `apricotctl explain`: why a request would be routed, limited or refused.
+
+use apricothall_types::{CallerId, EntryName};
+use clap::Args;
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use crate::error::ControlError;
+use crate::operator::{Target, read};
+use crate::table::{cell, with_head};
+
+/// The request to explain.
+#[derive(Args)]
+#[command(
+    after_help = "Example: apricotctl explain --operator 127.0.0.1:7002 --entry-name drafter"
+)]
+pub struct ExplainArguments {
+    #[command(flatten)]
+    target: Target,
+    /// Catalogue entry that the request is for.
+    #[arg(long)]
+    entry_name: EntryName,
+    /// Account of the request.
+    #[arg(long, default_value = "anonymous")]
+    caller: CallerId,
+    /// Value of its `Idempotency-Key`, for plain services.
+    #[arg(long)]
+    key: Option<SmolStr>,
+}
+
+/// Asks an entry what it would do with the request; nothing is sent on.
+///
+/// # Errors
+/// When the entry does not answer.
+pub async fn run(arguments: &ExplainArguments) -> Result<(), ControlError> {
+    let key = arguments
+        .key
+        .as_ref()
+        .map(|key| format!("&key={key}"))
+        .unwrap_or_default();
+    let (name, caller) = (&arguments.entry_name, &arguments.caller);
+    let path = format!("/explain?name={name}&caller={caller}{key}");
+    let answer: Value = read(arguments.target.operator, &path).await?;
+    if arguments.target.json {
+        println!("{answer}");
+        return Ok(());
+    }
+    let mut table = with_head(&["step", "decision"]);
+    for (step, decision) in answer.as_object().into_iter().flatten() {
+        table.add_row([step.clone(), cell(decision)]);
+    }
+    println!("{table}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/apricotctl/src/operator.rs
@@ -0,0 +1,48 @@
+//! Calls to the port for operators.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricothall_platform::HttpClient;
+use apricothall_platform::http_client::get;
+use clap::Args;
+use serde::de::DeserializeOwned;
+use smol_str::ToSmolStr;
+
+use crate::error::ControlError;
+
+/// Longest wait for a connection, and for the whole answer.
+pub const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+/// Largest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// The daemon to ask.
+#[derive(Args, Clone)]
+pub struct Target {
+    /// Address of its port for operators, `operators.listen` in its settings.
+    #[arg(long, value_name = "ADDRESS")]
+    pub operator: SocketAddr,
+    /// Print JSON in place of a table.
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// Reads a JSON answer.
+///
+/// # Errors
+/// When the daemon does not answer with JSON of the form.
+pub async fn read<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, ControlError> {
+    let fail = |source| ControlError::Daemon {
+        address: address.to_smolstr(),
+        source,
+    };
+    let http = HttpClient::new(None, CALL_LIMIT);
+    let request = get(address, path).map_err(fail)?;
+    let answer = http
+        .call(request, CALL_LIMIT, MAX_ANSWER_BYTES)
+        .await
+        .map_err(fail)?;
+    let answer = answer.accepted().map_err(fail)?;
+    Ok(serde_json::from_slice(&answer.body)?)
+}
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -273,7 +273,7 @@
             continue;
         }
         let own = line.split('=').next().is_some_and(|k| k.trim() == name);
-        if inside && own {
+        if inside && own && !name.is_empty() {
             return index + 1;
         }
     }
