--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 
 use crate::StandinError;
+use crate::server::text_of;
 
 /// The connection pool below [`Client`].
 pub type Pool = hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>;
@@ -27,6 +28,12 @@
 }
 
 impl Answer {
+    /// The header `name` as a number.
+    #[must_use]
+    pub fn number(&self, name: &str) -> Option<u64> {
+        text_of(&self.headers, name)?.parse().ok()
+    }
+
     /// The body read as JSON.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/standin/tests/common/mod.rs
@@ -0,0 +1,55 @@
+//! What the contract tables share.
+
+use std::net::SocketAddr;
+
+use apricothall_standin::client::{Answer, Client};
+use bytes::Bytes;
+use http::{Method, Request};
+
+/// Any free port of the loopback address.
+pub const ANY: &str = "127.0.0.1:0";
+
+/// The address [`ANY`].
+pub fn any() -> SocketAddr {
+    ANY.parse().expect("the address is valid")
+}
+
+/// Sends one call with headers and reads the whole answer.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Answer {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(body.into()).expect("the request is valid");
+    Client::default()
+        .send(request)
+        .await
+        .expect("an answer arrives")
+}
+
+/// Reads a path.
+pub async fn get(address: SocketAddr, path: &str) -> Answer {
+    call(address, Method::GET, path, &[], "").await
+}
+
+/// One test for each case of a table. Each case has a fresh fixture under the given name.
+#[macro_export]
+macro_rules! contract {
+    ($fixture:ident: $kind:ty = $make:path; $($case:ident: $body:block)*) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $case() {
+                let $fixture: $kind = $make().await;
+                $body
+            }
+        )*
+    };
+}
