feat(decide): membership by probes, suspicion and bounded gossip

Each daemon probes one member and one of its zone a period and carries changes on these messages, so traffic does not grow with the fleet. A bucket digest finds what was missed.

--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -1,1 +1,301 @@
-//! Membership: heartbeats, incarnations and failure timeouts.
+//! Membership: each daemon's view of all others.
+//!
+//! Members probe each other in turn, ask helpers when a probe fails, suspect, and declare gone a
+//! suspect that does not refute by a higher sequence. Changes travel on the messages of the probes,
+//! each a bounded number of times; a digest by buckets finds what was missed. Traffic depends on
+//! the period and on the size of a message, not on the number of members.
+
+mod absorb;
+mod buckets;
+mod build;
+mod message;
+mod peer;
+mod probe;
+mod queue;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricothall_types::{
+    EntryName, Incarnation, Member, MemberId, MemberState, Revision, Role, Timestamp, Version,
+    VmList, VmState,
+};
+use rand::Rng;
+
+pub use message::size_bound;
+pub use message::{Contact, Extra, GossipMessage, Head, Opinion, Outgoing, Verdict, Vouch, Window};
+pub use peer::Seen;
+
+use crate::configs::MembershipConfig;
+use peer::{Health, Peer};
+use queue::Queue;
+
+/// A probe on behalf of another member.
+#[derive(Clone, Debug)]
+struct Errand {
+    ask: Contact,
+    origin: Contact,
+    sent: bool,
+    done: Option<Incarnation>,
+}
+
+/// The view that one daemon has of all others.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: Member,
+    config: MembershipConfig,
+    peers: BTreeMap<MemberId, Peer>,
+    candidates: BTreeMap<MemberId, SocketAddr>,
+    signed: BTreeSet<MemberId>,
+    list: Revision,
+    seeds: Vec<SocketAddr>,
+    heads: Vec<Head>,
+    extras: Vec<Extra>,
+    queue: Queue,
+    ring: Vec<MemberId>,
+    errands: Vec<Errand>,
+    cursor: u16,
+    ticks: u64,
+    clock: Timestamp,
+    hold: Timestamp,
+    superseded: Option<Incarnation>,
+    generation: u64,
+}
+
+impl Membership {
+    /// A view that knows only the daemon itself.
+    #[must_use]
+    pub fn new(own: Member, config: MembershipConfig, now: Timestamp) -> Self {
+        Self {
+            own,
+            config,
+            peers: BTreeMap::new(),
+            candidates: BTreeMap::new(),
+            signed: BTreeSet::new(),
+            list: Revision::default(),
+            seeds: Vec::new(),
+            heads: Vec::new(),
+            extras: Vec::new(),
+            queue: Queue::default(),
+            ring: Vec::new(),
+            errands: Vec::new(),
+            cursor: 0,
+            ticks: 0,
+            clock: now,
+            hold: now,
+            superseded: None,
+            generation: 0,
+        }
+    }
+
+    /// Addresses to try while no other member is known.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Revisions in force here, carried by every message.
+    pub fn set_heads(&mut self, heads: Vec<Head>) {
+        self.heads = heads;
+    }
+
+    /// Sections of other modules, carried by every message as far as their share of it goes.
+    pub fn set_extras(&mut self, extras: Vec<Extra>) {
+        self.extras = extras;
+    }
+
+    /// Takes in a revision of the VM list; an older one than the last is ignored.
+    ///
+    /// The list names candidates to contact and members that leave. A member that it drops stays
+    /// in the view for as long as it answers.
+    pub fn observe_list(&mut self, list: &VmList, now: Timestamp) {
+        self.observe_clock(now);
+        if list.revision < self.list {
+            return;
+        }
+        self.list = list.revision;
+        let others = list.vms.iter().filter(|vm| vm.id != self.own.id);
+        let limit = self.config.limit;
+        self.candidates = others
+            .take(limit)
+            .map(|vm| (vm.id.clone(), vm.address))
+            .collect();
+        let leaving = list.vms.iter().filter(|vm| vm.state == VmState::Leaving);
+        self.signed = leaving.take(limit).map(|vm| vm.id.clone()).collect();
+        if self.signed.contains(&self.own.id) {
+            self.start_leaving();
+        }
+        self.generation += 1;
+    }
+
+    /// Takes in a request and returns the reply.
+    pub fn receive(
+        &mut self,
+        message: &GossipMessage,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> GossipMessage {
+        self.observe_clock(now);
+        self.absorb(message, now);
+        if let Some(ask) = &message.ask {
+            let id = message.own.id.clone();
+            let address = message.own.address;
+            self.accept_errand(ask.clone(), Contact { id, address });
+        }
+        let mut reply = self.bare(Some(&message.own.id));
+        self.fill(&mut reply, message.window.as_ref(), rng);
+        reply
+    }
+
+    /// Takes in the reply of `from`.
+    pub fn receive_reply(&mut self, from: &MemberId, message: &GossipMessage, now: Timestamp) {
+        self.observe_clock(now);
+        self.absorb(message, now);
+        // Another daemon may answer at the address of one that is gone.
+        if message.own.id == *from {
+            self.complete_errands(from);
+        }
+    }
+
+    /// Changes the own record. A change of anything but the revision raises the sequence.
+    ///
+    /// The revision changes at every member at once, several times a minute, so it does not make
+    /// a change to pass on; [`Head`] spreads it.
+    pub fn update_own(&mut self, change: impl FnOnce(&mut Member)) {
+        let before = self.own.clone();
+        change(&mut self.own);
+        let mut same = before.clone();
+        same.revision = self.own.revision;
+        if same != self.own {
+            self.own.sequence = before.sequence.next();
+            self.generation += 1;
+        }
+    }
+
+    /// The own record.
+    #[must_use]
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Incarnation of a later daemon of the own id, if one was heard of. This one must stop.
+    #[must_use]
+    pub fn superseded(&self) -> Option<Incarnation> {
+        self.superseded
+    }
+
+    /// Grows with every change of the view but that of a revision.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Changes that still have to be passed on.
+    #[must_use]
+    pub fn backlog(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Revision of the last VM list taken in.
+    #[must_use]
+    pub fn list_revision(&self) -> Revision {
+        self.list
+    }
+
+    /// All other members, gone ones included until they are forgotten.
+    pub fn members(&self) -> impl Iterator<Item = Seen<'_>> {
+        self.peers.values().map(|peer| self.seen(peer))
+    }
+
+    /// How `id` is seen, if it is known and not the daemon itself.
+    #[must_use]
+    pub fn member(&self, id: &MemberId) -> Option<Seen<'_>> {
+        self.peers.get(id).map(|peer| self.seen(peer))
+    }
+
+    /// Other members that take new work.
+    pub fn alive(&self) -> impl Iterator<Item = &Member> {
+        let alive = self.members().filter(|s| s.state == MemberState::Alive);
+        alive.map(|s| s.member)
+    }
+
+    /// Agents that take new work and serve `version` of `name`.
+    pub fn agents_serving(
+        &self,
+        name: &EntryName,
+        version: &Version,
+    ) -> impl Iterator<Item = &Member> {
+        let agents = self.alive().filter(|m| m.role == Role::Agent);
+        agents.filter(move |m| m.serves(name, version))
+    }
+
+    /// Other entries that take new work.
+    pub fn entries(&self) -> impl Iterator<Item = &Member> {
+        self.alive().filter(|m| m.role == Role::Entry)
+    }
+
+    /// Time that a suspect has to refute, at the present size of the view.
+    #[must_use]
+    pub fn suspicion(&self) -> Duration {
+        self.config.suspicion.0 + self.config.period.0 * log2(self.peers.len() + 1)
+    }
+
+    fn seen<'a>(&self, peer: &'a Peer) -> Seen<'a> {
+        let member = &peer.member;
+        let state = match member.state {
+            _ if peer.is_gone() => MemberState::Gone,
+            MemberState::Alive if self.signed.contains(&member.id) => MemberState::Leaving,
+            state => state,
+        };
+        let suspect = matches!(peer.health, Health::Suspect(_));
+        Seen {
+            member,
+            state,
+            suspect,
+        }
+    }
+
+    fn changed(&mut self, id: &MemberId) {
+        self.queue.push(id.clone());
+        self.generation += 1;
+    }
+
+    fn contact(&self, id: &MemberId) -> Option<Contact> {
+        let record = self.peers.get(id).map(|p| p.member.address);
+        let address = record.or_else(|| self.candidates.get(id).copied())?;
+        let id = id.clone();
+        Some(Contact { id, address })
+    }
+
+    fn live_contacts(&self, wanted: impl Fn(&MemberId) -> bool) -> Vec<Contact> {
+        let live = self.peers.iter().filter(|(_, p)| !p.is_gone());
+        let chosen = live.filter(|(id, _)| wanted(id));
+        chosen.filter_map(|(id, _)| self.contact(id)).collect()
+    }
+
+    fn is_holding(&self, now: Timestamp) -> bool {
+        now < self.hold
+    }
+
+    /// After a pause of this process all timers start anew, and nobody is judged for a while.
+    fn observe_clock(&mut self, now: Timestamp) {
+        let paused = now.since(self.clock) > self.config.pause.0;
+        self.clock = self.clock.max(now);
+        if !paused {
+            return;
+        }
+        self.hold = now + self.config.hold.0;
+        for peer in self.peers.values_mut() {
+            peer.health = match peer.health {
+                Health::Doubted(_) => Health::Fine,
+                Health::Suspect(_) => Health::Suspect(self.hold),
+                other => other,
+            };
+        }
+    }
+}
+
+/// Binary logarithm of `count`, rounded up.
+fn log2(count: usize) -> u32 {
+    count.max(1).next_power_of_two().ilog2()
+}
--- /dev/null
+++ b/crates/decide/src/membership/build.rs
@@ -0,0 +1,178 @@
+//! Filling a message within its budget.
+
+use std::collections::BTreeSet;
+
+use apricothall_types::MemberId;
+use rand::Rng;
+
+use super::Membership;
+use super::buckets::{self, BUCKETS, SUM_BYTES, WINDOW};
+use super::message::{self, GossipMessage, Window};
+
+/// Share of the listed VMs, in tenths, below which a view counts as far behind.
+const BEHIND_TENTHS: usize = 9;
+/// Periods after the start in which a view counts as far behind.
+const JOIN_PERIODS: u64 = 5;
+
+/// Free space of a message, in bytes.
+struct Budget(usize);
+
+impl Budget {
+    fn take(&mut self, size: usize) -> bool {
+        let fits = size <= self.0;
+        if fits {
+            self.0 -= size;
+        }
+        fits
+    }
+}
+
+impl Membership {
+    /// A message to `target` without rumours.
+    pub(super) fn bare(&self, target: Option<&MemberId>) -> GossipMessage {
+        let peer = target.and_then(|id| self.peers.get(id));
+        let sign = target
+            .filter(|id| self.signed.contains(*id))
+            .map(|_| self.list);
+        let mut message = GossipMessage {
+            own: self.own.clone(),
+            heads: self.heads.clone(),
+            sign,
+            records: Vec::new(),
+            verdicts: peer
+                .and_then(super::peer::Peer::verdict)
+                .into_iter()
+                .collect(),
+            ask: None,
+            vouches: Vec::new(),
+            window: None,
+            extras: Vec::new(),
+        };
+        let mut space = Budget(usize::try_from(self.config.extras.0).unwrap_or(usize::MAX));
+        for extra in &self.extras {
+            if space.take(message::extra_size(extra)) {
+                message.extras.push(extra.clone());
+            }
+        }
+        message
+    }
+
+    /// The part of the digest that goes with the next request.
+    pub(super) fn window(&mut self) -> Window {
+        let bulk = self.is_behind();
+        let totals = self.totals();
+        let count = if bulk { BUCKETS } else { WINDOW };
+        let start = if bulk { 0 } else { self.cursor };
+        self.cursor = (self.cursor + WINDOW) % BUCKETS;
+        let range = usize::from(start)..usize::from(start + count);
+        let mut sums = Vec::with_capacity(usize::from(count) * SUM_BYTES);
+        for total in &totals[range] {
+            sums.extend_from_slice(&total.to_le_bytes());
+        }
+        Window { start, sums, bulk }
+    }
+
+    fn is_behind(&self) -> bool {
+        let live = self.peers.values().filter(|p| !p.is_gone()).count() + 1;
+        self.ticks <= JOIN_PERIODS || live * 10 < self.candidates.len() * BEHIND_TENTHS
+    }
+
+    fn totals(&self) -> Vec<u32> {
+        let own = (buckets::index(&self.own.id), buckets::sum(&self.own));
+        let live = self.peers.values().filter(|p| !p.is_gone());
+        buckets::sums(live.map(|p| (p.bucket, p.sum)).chain([own]))
+    }
+
+    /// Adds what the reply to `window` should hold, then rumours, within the budget.
+    pub(super) fn fill(
+        &mut self,
+        message: &mut GossipMessage,
+        window: Option<&Window>,
+        rng: &mut impl Rng,
+    ) {
+        let bulk = window.is_some_and(|w| w.bulk);
+        let normal = self.config.message.0;
+        let limit = if bulk { self.config.bulk.0 } else { normal };
+        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        let used = message::size_bound(message);
+        let free = limit.saturating_sub(used);
+        // Half of an ordinary message stays free for rumours.
+        let mut repair = Budget(if bulk { free } else { free / 2 });
+        let mut included: BTreeSet<MemberId> = BTreeSet::new();
+        if let Some(window) = window {
+            let before = repair.0;
+            self.add_differing(message, window, &mut repair, &mut included, rng);
+            let spent = before - repair.0;
+            self.add_rumours(message, &mut Budget(free - spent), &included);
+            return;
+        }
+        self.add_rumours(message, &mut Budget(free), &included);
+    }
+
+    fn add_differing(
+        &self,
+        message: &mut GossipMessage,
+        window: &Window,
+        budget: &mut Budget,
+        included: &mut BTreeSet<MemberId>,
+        rng: &mut impl Rng,
+    ) {
+        let buckets = buckets::differing(&self.totals(), window.start, &window.sums);
+        let buckets: BTreeSet<u16> = buckets.into_iter().collect();
+        let ids: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| buckets.contains(&peer.bucket))
+            .map(|(id, _)| id)
+            .collect();
+        if ids.is_empty() {
+            return;
+        }
+        let offset = rng.random_range(0..ids.len());
+        for id in ids[offset..].iter().chain(&ids[..offset]) {
+            if !self.add_one(message, id, budget) {
+                return;
+            }
+            included.insert((*id).clone());
+        }
+    }
+
+    fn add_rumours(
+        &mut self,
+        message: &mut GossipMessage,
+        budget: &mut Budget,
+        included: &BTreeSet<MemberId>,
+    ) {
+        let limit = self.sends();
+        for id in self.queue.candidates() {
+            if included.contains(&id) || !self.add_one(message, &id, budget) {
+                continue;
+            }
+            self.queue.sent(&id, limit);
+        }
+    }
+
+    /// Adds the record of `id`, or the verdict on it; false when it does not fit.
+    fn add_one(&self, message: &mut GossipMessage, id: &MemberId, budget: &mut Budget) -> bool {
+        let Some(peer) = self.peers.get(id) else {
+            return true;
+        };
+        let Some(verdict) = peer.verdict() else {
+            if !budget.take(message::member_size(&peer.member)) {
+                return false;
+            }
+            message.records.push(peer.member.clone());
+            return true;
+        };
+        if !budget.take(message::verdict_size(id)) {
+            return false;
+        }
+        message.verdicts.push(verdict);
+        true
+    }
+
+    /// Messages that carry one change: the natural logarithm of the view's size, plus one.
+    fn sends(&self) -> u32 {
+        super::log2(self.peers.len() + 1) * 7 / 10 + 2
+    }
+}
--- /dev/null
+++ b/crates/decide/src/membership/message.rs
@@ -0,0 +1,167 @@
+//! The message that members exchange, and an upper bound on its encoded size.
+
+use std::net::SocketAddr;
+
+use apricothall_types::{Incarnation, Member, MemberId, Revision, Sequence};
+use serde::{Deserialize, Serialize};
+
+/// Bound on the encoded size of a 64-bit integer, in bytes.
+const INT_BYTES: usize = 9;
+/// Bound on the encoded size of an address, in bytes.
+const ADDRESS_BYTES: usize = 20;
+/// Bound on the encoded size of a tag or a short length, in bytes.
+const TAG_BYTES: usize = 3;
+
+/// What others hold of a member that does not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Opinion {
+    /// Neither the prober nor its helpers got an answer.
+    Suspect,
+    /// The suspicion was not refuted in time.
+    Gone,
+}
+
+/// An opinion on one record of a member. A record with a higher sequence or incarnation refutes it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The member.
+    pub id: MemberId,
+    /// Incarnation of the record.
+    pub incarnation: Incarnation,
+    /// Sequence of the record.
+    pub sequence: Sequence,
+    /// The opinion.
+    pub opinion: Opinion,
+}
+
+/// A member and where it is reached.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// The member.
+    pub id: MemberId,
+    /// Its address for other daemons.
+    pub address: SocketAddr,
+}
+
+/// A helper's statement that it reached a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vouch {
+    /// The member that answered.
+    pub id: MemberId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
+/// Sums over a run of buckets of the sender's view.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Window {
+    /// First bucket.
+    pub start: u16,
+    /// Sum of each bucket, four bytes each, little-endian.
+    pub sums: Vec<u8>,
+    /// Whether the sender's view is far behind, so that a larger reply is welcome.
+    pub bulk: bool,
+}
+
+/// Revision of a published value that is in force at the sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// Subject, numbered by the daemons' protocol.
+    pub subject: u8,
+    /// Revision in force.
+    pub revision: Revision,
+    /// First bytes of the digest of its content.
+    pub mark: u64,
+}
+
+/// A section that another module adds to a message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Extra {
+    /// Kind, numbered by the daemons' protocol.
+    pub kind: u8,
+    /// Encoded content.
+    pub data: Vec<u8>,
+}
+
+/// One message of the exchange; request and reply have the same form.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GossipMessage {
+    /// The sender's own record.
+    pub own: Member,
+    /// Revisions in force at the sender.
+    pub heads: Vec<Head>,
+    /// Revision of the VM list by which the recipient is leaving.
+    pub sign: Option<Revision>,
+    /// Records of members.
+    pub records: Vec<Member>,
+    /// Opinions on members.
+    pub verdicts: Vec<Verdict>,
+    /// A member that the recipient is asked to probe.
+    pub ask: Option<Contact>,
+    /// Members that the sender reached at the recipient's request.
+    pub vouches: Vec<Vouch>,
+    /// Part of the digest of the sender's view; requests only.
+    pub window: Option<Window>,
+    /// Sections of other modules.
+    pub extras: Vec<Extra>,
+}
+
+/// A message to send. The reply goes to `receive_reply`, a failure to `probe_failed`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// The recipient; unknown for a seed address.
+    pub target: Option<MemberId>,
+    /// Where to send it.
+    pub address: SocketAddr,
+    /// The message.
+    pub message: GossipMessage,
+}
+
+/// Bound on the encoded size of `member`, in bytes.
+pub(super) fn member_size(member: &Member) -> usize {
+    let holdings: usize = member
+        .holdings
+        .iter()
+        .map(|h| h.name.as_str().len() + h.version.as_str().len() + TAG_BYTES)
+        .sum();
+    let texts = member.id.as_str().len()
+        + member.region.as_str().len()
+        + member.zone.as_str().len()
+        + 2 * TAG_BYTES;
+    let public = member.public.map_or(1, |_| ADDRESS_BYTES);
+    texts + 3 * INT_BYTES + ADDRESS_BYTES + public + 2 * TAG_BYTES + holdings
+}
+
+/// Bound on the encoded size of an opinion on `id`, in bytes.
+pub(super) fn verdict_size(id: &MemberId) -> usize {
+    id.as_str().len() + 2 * INT_BYTES + TAG_BYTES
+}
+
+/// Bound on the encoded size of `message`, in bytes.
+#[must_use]
+pub fn size_bound(message: &GossipMessage) -> usize {
+    let records: usize = message.records.iter().map(member_size).sum();
+    let verdicts: usize = message.verdicts.iter().map(|v| verdict_size(&v.id)).sum();
+    let ask = message
+        .ask
+        .as_ref()
+        .map_or(0, |c| c.id.as_str().len() + TAG_BYTES + ADDRESS_BYTES);
+    let vouches: usize = message
+        .vouches
+        .iter()
+        .map(|v| v.id.as_str().len() + INT_BYTES + TAG_BYTES)
+        .sum();
+    let window = message
+        .window
+        .as_ref()
+        .map_or(0, |w| w.sums.len() + 3 * TAG_BYTES);
+    let extras: usize = message.extras.iter().map(extra_size).sum();
+    let heads = message.heads.len() * (2 * INT_BYTES + 1);
+    let frame = 8 * TAG_BYTES + INT_BYTES;
+    member_size(&message.own) + heads + records + verdicts + ask + vouches + window + extras + frame
+}
+
+/// Bound on the encoded size of `extra`, in bytes.
+pub(super) fn extra_size(extra: &Extra) -> usize {
+    extra.data.len() + TAG_BYTES + 1
+}
--- /dev/null
+++ b/crates/decide/src/membership/peer.rs
@@ -0,0 +1,90 @@
+//! What is held of one other member.
+
+use apricothall_types::{Member, MemberId, MemberState, Timestamp};
+
+use super::buckets;
+use super::message::{Opinion, Verdict};
+
+/// Liveness as judged here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Health {
+    /// Nothing speaks against it.
+    Fine,
+    /// A probe failed; helpers were asked.
+    Doubted(Timestamp),
+    /// Suspected here or by others.
+    Suspect(Timestamp),
+    /// Stopped, or did not refute in time.
+    Gone(Timestamp),
+}
+
+/// One other member.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    pub member: Member,
+    pub health: Health,
+    pub bucket: u16,
+    pub sum: u32,
+}
+
+impl Peer {
+    pub fn new(member: Member, now: Timestamp) -> Self {
+        let bucket = buckets::index(&member.id);
+        let sum = buckets::sum(&member);
+        let health = initial_health(&member, now);
+        Self {
+            member,
+            health,
+            bucket,
+            sum,
+        }
+    }
+
+    pub fn is_gone(&self) -> bool {
+        matches!(self.health, Health::Gone(_))
+    }
+
+    pub fn opinion(&self) -> Option<Opinion> {
+        match self.health {
+            Health::Fine | Health::Doubted(_) => None,
+            Health::Suspect(_) => Some(Opinion::Suspect),
+            Health::Gone(_) => Some(Opinion::Gone),
+        }
+    }
+
+    pub fn verdict(&self) -> Option<Verdict> {
+        let opinion = self.opinion()?;
+        Some(Verdict {
+            id: self.member.id.clone(),
+            incarnation: self.member.incarnation,
+            sequence: self.member.sequence,
+            opinion,
+        })
+    }
+}
+
+fn initial_health(member: &Member, now: Timestamp) -> Health {
+    match member.state {
+        MemberState::Gone => Health::Gone(now),
+        MemberState::Alive | MemberState::Leaving => Health::Fine,
+    }
+}
+
+/// A member as seen from here.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen<'a> {
+    /// The newest record of the member. Its `revision` may be older than the one in force there.
+    pub member: &'a Member,
+    /// The member's own state, the leaving sign of the VM list and the liveness judged here.
+    pub state: MemberState,
+    /// Whether the member is suspected; it counts as alive until the suspicion runs out.
+    pub suspect: bool,
+}
+
+impl Seen<'_> {
+    /// Id of the member.
+    #[must_use]
+    pub fn id(&self) -> &MemberId {
+        &self.member.id
+    }
+}
--- /dev/null
+++ b/crates/decide/src/membership/probe.rs
@@ -0,0 +1,239 @@
+//! Periodic work: whom to probe, and when doubt becomes suspicion and suspicion becomes final.
+
+use apricothall_types::{MemberId, Timestamp};
+use rand::Rng;
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use super::message::{Contact, Outgoing, Vouch};
+use super::peer::Health;
+use super::{Errand, Membership};
+
+/// Errands held at most for others.
+const MAX_ERRANDS: usize = 16;
+
+impl Membership {
+    /// One period of work: messages to send. Call it once each `period`.
+    pub fn tick(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<Outgoing> {
+        self.observe_clock(now);
+        self.ticks += 1;
+        self.run_timers(now);
+        self.forget(now);
+        let mut targets = self.errand_targets();
+        targets.extend(self.next_target(rng));
+        targets.extend(self.zone_target(rng));
+        targets.extend(self.revisit_target(rng));
+        targets.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        targets.dedup_by(|a, b| a.id == b.id);
+        let mut out: Vec<_> = targets.into_iter().map(|c| self.request(c, rng)).collect();
+        out.extend(self.seed_request(rng));
+        out.extend(self.vouch_requests(rng));
+        out
+    }
+
+    /// The exchange with `target` failed. Returns requests to helpers that probe it as well.
+    pub fn probe_failed(
+        &mut self,
+        target: &MemberId,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Vec<Outgoing> {
+        self.observe_clock(now);
+        if self.is_holding(now) {
+            return Vec::new();
+        }
+        let Some(peer) = self.peers.get_mut(target) else {
+            return Vec::new();
+        };
+        if peer.health != Health::Fine {
+            return Vec::new();
+        }
+        peer.health = Health::Doubted(now);
+        let address = peer.member.address;
+        let id = target.clone();
+        let ask = Contact { id, address };
+        let helpers: Vec<_> = self.live_contacts(|id| id != target);
+        let chosen: Vec<_> = helpers
+            .choose_multiple(rng, self.config.helpers)
+            .cloned()
+            .collect();
+        let mut out = Vec::new();
+        for helper in chosen {
+            let mut request = self.request(helper, rng);
+            request.message.window = None;
+            request.message.ask = Some(ask.clone());
+            out.push(request);
+        }
+        out
+    }
+
+    /// Requests to `count` members at once, entries first, that carry a change of the own record.
+    ///
+    /// For changes that should not wait for the next period, as leaving.
+    pub fn announce(&mut self, count: usize, rng: &mut impl Rng) -> Vec<Outgoing> {
+        let mut contacts = self.live_contacts(|_| true);
+        contacts.shuffle(rng);
+        contacts.sort_by_key(|c| self.peers.get(&c.id).map(|p| p.member.role));
+        contacts.truncate(count);
+        let mut out: Vec<_> = contacts.into_iter().map(|c| self.request(c, rng)).collect();
+        for request in &mut out {
+            request.message.window = None;
+        }
+        out
+    }
+
+    pub(super) fn accept_errand(&mut self, ask: Contact, origin: Contact) {
+        if ask.id != self.own.id && self.errands.len() < MAX_ERRANDS {
+            self.errands.push(Errand {
+                ask,
+                origin,
+                sent: false,
+                done: None,
+            });
+        }
+    }
+
+    pub(super) fn complete_errands(&mut self, id: &MemberId) {
+        let Some(peer) = self.peers.get(id) else {
+            return;
+        };
+        let incarnation = peer.member.incarnation;
+        for errand in self.errands.iter_mut().filter(|e| e.ask.id == *id) {
+            errand.done = Some(incarnation);
+        }
+    }
+
+    fn errand_targets(&mut self) -> Vec<Contact> {
+        // An errand that was sent a period ago and is not done has failed.
+        self.errands.retain(|e| !e.sent || e.done.is_some());
+        let open = self.errands.iter_mut().filter(|e| !e.sent);
+        open.map(|errand| {
+            errand.sent = true;
+            errand.ask.clone()
+        })
+        .collect()
+    }
+
+    fn vouch_requests(&mut self, rng: &mut impl Rng) -> Vec<Outgoing> {
+        let (done, open) = std::mem::take(&mut self.errands)
+            .into_iter()
+            .partition(|e: &Errand| e.done.is_some());
+        self.errands = open;
+        let mut out = Vec::new();
+        for errand in done {
+            let mut request = self.request(errand.origin, rng);
+            request.message.window = None;
+            request.message.vouches.push(Vouch {
+                id: errand.ask.id,
+                incarnation: errand.done.unwrap_or_default(),
+            });
+            out.push(request);
+        }
+        out
+    }
+
+    fn request(&mut self, contact: Contact, rng: &mut impl Rng) -> Outgoing {
+        let mut message = self.bare(Some(&contact.id));
+        message.window = Some(self.window());
+        self.fill(&mut message, None, rng);
+        Outgoing {
+            target: Some(contact.id),
+            address: contact.address,
+            message,
+        }
+    }
+
+    fn seed_request(&mut self, rng: &mut impl Rng) -> Option<Outgoing> {
+        if self.peers.values().any(|p| !p.is_gone()) {
+            return None;
+        }
+        let address = *self.seeds.choose(rng)?;
+        let mut message = self.bare(None);
+        message.window = Some(self.window());
+        Some(Outgoing {
+            target: None,
+            address,
+            message,
+        })
+    }
+
+    fn next_target(&mut self, rng: &mut impl Rng) -> Option<Contact> {
+        if self.ring.is_empty() {
+            let listed = self.candidates.keys();
+            let unknown = listed.filter(|id| !self.peers.contains_key(*id));
+            let live = self.peers.iter().filter(|(_, p)| !p.is_gone());
+            self.ring = live.map(|(id, _)| id).chain(unknown).cloned().collect();
+            self.ring.shuffle(rng);
+        }
+        while let Some(id) = self.ring.pop() {
+            let gone = self.peers.get(&id).is_some_and(super::peer::Peer::is_gone);
+            if let Some(contact) = self.contact(&id).filter(|_| !gone) {
+                return Some(contact);
+            }
+        }
+        None
+    }
+
+    fn zone_target(&self, rng: &mut impl Rng) -> Option<Contact> {
+        let near = self.live_contacts(|id| {
+            let peer = self.peers.get(id);
+            peer.is_some_and(|p| p.member.zone == self.own.zone)
+        });
+        near.choose(rng).cloned()
+    }
+
+    fn revisit_target(&self, rng: &mut impl Rng) -> Option<Contact> {
+        if !self
+            .ticks
+            .is_multiple_of(u64::from(self.config.revisit.max(1)))
+        {
+            return None;
+        }
+        let gone: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(id, peer)| peer.is_gone() && self.candidates.contains_key(*id))
+            .collect();
+        let (id, _) = gone.choose(rng)?;
+        self.contact(id)
+    }
+
+    fn run_timers(&mut self, now: Timestamp) {
+        if self.is_holding(now) {
+            return;
+        }
+        let doubt = self.config.doubt.0;
+        let suspicion = self.suspicion();
+        let mut changed = Vec::new();
+        for (id, peer) in &mut self.peers {
+            let next = match peer.health {
+                Health::Doubted(since) if now.since(since) >= doubt => Health::Suspect(now),
+                Health::Suspect(since) if now.since(since) >= suspicion => Health::Gone(now),
+                _ => continue,
+            };
+            peer.health = next;
+            changed.push(id.clone());
+        }
+        for id in changed {
+            self.changed(&id);
+        }
+    }
+
+    fn forget(&mut self, now: Timestamp) {
+        let lag = self.config.lag.0;
+        let before = self.peers.len();
+        let (candidates, queue) = (&self.candidates, &mut self.queue);
+        self.peers.retain(|id, peer| {
+            let keep = match peer.health {
+                Health::Gone(since) => candidates.contains_key(id) || now.since(since) < lag,
+                _ => true,
+            };
+            if !keep {
+                queue.remove(id);
+            }
+            keep
+        });
+        if self.peers.len() != before {
+            self.generation += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/membership/queue.rs
@@ -0,0 +1,53 @@
+//! Changes that still have to be passed on.
+
+use std::collections::BTreeMap;
+
+use apricothall_types::MemberId;
+
+#[derive(Clone, Copy, Debug)]
+struct Item {
+    sent: u32,
+    order: u64,
+}
+
+/// Members whose newest record or verdict is passed on, each a bounded number of times.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Queue {
+    items: BTreeMap<MemberId, Item>,
+    order: u64,
+}
+
+impl Queue {
+    /// Starts over for `id`, whose record or verdict changed.
+    pub fn push(&mut self, id: MemberId) {
+        self.order += 1;
+        let order = self.order;
+        self.items.insert(id, Item { sent: 0, order });
+    }
+
+    pub fn remove(&mut self, id: &MemberId) {
+        self.items.remove(id);
+    }
+
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Ids to pass on: least sent first, then newest first.
+    pub fn candidates(&self) -> Vec<MemberId> {
+        let mut ids: Vec<_> = self.items.iter().collect();
+        ids.sort_unstable_by_key(|(_, item)| (item.sent, u64::MAX - item.order));
+        ids.into_iter().map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Counts one more message that carried `id`; drops it at `limit`.
+    pub fn sent(&mut self, id: &MemberId, limit: u32) {
+        let Some(item) = self.items.get_mut(id) else {
+            return;
+        };
+        item.sent += 1;
+        if item.sent >= limit {
+            self.items.remove(id);
+        }
+    }
+}
