--- a/crates/decide/tests/fleet/mod.rs
+++ b/crates/decide/tests/fleet/mod.rs
@@ -1,5 +1,12 @@
 //! In-process members on a virtual clock, behind a network with loss, delay, cuts and freezes.
 
+#![allow(
+    dead_code,
+    reason = "each of the programs that share this module uses a part of it"
+)]
+
+pub mod service;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -7,6 +14,7 @@
 
 use apricothall_decide::configs::MembershipConfig;
 use apricothall_decide::membership::{GossipMessage, Membership, Outgoing};
+use apricothall_decide::revision::{Revisions, Stamp};
 use apricothall_types::{
     Incarnation, Member, MemberId, MemberState, Revision, Role, Sequence, Timestamp, Vm, VmList,
     VmState,
@@ -26,11 +34,17 @@
     Request(usize, Box<Outgoing>),
     Reply(usize, MemberId, Box<GossipMessage>),
     Failure(usize, MemberId),
+    Fetch(usize, usize),
+    Value(usize, usize, Option<Stamp>),
 }
 
 /// One member and what the bench does to it.
 pub struct Node {
     pub view: Membership,
+    pub revisions: Revisions,
+    pub poll: Timestamp,
+    pub highest: Option<Stamp>,
+    pub reverts: u64,
     pub up: bool,
     pub frozen: Timestamp,
     pub side: u8,
@@ -48,6 +62,8 @@
     pub delay: (u64, u64),
     pub measure: bool,
     pub list: VmList,
+    pub service: [Option<Stamp>; REGIONS],
+    pub reads: u64,
     rng: ChaCha8Rng,
     queue: BinaryHeap<Reverse<(Timestamp, u64)>>,
     events: HashMap<u64, Event>,
@@ -92,6 +108,8 @@
             delay: (1, 8),
             measure: false,
             list: VmList::default(),
+            service: [None; REGIONS],
+            reads: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
             events: HashMap::new(),
@@ -115,6 +133,10 @@
         view.observe_list(&self.list, self.now);
         let node = Node {
             view,
+            revisions: service::revisions(self.now),
+            poll: self.now,
+            highest: None,
+            reverts: 0,
             up: true,
             frozen: Timestamp(0),
             side: 0,
@@ -253,7 +275,9 @@
             Event::Tick(i, _)
             | Event::Request(i, _)
             | Event::Reply(i, ..)
-            | Event::Failure(i, _) => *i,
+            | Event::Failure(i, _)
+            | Event::Fetch(i, _)
+            | Event::Value(i, ..) => *i,
         }
     }
 
@@ -293,12 +317,16 @@
                 }
                 let out = self.nodes[index].view.tick(now, &mut self.rng);
                 self.send(index, out);
+                self.poll(index);
                 self.schedule(PERIOD_MS, Event::Tick(index, incarnation));
             }
             Event::Request(_, request) => self.answer(index, &request),
             Event::Reply(_, from, message) => {
                 self.nodes[index].view.receive_reply(&from, &message, now);
+                self.hear(index, &message);
             }
+            Event::Fetch(_, asker) => self.give(index, asker),
+            Event::Value(_, from, stamp) => self.take(index, from, stamp),
             Event::Failure(_, target) => {
                 let out = self.nodes[index]
                     .view
@@ -311,6 +339,7 @@
     fn answer(&mut self, index: usize, request: &Outgoing) {
         let from = self.places[&request.message.own.address];
         self.arrive(index, &request.message);
+        self.hear(index, &request.message);
         let reply = self.nodes[index]
             .view
             .receive(&request.message, self.now, &mut self.rng);
--- a/crates/decide/tests/membership.rs
+++ b/crates/decide/tests/membership.rs
@@ -193,6 +193,7 @@
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 24,
+        max_shrink_iters: 64,
         failure_persistence: None,
         rng_seed: RngSeed::Fixed(20),
         ..ProptestConfig::default()
