fix(decide): bound doubts and errands to keep failures from multiplying

One doubt a period and four errands bound it. The revision property passes; the membership one still finds a failing schedule.

--- a/crates/decide/src/membership/probe.rs
+++ b/crates/decide/src/membership/probe.rs
@@ -2,20 +2,23 @@
 
 use apricothall_types::{MemberId, Timestamp};
 use rand::Rng;
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
 
 use super::message::{Contact, Outgoing, Vouch};
 use super::peer::Health;
 use super::{Errand, Membership};
 
 /// Errands held at most for others.
-const MAX_ERRANDS: usize = 16;
+const MAX_ERRANDS: usize = 4;
+/// Members doubted at most in one period. A lossy network would else make failures of failures.
+const MAX_DOUBTS: usize = 1;
 
 impl Membership {
     /// One period of work: messages to send. Call it once each `period`.
     pub fn tick(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<Outgoing> {
         self.observe_clock(now);
         self.ticks += 1;
+        self.doubts = 0;
         self.run_timers(now);
         self.forget(now);
         let mut targets = self.errand_targets();
@@ -38,7 +41,7 @@
         rng: &mut impl Rng,
     ) -> Vec<Outgoing> {
         self.observe_clock(now);
-        if self.is_holding(now) {
+        if self.is_holding(now) || self.doubts >= MAX_DOUBTS {
             return Vec::new();
         }
         let Some(peer) = self.peers.get_mut(target) else {
@@ -48,6 +51,7 @@
             return Vec::new();
         }
         peer.health = Health::Doubted(now);
+        self.doubts += 1;
         let address = peer.member.address;
         let id = target.clone();
         let ask = Contact { id, address };
@@ -174,11 +178,11 @@
     }
 
     fn zone_target(&self, rng: &mut impl Rng) -> Option<Contact> {
-        let near = self.live_contacts(|id| {
-            let peer = self.peers.get(id);
-            peer.is_some_and(|p| p.member.zone == self.own.zone)
-        });
-        near.choose(rng).cloned()
+        let zone = &self.own.zone;
+        let live = self.peers.values().filter(|p| !p.is_gone());
+        let near = live.filter(|p| p.member.zone == *zone);
+        let peer = near.choose(rng)?;
+        self.contact(&peer.member.id)
     }
 
     fn revisit_target(&self, rng: &mut impl Rng) -> Option<Contact> {
