test(decide): stability and byte budget of the membership property

The check that views never part after the first moment of agreement was wrong: a suspicion raised during the faults may be refuted after it, and the newer record takes a few periods to reach all. Views must now agree 120 s after the last fault and at every period of the next 60 s; the sum is the former bound of 180 s.

--- a/crates/decide/examples/gossip_scale.rs
+++ b/crates/decide/examples/gossip_scale.rs
@@ -36,7 +36,7 @@
         "n",
         "sent/s",
         "recv/s",
-        "msgs/s",
+        "msg/10s",
         "largest",
         "cpu us/s",
         "rev s",
@@ -64,7 +64,7 @@
     let per = (n as u64) * STEADY_SECS;
     let sent = total(&fleet, |node| node.sent) / per;
     let received = total(&fleet, |node| node.received) / per;
-    let messages = total(&fleet, |node| node.messages) as f64 / per as f64;
+    let messages = total(&fleet, |node| node.messages) * 10 / per;
     let largest = fleet
         .nodes
         .iter()
@@ -78,7 +78,9 @@
     fleet.nodes[n - 1].up = false;
     let gone = fleet.run(LIMIT, |f| f.all_see(n - 1, Some(MemberState::Gone)));
 
-    eprintln!("n {n}: sent/s {sent} recv/s {received} msgs/s {messages} largest {largest} cpu us/s {cpu} rev {revision:?} gone {gone:?}");
+    eprintln!(
+        "n {n}: sent/s {sent} recv/s {received} msgs in 10 s {messages} largest {largest} cpu us/s {cpu} rev {revision:?} gone {gone:?}"
+    );
     let before = total(&fleet, |node| node.sent + node.received);
     fleet.measure = true;
     burst(&mut fleet, n.min(BURST_VMS));
@@ -93,7 +95,7 @@
         .unwrap_or(0);
     let settle = fleet.run(LIMIT, Fleet::is_converged);
     println!(
-        "{n:>5} {sent:>8} {received:>8} {messages:>7.1} {largest:>7} {cpu:>8} {:>9} {:>8} {rate:>8} {left:>7} {:>8}",
+        "{n:>5} {sent:>8} {received:>8} {messages:>7} {largest:>7} {cpu:>8} {:>9} {:>8} {rate:>8} {left:>7} {:>8}",
         shown(revision),
         shown(gone),
         shown(settle)
--- a/crates/decide/tests/fleet/mod.rs
+++ b/crates/decide/tests/fleet/mod.rs
@@ -52,6 +52,7 @@
     pub received: u64,
     pub messages: u64,
     pub largest: usize,
+    pub bulk: usize,
 }
 
 /// A fleet on a virtual clock.
@@ -144,6 +145,7 @@
             received: 0,
             messages: 0,
             largest: 0,
+            bulk: 0,
         };
         self.places.insert(address(index), index);
         if index < self.nodes.len() {
@@ -237,7 +239,7 @@
 
     pub fn send(&mut self, from: usize, out: Vec<Outgoing>) {
         for request in out {
-            self.count(from, &request.message);
+            self.count(from, &request.message, is_bulk(&request.message));
             let to = self.places.get(&request.address).copied();
             let open = to.is_some_and(|to| self.is_open(from, to));
             let delay = self.latency();
@@ -343,7 +345,7 @@
         let reply = self.nodes[index]
             .view
             .receive(&request.message, self.now, &mut self.rng);
-        self.count(index, &reply);
+        self.count(index, &reply, is_bulk(&request.message));
         if !self.is_open(index, from) {
             self.fail(from, request.target.clone());
             return;
@@ -354,13 +356,18 @@
         self.schedule(delay, Event::Reply(from, id, Box::new(reply)));
     }
 
-    fn count(&mut self, index: usize, message: &GossipMessage) {
+    fn count(&mut self, index: usize, message: &GossipMessage, bulk: bool) {
         if self.measure {
             let size = encoded(message);
             let node = &mut self.nodes[index];
             node.sent += size as u64;
             node.messages += 1;
-            node.largest = node.largest.max(size);
+            let largest = if bulk {
+                &mut node.bulk
+            } else {
+                &mut node.largest
+            };
+            *largest = size.max(*largest);
         }
     }
 
@@ -371,6 +378,11 @@
     }
 }
 
+/// Whether a request asks for a large reply.
+fn is_bulk(message: &GossipMessage) -> bool {
+    message.window.as_ref().is_some_and(|w| w.bulk)
+}
+
 pub fn encoded(message: &GossipMessage) -> usize {
     let config = bincode::config::standard();
     bincode::serde::encode_to_vec(message, config)
--- a/crates/decide/tests/membership.rs
+++ b/crates/decide/tests/membership.rs
@@ -227,12 +227,13 @@
                 })
             })
         };
-        let bound = 180 * SECOND;
-        prop_assert!(fleet.run(bound, done).is_some(), "views differ");
-        // Stays that way.
-        prop_assert!(fleet.run(60 * SECOND, |f| !done(f)).is_none(), "views part again");
+        // Suspicions raised during the faults may still be refuted at first.
+        fleet.run(120 * SECOND, |_| false);
+        prop_assert!(done(&fleet), "views differ");
+        let parted = fleet.run(60 * SECOND, |f| !done(f));
+        prop_assert!(parted.is_none(), "views part again after {parted:?} s");
         for node in &fleet.nodes {
-            prop_assert!(node.largest <= 32 * 1024);
+            prop_assert!(node.largest <= 1_000 && node.bulk <= 32 * 1024);
         }
     }
 }
