feat(decide): decisions for live traffic

Limits lend unused parts between entries with dated loans, because shares worked out from gossiped demand alone are granted twice while views differ.

--- a/crates/decide/src/configs/mod.rs
+++ b/crates/decide/src/configs/mod.rs
@@ -25,5 +25,5 @@
 pub use retry::RetryConfig;
 pub use revision::RevisionConfig;
 pub use rollout::RolloutConfig;
-pub use routing::RoutingConfig;
+pub use routing::{RoutingConfig, Strategy};
 pub use transfer::TransferConfig;
--- /dev/null
+++ b/crates/decide/src/limits/ledger.rs
@@ -0,0 +1,325 @@
+//! Shares of one limit: what this entry owns, has lent and has borrowed.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use apricothall_types::{Incarnation, MemberId, Sequence, Timestamp};
+
+use super::record::{Demand, DemandRecord, Loan};
+use super::{Quota, Subject};
+use crate::configs::LimitsConfig;
+use crate::rank;
+
+/// Own records whose time is remembered, to date the loans that answer them.
+const MAX_ISSUED: usize = 64;
+/// Subject of the weights that make up the digest of a view.
+const VIEW_SUBJECT: &[u8] = b"entries";
+/// Whole, in percent.
+const PERCENT: u64 = 100;
+
+/// A part held back for a borrower.
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    rate: Quota,
+    until: Timestamp,
+}
+
+/// Own shares, loans given and loans taken, for all subjects.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    config: LimitsConfig,
+    member: MemberId,
+    incarnation: Incarnation,
+    sequence: Sequence,
+    issued: VecDeque<(Sequence, Timestamp)>,
+    entries: BTreeSet<MemberId>,
+    peers: BTreeMap<MemberId, (DemandRecord, Timestamp)>,
+    holds: BTreeMap<Subject, BTreeMap<MemberId, Vec<Hold>>>,
+    started: Timestamp,
+    listed: bool,
+    owner: Option<Timestamp>,
+}
+
+impl Ledger {
+    /// A ledger of entry `member`, which owns nothing until the others count it.
+    #[must_use]
+    pub fn new(
+        config: LimitsConfig,
+        member: MemberId,
+        incarnation: Incarnation,
+        now: Timestamp,
+    ) -> Self {
+        let entries = BTreeSet::from([member.clone()]);
+        Self {
+            config,
+            member,
+            incarnation,
+            sequence: Sequence::default(),
+            issued: VecDeque::new(),
+            entries,
+            peers: BTreeMap::new(),
+            holds: BTreeMap::new(),
+            started: now,
+            listed: false,
+            owner: None,
+        }
+    }
+
+    /// Sets the entries that limits are divided by: all that are listed or heard of and have not
+    /// said that they are gone. An entry that is merely silent stays counted.
+    pub fn set_entries(&mut self, entries: impl IntoIterator<Item = MemberId>, now: Timestamp) {
+        self.entries = entries.into_iter().collect();
+        self.entries.insert(self.member.clone());
+        self.listed = true;
+        let known = &self.entries;
+        self.peers.retain(|id, _| known.contains(id));
+        self.settle(now);
+    }
+
+    /// Takes in a record of another entry. False when it is not newer than the one known.
+    pub fn merge(&mut self, record: DemandRecord, now: Timestamp) -> bool {
+        if record.member == self.member || !self.entries.contains(&record.member) {
+            return false;
+        }
+        let known = self.peers.get(&record.member);
+        if known.is_some_and(|(old, _)| !record.supersedes(old)) {
+            return false;
+        }
+        self.peers.insert(record.member.clone(), (record, now));
+        self.settle(now);
+        true
+    }
+
+    /// Number of entries that limits are divided by.
+    #[must_use]
+    pub fn split(&self) -> u32 {
+        u32::try_from(self.entries.len()).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Whether the entry has its own share yet.
+    #[must_use]
+    pub fn is_owner(&self, now: Timestamp) -> bool {
+        self.owner.is_some_and(|at| now >= at)
+    }
+
+    /// The part of `total` that the entry owns.
+    #[must_use]
+    pub fn base(&self, total: Quota, now: Timestamp) -> Quota {
+        if !self.is_owner(now) {
+            return Quota::default();
+        }
+        Quota(total.0 / u64::from(self.split()))
+    }
+
+    /// Rate that the entry may grant from `from` to `now`, at the least over that time: what was
+    /// lent at its start counts as lent, what was borrowed counts if it is borrowed at its end.
+    #[must_use]
+    pub fn share(&self, subject: &Subject, total: Quota, from: Timestamp, now: Timestamp) -> Quota {
+        let own = self.base(total, from);
+        let kept = own.saturating_sub(self.held(subject, from));
+        let borrowed = self.borrowed(subject, now);
+        Quota(kept.0.saturating_add(borrowed.0).min(total.0))
+    }
+
+    /// Rate held back for borrowers of `subject`.
+    #[must_use]
+    pub fn held(&self, subject: &Subject, now: Timestamp) -> Quota {
+        let Some(holds) = self.holds.get(subject) else {
+            return Quota::default();
+        };
+        Quota(holds.values().map(|list| held_by(list, now)).sum())
+    }
+
+    /// Rate that other entries let this one use.
+    #[must_use]
+    pub fn borrowed(&self, subject: &Subject, now: Timestamp) -> Quota {
+        let rates = self
+            .peers
+            .values()
+            .flat_map(|(record, _)| &record.loans)
+            .filter(|loan| loan.subject == *subject && self.is_valid(loan, now))
+            .map(|loan| loan.rate.0);
+        Quota(rates.fold(0, u64::saturating_add))
+    }
+
+    /// Makes the next record. `demands` holds own demands, largest want first; `total` gives the
+    /// limit of a subject, `own` the rate of it that this entry needs itself.
+    pub fn publish(
+        &mut self,
+        mut demands: Vec<Demand>,
+        total: impl Fn(&Subject) -> Option<Quota>,
+        own: impl Fn(&Subject) -> Quota,
+        now: Timestamp,
+    ) -> DemandRecord {
+        demands.truncate(self.config.demands);
+        let loans = self.lend(total, own, now);
+        self.sequence = self.sequence.next();
+        self.issued.push_back((self.sequence, now));
+        if self.issued.len() > MAX_ISSUED {
+            self.issued.pop_front();
+        }
+        DemandRecord {
+            member: self.member.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            view: self.view(),
+            demands,
+            loans,
+        }
+    }
+
+    /// Lends what is not needed, max-min fair among those who want it.
+    fn lend(
+        &mut self,
+        total: impl Fn(&Subject) -> Option<Quota>,
+        own: impl Fn(&Subject) -> Quota,
+        now: Timestamp,
+    ) -> Vec<Loan> {
+        self.expire(now);
+        let mut loans = Vec::new();
+        for (subject, wants) in self.wants(now) {
+            let Some(limit) = total(&subject) else {
+                continue;
+            };
+            let base = self.base(limit, now);
+            let reserve = Quota(base.0 * u64::from(self.config.reserve) / PERCENT);
+            let kept = own(&subject).max(reserve);
+            let free = base.saturating_sub(kept);
+            let given = self.split_free(&subject, wants, free, base, now);
+            loans.extend(given);
+            if loans.len() >= self.config.loans {
+                break;
+            }
+        }
+        loans
+    }
+
+    /// Splits `free` among the borrowers and holds each part back. Parts held for earlier loans
+    /// count against `base`, so that all parts together never exceed it.
+    fn split_free(
+        &mut self,
+        subject: &Subject,
+        mut wants: Vec<(Quota, MemberId, Incarnation, Sequence)>,
+        free: Quota,
+        base: Quota,
+        now: Timestamp,
+    ) -> Vec<Loan> {
+        wants.sort_unstable();
+        let until = now + self.config.term.0;
+        let mut rest = free.0;
+        let mut left = u64::try_from(wants.len()).unwrap_or(u64::MAX);
+        let mut loans = Vec::new();
+        for (want, to, incarnation, answers) in wants {
+            let even = rest / left.max(1);
+            left = left.saturating_sub(1);
+            let others = self.held_for_others(subject, &to, now);
+            let room = base.saturating_sub(others);
+            let rate = Quota(want.0.min(even).min(room.0));
+            if rate.0 == 0 {
+                continue;
+            }
+            rest -= rate.0;
+            let holds = self.holds.entry(subject.clone()).or_default();
+            holds
+                .entry(to.clone())
+                .or_default()
+                .push(Hold { rate, until });
+            loans.push(Loan {
+                subject: subject.clone(),
+                to,
+                incarnation,
+                answers,
+                rate,
+            });
+        }
+        loans
+    }
+
+    fn held_for_others(&self, subject: &Subject, to: &MemberId, now: Timestamp) -> Quota {
+        let Some(holds) = self.holds.get(subject) else {
+            return Quota::default();
+        };
+        let others = holds.iter().filter(|(id, _)| *id != to);
+        Quota(others.map(|(_, list)| held_by(list, now)).sum())
+    }
+
+    /// Wants of the peers heard of within a term, by subject.
+    fn wants(
+        &self,
+        now: Timestamp,
+    ) -> BTreeMap<Subject, Vec<(Quota, MemberId, Incarnation, Sequence)>> {
+        let mut wants: BTreeMap<Subject, Vec<_>> = BTreeMap::new();
+        for (record, heard) in self.peers.values() {
+            if now.since(*heard) >= self.config.term.0 {
+                continue;
+            }
+            for demand in record.demands.iter().take(self.config.demands) {
+                if demand.want.0 == 0 {
+                    continue;
+                }
+                let id = record.member.clone();
+                let ask = (demand.want, id, record.incarnation, record.sequence);
+                wants.entry(demand.subject.clone()).or_default().push(ask);
+            }
+        }
+        wants
+    }
+
+    fn is_valid(&self, loan: &Loan, now: Timestamp) -> bool {
+        if loan.to != self.member || loan.incarnation != self.incarnation {
+            return false;
+        }
+        let issued = self.issued.iter().find(|(seq, _)| *seq == loan.answers);
+        issued.is_some_and(|(_, at)| now.since(*at) < self.config.term.0)
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        self.holds.retain(|_, holds| {
+            holds.retain(|_, list| {
+                list.retain(|hold| now < hold.until);
+                !list.is_empty()
+            });
+            !holds.is_empty()
+        });
+    }
+
+    /// Digest of the set of entries; equal sets have equal digests.
+    fn view(&self) -> u64 {
+        let weights = self.entries.iter().map(|id| rank::weight(VIEW_SUBJECT, id));
+        weights.fold(0, u64::wrapping_add)
+    }
+
+    /// Becomes an owner a term after all others divide by the same set, so that parts lent before
+    /// have ended, or after the longest wait.
+    fn settle(&mut self, now: Timestamp) {
+        if self.owner.is_some() || !self.listed {
+            return;
+        }
+        let view = self.view();
+        let counted = self
+            .entries
+            .iter()
+            .filter(|id| **id != self.member)
+            .map(|id| self.peers.get(id))
+            .all(|peer| peer.is_some_and(|(record, _)| record.view == view));
+        if counted {
+            self.owner = Some(now + self.config.term.0);
+            return;
+        }
+        let longest = self.config.join.0.max(self.config.term.0);
+        if now >= self.started + longest {
+            self.owner = Some(now);
+        }
+    }
+
+    /// Lets time pass; to be called with each record that is made.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.settle(now);
+    }
+}
+
+/// The largest of the parts still held for one borrower, who uses one loan of this lender at a
+/// time.
+fn held_by(list: &[Hold], now: Timestamp) -> u64 {
+    let live = list.iter().filter(|hold| now < hold.until);
+    live.map(|hold| hold.rate.0).max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/decide/src/limits/limiter.rs
@@ -0,0 +1,287 @@
+//! Grants and refuses requests at one entry VM.
+
+use std::collections::BTreeMap;
+
+use apricothall_types::{CallerId, CatalogueEntry, Class, EntryName, Incarnation};
+use apricothall_types::{MemberId, Timestamp};
+
+use super::ledger::Ledger;
+use super::rates::{Arrivals, Rates, need, total};
+use super::record::{Demand, DemandRecord};
+use super::{FairBucket, MILLI, Quota, Reason, Refusal, Subject, TokenBucket};
+use crate::configs::LimitsConfig;
+
+/// Most subjects with state at one entry.
+const MAX_SUBJECTS: usize = 4_096;
+
+/// A request to be granted or refused.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// Catalogue entry that it asks for.
+    pub entry: &'a CatalogueEntry,
+    /// Who asks.
+    pub caller: &'a CallerId,
+    /// Class as given by [`super::class_of`].
+    pub class: Class,
+}
+
+#[derive(Clone, Debug)]
+enum Bucket {
+    Entry(FairBucket),
+    Caller(TokenBucket),
+}
+
+/// State of one subject at this entry.
+#[derive(Clone, Debug)]
+struct State {
+    bucket: Bucket,
+    arrivals: Arrivals,
+    total: Quota,
+    burst: u64,
+    filled: Timestamp,
+}
+
+/// Limits of all catalogue entries and callers, as one entry VM grants them.
+#[derive(Clone, Debug)]
+pub struct Limiter {
+    config: LimitsConfig,
+    ledger: Ledger,
+    states: BTreeMap<Subject, State>,
+    rates: BTreeMap<EntryName, Rates>,
+}
+
+impl Limiter {
+    /// A limiter that owns nothing until the other entries count it.
+    #[must_use]
+    pub fn new(
+        config: LimitsConfig,
+        member: MemberId,
+        incarnation: Incarnation,
+        now: Timestamp,
+    ) -> Self {
+        let ledger = Ledger::new(config.clone(), member, incarnation, now);
+        Self {
+            config,
+            ledger,
+            states: BTreeMap::new(),
+            rates: BTreeMap::new(),
+        }
+    }
+
+    /// Shares, loans and the set of entries.
+    #[must_use]
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// See [`Ledger::set_entries`].
+    pub fn set_entries(&mut self, entries: impl IntoIterator<Item = MemberId>, now: Timestamp) {
+        self.fill_all(now);
+        self.ledger.set_entries(entries, now);
+    }
+
+    /// Takes the limits of the catalogue in force.
+    pub fn set_catalogue<'a>(
+        &mut self,
+        entries: impl IntoIterator<Item = &'a CatalogueEntry>,
+        now: Timestamp,
+    ) {
+        self.fill_all(now);
+        self.rates = entries
+            .into_iter()
+            .map(|entry| (entry.name.clone(), Rates::of(entry)))
+            .collect();
+        let rates = &self.rates;
+        self.states.retain(|subject, state| {
+            let Some(known) = rates.get(&subject.name) else {
+                return false;
+            };
+            state.total = known.total(subject.caller.as_ref());
+            true
+        });
+    }
+
+    /// See [`Ledger::merge`].
+    pub fn merge(&mut self, record: DemandRecord, now: Timestamp) -> bool {
+        self.fill_all(now);
+        self.ledger.merge(record, now)
+    }
+
+    /// Makes the record for the next round of gossip.
+    pub fn publish(&mut self, now: Timestamp) -> DemandRecord {
+        self.fill_all(now);
+        self.ledger.tick(now);
+        let demands = self.demands(now);
+        let states = &self.states;
+        let rates = &self.rates;
+        let total = |subject: &Subject| {
+            let known = rates.get(&subject.name);
+            known.map(|rates| rates.total(subject.caller.as_ref()))
+        };
+        let own = |subject: &Subject| {
+            let state = states.get(subject);
+            state.map_or(Quota::default(), |state| need(state.arrivals.rate))
+        };
+        let record = self.ledger.publish(demands, total, own, now);
+        for (subject, state) in &mut self.states {
+            state.fill(subject, &self.ledger, now);
+        }
+        record
+    }
+
+    /// Grants or refuses a request. Class critical is always granted; what it takes is owed by
+    /// the others.
+    ///
+    /// # Errors
+    /// The refusal, with the time after which a new try may succeed.
+    pub fn check(&mut self, call: Call<'_>, now: Timestamp) -> Result<(), Refusal> {
+        let whole = Subject {
+            name: call.entry.name.clone(),
+            caller: None,
+        };
+        let single = Subject {
+            name: call.entry.name.clone(),
+            caller: Some(call.caller.clone()),
+        };
+        self.prepare(&whole, call, now);
+        self.prepare(&single, call, now);
+        if call.class == Class::Critical {
+            self.force(&whole);
+            return Ok(());
+        }
+        let rate = self.rate(&single, now);
+        let refused = self.states.get(&single).and_then(State::shortage);
+        if let Some(bucket) = refused {
+            return Err(Refusal::new(Reason::CallerLimit, bucket.wait(rate)));
+        }
+        let rate = self.rate(&whole, now);
+        if let Some(state) = self.states.get_mut(&whole)
+            && let Bucket::Entry(bucket) = &mut state.bucket
+            && !bucket.take(call.caller, now)
+        {
+            let wait = bucket.wait(call.caller, rate);
+            return Err(Refusal::new(Reason::EntryLimit, wait));
+        }
+        if let Some(state) = self.states.get_mut(&single)
+            && let Bucket::Caller(bucket) = &mut state.bucket
+        {
+            bucket.take();
+        }
+        Ok(())
+    }
+
+    fn rate(&self, subject: &Subject, now: Timestamp) -> Quota {
+        let total = self.states.get(subject).map_or(Quota(0), |s| s.total);
+        self.ledger.share(subject, total, now, now)
+    }
+
+    fn force(&mut self, subject: &Subject) {
+        let Some(state) = self.states.get_mut(subject) else {
+            return;
+        };
+        if let Bucket::Entry(bucket) = &mut state.bucket {
+            bucket.force(state.burst.max(MILLI));
+        }
+    }
+
+    /// Brings the state of `subject` up to `now` and counts the arrival.
+    fn prepare(&mut self, subject: &Subject, call: Call<'_>, now: Timestamp) {
+        self.make_room(subject);
+        let limits = &call.entry.limits;
+        let total = total(limits, &call.entry.callers, subject.caller.as_ref());
+        let whole = Quota::per_second(limits.rate.get());
+        let burst = Quota::per_second(limits.burst.get()).0;
+        let part = u128::from(burst) * u128::from(total.0) / u128::from(whole.0.max(1));
+        let part = u64::try_from(part).unwrap_or(burst).min(burst);
+        let burst = part / u64::from(self.ledger.split());
+        let most = self.config.callers;
+        let start = if self.ledger.is_owner(now) {
+            burst.max(MILLI)
+        } else {
+            0
+        };
+        let state = self.states.entry(subject.clone()).or_insert_with(|| State {
+            bucket: match subject.caller {
+                None => Bucket::Entry(FairBucket::new(start, most, now)),
+                Some(_) => Bucket::Caller(TokenBucket::new(start, now)),
+            },
+            arrivals: Arrivals {
+                rate: 0.0,
+                last: now,
+            },
+            total,
+            burst,
+            filled: now,
+        });
+        state.burst = burst;
+        state.fill(subject, &self.ledger, now);
+        state.total = total;
+        state.arrivals.note(self.config.window.0, 1.0, now);
+    }
+
+    /// Drops the subject that was idle longest when the table is full.
+    fn make_room(&mut self, subject: &Subject) {
+        if self.states.len() < MAX_SUBJECTS || self.states.contains_key(subject) {
+            return;
+        }
+        let oldest = self
+            .states
+            .iter()
+            .filter(|(subject, _)| subject.caller.is_some())
+            .min_by_key(|(_, state)| state.arrivals.last)
+            .map(|(subject, _)| subject.clone());
+        if let Some(subject) = oldest {
+            self.states.remove(&subject);
+        }
+    }
+
+    fn fill_all(&mut self, now: Timestamp) {
+        for (subject, state) in &mut self.states {
+            state.fill(subject, &self.ledger, now);
+        }
+    }
+
+    /// Own demands that the own share does not meet, those that lack most first.
+    fn demands(&mut self, now: Timestamp) -> Vec<Demand> {
+        let window = self.config.window.0;
+        let mut demands = Vec::new();
+        for (subject, state) in &mut self.states {
+            state.arrivals.note(window, 0.0, now);
+            let rate = need(state.arrivals.rate);
+            let base = self.ledger.base(state.total, now);
+            let kept = base.saturating_sub(self.ledger.held(subject, now));
+            let want = rate.saturating_sub(kept);
+            if want.0 == 0 {
+                continue;
+            }
+            demands.push(Demand {
+                subject: subject.clone(),
+                rate,
+                want,
+            });
+        }
+        demands.sort_unstable_by(|a, b| (b.want, &a.subject).cmp(&(a.want, &b.subject)));
+        demands
+    }
+}
+
+impl State {
+    fn fill(&mut self, subject: &Subject, ledger: &Ledger, now: Timestamp) {
+        let rate = ledger.share(subject, self.total, self.filled, now);
+        self.filled = self.filled.max(now);
+        match &mut self.bucket {
+            Bucket::Entry(bucket) => bucket.refill(rate, self.burst, now),
+            Bucket::Caller(bucket) => {
+                bucket.refill(rate, self.burst, now);
+            }
+        }
+    }
+
+    /// The bucket of a caller that has no request left.
+    fn shortage(&self) -> Option<&TokenBucket> {
+        match &self.bucket {
+            Bucket::Caller(bucket) if !bucket.has_one() => Some(bucket),
+            Bucket::Caller(_) | Bucket::Entry(_) => None,
+        }
+    }
+}
--- a/crates/decide/src/routing.rs
+++ b/crates/decide/src/routing.rs
@@ -1,1 +1,334 @@
 //! Choice of a replica for a request.
+//!
+//! The nearest replicas come first, farther ones once those are loaded. Among them a replica that
+//! is likely to cache the prompt's prefix is preferred while its load stays near the mean, else the
+//! less loaded of two drawn at random is taken.
+
+use std::collections::BTreeSet;
+
+use apricothall_types::{Digest, Load, Member, MemberId, Region, Timestamp, Zone};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::configs::{RoutingConfig, Strategy};
+use crate::rank;
+
+mod hints;
+mod score;
+
+pub use hints::{CacheEvent, Hints};
+use score::Scores;
+
+/// Bytes of a prompt that make up its prefix.
+pub const PREFIX_BYTES: usize = 256;
+
+/// Hash of the first [`PREFIX_BYTES`] bytes of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Prefix(pub Digest);
+
+impl Prefix {
+    /// Prefix of `prompt`.
+    #[must_use]
+    pub fn of(prompt: &[u8]) -> Self {
+        let head = &prompt[..prompt.len().min(PREFIX_BYTES)];
+        Self(Digest::of(head))
+    }
+}
+
+/// A replica that serves the version that the request is pinned to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Replica {
+    /// Its agent.
+    pub id: MemberId,
+    /// Where it is.
+    pub distance: Distance,
+}
+
+/// How far a replica is from the entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Distance {
+    /// Same availability zone.
+    Zone,
+    /// Same region.
+    Region,
+    /// Another region.
+    Far,
+}
+
+impl Distance {
+    /// Distance of `member` from a place.
+    #[must_use]
+    pub fn of(member: &Member, region: &Region, zone: &Zone) -> Self {
+        if member.region != *region {
+            return Self::Far;
+        }
+        if member.zone != *zone {
+            return Self::Region;
+        }
+        Self::Zone
+    }
+}
+
+/// What a replica is chosen for.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// Replicas of the pinned version.
+    pub replicas: &'a [Replica],
+    /// Members that must not get it: leaving, ejected, suspect or already tried.
+    pub excluded: &'a BTreeSet<MemberId>,
+    /// Prefix of the prompt, if any.
+    pub prefix: Option<Prefix>,
+}
+
+/// Why a replica was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// It is said to cache the prefix, and its load is near the mean.
+    Hint,
+    /// It ranks first for the prefix, and its load is near the mean.
+    Affinity,
+    /// It was the less loaded of two.
+    TwoChoices,
+    /// Its turn.
+    RoundRobin,
+    /// By chance.
+    Random,
+    /// There was no other.
+    Only,
+}
+
+/// The choice with what explains it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Choice {
+    /// The replica's agent.
+    pub member: MemberId,
+    /// Why it was chosen.
+    pub cause: Cause,
+    /// Distance of the replica.
+    pub distance: Distance,
+    /// Its load in requests for each slot.
+    pub load: f64,
+    /// Mean load of the replicas considered.
+    pub mean: f64,
+    /// The other one of two choices, with its load.
+    pub rival: Option<(MemberId, f64)>,
+    /// Replicas considered.
+    pub considered: usize,
+    /// Replicas left out because they were excluded.
+    pub excluded: usize,
+}
+
+/// Loads and hints by which one entry chooses.
+#[derive(Clone, Debug)]
+pub struct Router {
+    config: RoutingConfig,
+    scores: Scores,
+    hints: Hints,
+    turn: usize,
+}
+
+impl Router {
+    /// A router without knowledge.
+    #[must_use]
+    pub fn new(config: RoutingConfig) -> Self {
+        let scores = Scores::new(config.halving.0);
+        let hints = Hints::new(config.hints, config.expiry.0);
+        Self {
+            config,
+            scores,
+            hints,
+            turn: 0,
+        }
+    }
+
+    /// Chooses a replica; none when all are excluded.
+    pub fn choose(
+        &mut self,
+        query: Query<'_>,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
+        self.hints.expire(now);
+        let allowed: Vec<_> = query
+            .replicas
+            .iter()
+            .filter(|r| !query.excluded.contains(&r.id))
+            .collect();
+        let excluded = query.replicas.len() - allowed.len();
+        let (near, mean) = self.near(allowed, now);
+        let first = *near.first()?;
+        let (replica, cause, rival) = if near.len() == 1 {
+            (first, Cause::Only, None)
+        } else {
+            self.pick(&near, query.prefix, mean, now, rng)
+        };
+        let rival = rival.map(|r| (r.id.clone(), self.scores.load(&r.id, now)));
+        Some(Choice {
+            member: replica.id.clone(),
+            cause,
+            distance: replica.distance,
+            load: self.scores.load(&replica.id, now),
+            mean,
+            rival,
+            considered: near.len(),
+            excluded,
+        })
+    }
+
+    /// Notes that a request was sent to `id`.
+    pub fn note_start(&mut self, id: &MemberId) {
+        self.scores.start(id);
+    }
+
+    /// Notes that a request sent to `id` ended, in whichever way.
+    pub fn note_end(&mut self, id: &MemberId) {
+        self.scores.end(id);
+    }
+
+    /// Notes a load that `id` reported, with the time at which it was measured.
+    pub fn note_load(&mut self, id: &MemberId, load: Load, measured: Timestamp) {
+        self.scores.report(id, load, measured);
+    }
+
+    /// Hints about caches, to be fed with events.
+    pub fn hints(&mut self) -> &mut Hints {
+        &mut self.hints
+    }
+
+    /// Own requests in progress at `id`.
+    #[must_use]
+    pub fn in_flight(&self, id: &MemberId) -> u32 {
+        self.scores.in_flight(id)
+    }
+
+    /// Load of `id` as the router sees it, in requests for each slot.
+    #[must_use]
+    pub fn load(&self, id: &MemberId, now: Timestamp) -> f64 {
+        self.scores.load(id, now)
+    }
+
+    /// Forgets members other than `members`, but for counts of requests still in progress.
+    pub fn retain(&mut self, members: &BTreeSet<MemberId>) {
+        for id in self.scores.retain(members) {
+            self.hints.forget(&id);
+        }
+    }
+
+    /// The nearest replicas whose mean load is below the bound for spilling, with that mean; all
+    /// when every distance is loaded.
+    fn near<'a>(&self, mut all: Vec<&'a Replica>, now: Timestamp) -> (Vec<&'a Replica>, f64) {
+        all.sort_by_key(|r| r.distance);
+        let spill = f64::from(self.config.spill) / PERCENT;
+        let mut end = 0;
+        let mut sum = 0.0;
+        let mut mean = 0.0;
+        while let Some(next) = all.get(end) {
+            let distance = next.distance;
+            while let Some(r) = all.get(end).filter(|r| r.distance == distance) {
+                sum += self.scores.load(&r.id, now);
+                end += 1;
+            }
+            mean = sum / f64::from(u32::try_from(end).unwrap_or(u32::MAX));
+            if mean < spill {
+                break;
+            }
+        }
+        all.truncate(end);
+        (all, mean)
+    }
+
+    fn pick<'a>(
+        &mut self,
+        near: &[&'a Replica],
+        prefix: Option<Prefix>,
+        mean: f64,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> (&'a Replica, Cause, Option<&'a Replica>) {
+        match self.config.strategy {
+            Strategy::RoundRobin => {
+                self.turn = self.turn.wrapping_add(1);
+                (near[self.turn % near.len()], Cause::RoundRobin, None)
+            }
+            Strategy::Random => {
+                let index = rng.random_range(0..near.len());
+                (near[index], Cause::Random, None)
+            }
+            Strategy::TwoChoices => {
+                if let Some((replica, cause)) = self.preferred(near, prefix, mean, now) {
+                    return (replica, cause, None);
+                }
+                self.two_choices(near, now, rng)
+            }
+        }
+    }
+
+    /// A replica that likely caches the prefix and stays within the bound on load.
+    fn preferred<'a>(
+        &self,
+        near: &[&'a Replica],
+        prefix: Option<Prefix>,
+        mean: f64,
+        now: Timestamp,
+    ) -> Option<(&'a Replica, Cause)> {
+        let prefix = prefix?;
+        let fits = |id: &MemberId| self.fits(id, mean, now);
+        let hinted = self.hints.members(prefix).iter();
+        let hinted = hinted.filter_map(|id| near.iter().find(|r| r.id == *id));
+        if let Some(replica) = hinted.copied().find(|r| fits(&r.id)) {
+            return Some((replica, Cause::Hint));
+        }
+        let order = rank::order(&prefix.0.0, near.iter().map(|r| &r.id));
+        let mut first = order.into_iter().take(self.config.preferred);
+        let id = first.find(|id| fits(id))?;
+        let replica = near.iter().find(|r| r.id == *id)?;
+        Some((replica, Cause::Affinity))
+    }
+
+    /// Whether one more request keeps `id` within the bound: `bound` times the mean load, but
+    /// always one request for each slot-sized part so that idle replicas are eligible.
+    fn fits(&self, id: &MemberId, mean: f64, now: Timestamp) -> bool {
+        let unit = self.scores.unit(id);
+        let bound = (mean + unit) * f64::from(self.config.bound) / PERCENT;
+        self.scores.load(id, now) + unit <= bound.max(unit)
+    }
+
+    fn two_choices<'a>(
+        &self,
+        near: &[&'a Replica],
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> (&'a Replica, Cause, Option<&'a Replica>) {
+        let first = rng.random_range(0..near.len());
+        let second = (first + rng.random_range(1..near.len())) % near.len();
+        let (a, b) = (near[first], near[second]);
+        if self.scores.load(&b.id, now) < self.scores.load(&a.id, now) {
+            return (b, Cause::TwoChoices, Some(a));
+        }
+        (a, Cause::TwoChoices, Some(b))
+    }
+}
+
+const PERCENT: f64 = 100.0;
+
+/// The replicas that entry `own` keeps connections to: up to `size` of each distance, by rank, so
+/// that a change of the fleet changes few of them. All for a `size` of 0.
+#[must_use]
+pub fn subset(own: &MemberId, replicas: &[Replica], size: usize) -> Vec<Replica> {
+    if size == 0 {
+        return replicas.to_vec();
+    }
+    let mut kept = Vec::new();
+    for distance in [Distance::Zone, Distance::Region, Distance::Far] {
+        let mut part: Vec<_> = replicas
+            .iter()
+            .filter(|r| r.distance == distance)
+            .map(|r| (rank::weight(own.as_str().as_bytes(), &r.id), r))
+            .collect();
+        part.sort_unstable_by(|a, b| (b.0, &b.1.id).cmp(&(a.0, &a.1.id)));
+        kept.extend(part.into_iter().take(size).map(|(_, r)| r.clone()));
+    }
+    kept
+}
--- /dev/null
+++ b/crates/decide/src/routing/score.rs
@@ -0,0 +1,96 @@
+//! Load of each replica: own requests in progress, and reports discounted by their age.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use apricothall_types::{Load, MemberId, Timestamp};
+
+/// A reported load, without own requests, and its time.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    others: u32,
+    measured: Timestamp,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Score {
+    own: u32,
+    slots: u32,
+    report: Option<Report>,
+}
+
+/// Loads of all replicas.
+#[derive(Clone, Debug)]
+pub struct Scores {
+    halving: Duration,
+    scores: BTreeMap<MemberId, Score>,
+}
+
+impl Scores {
+    /// No load known; a report counts half at the age `halving`.
+    pub fn new(halving: Duration) -> Self {
+        let scores = BTreeMap::new();
+        Self { halving, scores }
+    }
+
+    pub fn start(&mut self, id: &MemberId) {
+        let score = self.scores.entry(id.clone()).or_default();
+        score.own = score.own.saturating_add(1);
+    }
+
+    pub fn end(&mut self, id: &MemberId) {
+        if let Some(score) = self.scores.get_mut(id) {
+            score.own = score.own.saturating_sub(1);
+        }
+    }
+
+    /// Takes in a report; an older one than the known one is ignored.
+    pub fn report(&mut self, id: &MemberId, load: Load, measured: Timestamp) {
+        let score = self.scores.entry(id.clone()).or_default();
+        if score.report.is_some_and(|r| r.measured > measured) {
+            return;
+        }
+        let all = load.running.saturating_add(load.queued);
+        let others = all.saturating_sub(score.own);
+        score.slots = load.slots;
+        score.report = Some(Report { others, measured });
+    }
+
+    pub fn in_flight(&self, id: &MemberId) -> u32 {
+        self.scores.get(id).map_or(0, |score| score.own)
+    }
+
+    /// Requests for each slot.
+    pub fn load(&self, id: &MemberId, now: Timestamp) -> f64 {
+        let Some(score) = self.scores.get(id) else {
+            return 0.0;
+        };
+        let others = score.report.map_or(0.0, |report| {
+            let age = now.since(report.measured).as_secs_f64();
+            let halvings = age / self.halving.as_secs_f64().max(f64::MIN_POSITIVE);
+            f64::from(report.others) * (-halvings).exp2()
+        });
+        (f64::from(score.own) + others) * self.unit(id)
+    }
+
+    /// Load that one request makes.
+    pub fn unit(&self, id: &MemberId) -> f64 {
+        let slots = self.scores.get(id).map_or(1, |score| score.slots);
+        1.0 / f64::from(slots.max(1))
+    }
+
+    /// Forgets others than `members` and returns them. A count of requests in progress stays until
+    /// they end.
+    pub fn retain(&mut self, members: &BTreeSet<MemberId>) -> Vec<MemberId> {
+        let mut gone = Vec::new();
+        self.scores.retain(|id, score| {
+            let keep = members.contains(id);
+            if !keep {
+                score.report = None;
+                gone.push(id.clone());
+            }
+            keep || score.own > 0
+        });
+        gone
+    }
+}
