--- a/crates/decide/src/routing.rs
+++ b/crates/decide/src/routing.rs
@@ -216,29 +216,28 @@
         }
     }
 
-    /// The nearest replicas whose mean load is below the bound for spilling, with that mean; all
-    /// when every distance is loaded.
+    /// The nearest replicas up to the first distance that has room, with their mean load; all when
+    /// no distance has room.
     fn near<'a>(&self, mut all: Vec<&'a Replica>, now: Timestamp) -> (Vec<&'a Replica>, f64) {
         all.sort_by_key(|r| r.distance);
-        let spill = f64::from(self.config.spill) / PERCENT;
         let mut end = 0;
-        let mut sum = 0.0;
-        let mut mean = 0.0;
-        while let Some(next) = all.get(end) {
-            let distance = next.distance;
-            while let Some(r) = all.get(end).filter(|r| r.distance == distance) {
-                sum += self.scores.load(&r.id, now);
-                end += 1;
-            }
-            mean = sum / f64::from(u32::try_from(end).unwrap_or(u32::MAX));
-            if mean < spill {
+        for part in all.chunk_by(|a, b| a.distance == b.distance) {
+            end += part.len();
+            if self.mean(part, now) * PERCENT < f64::from(self.config.spill) {
                 break;
             }
         }
         all.truncate(end);
+        let mean = self.mean(&all, now);
         (all, mean)
     }
 
+    fn mean(&self, replicas: &[&Replica], now: Timestamp) -> f64 {
+        let count = u32::try_from(replicas.len()).unwrap_or(u32::MAX).max(1);
+        let sum: f64 = replicas.iter().map(|r| self.scores.load(&r.id, now)).sum();
+        sum / f64::from(count)
+    }
+
     fn pick<'a>(
         &mut self,
         near: &[&'a Replica],
