--- a/crates/decide/src/limits/limiter.rs
+++ b/crates/decide/src/limits/limiter.rs
@@ -1,6 +1,7 @@
 //! Grants and refuses requests at one entry VM.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use apricothall_types::{CallerId, CatalogueEntry, Class, EntryName, Incarnation};
 use apricothall_types::{MemberId, Timestamp};
@@ -25,6 +26,9 @@
     pub class: Class,
 }
 
+/// Time of a share that a bucket holds beside its part of the burst.
+const SLACK: Duration = Duration::from_millis(100);
+
 #[derive(Clone, Debug)]
 enum Bucket {
     Entry(FairBucket),
@@ -269,10 +273,11 @@
     fn fill(&mut self, subject: &Subject, ledger: &Ledger, now: Timestamp) {
         let rate = ledger.share(subject, self.total, self.filled, now);
         self.filled = self.filled.max(now);
+        let burst = self.burst.saturating_add(rate.over(SLACK));
         match &mut self.bucket {
-            Bucket::Entry(bucket) => bucket.refill(rate, self.burst, now),
+            Bucket::Entry(bucket) => bucket.refill(rate, burst, now),
             Bucket::Caller(bucket) => {
-                bucket.refill(rate, self.burst, now);
+                bucket.refill(rate, burst, now);
             }
         }
     }
