feat(fleet): membership by gossip and revisions by readers in every daemon

Cause: each daemon asked every VM and watched the service by itself, which grows with the fleet. The plug-ins now run decide::membership and decide::revision: a few readers a zone watch the catalogue and the VM list, all others learn of a higher revision by gossip and fetch it from that peer; the value in force only moves up.

Ruled out: two separate plug-ins for catalogue and list (the same loop twice; Follower is generic over the subject). Sessions for plain calls are bounded to 64, as probes reach each member in turn.

--- a/crates/agent/src/loader.rs
+++ b/crates/agent/src/loader.rs
@@ -70,8 +70,8 @@
 impl Loader {
     async fn run(self) {
         loop {
-            let catalogue = self.catalogue.current().catalogue;
-            if let Some((entry, wanted)) = wanted(&catalogue)
+            let catalogue = self.catalogue.current();
+            if let Some((entry, wanted)) = wanted(&catalogue.value)
                 && let Err(error) = self.bring(entry, wanted).await
             {
                 tracing::warn!(entry = %entry.name, version = %wanted.version, %error, "load failed");
--- a/crates/decide/src/configs/drain.rs
+++ b/crates/decide/src/configs/drain.rs
@@ -24,7 +24,7 @@
             grace: Interval::secs(2),
             keep: Interval::secs(30),
             transfer: Interval::secs(20),
-            limit: Interval::mins(60),
+            limit: Interval::secs(3_600),
         }
     }
 }
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -67,7 +67,8 @@
     let body = ask::body(request, &entry.config).await?;
     let head: Head = serde_json::from_slice(&body)
         .map_err(|e| Problem::bad_request(format_smolstr!("malformed body: {e}")))?;
-    let catalogue = entry.catalogue.current().catalogue;
+    let catalogue = entry.catalogue.current();
+    let catalogue = &catalogue.value;
     let model = catalogue
         .entry(&head.model)
         .filter(|e| e.kind == Kind::Model);
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -52,7 +52,8 @@
     let method = SmolStr::new(request.method().as_str());
     let headers = passed(request.headers());
     let body = Payload(ask::body(request, &entry.config).await?);
-    let catalogue = entry.catalogue.current().catalogue;
+    let catalogue = entry.catalogue.current();
+    let catalogue = &catalogue.value;
     let service = catalogue.entry(&name).filter(|e| e.kind == Kind::Service);
     let service = service.ok_or_else(|| unknown_service(&name))?;
     if !service.repeatable && ask.key.is_none() && ask.ticket.is_none() {
--- a/crates/fleet/src/catalogue.rs
+++ b/crates/fleet/src/catalogue.rs
@@ -1,16 +1,16 @@
 //! Plug-in that keeps the catalogue in force.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_platform::{ConfigurationClient, HttpClient, Value, Watched};
-use apricothall_types::{Catalogue, Revision, Role};
+use apricothall_platform::{ConfigurationClient, HttpClient};
+use apricothall_types::{Catalogue, Role};
+use apricothall_wire::Subject;
 use linkme::distributed_slice;
-use serde_json::json;
-use smol_str::SmolStr;
-use tokio::sync::watch;
+use smol_str::ToSmolStr;
 
+use crate::membership::Heard;
+use crate::subject::Follower;
 use crate::{StatusBoard, View};
 
 #[distributed_slice(PLUGINS)]
@@ -24,104 +24,52 @@
 /// Key of the catalogue in the configuration service.
 pub const CATALOGUE_KEY: &str = "catalogue";
 
-/// Pause after a failed read.
-const READ_PAUSE: Duration = Duration::from_millis(500);
-
-/// The catalogue in force.
-#[derive(Clone, Debug, Default)]
-pub struct InForce {
-    /// Its revision; zero when there is none yet.
-    pub revision: Revision,
-    /// Its text as published.
-    pub text: SmolStr,
-    /// Its entries.
-    pub catalogue: Arc<Catalogue>,
-}
-
 /// The catalogue in force, for other plug-ins.
-pub struct CatalogueState {
-    current: watch::Sender<InForce>,
-}
-
-impl CatalogueState {
-    /// The catalogue in force now.
-    #[must_use]
-    pub fn current(&self) -> InForce {
-        self.current.borrow().clone()
-    }
-
-    /// Signals each change.
-    #[must_use]
-    pub fn changes(&self) -> watch::Receiver<InForce> {
-        self.current.subscribe()
-    }
-
-    /// Puts `value` in force if it is newer and valid.
-    fn offer(&self, value: Value, view: &View) {
-        if value.revision <= self.current.borrow().revision {
-            return;
-        }
-        match Catalogue::parse(&value.text) {
-            Ok(parsed) => {
-                let revision = value.revision;
-                let catalogue = Arc::new(parsed);
-                self.current.send_replace(InForce {
-                    revision,
-                    text: value.text,
-                    catalogue,
-                });
-                view.update_own(|own| own.revision = revision);
-                tracing::info!(%revision, "catalogue in force");
-            }
-            Err(error) => {
-                tracing::error!(revision = %value.revision, %error, "catalogue refused");
-            }
-        }
-    }
-}
+pub type CatalogueState = Follower<Catalogue>;
 
 fn start(context: &Context) -> Result<(), StartError> {
-    let state = Arc::new(CatalogueState {
-        current: watch::Sender::new(InForce::default()),
-    });
+    let parse = |text: &str| Catalogue::parse(text).map_err(|e| e.to_smolstr());
+    let state = Arc::new(Follower::new(
+        context,
+        Subject::Catalogue,
+        CATALOGUE_KEY,
+        parse,
+    )?);
     context.provide(state.clone());
-    let view = context.part::<View>()?;
-    let board = context.part::<StatusBoard>()?;
-    let shown = state.clone();
-    board.section("catalogue", move || {
-        let current = shown.current();
-        json!({ "revision": current.revision, "entries": current.catalogue.entries })
-    });
-    let awaited = state.clone();
-    board.condition(move || {
-        let none = awaited.current.borrow().revision == Revision(0);
-        none.then(|| "no catalogue in force yet".into())
-    });
+    add_status(context, &state)?;
     let http = context.part::<HttpClient>()?;
     let platform = &context.settings.platform;
     let client =
         ConfigurationClient::new((*http).clone(), platform.configuration, platform.answer.0);
+    let wait = context.settings.revision.wait.0;
+    let heard = context.part::<Heard>()?;
     context
         .lifecycle
-        .spawn(watch_service(state, view, client, platform.watch.0));
+        .spawn(pass_on(state.clone(), context.part()?));
+    state.spawn(context, &heard, move |after| {
+        let client = client.clone();
+        async move { client.watch(CATALOGUE_KEY, after, wait).await }
+    });
+    Ok(())
+}
+
+fn add_status(context: &Context, state: &Arc<CatalogueState>) -> Result<(), StartError> {
+    let board = context.part::<StatusBoard>()?;
+    state.add_condition(&board);
+    let shown = state.clone();
+    board.section("catalogue", move || {
+        let mut status = shown.status();
+        status["entries"] = serde_json::json!(shown.current().value.entries);
+        status
+    });
     Ok(())
 }
 
-async fn watch_service(
-    state: Arc<CatalogueState>,
-    view: Arc<View>,
-    client: ConfigurationClient,
-    wait: Duration,
-) {
-    loop {
-        let after = state.current.borrow().revision;
-        match client.watch(CATALOGUE_KEY, after, wait).await {
-            Ok(Watched::Changed(value)) => state.offer(value, &view),
-            Ok(Watched::Unchanged) => {}
-            Err(error) => {
-                tracing::debug!(%error, "cannot read the catalogue");
-                tokio::time::sleep(READ_PAUSE).await;
-            }
-        }
+/// Tells other members which revision is in force here.
+async fn pass_on(state: Arc<CatalogueState>, view: Arc<View>) {
+    let mut changes = state.changes();
+    while changes.changed().await.is_ok() {
+        let revision = changes.borrow_and_update().revision;
+        view.update_own(|own| own.revision = revision);
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,10 +9,13 @@
 pub mod rpc;
 pub mod shared;
 pub mod status;
+pub mod subject;
 pub mod trace;
+pub mod view;
+pub mod vms;
 
-pub use catalogue::{CatalogueState, InForce};
-pub use membership::View;
+pub use catalogue::CatalogueState;
 pub use peers::PeerRoutes;
 pub use status::StatusBoard;
 pub use trace::Trace;
+pub use view::View;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -1,20 +1,20 @@
-//! Plug-in that keeps the view of other daemons.
+//! Plug-in that keeps the view of other daemons by gossip.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_decide::membership::{GossipMessage, Membership, Outgoing};
 use apricothall_kernel::configs::CallersConfig;
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_platform::{HttpClient, VmListClient};
-use apricothall_types::{Member, MemberId, MemberState, Revision, Role, Sequence, VmList};
+use apricothall_types::{Member, MemberState, Revision, Role, Sequence};
 use apricothall_wire::{Connector, WireError};
+use futures::future::BoxFuture;
 use linkme::distributed_slice;
 use serde_json::json;
-use tokio::sync::watch;
+use tokio::sync::broadcast;
+use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use crate::StatusBoard;
+use crate::{StatusBoard, View};
 
 #[distributed_slice(PLUGINS)]
 static MEMBERSHIP: Plugin = Plugin {
@@ -24,136 +24,66 @@
     start: |context| -> StartFuture { Box::pin(async move { start(&context) }) },
 };
 
-/// Time between two rounds of exchanges.
-const ROUND: Duration = Duration::from_millis(250);
+/// Messages heard that wait for the plug-ins that follow revisions.
+const HEARD_BUFFER: usize = 256;
 
-/// Pause after a failed read of the VM list.
-const LIST_PAUSE: Duration = Duration::from_millis(500);
-
-/// The members known to this daemon, itself included.
-pub struct View {
-    own: MemberId,
-    members: RwLock<BTreeMap<MemberId, Member>>,
-    list: watch::Sender<VmList>,
-    changes: watch::Sender<u64>,
+/// Messages of other members, for the plug-ins that follow revisions.
+pub struct Heard {
+    sender: broadcast::Sender<Arc<GossipMessage>>,
 }
 
-impl View {
-    fn new(own: Member) -> Self {
-        let id = own.id.clone();
-        Self {
-            own: id.clone(),
-            members: RwLock::new(BTreeMap::from([(id, own)])),
-            list: watch::Sender::new(VmList::default()),
-            changes: watch::Sender::new(0),
-        }
-    }
-
-    /// All members.
+impl Heard {
+    /// Messages from now on.
     #[must_use]
-    pub fn members(&self) -> Vec<Member> {
-        self.members
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .values()
-            .cloned()
-            .collect()
+    pub fn subscribe(&self) -> broadcast::Receiver<Arc<GossipMessage>> {
+        self.sender.subscribe()
     }
 
-    /// The member called `id`.
-    #[must_use]
-    pub fn member(&self, id: &MemberId) -> Option<Member> {
-        self.members
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(id)
-            .cloned()
-    }
-
-    /// Members that take new work.
-    #[must_use]
-    pub fn alive(&self) -> Vec<Member> {
-        self.members()
-            .into_iter()
-            .filter(Member::is_alive)
-            .collect()
-    }
-
-    /// The newest VM list seen.
-    #[must_use]
-    pub fn list(&self) -> VmList {
-        self.list.borrow().clone()
-    }
-
-    /// Signals each change of the view.
-    #[must_use]
-    pub fn changes(&self) -> watch::Receiver<u64> {
-        self.changes.subscribe()
-    }
-
-    /// Changes this daemon's own record, which then spreads.
-    pub fn update_own(&self, change: impl FnOnce(&mut Member)) {
-        let mut members = self.members.write().unwrap_or_else(PoisonError::into_inner);
-        let Some(own) = members.get_mut(&self.own) else {
-            return;
-        };
-        let before = own.clone();
-        change(own);
-        if *own != before {
-            own.sequence = before.sequence.next();
-            drop(members);
-            self.changes.send_modify(|n| *n += 1);
-        }
-    }
-
-    /// Takes over records that are newer than those known.
-    pub fn merge(&self, records: Vec<Member>) {
-        let mut changed = false;
-        let mut members = self.members.write().unwrap_or_else(PoisonError::into_inner);
-        for record in records {
-            let newer = members
-                .get(&record.id)
-                .is_none_or(|known| record.supersedes(known));
-            if newer && record.id != self.own {
-                members.insert(record.id.clone(), record);
-                changed = true;
-            }
-        }
-        drop(members);
-        if changed {
-            self.changes.send_modify(|n| *n += 1);
-        }
+    /// Passes a message on.
+    pub fn publish(&self, message: GossipMessage) {
+        // An error means that nobody listens yet.
+        let _ = self.sender.send(Arc::new(message));
     }
+}
 
-    fn mark_gone(&self, address: SocketAddr) {
-        let mut members = self.members.write().unwrap_or_else(PoisonError::into_inner);
-        let found = members.values_mut().find(|m| m.address == address);
-        if let Some(member) = found.filter(|m| m.state != MemberState::Gone) {
-            member.state = MemberState::Gone;
-            drop(members);
-            self.changes.send_modify(|n| *n += 1);
-        }
-    }
+struct Gossip {
+    view: Arc<View>,
+    heard: Arc<Heard>,
+    connector: Arc<Connector>,
+    limit: Duration,
 }
 
 fn start(context: &Context) -> Result<(), StartError> {
-    let view = Arc::new(View::new(own_record(context)));
+    let config = context.settings.membership.clone();
+    let period = config.period.0;
+    let own = own_record(context);
+    let membership = Membership::new(own, config, context.clock.now());
+    let view = Arc::new(View::new(
+        membership,
+        context.clock,
+        context.lifecycle.clone(),
+    ));
     context.provide(view.clone());
-    let board = context.part::<StatusBoard>()?;
+    let sender = broadcast::Sender::new(HEARD_BUFFER);
+    let heard = Arc::new(Heard { sender });
+    context.provide(heard.clone());
     let shown = view.clone();
-    board.section("members", move || json!(shown.members()));
-    let connector = context.part::<Connector>()?;
-    context.lifecycle.spawn(gossip(view.clone(), connector));
-    let http = context.part::<HttpClient>()?;
-    let platform = &context.settings.platform;
-    let client = VmListClient::new((*http).clone(), platform.vms, platform.answer.0);
     context
-        .lifecycle
-        .spawn(watch_list(view.clone(), client, platform.watch.0));
+        .part::<StatusBoard>()?
+        .section("members", move || json!(shown.members()));
+    let connector = context.part::<Connector>()?;
+    let limit = context.settings.peers.call.0;
+    let gossip = Arc::new(Gossip {
+        view,
+        heard,
+        connector,
+        limit,
+    });
+    context.lifecycle.spawn(run(gossip.clone(), period));
     let lifecycle = context.lifecycle.clone();
     context.lifecycle.spawn(async move {
         lifecycle.left().await;
-        view.update_own(|own| own.state = MemberState::Leaving);
+        gossip.send_all(gossip.view.leave());
     });
     Ok(())
 }
@@ -175,47 +105,59 @@
     }
 }
 
-async fn watch_list(view: Arc<View>, client: VmListClient, wait: Duration) {
+async fn run(gossip: Arc<Gossip>, period: Duration) {
+    let mut ticks = interval(period);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let after = view.list.borrow().revision;
-        match client.watch(after, wait).await {
-            Ok(Some(list)) if list.revision > after => {
-                view.list.send_replace(list);
-            }
-            Ok(_) => {}
-            Err(error) => {
-                tracing::debug!(%error, "cannot read the VM list");
-                tokio::time::sleep(LIST_PAUSE).await;
-            }
-        }
+        ticks.tick().await;
+        gossip.send_all(gossip.view.tick());
     }
 }
 
-async fn gossip(view: Arc<View>, connector: Arc<Connector>) {
-    loop {
-        let own = view.member(&view.own).map(|own| own.id);
-        for vm in view.list().vms {
-            if Some(&vm.id) == own.as_ref() {
-                continue;
+impl Gossip {
+    /// Sends each message in a task of its own, and those that follow from failures.
+    fn send_all(self: &Arc<Self>, messages: Vec<Outgoing>) {
+        for message in messages {
+            tokio::spawn(self.clone().send(message));
+        }
+    }
+
+    fn send(self: Arc<Self>, outgoing: Outgoing) -> BoxFuture<'static, ()> {
+        Box::pin(async move { self.deliver(outgoing).await })
+    }
+
+    async fn deliver(self: Arc<Self>, outgoing: Outgoing) {
+        let Outgoing {
+            target,
+            address,
+            message,
+        } = outgoing;
+        let size = apricothall_decide::membership::size_bound(&message);
+        metrics::counter!("apricothall_gossip_sent_bytes_total").increment(size as u64);
+        let exchanged = timeout(self.limit, self.exchange(address, message)).await;
+        match exchanged.unwrap_or(Err(WireError::Timeout)) {
+            Ok(reply) => {
+                let from = target.unwrap_or_else(|| reply.own.id.clone());
+                self.view.receive_reply(&from, &reply);
+                self.heard.publish(reply);
             }
-            if let Ok(records) = exchange(&view, &connector, vm.address).await {
-                view.merge(records);
-            } else {
-                connector.drop_peer(vm.address).await;
-                view.mark_gone(vm.address);
+            Err(error) => {
+                tracing::debug!(%address, %error, "gossip failed");
+                metrics::counter!("apricothall_gossip_failed_total").increment(1);
+                self.connector.drop_peer(address).await;
+                if let Some(target) = target {
+                    self.send_all(self.view.probe_failed(&target));
+                }
             }
         }
-        tokio::time::sleep(ROUND).await;
     }
-}
 
-async fn exchange(
-    view: &View,
-    connector: &Connector,
-    address: SocketAddr,
-) -> Result<Vec<Member>, WireError> {
-    let client = connector.peer(address).await?;
-    Ok(client
-        .exchange(tarpc::context::current(), view.members())
-        .await?)
+    async fn exchange(
+        &self,
+        address: std::net::SocketAddr,
+        message: GossipMessage,
+    ) -> Result<GossipMessage, WireError> {
+        let client = self.connector.peer(address).await?;
+        Ok(client.exchange(tarpc::context::current(), message).await?)
+    }
 }
--- a/crates/fleet/src/rpc.rs
+++ b/crates/fleet/src/rpc.rs
@@ -2,23 +2,25 @@
 
 use std::sync::Arc;
 
+use apricothall_decide::membership::GossipMessage;
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_types::{Member, Revision, Role, VmList};
-use apricothall_wire::peer::{Peer, PeerRequest, PeerResponse, Published};
-use apricothall_wire::{Channel, Incoming, RPC_PATH};
+use apricothall_types::Role;
+use apricothall_wire::peer::{Peer, PeerRequest, PeerResponse};
+use apricothall_wire::{Channel, Incoming, Published, RPC_PATH, Subject};
 use futures::StreamExt;
 use linkme::distributed_slice;
 use tarpc::server::{BaseChannel, Channel as _};
 use tarpc::{ClientMessage, Response};
 
+use crate::membership::Heard;
+use crate::vms::VmListFollower;
 use crate::{CatalogueState, PeerRoutes, View};
 
 #[distributed_slice(PLUGINS)]
 static RPC: Plugin = Plugin {
     name: "rpc",
-    stage: Stage::Catalogue,
+    stage: Stage::Weights,
     roles: &[Role::Entry, Role::Agent],
-    // Sorts after the plug-in `catalogue` of the same stage.
     start: |context| -> StartFuture { Box::pin(async move { start(&context) }) },
 };
 
@@ -27,34 +29,32 @@
 #[derive(Clone)]
 struct PeerServer {
     view: Arc<View>,
+    heard: Arc<Heard>,
     catalogue: Arc<CatalogueState>,
+    vms: Arc<VmListFollower>,
 }
 
 impl Peer for PeerServer {
-    async fn exchange(self, _: tarpc::context::Context, members: Vec<Member>) -> Vec<Member> {
-        self.view.merge(members);
-        self.view.members()
+    async fn exchange(self, _: tarpc::context::Context, message: GossipMessage) -> GossipMessage {
+        let reply = self.view.receive(&message);
+        self.heard.publish(message);
+        reply
     }
 
-    async fn catalogue(self, _: tarpc::context::Context) -> Option<Published> {
-        let current = self.catalogue.current();
-        let known = current.revision > Revision(0);
-        known.then_some(Published {
-            revision: current.revision,
-            text: current.text,
-        })
-    }
-
-    async fn vms(self, _: tarpc::context::Context) -> Option<VmList> {
-        let list = self.view.list();
-        (list.revision > Revision(0)).then_some(list)
+    async fn published(self, _: tarpc::context::Context, subject: Subject) -> Option<Published> {
+        match subject {
+            Subject::Catalogue => self.catalogue.published(),
+            Subject::Vms => self.vms.published(),
+        }
     }
 }
 
 fn start(context: &Context) -> Result<(), StartError> {
     let server = PeerServer {
         view: context.part()?,
+        heard: context.part()?,
         catalogue: context.part()?,
+        vms: context.part()?,
     };
     let routes = context.part::<PeerRoutes>()?;
     routes.add(RPC_PATH, move |incoming| session(server.clone(), incoming));
--- /dev/null
+++ b/crates/fleet/src/subject.rs
@@ -0,0 +1,319 @@
+//! A published value that readers watch and all others learn by gossip.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use apricothall_decide::membership::{GossipMessage, Head};
+use apricothall_decide::revision::{Decision, Poll, Readiness, Revisions, Source, Stamp};
+use apricothall_kernel::Context;
+use apricothall_platform::{PlatformError, Value, Watched};
+use apricothall_types::{Digest, MemberId, Revision, Role, Timestamp, Zone};
+use apricothall_wire::{Connector, Published, Subject, WireError};
+use serde_json::{Value as Json, json};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::sync::broadcast;
+use tokio::sync::watch;
+
+use crate::membership::Heard;
+use crate::{StatusBoard, View};
+use apricothall_kernel::{Clock, StartError};
+
+/// Longest time between two looks at whether this process is a reader.
+const READER_PERIOD: Duration = Duration::from_millis(500);
+
+/// A value in force.
+#[derive(Debug)]
+pub struct Adopted<T> {
+    /// Its revision; zero when there is none yet.
+    pub revision: Revision,
+    /// Its text as published.
+    pub text: SmolStr,
+    /// What the text says.
+    pub value: T,
+}
+
+type Parse<T> = fn(&str) -> Result<T, SmolStr>;
+
+/// Follows one subject.
+pub struct Follower<T> {
+    subject: Subject,
+    parse: Parse<T>,
+    clock: Clock,
+    place: (MemberId, Zone),
+    role: Role,
+    call: Duration,
+    view: Arc<View>,
+    connector: Arc<Connector>,
+    revisions: Mutex<Revisions>,
+    current: watch::Sender<Arc<Adopted<T>>>,
+}
+
+impl<T: Default + Send + Sync + 'static> Follower<T> {
+    /// A follower with nothing in force.
+    ///
+    /// # Errors
+    /// When an earlier stage is missing.
+    pub fn new(
+        context: &Context,
+        subject: Subject,
+        name: &str,
+        parse: Parse<T>,
+    ) -> Result<Self, StartError> {
+        let settings = &context.settings;
+        let config = settings.revision.clone();
+        let revisions = Revisions::new(SmolStr::new(name), config, context.clock.now());
+        let nothing = Adopted {
+            revision: Revision(0),
+            text: SmolStr::default(),
+            value: T::default(),
+        };
+        Ok(Self {
+            subject,
+            parse,
+            clock: context.clock,
+            place: (settings.daemon.id.clone(), settings.daemon.zone.clone()),
+            role: context.role,
+            call: settings.peers.call.0,
+            view: context.part()?,
+            connector: context.part()?,
+            revisions: Mutex::new(revisions),
+            current: watch::Sender::new(Arc::new(nothing)),
+        })
+    }
+
+    /// The value in force.
+    #[must_use]
+    pub fn current(&self) -> Arc<Adopted<T>> {
+        self.current.borrow().clone()
+    }
+
+    /// Signals each new value.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<Arc<Adopted<T>>> {
+        self.current.subscribe()
+    }
+
+    /// The value in force as other daemons get it.
+    #[must_use]
+    pub fn published(&self) -> Option<Published> {
+        let current = self.current();
+        let known = current.revision > Revision(0);
+        known.then(|| Published {
+            revision: current.revision,
+            text: current.text.clone(),
+        })
+    }
+
+    /// Why this daemon may not serve yet, as far as this subject goes.
+    #[must_use]
+    pub fn unready(&self) -> Option<SmolStr> {
+        let known = self.view.with(|m| m.alive().count());
+        let now = self.clock.now();
+        match self.lock().readiness(known, now) {
+            Readiness::Ready(_) => None,
+            Readiness::Starting(missing) => Some(format_smolstr!(
+                "{:?} is not known yet: {missing:?}",
+                self.subject
+            )),
+        }
+    }
+
+    /// What operators see of the subject.
+    #[must_use]
+    pub fn status(&self) -> Json {
+        let revisions = self.lock();
+        let refused = revisions.refused().map(|r| {
+            json!({ "revision": r.stamp.revision, "reason": r.reason,
+                    "source": format!("{:?}", r.source) })
+        });
+        let (conflicts, last) = revisions.conflicts();
+        json!({
+            "revision": revisions.in_force().map_or(Revision(0), |s| s.revision),
+            "digest": revisions.in_force().map(|s| s.digest),
+            "refused": refused.collect::<Vec<_>>(),
+            "conflicts": conflicts,
+            "conflict": last.map(|c| c.dropped.revision),
+            "reader": self.is_reader(&revisions),
+        })
+    }
+
+    /// Runs both sources: the service by `watch`, and what `heard` tells of other members.
+    pub fn spawn<F>(
+        self: &Arc<Self>,
+        context: &Context,
+        heard: &Heard,
+        watch: impl Fn(Revision) -> F + Send + Sync + 'static,
+    ) where
+        F: Future<Output = Result<Watched, PlatformError>> + Send + 'static,
+    {
+        context.lifecycle.spawn(self.clone().watch_service(watch));
+        context
+            .lifecycle
+            .spawn(self.clone().follow_peers(heard.subscribe()));
+    }
+
+    /// Adds the subject's readiness to the board.
+    pub fn add_condition(self: &Arc<Self>, board: &StatusBoard) {
+        let follower = self.clone();
+        board.condition(move || follower.unready());
+    }
+
+    async fn watch_service<F>(self: Arc<Self>, watch: impl Fn(Revision) -> F + Send + Sync)
+    where
+        F: Future<Output = Result<Watched, PlatformError>> + Send,
+    {
+        loop {
+            let now = self.clock.now();
+            let at = self.next_poll(now);
+            if at > now {
+                tokio::time::sleep(at.since(now).min(READER_PERIOD)).await;
+                continue;
+            }
+            self.lock().poll_started(now);
+            let after = self.current().revision;
+            let poll = match watch(after).await {
+                Ok(Watched::Unchanged) => Poll::Answered,
+                Ok(Watched::Changed(value)) if value.revision < after => Poll::Stale,
+                Ok(Watched::Changed(value)) => {
+                    self.offer(&Source::Service, value);
+                    Poll::Answered
+                }
+                Err(error) => {
+                    tracing::debug!(subject = ?self.subject, %error, "cannot read");
+                    Poll::Failed
+                }
+            };
+            count_poll(self.subject, poll);
+            self.lock().poll_ended(poll);
+        }
+    }
+
+    fn next_poll(&self, now: Timestamp) -> Timestamp {
+        let revisions = self.lock();
+        let reader = self.is_reader(&revisions);
+        revisions.next_poll(reader, now, &mut rand::rng())
+    }
+
+    fn is_reader(&self, revisions: &Revisions) -> bool {
+        let (id, zone) = &self.place;
+        self.view
+            .with(|m| revisions.is_reader((id, zone), m.alive()))
+    }
+
+    async fn follow_peers(self: Arc<Self>, mut heard: broadcast::Receiver<Arc<GossipMessage>>) {
+        loop {
+            match heard.recv().await {
+                Ok(message) => self.told(&message).await,
+                // Messages missed under load are made up for by later ones.
+                Err(broadcast::error::RecvError::Lagged(_)) => {}
+                Err(broadcast::error::RecvError::Closed) => return,
+            }
+        }
+    }
+
+    async fn told(&self, message: &GossipMessage) {
+        let number = self.subject as u8;
+        let head = message.heads.iter().find(|h| h.subject == number);
+        let head = head.map(|h| (h.revision, h.mark));
+        let now = self.clock.now();
+        let chosen = self.lock().peer_told(&message.own.id, head, now);
+        let Some(peer) = chosen else {
+            return;
+        };
+        match self.fetch(message.own.address).await {
+            Ok(Some(published)) => {
+                let Published { revision, text } = published;
+                self.offer(&Source::Peer(peer), Value { revision, text });
+            }
+            Ok(None) => self.lock().fetch_failed(&peer),
+            Err(error) => {
+                tracing::debug!(subject = ?self.subject, %peer, %error, "cannot fetch");
+                self.lock().fetch_failed(&peer);
+            }
+        }
+    }
+
+    async fn fetch(&self, address: SocketAddr) -> Result<Option<Published>, WireError> {
+        let call = async {
+            let client = self.connector.peer(address).await?;
+            Ok(client
+                .published(tarpc::context::current(), self.subject)
+                .await?)
+        };
+        tokio::time::timeout(self.call, call)
+            .await
+            .map_err(|_| WireError::Timeout)?
+    }
+
+    fn offer(&self, source: &Source, value: Value) {
+        let Value { revision, text } = value;
+        let stamp = Stamp {
+            revision,
+            digest: Digest::of(text.as_bytes()),
+        };
+        let parsed = (self.parse)(&text);
+        let (parsed, validity) = match parsed {
+            Ok(value) => (Some(value), Ok(())),
+            Err(reason) => (None, Err(reason)),
+        };
+        let decision = self.lock().offer(source.clone(), stamp, validity.clone());
+        match decision {
+            Decision::AdoptedOver(dropped) => {
+                tracing::error!(subject = ?self.subject, %revision, dropped = %dropped.digest,
+                    "two values under one revision");
+            }
+            Decision::LosesTo(kept) => {
+                tracing::error!(subject = ?self.subject, %revision, kept = %kept.digest,
+                    "two values under one revision");
+            }
+            Decision::Refused => {
+                let reason = validity.err().unwrap_or_default();
+                tracing::error!(subject = ?self.subject, %revision, ?source, %reason, "refused");
+            }
+            Decision::Adopted | Decision::Same | Decision::Older => {}
+        }
+        let adopted = matches!(decision, Decision::Adopted | Decision::AdoptedOver(_));
+        if let (true, Some(value)) = (adopted, parsed) {
+            self.adopt(
+                stamp,
+                Adopted {
+                    revision,
+                    text,
+                    value,
+                },
+            );
+        }
+    }
+
+    fn adopt(&self, stamp: Stamp, adopted: Adopted<T>) {
+        let (revision, mark) = stamp.head();
+        self.view.set_head(Head {
+            subject: self.subject as u8,
+            revision,
+            mark,
+        });
+        self.current.send_replace(Arc::new(adopted));
+        tracing::info!(subject = ?self.subject, role = %self.role, %revision, "in force");
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Revisions> {
+        self.revisions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn count_poll(subject: Subject, poll: Poll) {
+    let result = match poll {
+        Poll::Answered => "answered",
+        Poll::Stale => "stale",
+        Poll::Failed => "failed",
+    };
+    let subject = match subject {
+        Subject::Catalogue => "catalogue",
+        Subject::Vms => "vms",
+    };
+    metrics::counter!("apricothall_reads_total", "subject" => subject, "result" => result)
+        .increment(1);
+}
--- /dev/null
+++ b/crates/fleet/src/vms.rs
@@ -0,0 +1,57 @@
+//! Plug-in that follows the platform's VM list.
+
+use std::sync::Arc;
+
+use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
+use apricothall_platform::vm_list::parse_list;
+use apricothall_platform::{HttpClient, VmListClient};
+use apricothall_types::{Role, VmList};
+use apricothall_wire::Subject;
+use linkme::distributed_slice;
+use smol_str::ToSmolStr;
+
+use crate::membership::Heard;
+use crate::subject::Follower;
+use crate::{StatusBoard, View};
+
+#[distributed_slice(PLUGINS)]
+static VMS: Plugin = Plugin {
+    name: "vm list",
+    stage: Stage::Catalogue,
+    roles: &[Role::Entry, Role::Agent],
+    start: |context| -> StartFuture { Box::pin(async move { start(&context) }) },
+};
+
+/// Follows the VM list.
+pub type VmListFollower = Follower<VmList>;
+
+fn start(context: &Context) -> Result<(), StartError> {
+    let parse = |text: &str| parse_list(text).map_err(|e| e.to_smolstr());
+    let follower = Arc::new(Follower::new(context, Subject::Vms, "vms", parse)?);
+    context.provide(follower.clone());
+    let board = context.part::<StatusBoard>()?;
+    let shown = follower.clone();
+    board.section("vms", move || shown.status());
+    let http = context.part::<HttpClient>()?;
+    let platform = &context.settings.platform;
+    let client = VmListClient::new((*http).clone(), platform.vms, platform.answer.0);
+    let wait = context.settings.revision.wait.0;
+    let heard = context.part::<Heard>()?;
+    context
+        .lifecycle
+        .spawn(pass_on(follower.clone(), context.part()?));
+    follower.spawn(context, &heard, move |after| {
+        let client = client.clone();
+        async move { client.watch(after, wait).await }
+    });
+    Ok(())
+}
+
+/// Gives each list in force to the view.
+async fn pass_on(follower: Arc<VmListFollower>, view: Arc<View>) {
+    let mut changes = follower.changes();
+    while changes.changed().await.is_ok() {
+        let list = changes.borrow_and_update().value.clone();
+        view.observe_list(list);
+    }
+}
--- a/crates/kernel/src/configs/platform.rs
+++ b/crates/kernel/src/configs/platform.rs
@@ -19,18 +19,11 @@
     pub origin: SocketAddr,
     /// Region of the weight store.
     pub region: Region,
-    /// Longest that a watch waits for a change.
-    #[serde(default = "default_watch")]
-    pub watch: Interval,
     /// Longest wait for an answer beyond the watch itself.
     #[serde(default = "default_answer")]
     pub answer: Interval,
 }
 
-fn default_watch() -> Interval {
-    Interval::secs(10)
-}
-
 fn default_answer() -> Interval {
     Interval::secs(2)
 }
--- a/crates/platform/src/vm_list.rs
+++ b/crates/platform/src/vm_list.rs
@@ -5,9 +5,10 @@
 
 use apricothall_types::{Revision, VmList};
 use http::StatusCode;
-use smol_str::ToSmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 
 use crate::PlatformError;
+use crate::configuration::{Value, Watched};
 use crate::http_client::{HttpClient, get};
 
 /// Largest list, in bytes.
@@ -32,15 +33,11 @@
         }
     }
 
-    /// Waits up to `wait` for a revision beyond `after`; `None` when there was none.
+    /// Waits up to `wait` for a revision beyond `after`. The value is the list as JSON.
     ///
     /// # Errors
     /// When the service does not answer as the interface states.
-    pub async fn watch(
-        &self,
-        after: Revision,
-        wait: Duration,
-    ) -> Result<Option<VmList>, PlatformError> {
+    pub async fn watch(&self, after: Revision, wait: Duration) -> Result<Watched, PlatformError> {
         let path = format!("/v1/vms?after={after}&wait_ms={}", wait.as_millis());
         let request = get(self.address, &path)?;
         let answer = self
@@ -49,10 +46,22 @@
             .await?;
         let answer = answer.accepted()?;
         if answer.status == StatusCode::NOT_MODIFIED {
-            return Ok(None);
+            return Ok(Watched::Unchanged);
         }
-        let list = serde_json::from_slice(&answer.body);
-        list.map(Some)
-            .map_err(|e| PlatformError::Malformed(e.to_smolstr()))
+        let text = std::str::from_utf8(&answer.body);
+        let text = text.map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
+        let revision = parse_list(text)?.revision;
+        Ok(Watched::Changed(Value {
+            revision,
+            text: SmolStr::new(text),
+        }))
     }
 }
+
+/// Reads a list from its JSON.
+///
+/// # Errors
+/// When the text is no list.
+pub fn parse_list(text: &str) -> Result<VmList, PlatformError> {
+    serde_json::from_str(text).map_err(|e| PlatformError::Malformed(e.to_smolstr()))
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -51,12 +51,50 @@
 type Key = (SocketAddr, Lane);
 type Slot<T> = Arc<Mutex<Option<T>>>;
 
+/// Sessions kept for plain calls; probes reach every member in turn, so old ones are closed.
+const MAX_SESSIONS: usize = 64;
+
+/// A session for plain calls and when it was last used.
+#[derive(Default)]
+struct Session {
+    client: Slot<PeerClient>,
+    used: u64,
+}
+
+#[derive(Default)]
+struct Sessions {
+    open: HashMap<SocketAddr, Session>,
+    uses: u64,
+}
+
+impl Sessions {
+    /// The session with `address`, and the one to close in its place.
+    fn take(&mut self, address: SocketAddr) -> (Slot<PeerClient>, Option<SocketAddr>) {
+        self.uses += 1;
+        let session = self.open.entry(address).or_default();
+        session.used = self.uses;
+        let client = session.client.clone();
+        if self.open.len() <= MAX_SESSIONS {
+            return (client, None);
+        }
+        let oldest = self
+            .open
+            .iter()
+            .min_by_key(|(_, s)| s.used)
+            .map(|(a, _)| *a);
+        if let Some(oldest) = oldest {
+            self.open.remove(&oldest);
+        }
+        (client, oldest)
+    }
+}
+
 /// Opens streams to other daemons.
 #[derive(Clone)]
 pub struct Connector {
     config: ConnectorConfig,
     connections: Arc<Mutex<HashMap<Key, Slot<SendRequest<Bytes>>>>>,
-    sessions: Arc<Mutex<HashMap<SocketAddr, Slot<PeerClient>>>>,
+    sessions: Arc<Mutex<Sessions>>,
 }
 
 impl Connector {
@@ -105,13 +143,10 @@
     /// # Errors
     /// When no connection could be made.
     pub async fn peer(&self, address: SocketAddr) -> Result<PeerClient, WireError> {
-        let slot = self
-            .sessions
-            .lock()
-            .await
-            .entry(address)
-            .or_default()
-            .clone();
+        let (slot, oldest) = self.sessions.lock().await.take(address);
+        if let Some(oldest) = oldest {
+            self.forget(oldest, Lane::Control).await;
+        }
         let mut session = slot.lock().await;
         if let Some(client) = session.as_ref() {
             return Ok(client.clone());
@@ -124,7 +159,7 @@
 
     /// Drops the session for plain calls after it has failed.
     pub async fn drop_peer(&self, address: SocketAddr) {
-        self.sessions.lock().await.remove(&address);
+        self.sessions.lock().await.open.remove(&address);
         self.forget(address, Lane::Control).await;
     }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,10 +1,20 @@
 //! Plain calls between daemons.
 
-use apricothall_types::{Member, Revision, VmList};
+use apricothall_decide::membership::GossipMessage;
+use apricothall_types::Revision;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// A catalogue with the revision under which it was published.
+/// A value of the platform that spreads between daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Subject {
+    /// The catalogue, from the configuration service.
+    Catalogue,
+    /// The VM list.
+    Vms,
+}
+
+/// A value with the revision under which it was published.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Published {
     /// Revision of the text.
@@ -16,10 +26,8 @@
 /// Calls that each daemon answers.
 #[tarpc::service]
 pub trait Peer {
-    /// Exchanges what both sides know of members.
-    async fn exchange(members: Vec<Member>) -> Vec<Member>;
-    /// The catalogue in force.
-    async fn catalogue() -> Option<Published>;
-    /// The newest VM list seen.
-    async fn vms() -> Option<VmList>;
+    /// One exchange of gossip.
+    async fn exchange(message: GossipMessage) -> GossipMessage;
+    /// The value of a subject that is in force.
+    async fn published(subject: Subject) -> Option<Published>;
 }
