--- a/crates/decide/src/routing/score.rs
+++ b/crates/decide/src/routing/score.rs
@@ -5,10 +5,14 @@
 
 use apricothall_types::{Load, MemberId, Timestamp};
 
+/// Weight of a new report in the moving average. A late report shows a state that has passed, and
+/// all entries that follow it at once overload the replica that was idle then.
+const REPORT_WEIGHT: f64 = 0.2;
+
 /// A reported load, without own requests, and its time.
 #[derive(Clone, Copy, Debug)]
 struct Report {
-    others: u32,
+    others: f64,
     measured: Timestamp,
 }
 
@@ -52,6 +56,9 @@
         }
         let all = load.running.saturating_add(load.queued);
         let others = all.saturating_sub(score.own);
+        let sample = f64::from(others);
+        let known = score.report.map_or(sample, |report| report.others);
+        let others = known + (sample - known) * REPORT_WEIGHT;
         score.slots = load.slots;
         score.report = Some(Report { others, measured });
     }
@@ -68,7 +75,7 @@
         let others = score.report.map_or(0.0, |report| {
             let age = now.since(report.measured).as_secs_f64();
             let halvings = age / self.halving.as_secs_f64().max(f64::MIN_POSITIVE);
-            f64::from(report.others) * (-halvings).exp2()
+            report.others * (-halvings).exp2()
         });
         (f64::from(score.own) + others) * self.unit(id)
     }
