feat(decide): weight transfer planner and rollout decisions

Transfer: rendezvous owners draw each chunk once at a shared pace, peers spread it; take-over by rank, hedging with a budget, upload slots, yield, retention. Strategies origin, ranked and chain are settings. The adversarial property found two faults, mended here: a store that keeps refusing hid the origin, and a feeder that keeps refusing hid the store.

--- a/crates/decide/src/configs/mod.rs
+++ b/crates/decide/src/configs/mod.rs
@@ -26,4 +26,4 @@
 pub use revision::RevisionConfig;
 pub use rollout::RolloutConfig;
 pub use routing::RoutingConfig;
-pub use transfer::TransferConfig;
+pub use transfer::{Strategy, TransferConfig};
--- a/crates/decide/src/configs/rollout.rs
+++ b/crates/decide/src/configs/rollout.rs
@@ -1,8 +1,20 @@
 //! Settings of [`crate::rollout`].
 
+use apricothall_types::Interval;
 use serde::{Deserialize, Serialize};
 
 /// Settings of [`crate::rollout`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-pub struct RolloutConfig {}
+pub struct RolloutConfig {
+    /// Age from which a report no longer shows that a replica serves.
+    pub stale: Interval,
+}
+
+impl Default for RolloutConfig {
+    fn default() -> Self {
+        Self {
+            stale: Interval::secs(10),
+        }
+    }
+}
--- a/crates/decide/src/transfer.rs
+++ b/crates/decide/src/transfer.rs
@@ -1,1 +1,306 @@
 //! Transfer of weights: which chunk to fetch, from whom and when.
+//!
+//! A [`Transfer`] plans the fetch of one version by one agent. The caller reports what it learns
+//! (view, manifest, bitmaps, results) and carries out the [`Action`]s of [`Transfer::tick`].
+//! Another version needs another [`Transfer`]; chunks are never shared between the two.
+
+mod asks;
+mod assign;
+mod chunks;
+mod fetch;
+mod pace;
+mod peers;
+mod plan;
+mod retention;
+mod sources;
+mod uploads;
+
+use apricothall_types::{Bytes, ChunkIndex, Digest, Manifest, MemberId, Region, Timestamp};
+use apricothall_types::{Rate, Weighting};
+use rand::Rng;
+
+pub use chunks::ChunkSet;
+pub use fetch::{Action, Failure, Source, Verified};
+pub use pace::{Pace, interval};
+pub use peers::Peer;
+pub use retention::{Kept, evict};
+pub use uploads::{Slot, Uploads};
+
+use crate::configs::TransferConfig;
+use fetch::{Flight, Outlet};
+use peers::{Gateway, Known};
+
+const FULL_PERCENT: u64 = 100;
+
+/// The live view of one agent.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// This agent.
+    pub me: Peer,
+    /// Region of the store.
+    pub home: Region,
+    /// Other live agents that want or hold the version.
+    pub peers: Vec<Peer>,
+}
+
+/// Plan of one version's fetch by one agent.
+#[derive(Clone, Debug)]
+pub struct Transfer {
+    config: TransferConfig,
+    weighting: Weighting,
+    version: Digest,
+    manifest: Option<Manifest>,
+    view: View,
+    peers: Vec<Known>,
+    gateways: Vec<Gateway>,
+    feeders: Vec<Option<MemberId>>,
+    held: ChunkSet,
+    counts: Vec<u32>,
+    flights: Vec<Flight>,
+    store: Outlet,
+    origin: Outlet,
+    pace: Pace,
+    owned: u32,
+    advanced: Timestamp,
+    asked: Timestamp,
+    hedged: Bytes,
+    near_time: u64,
+    far_time: u64,
+}
+
+impl Transfer {
+    /// A transfer of the version whose manifest has the digest `version`.
+    #[must_use]
+    pub fn new(
+        config: TransferConfig,
+        weighting: Weighting,
+        version: Digest,
+        view: View,
+        now: Timestamp,
+    ) -> Self {
+        let peers = known(&view, &[], now);
+        Self {
+            config,
+            weighting,
+            version,
+            manifest: None,
+            view,
+            peers,
+            gateways: Vec::new(),
+            feeders: Vec::new(),
+            held: ChunkSet::default(),
+            counts: Vec::new(),
+            flights: Vec::new(),
+            store: Outlet::default(),
+            origin: Outlet::default(),
+            pace: Pace::new(now),
+            owned: 0,
+            advanced: now,
+            asked: Timestamp::default(),
+            hedged: Bytes::default(),
+            near_time: 0,
+            far_time: 0,
+        }
+    }
+
+    /// Digest of the manifest of the version being fetched.
+    #[must_use]
+    pub fn version(&self) -> Digest {
+        self.version
+    }
+
+    /// Verified chunks so far: the bitmap to tell to peers.
+    #[must_use]
+    pub fn held(&self) -> &ChunkSet {
+        &self.held
+    }
+
+    /// Bytes drawn by second fetches.
+    #[must_use]
+    pub fn hedged(&self) -> Bytes {
+        self.hedged
+    }
+
+    /// Whether every chunk is held.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        let Some(manifest) = &self.manifest else {
+            return false;
+        };
+        self.held.count() == manifest.count()
+    }
+
+    /// Takes the manifest, whose published bytes the caller has checked against the version.
+    ///
+    /// An inconsistent manifest is refused, and a second one is ignored.
+    pub fn on_manifest(&mut self, manifest: Manifest, now: Timestamp) {
+        if self.manifest.is_some() || !manifest.is_consistent() {
+            return;
+        }
+        self.manifest = Some(manifest);
+        self.assign(now);
+        self.stagger(now);
+    }
+
+    /// Takes the view. Chunks held and the health of the remaining peers are kept; a view of the
+    /// same peers changes nothing.
+    pub fn on_view(&mut self, view: View, now: Timestamp) {
+        let peers = known(&view, &self.peers, now);
+        let ids = |peers: &[Known]| peers.iter().map(|k| k.peer.clone()).collect::<Vec<_>>();
+        let is_same = ids(&peers) == ids(&self.peers) && view.me == self.view.me;
+        self.view = view;
+        if is_same {
+            return;
+        }
+        self.peers = peers;
+        self.assign(now);
+    }
+
+    /// Takes the bitmap that `peer` told of the version. It replaces the last one, as a restarted
+    /// peer holds nothing.
+    pub fn on_bitmap(&mut self, peer: &MemberId, held: &ChunkSet, now: Timestamp) {
+        let Some(at) = self.index(peer) else {
+            return;
+        };
+        let count = self.count();
+        let mut told = held.clone();
+        told.truncate(count);
+        let before = std::mem::replace(&mut self.peers[at].held, told.clone());
+        let is_near = self.peers[at].peer.region == self.view.me.region;
+        for chunk in told.minus(&before) {
+            self.counts[chunk.0 as usize] += u32::from(is_near);
+            if self.gateways[chunk.0 as usize].owner == *peer {
+                self.peers[at].progress = now;
+            }
+        }
+        for chunk in before.minus(&told) {
+            self.counts[chunk.0 as usize] -= u32::from(is_near);
+        }
+    }
+
+    /// Takes a verified chunk of this version; returns whether it is new.
+    pub fn on_chunk(&mut self, proof: &Verified, source: &Source, now: Timestamp) -> bool {
+        if proof.version() != self.version || proof.chunk().0 >= self.count() {
+            return false;
+        }
+        let chunk = proof.chunk();
+        if let Some(flight) = self.land(chunk, source) {
+            self.measure(&flight, now);
+            self.forgive(source);
+        }
+        let is_new = self.held.insert(chunk);
+        if is_new {
+            self.advanced = now;
+        }
+        is_new
+    }
+
+    /// Takes the end of a fetch that brought no chunk.
+    pub fn on_failure(
+        &mut self,
+        chunk: ChunkIndex,
+        source: &Source,
+        failure: Failure,
+        now: Timestamp,
+    ) {
+        let was_flying = self.land(chunk, source).is_some();
+        if was_flying && !self.is_near(source) {
+            self.pace.refund(self.outside_interval(self.owned));
+        }
+        let pause = match failure {
+            Failure::Busy(after) => after,
+            Failure::Corrupt if matches!(source, Source::Peer(_)) => self.config.ban.0,
+            Failure::Corrupt | Failure::Lost => self.config.down.0,
+        };
+        self.rest(source, pause, now);
+    }
+
+    /// Reports the latency of live requests over the link to the store's region.
+    pub fn on_latency(
+        &mut self,
+        latency: std::time::Duration,
+        base: std::time::Duration,
+        now: Timestamp,
+    ) {
+        if self.view.me.region != self.view.home {
+            self.pace.observe(latency, base, now);
+        }
+    }
+
+    /// Decides what to do now. Call it on a timer and after each report.
+    pub fn tick(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        if self.manifest.is_none() {
+            self.plan_manifest(now, rng, &mut actions);
+            return actions;
+        }
+        if self.is_complete() {
+            return actions;
+        }
+        self.plan_hedges(now, &mut actions);
+        self.plan_outside(now, rng, &mut actions);
+        self.plan_peers(now, rng, &mut actions);
+        self.plan_asks(now, rng, &mut actions);
+        actions
+    }
+
+    fn count(&self) -> u32 {
+        self.manifest.as_ref().map_or(0, Manifest::count)
+    }
+
+    fn chunk_size(&self) -> Bytes {
+        self.manifest
+            .as_ref()
+            .map_or(Bytes::default(), |m| m.chunk.min(m.size))
+    }
+
+    fn index(&self, id: &MemberId) -> Option<usize> {
+        self.peers.binary_search_by(|k| k.peer.id.cmp(id)).ok()
+    }
+
+    fn is_home(&self) -> bool {
+        self.view.me.region == self.view.home
+    }
+
+    /// Whether a source is a peer of this agent's own region.
+    fn is_near(&self, source: &Source) -> bool {
+        let Source::Peer(id) = source else {
+            return false;
+        };
+        self.index(id)
+            .is_some_and(|at| self.peers[at].peer.region == self.view.me.region)
+    }
+
+    fn outside_rate(&self) -> Rate {
+        if self.is_home() {
+            return self.config.store;
+        }
+        let share = match self.weighting {
+            Weighting::Bytes => self.config.share,
+            Weighting::Time => self.config.hasty_share,
+        };
+        Rate(self.config.cross.0 * u64::from(share) / FULL_PERCENT)
+    }
+
+    fn outside_interval(&self, owned: u32) -> std::time::Duration {
+        let chunk = self.chunk_size();
+        let fair = interval(self.outside_rate(), chunk, owned, self.count());
+        let share = u32::from(self.config.gateway_share.max(1));
+        fair.max(self.config.link.time_for(chunk) * 100 / share)
+    }
+}
+
+/// Peers of a view in the order of their ids, with what was known of them before.
+fn known(view: &View, before: &[Known], now: Timestamp) -> Vec<Known> {
+    let old = |p: &Peer| before.iter().find(|k| k.peer == *p).cloned();
+    let mut peers: Vec<_> = view
+        .peers
+        .iter()
+        .filter(|p| p.id != view.me.id)
+        .map(|p| old(p).unwrap_or_else(|| Known::new(p.clone(), now)))
+        .collect();
+    peers.sort_by(|a, b| a.peer.id.cmp(&b.peer.id));
+    peers.dedup_by(|a, b| a.peer.id == b.peer.id);
+    peers
+}
--- /dev/null
+++ b/crates/decide/src/transfer/asks.rs
@@ -0,0 +1,58 @@
+//! Which peers are asked for their bitmaps.
+
+use apricothall_types::{ChunkIndex, Timestamp};
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
+use super::Transfer;
+use super::fetch::Action;
+use crate::configs::Strategy;
+
+impl Transfer {
+    /// Asks peers for bitmaps: owners and feeders of missing chunks first, then random ones.
+    pub(super) fn plan_asks(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_due = now.since(self.asked) >= self.config.ask_every.0;
+        if !is_due || self.config.strategy == Strategy::Origin {
+            return;
+        }
+        self.asked = now;
+        let mut targets: Vec<_> = self
+            .informants(now)
+            .into_iter()
+            .choose_multiple(rng, self.config.fanout);
+        let region = &self.view.me.region;
+        let near = (0..self.peers.len()).filter(|at| self.peers[*at].peer.region == *region);
+        targets.extend(near.choose_multiple(rng, self.config.fanout));
+        targets.sort_unstable();
+        targets.dedup();
+        for at in targets {
+            self.peers[at].asked = now;
+            actions.push(Action::Ask(self.peers[at].peer.id.clone()));
+        }
+    }
+
+    /// Peers whose bitmap decides whether this agent is to draw a chunk, or from whom.
+    fn informants(&self, now: Timestamp) -> Vec<usize> {
+        let unseen = (0..self.count())
+            .map(ChunkIndex)
+            .filter(|c| self.is_missing(*c) && self.counts[c.0 as usize] == 0);
+        let mut found: Vec<_> = unseen.filter_map(|c| self.informant(c, now)).collect();
+        found.sort_unstable();
+        found.dedup();
+        found
+    }
+
+    fn informant(&self, chunk: ChunkIndex, now: Timestamp) -> Option<usize> {
+        let at = chunk.0 as usize;
+        let Some((silence, wait)) = self.takeover_wait(chunk) else {
+            return self.feeders[at].as_ref().and_then(|id| self.index(id));
+        };
+        let is_doubtful = now.since(silence) * 2 > wait;
+        is_doubtful.then(|| self.index(&self.gateways[at].owner))?
+    }
+}
--- /dev/null
+++ b/crates/decide/src/transfer/assign.rs
@@ -0,0 +1,69 @@
+//! Which agent draws which chunk from outside its region.
+
+use apricothall_types::{ChunkIndex, MemberId, Timestamp};
+
+use super::Transfer;
+use super::pace::Pace;
+use super::peers::{gateway, subject};
+use crate::configs::Strategy;
+
+impl Transfer {
+    /// Computes who draws each chunk, for this region and the store's.
+    pub(super) fn assign(&mut self, now: Timestamp) {
+        let count = self.count();
+        let me = &self.view.me;
+        let near = || self.peers.iter().filter(|k| k.peer.region == me.region);
+        let feeding = || {
+            self.peers
+                .iter()
+                .filter(|k| k.peer.region == self.view.home)
+        };
+        let feeder = |s: &[u8]| {
+            let first = &feeding().next()?.peer.id;
+            let rest = feeding().map(|k| &k.peer.id);
+            Some(gateway(s, first, rest.filter(|id| *id != first)).owner)
+        };
+        let subjects: Vec<_> = (0..count).map(|c| self.subject(ChunkIndex(c))).collect();
+        let gateways: Vec<_> = subjects
+            .iter()
+            .map(|s| gateway(s, &me.id, near().map(|k| &k.peer.id)))
+            .collect();
+        let feeders = subjects
+            .iter()
+            .map(|s| if self.is_home() { None } else { feeder(s) })
+            .collect();
+        let holders = |c| near().filter(|k| k.held.contains(ChunkIndex(c))).count();
+        let counts = (0..count)
+            .map(|c| u32::try_from(holders(c)).unwrap_or(u32::MAX))
+            .collect();
+        let owned = |id: &MemberId| gateways.iter().filter(|g| g.owner == *id).count();
+        let of = |id: &MemberId| u32::try_from(owned(id)).unwrap_or(u32::MAX);
+        let mine = of(&me.id);
+        let shares: Vec<_> = self.peers.iter().map(|k| of(&k.peer.id)).collect();
+        for (peer, share) in self.peers.iter_mut().zip(shares) {
+            peer.owned = share;
+            peer.progress = now;
+        }
+        self.owned = mine;
+        self.gateways = gateways;
+        self.feeders = feeders;
+        self.counts = counts;
+    }
+
+    /// Spreads the first fetches of a region's agents over one interval.
+    pub(super) fn stagger(&mut self, now: Timestamp) {
+        let me = &self.view.me;
+        let near = self.peers.iter().filter(|k| k.peer.region == me.region);
+        let (before, after): (Vec<_>, Vec<_>) = near.partition(|k| k.peer.id < me.id);
+        let total = u32::try_from(before.len() + after.len() + 1).unwrap_or(u32::MAX);
+        let place = u32::try_from(before.len()).unwrap_or(0);
+        self.pace = Pace::new(now + self.outside_interval(self.owned) / total * place);
+    }
+
+    fn subject(&self, chunk: ChunkIndex) -> Vec<u8> {
+        match self.config.strategy {
+            Strategy::Chain => self.version.0.to_vec(),
+            Strategy::Origin | Strategy::Ranked => subject(&self.version.0, chunk),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/transfer/fetch.rs
@@ -0,0 +1,248 @@
+//! Fetches: their sources, results and state in flight.
+
+use std::time::Duration;
+
+use apricothall_types::{ChunkIndex, Digest, Manifest, MemberId, Timestamp};
+
+use super::Transfer;
+
+/// Weight of the past in a smoothed time, out of [`SMOOTH_WHOLE`].
+const SMOOTH_PAST: u64 = 7;
+const SMOOTH_WHOLE: u64 = 8;
+/// Fetches that take this many times the usual time are given up.
+const TIMEOUT_FACTOR: u64 = 8;
+
+/// Most doublings of the pause of the store or the origin.
+const MAX_DOUBLINGS: u32 = 8;
+
+/// Where a chunk or manifest is fetched.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The rate-limited weight store.
+    Store,
+    /// The origin of weights.
+    Origin,
+    /// Another agent.
+    Peer(MemberId),
+}
+
+/// What the caller is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Fetch the manifest; report it once checked, or nothing.
+    Manifest {
+        /// Where to fetch it.
+        source: Source,
+    },
+    /// Fetch a chunk; report it once verified, or the failure.
+    Fetch {
+        /// Position of the chunk.
+        chunk: ChunkIndex,
+        /// Where to fetch it.
+        source: Source,
+        /// Time after which the planner gives it up.
+        timeout: Duration,
+    },
+    /// Stop a fetch; its result needs no report.
+    Cancel {
+        /// Position of the chunk.
+        chunk: ChunkIndex,
+        /// Where it is being fetched.
+        source: Source,
+    },
+    /// Ask a peer for its bitmap.
+    Ask(MemberId),
+}
+
+/// Why a fetch brought no chunk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The bytes do not match the digest.
+    Corrupt,
+    /// The connection failed or timed out.
+    Lost,
+    /// The source refuses for this time.
+    Busy(Duration),
+}
+
+/// Proof that the bytes of a chunk match the manifest of a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verified {
+    version: Digest,
+    chunk: ChunkIndex,
+}
+
+impl Verified {
+    /// Checks `bytes` against the chunk's digest; `None` when they differ.
+    ///
+    /// `manifest` is the checked manifest of `version`.
+    #[must_use]
+    pub fn check(
+        version: Digest,
+        manifest: &Manifest,
+        chunk: ChunkIndex,
+        bytes: &[u8],
+    ) -> Option<Self> {
+        let is_same = manifest.digest(chunk)? == Digest::of(bytes);
+        is_same.then_some(Self { version, chunk })
+    }
+
+    /// Digest of the version's manifest.
+    #[must_use]
+    pub fn version(&self) -> Digest {
+        self.version
+    }
+
+    /// Position of the chunk.
+    #[must_use]
+    pub fn chunk(&self) -> ChunkIndex {
+        self.chunk
+    }
+}
+
+/// A fetch in flight.
+#[derive(Clone, Debug)]
+pub(super) struct Flight {
+    pub chunk: ChunkIndex,
+    pub source: Source,
+    pub since: Timestamp,
+    pub deadline: Timestamp,
+    pub hedged: bool,
+}
+
+/// Health of the store or the origin.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Outlet {
+    /// Not used before this time.
+    pub resume: Timestamp,
+    /// Failures in a row.
+    pub failures: u32,
+}
+
+impl Transfer {
+    /// Starts a fetch.
+    pub(super) fn launch(
+        &mut self,
+        chunk: ChunkIndex,
+        source: Source,
+        now: Timestamp,
+        actions: &mut Vec<Action>,
+    ) {
+        let usual = Duration::from_nanos(self.usual(&source).saturating_mul(TIMEOUT_FACTOR));
+        let timeout = self.config.timeout.0.max(usual);
+        self.flights.push(Flight {
+            chunk,
+            source: source.clone(),
+            since: now,
+            deadline: now + timeout,
+            hedged: false,
+        });
+        if let Some(at) = self.peer_of(&source) {
+            self.peers[at].flights += 1;
+        }
+        actions.push(Action::Fetch {
+            chunk,
+            source,
+            timeout,
+        });
+    }
+
+    /// Ends a fetch, if it was in flight.
+    pub(super) fn land(&mut self, chunk: ChunkIndex, source: &Source) -> Option<Flight> {
+        let mut flights = self.flights.iter();
+        let at = flights.position(|f| f.chunk == chunk && f.source == *source)?;
+        if let Some(peer) = self.peer_of(source) {
+            let flights = &mut self.peers[peer].flights;
+            *flights = flights.saturating_sub(1);
+        }
+        Some(self.flights.swap_remove(at))
+    }
+
+    /// Leaves a source alone until `pause` has passed.
+    ///
+    /// The pause of the store and of the origin doubles with each failure in a row, so that one
+    /// which keeps refusing does not hide the other.
+    pub(super) fn rest(&mut self, source: &Source, pause: Duration, now: Timestamp) {
+        let longest = self.config.ban.0.max(pause);
+        let outlet = match source {
+            Source::Store => &mut self.store,
+            Source::Origin => &mut self.origin,
+            Source::Peer(id) => {
+                if let Some(at) = self.index(id) {
+                    let resume = &mut self.peers[at].resume;
+                    *resume = (*resume).max(now + pause);
+                }
+                return;
+            }
+        };
+        let longer = pause.saturating_mul(1 << outlet.failures).min(longest);
+        outlet.resume = outlet.resume.max(now + longer);
+        outlet.failures = (outlet.failures + 1).min(MAX_DOUBLINGS);
+    }
+
+    /// Notes that a source has delivered.
+    pub(super) fn forgive(&mut self, source: &Source) {
+        match source {
+            Source::Store => self.store.failures = 0,
+            Source::Origin => self.origin.failures = 0,
+            Source::Peer(_) => {}
+        }
+    }
+
+    /// Takes the time of a finished fetch into the estimates.
+    pub(super) fn measure(&mut self, flight: &Flight, now: Timestamp) {
+        let taken = u64::try_from(now.since(flight.since).as_nanos()).unwrap_or(u64::MAX);
+        let is_near = self.is_near(&flight.source);
+        let time = if is_near {
+            &mut self.near_time
+        } else {
+            &mut self.far_time
+        };
+        *time = smooth(*time, taken);
+        if let Some(at) = self.peer_of(&flight.source) {
+            self.peers[at].pace = smooth(self.peers[at].pace, taken);
+        }
+    }
+
+    /// Usual time of a fetch, in nanoseconds; zero when there was none yet.
+    pub(super) fn usual(&self, source: &Source) -> u64 {
+        if self.is_near(source) {
+            self.near_time
+        } else {
+            self.far_time
+        }
+    }
+
+    /// Gives up fetches past their deadline, of chunks held, and from peers that are gone.
+    pub(super) fn expire(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        let is_gone = |s: &Source| matches!(s, Source::Peer(id) if self.index(id).is_none());
+        let over: Vec<_> = self
+            .flights
+            .iter()
+            .filter(|f| now >= f.deadline || self.held.contains(f.chunk) || is_gone(&f.source))
+            .cloned()
+            .collect();
+        for flight in over {
+            let (chunk, source) = (flight.chunk, flight.source);
+            self.land(chunk, &source);
+            if now >= flight.deadline {
+                self.rest(&source, self.config.down.0, now);
+            }
+            actions.push(Action::Cancel { chunk, source });
+        }
+    }
+
+    fn peer_of(&self, source: &Source) -> Option<usize> {
+        let Source::Peer(id) = source else {
+            return None;
+        };
+        self.index(id)
+    }
+}
+
+fn smooth(past: u64, sample: u64) -> u64 {
+    if past == 0 {
+        return sample;
+    }
+    (past / SMOOTH_WHOLE * SMOOTH_PAST).saturating_add(sample / SMOOTH_WHOLE)
+}
--- /dev/null
+++ b/crates/decide/src/transfer/sources.rs
@@ -0,0 +1,127 @@
+//! Who draws a chunk from outside the region, and from which source.
+
+use std::time::Duration;
+
+use apricothall_types::{ChunkIndex, Timestamp, Weighting};
+use rand::Rng;
+
+use super::Transfer;
+use super::fetch::Source;
+use super::peers::Known;
+use crate::configs::Strategy;
+
+/// An owner may miss this many of its intervals before its chunks are taken over.
+const SLACK_INTERVALS: u32 = 2;
+/// An agent turns to sources that it would leave to others after this many take-over delays
+/// without a new chunk.
+const PATIENCE: u32 = 5;
+
+impl Transfer {
+    /// Whether this agent is to draw a missing chunk from outside now.
+    pub(super) fn is_duty(&self, chunk: ChunkIndex, now: Timestamp) -> bool {
+        if self.config.strategy == Strategy::Origin {
+            return true;
+        }
+        let rank = self.gateways[chunk.0 as usize].rank;
+        if now.since(self.advanced) > self.takeover() * (PATIENCE + rank) {
+            return true;
+        }
+        let is_overdue = self
+            .takeover_wait(chunk)
+            .is_none_or(|(silence, wait)| now.since(silence) > wait);
+        is_overdue && !self.has_near_holder(chunk, now)
+    }
+
+    /// Whether a peer of the region is known to hold the chunk and can be used.
+    fn has_near_holder(&self, chunk: ChunkIndex, now: Timestamp) -> bool {
+        let region = &self.view.me.region;
+        let is_usable = |k: &Known| k.resume <= now + self.takeover() && k.held.contains(chunk);
+        self.counts[chunk.0 as usize] > 0
+            && self
+                .peers
+                .iter()
+                .any(|k| k.peer.region == *region && is_usable(k))
+    }
+
+    fn takeover(&self) -> Duration {
+        match self.weighting {
+            Weighting::Bytes => self.config.takeover.0,
+            Weighting::Time => self.config.hasty_takeover.0,
+        }
+    }
+
+    /// Last sign of progress of a chunk's owner and how long to wait after it; `None` for an own
+    /// chunk.
+    pub(super) fn takeover_wait(&self, chunk: ChunkIndex) -> Option<(Timestamp, Duration)> {
+        let gateway = &self.gateways[chunk.0 as usize];
+        if gateway.rank == 0 {
+            return None;
+        }
+        let owner = &self.peers[self.index(&gateway.owner)?];
+        let slack = self.outside_interval(owner.owned) * SLACK_INTERVALS;
+        Some((owner.progress, slack + self.takeover() * gateway.rank))
+    }
+
+    pub(super) fn outside_source(
+        &self,
+        chunk: ChunkIndex,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Option<Source> {
+        let is_direct = self.is_home() || self.config.strategy == Strategy::Origin;
+        if is_direct {
+            return self.direct_source(chunk, now);
+        }
+        let feeding = |k: &&Known| k.peer.region == self.view.home;
+        let usable = |k: &&Known| k.resume <= now && k.held.contains(chunk);
+        let is_starved = now.since(self.advanced) > self.takeover() * PATIENCE;
+        let is_alone = !self.peers.iter().any(|k| feeding(&k));
+        if (is_starved || is_alone)
+            && let Some(direct) = self.direct_source(chunk, now)
+        {
+            return Some(direct);
+        }
+        let holders = self.peers.iter().filter(feeding).filter(usable);
+        let cheapest = holders.min_by_key(|k| self.jittered(k, rng))?;
+        Some(Source::Peer(cheapest.peer.id.clone()))
+    }
+
+    /// The store or the origin. With time weighing more, both are used side by side.
+    fn direct_source(&self, chunk: ChunkIndex, now: Timestamp) -> Option<Source> {
+        let is_odd = chunk.0 % 2 == 1;
+        let origin_first = self.weighting == Weighting::Time && is_odd;
+        let store = (Source::Store, self.store.resume);
+        let origin = (Source::Origin, self.origin.resume);
+        let order = if origin_first {
+            [origin, store]
+        } else {
+            [store, origin]
+        };
+        order
+            .into_iter()
+            .find(|(_, resume)| *resume <= now)
+            .map(|(source, _)| source)
+    }
+
+    pub(super) fn second_source(
+        &self,
+        chunk: ChunkIndex,
+        first: &Source,
+        now: Timestamp,
+    ) -> Option<Source> {
+        let Source::Peer(id) = first else {
+            let other = match first {
+                Source::Store => (Source::Origin, self.origin.resume),
+                _ => (Source::Store, self.store.resume),
+            };
+            return (other.1 <= now).then_some(other.0);
+        };
+        let region = &self.peers[self.index(id)?].peer.region;
+        self.peers
+            .iter()
+            .filter(|k| k.peer.region == *region && k.peer.id != *id)
+            .filter(|k| k.resume <= now && k.held.contains(chunk))
+            .min_by_key(|k| (k.flights, k.pace))
+            .map(|k| Source::Peer(k.peer.id.clone()))
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/swarm/mod.rs
@@ -0,0 +1,457 @@
+//! A deterministic model of links that carry one chunk after the other, around the real planner.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+use apricothall_decide::configs::{Strategy, TransferConfig};
+use apricothall_decide::transfer::{
+    Action, Failure, Peer, Slot, Source, Transfer, Uploads, Verified, View,
+};
+use apricothall_types::{
+    Bytes, ChunkIndex, Digest, Interval, Manifest, Rate, Timestamp, Weighting,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const REGIONS: usize = 3;
+const CHUNKS: u32 = 128;
+const CHUNK: Bytes = Bytes::mib(1);
+const VM_LINK: Rate = Rate::mbps(100);
+const ORIGIN_LINK: Rate = Rate::mbps(200);
+const CROSS_LINK: Rate = Rate::mbps(60);
+const NEAR_DELAY: Duration = Duration::from_millis(1);
+const FAR_DELAY: Duration = Duration::from_millis(3);
+const TICK: Duration = Duration::from_millis(50);
+const DETECT: Duration = Duration::from_secs(3);
+const LIMIT: Duration = Duration::from_secs(1_000);
+
+/// Faults of one run.
+#[derive(Clone, Copy, Default)]
+pub struct Faults {
+    /// Agents of each region that die during the burst.
+    pub kills: usize,
+    /// Agents of each region that stop sending chunks but go on fetching.
+    pub stalls: usize,
+    /// Agents of each region that send corrupt chunks.
+    pub liars: usize,
+    /// Percentage of the store's chunks that arrive corrupt.
+    pub corrupt: u32,
+    /// Whether agents of odd and even number within their region see nothing of each other.
+    pub split: bool,
+    /// Whether the store is unreachable.
+    pub store_down: bool,
+}
+
+/// What a run measured.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Time to the last replica of the store's region over S / VM link.
+    pub home: f64,
+    /// Time to the last replica of a far region over S / share of the link.
+    pub far: f64,
+    /// Time to the last far replica, in seconds.
+    pub seconds: f64,
+    /// Bytes from store and origin over S.
+    pub origin: f64,
+    /// Most bytes over one directed link between regions, over S.
+    pub cross: f64,
+    /// Agents alive that did not complete.
+    pub missing: usize,
+}
+
+enum Event {
+    Tick(usize),
+    Request(usize, ChunkIndex, Source),
+    Hop(usize, ChunkIndex, Source, usize),
+    Refused(usize, ChunkIndex, Source, Failure),
+    Ask(usize, usize),
+    Told(usize, usize, apricothall_decide::transfer::ChunkSet),
+    View,
+    Kill,
+}
+
+struct Agent {
+    plan: Transfer,
+    uploads: Uploads,
+    region: usize,
+    alive: bool,
+    done: Option<u64>,
+}
+
+pub struct Swarm {
+    agents: Vec<Agent>,
+    config: TransferConfig,
+    manifest: Manifest,
+    version: Digest,
+    faults: Faults,
+    links: HashMap<(usize, usize), u64>,
+    bytes: HashMap<(usize, usize), u64>,
+    drawn: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, Event>,
+    serial: u64,
+    now: u64,
+    rng: ChaCha8Rng,
+}
+
+fn bytes_of(chunk: ChunkIndex) -> Vec<u8> {
+    chunk.0.to_le_bytes().to_vec()
+}
+
+fn peer(at: usize) -> Peer {
+    let region = at % REGIONS;
+    Peer {
+        id: format!("vm-{at}").parse().expect("valid id"),
+        region: format!("region-{region}").parse().expect("valid region"),
+        zone: format!("zone-{region}").parse().expect("valid zone"),
+    }
+}
+
+fn number(source: &Source) -> Option<usize> {
+    let Source::Peer(id) = source else {
+        return None;
+    };
+    id.as_str().strip_prefix("vm-")?.parse().ok()
+}
+
+const OUTSIDE: usize = usize::MAX;
+
+impl Swarm {
+    pub fn new(
+        count: usize,
+        strategy: Strategy,
+        weighting: Weighting,
+        faults: Faults,
+        seed: u64,
+    ) -> Self {
+        let chunks = (0..CHUNKS).map(|c| Digest::of(&bytes_of(ChunkIndex(c))));
+        let manifest = Manifest {
+            size: Bytes(CHUNK.0 * u64::from(CHUNKS)),
+            chunk: CHUNK,
+            chunks: chunks.collect(),
+        };
+        // Everyone queues at the store's link at once, which no timeout of the swarm allows for.
+        let patience = if strategy == Strategy::Origin {
+            1_000
+        } else {
+            5
+        };
+        let config = TransferConfig {
+            strategy,
+            timeout: Interval::secs(patience),
+            store: ORIGIN_LINK,
+            link: VM_LINK,
+            cross: CROSS_LINK,
+            ..TransferConfig::default()
+        };
+        let version = Digest::of(b"manifest");
+        let mut swarm = Self {
+            agents: Vec::new(),
+            config,
+            manifest,
+            version,
+            faults,
+            links: HashMap::new(),
+            bytes: HashMap::new(),
+            drawn: 0,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            serial: 0,
+            now: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        let peers: Vec<_> = (0..count).map(peer).collect();
+        for at in 0..count {
+            let half = |at: usize| (at / REGIONS) % 2;
+            let is_seen = |other: usize| !faults.split || half(other) == half(at);
+            let view = View {
+                me: peer(at),
+                home: peer(0).region,
+                peers: peers
+                    .iter()
+                    .enumerate()
+                    .filter(|(o, _)| is_seen(*o))
+                    .map(|p| p.1.clone())
+                    .collect(),
+            };
+            let now = Timestamp(0);
+            let mut plan = Transfer::new(swarm.config.clone(), weighting, version, view, now);
+            plan.on_manifest(swarm.manifest.clone(), now);
+            swarm.agents.push(Agent {
+                plan,
+                uploads: Uploads::default(),
+                region: at % REGIONS,
+                alive: true,
+                done: None,
+            });
+            let jitter = swarm.rng.random_range(Duration::ZERO..TICK);
+            swarm.push(jitter, Event::Tick(at));
+        }
+        if faults.kills > 0 {
+            swarm.push(Duration::from_secs(4), Event::Kill);
+        }
+        swarm
+    }
+
+    fn push(&mut self, after: Duration, event: Event) {
+        let at = self.now + u64::try_from(after.as_nanos()).expect("short");
+        self.serial += 1;
+        self.queue.push(Reverse((at, self.serial)));
+        self.events.insert(self.serial, event);
+    }
+
+    fn is_over(&self) -> bool {
+        let limit = u64::try_from(LIMIT.as_nanos()).expect("short");
+        self.now > limit || self.agents.iter().all(|a| !a.alive || a.done.is_some())
+    }
+
+    pub fn run(mut self, weighting: Weighting) -> Outcome {
+        while !self.is_over() {
+            let Some(Reverse((at, serial))) = self.queue.pop() else {
+                break;
+            };
+            self.now = at;
+            let event = self.events.remove(&serial).expect("queued once");
+            self.handle(event);
+        }
+        self.outcome(weighting)
+    }
+
+    fn outcome(&self, weighting: Weighting) -> Outcome {
+        let size = self.manifest.size;
+        let share = match weighting {
+            Weighting::Bytes => self.config.share,
+            Weighting::Time => self.config.hasty_share,
+        };
+        let last = |home: bool| {
+            let of = self
+                .agents
+                .iter()
+                .filter(|a| a.alive && (a.region == 0) == home);
+            let end = of.map(|a| a.done.unwrap_or(u64::MAX)).max();
+            Duration::from_nanos(end.unwrap_or(0)).as_secs_f64()
+        };
+        let far_rate = Rate(CROSS_LINK.0 * u64::from(share) / 100);
+        let over = |bytes: u64| {
+            let chunks = u32::try_from(bytes / CHUNK.0).expect("few chunks");
+            f64::from(chunks) / f64::from(CHUNKS)
+        };
+        let alive = self.agents.iter().filter(|a| a.alive);
+        Outcome {
+            home: last(true) / VM_LINK.time_for(size).as_secs_f64(),
+            far: last(false) / far_rate.time_for(size).as_secs_f64(),
+            seconds: last(false),
+            origin: over(self.drawn),
+            cross: over(self.bytes.values().copied().max().unwrap_or(0)),
+            missing: alive.filter(|a| a.done.is_none()).count(),
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(at) => {
+                self.tick(at);
+                if self.agents[at].alive {
+                    self.push(TICK, Event::Tick(at));
+                }
+            }
+            Event::Request(to, chunk, source) => self.serve(to, chunk, source),
+            Event::Hop(to, chunk, source, hop) => self.hop(to, chunk, source, hop),
+            Event::Refused(to, chunk, source, failure) => {
+                let now = Timestamp(self.now);
+                self.agents[to]
+                    .plan
+                    .on_failure(chunk, &source, failure, now);
+                self.tick(to);
+            }
+            Event::Ask(from, of) if self.agents[of].alive => {
+                let held = self.agents[of].plan.held().clone();
+                self.push(self.delay(from, of), Event::Told(from, of, held));
+            }
+            Event::Ask(..) => {}
+            Event::Told(at, of, held) => {
+                let now = Timestamp(self.now);
+                self.agents[at].plan.on_bitmap(&peer(of).id, &held, now);
+                self.tick(at);
+            }
+            Event::Kill => self.kill(),
+            Event::View => self.change_view(),
+        }
+    }
+
+    /// The first agents of each region die, by number.
+    fn kill(&mut self) {
+        let doomed = self.faults.kills * REGIONS;
+        for agent in &mut self.agents[..doomed] {
+            agent.alive = false;
+        }
+        self.push(DETECT, Event::View);
+    }
+
+    fn change_view(&mut self) {
+        let alive: Vec<_> = (0..self.agents.len())
+            .filter(|at| self.agents[*at].alive)
+            .collect();
+        for at in alive.clone() {
+            let view = View {
+                me: peer(at),
+                home: peer(0).region,
+                peers: alive.iter().copied().map(peer).collect(),
+            };
+            self.agents[at].plan.on_view(view, Timestamp(self.now));
+        }
+    }
+
+    fn delay(&self, a: usize, b: usize) -> Duration {
+        let region = |at: usize| self.agents.get(at).map_or(0, |a| a.region);
+        if region(a) == region(b) {
+            NEAR_DELAY
+        } else {
+            FAR_DELAY
+        }
+    }
+
+    fn tick(&mut self, at: usize) {
+        if !self.agents[at].alive {
+            return;
+        }
+        let actions = self.agents[at]
+            .plan
+            .tick(Timestamp(self.now), &mut self.rng);
+        for action in actions {
+            match action {
+                Action::Fetch { chunk, source, .. } => {
+                    let delay = self.delay(at, number(&source).unwrap_or(OUTSIDE));
+                    self.push(delay, Event::Request(at, chunk, source));
+                }
+                Action::Ask(id) => {
+                    let of = number(&Source::Peer(id)).expect("a peer");
+                    self.push(self.delay(at, of), Event::Ask(at, of));
+                }
+                Action::Cancel { source, .. } => self.cancel(at, &source),
+                Action::Manifest { .. } => {}
+            }
+        }
+    }
+
+    /// A cancelled upload of a stalled agent frees its slot; others have it on the way already.
+    fn cancel(&mut self, to: usize, source: &Source) {
+        let Some(from) = number(source) else {
+            return;
+        };
+        if self.is_among(from, 0, self.faults.stalls) {
+            self.agents[from].uploads.release(&peer(to).id);
+        }
+    }
+
+    fn serve(&mut self, to: usize, chunk: ChunkIndex, source: Source) {
+        let Some(from) = number(&source) else {
+            if source == Source::Store && self.faults.store_down {
+                let lost = Event::Refused(to, chunk, source, Failure::Lost);
+                return self.push(FAR_DELAY, lost);
+            }
+            self.drawn += CHUNK.0;
+            return self.hop(to, chunk, source, 0);
+        };
+        if !self.agents[from].alive {
+            return;
+        }
+        let typical = VM_LINK.time_for(CHUNK);
+        let is_far = self.agents[from].region != self.agents[to].region;
+        let agent = &mut self.agents[from];
+        let refusal = if agent.plan.held().contains(chunk) {
+            match agent
+                .uploads
+                .request(&self.config, &peer(to).id, is_far, typical)
+            {
+                Slot::Granted => None,
+                Slot::Busy(after) => Some(Failure::Busy(after)),
+            }
+        } else {
+            Some(Failure::Lost)
+        };
+        if let Some(failure) = refusal {
+            let back = Event::Refused(to, chunk, source, failure);
+            return self.push(self.delay(to, from), back);
+        }
+        self.hop(to, chunk, source, 0);
+    }
+
+    fn is_among(&self, at: usize, from: usize, count: usize) -> bool {
+        // Faulty agents are numbered after the killed ones.
+        let first = (self.faults.kills + from) * REGIONS;
+        (first..first + count * REGIONS).contains(&at)
+    }
+
+    /// Passes a chunk over the next link of its path: up link, link between regions, down link.
+    fn hop(&mut self, to: usize, chunk: ChunkIndex, source: Source, hop: usize) {
+        let from = number(&source);
+        if hop == 1
+            && let Some(from) = from
+        {
+            self.agents[from].uploads.release(&peer(to).id);
+        }
+        if from.is_some_and(|at| self.is_among(at, 0, self.faults.stalls)) {
+            return;
+        }
+        let regions = (
+            from.map_or(0, |at| self.agents[at].region),
+            self.agents[to].region,
+        );
+        let (link, rate) = match hop {
+            0 => (
+                (
+                    0,
+                    from.map_or(OUTSIDE - usize::from(source == Source::Origin), |at| at),
+                ),
+                { if from.is_some() { VM_LINK } else { ORIGIN_LINK } },
+            ),
+            1 if regions.0 == regions.1 => return self.hop(to, chunk, source, 2),
+            1 => {
+                *self.bytes.entry(regions).or_default() += CHUNK.0;
+                ((1, regions.0 * REGIONS + regions.1), CROSS_LINK)
+            }
+            2 => ((2, to), VM_LINK),
+            _ => return self.arrive(to, chunk, &source),
+        };
+        let free = self.links.entry(link).or_default();
+        let taken = u64::try_from(rate.time_for(CHUNK).as_nanos()).expect("short");
+        *free = (*free).max(self.now) + taken;
+        let wait = Duration::from_nanos(*free - self.now);
+        self.push(wait, Event::Hop(to, chunk, source, hop + 1));
+    }
+
+    fn arrive(&mut self, to: usize, chunk: ChunkIndex, source: &Source) {
+        if !self.agents[to].alive {
+            return;
+        }
+        let now = Timestamp(self.now);
+        let from = number(source);
+        let is_corrupt = match from {
+            Some(at) => self.is_among(at, self.faults.stalls, self.faults.liars),
+            None => self.rng.random_range(0..100) < self.faults.corrupt,
+        };
+        let bytes = if is_corrupt {
+            vec![0xff]
+        } else {
+            bytes_of(chunk)
+        };
+        let proof = Verified::check(self.version, &self.manifest, chunk, &bytes);
+        let told = from.map(|at| (peer(at).id, self.agents[at].plan.held().clone()));
+        let plan = &mut self.agents[to].plan;
+        match proof {
+            Some(proof) => {
+                plan.on_chunk(&proof, source, now);
+            }
+            None => plan.on_failure(chunk, source, Failure::Corrupt, now),
+        }
+        if let Some((id, held)) = told {
+            plan.on_bitmap(&id, &held, now);
+        }
+        if plan.is_complete() && self.agents[to].done.is_none() {
+            self.agents[to].done = Some(self.now);
+        }
+        self.tick(to);
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/transfer.rs
@@ -0,0 +1,100 @@
+//! The transfer planner on modelled links: time, bytes and completion, calm and under faults.
+
+mod swarm;
+
+use apricothall_decide::configs::Strategy;
+use apricothall_types::Weighting;
+use swarm::{Faults, Outcome, Swarm};
+
+const SEED: u64 = 7;
+const SEEDS: [u64; 3] = [SEED, 8, 9];
+
+fn run(count: usize, strategy: Strategy, weighting: Weighting, faults: Faults) -> Outcome {
+    run_seeded(count, strategy, weighting, faults, SEED)
+}
+
+fn run_seeded(
+    count: usize,
+    strategy: Strategy,
+    weighting: Weighting,
+    faults: Faults,
+    seed: u64,
+) -> Outcome {
+    let swarm = Swarm::new(count, strategy, weighting, faults, seed);
+    let outcome = swarm.run(weighting);
+    println!(
+        "{strategy:?} {weighting:?} N={count}: home {:.2}, far {:.2}, origin {:.2}, cross {:.2}",
+        outcome.home, outcome.far, outcome.origin, outcome.cross
+    );
+    assert_eq!(outcome.missing, 0, "every live agent completes");
+    outcome
+}
+
+macro_rules! calm {
+    ($($case:ident: $count:expr, $weighting:ident;)*) => {
+        $(#[test] fn $case() {
+            let weighting = Weighting::$weighting;
+            for seed in SEEDS {
+                let calm = Faults::default();
+                let found = run_seeded($count, Strategy::Ranked, weighting, calm, seed);
+                assert!(found.home <= 1.25, "{found:?}");
+                assert!(found.far <= 1.15, "{found:?}");
+                assert!(found.origin <= 1.05, "{found:?}");
+                assert!(found.cross <= 1.05, "{found:?}");
+            }
+        })*
+    };
+}
+
+calm! {
+    calm_6_bytes: 6, Bytes;
+    calm_12_bytes: 12, Bytes;
+    calm_24_bytes: 24, Bytes;
+    calm_48_bytes: 48, Bytes;
+    calm_96_bytes: 96, Bytes;
+    calm_6_time: 6, Time;
+    calm_12_time: 12, Time;
+    calm_24_time: 24, Time;
+    calm_48_time: 48, Time;
+    calm_96_time: 96, Time;
+}
+
+macro_rules! faulty {
+    ($($case:ident: $weighting:ident, $faults:expr;)*) => {
+        $(#[test] fn $case() {
+            let found = run(24, Strategy::Ranked, Weighting::$weighting, $faults);
+            assert!(found.origin <= 2.0, "{found:?}");
+        })*
+    };
+}
+
+faulty! {
+    kill_bytes: Bytes, Faults { kills: 2, ..Faults::default() };
+    kill_time: Time, Faults { kills: 2, ..Faults::default() };
+    stall_bytes: Bytes, Faults { stalls: 2, ..Faults::default() };
+    stall_time: Time, Faults { stalls: 2, ..Faults::default() };
+    liars_bytes: Bytes, Faults { liars: 2, ..Faults::default() };
+    corrupt_store_bytes: Bytes, Faults { corrupt: 5, ..Faults::default() };
+    store_down_bytes: Bytes, Faults { store_down: true, ..Faults::default() };
+    all_bytes: Bytes, Faults { kills: 1, stalls: 1, liars: 1, corrupt: 5, ..Faults::default() };
+    all_time: Time,
+        Faults { kills: 1, stalls: 1, liars: 1, corrupt: 5, store_down: true, split: false };
+    split_bytes: Bytes, Faults { split: true, ..Faults::default() };
+    split_time: Time, Faults { split: true, ..Faults::default() };
+}
+
+/// Time to the last far replica with time weighing more, over that with bytes weighing more.
+#[test]
+fn weighting_changes_the_far_time() {
+    let of = |weighting| run(12, Strategy::Ranked, weighting, Faults::default()).seconds;
+    assert!(of(Weighting::Time) < of(Weighting::Bytes) * 0.95);
+}
+
+#[test]
+fn baselines() {
+    for count in [6, 12, 24, 48, 96] {
+        for strategy in [Strategy::Origin, Strategy::Chain] {
+            run(count, strategy, Weighting::Bytes, Faults::default());
+        }
+    }
+}
