--- a/crates/decide/examples/routing_compare.rs
+++ b/crates/decide/examples/routing_compare.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 use std::time::Duration;
 
-use apricothall_decide::configs::{RoutingConfig, Strategy};
+use apricothall_decide::configs::{RoutingConfig, RoutingStrategy};
 use apricothall_decide::routing::{Distance, Prefix, Query, Replica, Router};
 use apricothall_types::{Load, Timestamp};
 use rand::{Rng, SeedableRng};
@@ -256,10 +256,13 @@
         ..usual.clone()
     };
     let ways = [
-        ("two choices, affinity", with(Strategy::TwoChoices, 2)),
-        ("two choices", with(Strategy::TwoChoices, 0)),
-        ("round robin", with(Strategy::RoundRobin, 0)),
-        ("random", with(Strategy::Random, 0)),
+        (
+            "two choices, affinity",
+            with(RoutingStrategy::TwoChoices, 2),
+        ),
+        ("two choices", with(RoutingStrategy::TwoChoices, 0)),
+        ("round robin", with(RoutingStrategy::RoundRobin, 0)),
+        ("random", with(RoutingStrategy::Random, 0)),
     ];
     println!("seed {seed}, wait in ms");
     println!("fleet   load/s  strategy                   p50    p95    p99  warm %");
--- a/crates/decide/src/configs/routing.rs
+++ b/crates/decide/src/configs/routing.rs
@@ -6,7 +6,7 @@
 /// How a replica is chosen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Strategy {
+pub enum RoutingStrategy {
     /// The less loaded of two, after prefix affinity.
     #[default]
     TwoChoices,
@@ -21,7 +21,7 @@
 #[serde(default, deny_unknown_fields)]
 pub struct RoutingConfig {
     /// How a replica is chosen.
-    pub strategy: Strategy,
+    pub strategy: RoutingStrategy,
     /// Age at which a reported load counts half.
     pub halving: Interval,
     /// Replicas that a prefix prefers; 0 turns affinity off.
@@ -41,7 +41,7 @@
 impl Default for RoutingConfig {
     fn default() -> Self {
         Self {
-            strategy: Strategy::TwoChoices,
+            strategy: RoutingStrategy::TwoChoices,
             halving: Interval::millis(500),
             preferred: 2,
             bound: 125,
--- a/crates/decide/src/routing.rs
+++ b/crates/decide/src/routing.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::configs::{RoutingConfig, Strategy};
+use crate::configs::{RoutingConfig, RoutingStrategy};
 use crate::rank;
 
 mod hints;
@@ -247,15 +247,15 @@
         rng: &mut impl Rng,
     ) -> (&'a Replica, Cause, Option<&'a Replica>) {
         match self.config.strategy {
-            Strategy::RoundRobin => {
+            RoutingStrategy::RoundRobin => {
                 self.turn = self.turn.wrapping_add(1);
                 (near[self.turn % near.len()], Cause::RoundRobin, None)
             }
-            Strategy::Random => {
+            RoutingStrategy::Random => {
                 let index = rng.random_range(0..near.len());
                 (near[index], Cause::Random, None)
             }
-            Strategy::TwoChoices => {
+            RoutingStrategy::TwoChoices => {
                 if let Some((replica, cause)) = self.preferred(near, prefix, mean, now) {
                     return (replica, cause, None);
                 }
--- a/crates/decide/tests/routing.rs
+++ b/crates/decide/tests/routing.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use apricothall_decide::configs::{RoutingConfig, Strategy as Way};
+use apricothall_decide::configs::{RoutingConfig, RoutingStrategy as Way};
 use apricothall_decide::routing::{
     CacheEvent, Cause, Distance, Hints, Prefix, Query, Replica, Router, subset,
 };
