feat(decide): register of keyed calls, tickets and choice of the home

A call that may not be repeated is bound to one home (agent id and incarnation). The register starts a key at most once within its life, refuses late, lost and reused keys and is bounded by counts and bytes. Ruled out: expiry on the wall clock itself, which may step back; the register keeps the largest time seen instead. The property test found that starts that were proved unsent could grow the register without bound; they now keep the place of a call.

--- a/crates/decide/src/dedupe.rs
+++ b/crates/decide/src/dedupe.rs
@@ -1,1 +1,14 @@
 //! At most one run of a call that may not be repeated.
+//!
+//! A call is bound to one [`Home`]. Only the home's [`Register`] may start it. A [`Ticket`] carries
+//! the binding with the caller, and [`choose`] is the entry's decision where to send a call.
+
+mod key;
+mod register;
+mod route;
+mod ticket;
+
+pub use key::{CallKey, Clock, Home, fingerprint};
+pub use register::{Admit, Order, Refusal, Register};
+pub use route::{Binding, Choice, HomeView, Next, Reason, Sent, after_failure, choose};
+pub use ticket::{MAX_TICKET_BYTES, Ticket, TicketError, is_reserved};
--- /dev/null
+++ b/crates/decide/src/dedupe/key.rs
@@ -0,0 +1,74 @@
+//! What names a call and its home.
+
+use std::fmt;
+use std::time::Duration;
+
+use apricothall_types::{CallerId, Digest, EntryName, IdempotencyKey, Incarnation, MemberId};
+use apricothall_types::{Timestamp, WallTime};
+use serde::{Deserialize, Serialize};
+
+/// One reading of both clocks of a VM.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Clock {
+    /// Clock that counts time spent frozen.
+    pub now: Timestamp,
+    /// Wall clock.
+    pub wall: WallTime,
+}
+
+impl Clock {
+    /// Last point for the start of an order that arrives now with `remaining` time left.
+    ///
+    /// An order may have lain in a buffer while this process was frozen, so the sender's wall
+    /// clock bounds it too, within `skew`.
+    #[must_use]
+    pub fn deadline(self, remaining: Duration, wall: WallTime, skew: Duration) -> Timestamp {
+        let left = Duration::from_millis(wall.0.saturating_sub(self.wall.0)) + skew;
+        self.now + remaining.min(left)
+    }
+}
+
+/// The only daemon that may run a call: one start of one agent.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Home {
+    /// Id of the agent.
+    pub id: MemberId,
+    /// Start of the agent.
+    pub incarnation: Incarnation,
+}
+
+/// Digest of the catalogue entry, the caller and the caller's idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CallKey(pub Digest);
+
+impl CallKey {
+    /// The key of a call. Keys of different callers or entries never meet.
+    #[must_use]
+    pub fn new(name: &EntryName, caller: &CallerId, key: &IdempotencyKey) -> Self {
+        let parts = [name.as_str(), caller.as_str(), key.as_str()];
+        Self(digest_of(parts.map(str::as_bytes)))
+    }
+}
+
+impl fmt::Display for CallKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+/// Digest of what a call asks for. Equal calls of one caller have equal fingerprints.
+#[must_use]
+pub fn fingerprint(caller: &CallerId, method: &str, path: &str, body: &[u8]) -> Digest {
+    let caller = caller.as_str().as_bytes();
+    digest_of([caller, method.as_bytes(), path.as_bytes(), body])
+}
+
+fn digest_of<const N: usize>(parts: [&[u8]; N]) -> Digest {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    Digest(*hasher.finalize().as_bytes())
+}
--- /dev/null
+++ b/crates/decide/src/dedupe/register.rs
@@ -0,0 +1,303 @@
+//! The home's register of calls.
+//!
+//! States of a key: unseen, then tombstone, or running and from there done or lost. No state ever
+//! leads back to unseen while an order for the key can still be accepted.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricothall_types::{Digest, Outcome, RequestId, Timestamp, WallTime};
+use serde::{Deserialize, Serialize};
+
+use super::{CallKey, Clock, Home};
+use crate::configs::DedupeConfig;
+
+/// Shortest time after which a caller is told to come back.
+const MIN_RETRY: Duration = Duration::from_secs(1);
+
+/// An order to run a call at its home.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// The only daemon that may run the call.
+    pub home: Home,
+    /// Names the call.
+    pub key: CallKey,
+    /// What the call asks for.
+    pub fingerprint: Digest,
+    /// The attempt.
+    pub request: RequestId,
+    /// Last point at which the call may be started, on the home's clock.
+    pub deadline: Timestamp,
+    /// Last time at which the key is accepted; the same for each attempt.
+    pub expires: WallTime,
+}
+
+/// Why a call is not started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// A tombstone was put down: this home never runs the key.
+    Tombstone,
+    /// The deadline has passed; a tombstone was put down.
+    DeadlinePassed,
+    /// The register is full; a tombstone was put down. A new key may come after the given time.
+    Full(Duration),
+    /// No memory even for a tombstone; the same key may come after the given time.
+    Saturated(Duration),
+    /// The key is known with another fingerprint.
+    Reused,
+    /// The call was started and its server lost.
+    Lost,
+    /// The key's time is over, too far ahead to be remembered, or not the one known.
+    Expired,
+    /// The order is for another daemon or an earlier start of this one.
+    OtherHome,
+}
+
+impl Refusal {
+    /// What the caller may conclude.
+    #[must_use]
+    pub const fn outcome(self) -> Outcome {
+        match self {
+            Self::Tombstone | Self::DeadlinePassed | Self::Full(_) | Self::Reused => {
+                Outcome::NotRun
+            }
+            Self::Saturated(_) | Self::Lost | Self::Expired | Self::OtherHome => Outcome::Unknown,
+        }
+    }
+}
+
+/// Decision on an order or a question.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Admit {
+    /// The start is recorded; send the call to the server now.
+    Run,
+    /// The call runs under this request: wait for its answer.
+    Attach(RequestId),
+    /// The stored answer.
+    Replay(Arc<[u8]>),
+    /// The call ran; its answer is no longer kept.
+    Ran,
+    /// The call is not started.
+    Refuse(Refusal),
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    Tombstone(Refusal),
+    Running(RequestId),
+    Done(Option<Arc<[u8]>>),
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+struct Call {
+    fingerprint: Digest,
+    expires: WallTime,
+    /// Whether it takes up room for tombstones instead of room for calls.
+    buried: bool,
+    state: State,
+}
+
+/// The calls that one home knows. Nothing of it outlives the daemon.
+#[derive(Clone, Debug)]
+pub struct Register {
+    home: Home,
+    config: DedupeConfig,
+    calls: BTreeMap<CallKey, Call>,
+    expiries: BTreeSet<(WallTime, CallKey)>,
+    answers: BTreeSet<(WallTime, CallKey)>,
+    answer_bytes: u64,
+    tombstones: usize,
+    /// Largest wall time seen. It never goes back, so a forgotten key stays refused.
+    floor: WallTime,
+}
+
+impl Register {
+    /// An empty register.
+    #[must_use]
+    pub fn new(home: Home, config: DedupeConfig) -> Self {
+        Self {
+            home,
+            config,
+            calls: BTreeMap::new(),
+            expiries: BTreeSet::new(),
+            answers: BTreeSet::new(),
+            answer_bytes: 0,
+            tombstones: 0,
+            floor: WallTime(0),
+        }
+    }
+
+    /// The home whose register this is.
+    #[must_use]
+    pub fn home(&self) -> &Home {
+        &self.home
+    }
+
+    /// Calls and tombstones remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Whether no call is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Bytes of kept answers.
+    #[must_use]
+    pub const fn answer_bytes(&self) -> u64 {
+        self.answer_bytes
+    }
+
+    /// Decides on an order and records the start when it is to be run.
+    pub fn admit(&mut self, order: &Order, clock: Clock) -> Admit {
+        if let Some(known) = self.known(order, clock) {
+            return known;
+        }
+        if clock.now >= order.deadline {
+            return self.bury(order, Refusal::DeadlinePassed);
+        }
+        if self.calls.len() - self.tombstones >= self.config.max_calls {
+            return self.bury(order, Refusal::Full(self.retry_after()));
+        }
+        self.insert(order, State::Running(order.request));
+        Admit::Run
+    }
+
+    /// Tells what became of a call, and puts down a tombstone when it is unseen.
+    pub fn ask(&mut self, order: &Order, clock: Clock) -> Admit {
+        if let Some(known) = self.known(order, clock) {
+            return known;
+        }
+        self.bury(order, Refusal::Tombstone)
+    }
+
+    /// Keeps the answer of a call that was started.
+    pub fn finished(&mut self, key: CallKey, answer: Arc<[u8]>) {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        if !matches!(call.state, State::Running(_)) {
+            return;
+        }
+        self.answer_bytes += answer.len() as u64;
+        self.answers.insert((call.expires, key));
+        call.state = State::Done(Some(answer));
+        self.trim_answers();
+    }
+
+    /// Records that the server was lost after the start: the outcome stays unknown.
+    pub fn lost(&mut self, key: CallKey) {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        if matches!(call.state, State::Running(_)) {
+            call.state = State::Lost;
+        }
+    }
+
+    /// Records that no byte of a started call could reach its server: it never runs.
+    pub fn unsent(&mut self, key: CallKey) {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        if matches!(call.state, State::Running(_)) {
+            // Keeps its place among the calls: the room for tombstones stays as it is.
+            call.state = State::Tombstone(Refusal::Tombstone);
+        }
+    }
+
+    fn known(&mut self, order: &Order, clock: Clock) -> Option<Admit> {
+        self.expire(clock.wall);
+        if order.home != self.home {
+            return Some(Admit::Refuse(Refusal::OtherHome));
+        }
+        // Checked first, so that a key is never accepted after it was forgotten.
+        if order.expires < self.floor || order.expires > self.latest() {
+            return Some(Admit::Refuse(Refusal::Expired));
+        }
+        let call = self.calls.get(&order.key)?;
+        if call.fingerprint != order.fingerprint {
+            return Some(Admit::Refuse(Refusal::Reused));
+        }
+        if call.expires != order.expires {
+            return Some(Admit::Refuse(Refusal::Expired));
+        }
+        Some(match &call.state {
+            State::Tombstone(why) => Admit::Refuse(*why),
+            State::Running(request) => Admit::Attach(*request),
+            State::Done(Some(answer)) => Admit::Replay(answer.clone()),
+            State::Done(None) => Admit::Ran,
+            State::Lost => Admit::Refuse(Refusal::Lost),
+        })
+    }
+
+    fn bury(&mut self, order: &Order, why: Refusal) -> Admit {
+        if self.tombstones >= self.config.max_tombstones {
+            return Admit::Refuse(Refusal::Saturated(self.retry_after()));
+        }
+        self.tombstones += 1;
+        self.insert(order, State::Tombstone(why));
+        Admit::Refuse(why)
+    }
+
+    fn insert(&mut self, order: &Order, state: State) {
+        let call = Call {
+            buried: matches!(state, State::Tombstone(_)),
+            fingerprint: order.fingerprint,
+            expires: order.expires,
+            state,
+        };
+        self.expiries.insert((order.expires, order.key));
+        self.calls.insert(order.key, call);
+    }
+
+    fn latest(&self) -> WallTime {
+        let millis = u64::try_from(self.config.horizon.0.as_millis()).unwrap_or(u64::MAX);
+        WallTime(self.floor.0.saturating_add(millis))
+    }
+
+    fn retry_after(&self) -> Duration {
+        let first = self.expiries.first().map_or(0, |(at, _)| at.0);
+        Duration::from_millis(first.saturating_sub(self.floor.0)).max(MIN_RETRY)
+    }
+
+    fn expire(&mut self, wall: WallTime) {
+        self.floor = self.floor.max(wall);
+        while let Some((at, key)) = self.expiries.first().copied() {
+            if at >= self.floor {
+                return;
+            }
+            self.expiries.remove(&(at, key));
+            self.drop_answer(at, key);
+            if let Some(call) = self.calls.remove(&key) {
+                self.tombstones -= usize::from(call.buried);
+            }
+        }
+    }
+
+    fn trim_answers(&mut self) {
+        while self.answer_bytes > self.config.answer_memory.0 {
+            let Some((at, key)) = self.answers.first().copied() else {
+                return;
+            };
+            self.drop_answer(at, key);
+        }
+    }
+
+    fn drop_answer(&mut self, at: WallTime, key: CallKey) {
+        if !self.answers.remove(&(at, key)) {
+            return;
+        }
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        if let State::Done(answer) = &mut call.state {
+            self.answer_bytes -= answer.take().map_or(0, |a| a.len() as u64);
+        }
+    }
+}
