feat(decide): claims for calls that carry only a key

The younger agent asks the older ones before it starts a key. The worked candidate broke in three ways, each kept as a named regression schedule: a key younger than the new agent's eligibility may still run at a dropped agent within its lease; the VM list does not show a restart, so a restarted older agent granted what it had run; and a VM that was listed again had to be asked under its old position. A key is now run or granted only when its UUID time proves that every agent that can have run it is known and remembers.

--- /dev/null
+++ b/crates/decide/tests/claims/main.rs
@@ -0,0 +1,236 @@
+//! Claims: at most one start of each key over all agents, under adversarial schedules.
+
+mod world;
+
+use apricothall_decide::claims::{Verdict, birth_of};
+use apricothall_types::WallTime;
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+use world::Step::{
+    Boot, Deliver, Drop, Fetch, Key, Late, List, Live, Order, Read, Recent, Settle, Tick,
+};
+use world::{DEADLINE, HORIZON, LAG, LEASE, OFFSET, Step, World, config};
+
+const AGENTS: usize = 4;
+/// Agents in random schedules.
+const CROWD: usize = 3;
+/// Time after a first listing until fresh keys run.
+const QUIET: u64 = LEASE + LAG + 4 * OFFSET + 3;
+
+/// The agent reads the newest list.
+fn refresh(i: usize) -> [Step; 2] {
+    [Fetch(i, 0), Read(i)]
+}
+
+/// Agents 0 and 1 listed in this order, and past their first wait.
+fn pair() -> Vec<Step> {
+    let mut steps = vec![List(0), List(1)];
+    steps.extend(refresh(0).into_iter().chain(refresh(1)));
+    steps.push(Tick(QUIET));
+    steps.extend(refresh(0).into_iter().chain(refresh(1)));
+    steps
+}
+
+/// Names a schedule after [`pair`], and how often its last key starts.
+macro_rules! schedules {
+    ($($case:ident: [$($part:expr),* $(,)?] => $starts:expr;)*) => {
+        $(#[test] fn $case() {
+            let mut world = World::new(AGENTS, config());
+            world.run(pair());
+            $(world.run($part);)*
+            assert_eq!(world.fault(), None);
+            let last = world.keys.last().expect("a key");
+            assert_eq!(last.starts, $starts, "{:?}", world.refused);
+        })*
+    };
+}
+
+schedules! {
+    oldest_agent_asks_nobody: [[Key(0), Order(0, 0)]] => 1;
+    younger_agent_asks_older: [[Key(0), Order(1, 0), Settle]] => 1;
+    older_agent_ran_it: [[Key(0), Order(0, 0), Order(1, 0), Settle]] => 1;
+    younger_agent_claimed_it: [[Key(0), Order(1, 0), Deliver(0), Order(0, 0), Settle]] => 1;
+    silent_older_agent_blocks: [[Key(0), Order(1, 0)]] => 0;
+    retry_repeats_lost_claim: [[Key(0), Order(1, 0), Order(1, 0), Deliver(1), Deliver(2)]] => 1;
+    repeated_grant_starts_once: [
+        [Key(0), Order(1, 0), Deliver(0), Deliver(0), Deliver(1), Deliver(2), Deliver(1)]
+    ] => 1;
+    key_of_the_future_waits: [[Key(10), Order(0, 0)]] => 0;
+    key_past_horizon_is_refused: [
+        [Key(0), Tick(HORIZON + 2)], refresh(0), [Order(0, 0)],
+    ] => 0;
+    // Regression: an order that is younger than the new agent's eligibility may still have run at
+    // a dropped agent within its lease. "Younger than eligibility" alone lets it run twice.
+    dropped_agent_in_lease_runs_fresh_key: [
+        [Fetch(0, 0), Read(0), Drop(0), Drop(1), List(2)], refresh(2),
+        [Tick(5), Key(0), Order(0, 0), Order(2, 0), Settle, Tick(LEASE)], refresh(2),
+        [Order(2, 0), Settle],
+    ] => 1;
+    // Regression: the list does not show a restart, so an older agent that started anew would
+    // grant what it ran before.
+    restarted_older_agent_cannot_grant: [
+        [Key(0), Order(0, 0), Boot(0)], refresh(0), [Order(1, 0), Settle],
+    ] => 1;
+    // Regression: the same agent after a restart runs no key that its earlier start may have run.
+    restarted_agent_does_not_repeat: [
+        [Key(0), Order(0, 0), Boot(0)], refresh(0), [Tick(QUIET)], refresh(0), [Order(0, 0)],
+    ] => 1;
+    // Regression: a VM that is dropped and listed again is younger than those listed meanwhile;
+    // whoever knew it as older still asks it.
+    relisted_agent_is_asked_under_its_old_position: [
+        [Key(0), Order(0, 0), Drop(0)], refresh(1), [List(0)], refresh(1), [Order(1, 0), Settle],
+    ] => 1;
+    // Regression: frozen between its claims and the start, past the lease.
+    frozen_before_start_loses_lease: [
+        [Key(0), Order(1, 0), Deliver(0), Tick(LEASE), Deliver(1)],
+    ] => 0;
+    // Regression: frozen past the deadline while its lease was renewed on waking.
+    frozen_past_deadline: [
+        [Key(0), Order(1, 0), Deliver(0), Tick(DEADLINE)], refresh(1), [Deliver(1)],
+    ] => 0;
+    // Regression: a read that was asked for before a freeze renews the lease from the asking.
+    woken_agent_reads_old_answer: [
+        [Fetch(0, 0), Tick(LEASE), Read(0), Key(0), Order(0, 0)],
+    ] => 0;
+    departed_agent_is_not_asked_for_younger_keys: [
+        [Drop(0)], refresh(1), [Tick(QUIET)], refresh(1), [Key(0), Order(1, 0)],
+    ] => 1;
+    whole_pool_replaced_stops_then_resumes: [
+        [Drop(0), Drop(1), List(2), List(3)], refresh(2), refresh(3),
+        [Key(0), Order(2, 0), Tick(QUIET)], refresh(2), refresh(3),
+        [Order(2, 0), Key(0), Order(2, 1)],
+    ] => 1;
+}
+
+#[test]
+fn restarted_agent_says_that_it_cannot_tell() {
+    let mut world = World::new(AGENTS, config());
+    world
+        .run(pair())
+        .run([Key(0), Boot(0), Order(1, 0), Settle]);
+    assert_eq!(world.verdicts(), [Verdict::Unsure]);
+}
+
+/// Each settings value is needed: with it at zero the schedule runs a key twice.
+macro_rules! needed {
+    ($($case:ident: $field:ident, [$($part:expr),* $(,)?];)*) => {
+        $(#[test] fn $case() {
+            let mut settings = config();
+            settings.$field = apricothall_types::Interval::millis(0);
+            let mut world = World::new(AGENTS, settings);
+            world.run(pair());
+            $(world.run($part);)*
+            assert!(world.fault().is_some(), "{:?}", world.keys);
+        })*
+    };
+}
+
+needed! {
+    lag_counts_in_the_wait: lag, [
+        [Fetch(0, 0), Drop(0), Drop(1), List(2)], refresh(2),
+        [Tick(LAG - 1), Fetch(0, LAG), Read(0), Tick(LEASE - 1), Key(0), Order(0, 0)], refresh(2),
+        [Order(2, 0)],
+    ];
+}
+
+#[test]
+fn only_version_7_keys_have_a_time() {
+    let key = "018f0000-0000-7000-8000-000000000000"
+        .parse()
+        .expect("valid");
+    assert_eq!(birth_of(&key), Some(WallTime(0x018f_0000_0000)));
+    let other = "018f0000-0000-4000-8000-000000000000"
+        .parse()
+        .expect("valid");
+    assert_eq!(birth_of(&other), None);
+    assert_eq!(birth_of(&"booking-1".parse().expect("valid")), None);
+}
+
+/// What the platform and the machines do.
+fn change() -> impl Strategy<Value = Step> {
+    let agent = 0..CROWD;
+    prop_oneof![
+        2 => agent.clone().prop_map(Boot),
+        6 => agent.clone().prop_map(List),
+        5 => agent.clone().prop_map(Drop),
+        2 => (agent.clone(), 0..=LAG).prop_map(|(i, age)| Fetch(i, age)),
+        2 => agent.prop_map(Read),
+        4 => (0..6_u64).prop_map(Tick),
+    ]
+}
+
+/// What callers and the network do.
+fn call() -> impl Strategy<Value = Step> {
+    let agent = 0..CROWD;
+    prop_oneof![
+        3 => (-8..4_i64).prop_map(Key),
+        10 => (agent, 0..3_usize).prop_map(|(i, back)| Recent(i, back)),
+        6 => (0..8_usize).prop_map(Late),
+        1 => (0..64_usize).prop_map(Deliver),
+        3 => Just(Settle),
+        3 => (0..3_u64).prop_map(Tick),
+    ]
+}
+
+/// A stretch of time in which some agents keep their lease, then changes or calls.
+fn phase() -> impl Strategy<Value = Vec<Step>> {
+    let live = (0..2 * QUIET, any::<u8>(), 0..=LAG);
+    let live = live.prop_map(|(span, set, age)| vec![Live(span, set, age)]);
+    prop_oneof![
+        4 => live,
+        1 => Just(vec![Live(HORIZON - 2 * OFFSET, u8::MAX, 0)]),
+        3 => proptest::collection::vec(change(), 1..4),
+        5 => proptest::collection::vec(call(), 1..10),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 8_000, failure_persistence: None, max_shrink_iters: 20_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn each_key_starts_at_most_once(phases in proptest::collection::vec(phase(), 1..24)) {
+        let mut world = World::new(CROWD, config());
+        world.run([List(0), List(1), Live(QUIET, u8::MAX, 0)]);
+        world.run(phases.into_iter().flatten());
+        prop_assert_eq!(world.fault(), None);
+    }
+}
+
+#[test]
+fn a_call_costs_two_messages_for_each_older_agent() {
+    let mut world = World::new(8, config());
+    world.run((0..8).map(List)).run([Live(QUIET, u8::MAX, 0)]);
+    for i in 0..8 {
+        let before = world.sent;
+        world.run([Key(0), Recent(i, 0), Settle]);
+        assert_eq!(world.sent - before, 2 * i as u64);
+        assert_eq!(world.keys[i].starts, 1);
+    }
+}
+
+/// Prints how adversarial schedules end; run with `--nocapture`.
+#[test]
+fn price_under_adversarial_schedules() {
+    let mut runner = TestRunner::deterministic();
+    let phases = proptest::collection::vec(phase(), 1..24);
+    let (mut orders, mut keys, mut starts) = (0, 0, 0);
+    let mut refused = std::collections::BTreeMap::<String, u64>::new();
+    for _ in 0..1_000 {
+        let steps = phases.new_tree(&mut runner).expect("a schedule").current();
+        let mut world = World::new(CROWD, config());
+        world.run([List(0), List(1), Live(QUIET, u8::MAX, 0)]);
+        world.run(steps.into_iter().flatten());
+        orders += world.orders;
+        keys += world.keys.len();
+        starts += world.keys.iter().filter(|k| k.starts > 0).count();
+        for (why, count) in world.refused {
+            *refused.entry(why).or_default() += count;
+        }
+    }
+    println!("orders {orders}, keys {keys}, keys started {starts}, refused {refused:?}");
+    assert!(starts > 0);
+}
--- /dev/null
+++ b/crates/decide/tests/claims/world.rs
@@ -0,0 +1,313 @@
+//! A schedule interpreter over the real state machines: agents, a lagging VM list, skewed clocks,
+//! and messages that are lost, repeated and crossed. Real time is in milliseconds.
+
+use std::collections::BTreeMap;
+
+use apricothall_decide::claims::{Ask, Claims, Denied, Progress, Reply, Start, Verdict};
+use apricothall_decide::configs::ClaimsConfig;
+use apricothall_decide::dedupe::{CallKey, Clock, Home};
+use apricothall_types::{Digest, Incarnation, Interval, MemberId, Outcome, Revision, Role};
+use apricothall_types::{Timestamp, Vm, VmList, VmState, WallTime};
+
+pub const LEASE: u64 = 10;
+pub const LAG: u64 = 6;
+/// Half of the skew: how far one wall clock may be from real time.
+pub const OFFSET: u64 = 1;
+pub const HORIZON: u64 = 150;
+pub const DEADLINE: u64 = 25;
+/// Real time at the start, so that offsets never go below zero.
+const EPOCH: u64 = 1_000;
+
+/// One step of a schedule. Numbers pick an agent, key or message by remainder.
+#[derive(Clone, Debug)]
+pub enum Step {
+    Tick(u64),
+    /// The agent's process ends and a new one starts on the VM.
+    Boot(usize),
+    /// The platform puts the VM in its list, or takes it from there.
+    List(usize),
+    Drop(usize),
+    /// The agent asks for the list and gets one that is this old.
+    Fetch(usize, u64),
+    /// The answer reaches the agent.
+    Read(usize),
+    /// A caller makes a key, on a clock that is this far from real time.
+    Key(i64),
+    /// An order with the key reaches the agent, sent through some entry.
+    Order(usize, usize),
+    /// The same with the key that was made this many keys ago.
+    Recent(usize, usize),
+    /// A message arrives; it may arrive again.
+    Deliver(usize),
+    /// The same with the message that was sent this many messages ago.
+    Late(usize),
+    /// Time passes while the agents of this set go on to read a list of this age.
+    Live(u64, u8, u64),
+    /// All messages arrive, in the order sent, and those that they cause.
+    Settle,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Ask(MemberId, Ask),
+    Reply(Reply),
+}
+
+struct Agent {
+    id: MemberId,
+    offset: i64,
+    incarnation: u64,
+    claims: Claims,
+    fetched: Option<(VmList, Timestamp)>,
+}
+
+/// What was seen of one key.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub birth: u64,
+    pub starts: u32,
+    pub not_run: bool,
+}
+
+#[derive(Default)]
+pub struct World {
+    now: u64,
+    config: ClaimsConfig,
+    agents: Vec<Agent>,
+    lists: Vec<(u64, VmList)>,
+    messages: Vec<Message>,
+    delivered: usize,
+    pub keys: Vec<Seen>,
+    pub orders: u64,
+    pub sent: u64,
+    pub refused: BTreeMap<String, u64>,
+}
+
+pub fn config() -> ClaimsConfig {
+    ClaimsConfig {
+        lease: Interval::millis(LEASE),
+        lag: Interval::millis(LAG),
+        skew: Interval::millis(2 * OFFSET),
+        horizon: Interval::millis(HORIZON),
+        max_marks: 1_000,
+    }
+}
+
+fn key_of(index: usize) -> CallKey {
+    CallKey(Digest::of(&index.to_le_bytes()))
+}
+
+impl World {
+    pub fn new(agents: usize, config: ClaimsConfig) -> Self {
+        let mut world = Self {
+            now: EPOCH,
+            config,
+            lists: vec![(0, VmList::default())],
+            ..Self::default()
+        };
+        for i in 0..agents {
+            let offset = [0, 1, -1][i % 3];
+            let id: MemberId = format!("vm-{i}").parse().expect("valid id");
+            let claims = world.boot(&id, 0, offset);
+            world.agents.push(Agent {
+                id,
+                offset,
+                incarnation: 0,
+                claims,
+                fetched: None,
+            });
+        }
+        world
+    }
+
+    fn clock(&self, offset: i64) -> Clock {
+        Clock {
+            now: Timestamp::from_millis(self.now),
+            wall: WallTime(self.now.saturating_add_signed(offset)),
+        }
+    }
+
+    fn boot(&self, id: &MemberId, incarnation: u64, offset: i64) -> Claims {
+        let home = Home {
+            id: id.clone(),
+            incarnation: Incarnation(incarnation),
+        };
+        Claims::new(home, self.config.clone(), self.clock(offset))
+    }
+
+    pub fn run(&mut self, steps: impl IntoIterator<Item = Step>) -> &mut Self {
+        for step in steps {
+            self.step(&step);
+        }
+        self
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Tick(span) => self.now += span,
+            Step::Boot(i) => self.restart(i % self.agents.len()),
+            Step::List(i) => self.relist(i % self.agents.len(), true),
+            Step::Drop(i) => self.relist(i % self.agents.len(), false),
+            Step::Fetch(i, age) => self.fetch(i % self.agents.len(), age),
+            Step::Read(i) => self.read(i % self.agents.len()),
+            Step::Key(offset) => self.keys.push(Seen {
+                birth: self.now.saturating_add_signed(offset),
+                ..Seen::default()
+            }),
+            Step::Order(i, key) if !self.keys.is_empty() => {
+                self.order(i % self.agents.len(), key % self.keys.len());
+            }
+            Step::Recent(i, back) if back < self.keys.len() => {
+                self.order(i % self.agents.len(), self.keys.len() - 1 - back);
+            }
+            Step::Late(back) if back < self.messages.len() => {
+                self.deliver(self.messages.len() - 1 - back);
+            }
+            Step::Live(span, set, age) => self.live(span, set, age),
+            Step::Deliver(i) if !self.messages.is_empty() => {
+                self.deliver(i % self.messages.len());
+            }
+            Step::Order(..) | Step::Recent(..) | Step::Deliver(_) | Step::Late(_) => {}
+            Step::Settle => {
+                while self.delivered < self.messages.len() {
+                    self.delivered += 1;
+                    self.deliver(self.delivered - 1);
+                }
+            }
+        }
+    }
+
+    fn live(&mut self, span: u64, set: u8, age: u64) {
+        for at in 0..=span {
+            self.now += u64::from(at > 0);
+            // Often enough to keep the lease.
+            let due = at % (LEASE / 3) == 0 || at == span;
+            let agents = (0..self.agents.len()).filter(|i| due && set & (1 << i) != 0);
+            for i in agents {
+                self.fetch(i, age);
+                self.read(i);
+            }
+        }
+    }
+
+    fn restart(&mut self, i: usize) {
+        let agent = &self.agents[i];
+        let incarnation = agent.incarnation + 1;
+        let claims = self.boot(&agent.id, incarnation, agent.offset);
+        let agent = &mut self.agents[i];
+        agent.incarnation = incarnation;
+        agent.claims = claims;
+        agent.fetched = None;
+    }
+
+    fn relist(&mut self, i: usize, listed: bool) {
+        let (_, last) = self.lists.last().expect("never empty");
+        let id = self.agents[i].id.clone();
+        if last.vms.iter().any(|vm| vm.id == id) == listed {
+            return;
+        }
+        let mut next = last.clone();
+        next.revision = last.revision.next();
+        next.vms.retain(|vm| vm.id != id);
+        if listed {
+            next.vms.push(vm(id, next.revision));
+        }
+        self.lists.push((self.now, next));
+    }
+
+    fn fetch(&mut self, i: usize, age: u64) {
+        let at = self.now.saturating_sub(age.min(LAG));
+        let (_, list) = self.lists.iter().rfind(|(t, _)| *t <= at).expect("first");
+        let asked = Timestamp::from_millis(self.now);
+        self.agents[i].fetched = Some((list.clone(), asked));
+    }
+
+    fn read(&mut self, i: usize) {
+        let pool: Vec<_> = self.agents.iter().map(|a| a.id.clone()).collect();
+        let clock = self.clock(self.agents[i].offset);
+        let agent = &mut self.agents[i];
+        if let Some((list, asked)) = agent.fetched.take() {
+            agent.claims.view().observe(&list, &pool, asked, clock);
+        }
+    }
+
+    fn order(&mut self, i: usize, key: usize) {
+        self.orders += 1;
+        let clock = self.clock(self.agents[i].offset);
+        let birth = Some(WallTime(self.keys[key].birth));
+        let deadline = Timestamp::from_millis(self.now + DEADLINE);
+        let claims = &mut self.agents[i].claims;
+        match claims.order(key_of(key), birth, deadline, clock) {
+            Start::Run => self.keys[key].starts += 1,
+            Start::Refuse(denied) => self.refuse(key, denied),
+            Start::Known => *self.refused.entry("Known".into()).or_default() += 1,
+            Start::Ask(ask, ids) => {
+                let asks = ids.into_iter().map(|id| Message::Ask(id, ask.clone()));
+                let before = self.messages.len();
+                self.messages.extend(asks);
+                self.sent += (self.messages.len() - before) as u64;
+            }
+        }
+    }
+
+    fn refuse(&mut self, key: usize, denied: Denied) {
+        *self.refused.entry(format!("{denied:?}")).or_default() += 1;
+        self.keys[key].not_run |= denied.outcome() == Outcome::NotRun;
+    }
+
+    fn deliver(&mut self, index: usize) {
+        match self.messages[index].clone() {
+            Message::Ask(to, ask) => {
+                let Some(agent) = self.agents.iter().position(|a| a.id == to) else {
+                    return;
+                };
+                let clock = self.clock(self.agents[agent].offset);
+                let reply = self.agents[agent].claims.ask(&ask, clock);
+                self.messages.push(Message::Reply(reply));
+                self.sent += 1;
+            }
+            Message::Reply(reply) => self.answer(&reply),
+        }
+    }
+
+    fn answer(&mut self, reply: &Reply) {
+        let to = self.agents.iter().position(|a| a.id == reply.to.id);
+        let agent = to.expect("known agent");
+        let clock = self.clock(self.agents[agent].offset);
+        let progress = self.agents[agent].claims.reply(reply, clock);
+        let mut keys = 0..self.keys.len();
+        let key = keys.find(|k| key_of(*k) == reply.key).expect("known key");
+        match progress {
+            Progress::Run => self.keys[key].starts += 1,
+            Progress::Refuse(denied) => self.refuse(key, denied),
+            Progress::Wait => {}
+        }
+    }
+
+    /// The first key that started twice, or started although `not_run` was said.
+    pub fn fault(&self) -> Option<String> {
+        let faulty = |k: &&Seen| k.starts > 1 || (k.starts > 0 && k.not_run);
+        self.keys.iter().find(faulty).map(|k| format!("{k:?}"))
+    }
+
+    /// Verdicts given so far, for regressions that follow one message.
+    pub fn verdicts(&self) -> Vec<Verdict> {
+        let replies = self.messages.iter().filter_map(|m| match m {
+            Message::Reply(reply) => Some(reply.verdict),
+            Message::Ask(..) => None,
+        });
+        replies.collect()
+    }
+}
+
+fn vm(id: MemberId, since: Revision) -> Vm {
+    Vm {
+        id,
+        address: ([127, 0, 0, 1], 1).into(),
+        role: Role::Agent,
+        region: "r".parse().expect("valid region"),
+        zone: "z".parse().expect("valid zone"),
+        state: VmState::Live,
+        since,
+    }
+}
