feat(decide): quarantine of requests that crash servers

Sending equal fingerprints to any server let several entries lose one server each before the news spread; each fingerprint is now bound to the first two servers by rank, and an agent runs none that crashed its own server and was not cleared since. Ruled out: a single server a fingerprint (no choice by load) and a solo trial at the crashed server (a third crash).

--- a/crates/decide/src/configs/quarantine.rs
+++ b/crates/decide/src/configs/quarantine.rs
@@ -1,8 +1,23 @@
 //! Settings of [`crate::quarantine`].
 
+use apricothall_types::Interval;
 use serde::{Deserialize, Serialize};
 
 /// Settings of [`crate::quarantine`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-pub struct QuarantineConfig {}
+pub struct QuarantineConfig {
+    /// Time for which a record is kept after its latest change.
+    pub horizon: Interval,
+    /// Fingerprints remembered at once. Condemned ones are forgotten last.
+    pub max_records: usize,
+}
+
+impl Default for QuarantineConfig {
+    fn default() -> Self {
+        Self {
+            horizon: Interval::secs(3_600),
+            max_records: 4_096,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/quarantine/flights.rs
@@ -0,0 +1,80 @@
+//! Which server an entry sends a fingerprint to.
+//!
+//! Each fingerprint has a pair of servers, the first two by rank. All entries agree on the pair,
+//! so a request that crashes its servers meets two of them before the news has spread.
+
+use apricothall_types::{Digest, MemberId};
+
+use super::{Records, Standing};
+use crate::rank;
+
+/// Servers that a fingerprint may be sent to while its standing is not known everywhere.
+const PAIR: usize = 2;
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Send {
+    /// To one of these, in any batch; routing picks by load.
+    Shared(Vec<MemberId>),
+    /// To this one, to run alone.
+    Alone(MemberId),
+    /// Nowhere: a final answer.
+    Refuse,
+    /// Nowhere for now: not run, and the caller may come back later.
+    Later,
+}
+
+/// Decides where a request goes. `servers` holds all that serve it, those that crashed lately
+/// included, so that the pair does not move; `usable` tells which of them take work.
+pub fn send(
+    records: &Records,
+    fingerprint: &Digest,
+    servers: &[MemberId],
+    usable: impl Fn(&MemberId) -> bool,
+) -> Send {
+    let standing = records.standing(fingerprint);
+    if standing == Standing::Condemned {
+        return Send::Refuse;
+    }
+    let ranked = rank::order(&fingerprint.0, servers);
+    let open = ranked.into_iter().take(PAIR).filter(|id| usable(id));
+    let mut open = open
+        .filter(|id| !records.is_barred(fingerprint, id))
+        .cloned();
+    if standing == Standing::Suspect {
+        return open.next().map_or(Send::Later, Send::Alone);
+    }
+    let pair: Vec<_> = open.collect();
+    if pair.is_empty() {
+        return Send::Later;
+    }
+    Send::Shared(pair)
+}
+
+/// What an agent does with a request that arrives for its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// It joins the batch.
+    Share,
+    /// It waits until nothing else runs, and nothing joins it.
+    Alone,
+    /// Not run here; the entry may try the other server of the pair.
+    Elsewhere,
+    /// Refused with a final answer.
+    Refuse,
+}
+
+/// Decides on a request at the agent `me`, which may know more than the entry did.
+#[must_use]
+pub fn arrive(records: &Records, fingerprint: &Digest, me: &MemberId) -> Arrival {
+    if records.standing(fingerprint) == Standing::Condemned {
+        return Arrival::Refuse;
+    }
+    if records.is_barred(fingerprint, me) {
+        return Arrival::Elsewhere;
+    }
+    match records.standing(fingerprint) {
+        Standing::Suspect => Arrival::Alone,
+        _ => Arrival::Share,
+    }
+}
--- a/crates/decide/tests/claims/main.rs
+++ b/crates/decide/tests/claims/main.rs
@@ -234,3 +234,19 @@
     println!("orders {orders}, keys {keys}, keys started {starts}, refused {refused:?}");
     assert!(starts > 0);
 }
+
+/// Prints for how long fresh keys stop once the whole pool was replaced.
+#[test]
+fn stop_after_whole_pool_replacement() {
+    let mut world = World::new(AGENTS, config());
+    world.run(pair()).run([Drop(0), Drop(1), List(2), List(3)]);
+    let stopped = (0..10 * QUIET).find(|_| {
+        world.run([Live(1, u8::MAX, 0), Key(0), Recent(2, 0)]);
+        world.keys.last().is_some_and(|key| key.starts == 1)
+    });
+    println!(
+        "lease {LEASE}, lag {LAG}, skew {}: stopped {stopped:?}",
+        2 * OFFSET
+    );
+    assert!(stopped.is_some_and(|span| span <= QUIET));
+}
