--- a/crates/decide/tests/claims/main.rs
+++ b/crates/decide/tests/claims/main.rs
@@ -8,7 +8,8 @@
 use proptest::strategy::ValueTree;
 use proptest::test_runner::TestRunner;
 use world::Step::{
-    Boot, Deliver, Drop, Fetch, Key, Late, List, Live, Order, Read, Recent, Settle, Tick,
+    Boot, Call, Deliver, Drop, Fetch, Key, Late, List, Live, Order, Read, Recent, Settle, Tick,
+    Ticket,
 };
 use world::{DEADLINE, HORIZON, LAG, LEASE, OFFSET, Step, World, config};
 
@@ -165,7 +166,7 @@
     let agent = 0..CROWD;
     prop_oneof![
         3 => (-8..4_i64).prop_map(Key),
-        10 => (agent, 0..3_usize).prop_map(|(i, back)| Recent(i, back)),
+        10 => (agent.clone(), 0..3_usize).prop_map(|(i, back)| Recent(i, back)),
         6 => (0..8_usize).prop_map(Late),
         1 => (0..64_usize).prop_map(Deliver),
         3 => Just(Settle),
@@ -173,6 +174,19 @@
     ]
 }
 
+/// Callers that mix tickets and keys alone, through entries with different views.
+fn mixed() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        1 => (0..CROWD).prop_map(Ticket),
+        1 => (-8..4_i64).prop_map(Key),
+        6 => (any::<u8>(), 0..2_u64, 0..4_usize, 0..9_usize)
+            .prop_map(|(seen, lag, back, with)| Call(seen, lag, back, with)),
+        1 => (0..CROWD).prop_map(Boot),
+        1 => Just(Settle),
+        1 => (0..9_u64).prop_map(Tick),
+    ]
+}
+
 /// A stretch of time in which some agents keep their lease, then changes or calls.
 fn phase() -> impl Strategy<Value = Vec<Step>> {
     let live = (0..2 * QUIET, any::<u8>(), 0..=LAG);
@@ -198,6 +212,16 @@
         world.run(phases.into_iter().flatten());
         prop_assert_eq!(world.fault(), None);
     }
+
+    #[test]
+    fn tickets_and_keys_mix(calls in proptest::collection::vec(mixed(), 1..60)) {
+        let mut world = World::new(CROWD, config());
+        world.run([List(0), List(1), List(2), Live(QUIET, u8::MAX, 0)]);
+        for call in calls {
+            world.run([call, Live(0, u8::MAX, 0)]);
+        }
+        prop_assert_eq!(world.fault(), None);
+    }
 }
 
 #[test]
--- a/crates/decide/tests/claims/world.rs
+++ b/crates/decide/tests/claims/world.rs
@@ -4,8 +4,11 @@
 use std::collections::BTreeMap;
 
 use apricothall_decide::claims::{Ask, Claims, Denied, Progress, Reply, Start, Verdict};
-use apricothall_decide::configs::ClaimsConfig;
-use apricothall_decide::dedupe::{CallKey, Clock, Home};
+use apricothall_decide::configs::{ClaimsConfig, DedupeConfig};
+use apricothall_decide::dedupe::{
+    Admit, Binding, CallKey, Choice, Clock, Home, Order, Register, Ticket, choose,
+};
+use apricothall_types::{Catalogue, CatalogueEntry, MemberState, RequestId};
 use apricothall_types::{Digest, Incarnation, Interval, MemberId, Outcome, Revision, Role};
 use apricothall_types::{Timestamp, Vm, VmList, VmState, WallTime};
 
@@ -37,6 +40,11 @@
     Order(usize, usize),
     /// The same with the key that was made this many keys ago.
     Recent(usize, usize),
+    /// A caller makes a key with a ticket for the agent.
+    Ticket(usize),
+    /// An entry that sees these agents, by their latest start or the one before, is sent the key
+    /// made this many keys ago: alone, with its ticket, or with the ticket of another key.
+    Call(u8, u64, usize, usize),
     /// A message arrives; it may arrive again.
     Deliver(usize),
     /// The same with the message that was sent this many messages ago.
@@ -58,6 +66,7 @@
     offset: i64,
     incarnation: u64,
     claims: Claims,
+    register: Register,
     fetched: Option<(VmList, Timestamp)>,
 }
 
@@ -67,6 +76,7 @@
     pub birth: u64,
     pub starts: u32,
     pub not_run: bool,
+    pub ticket: Option<Ticket>,
 }
 
 #[derive(Default)]
@@ -97,6 +107,21 @@
     CallKey(Digest::of(&index.to_le_bytes()))
 }
 
+fn home(id: &MemberId, incarnation: u64) -> Home {
+    Home {
+        id: id.clone(),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn register(id: &MemberId, incarnation: u64) -> Register {
+    let config = DedupeConfig {
+        horizon: Interval::millis(HORIZON),
+        ..DedupeConfig::default()
+    };
+    Register::new(home(id, incarnation), config)
+}
+
 impl World {
     pub fn new(agents: usize, config: ClaimsConfig) -> Self {
         let mut world = Self {
@@ -109,11 +134,13 @@
             let offset = [0, 1, -1][i % 3];
             let id: MemberId = format!("vm-{i}").parse().expect("valid id");
             let claims = world.boot(&id, 0, offset);
+            let register = register(&id, 0);
             world.agents.push(Agent {
                 id,
                 offset,
                 incarnation: 0,
                 claims,
+                register,
                 fetched: None,
             });
         }
@@ -128,11 +155,11 @@
     }
 
     fn boot(&self, id: &MemberId, incarnation: u64, offset: i64) -> Claims {
-        let home = Home {
-            id: id.clone(),
-            incarnation: Incarnation(incarnation),
-        };
-        Claims::new(home, self.config.clone(), self.clock(offset))
+        Claims::new(
+            home(id, incarnation),
+            self.config.clone(),
+            self.clock(offset),
+        )
     }
 
     pub fn run(&mut self, steps: impl IntoIterator<Item = Step>) -> &mut Self {
@@ -167,7 +194,15 @@
             Step::Deliver(i) if !self.messages.is_empty() => {
                 self.deliver(i % self.messages.len());
             }
-            Step::Order(..) | Step::Recent(..) | Step::Deliver(_) | Step::Late(_) => {}
+            Step::Ticket(i) => self.ticket(i % self.agents.len()),
+            Step::Call(seen, lag, back, with) if back < self.keys.len() => {
+                self.call(seen, lag, self.keys.len() - 1 - back, with);
+            }
+            Step::Call(..)
+            | Step::Order(..)
+            | Step::Recent(..)
+            | Step::Deliver(_)
+            | Step::Late(_) => {}
             Step::Settle => {
                 while self.delivered < self.messages.len() {
                     self.delivered += 1;
@@ -177,6 +212,76 @@
         }
     }
 
+    fn ticket(&mut self, i: usize) {
+        let agent = &self.agents[i];
+        let ticket = Ticket {
+            home: home(&agent.id, agent.incarnation),
+            name: "booking".parse().expect("valid name"),
+            expires: WallTime(self.now + HORIZON / 2),
+        };
+        self.keys.push(Seen {
+            birth: self.now,
+            ticket: Some(ticket),
+            ..Seen::default()
+        });
+    }
+
+    fn call(&mut self, seen: u8, lag: u64, key: usize, with: usize) {
+        let own = self.keys[key].ticket.clone();
+        let text = own.as_ref().map_or(String::new(), Ticket::prefix) + &key.to_string();
+        let ticket = match with % 3 {
+            0 => None,
+            1 => own,
+            _ => self.keys[with % self.keys.len()].ticket.clone(),
+        };
+        let text = text.parse().expect("valid key");
+        let choice = choose(&self.entry(), Some(&text), ticket.as_ref(), |id| {
+            let at = self.agents.iter().position(|a| a.id == *id)?;
+            let incarnation = self.agents[at].incarnation.saturating_sub(lag);
+            let visible = seen & (1 << at) != 0;
+            visible.then_some((Incarnation(incarnation), MemberState::Alive))
+        });
+        match choice {
+            Choice::Run(home, Binding::Claims) => {
+                let at = self.agents.iter().position(|a| a.id == home.id);
+                self.order(at.expect("known agent"), key);
+            }
+            Choice::Run(home, Binding::Ticket) => {
+                self.admit(home, key, ticket.expect("given").expires);
+            }
+            Choice::Refuse(_, outcome) => self.keys[key].not_run |= outcome == Outcome::NotRun,
+            Choice::Ask(_) | Choice::Any => unreachable!("agents are alive, calls run once"),
+        }
+    }
+
+    fn admit(&mut self, home: Home, key: usize, expires: WallTime) {
+        let at = self.agents.iter().position(|a| a.id == home.id);
+        let at = at.expect("known agent");
+        let clock = self.clock(self.agents[at].offset);
+        let order = Order {
+            home,
+            key: key_of(key),
+            fingerprint: Digest([0; 32]),
+            request: RequestId(0),
+            deadline: clock.now + std::time::Duration::from_millis(1),
+            expires,
+        };
+        match self.agents[at].register.admit(&order, clock) {
+            Admit::Run => self.keys[key].starts += 1,
+            Admit::Refuse(why) => self.keys[key].not_run |= why.outcome() == Outcome::NotRun,
+            _ => {}
+        }
+    }
+
+    fn entry(&self) -> CatalogueEntry {
+        let pool: Vec<_> = self.agents.iter().map(|a| a.id.as_str()).collect();
+        let text = format!(
+            "[[entries]]\nname = \"booking\"\nkind = \"service\"\nowner = \"o\"\nreplicas = 1\n\
+             repeatable = false\npool = {pool:?}\n"
+        );
+        Catalogue::parse(&text).expect("valid").entries.remove(0)
+    }
+
     fn live(&mut self, span: u64, set: u8, age: u64) {
         for at in 0..=span {
             self.now += u64::from(at > 0);
@@ -197,6 +302,7 @@
         let agent = &mut self.agents[i];
         agent.incarnation = incarnation;
         agent.claims = claims;
+        agent.register = register(&agent.id, incarnation);
         agent.fetched = None;
     }
 
