feat(agent): transfer planner and rollout decisions in the daemon

Each wanted version has a task that carries out decide::transfer: store, origin and peers on the bulk lane, bitmaps on the control lane, chunks kept only by Verified::check, upload slots, eviction of what is neither wanted nor loaded. The loader follows decide::rollout over the VM list: place, ranks, window, drain before the order, decision anew after the drain, and an engine is offered only while it says that it serves what was last ordered, in the same boot. Entries choose among all versions of a model in service, as the new one is in force before anyone serves it. Own records are issued anew when the wanted version changes, as others count only reports made under that change. Latency histograms get fixed bounds: they saturated at 2 us.

--- a/crates/agent/src/chunks.rs
+++ b/crates/agent/src/chunks.rs
@@ -1,9 +1,10 @@
 //! Verified chunks in memory. VMs have no disks.
 
-use std::collections::HashMap;
-use std::sync::{PoisonError, RwLock};
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
-use apricothall_types::{Bytes as Size, ChunkIndex, Digest, Manifest};
+use apricothall_decide::transfer::{ChunkSet, Kept, Verified};
+use apricothall_types::{Bytes as Size, ChunkIndex, Digest, Manifest, Timestamp};
 use bytes::Bytes;
 use thiserror::Error;
 
@@ -21,102 +22,148 @@
 /// Chunks of one version.
 struct Version {
     published: Bytes,
-    manifest: Manifest,
+    manifest: Arc<Manifest>,
     chunks: Vec<Option<Bytes>>,
+    held: ChunkSet,
+    used: Timestamp,
 }
 
+impl Version {
+    fn size(&self) -> Size {
+        let held = self.chunks.iter().flatten();
+        held.map(|chunk| Size(chunk.len() as u64)).sum()
+    }
+}
+
+type Versions = HashMap<Digest, Version>;
+
 /// Chunks of all versions held, by the digest of their manifest.
 #[derive(Default)]
 pub struct ChunkStore {
-    versions: RwLock<HashMap<Digest, Version>>,
+    versions: RwLock<Versions>,
 }
 
 impl ChunkStore {
     /// Starts to hold a version whose published manifest has `digest`.
-    pub fn open(&self, digest: Digest, published: Bytes, manifest: Manifest) {
-        let mut versions = self
-            .versions
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
+    pub fn open(&self, digest: Digest, published: Bytes, manifest: Manifest, now: Timestamp) {
         let chunks = vec![None; manifest.chunks.len()];
-        versions.entry(digest).or_insert(Version {
+        self.write().entry(digest).or_insert(Version {
             published,
-            manifest,
+            manifest: Arc::new(manifest),
             chunks,
+            held: ChunkSet::default(),
+            used: now,
         });
     }
 
-    /// Keeps a chunk if its digest is the one in the manifest.
+    /// Keeps a chunk if its digest is the one in the manifest, and returns the proof.
     ///
     /// # Errors
     /// When the manifest is unknown or the digest differs.
-    pub fn put(&self, digest: Digest, index: ChunkIndex, data: Bytes) -> Result<(), ChunkError> {
-        let expected = self.manifest(digest).and_then(|m| m.digest(index));
-        let expected = expected.ok_or(ChunkError::UnknownManifest)?;
-        if Digest::of(&data) != expected {
-            return Err(ChunkError::Corrupt(index));
-        }
-        let mut versions = self
-            .versions
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        let version = versions
-            .get_mut(&digest)
-            .ok_or(ChunkError::UnknownManifest)?;
+    pub fn put(
+        &self,
+        digest: Digest,
+        index: ChunkIndex,
+        data: Bytes,
+    ) -> Result<Verified, ChunkError> {
+        let manifest = self.manifest(digest).ok_or(ChunkError::UnknownManifest)?;
+        let proof = Verified::check(digest, &manifest, index, &data);
+        let proof = proof.ok_or(ChunkError::Corrupt(index))?;
+        let mut versions = self.write();
+        let version = versions.get_mut(&digest);
+        let version = version.ok_or(ChunkError::UnknownManifest)?;
         version.chunks[index.0 as usize] = Some(data);
-        Ok(())
+        version.held.insert(index);
+        Ok(proof)
     }
 
-    /// A verified chunk.
+    /// A verified chunk; notes that the version is used.
     #[must_use]
-    pub fn chunk(&self, digest: Digest, index: ChunkIndex) -> Option<Bytes> {
-        let versions = self.versions.read().unwrap_or_else(PoisonError::into_inner);
-        versions.get(&digest)?.chunks.get(index.0 as usize)?.clone()
+    pub fn chunk(&self, digest: Digest, index: ChunkIndex, now: Timestamp) -> Option<Bytes> {
+        let mut versions = self.write();
+        let version = versions.get_mut(&digest)?;
+        version.used = now;
+        version.chunks.get(index.0 as usize)?.clone()
+    }
+
+    /// Proofs of the chunks held, checked anew.
+    #[must_use]
+    pub fn proofs(&self, digest: Digest) -> Vec<Verified> {
+        let versions = self.read();
+        let Some(version) = versions.get(&digest) else {
+            return Vec::new();
+        };
+        let held = (0_u32..).zip(&version.chunks);
+        let held = held.filter_map(|(index, chunk)| Some((ChunkIndex(index), chunk.as_ref()?)));
+        held.filter_map(|(index, chunk)| Verified::check(digest, &version.manifest, index, chunk))
+            .collect()
     }
 
     /// The manifest of a version.
     #[must_use]
-    pub fn manifest(&self, digest: Digest) -> Option<Manifest> {
-        let versions = self.versions.read().unwrap_or_else(PoisonError::into_inner);
-        versions.get(&digest).map(|v| v.manifest.clone())
+    pub fn manifest(&self, digest: Digest) -> Option<Arc<Manifest>> {
+        self.read().get(&digest).map(|v| v.manifest.clone())
     }
 
     /// The manifest of a version as published.
     #[must_use]
     pub fn published(&self, digest: Digest) -> Option<Bytes> {
-        let versions = self.versions.read().unwrap_or_else(PoisonError::into_inner);
-        versions.get(&digest).map(|v| v.published.clone())
+        self.read().get(&digest).map(|v| v.published.clone())
     }
 
-    /// Chunks of a version that are not held.
+    /// Which chunks of a version are held.
     #[must_use]
-    pub fn missing(&self, digest: Digest) -> Option<Vec<ChunkIndex>> {
-        let versions = self.versions.read().unwrap_or_else(PoisonError::into_inner);
-        let chunks = &versions.get(&digest)?.chunks;
-        let absent = (0_u32..).zip(chunks).filter(|(_, chunk)| chunk.is_none());
-        Some(absent.map(|(index, _)| ChunkIndex(index)).collect())
+    pub fn held(&self, digest: Digest) -> ChunkSet {
+        let versions = self.read();
+        let version = versions.get(&digest);
+        version.map(|v| v.held.clone()).unwrap_or_default()
     }
 
     /// Whether all chunks of a version are held.
     #[must_use]
     pub fn is_complete(&self, digest: Digest) -> bool {
-        self.missing(digest)
-            .is_some_and(|missing| missing.is_empty())
+        let versions = self.read();
+        let version = versions.get(&digest);
+        version.is_some_and(|v| v.chunks.iter().all(Option::is_some))
+    }
+
+    /// Whether any chunk of a version is held.
+    #[must_use]
+    pub fn is_begun(&self, digest: Digest) -> bool {
+        self.held(digest).count() > 0
+    }
+
+    /// Versions in memory; those in `pinned` are marked so.
+    #[must_use]
+    pub fn kept(&self, pinned: &BTreeSet<Digest>) -> Vec<Kept> {
+        let versions = self.read();
+        let kept = versions.iter().map(|(digest, version)| Kept {
+            manifest: *digest,
+            size: version.size(),
+            pinned: pinned.contains(digest),
+            used: version.used,
+        });
+        kept.collect()
     }
 
     /// Gives up a version.
     pub fn remove(&self, digest: Digest) {
-        self.versions
-            .write()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&digest);
+        self.write().remove(&digest);
     }
 
     /// Memory taken by chunks.
     #[must_use]
     pub fn size(&self) -> Size {
-        let versions = self.versions.read().unwrap_or_else(PoisonError::into_inner);
-        let chunks = versions.values().flat_map(|v| v.chunks.iter().flatten());
-        chunks.map(|chunk| Size(chunk.len() as u64)).sum()
+        self.read().values().map(Version::size).sum()
+    }
+
+    fn read(&self) -> RwLockReadGuard<'_, Versions> {
+        self.versions.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self) -> RwLockWriteGuard<'_, Versions> {
+        self.versions
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -1,87 +1,188 @@
-//! Fetches the chunks of a version until it is complete.
+//! Fetches manifests, bitmaps and chunks from the store, the origin and other agents.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_decide::transfer::{ChunkSet, Failure, Source, Verified};
+use apricothall_fleet::View;
+use apricothall_kernel::Clock;
 use apricothall_platform::weights::parse_manifest;
 use apricothall_platform::{PlatformError, WeightsClient};
-use apricothall_types::{ChunkIndex, Digest, Manifest};
-use futures::StreamExt;
+use apricothall_types::{Bytes as Size, ChunkIndex, Digest, Manifest, MemberId};
+use apricothall_wire::{
+    CHUNK_PATH, Channel, ChunkFrame, ChunkRequest, ChunkWant, Connector, Lane, WireError,
+};
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use tokio::time::timeout;
 
-use crate::chunks::ChunkStore;
+use crate::chunks::{ChunkError, ChunkStore};
 
-/// Chunks that are fetched at once.
-const PARALLEL_FETCHES: usize = 4;
+/// Longest wait for a manifest.
+const MANIFEST_LIMIT: Duration = Duration::from_secs(5);
 
-/// Longest wait for one chunk or manifest.
-const FETCH_LIMIT: Duration = Duration::from_secs(30);
+/// Longest wait for a bitmap.
+const BITMAP_LIMIT: Duration = Duration::from_secs(1);
 
-/// Pause after a failed fetch.
-const FETCH_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a refusal that names none.
+const BUSY_PAUSE: Duration = Duration::from_millis(500);
 
-/// Fetches from the store, and from the origin where the store fails.
+/// Fetches parts of versions. Cheap to clone.
 #[derive(Clone)]
 pub struct Fetcher {
     /// Where chunks are kept.
-    pub store: Arc<ChunkStore>,
-    /// Sources in the order in which they are tried.
-    pub sources: Vec<WeightsClient>,
+    pub chunks: Arc<ChunkStore>,
+    /// Opens streams to other agents.
+    pub connector: Arc<Connector>,
+    /// Addresses of other agents.
+    pub view: Arc<View>,
+    /// The weight store.
+    pub store: WeightsClient,
+    /// The origin of weights.
+    pub origin: WeightsClient,
+    /// Clock of the VM.
+    pub clock: Clock,
 }
 
 impl Fetcher {
-    /// Returns once all chunks of the version are held and verified.
-    pub async fn complete(&self, digest: Digest) {
-        let manifest = self.open(digest).await;
-        while let Some(missing) = self.store.missing(digest).filter(|m| !m.is_empty()) {
-            futures::stream::iter(missing)
-                .for_each_concurrent(PARALLEL_FETCHES, |index| {
-                    self.fetch(digest, &manifest, index)
-                })
-                .await;
+    /// Reads the manifest of a version from `source` and opens the version.
+    pub async fn manifest(&self, digest: Digest, source: &Source) -> Option<Manifest> {
+        let published = match source {
+            Source::Store => self.store.manifest(digest, MANIFEST_LIMIT).await.ok()?,
+            Source::Origin => self.origin.manifest(digest, MANIFEST_LIMIT).await.ok()?,
+            Source::Peer(id) => {
+                let asked = self.ask(id, digest, ChunkWant::Manifest, Lane::Control);
+                let frame = timeout(MANIFEST_LIMIT, asked).await.ok()?.ok()?;
+                let ChunkFrame::Chunk(data) = frame else {
+                    return None;
+                };
+                data.0
+            }
+        };
+        if Digest::of(&published) != digest {
+            return None;
+        }
+        let manifest = parse_manifest(&published).ok()?;
+        let now = self.clock.now();
+        self.chunks.open(digest, published, manifest.clone(), now);
+        Some(manifest)
+    }
+
+    /// Reads which chunks `peer` holds.
+    pub async fn bitmap(&self, digest: Digest, peer: &MemberId) -> Option<ChunkSet> {
+        let asked = self.ask(peer, digest, ChunkWant::Held, Lane::Control);
+        match timeout(BITMAP_LIMIT, asked).await.ok()?.ok()? {
+            ChunkFrame::Held(held) => Some(held),
+            _ => None,
         }
     }
 
-    async fn open(&self, digest: Digest) -> Manifest {
-        loop {
-            if let Some(manifest) = self.store.manifest(digest) {
-                return manifest;
+    /// Fetches one chunk and keeps it if it verifies.
+    ///
+    /// # Errors
+    /// Why no verified chunk came.
+    pub async fn chunk(
+        &self,
+        digest: Digest,
+        index: ChunkIndex,
+        size: Size,
+        source: &Source,
+        wait: Duration,
+    ) -> Result<Verified, Failure> {
+        let data = match source {
+            Source::Store => self.outside(&self.store, digest, index, size, wait).await?,
+            Source::Origin => {
+                self.outside(&self.origin, digest, index, size, wait)
+                    .await?
             }
-            if let Err(error) = self.read_manifest(digest).await {
-                tracing::warn!(%digest, %error, "cannot read the manifest");
-                tokio::time::sleep(FETCH_PAUSE).await;
+            Source::Peer(id) => self.near(id, digest, index).await?,
+        };
+        let length = data.len() as u64;
+        metrics::counter!("apricothall_chunk_fetched_bytes_total", "source" => label(source))
+            .increment(length);
+        self.chunks.put(digest, index, data).map_err(|error| {
+            metrics::counter!("apricothall_chunk_corrupt_total").increment(1);
+            tracing::warn!(%digest, ?source, %error, "chunk refused");
+            match error {
+                ChunkError::Corrupt(_) => Failure::Corrupt,
+                ChunkError::UnknownManifest => Failure::Lost,
             }
-        }
+        })
+    }
+
+    async fn outside(
+        &self,
+        client: &WeightsClient,
+        digest: Digest,
+        index: ChunkIndex,
+        size: Size,
+        wait: Duration,
+    ) -> Result<Bytes, Failure> {
+        let read = client.chunk(digest, index, size, wait).await;
+        read.map_err(|error| match error {
+            PlatformError::Busy { retry } => Failure::Busy(retry.unwrap_or(BUSY_PAUSE)),
+            _ => Failure::Lost,
+        })
     }
 
-    async fn read_manifest(&self, digest: Digest) -> Result<(), PlatformError> {
-        let mut result = Err(PlatformError::Timeout);
-        for source in &self.sources {
-            result = source.manifest(digest, FETCH_LIMIT).await;
-            if result.is_ok() {
-                break;
+    async fn near(
+        &self,
+        id: &MemberId,
+        digest: Digest,
+        index: ChunkIndex,
+    ) -> Result<Bytes, Failure> {
+        let asked = self.ask(id, digest, ChunkWant::Chunk(index), Lane::Bulk);
+        match asked.await {
+            Ok(ChunkFrame::Chunk(data)) => Ok(data.0),
+            Ok(ChunkFrame::Busy { retry }) => Err(Failure::Busy(retry)),
+            Ok(_) => Err(Failure::Lost),
+            Err(error) => {
+                tracing::debug!(peer = %id, %error, "fetch failed");
+                Err(Failure::Lost)
             }
         }
-        let published = result?;
-        let manifest = parse_manifest(&published)?;
-        self.store.open(digest, published, manifest);
-        Ok(())
     }
 
-    async fn fetch(&self, digest: Digest, manifest: &Manifest, index: ChunkIndex) {
-        let size = manifest.chunk_size(index);
-        for source in &self.sources {
-            let fetched = source.chunk(digest, index, size, FETCH_LIMIT).await;
-            let Ok(data) = fetched else {
-                continue;
-            };
-            match self.store.put(digest, index, data) {
-                Ok(()) => return,
-                Err(error) => {
-                    metrics::counter!("apricothall_chunk_corrupt_total").increment(1);
-                    tracing::warn!(%digest, %error, "chunk refused");
-                }
-            }
+    async fn ask(
+        &self,
+        id: &MemberId,
+        manifest: Digest,
+        want: ChunkWant,
+        lane: Lane,
+    ) -> Result<ChunkFrame, WireError> {
+        let address = self.address(id).ok_or(WireError::Ended)?;
+        let opened = self.connector.open(address, lane, CHUNK_PATH, None);
+        let mut channel: Channel<ChunkFrame, ChunkRequest> = opened.await?;
+        let from = self.view.own_id().clone();
+        let request = ChunkRequest {
+            from,
+            manifest,
+            want,
+        };
+        channel.send(request).await?;
+        channel.next().await.ok_or(WireError::Ended)?
+    }
+
+    fn address(&self, id: &MemberId) -> Option<SocketAddr> {
+        Some(self.view.member(id)?.address)
+    }
+
+    /// Has the next fetch from `source` use a new connection.
+    pub async fn reconnect(&self, source: &Source) {
+        let Source::Peer(id) = source else {
+            return;
+        };
+        if let Some(address) = self.address(id) {
+            self.connector.forget(address, Lane::Bulk).await;
         }
-        tokio::time::sleep(FETCH_PAUSE).await;
+    }
+}
+
+fn label(source: &Source) -> &'static str {
+    match source {
+        Source::Store => "store",
+        Source::Origin => "origin",
+        Source::Peer(_) => "peer",
     }
 }
--- a/crates/agent/src/loader.rs
+++ b/crates/agent/src/loader.rs
@@ -1,18 +1,25 @@
-//! Plug-in that brings the version in force onto each engine.
+//! Plug-in that brings the version in force onto the engines, a window of replicas at a time.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_decide::configs::RolloutConfig;
+use apricothall_decide::rollout::{Decision, Own, Report, Wanted, decide};
 use apricothall_fleet::{CatalogueState, View};
-use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_platform::{HttpClient, LoadOrder, PlatformError, Serving, WeightsClient};
-use apricothall_types::{Catalogue, CatalogueEntry, Kind, ModelVersion, Role};
+use apricothall_kernel::{Clock, Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
+use apricothall_types::{
+    EntryName, HoldingState, Member, MemberState, Revision, Role, Timestamp, Version,
+};
 use linkme::distributed_slice;
 use smol_str::{SmolStr, format_smolstr};
+use tokio::task::JoinHandle;
 
 use crate::chunks::ChunkStore;
-use crate::fetch::Fetcher;
+use crate::placement::{Assignment, assignment};
+use crate::reload::{Reload, ReloadError};
 use crate::servers::{Engine, Servers, announce};
+use crate::swarm::Want;
+use crate::transfers::Wants;
 
 #[distributed_slice(PLUGINS)]
 static LOADER: Plugin = Plugin {
@@ -22,99 +29,251 @@
     start: |context| -> StartFuture { Box::pin(async move { start(&context) }) },
 };
 
-/// Longest wait for a load.
-const LOAD_LIMIT: Duration = Duration::from_mins(1);
+/// Time between two decisions.
+const PERIOD: Duration = Duration::from_millis(50);
+
+/// Pause after a failed reload.
+const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
-/// Pause between two looks at what should be loaded.
-const PERIOD: Duration = Duration::from_millis(200);
+/// The change of the catalogue that made a version the wanted one.
+struct Change {
+    name: EntryName,
+    version: Version,
+    since: Revision,
+}
 
-/// Longest wait for an engine's state.
-const STATE_LIMIT: Duration = Duration::from_secs(1);
+struct Loading {
+    version: Version,
+    task: JoinHandle<Result<(), ReloadError>>,
+}
 
 struct Loader {
-    engine: Arc<Engine>,
     servers: Arc<Servers>,
     view: Arc<View>,
     catalogue: Arc<CatalogueState>,
-    fetcher: Fetcher,
+    chunks: Arc<ChunkStore>,
+    wants: Arc<Wants>,
+    config: RolloutConfig,
+    clock: Clock,
     source: SmolStr,
+    change: Option<Change>,
+    loading: Option<Loading>,
+    resume: Timestamp,
 }
 
 fn start(context: &Context) -> Result<(), StartError> {
-    let servers = context.part::<Servers>()?;
     let Some(weights) = &context.settings.weights else {
         return Ok(());
     };
-    let http = context.part::<HttpClient>()?;
-    let platform = &context.settings.platform;
-    let sources = [platform.store, platform.origin];
-    let sources = sources.map(|address| WeightsClient::new((*http).clone(), address));
-    let fetcher = Fetcher {
-        store: context.part::<ChunkStore>()?,
-        sources: sources.to_vec(),
+    let loader = Loader {
+        servers: context.part()?,
+        view: context.part()?,
+        catalogue: context.part()?,
+        chunks: context.part()?,
+        wants: context.part()?,
+        config: context.settings.rollout.clone(),
+        clock: context.clock,
+        source: format_smolstr!("http://{}/weights", weights.listen),
+        change: None,
+        loading: None,
+        resume: Timestamp::default(),
     };
-    for engine in &servers.engines {
-        let loader = Loader {
-            engine: engine.clone(),
-            servers: servers.clone(),
-            view: context.part()?,
-            catalogue: context.part()?,
-            fetcher: fetcher.clone(),
-            source: format_smolstr!("http://{}/weights", weights.listen),
-        };
-        context.lifecycle.spawn(loader.run());
-    }
+    context
+        .lifecycle
+        .spawn(loader.run(context.lifecycle.clone()));
     Ok(())
 }
 
 impl Loader {
-    async fn run(self) {
-        loop {
-            let catalogue = self.catalogue.current();
-            if let Some((entry, wanted)) = wanted(&catalogue.value)
-                && let Err(error) = self.bring(entry, wanted).await
-            {
-                tracing::warn!(entry = %entry.name, version = %wanted.version, %error, "load failed");
-            }
+    async fn run(mut self, lifecycle: apricothall_kernel::Lifecycle) {
+        // A leaving agent orders nothing: its engine goes on with what it serves.
+        while !lifecycle.is_leaving() {
+            self.step().await;
             tokio::time::sleep(PERIOD).await;
         }
     }
 
-    /// Fetches and loads `wanted` unless the engine already serves it.
-    async fn bring(
-        &self,
-        entry: &CatalogueEntry,
-        wanted: &ModelVersion,
-    ) -> Result<(), PlatformError> {
-        let target = Serving {
-            name: entry.name.clone(),
-            version: wanted.version.clone(),
-            manifest: wanted.manifest,
+    async fn step(&mut self) {
+        self.finish().await;
+        let catalogue = self.catalogue.current();
+        if catalogue.revision == Revision(0) {
+            return;
+        }
+        let assigned = assignment(&catalogue.value, &self.view);
+        for engine in &self.servers.engines {
+            engine.adopt(&catalogue.value);
+        }
+        self.note(assigned.as_ref(), catalogue.revision);
+        self.want(assigned.as_ref());
+        let now = self.clock.now();
+        match self.decide(assigned.as_ref(), now) {
+            Decision::Reload(_) if now >= self.resume => {
+                if let Some(assigned) = assigned {
+                    self.reload(&assigned);
+                }
+            }
+            Decision::Drop => self.withdraw(),
+            Decision::Keep => self.offer(),
+            Decision::Reload(_) | Decision::Fetch(_) | Decision::Wait(_) => {}
+        }
+    }
+
+    /// Takes the result of a reload that has ended.
+    async fn finish(&mut self) {
+        let Some(loading) = self.loading.take_if(|l| l.task.is_finished()) else {
+            return;
         };
-        let state = self.engine.client.state(STATE_LIMIT).await?;
-        if state.serving.as_ref() == Some(&target) {
-            return Ok(());
+        match loading.task.await {
+            Ok(Ok(())) => tracing::info!(version = %loading.version, "in service"),
+            Ok(Err(error)) => {
+                tracing::warn!(version = %loading.version, %error, "reload failed");
+                metrics::counter!("apricothall_reload_failed_total").increment(1);
+                self.resume = self.clock.now() + FAILURE_PAUSE;
+            }
+            Err(error) => tracing::error!(%error, "reload ended"),
         }
-        self.fetcher.complete(wanted.manifest).await;
-        let order = LoadOrder {
+    }
+
+    /// Notes since which revision the version is wanted.
+    ///
+    /// The own record is issued anew then, as others count only reports made under this change.
+    fn note(&mut self, assigned: Option<&Assignment>, revision: Revision) {
+        let Some(assigned) = assigned else {
+            self.change = None;
+            return;
+        };
+        let Assignment { target, .. } = assigned;
+        let is_same = |c: &Change| c.name == target.name && c.version == target.version;
+        if self.change.as_ref().is_some_and(is_same) {
+            return;
+        }
+        self.change = Some(Change {
             name: target.name.clone(),
             version: target.version.clone(),
-            manifest: target.manifest,
-            source: format_smolstr!("{}/{}", self.source, wanted.manifest),
-            fence: state.fence.next(),
+            since: revision,
+        });
+        self.view.update_own(|own| own.revision = revision);
+        self.view.reissue_own();
+    }
+
+    /// Has the version fetched and kept until it is in service.
+    fn want(&self, assigned: Option<&Assignment>) {
+        let missing = assigned.filter(|a| {
+            let mut engines = self.servers.engines.iter();
+            !engines.all(|e| e.serving().as_ref() == Some(&a.target))
+        });
+        self.wants.set(missing.map(|a| Want {
+            name: a.target.name.clone(),
+            version: a.target.version.clone(),
+            digest: a.target.manifest,
+            weighting: a.entry.weighting,
+            replicas: a.replicas.clone(),
+        }));
+    }
+
+    fn decide(&self, assigned: Option<&Assignment>, now: Timestamp) -> Decision {
+        let me = self.view.own_id();
+        let (Some(assigned), Some(change)) = (assigned, &self.change) else {
+            let own = self.own(None);
+            return decide(&self.config, me, &own, None, &[], now);
         };
-        self.engine.observe(None);
-        announce(&self.servers, &self.view);
-        let loaded = self.engine.client.load(&order, LOAD_LIMIT).await?;
-        self.engine.observe(Some(loaded));
-        announce(&self.servers, &self.view);
-        tracing::info!(entry = %entry.name, version = %wanted.version, "in service");
-        Ok(())
+        let wanted = Wanted {
+            version: change.version.clone(),
+            since: change.since,
+            ranks: assigned.ranks.clone(),
+            window: assigned.entry.window,
+        };
+        let own = self.own(Some(assigned));
+        let reports = self.reports(&change.name, &change.version, now);
+        decide(&self.config, me, &own, Some(&wanted), &reports, now)
+    }
+
+    fn own(&self, assigned: Option<&Assignment>) -> Own {
+        let loading = self.loading.as_ref().map(|l| l.version.clone());
+        let Some(assigned) = assigned else {
+            return Own {
+                loading,
+                ..Own::default()
+            };
+        };
+        let target = &assigned.target;
+        let is_held = self.chunks.is_complete(target.manifest);
+        let held = is_held.then(|| target.version.clone());
+        let serving: Vec<_> = self.servers.engines.iter().map(|e| e.serving()).collect();
+        let is_new = |s: &Option<_>| s.as_ref() == Some(target);
+        let of_entry = serving.iter().flatten().filter(|s| s.name == target.name);
+        let mut others = of_entry.filter(|s| *s != target);
+        let version = if serving.iter().all(is_new) {
+            Some(target.version.clone())
+        } else {
+            others.next().map(|s| s.version.clone())
+        };
+        Own {
+            serving: version,
+            loading,
+            complete: held.into_iter().collect(),
+        }
+    }
+
+    fn reports(&self, name: &EntryName, version: &Version, now: Timestamp) -> Vec<Report> {
+        let own = self.view.own();
+        let members = self.view.members().into_iter();
+        let near = members.filter(|m| m.zone == own.zone && m.role == Role::Agent);
+        near.map(|m| report(&m, name, version, now)).collect()
+    }
+
+    fn reload(&mut self, assigned: &Assignment) {
+        let target = &assigned.target;
+        let mut engines = self.servers.engines.iter();
+        let stale = engines.find(|e| e.serving().as_ref() != Some(target));
+        let Some(engine) = stale.filter(|e| e.state().is_some()) else {
+            return;
+        };
+        let reload = Reload {
+            engine: engine.clone(),
+            servers: self.servers.clone(),
+            view: self.view.clone(),
+            catalogue: self.catalogue.clone(),
+            chunks: self.chunks.clone(),
+            pin: self.wants.pin(target.manifest),
+            drain: self.config.drain.0,
+            source: format_smolstr!("{}/{}", self.source, target.manifest),
+            target: target.clone(),
+        };
+        self.loading = Some(Loading {
+            version: target.version.clone(),
+            task: tokio::spawn(reload.run()),
+        });
+    }
+
+    fn withdraw(&self) {
+        self.set_withdrawn(true);
+    }
+
+    fn offer(&self) {
+        self.set_withdrawn(false);
+    }
+
+    fn set_withdrawn(&self, withdrawn: bool) {
+        let changed = |e: &&Arc<Engine>| e.set_withdrawn(withdrawn);
+        if self.servers.engines.iter().filter(changed).count() > 0 {
+            announce(&self.servers, &self.view);
+        }
     }
 }
 
-/// The first model of the catalogue, with the version to serve.
-fn wanted(catalogue: &Catalogue) -> Option<(&CatalogueEntry, &ModelVersion)> {
-    let model = catalogue.entries.iter().find(|e| e.kind == Kind::Model)?;
-    Some((model, model.current()?))
+/// What a member's record says of the entry. An agent with engines of two versions counts as
+/// serving the old one.
+fn report(member: &Member, name: &EntryName, version: &Version, now: Timestamp) -> Report {
+    let is_alive = member.state == MemberState::Alive;
+    let holdings = member.holdings.iter();
+    let serving = holdings.filter(|h| h.state == HoldingState::Serving && h.name == *name);
+    let mut versions: Vec<_> = serving.map(|h| h.version.clone()).collect();
+    versions.sort_by_key(|v| v == version);
+    Report {
+        id: member.id.clone(),
+        serving: versions.into_iter().next().filter(|_| is_alive),
+        revision: member.revision,
+        at: now,
+    }
 }
--- a/crates/agent/src/servers.rs
+++ b/crates/agent/src/servers.rs
@@ -1,7 +1,7 @@
 //! Plug-in that knows the backend servers of this VM and what they serve.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -9,11 +9,13 @@
 use apricothall_kernel::configs::{ServerConfig, ServerKind};
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
 use apricothall_platform::{EngineClient, EngineState, HttpClient, ServiceClient, Serving};
-use apricothall_types::{EntryName, Holding, HoldingState, Load, Role, Version};
+use apricothall_types::{Catalogue, EntryName, Holding, HoldingState, Load, Role, Version};
 use linkme::distributed_slice;
 use serde_json::json;
 use smol_str::SmolStr;
 
+use crate::transfers::Wants;
+
 #[distributed_slice(PLUGINS)]
 static SERVERS: Plugin = Plugin {
     name: "backend servers",
@@ -38,9 +40,23 @@
     /// Calls it.
     pub client: EngineClient,
     state: RwLock<Option<EngineState>>,
+    confirmed: RwLock<Confirmed>,
+    withdrawn: AtomicBool,
     running: AtomicU32,
 }
 
+/// What an engine is known to serve by a load, whatever it says later.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+enum Confirmed {
+    /// Nothing was ordered since this daemon started.
+    #[default]
+    Untouched,
+    /// The last order has not succeeded.
+    Nothing,
+    /// The last order succeeded in this boot of the engine.
+    Serving { boot: SmolStr, serving: Serving },
+}
+
 /// One plain service of this VM.
 pub struct Service {
     /// Its catalogue entry.
@@ -71,10 +87,75 @@
             .clone()
     }
 
-    /// The version that the engine last said it serves.
+    /// The version that the engine is offered for: it says that it serves what it was last
+    /// ordered to, without a restart since, and it is not withdrawn.
     #[must_use]
     pub fn serving(&self) -> Option<Serving> {
-        self.state()?.serving
+        if self.withdrawn.load(Ordering::Acquire) {
+            return None;
+        }
+        let state = self.state()?;
+        let said = state.serving.filter(|_| !state.loading)?;
+        let confirmed = self
+            .confirmed
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        match &*confirmed {
+            Confirmed::Serving { boot, serving } => {
+                (*boot == state.boot && *serving == said).then_some(said)
+            }
+            Confirmed::Untouched | Confirmed::Nothing => None,
+        }
+    }
+
+    /// Takes over what an earlier daemon of this VM has loaded, if the catalogue knows it.
+    pub fn adopt(&self, catalogue: &Catalogue) {
+        let Some(state) = self.state().filter(|s| !s.loading) else {
+            return;
+        };
+        let Some(serving) = state.serving else {
+            return;
+        };
+        let entry = catalogue.entry(&serving.name);
+        let mut versions = entry.into_iter().flat_map(|e| &e.versions);
+        let is_known =
+            versions.any(|v| v.version == serving.version && v.manifest == serving.manifest);
+        let mut confirmed = self.write_confirmed();
+        if is_known && *confirmed == Confirmed::Untouched {
+            let boot = state.boot;
+            *confirmed = Confirmed::Serving { boot, serving };
+        }
+    }
+
+    /// Notes that a load was ordered whose result is not known.
+    pub fn unconfirm(&self) {
+        *self.write_confirmed() = Confirmed::Nothing;
+    }
+
+    /// Notes what the engine serves after a load.
+    pub fn confirm(&self, state: EngineState) {
+        if let Some(serving) = state.serving.clone() {
+            let boot = state.boot.clone();
+            *self.write_confirmed() = Confirmed::Serving { boot, serving };
+        }
+        self.observe(Some(state));
+    }
+
+    /// Takes the engine out of service or back; returns whether that is a change.
+    pub fn set_withdrawn(&self, withdrawn: bool) -> bool {
+        self.withdrawn.swap(withdrawn, Ordering::AcqRel) != withdrawn
+    }
+
+    /// Whether no request runs.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.running.load(Ordering::Acquire) == 0
+    }
+
+    fn write_confirmed(&self) -> std::sync::RwLockWriteGuard<'_, Confirmed> {
+        self.confirmed
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records what the engine says of itself.
@@ -110,6 +191,7 @@
     pub engines: Vec<Arc<Engine>>,
     /// Plain services.
     pub services: Vec<Arc<Service>>,
+    held: RwLock<Vec<Holding>>,
 }
 
 impl Servers {
@@ -121,6 +203,8 @@
                 config: config.clone(),
                 client: EngineClient::new(http.clone(), config.address),
                 state: RwLock::default(),
+                confirmed: RwLock::default(),
+                withdrawn: AtomicBool::new(false),
                 running: AtomicU32::new(0),
             })
         });
@@ -138,9 +222,31 @@
         Self {
             engines: engines.collect(),
             services: services.collect(),
+            held: RwLock::default(),
         }
     }
 
+    /// Sets the versions held in memory; returns whether that is a change.
+    pub fn set_held(&self, held: Vec<Holding>) -> bool {
+        let mut old = self.held.write().unwrap_or_else(PoisonError::into_inner);
+        let is_new = *old != held;
+        *old = held;
+        is_new
+    }
+
+    /// All holdings for the member record; what serves is not listed as held besides.
+    fn holdings(&self) -> Vec<Holding> {
+        let mut all = self.serving();
+        let held = self.held.read().unwrap_or_else(PoisonError::into_inner);
+        for holding in held.iter() {
+            let is_same = |h: &Holding| h.name == holding.name && h.version == holding.version;
+            if !all.iter().any(is_same) {
+                all.push(holding.clone());
+            }
+        }
+        all
+    }
+
     /// The engine with the fewest running requests of those that serve `version`.
     #[must_use]
     pub fn engine(&self, name: &EntryName, version: &Version) -> Option<Arc<Engine>> {
@@ -198,6 +304,7 @@
     let http = context.part::<HttpClient>()?;
     let servers = Arc::new(Servers::new(context, &http));
     context.provide(servers.clone());
+    context.provide(Arc::new(Wants::default()));
     let view = context.part::<View>()?;
     announce(&servers, &view);
     for engine in &servers.engines {
@@ -214,7 +321,7 @@
     board.section("servers", move || {
         let states = shown.engines.iter().map(|e| {
             json!({
-                "address": e.config.address, "state": e.state()
+                "address": e.config.address, "state": e.state(), "offered": e.serving()
             })
         });
         let services = shown.services.iter().map(|s| {
@@ -239,14 +346,8 @@
 
 /// Keeps the member record equal to what the servers say.
 pub fn announce(servers: &Servers, view: &View) {
-    let serving = servers.serving();
-    view.update_own(|own| {
-        let rest = own
-            .holdings
-            .iter()
-            .filter(|h| h.state != HoldingState::Serving);
-        own.holdings = serving.iter().chain(rest).cloned().collect();
-    });
+    // Computed under the lock of the view, so that the last change wins.
+    view.update_own(|own| own.holdings = servers.holdings());
 }
 
 async fn watch_engine(engine: Arc<Engine>, servers: Arc<Servers>, view: Arc<View>) {
--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -1,15 +1,21 @@
 //! Plug-in that gives verified chunks to other agents.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use apricothall_fleet::PeerRoutes;
-use apricothall_kernel::{Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_types::Role;
+use apricothall_decide::configs::TransferConfig;
+use apricothall_decide::transfer::{Slot, Uploads};
+use apricothall_fleet::{PeerRoutes, View};
+use apricothall_kernel::{
+    Clock, Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture,
+};
+use apricothall_types::{ChunkIndex, Digest, MemberId, Role};
 use apricothall_wire::{
-    CHUNK_PATH, Channel, ChunkFrame, ChunkRequest, Incoming, Payload, WireError,
+    CHUNK_PATH, Channel, ChunkFrame, ChunkRequest, ChunkWant, Incoming, Payload, WireError,
 };
 use futures::{SinkExt, StreamExt};
 use linkme::distributed_slice;
+use tokio::time::timeout;
 
 use crate::chunks::ChunkStore;
 
@@ -21,15 +27,58 @@
     start: |context| -> StartFuture { Box::pin(async move { start(&context) }) },
 };
 
+/// Longest wait for the request of a stream.
+const REQUEST_LIMIT: Duration = Duration::from_secs(5);
+
+/// Weight of the past in the usual time of an upload.
+const SMOOTH_PAST: u32 = 7;
+const SMOOTH_WHOLE: u32 = 8;
+
+/// Least pause that a refusal asks for.
+const MIN_RETRY: Duration = Duration::from_millis(50);
+
+struct Uploader {
+    chunks: Arc<ChunkStore>,
+    view: Arc<View>,
+    lifecycle: Lifecycle,
+    config: TransferConfig,
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    uploads: Uploads,
+    typical: Duration,
+}
+
+/// Holds an upload slot until dropped.
+struct SlotGuard<'a> {
+    uploader: &'a Uploader,
+    peer: MemberId,
+}
+
+impl Drop for SlotGuard<'_> {
+    fn drop(&mut self) {
+        self.uploader.lock().uploads.release(&self.peer);
+    }
+}
+
 fn start(context: &Context) -> Result<(), StartError> {
-    let store = context.part::<ChunkStore>()?;
-    let lifecycle = context.lifecycle.clone();
+    let uploader = Arc::new(Uploader {
+        chunks: context.part()?,
+        view: context.part()?,
+        lifecycle: context.lifecycle.clone(),
+        config: context.settings.transfer.clone(),
+        clock: context.clock,
+        state: Mutex::default(),
+    });
     context
         .part::<PeerRoutes>()?
         .add(CHUNK_PATH, move |incoming| {
-            let (store, lifecycle) = (store.clone(), lifecycle.clone());
+            let uploader = uploader.clone();
             async move {
-                if let Err(error) = upload(&store, &lifecycle, incoming).await {
+                if let Err(error) = uploader.serve(incoming).await {
                     tracing::debug!(%error, "upload ended");
                 }
             }
@@ -37,19 +86,96 @@
     Ok(())
 }
 
-async fn upload(
-    store: &Arc<ChunkStore>,
-    lifecycle: &Lifecycle,
-    incoming: Incoming,
+impl Uploader {
+    async fn serve(&self, incoming: Incoming) -> Result<(), WireError> {
+        let mut channel: Channel<ChunkRequest, ChunkFrame> = incoming.accept()?;
+        let received = timeout(REQUEST_LIMIT, channel.next()).await;
+        let request = received.map_err(|_| WireError::Timeout)?;
+        let request = request.ok_or(WireError::Ended)??;
+        let digest = request.manifest;
+        let frame = match request.want {
+            ChunkWant::Held => ChunkFrame::Held(self.chunks.held(digest)),
+            ChunkWant::Manifest => {
+                let published = self.chunks.published(digest);
+                published.map_or(ChunkFrame::Absent, |data| ChunkFrame::Chunk(Payload(data)))
+            }
+            ChunkWant::Chunk(index) => {
+                return self.upload(channel, &request.from, digest, index).await;
+            }
+        };
+        channel.send(frame).await?;
+        channel.close().await
+    }
+
+    async fn upload(
+        &self,
+        mut channel: Channel<ChunkRequest, ChunkFrame>,
+        peer: &MemberId,
+        digest: Digest,
+        index: ChunkIndex,
+    ) -> Result<(), WireError> {
+        // Counted before the check, so that a stop between the two waits for this upload.
+        let _work = self.lifecycle.begin();
+        let begun = self.clock.now();
+        let found = self.chunks.chunk(digest, index, begun);
+        let Some(data) = found.filter(|_| !self.lifecycle.is_leaving()) else {
+            channel.send(ChunkFrame::Absent).await?;
+            return channel.close().await;
+        };
+        let _slot = match self.request(peer) {
+            Ok(slot) => slot,
+            Err(retry) => {
+                channel.send(ChunkFrame::Busy { retry }).await?;
+                return channel.close().await;
+            }
+        };
+        let length = data.len() as u64;
+        let limit = self.limit();
+        let sent = timeout(limit, send(&mut channel, data)).await;
+        sent.map_err(|_| WireError::Timeout)??;
+        metrics::counter!("apricothall_chunk_uploaded_bytes_total").increment(length);
+        self.measure(self.clock.now().since(begun));
+        Ok(())
+    }
+
+    fn request(&self, peer: &MemberId) -> Result<SlotGuard<'_>, Duration> {
+        let home = self.view.own().region;
+        let is_far = self.view.member(peer).is_some_and(|m| m.region != home);
+        let mut state = self.lock();
+        let typical = state.typical.max(MIN_RETRY);
+        match state.uploads.request(&self.config, peer, is_far, typical) {
+            Slot::Busy(retry) => Err(retry),
+            Slot::Granted => Ok(SlotGuard {
+                uploader: self,
+                peer: peer.clone(),
+            }),
+        }
+    }
+
+    /// A peer that has not read the chunk by then has given it up.
+    fn limit(&self) -> Duration {
+        let usual = self.lock().typical * SMOOTH_WHOLE;
+        self.config.timeout.0.max(usual)
+    }
+
+    fn measure(&self, taken: Duration) {
+        let mut state = self.lock();
+        state.typical = if state.typical.is_zero() {
+            taken
+        } else {
+            (state.typical * SMOOTH_PAST + taken) / SMOOTH_WHOLE
+        };
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn send(
+    channel: &mut Channel<ChunkRequest, ChunkFrame>,
+    data: bytes::Bytes,
 ) -> Result<(), WireError> {
-    let _work = lifecycle.begin();
-    let mut channel: Channel<ChunkRequest, ChunkFrame> = incoming.accept()?;
-    let request = channel.next().await.ok_or(WireError::Ended)??;
-    let found = match request.index {
-        Some(index) => store.chunk(request.manifest, index),
-        None => store.published(request.manifest),
-    };
-    let frame = found.map_or(ChunkFrame::Absent, |data| ChunkFrame::Chunk(Payload(data)));
-    channel.send(frame).await?;
+    channel.send(ChunkFrame::Chunk(Payload(data))).await?;
     channel.close().await
 }
--- a/crates/agent/src/weights_port.rs
+++ b/crates/agent/src/weights_port.rs
@@ -6,7 +6,7 @@
 use apricothall_fleet::StatusBoard;
 use apricothall_fleet::http_server::{Body, listen, serve, text, with_type};
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_types::{ChunkIndex, Digest, Role};
+use apricothall_types::{ChunkIndex, Digest, Role, Timestamp};
 use http::{Response, StatusCode};
 use linkme::distributed_slice;
 use serde_json::json;
@@ -36,23 +36,24 @@
         return Ok(());
     };
     let listener = listen(config.listen).await?;
+    let clock = context.clock;
     let closing = context.lifecycle.stop_token();
     context
         .lifecycle
         .spawn(serve(listener, READ_LIMIT, closing, move |request| {
             let store = store.clone();
-            async move { answer(&store, request.uri().path()) }
+            async move { answer(&store, request.uri().path(), clock.now()) }
         }));
     Ok(())
 }
 
-fn answer(store: &ChunkStore, path: &str) -> Response<Body> {
-    let found = find(store, path);
+fn answer(store: &ChunkStore, path: &str, now: Timestamp) -> Response<Body> {
+    let found = find(store, path, now);
     found.unwrap_or_else(|| text(StatusCode::NOT_FOUND, "no complete version holds this\n"))
 }
 
 /// Serves `/weights/{digest}/manifest` and `/weights/{digest}/chunks/{index}`.
-fn find(store: &ChunkStore, path: &str) -> Option<Response<Body>> {
+fn find(store: &ChunkStore, path: &str, now: Timestamp) -> Option<Response<Body>> {
     let rest = path.strip_prefix("/weights/")?;
     let (digest, rest) = rest.split_once('/')?;
     let digest: Digest = digest.parse().ok()?;
@@ -70,6 +71,6 @@
     Some(with_type(
         StatusCode::OK,
         BINARY,
-        store.chunk(digest, index)?,
+        store.chunk(digest, index, now)?,
     ))
 }
--- a/crates/decide/src/configs/rollout.rs
+++ b/crates/decide/src/configs/rollout.rs
@@ -9,12 +9,15 @@
 pub struct RolloutConfig {
     /// Age from which a report no longer shows that a replica serves.
     pub stale: Interval,
+    /// Longest wait for running requests before an engine is reloaded.
+    pub drain: Interval,
 }
 
 impl Default for RolloutConfig {
     fn default() -> Self {
         Self {
             stale: Interval::secs(10),
+            drain: Interval::secs(120),
         }
     }
 }
--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -174,6 +174,12 @@
         }
     }
 
+    /// Raises the sequence of the own record, so that it spreads with its present revision.
+    pub fn reissue_own(&mut self) {
+        self.own.sequence = self.own.sequence.next();
+        self.generation += 1;
+    }
+
     /// The own record.
     #[must_use]
     pub fn own(&self) -> &Member {
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -107,16 +107,14 @@
     ask: &Ask,
     body: Bytes,
 ) -> Result<Started, Problem> {
-    let no_version = || Problem::unavailable("the model has no current version", NO_AGENT_RETRY);
-    let version = model.current.clone().ok_or_else(no_version)?;
     let class = ask
         .class
         .map_or(model.class, |asked| asked.min(model.class));
     let mut tried = Vec::new();
     let mut last = None;
     while tried.len() < MAX_TRIES {
-        let chosen = choose(&entry.view, &model.name, &version, &tried, &mut rand::rng());
-        let Some(agent) = chosen else {
+        let chosen = choose(&entry.view, model, &tried, &mut rand::rng());
+        let Some((agent, version)) = chosen else {
             break;
         };
         let order = Order {
@@ -150,7 +148,7 @@
         }
         tried.push(agent.id);
     }
-    let none = format_smolstr!("no agent serves {} {version}", model.name);
+    let none = format_smolstr!("no agent serves {}", model.name);
     Err(last.unwrap_or_else(|| Problem::unavailable(none, NO_AGENT_RETRY)))
 }
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -122,6 +122,11 @@
         self.apply(|membership| membership.update_own(change));
     }
 
+    /// Spreads this daemon's own record again, with its present revision.
+    pub fn reissue_own(&self) {
+        self.apply(Membership::reissue_own);
+    }
+
     /// Sets the revision in force that all messages carry for `head.subject`.
     pub fn set_head(&self, head: Head) {
         let mut heads = self.heads.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -20,6 +20,9 @@
 /// Significant digits of latencies.
 const DIGITS: u8 = 3;
 
+/// Largest latency recorded, in microseconds: ten minutes.
+const MAX_MICROS: u64 = 600_000_000;
+
 /// Entries that a request tries when it cannot connect.
 const TRIES: u32 = 3;
 
@@ -72,7 +75,9 @@
 
 impl LoadReport {
     fn new() -> Self {
-        let histogram = || Histogram::new(DIGITS).expect("three digits are permitted");
+        // Fixed bounds: a histogram that resizes itself saturates at its present bound.
+        let bounds = || Histogram::new_with_bounds(1, MAX_MICROS, DIGITS);
+        let histogram = || bounds().expect("the bounds are permitted");
         Self {
             ended: 0,
             verdicts: HashMap::new(),
--- a/crates/wire/src/chunk.rs
+++ b/crates/wire/src/chunk.rs
@@ -2,20 +2,32 @@
 
 use std::time::Duration;
 
+use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{ChunkIndex, Digest, MemberId};
 use serde::{Deserialize, Serialize};
 
 use crate::Payload;
 
-/// Asks for one chunk.
+/// Part of a version that is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChunkWant {
+    /// The manifest as published.
+    Manifest,
+    /// Which chunks the agent holds.
+    Held,
+    /// One chunk.
+    Chunk(ChunkIndex),
+}
+
+/// Asks for a part of a version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChunkRequest {
     /// Agent that asks.
     pub from: MemberId,
     /// Digest of the version's manifest.
     pub manifest: Digest,
-    /// The chunk; absent to ask for the manifest itself.
-    pub index: Option<ChunkIndex>,
+    /// The part.
+    pub want: ChunkWant,
 }
 
 /// The reply to a [`ChunkRequest`].
@@ -23,6 +35,8 @@
 pub enum ChunkFrame {
     /// The bytes, unverified.
     Chunk(Payload),
+    /// Chunks that the agent holds.
+    Held(ChunkSet),
     /// The agent does not hold it.
     Absent,
     /// All upload slots are taken.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod server;
 
 pub use answer::{Answer, AnswerFrame, Refusal};
-pub use chunk::{ChunkFrame, ChunkRequest};
+pub use chunk::{ChunkFrame, ChunkRequest, ChunkWant};
 pub use client::{Connector, ConnectorConfig, Lane};
 pub use codec::{Channel, FrameCodec};
 pub use error::WireError;
--- a/xtask/src/burst.rs
+++ b/xtask/src/burst.rs
@@ -77,7 +77,7 @@
     #[arg(long, default_value_t = 40.0)]
     pub rate: f64,
     /// How weights are transferred.
-    #[arg(long, default_value = "origin")]
+    #[arg(long, default_value = "ranked")]
     pub strategy: SmolStr,
     /// What the transfer saves first: bytes or time.
     #[arg(long, default_value = "bytes")]
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -27,6 +27,9 @@
 /// Copies of the model that the store's link carries while a VM's link carries one.
 const STORE_LINKS: u64 = 2;
 
+/// Period of membership in a burst.
+pub const MEMBERSHIP_PERIOD: &str = "250ms";
+
 /// Size of the weights served before the burst.
 const FIRST_SIZE: Bytes = Bytes::kib(256);
 
@@ -91,9 +94,23 @@
     }
     plan.shape = shape(arguments);
     plan.seed = arguments.seed;
+    let plan = plan.with_settings(&settings(arguments))?;
     Ok(plan.with_catalogue(catalogue))
 }
 
+/// Settings of all daemons: the rates of the shaped links, and a shorter period of membership, as
+/// the burst is over within seconds.
+fn settings(arguments: &BurstArguments) -> String {
+    let (link, between) = (arguments.link, arguments.between);
+    let store = Rate(link.0 * STORE_LINKS);
+    let strategy = arguments.strategy.as_str();
+    format!(
+        "membership.period = \"{MEMBERSHIP_PERIOD}\"\n\
+         [transfer]\nstrategy = \"{strategy}\"\nlink = \"{link}\"\nstore = \"{store}\"\n\
+         cross = \"{between}\"\n"
+    )
+}
+
 fn shape(arguments: &BurstArguments) -> Shape {
     Shape {
         zones: Duration::from_millis(4),
