perf(decide): pick rumours without sorting the queue, exact sizes

Sizes were bounded at nine bytes an integer, so messages stayed half empty; they now follow the encoding.

--- a/crates/decide/src/membership/build.rs
+++ b/crates/decide/src/membership/build.rs
@@ -144,7 +144,8 @@
         included: &BTreeSet<MemberId>,
     ) {
         let limit = self.sends();
-        for id in self.queue.candidates() {
+        let count = budget.0 / message::MIN_BYTES;
+        for id in self.queue.candidates(count) {
             if included.contains(&id) || !self.add_one(message, &id, budget) {
                 continue;
             }
--- a/crates/decide/src/membership/message.rs
+++ b/crates/decide/src/membership/message.rs
@@ -9,6 +9,10 @@
 const INT_BYTES: usize = 9;
 /// Bound on the encoded size of an address, in bytes.
 const ADDRESS_BYTES: usize = 20;
+/// Least size that is counted for a record or verdict, in bytes.
+pub(super) const MIN_BYTES: usize = 2 * INT_BYTES + TAG_BYTES;
+/// Bound on the encoded size of an IPv4 address with its port, in bytes.
+const V4_BYTES: usize = 8;
 /// Bound on the encoded size of a tag or a short length, in bytes.
 const TAG_BYTES: usize = 3;
 
@@ -117,6 +121,23 @@
     pub message: GossipMessage,
 }
 
+/// Bound on the encoded size of `value` as a variable-length integer, in bytes.
+fn int_size(value: u64) -> usize {
+    match value {
+        0..=250 => 1,
+        251..=0xffff => 3,
+        0x1_0000..=0xffff_ffff => 5,
+        _ => INT_BYTES,
+    }
+}
+
+fn address_size(address: SocketAddr) -> usize {
+    if address.is_ipv4() {
+        return V4_BYTES;
+    }
+    ADDRESS_BYTES
+}
+
 /// Bound on the encoded size of `member`, in bytes.
 pub(super) fn member_size(member: &Member) -> usize {
     let holdings: usize = member
@@ -124,12 +145,16 @@
         .iter()
         .map(|h| h.name.as_str().len() + h.version.as_str().len() + TAG_BYTES)
         .sum();
-    let texts = member.id.as_str().len()
-        + member.region.as_str().len()
-        + member.zone.as_str().len()
-        + 2 * TAG_BYTES;
-    let public = member.public.map_or(1, |_| ADDRESS_BYTES);
-    texts + 3 * INT_BYTES + ADDRESS_BYTES + public + 2 * TAG_BYTES + holdings
+    let texts = [
+        member.id.as_str(),
+        member.region.as_str(),
+        member.zone.as_str(),
+    ];
+    let texts: usize = texts.iter().map(|t| t.len() + 1).sum();
+    let public = member.public.map_or(0, address_size) + 1;
+    let counters =
+        int_size(member.incarnation.0) + int_size(member.sequence.0) + int_size(member.revision.0);
+    texts + counters + address_size(member.address) + public + 2 + TAG_BYTES + holdings
 }
 
 /// Bound on the encoded size of an opinion on `id`, in bytes.
--- a/crates/decide/src/membership/queue.rs
+++ b/crates/decide/src/membership/queue.rs
@@ -33,11 +33,19 @@
         self.items.len()
     }
 
-    /// Ids to pass on: least sent first, then newest first.
-    pub fn candidates(&self) -> Vec<MemberId> {
-        let mut ids: Vec<_> = self.items.iter().collect();
-        ids.sort_unstable_by_key(|(_, item)| (item.sent, u64::MAX - item.order));
-        ids.into_iter().map(|(id, _)| id.clone()).collect()
+    /// At most `count` ids to pass on: least sent first, then newest first.
+    pub fn candidates(&self, count: usize) -> Vec<MemberId> {
+        let mut ids: Vec<_> = self
+            .items
+            .iter()
+            .map(|(id, item)| (item.sent, u64::MAX - item.order, id))
+            .collect();
+        if count < ids.len() {
+            ids.select_nth_unstable(count);
+            ids.truncate(count);
+        }
+        ids.sort_unstable();
+        ids.into_iter().map(|(_, _, id)| id.clone()).collect()
     }
 
     /// Counts one more message that carried `id`; drops it at `limit`.
