--- a/crates/standin/src/pump.rs
+++ b/crates/standin/src/pump.rs
@@ -136,10 +136,11 @@
                 _ => {}
             }
         }
-        self.lost |= start + (piece.len() as u64) < self.offset;
+        // What comes before a gap still arrives.
         if self.lost {
             piece.clear();
         }
+        self.lost |= start + (piece.len() as u64) < self.offset;
         Ok(())
     }
 }
--- a/crates/standin/tests/contract_config.rs
+++ b/crates/standin/tests/contract_config.rs
@@ -1,6 +1,9 @@
 //! What is assumed of the configuration service: docs/INTERFACES.md, section of that name.
 
 mod common;
+#[macro_use]
+#[path = "common/table.rs"]
+mod table;
 
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
--- a/crates/standin/tests/contract_service.rs
+++ b/crates/standin/tests/contract_service.rs
@@ -1,6 +1,9 @@
 //! What is assumed of a plain service: docs/INTERFACES.md, section of that name.
 
 mod common;
+#[macro_use]
+#[path = "common/table.rs"]
+mod table;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/standin/tests/proxy.rs
@@ -0,0 +1,340 @@
+//! Each fault of the proxy does what it says, and to those connections only.
+
+#[macro_use]
+#[path = "common/table.rs"]
+mod table;
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use apricothall_standin::addresses::Addresses;
+use apricothall_standin::network::{Fault, Network, Place, Port, Rule, Shape, Side};
+use apricothall_standin::proxy::{Proxy, Target};
+use apricothall_types::Rate;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::timeout;
+
+/// Wait after which nothing is expected to come any more.
+const SILENCE: Duration = Duration::from_millis(60);
+
+struct Net {
+    _addresses: Addresses,
+    network: Network,
+    proxy: Proxy,
+    /// The port behind the proxy, in Cusco.
+    server: TcpListener,
+    /// Addresses of two clients, in Lima.
+    clients: [IpAddr; 2],
+}
+
+fn place(id: &str, region: &str) -> Place {
+    Place {
+        id: id.into(),
+        region: region.parse().expect("valid"),
+        zone: format!("{region}-a").parse().expect("valid"),
+        client: false,
+    }
+}
+
+async fn shaped(shape: Shape) -> Net {
+    let mut addresses = Addresses::reserve().expect("a prefix is free");
+    let mut ip = || addresses.take().expect("an address is left");
+    let (home, clients) = (ip(), [ip(), ip()]);
+    let network = Network::new(shape, 1);
+    network.register(home, place("server", "cusco"));
+    network.register(clients[0], place("one", "lima"));
+    network.register(clients[1], place("two", "lima"));
+    let server = TcpListener::bind(SocketAddr::new(home, 0))
+        .await
+        .expect("it binds");
+    let target = Target {
+        listen: SocketAddr::new(home, 0),
+        behind: server.local_addr().expect("bound"),
+        place: place("server", "cusco"),
+        port: Port::Peers,
+    };
+    let proxy = Proxy::start(&network, target).await.expect("it starts");
+    Net {
+        _addresses: addresses,
+        network,
+        proxy,
+        server,
+        clients,
+    }
+}
+
+async fn calm() -> Net {
+    shaped(Shape::default()).await
+}
+
+async fn delayed() -> Net {
+    let regions = Duration::from_millis(20);
+    shaped(Shape {
+        regions,
+        ..Shape::default()
+    })
+    .await
+}
+
+async fn narrow() -> Net {
+    // 640 KiB a second.
+    let between = Some(Rate(8 * 640 * 1024));
+    shaped(Shape {
+        between,
+        ..Shape::default()
+    })
+    .await
+}
+
+impl Net {
+    async fn connect(&self, client: usize) -> std::io::Result<TcpStream> {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::new(self.clients[client], 0))?;
+        socket.connect(self.proxy.address()).await
+    }
+
+    /// A connection with both its ends.
+    async fn pair(&self, client: usize) -> (TcpStream, TcpStream) {
+        let near = self.connect(client).await.expect("it connects");
+        let (far, peer) = self.server.accept().await.expect("it arrives");
+        assert_eq!(
+            peer.ip(),
+            self.clients[client],
+            "the source address is kept"
+        );
+        (near, far)
+    }
+
+    fn to_server(&self, from: Side, fault: Fault) {
+        self.network
+            .inject(Rule::new(from, Side::vm("server"), fault));
+    }
+
+    fn to_clients(&self, fault: Fault) {
+        let lima = Side::Region("lima".parse().expect("valid"));
+        self.network
+            .inject(Rule::new(Side::vm("server"), lima, fault));
+    }
+}
+
+/// Whether `text` passes and nothing else does.
+async fn passes(from: &mut TcpStream, to: &mut TcpStream, text: &[u8]) -> bool {
+    let _ = from.write_all(text).await;
+    let mut buffer = vec![0; text.len()];
+    let read = timeout(SILENCE * 20, to.read_exact(&mut buffer)).await;
+    matches!(read, Ok(Ok(_))) && buffer == text
+}
+
+async fn is_silent(stream: &mut TcpStream) -> bool {
+    timeout(SILENCE, stream.read(&mut [0; 64])).await.is_err()
+}
+
+async fn is_reset(stream: &mut TcpStream) -> bool {
+    matches!(stream.read(&mut [0; 64]).await, Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset)
+}
+
+contract! {
+    net: Net = calm;
+    bytes_and_their_end_pass_both_ways: {
+        let (mut near, mut far) = net.pair(0).await;
+        assert!(passes(&mut near, &mut far, b"order").await);
+        assert!(passes(&mut far, &mut near, b"answer").await);
+        near.shutdown().await.expect("it ends");
+        assert_eq!(far.read(&mut [0; 8]).await.expect("an end"), 0);
+        assert!(passes(&mut far, &mut near, b"rest").await);
+    }
+    bytes_are_counted_by_pair_and_region: {
+        let (mut near, mut far) = net.pair(0).await;
+        assert!(passes(&mut near, &mut far, b"order").await);
+        let (lima, cusco) = ("lima".parse().expect("valid"), "cusco".parse().expect("valid"));
+        assert_eq!(net.network.between(&lima, &cusco), 5);
+        assert_eq!(net.network.between(&cusco, &lima), 0);
+    }
+    stalled_bytes_arrive_once_lifted: {
+        let (mut near, mut far) = net.pair(0).await;
+        net.to_server(Side::Any, Fault::Stall);
+        near.write_all(b"order").await.expect("it is written");
+        assert!(is_silent(&mut far).await);
+        assert!(passes(&mut far, &mut near, b"answer").await);
+        net.network.heal();
+        let mut buffer = [0; 5];
+        far.read_exact(&mut buffer).await.expect("it arrives");
+        assert_eq!(&buffer, b"order");
+    }
+    one_way_cut_loses_bytes_of_that_way_and_resets_once_lifted: {
+        let (mut near, mut far) = net.pair(0).await;
+        net.to_server(Side::vm("one"), Fault::Cut);
+        near.write_all(b"order").await.expect("it is written");
+        assert!(is_silent(&mut far).await);
+        assert!(passes(&mut far, &mut near, b"answer").await);
+        net.network.heal();
+        assert!(is_reset(&mut near).await && is_reset(&mut far).await);
+    }
+    cut_without_lost_bytes_leaves_the_connection_whole: {
+        let (mut near, mut far) = net.pair(0).await;
+        net.to_server(Side::Any, Fault::Cut);
+        net.network.heal();
+        assert!(passes(&mut near, &mut far, b"order").await);
+    }
+    two_way_cut_loses_all_and_rules_lift_by_id: {
+        let (mut near, mut far) = net.pair(0).await;
+        let (one, server) = (Side::vm("one"), Side::vm("server"));
+        let ids = net.network.add_both(&one, &server, &Fault::Cut);
+        near.write_all(b"order").await.expect("it is written");
+        far.write_all(b"answer").await.expect("it is written");
+        assert!(is_silent(&mut near).await && is_silent(&mut far).await);
+        net.network.lift(&ids);
+        assert!(is_reset(&mut near).await);
+        let (mut near, mut far) = net.pair(0).await;
+        assert!(passes(&mut near, &mut far, b"order").await);
+    }
+    new_connection_under_a_cut_gets_nothing_until_lifted: {
+        net.to_clients(Fault::Cut);
+        let mut near = net.connect(0).await.expect("the proxy accepts");
+        near.write_all(b"order").await.expect("it is written");
+        assert!(is_silent(&mut near).await);
+        assert!(timeout(SILENCE, net.server.accept()).await.is_err());
+        net.network.heal();
+        assert!(is_reset(&mut near).await);
+    }
+    cut_after_passes_exactly_that_many_bytes: {
+        let (mut near, mut far) = net.pair(0).await;
+        net.to_server(Side::Any, Fault::cut_after(3));
+        near.write_all(b"order").await.expect("it is written");
+        let mut buffer = [0; 3];
+        far.read_exact(&mut buffer).await.expect("it arrives");
+        assert_eq!(&buffer, b"ord");
+        near.write_all(b"more").await.expect("it is written");
+        assert!(is_silent(&mut far).await);
+    }
+    reset_ends_live_connections_and_new_ones: {
+        let (mut near, mut far) = net.pair(0).await;
+        net.to_server(Side::vm("one"), Fault::Reset);
+        assert!(is_reset(&mut near).await && is_reset(&mut far).await);
+        let mut near = net.connect(0).await.expect("the proxy accepts");
+        assert!(is_reset(&mut near).await);
+        let (mut near, mut far) = net.pair(1).await;
+        assert!(passes(&mut near, &mut far, b"order").await);
+    }
+    reset_after_resets_when_the_bytes_have_passed: {
+        let (mut near, mut far) = net.pair(0).await;
+        net.to_server(Side::Any, Fault::reset_after(5));
+        assert!(passes(&mut near, &mut far, b"order").await);
+        near.write_all(b"more").await.expect("it is written");
+        assert!(is_reset(&mut near).await && is_reset(&mut far).await);
+    }
+    refuse_leaves_live_connections: {
+        let (mut near, mut far) = net.pair(0).await;
+        net.to_server(Side::Any, Fault::Refuse);
+        let mut new = net.connect(0).await.expect("the proxy accepts");
+        assert!(is_reset(&mut new).await);
+        assert!(passes(&mut near, &mut far, b"order").await);
+    }
+    corrupt_at_changes_one_byte: {
+        let (mut near, mut far) = net.pair(0).await;
+        net.to_server(Side::Any, Fault::CorruptAt(7));
+        assert!(passes(&mut near, &mut far, b"order").await);
+        near.write_all(b"again").await.expect("it is written");
+        let mut buffer = [0; 5];
+        far.read_exact(&mut buffer).await.expect("it arrives");
+        assert_eq!(&buffer, b"agqin");
+        assert!(passes(&mut far, &mut near, b"answer, long enough").await);
+    }
+    corrupt_every_changes_each_nth_byte: {
+        let (mut near, mut far) = net.pair(0).await;
+        net.to_server(Side::Any, Fault::CorruptEvery(4));
+        near.write_all(&[0; 10]).await.expect("it is written");
+        let mut buffer = [0; 10];
+        far.read_exact(&mut buffer).await.expect("it arrives");
+        let changed: Vec<_> = (0..10).filter(|i| buffer[*i] != 0).collect();
+        assert_eq!(changed, [4, 8]);
+    }
+    rules_hold_for_their_sides_and_port_only: {
+        let (mut near, mut far) = net.pair(0).await;
+        let elsewhere = Side::Zone("cusco-b".parse().expect("valid"));
+        let rules = [
+            Rule::new(Side::Any, Side::Any, Fault::Cut).on(Port::Callers),
+            Rule::new(Side::Any, elsewhere, Fault::Cut),
+            Rule::new(Side::vm("two"), Side::Any, Fault::Cut),
+        ];
+        for rule in rules {
+            net.network.inject(rule);
+        }
+        assert!(passes(&mut near, &mut far, b"order").await);
+        assert!(passes(&mut far, &mut near, b"answer").await);
+    }
+    added_delay_holds_for_live_connections: {
+        let (mut near, mut far) = net.pair(0).await;
+        let (base, jitter) = (Duration::from_millis(30), Duration::from_millis(5));
+        net.to_server(Side::Any, Fault::Delay { base, jitter });
+        let start = Instant::now();
+        assert!(passes(&mut near, &mut far, b"order").await);
+        assert!(start.elapsed() >= base);
+    }
+    dead_port_refuses_and_comes_back: {
+        let behind = net.server.local_addr().expect("bound");
+        drop(net.server);
+        let socket = |ip| TcpSocket::new_v4().map(|s| (s.bind(SocketAddr::new(ip, 0)), s));
+        let connect = async || {
+            let (bound, socket) = socket(net.clients[0])?;
+            bound?;
+            socket.connect(net.proxy.address()).await
+        };
+        // The first connection finds the port dead, those after it are refused.
+        while !matches!(connect().await, Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused) {}
+        let server = TcpListener::bind(behind).await.expect("it binds again");
+        while connect().await.is_err() {}
+        assert!(server.accept().await.is_ok());
+    }
+}
+
+contract! {
+    net: Net = delayed;
+    shape_delays_each_way: {
+        let (mut near, mut far) = net.pair(0).await;
+        let start = Instant::now();
+        assert!(passes(&mut near, &mut far, b"order").await);
+        assert!(passes(&mut far, &mut near, b"answer").await);
+        assert!(start.elapsed() >= Duration::from_millis(40));
+    }
+}
+
+contract! {
+    net: Net = narrow;
+    rate_between_regions_is_shared_fairly: {
+        let (mut near, mut far) = net.pair(0).await;
+        let (mut other, mut other_far) = net.pair(1).await;
+        let size = 64 * 1024;
+        let start = Instant::now();
+        let write = |stream: TcpStream| tokio::spawn(async move {
+            let mut stream = stream;
+            let _ = stream.write_all(&vec![1; size]).await;
+            stream
+        });
+        let bulk = tokio::spawn(async move {
+            let _ = other.write_all(&vec![1; 4 * size]).await;
+            other
+        });
+        let mut first = [0];
+        other_far.read_exact(&mut first).await.expect("the bulk is under way");
+        let small = write(near);
+        far.read_exact(&mut vec![0; size]).await.expect("all arrives");
+        // 64 KiB and as much of the bulk take 200 ms, less the burst.
+        assert!(start.elapsed() >= Duration::from_millis(150));
+        // The bulk, four times as long, cannot have come first.
+        let rest = timeout(Duration::ZERO, other_far.read_exact(&mut vec![0; 4 * size - 1])).await;
+        assert!(rest.is_err());
+        near = small.await.expect("it ends");
+        other = bulk.await.expect("it ends");
+        drop((near, other));
+    }
+    rule_rate_is_a_bucket_of_its_own: {
+        let (mut near, mut far) = net.pair(0).await;
+        net.to_server(Side::Any, Fault::rate(Rate(8 * 100 * 1024)));
+        let start = Instant::now();
+        near.write_all(&vec![1; 32 * 1024]).await.expect("it is written");
+        far.read_exact(&mut vec![0; 32 * 1024]).await.expect("all arrives");
+        assert!(start.elapsed() >= Duration::from_millis(150));
+    }
+}
