fix(standin): rules that come while a connection is made take effect

Ruled out: a lost wakeup of the watch channel and the test's own waits. The receiver now starts as changed.

--- a/crates/standin/src/pump.rs
+++ b/crates/standin/src/pump.rs
@@ -49,8 +49,9 @@
         port: Port,
         opener: bool,
     ) -> Self {
-        let rules = network.watch();
-        let faults = effects(&rules.borrow(), from, to, port);
+        let mut rules = network.watch();
+        // Rules that came while the connection was made are looked at first.
+        rules.mark_changed();
         Self {
             network: network.clone(),
             from: from.clone(),
@@ -61,7 +62,7 @@
             delay: network.delay(from, to),
             carried: network.counter(from, to),
             rules,
-            faults,
+            faults: Vec::new(),
             offset: 0,
             lost: false,
         }
