--- /dev/null
+++ b/crates/fleet/src/catalogue.rs
@@ -0,0 +1,75 @@
+//! Plug-in that keeps the catalogue in force.
+
+use std::sync::Arc;
+
+use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
+use apricothall_platform::{ConfigurationClient, HttpClient};
+use apricothall_types::{Catalogue, Role};
+use apricothall_wire::Subject;
+use linkme::distributed_slice;
+use smol_str::ToSmolStr;
+
+use crate::membership::Heard;
+use crate::subject::Follower;
+use crate::{StatusBoard, View};
+
+#[distributed_slice(PLUGINS)]
+static CATALOGUE: Plugin = Plugin {
+    name: "catalogue",
+    stage: Stage::Catalogue,
+    roles: &[Role::Entry, Role::Agent],
+    start: |context| -> StartFuture { Box::pin(async move { start(&context) }) },
+};
+
+/// Key of the catalogue in the configuration service.
+pub const CATALOGUE_KEY: &str = "catalogue";
+
+/// The catalogue in force, for other plug-ins.
+pub type CatalogueState = Follower<Catalogue>;
+
+fn start(context: &Context) -> Result<(), StartError> {
+    let parse = |text: &str| Catalogue::parse(text).map_err(|e| e.to_smolstr());
+    let state = Arc::new(Follower::new(
+        context,
+        Subject::Catalogue,
+        CATALOGUE_KEY,
+        parse,
+    )?);
+    context.provide(state.clone());
+    add_status(context, &state)?;
+    let http = context.part::<HttpClient>()?;
+    let platform = &context.settings.platform;
+    let client =
+        ConfigurationClient::new((*http).clone(), platform.configuration, platform.answer.0);
+    let wait = context.settings.revision.wait.0;
+    let heard = context.part::<Heard>()?;
+    context
+        .lifecycle
+        .spawn(pass_on(state.clone(), context.part()?));
+    state.spawn(context, &heard, move |after| {
+        let client = client.clone();
+        async move { client.watch(CATALOGUE_KEY, after, wait).await }
+    });
+    Ok(())
+}
+
+fn add_status(context: &Context, state: &Arc<CatalogueState>) -> Result<(), StartError> {
+    let board = context.part::<StatusBoard>()?;
+    state.add_condition(&board);
+    let shown = state.clone();
+    board.section("catalogue", move || {
+        let mut status = shown.status();
+        status["entries"] = serde_json::json!(shown.current().value.entries);
+        status
+    });
+    Ok(())
+}
+
+/// Tells other members which revision is in force here.
+async fn pass_on(state: Arc<CatalogueState>, view: Arc<View>) {
+    let mut changes = state.changes();
+    while changes.changed().await.is_ok() {
+        let revision = changes.borrow_and_update().revision;
+        view.update_own(|own| own.revision = revision);
+    }
+}
