--- a/crates/standin/src/pump.rs
+++ b/crates/standin/src/pump.rs
@@ -23,6 +23,7 @@
 
 /// Where bytes come from and go to, and what happens to them.
 pub(crate) struct Way {
+    network: Network,
     from: Place,
     to: Place,
     port: Port,
@@ -48,9 +49,11 @@
         port: Port,
         opener: bool,
     ) -> Self {
-        let rules = network.watch();
-        let faults = effects(&rules.borrow(), from, to, port);
+        let mut rules = network.watch();
+        // Rules that came while the connection was made are looked at first.
+        rules.mark_changed();
         Self {
+            network: network.clone(),
             from: from.clone(),
             to: to.clone(),
             port,
@@ -59,7 +62,7 @@
             delay: network.delay(from, to),
             carried: network.counter(from, to),
             rules,
-            faults,
+            faults: Vec::new(),
             offset: 0,
             lost: false,
         }
@@ -136,10 +139,13 @@
                 _ => {}
             }
         }
-        self.lost |= start + (piece.len() as u64) < self.offset;
+        // What comes before a gap still arrives.
         if self.lost {
             piece.clear();
         }
+        let lost = self.offset - start - piece.len() as u64;
+        self.lost |= lost > 0;
+        self.network.lose(lost);
         Ok(())
     }
 }
