feat(xtask): faults, strategies compared, memory and gossip in the burst's figures

The far target now divides by the share of the link that weights may use, as the target says. Manifest: the first of a region's order asks outside, the rest ask peers four times as often as for bitmaps; before, half of the asks went to peers that could not have it and each miss cost a whole round.

--- a/crates/decide/src/transfer/plan.rs
+++ b/crates/decide/src/transfer/plan.rs
@@ -8,11 +8,13 @@
 
 use super::chunks::ChunkSet;
 use super::fetch::{Action, Flight, Source};
-use super::peers::Known;
+use super::peers::{Known, gateway};
 use super::{FULL_PERCENT, Transfer};
 use crate::configs::TransferStrategy;
 use crate::rank;
 
+/// Requests for the manifest in the time between two rounds of asking for bitmaps.
+const MANIFEST_ASKS: u32 = 4;
 /// A fetch that takes this many times the usual time is hedged.
 const HEDGE_FACTOR: u64 = 4;
 /// Extra cost of a peer in another zone, as a percentage.
@@ -23,21 +25,28 @@
 const UNKNOWN_TIME: u64 = 1_000_000;
 
 impl Transfer {
+    /// Asks for the manifest: the first of the region's order from outside, the others from peers
+    /// of the region until the take-over delay of their rank has passed.
     pub(super) fn plan_manifest(
         &mut self,
         now: Timestamp,
         rng: &mut impl Rng,
         actions: &mut Vec<Action>,
     ) {
-        if now.since(self.asked) < self.config.ask_every.0 {
+        if now.since(self.asked) < self.config.ask_every.0 / MANIFEST_ASKS {
             return;
         }
         self.asked = now;
-        let peer = self.peers.iter().choose(rng).map(|k| k.peer.id.clone());
-        let source = match (rng.random_range(0..4_u8), peer) {
-            (0, _) => Source::Origin,
-            (1, _) | (_, None) => Source::Store,
-            (_, Some(id)) => Source::Peer(id),
+        let region = &self.view.me.region;
+        let near = self.peers.iter().filter(|k| k.peer.region == *region);
+        let ids = near.clone().map(|k| &k.peer.id);
+        let rank = gateway(&self.version.0, &self.view.me.id, ids).rank;
+        let is_due = now.since(self.advanced) >= self.takeover() * rank;
+        let peer = near.choose(rng).map(|k| k.peer.id.clone());
+        let source = match peer {
+            Some(id) if !is_due => Source::Peer(id),
+            _ if rng.random_range(0..4_u8) == 0 => Source::Origin,
+            _ => Source::Store,
         };
         actions.push(Action::Manifest { source });
     }
--- a/crates/decide/src/transfer/sources.rs
+++ b/crates/decide/src/transfer/sources.rs
@@ -48,7 +48,7 @@
                 .any(|k| k.peer.region == *region && is_usable(k))
     }
 
-    fn takeover(&self) -> Duration {
+    pub(super) fn takeover(&self) -> Duration {
         match self.weighting {
             Weighting::Bytes => self.config.takeover.0,
             Weighting::Time => self.config.hasty_takeover.0,
--- a/xtask/src/burst.rs
+++ b/xtask/src/burst.rs
@@ -13,10 +13,11 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
+use crate::faults::{Fault, Schedule};
 use crate::figures::{Figures, Traffic};
 use crate::fleet::{MODEL, REGIONS, Versions, agent_id, plan};
-use crate::progress::{Arrivals, latest, watch};
-use crate::table;
+use crate::progress::{Arrivals, Watch, latest, watch};
+use crate::{resources, table};
 
 /// Live traffic before the burst.
 const WARM_UP: Duration = Duration::from_secs(4);
@@ -45,6 +46,9 @@
     /// The figures have no JSON form.
     #[error(transparent)]
     Json(#[from] serde_json::Error),
+    /// A figure cannot be drawn.
+    #[error("cannot draw: {0}")]
+    Draw(SmolStr),
     /// A version did not reach all agents.
     #[error("version {version} did not reach all agents in time; end of a log:\n{log}")]
     Late {
@@ -88,6 +92,12 @@
     /// Seed of weights, load and jitter.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
+    /// Faults, at times drawn from the seed.
+    #[arg(long, value_delimiter = ',')]
+    pub fault: Vec<Fault>,
+    /// Further settings of all daemons, as TOML.
+    #[arg(long, default_value = "")]
+    pub settings: String,
     /// Print only the line of JSON.
     #[arg(long)]
     pub json: bool,
@@ -102,6 +112,16 @@
     Time,
 }
 
+impl Weighting {
+    /// Percentage of a link between regions that weights may use, as in the daemons' settings.
+    const fn share(self) -> u64 {
+        match self {
+            Self::Bytes => 75,
+            Self::Time => 85,
+        }
+    }
+}
+
 impl std::fmt::Display for Weighting {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
@@ -122,38 +142,55 @@
     let mut fleet = Fleet::start(plan).await?;
     publish(&fleet, &versions);
     let agents: Vec<_> = (0..arguments.agents).map(agent_id).collect();
-    watch(&fleet, &agents, "1", LIMIT, false).await?;
+    let look = |version, shown| Watch {
+        agents: agents.clone(),
+        version,
+        limit: LIMIT,
+        shown,
+    };
+    watch(&mut fleet, &look("1", false), None).await?;
     fleet.ready().await?;
     let load = start_load(&mut fleet, &arguments, &versions)?;
     tokio::time::sleep(WARM_UP).await;
     let before = Traffic::of(&load.take());
     let drawn = drawn(&fleet);
     let crossed = crossed(&fleet);
+    let sent = resources::gossip(&fleet).await;
+    let begun = tokio::time::Instant::now();
     fleet
         .platform
         .config
         .publish("catalogue", versions.catalogue(2, &arguments));
-    let arrivals = watch(&fleet, &agents, "2", LIMIT, shown).await?;
+    let mut faults = schedule(&arguments, &versions);
+    let last = if arguments.fault.contains(&Fault::Version) {
+        "3"
+    } else {
+        "2"
+    };
+    let arrivals = watch(&mut fleet, &look(last, shown), Some(&mut faults)).await?;
     let during = Traffic::of(&load.close().await);
+    let memory = resources::memory(&fleet).await;
+    let control = control(&sent, &resources::gossip(&fleet).await, begun.elapsed());
     let figures = Figures {
         agents: arguments.agents,
         strategy: arguments.strategy.to_string(),
         weighting: arguments.weighting.to_string(),
-        faults: Vec::new(),
+        faults: arguments.fault.iter().map(|f| format!("{f:?}")).collect(),
         seed: arguments.seed,
         size: arguments.size.0,
         link: arguments.link.0,
         between: arguments.between.0,
         near: near(&arrivals, &arguments),
         far: far(&arrivals, &arguments),
-        complete: last(&arrivals.complete),
-        serving: last(&arrivals.serving),
+        complete: self::last(&arrivals.complete),
+        serving: self::last(&arrivals.serving),
         origin: ratio(self::drawn(&fleet) - drawn, arguments.size),
         crossed: most_crossed(&fleet, &crossed, arguments.size),
         slowdown: during.first.p95 / before.first.p95,
         before,
         during,
-        memory: 0,
+        memory,
+        control,
     };
     fleet.close().await;
     if shown {
@@ -163,8 +200,32 @@
     Ok(())
 }
 
+fn schedule(arguments: &BurstArguments, versions: &Versions) -> Schedule {
+    let second = &versions.second;
+    Schedule::new(
+        &arguments.fault,
+        arguments.seed,
+        arguments.link.time_for(arguments.size),
+        arguments.agents,
+        (second.digest, second.manifest.count()),
+        versions.catalogue(3, arguments),
+    )
+}
+
+/// Most gossip that a daemon sent, in bytes a second.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts stay far below 2^52 bytes"
+)]
+fn control(before: &BTreeMap<String, u64>, after: &BTreeMap<String, u64>, span: Duration) -> f64 {
+    let grown = after
+        .iter()
+        .map(|(id, n)| n.saturating_sub(before.get(id).copied().unwrap_or(0)));
+    grown.max().unwrap_or(0) as f64 / span.as_secs_f64()
+}
+
 fn publish(fleet: &Fleet, versions: &Versions) {
-    for weights in [&versions.first, &versions.second] {
+    for weights in [&versions.first, &versions.second, &versions.third] {
         fleet.platform.store.publish(weights.clone());
         fleet.platform.origin.publish(weights.clone());
     }
@@ -176,7 +237,11 @@
     versions: &Versions,
 ) -> Result<Load, TaskError> {
     let weights = TrueWeights::default();
-    for (name, version) in [("1", &versions.first), ("2", &versions.second)] {
+    for (name, version) in [
+        ("1", &versions.first),
+        ("2", &versions.second),
+        ("3", &versions.third),
+    ] {
         let name = name.parse().map_err(StandinError::from)?;
         weights.add(name, Digest::of(&version.bytes));
     }
@@ -231,7 +296,9 @@
 }
 
 fn far(arrivals: &Arrivals, arguments: &BurstArguments) -> Option<f64> {
-    let ideal = arguments.between.time_for(arguments.size);
+    let share = arguments.weighting.share();
+    let left = Rate(arguments.between.0 * share / 100);
+    let ideal = left.time_for(arguments.size);
     let far = (1..REGIONS.len())
         .filter_map(|region| latest(&arrivals.complete, region))
         .max();
--- /dev/null
+++ b/xtask/src/faults.rs
@@ -0,0 +1,153 @@
+//! Faults brought about in a burst, at times drawn from its seed.
+
+use std::time::Duration;
+
+use apricothall_standin::fleet::Fleet;
+use apricothall_standin::network::{Fault as Effect, Port, Rule, RuleId, Side};
+use apricothall_standin::weights::Corruption;
+use apricothall_types::Digest;
+use clap::ValueEnum;
+use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::fleet::{REGIONS, agent_id};
+
+/// Time after which stalls and partitions end.
+const OUTAGE: Duration = Duration::from_secs(4);
+
+/// One agent in this many is hit by kills and stalls, at least one.
+const SHARE: usize = 8;
+
+/// One chunk in this many is sent corrupted once by the store.
+const CORRUPT_CHUNKS: usize = 20;
+
+/// One byte in this many is changed on the link of one agent.
+const CORRUPT_STEP: u64 = 2 << 20;
+
+/// A kind of fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Fault {
+    /// Agents are killed.
+    Kill,
+    /// Links of agents stall for a while.
+    Stall,
+    /// The store and an agent's link corrupt bytes.
+    Corrupt,
+    /// The store's region and another one lose each other for a while.
+    Partition,
+    /// Another version is published under way.
+    Version,
+    /// The weight store refuses everything.
+    StoreDown,
+}
+
+/// Faults with the times at which they come.
+pub struct Schedule {
+    faults: Vec<(Duration, Fault)>,
+    lifts: Vec<(Duration, Vec<RuleId>)>,
+    rng: ChaCha8Rng,
+    agents: usize,
+    second: Digest,
+    chunks: u32,
+    catalogue: String,
+}
+
+impl Schedule {
+    /// Faults at 20 to 60% of `span`. `catalogue` is published by [`Fault::Version`].
+    #[must_use]
+    pub fn new(
+        kinds: &[Fault],
+        seed: u64,
+        span: Duration,
+        agents: usize,
+        weights: (Digest, u32),
+        catalogue: String,
+    ) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut at = |_| span.mul_f64(rng.random_range(0.2..0.6));
+        let faults = kinds.iter().map(|kind| (at(kind), *kind)).collect();
+        Self {
+            faults,
+            lifts: Vec::new(),
+            rng,
+            agents,
+            second: weights.0,
+            chunks: weights.1,
+            catalogue,
+        }
+    }
+
+    /// Brings about what is due.
+    pub async fn step(&mut self, fleet: &mut Fleet, elapsed: Duration) {
+        let (due, left) = std::mem::take(&mut self.faults)
+            .into_iter()
+            .partition(|(at, _)| *at <= elapsed);
+        self.faults = left;
+        let due: Vec<(Duration, Fault)> = due;
+        for (_, fault) in due {
+            self.bring(fleet, fault, elapsed).await;
+        }
+        let (over, left) = std::mem::take(&mut self.lifts)
+            .into_iter()
+            .partition(|(at, _)| *at <= elapsed);
+        self.lifts = left;
+        let over: Vec<(Duration, Vec<RuleId>)> = over;
+        for (_, rules) in over {
+            fleet.network.lift(&rules);
+        }
+    }
+
+    async fn bring(&mut self, fleet: &mut Fleet, fault: Fault, now: Duration) {
+        match fault {
+            Fault::Kill => {
+                for id in self.victims() {
+                    fleet.node_mut(&id).kill().await;
+                }
+            }
+            Fault::Stall => {
+                let rules = self.victims().into_iter().flat_map(|id| {
+                    let network = &fleet.network;
+                    network.add_both(&Side::vm(&id), &Side::Any, &Effect::Stall)
+                });
+                let rules = rules.collect();
+                self.lifts.push((now + OUTAGE, rules));
+            }
+            Fault::Corrupt => self.corrupt(fleet),
+            Fault::Partition => {
+                let [home, other] = [REGIONS[0].0, REGIONS[1].0].map(region);
+                let rules = fleet.network.add_both(&home, &other, &Effect::Cut);
+                self.lifts.push((now + OUTAGE, rules.to_vec()));
+            }
+            Fault::Version => {
+                let _ = fleet
+                    .platform
+                    .config
+                    .publish("catalogue", self.catalogue.clone());
+            }
+            Fault::StoreDown => fleet.platform.store.set_unavailable(true),
+        }
+    }
+
+    fn victims(&mut self) -> Vec<String> {
+        let count = (self.agents / SHARE).max(1);
+        let chosen = (0..self.agents).choose_multiple(&mut self.rng, count);
+        chosen.into_iter().map(agent_id).collect()
+    }
+
+    fn corrupt(&mut self, fleet: &Fleet) {
+        let count = (self.chunks as usize / CORRUPT_CHUNKS).max(1);
+        for chunk in (0..self.chunks).choose_multiple(&mut self.rng, count) {
+            let once = Corruption::Times(1);
+            fleet.platform.store.corrupt(self.second, chunk, once);
+        }
+        let id = agent_id(self.rng.random_range(0..self.agents));
+        let effect = Effect::CorruptEvery(CORRUPT_STEP);
+        let rule = Rule::new(Side::vm(&id), Side::Any, effect);
+        fleet.network.inject(rule.on(Port::Peers));
+    }
+}
+
+fn region(name: &str) -> Side {
+    name.parse().map_or(Side::Any, Side::Region)
+}
--- a/xtask/src/figures.rs
+++ b/xtask/src/figures.rs
@@ -76,6 +76,8 @@
     pub slowdown: f64,
     /// Largest resident memory of an agent, less its chunks, in bytes.
     pub memory: u64,
+    /// Most gossip that a daemon sent, in bytes a second.
+    pub control: f64,
 }
 
 fn millis(micros: u64) -> f64 {
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -39,6 +39,8 @@
     pub first: Weights,
     /// Spread by the burst.
     pub second: Weights,
+    /// Published under way, where that is asked for.
+    pub third: Weights,
 }
 
 impl Versions {
@@ -47,7 +49,12 @@
     pub fn generate(arguments: &BurstArguments) -> Self {
         let first = Weights::generate(arguments.seed, FIRST_SIZE, arguments.chunk);
         let second = Weights::generate(arguments.seed + 1, arguments.size, arguments.chunk);
-        Self { first, second }
+        let third = Weights::generate(arguments.seed + 2, arguments.size, arguments.chunk);
+        Self {
+            first,
+            second,
+            third,
+        }
     }
 
     /// The catalogue with `current` in force.
@@ -57,12 +64,14 @@
         let replicas = arguments.agents;
         let window = arguments.window;
         let (first, second) = (self.first.digest, self.second.digest);
+        let third = self.third.digest;
         format!(
             "[[entries]]\nname = \"{MODEL}\"\nkind = \"model\"\nowner = \"desbroce\"\n\
              replicas = {replicas}\nwindow = {window}\nweighting = \"{weighting}\"\n\
              current = \"{current}\"\n\
              [[entries.versions]]\nversion = \"1\"\nmanifest = \"{first}\"\n\
-             [[entries.versions]]\nversion = \"2\"\nmanifest = \"{second}\"\n"
+             [[entries.versions]]\nversion = \"2\"\nmanifest = \"{second}\"\n\
+             [[entries.versions]]\nversion = \"3\"\nmanifest = \"{third}\"\n"
         )
     }
 }
@@ -95,6 +104,7 @@
     plan.shape = shape(arguments);
     plan.seed = arguments.seed;
     let plan = plan.with_settings(&settings(arguments))?;
+    let plan = plan.with_settings(&arguments.settings)?;
     Ok(plan.with_catalogue(catalogue))
 }
 
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,16 +1,22 @@
 //! Tasks for developers: the burst, the main job of a fresh clone.
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
 
 mod build;
 mod burst;
+mod faults;
 mod figures;
 mod fleet;
 mod progress;
+mod report;
+mod resources;
 mod table;
 
+use burst::TaskError;
+
 /// Tasks for developers of apricothall.
 #[derive(Parser)]
 #[command(name = "cargo xtask")]
@@ -24,16 +30,55 @@
     /// Spreads a model to all agents under live traffic, with real daemons on loopback.
     #[command(after_help = "Example: cargo xtask burst --agents 12 --fault kill,corrupt --json")]
     Burst(burst::BurstArguments),
+    /// Runs a burst by the origin alone and one by the swarm, for each number of agents.
+    #[command(after_help = "Example: cargo xtask compare --counts 6,12,24 --json")]
+    Compare(CompareArguments),
+    /// Draws figures from the lines that bursts print.
+    Report(report::ReportArguments),
+}
+
+#[derive(clap::Args)]
+struct CompareArguments {
+    /// Numbers of agents.
+    #[arg(long, value_delimiter = ',', default_value = "6,12")]
+    counts: Vec<usize>,
+    #[command(flatten)]
+    burst: burst::BurstArguments,
+}
+
+async fn compare(arguments: CompareArguments, binary: &Path) -> Result<(), TaskError> {
+    for agents in arguments.counts {
+        for strategy in ["origin", "ranked"] {
+            let burst = burst::BurstArguments {
+                agents,
+                strategy: strategy.into(),
+                ..arguments.burst.clone()
+            };
+            burst::run(burst, binary.to_owned()).await?;
+        }
+    }
+    Ok(())
+}
+
+fn run(task: Task) -> Result<(), TaskError> {
+    if let Task::Report(arguments) = &task {
+        return report::run(arguments);
+    }
+    let binary = build::daemon()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        match task {
+            Task::Burst(arguments) => burst::run(arguments, binary).await,
+            Task::Compare(arguments) => compare(arguments, &binary).await,
+            Task::Report(_) => Ok(()),
+        }
+    })
 }
 
 fn main() -> ExitCode {
-    let Task::Burst(arguments) = Arguments::parse().task;
-    let done = build::daemon().and_then(|binary| {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .enable_all()
-            .build()?;
-        runtime.block_on(burst::run(arguments, binary))
-    });
+    let done = run(Arguments::parse().task);
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/xtask/src/progress.rs
+++ b/xtask/src/progress.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::burst::TaskError;
+use crate::faults::Schedule;
 use crate::fleet::{REGIONS, agent_id};
 
 /// Time between two looks.
@@ -40,28 +41,47 @@
     })
 }
 
-/// Waits until `agents` serve `version`; prints progress when `shown`.
+/// What to wait for.
+pub struct Watch {
+    /// Agents that are to serve the version.
+    pub agents: Vec<String>,
+    /// The version.
+    pub version: &'static str,
+    /// Longest wait.
+    pub limit: Duration,
+    /// Whether progress is printed.
+    pub shown: bool,
+}
+
+/// Waits until all agents that run serve the version, and brings about faults meanwhile.
 ///
 /// # Errors
-/// When they do not within `limit`.
+/// When they do not in time.
 pub async fn watch(
-    fleet: &Fleet,
-    agents: &[String],
-    version: &str,
-    limit: Duration,
-    shown: bool,
+    fleet: &mut Fleet,
+    wanted: &Watch,
+    mut faults: Option<&mut Schedule>,
 ) -> Result<Arrivals, TaskError> {
     let start = Instant::now();
     let mut arrivals = Arrivals::default();
     for look in 0_u32.. {
-        for id in agents.iter().filter(|id| fleet.node(id).process.is_some()) {
-            if arrivals.serving.contains_key(id) {
-                continue;
-            }
-            let Ok(status) = fleet.node(id).status().await else {
+        if let Some(faults) = &mut faults {
+            faults.step(fleet, start.elapsed()).await;
+        }
+        let running = |id: &&String| fleet.node(id).process.is_some();
+        let agents: Vec<_> = wanted.agents.iter().filter(running).collect();
+        let left = agents
+            .iter()
+            .filter(|id| !arrivals.serving.contains_key(**id));
+        let left: Vec<_> = left.copied().collect();
+        let read = left
+            .iter()
+            .map(|id| async { (*id, fleet.node(id).status().await) });
+        for (id, status) in futures::future::join_all(read).await {
+            let Ok(status) = status else {
                 continue;
             };
-            let (complete, serving) = stages(&status, id, version);
+            let (complete, serving) = stages(&status, id, wanted.version);
             let now = start.elapsed();
             if complete {
                 arrivals.complete.entry(id.clone()).or_insert(now);
@@ -70,19 +90,19 @@
                 arrivals.serving.insert(id.clone(), now);
             }
         }
-        if shown && look % LOOKS_PER_LINE == 0 {
+        if wanted.shown && look % LOOKS_PER_LINE == 0 {
             print_line(&arrivals, agents.len(), start.elapsed());
         }
-        if arrivals.serving.len() == agents.len() {
+        let missing = agents
+            .iter()
+            .find(|id| !arrivals.serving.contains_key(**id));
+        let Some(missing) = missing else {
             return Ok(arrivals);
-        }
-        if start.elapsed() > limit {
-            let missing = agents.iter().find(|id| !arrivals.serving.contains_key(*id));
-            let log = missing
-                .and_then(|id| fleet.node(id).process.as_ref())
-                .map(Process::tail);
+        };
+        if start.elapsed() > wanted.limit {
+            let log = fleet.node(missing).process.as_ref().map(Process::tail);
             return Err(TaskError::Late {
-                version: version.into(),
+                version: wanted.version.into(),
                 log: log.unwrap_or_default(),
             });
         }
--- a/xtask/src/table.rs
+++ b/xtask/src/table.rs
@@ -49,6 +49,11 @@
         &figures.during.refused.to_string(),
     ]);
     table.add_row(["memory of an agent without chunks", "<= 128 MB", &memory]);
+    table.add_row([
+        "gossip of a daemon, bytes a second",
+        "<= 10000",
+        &format!("{:.0}", figures.control),
+    ]);
     table.add_row([
         "seconds until all serve",
         "-",
