--- /dev/null
+++ b/crates/apricotd/tests/rollout.rs
@@ -0,0 +1,194 @@
+//! The window of replicas out of service during a rollout, with real daemons.
+
+mod fixture;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use apricothall_standin::caller::CallOptions;
+use apricothall_standin::completion::Verdict;
+use apricothall_standin::engine::Engine;
+use apricothall_standin::fleet::{Fleet, WAIT_LIMIT};
+use apricothall_standin::load::{Load, LoadPlan, LoadReport, TrueWeights};
+use apricothall_standin::network::{Fault, Side};
+use fixture::{MODEL, caller, catalogue, plan, serving, start, truth};
+
+const AGENTS: [&str; 3] = ["engine-0", "engine-1", "engine-2"];
+
+/// Time between two counts of engines out of service.
+const LOOK: Duration = Duration::from_millis(3);
+
+/// Time in which agents that may reload do so while another one is frozen or cut off. Passing does
+/// not depend on it.
+const SETTLE: Duration = Duration::from_secs(1);
+
+struct Bench {
+    fleet: Fleet,
+    load: Load,
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let mut plan = plan(1, 3);
+        for vm in &mut plan.vms {
+            for engine in &mut vm.engines {
+                engine.load = Duration::from_millis(300);
+            }
+        }
+        let fleet = start(plan.with_catalogue(catalogue(1, 3, &[]))).await;
+        for agent in AGENTS {
+            serving(&fleet, "entry-0", agent, "1").await;
+        }
+        fleet.ready().await.expect("ready");
+        let weights = TrueWeights::default();
+        for (version, digest) in truth() {
+            weights.add(version, digest);
+        }
+        let plan = LoadPlan {
+            rate: 40.0,
+            models: vec![MODEL.into()],
+            tokens: (4, 12),
+            options: CallOptions::default(),
+            seed: 11,
+        };
+        let load = Load::start(plan, vec![caller(&fleet, "crew")], weights);
+        Self { fleet, load }
+    }
+
+    fn publish(&self) {
+        let text = catalogue(2, 3, &[]);
+        self.fleet.platform.config.publish("catalogue", text);
+    }
+
+    /// Waits for `event` and until `agents` serve version 2; returns the most engines seen out of
+    /// service meanwhile.
+    async fn roll(&self, event: impl Future<Output = ()>, agents: &[&str]) -> usize {
+        let most = Arc::new(AtomicUsize::new(0));
+        let over = AtomicBool::new(false);
+        let count = async {
+            while !over.load(Ordering::Relaxed) {
+                most.fetch_max(self.out(), Ordering::Relaxed);
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        let wait = async {
+            event.await;
+            for agent in agents {
+                serving(&self.fleet, "entry-0", agent, "2").await;
+            }
+            over.store(true, Ordering::Relaxed);
+        };
+        tokio::join!(count, wait);
+        most.load(Ordering::Relaxed)
+    }
+
+    /// Engines that serve nothing now.
+    fn out(&self) -> usize {
+        let engines = self.fleet.agents().flat_map(|n| &n.engines);
+        engines.filter(|e| e.state().serving.is_none()).count()
+    }
+
+    /// Waits until each of `agents` holds version 2 whole.
+    async fn hold(&self, agents: &[&str]) {
+        for agent in agents {
+            let test = |s: &serde_json::Value| {
+                let members = s["members"].as_array().into_iter().flatten();
+                let mut own = members.filter(|m| m["id"] == *agent);
+                own.any(|m| {
+                    let mut holdings = m["holdings"].as_array().into_iter().flatten();
+                    holdings.any(|h| h["version"] == "2" && h["state"] != "partial")
+                })
+            };
+            let found = self.fleet.status_until(agent, "version 2", test).await;
+            found.expect("held");
+        }
+    }
+
+    async fn close(self) -> LoadReport {
+        let report = self.load.close().await;
+        self.fleet.close().await;
+        for verdict in [Verdict::Mixed, Verdict::Crossed] {
+            assert_eq!(report.count(verdict), 0, "{:?}", report.samples);
+        }
+        report
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_at_a_time_and_nobody_refused() {
+    let bench = Bench::start().await;
+    let out = bench.roll(async { bench.publish() }, &AGENTS).await;
+    assert_eq!(out, 1, "engines out of service at once");
+    let report = bench.close().await;
+    assert_eq!(report.whole(), report.ended, "{:?}", report.samples);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_agent_slows_and_does_not_widen() {
+    let bench = Bench::start().await;
+    let frozen = bench.fleet.node(AGENTS[0]).process.as_ref().expect("runs");
+    let event = async {
+        frozen.freeze();
+        bench.publish();
+        bench.hold(&AGENTS[1..]).await;
+        tokio::time::sleep(SETTLE).await;
+        frozen.thaw();
+    };
+    let out = bench.roll(event, &AGENTS).await;
+    assert!(out <= 1, "{out} engines out of service at once");
+    bench.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn partition_slows_and_does_not_widen() {
+    let bench = Bench::start().await;
+    let network = &bench.fleet.network;
+    let event = async {
+        let cuts = network.add_both(&Side::vm(AGENTS[0]), &Side::Any, &Fault::Cut);
+        bench.publish();
+        bench.hold(&AGENTS[1..]).await;
+        tokio::time::sleep(SETTLE).await;
+        network.lift(&cuts);
+    };
+    let out = bench.roll(event, &AGENTS).await;
+    assert!(out <= 1, "{out} engines out of service at once");
+    bench.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_during_a_rollout_cuts_off_nothing() {
+    let mut bench = Bench::start().await;
+    bench.publish();
+    let loads = async |agent: &'static str| {
+        while !bench
+            .fleet
+            .node(agent)
+            .engines
+            .iter()
+            .any(|e: &Engine| e.state().loading)
+        {
+            tokio::time::sleep(LOOK).await;
+        }
+        agent
+    };
+    let first = AGENTS.map(|agent| Box::pin(loads(agent)));
+    let (loading, ..) = tokio::time::timeout(WAIT_LIMIT, futures::future::select_all(first))
+        .await
+        .expect("a load begins");
+    let other = AGENTS
+        .into_iter()
+        .find(|a| *a != loading)
+        .expect("three agents");
+    let process = bench.fleet.node_mut(other).process.as_mut().expect("runs");
+    process.terminate();
+    let status = process.wait(WAIT_LIMIT).await.expect("ends");
+    assert!(status.success(), "{status}");
+    let id = bench.fleet.node(other).vm().expect("valid id").id;
+    bench.fleet.platform.vms.drop_vm(&id);
+    let left: Vec<_> = AGENTS.into_iter().filter(|a| *a != other).collect();
+    bench.roll(async {}, &left).await;
+    let report = bench.close().await;
+    let lost = report.count(Verdict::Lost) + report.count(Verdict::Truncated);
+    assert_eq!(lost, 0, "{:?}", report.samples);
+}
--- /dev/null
+++ b/crates/apricotd/tests/weights.rs
@@ -0,0 +1,299 @@
+//! No answer from partial or mixed weights, with real daemons: one case for each fault.
+
+mod fixture;
+
+use std::collections::HashMap;
+
+use apricothall_platform::{EngineClient, HttpClient, LoadOrder, PlatformError};
+use apricothall_standin::caller::CallOptions;
+use apricothall_standin::completion::Verdict;
+use apricothall_standin::engine::{Engine, EngineSettings};
+use apricothall_standin::fleet::{Fleet, WAIT_LIMIT, until};
+use apricothall_standin::load::{Load, LoadPlan, TrueWeights};
+use apricothall_standin::network::{Fault, Port, Rule, Side};
+use apricothall_standin::plan::{Plan, VmPlan};
+use apricothall_standin::weights::Corruption;
+use apricothall_types::{Digest, Fence, Rate, Version};
+use fixture::{MODEL, caller, catalogue, plan, serving, start, truth, weights};
+
+const AGENTS: [&str; 2] = ["engine-0", "engine-1"];
+
+/// Rate of the store where a version is to change during a transfer.
+const SLOW_STORE: Rate = Rate::mbps(8);
+
+/// A byte in this many is changed in flight: more than control frames come to in a case.
+const CORRUPT_STEP: u64 = 150_000;
+
+/// A fleet that serves version 1 under live requests.
+struct Bench {
+    fleet: Fleet,
+    load: Load,
+}
+
+fn slow_loads(mut plan: Plan) -> Plan {
+    let slow = |vm: &mut VmPlan| {
+        for engine in &mut vm.engines {
+            engine.load = std::time::Duration::from_millis(600);
+        }
+    };
+    plan.vms.iter_mut().for_each(slow);
+    plan
+}
+
+fn engine(fleet: &Fleet, agent: &str) -> Engines {
+    Engines(agent.to_owned(), fleet.node(agent).engines.len())
+}
+
+/// Names the only engine of an agent.
+struct Engines(String, usize);
+
+impl Engines {
+    fn get<'a>(&self, fleet: &'a Fleet) -> &'a Engine {
+        assert_eq!(self.1, 1);
+        &fleet.node(&self.0).engines[0]
+    }
+}
+
+impl Bench {
+    async fn start(plan: Plan) -> Self {
+        let fleet = start(plan.with_catalogue(catalogue(1, 2, &[]))).await;
+        for agent in AGENTS {
+            serving(&fleet, "entry-0", agent, "1").await;
+        }
+        fleet.ready().await.expect("ready");
+        let true_weights = TrueWeights::default();
+        for (version, digest) in truth() {
+            true_weights.add(version, digest);
+        }
+        let plan = LoadPlan {
+            rate: 30.0,
+            models: vec![MODEL.into()],
+            tokens: (4, 12),
+            options: CallOptions::default(),
+            seed: 7,
+        };
+        let load = Load::start(plan, vec![caller(&fleet, "crew")], true_weights);
+        Self { fleet, load }
+    }
+
+    fn publish(&self, version: u64) {
+        let text = catalogue(version, 2, &[]);
+        self.fleet.platform.config.publish("catalogue", text);
+    }
+
+    async fn served(&self, version: &str) {
+        for agent in AGENTS {
+            serving(&self.fleet, "entry-0", agent, version).await;
+        }
+    }
+
+    /// Waits until the first agent holds `percent` of the next version besides the first one.
+    async fn fetched(&self, percent: u64) {
+        let size = weights(1).bytes.len() as u64;
+        let enough = size + size * percent / 100;
+        let test = |s: &serde_json::Value| s["weights"]["bytes"].as_u64() >= Some(enough);
+        let found = self.fleet.status_until(AGENTS[0], "chunks", test).await;
+        found.expect("chunks arrive");
+    }
+
+    async fn engine_until(&self, agent: &str, what: &str, test: impl Fn(&Engine) -> bool) {
+        let engine = engine(&self.fleet, agent);
+        let check = async || {
+            let engine = engine.get(&self.fleet);
+            test(engine)
+                .then_some(())
+                .ok_or(format!("{:?}", engine.state()))
+        };
+        until(what, check).await.expect("the engine gets there");
+    }
+
+    /// Waits until an agent says that its engine is not offered.
+    async fn withdrawn(&self, agent: &str) {
+        let test = |s: &serde_json::Value| s["servers"]["engines"][0]["offered"].is_null();
+        let found = self.fleet.status_until(agent, "withdrawal", test).await;
+        found.expect("withdrawn");
+    }
+
+    /// Ends the case: every run was on the true bytes of its version, and no answer was mixed.
+    async fn close(self) {
+        let report = self.load.close().await;
+        for verdict in [Verdict::Mixed, Verdict::Crossed] {
+            assert_eq!(report.count(verdict), 0, "{:?}", report.samples);
+        }
+        assert!(report.whole() > 0, "live requests were served");
+        let truth: HashMap<Version, Digest> = truth();
+        for node in self.fleet.agents() {
+            let runs = node.engines.iter().flat_map(Engine::runs);
+            for run in runs {
+                assert_eq!(truth.get(&run.version), Some(&run.weights), "{run:?}");
+            }
+        }
+        self.fleet.close().await;
+    }
+}
+
+async fn corrupt_source() {
+    let bench = Bench::start(plan(1, 2)).await;
+    let digest = weights(2).digest;
+    for chunk in 0..4 {
+        bench
+            .fleet
+            .platform
+            .store
+            .corrupt(digest, chunk, Corruption::Always);
+    }
+    bench.publish(2);
+    bench.served("2").await;
+    bench.close().await;
+}
+
+async fn corrupt_path(from: &str, port: Port) {
+    let bench = Bench::start(plan(1, 2)).await;
+    let effect = Fault::CorruptEvery(CORRUPT_STEP);
+    let rule = bench
+        .fleet
+        .network
+        .add(Rule::new(Side::vm(from), Side::Any, effect).on(port));
+    bench.publish(2);
+    bench.fetched(100).await;
+    bench.fleet.network.lift(&[rule]);
+    bench.served("2").await;
+    bench.close().await;
+}
+
+async fn changed_at(percent: u64) {
+    let bench = Bench::start(plan(1, 2)).await;
+    let platform = &bench.fleet.platform;
+    platform.store.set_rate(Some(SLOW_STORE));
+    platform.origin.set_rate(Some(SLOW_STORE));
+    bench.publish(2);
+    bench.fetched(percent).await;
+    bench.publish(3);
+    bench.served("3").await;
+    bench.close().await;
+}
+
+async fn changed_during_load() {
+    let bench = Bench::start(slow_loads(plan(1, 2))).await;
+    bench.publish(2);
+    let loads = |e: &Engine| e.state().loading;
+    let first = AGENTS.map(|a| bench.engine_until(a, "a load", loads));
+    futures::future::select_all(first.map(Box::pin)).await;
+    bench.publish(3);
+    bench.served("3").await;
+    bench.close().await;
+}
+
+async fn killed_during_load() {
+    let mut bench = Bench::start(slow_loads(plan(1, 2))).await;
+    bench.publish(2);
+    bench
+        .engine_until(AGENTS[0], "a load", |e| e.state().loading)
+        .await;
+    let node = bench.fleet.node_mut(AGENTS[0]);
+    node.kill().await;
+    node.launch().expect("the daemon starts");
+    bench.served("2").await;
+    bench.close().await;
+}
+
+async fn other_reported() {
+    let bench = Bench::start(plan(1, 2)).await;
+    let engine = engine(&bench.fleet, AGENTS[0]);
+    let orders = engine.get(&bench.fleet).orders().len();
+    let old: Version = "1".parse().expect("valid version");
+    engine.get(&bench.fleet).set_reported(Some(old));
+    bench.publish(2);
+    // A second order shows that the first one was not taken for done.
+    bench
+        .engine_until(AGENTS[0], "a second order", |e| {
+            e.orders().len() > orders + 1
+        })
+        .await;
+    bench.withdrawn(AGENTS[0]).await;
+    engine.get(&bench.fleet).set_reported(None);
+    bench.served("2").await;
+    bench.close().await;
+}
+
+async fn engine_restarted() {
+    let bench = Bench::start(plan(1, 2)).await;
+    let engine = engine(&bench.fleet, AGENTS[0]);
+    let orders = engine.get(&bench.fleet).orders().len();
+    engine.get(&bench.fleet).restart();
+    bench.withdrawn(AGENTS[0]).await;
+    bench
+        .engine_until(AGENTS[0], "a new order", |e| e.orders().len() > orders)
+        .await;
+    bench.served("1").await;
+    bench.close().await;
+}
+
+/// An order of a daemon that woke up late reaches the engine after the version has changed.
+async fn stale_order(fenced: bool) {
+    let mut plan = plan(1, 2);
+    plan.vms[1].engines = vec![EngineSettings {
+        fenced,
+        ..EngineSettings::default()
+    }];
+    let bench = Bench::start(plan).await;
+    bench.publish(2);
+    bench.served("2").await;
+    let engine = engine(&bench.fleet, AGENTS[0]);
+    let orders = engine.get(&bench.fleet).orders().len();
+    let node = bench.fleet.node(AGENTS[0]);
+    let digest = weights(1).digest;
+    let order = LoadOrder {
+        name: MODEL.parse().expect("valid name"),
+        version: "1".parse().expect("valid version"),
+        manifest: digest,
+        source: format!("http://{}:7003/weights/{digest}", node.ip).into(),
+        fence: Fence(1),
+    };
+    let address = engine.get(&bench.fleet).address();
+    let client = EngineClient::new(HttpClient::new(None, WAIT_LIMIT), address);
+    let answer = client.load(&order, WAIT_LIMIT).await;
+    if fenced {
+        let refused = matches!(answer, Err(PlatformError::Status { status: 409, .. }));
+        assert!(refused, "{answer:?}");
+    } else {
+        answer.expect("an engine that ignores fences takes it");
+        bench
+            .engine_until(AGENTS[0], "the order that undoes it", |e| {
+                e.orders().len() > orders + 1
+            })
+            .await;
+    }
+    bench
+        .engine_until(AGENTS[0], "version 2", |e| {
+            let serving = e.state().serving;
+            serving.is_some_and(|s| s.version.as_str() == "2")
+        })
+        .await;
+    bench.served("2").await;
+    bench.close().await;
+}
+
+macro_rules! cases {
+    ($($case:ident: $run:expr;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            $run.await;
+        })*
+    };
+}
+
+cases! {
+    chunks_corrupt_at_the_source: corrupt_source();
+    chunks_corrupt_on_the_way_from_the_store: corrupt_path("store", Port::Platform);
+    chunks_corrupt_from_a_peer: corrupt_path("engine-1", Port::Peers);
+    version_changes_at_10_percent: changed_at(10);
+    version_changes_at_50_percent: changed_at(50);
+    version_changes_at_90_percent: changed_at(90);
+    version_changes_during_the_load: changed_during_load();
+    agent_killed_during_the_load: killed_during_load();
+    engine_reports_another_version: other_reported();
+    engine_restarts_under_the_agent: engine_restarted();
+    stale_order_with_fences: stale_order(true);
+    stale_order_without_fences: stale_order(false);
+}
