--- a/crates/agent/src/completion.rs
+++ b/crates/agent/src/completion.rs
@@ -4,12 +4,12 @@
 
 use apricothall_fleet::Trace;
 use apricothall_platform::{EngineEvent, PlatformError};
-use apricothall_types::{Outcome, Version};
+use apricothall_types::{Outcome, Timestamp, Version};
 use apricothall_wire::{Answer, Order, Payload, Refusal, WireError};
 use bytes::Bytes;
 use smol_str::{SmolStr, ToSmolStr};
 
-use crate::run::{Reply, Runner, refused};
+use crate::run::{BEAT, Reply, Runner, refused};
 use crate::servers::Engine;
 
 /// When to come back after a refusal that passes.
@@ -18,6 +18,18 @@
 /// Longest wait for an engine to confirm a cancellation.
 const CANCEL_LIMIT: Duration = Duration::from_secs(1);
 
+/// What to run, until when.
+pub struct Call<'a> {
+    /// Version that the request is pinned to.
+    pub version: &'a Version,
+    /// Body of the completion call.
+    pub body: Bytes,
+    /// Trace for the engine.
+    pub trace: Trace,
+    /// When the answer is of no more use, on the clock of this VM.
+    pub deadline: Timestamp,
+}
+
 /// Runs `order` and returns the last step of its answer.
 ///
 /// # Errors
@@ -25,40 +37,46 @@
 pub async fn run(
     runner: &Runner,
     order: &Order,
-    version: &Version,
-    body: Bytes,
-    trace: Trace,
+    call: Call<'_>,
     reply: &mut Reply,
 ) -> Result<Answer, WireError> {
-    let Some(engine) = runner.servers.engine(&order.name, version) else {
-        let refusal = refusal(
-            Outcome::NotRun,
-            503,
-            "no engine here serves this version".into(),
-        );
-        return Ok(refused(refusal, runner.servers.load()));
+    let servers = &runner.servers;
+    let Some(engine) = servers.engine(&order.name, call.version) else {
+        let detail = "no engine here serves this version".into();
+        return Ok(refused(
+            refusal(Outcome::NotRun, 503, detail),
+            servers.load(),
+        ));
+    };
+    let admitted = runner.admit(&engine.gate, order, call.deadline, reply);
+    let permit = match admitted.await? {
+        Ok(permit) => permit,
+        Err(refusal) => return Ok(refused(refusal, servers.load())),
     };
     let running = engine.begin();
-    let relayed = tokio::time::timeout(
-        order.budget,
-        relay(&engine, order, version, body, trace, reply),
-    )
-    .await;
+    let left = call.deadline.since(runner.clock.now());
+    let relay = relay(runner, &engine, order, call, reply);
+    let relayed = tokio::time::timeout(left, relay).await;
     drop(running);
-    let load = runner.servers.load();
-    match relayed {
-        Ok(Ok(length)) => Ok(Answer::End { length, load }),
+    let last = match relayed {
+        Ok(Ok(length)) => Ok(Answer::End {
+            length,
+            load: servers.load(),
+        }),
+        Ok(Err(Fault::Engine(refusal))) => Ok(refused(refusal, servers.load())),
         Ok(Err(Fault::Entry(error))) => {
             cancel(&engine, order).await;
             Err(error)
         }
-        Ok(Err(Fault::Engine(refusal))) => Ok(refused(refusal, load)),
         Err(_) => {
             cancel(&engine, order).await;
             let late = refusal(Outcome::Failed, 504, "the deadline has passed".into());
-            Ok(refused(late, load))
+            Ok(refused(late, servers.load()))
         }
-    }
+    };
+    // The slot is free only once the engine has let go of the request.
+    drop(permit);
+    last
 }
 
 /// Why a relay ended early.
@@ -69,18 +87,17 @@
 
 /// Passes tokens on until the last one; returns their total length in bytes.
 async fn relay(
+    runner: &Runner,
     engine: &Engine,
     order: &Order,
-    version: &Version,
-    body: Bytes,
-    trace: Trace,
+    call: Call<'_>,
     reply: &mut Reply,
 ) -> Result<u64, Fault> {
-    let trace = trace.to_string();
-    let started = engine
-        .client
-        .complete(order.request, order.class, version, body, &trace)
-        .await;
+    let version = call.version;
+    let trace = call.trace.to_string();
+    let client = &engine.client;
+    let started = client.complete(order.request, order.class, version, call.body, &trace);
+    let started = attended(runner, reply, started).await?;
     let mut stream = started.map_err(|e| Fault::Engine(not_started(&e)))?;
     let head = Answer::Head {
         status: 200,
@@ -90,26 +107,42 @@
     reply.send(head).await.map_err(Fault::Entry)?;
     let (mut length, mut due) = (0, 0);
     loop {
-        match stream
-            .next()
-            .await
-            .map_err(|e| Fault::Engine(broken(e.to_smolstr())))?
-        {
+        let event = attended(runner, reply, stream.next()).await?;
+        let event = event.map_err(|e| Fault::Engine(broken(e.to_smolstr())))?;
+        let (data, found, index) = match event {
             EngineEvent::Done => return Ok(length),
             EngineEvent::Token {
                 data,
-                version: found,
+                version,
                 index,
-            } => {
-                if found != *version || index != due {
-                    return Err(Fault::Engine(broken("a token of another answer".into())));
-                }
-                due += 1;
-                length += data.len() as u64;
-                reply
-                    .send(Answer::Data(Payload(data)))
-                    .await
-                    .map_err(Fault::Entry)?;
+            } => (data, version, index),
+        };
+        if found != *version || index != due {
+            metrics::counter!("apricothall_tokens_crossed_total").increment(1);
+            return Err(Fault::Engine(broken("a token of another answer".into())));
+        }
+        due += 1;
+        length += data.len() as u64;
+        let sent = reply.send(Answer::Data(Payload(data))).await;
+        sent.map_err(Fault::Entry)?;
+    }
+}
+
+/// Waits for the engine, with signs of life to the entry, until the entry gives up.
+async fn attended<T>(
+    runner: &Runner,
+    reply: &mut Reply,
+    wait: impl Future<Output = T>,
+) -> Result<T, Fault> {
+    tokio::pin!(wait);
+    loop {
+        tokio::select! {
+            biased;
+            done = &mut wait => return Ok(done),
+            () = reply.cancelled() => return Err(Fault::Entry(WireError::Ended)),
+            () = tokio::time::sleep(BEAT) => {
+                let pending = Answer::Pending(runner.servers.load());
+                reply.send(pending).await.map_err(Fault::Entry)?;
             }
         }
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,5 +1,6 @@
 //! Plug-ins of the agent: weights in memory, backend servers and the work on them.
 
+pub mod admission;
 pub mod chunks;
 pub mod completion;
 pub mod fetch;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use apricothall_fleet::{PeerRoutes, Trace};
-use apricothall_kernel::{Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_types::{Load, Outcome, RequestId, Role, Sequence};
+use apricothall_kernel::{
+    Clock, Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture,
+};
+use apricothall_types::{Load, Outcome, RequestId, Role, Sequence, Timestamp};
+use apricothall_wire::answer::ELSEWHERE;
 use apricothall_wire::{
     Answer, AnswerFrame, Call, Channel, Incoming, Order, RUN_PATH, Refusal, WireError,
 };
@@ -13,6 +16,7 @@
 use linkme::distributed_slice;
 use tracing::Instrument;
 
+use crate::admission::{Gate, Permit, refusal_of};
 use crate::servers::Servers;
 use crate::{completion, service_call};
 
@@ -24,8 +28,12 @@
     start: |context| -> StartFuture { Box::pin(async move { start(&context) }) },
 };
 
-/// When to come back to an agent that is leaving.
-const LEAVING_RETRY: Duration = Duration::from_secs(1);
+/// Time between two signs of life to an entry that waits. Entries give up an agent that is silent
+/// for longer than `retry.silence`.
+pub const BEAT: Duration = Duration::from_millis(500);
+
+/// Longest wait for the order of an open stream.
+const ORDER_LIMIT: Duration = Duration::from_secs(10);
 
 /// The entry's side of one order.
 pub struct Reply {
@@ -68,12 +76,42 @@
 pub struct Runner {
     /// Backend servers of the VM.
     pub servers: Arc<Servers>,
+    /// Clock of the VM.
+    pub clock: Clock,
     lifecycle: Lifecycle,
 }
 
+impl Runner {
+    /// Waits for a slot behind `gate`, with signs of life to the entry meanwhile. The inner error
+    /// is the final refusal: the order has not run.
+    ///
+    /// # Errors
+    /// When the entry has given the order up; its place in the queue is free then.
+    pub async fn admit(
+        &self,
+        gate: &Arc<Gate>,
+        order: &Order,
+        deadline: Timestamp,
+        reply: &mut Reply,
+    ) -> Result<Result<Permit, Refusal>, WireError> {
+        let entered = gate.enter(order.class, deadline);
+        tokio::pin!(entered);
+        loop {
+            tokio::select! {
+                entered = &mut entered => return Ok(entered.map_err(refusal_of)),
+                () = reply.cancelled() => return Err(WireError::Ended),
+                () = tokio::time::sleep(BEAT) => {
+                    reply.send(Answer::Pending(self.servers.load())).await?;
+                }
+            }
+        }
+    }
+}
+
 fn start(context: &Context) -> Result<(), StartError> {
     let runner = Runner {
         servers: context.part::<Servers>()?,
+        clock: context.clock,
         lifecycle: context.lifecycle.clone(),
     };
     context
@@ -82,6 +120,7 @@
             let runner = runner.clone();
             async move {
                 if let Err(error) = serve(&runner, incoming).await {
+                    count_end(&error);
                     tracing::debug!(%error, "order ended early");
                 }
             }
@@ -92,7 +131,9 @@
 async fn serve(runner: &Runner, incoming: Incoming) -> Result<(), WireError> {
     let trace = incoming.trace.as_deref().and_then(Trace::parse);
     let mut channel: Channel<Order, AnswerFrame> = incoming.accept()?;
-    let order = channel.next().await.ok_or(WireError::Ended)??;
+    let order = tokio::time::timeout(ORDER_LIMIT, channel.next()).await;
+    let order = order.map_err(|_| WireError::Timeout)?;
+    let order = order.ok_or(WireError::Ended)??;
     let trace = trace.unwrap_or(Trace {
         request: order.request,
         span: 1,
@@ -120,11 +161,18 @@
             .await?;
         return reply.close().await;
     }
+    let deadline = runner.clock.now() + order.budget;
+    reply.send(Answer::Pending(runner.servers.load())).await?;
     let trace = trace.child(&mut rand::rng());
     let last = match &order.call {
         Call::Completion { version, body } => {
-            let body = body.0.clone();
-            completion::run(runner, &order, version, body, trace, &mut reply).await?
+            let call = completion::Call {
+                version,
+                body: body.0.clone(),
+                trace,
+                deadline,
+            };
+            completion::run(runner, &order, call, &mut reply).await?
         }
         Call::Service { .. } => service_call::run(runner, &order, trace, &mut reply).await?,
     };
@@ -132,6 +180,15 @@
     reply.close().await
 }
 
+fn count_end(error: &WireError) {
+    let reason = match error {
+        WireError::Frame(_) => "frame",
+        WireError::Timeout => "timeout",
+        _ => "gone",
+    };
+    metrics::counter!("apricothall_run_dropped_total", "reason" => reason).increment(1);
+}
+
 /// The last step of an answer that is not whole.
 #[must_use]
 pub fn refused(refusal: Refusal, load: Load) -> Answer {
@@ -145,6 +202,6 @@
         outcome: Outcome::NotRun,
         status: 503,
         detail: "the agent is leaving".into(),
-        retry: Some(LEAVING_RETRY),
+        retry: Some(ELSEWHERE),
     }
 }
--- a/crates/agent/src/servers.rs
+++ b/crates/agent/src/servers.rs
@@ -7,13 +7,15 @@
 
 use apricothall_fleet::{CatalogueState, StatusBoard, View};
 use apricothall_kernel::configs::{ServerConfig, ServerKind};
-use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
+use apricothall_kernel::{Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture};
 use apricothall_platform::{EngineClient, EngineState, HttpClient, ServiceClient, Serving};
 use apricothall_types::{EntryName, Holding, HoldingState, Load, Role, Version};
 use linkme::distributed_slice;
 use serde_json::json;
 use smol_str::SmolStr;
 
+use crate::admission::Gate;
+
 #[distributed_slice(PLUGINS)]
 static SERVERS: Plugin = Plugin {
     name: "backend servers",
@@ -37,6 +39,8 @@
     pub config: ServerConfig,
     /// Calls it.
     pub client: EngineClient,
+    /// Its slots.
+    pub gate: Arc<Gate>,
     state: RwLock<Option<EngineState>>,
     running: AtomicU32,
 }
@@ -49,6 +53,8 @@
     pub config: ServerConfig,
     /// Calls it.
     pub client: ServiceClient,
+    /// Its slots.
+    pub gate: Arc<Gate>,
     running: AtomicU32,
 }
 
@@ -115,11 +121,16 @@
 impl Servers {
     fn new(context: &Context, http: &HttpClient) -> Self {
         let configs = &context.settings.servers;
+        let gate = |config: &ServerConfig| {
+            let admission = context.settings.admission.clone();
+            Arc::new(Gate::new(admission, config.slots.get(), context.clock))
+        };
         let engines = configs.iter().filter(|c| c.kind == ServerKind::Engine);
         let engines = engines.map(|config| {
             Arc::new(Engine {
                 config: config.clone(),
                 client: EngineClient::new(http.clone(), config.address),
+                gate: gate(config),
                 state: RwLock::default(),
                 running: AtomicU32::new(0),
             })
@@ -132,6 +143,7 @@
                 name,
                 config: config.clone(),
                 client,
+                gate: gate(config),
                 running,
             }))
         });
@@ -141,11 +153,11 @@
         }
     }
 
-    /// The engine with the fewest running requests of those that serve `version`.
+    /// The engine with the fewest requests of those that serve `version`.
     #[must_use]
     pub fn engine(&self, name: &EntryName, version: &Version) -> Option<Arc<Engine>> {
         let able = self.engines.iter().filter(|e| e.serves(name, version));
-        able.min_by_key(|e| e.running.load(Ordering::Relaxed))
+        able.min_by_key(|e| e.running.load(Ordering::Relaxed) + e.gate.queued())
             .cloned()
     }
 
@@ -153,21 +165,25 @@
     #[must_use]
     pub fn service(&self, name: &EntryName) -> Option<Arc<Service>> {
         let able = self.services.iter().filter(|s| s.name == *name);
-        able.min_by_key(|s| s.running.load(Ordering::Relaxed))
+        able.min_by_key(|s| s.running.load(Ordering::Relaxed) + s.gate.queued())
             .cloned()
     }
 
     /// Work at all servers together.
     #[must_use]
     pub fn load(&self) -> Load {
-        let engines = self.engines.iter().map(|e| (&e.running, e.config.slots));
-        let services = self.services.iter().map(|s| (&s.running, s.config.slots));
+        let engines = self
+            .engines
+            .iter()
+            .map(|e| (&e.running, &e.gate, &e.config));
+        let services = self.services.iter();
+        let services = services.map(|s| (&s.running, &s.gate, &s.config));
         engines
             .chain(services)
-            .fold(Load::default(), |sum, (running, slots)| Load {
+            .fold(Load::default(), |sum, (running, gate, config)| Load {
                 running: sum.running + running.load(Ordering::Relaxed),
-                queued: sum.queued,
-                slots: sum.slots + slots.get(),
+                queued: sum.queued + gate.queued(),
+                slots: sum.slots + config.slots.get(),
             })
     }
 
@@ -200,6 +216,9 @@
     context.provide(servers.clone());
     let view = context.part::<View>()?;
     announce(&servers, &view);
+    context
+        .lifecycle
+        .spawn(refuse_waiting(context.lifecycle.clone(), servers.clone()));
     for engine in &servers.engines {
         let watched = watch_engine(engine.clone(), servers.clone(), view.clone());
         context.lifecycle.spawn(watched);
@@ -225,6 +244,16 @@
         json!({ "load": shown.load(), "engines": states.collect::<Vec<_>>(),
                 "services": services.collect::<Vec<_>>() })
     });
+    let shown = servers.clone();
+    board.section("admission", move || {
+        let engines = shown.engines.iter().map(|e| (e.config.address, &e.gate));
+        let services = shown.services.iter().map(|s| (s.config.address, &s.gate));
+        let gates = engines.chain(services);
+        gates
+            .map(|(address, gate)| (address.to_string(), gate.status()))
+            .collect::<serde_json::Map<_, _>>()
+            .into()
+    });
     board.condition(move || unready(&servers, &catalogue));
     Ok(())
 }
@@ -249,6 +278,13 @@
     });
 }
 
+/// Refuses what waits as soon as the agent leaves; entries send it elsewhere.
+async fn refuse_waiting(lifecycle: Lifecycle, servers: Arc<Servers>) {
+    lifecycle.left().await;
+    servers.engines.iter().for_each(|e| e.gate.drain());
+    servers.services.iter().for_each(|s| s.gate.drain());
+}
+
 async fn watch_engine(engine: Arc<Engine>, servers: Arc<Servers>, view: Arc<View>) {
     loop {
         let state = engine.client.state(STATE_LIMIT).await;
--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -42,7 +42,7 @@
     lifecycle: &Lifecycle,
     incoming: Incoming,
 ) -> Result<(), WireError> {
-    let _work = lifecycle.begin();
+    let _work = lifecycle.begin_transfer();
     let mut channel: Channel<ChunkRequest, ChunkFrame> = incoming.accept()?;
     let request = channel.next().await.ok_or(WireError::Ended)??;
     let found = match request.index {
--- a/crates/decide/src/configs/retry.rs
+++ b/crates/decide/src/configs/retry.rs
@@ -19,6 +19,9 @@
     pub base: Interval,
     /// Longest pause between attempts.
     pub longest: Interval,
+    /// Silence of an agent after which an attempt there is given up. Agents send a sign of life
+    /// every 500 ms.
+    pub silence: Interval,
 }
 
 impl Default for RetryConfig {
@@ -30,6 +33,7 @@
             attempts: 3,
             base: Interval::millis(20),
             longest: Interval::millis(500),
+            silence: Interval::secs(2),
         }
     }
 }
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -1,57 +1,51 @@
 //! `POST /v1/completions`: a draft by an engine, streamed or whole.
 
-use std::convert::Infallible;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_decide::retry::{Failure, Verdict, retry_after};
 use apricothall_fleet::Trace;
-use apricothall_fleet::http_server::{Body, json};
-use apricothall_kernel::lifecycle::WorkGuard;
-use apricothall_platform::sse;
-use apricothall_types::{CatalogueEntry, EntryName, Kind, Version};
-use apricothall_wire::{Call, Order, Payload};
+use apricothall_fleet::http_server::Body;
+use apricothall_types::{CatalogueEntry, Class, Kind, Outcome, Timestamp, Version};
+use apricothall_wire::{Call, Lane, Order, Payload, WireError};
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
-use serde::Deserialize;
-use serde_json::json;
-use smol_str::{ToSmolStr, format_smolstr};
-use tokio::sync::mpsc;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use smol_str::format_smolstr;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::ask::{self, Ask};
 use crate::callers::Entry;
-use crate::choose::choose;
 use crate::forward::{Attempt, ForwardError, Step};
+use crate::limits::Asked;
 use crate::problem::Problem;
-
-/// Agents that are tried for one request.
-const MAX_TRIES: usize = 3;
+use crate::prompt::Prompt;
+use crate::relay::{self, Started};
+use crate::routing::{Flight, Wanted};
 
 /// When to come back while no agent serves the version.
 const NO_AGENT_RETRY: Duration = Duration::from_secs(2);
 
-/// Events that wait for a slow caller.
-const EVENT_BUFFER: usize = 64;
+/// Agents that are asked after one another because the last one leaves.
+const MAX_ELSEWHERE: usize = 8;
 
-/// The parts of a completion call that the entry looks at.
-#[derive(Deserialize)]
-struct Head {
-    model: EntryName,
-    #[serde(default)]
-    stream: bool,
-}
+/// Longest part of the time left that agents are not told of, so that their refusal arrives before
+/// the deadline.
+const MARGIN: Duration = Duration::from_millis(100);
 
-#[derive(Deserialize)]
-struct Token {
-    text: String,
-}
+/// [`MARGIN`] as a part of the time left, at the most.
+const MARGIN_PART: u32 = 10;
 
-/// An answer whose first step has arrived.
-struct Started {
-    attempt: Attempt,
+/// One request on its way to an agent.
+struct Job<'a> {
+    entry: &'a Entry,
+    model: &'a CatalogueEntry,
     version: Version,
-    first: Bytes,
+    class: Class,
+    ask: &'a Ask,
+    prompt: &'a Prompt,
+    deadline: Timestamp,
 }
 
 /// Answers a completion call.
@@ -64,28 +58,41 @@
     trace: Trace,
 ) -> Result<Response<Body>, Problem> {
     let ask = Ask::read(request.headers(), trace, &entry.config)?;
-    let body = ask::body(request, &entry.config).await?;
-    let head: Head = serde_json::from_slice(&body)
-        .map_err(|e| Problem::bad_request(format_smolstr!("malformed body: {e}")))?;
+    let prompt = Prompt::read(ask::body(request, &entry.config).await?)?;
     let catalogue = entry.catalogue.current();
-    let catalogue = &catalogue.value;
-    let model = catalogue
-        .entry(&head.model)
-        .filter(|e| e.kind == Kind::Model);
-    let model = model.ok_or_else(|| unknown_model(&head.model))?;
-    let deadline = tokio::time::Instant::now() + ask.budget;
-    let started = tokio::time::timeout_at(deadline, begin(&entry, model, &ask, body)).await;
+    let found = catalogue.value.entry(&prompt.model);
+    let model = found.filter(|e| e.kind == Kind::Model);
+    let model = model.ok_or_else(|| unknown_model(&prompt))?;
+    let no_version = || Problem::unavailable("the model has no current version", NO_AGENT_RETRY);
+    let version = model.current.clone().ok_or_else(no_version)?;
+    let class = entry.limits.check(Asked {
+        entry: model,
+        caller: &ask.caller,
+        class: ask.class,
+        tokens: prompt.tokens,
+        body: prompt.body.len(),
+    })?;
+    let end = Instant::now() + ask.budget;
+    let job = Job {
+        entry: &entry,
+        model,
+        version,
+        class,
+        ask: &ask,
+        prompt: &prompt,
+        deadline: entry.clock.now() + ask.budget,
+    };
+    let started = timeout_at(end, job.begin()).await;
     let started = started.map_err(|_| too_late())??;
-    if head.stream {
-        let work = entry.lifecycle.begin();
-        return Ok(stream(started, ask, deadline, work));
+    if prompt.stream {
+        return Ok(relay::stream(started, ask, end));
     }
-    let whole = tokio::time::timeout_at(deadline, collect(started, &ask, &head.model)).await;
+    let whole = timeout_at(end, relay::collect(started, &ask, &prompt.model)).await;
     whole.map_err(|_| too_late())?
 }
 
-fn unknown_model(name: &EntryName) -> Problem {
-    let detail = format_smolstr!("the catalogue has no model {name}");
+fn unknown_model(prompt: &Prompt) -> Problem {
+    let detail = format_smolstr!("the catalogue has no model {}", prompt.model);
     Problem {
         status: StatusCode::NOT_FOUND,
         ..Problem::bad_request(detail)
@@ -93,170 +100,161 @@
 }
 
 fn too_late() -> Problem {
-    let status = StatusCode::GATEWAY_TIMEOUT;
     Problem {
-        status,
+        status: StatusCode::GATEWAY_TIMEOUT,
         ..Problem::unknown("the deadline has passed")
     }
 }
 
-/// Tries agents until one sends the first piece of an answer.
-async fn begin(
-    entry: &Entry,
-    model: &CatalogueEntry,
-    ask: &Ask,
-    body: Bytes,
-) -> Result<Started, Problem> {
-    let no_version = || Problem::unavailable("the model has no current version", NO_AGENT_RETRY);
-    let version = model.current.clone().ok_or_else(no_version)?;
-    let class = ask
-        .class
-        .map_or(model.class, |asked| asked.min(model.class));
-    let mut tried = Vec::new();
-    let mut last = None;
-    while tried.len() < MAX_TRIES {
-        let chosen = choose(&entry.view, &model.name, &version, &tried, &mut rand::rng());
-        let Some(agent) = chosen else {
-            break;
-        };
-        let order = Order {
-            request: ask.trace.request,
-            caller: ask.caller.clone(),
-            name: model.name.clone(),
-            class,
-            budget: ask.budget,
-            call: Call::Completion {
-                version: version.clone(),
-                body: Payload(body.clone()),
+impl Job<'_> {
+    /// Tries agents until one sends the first piece of an answer.
+    async fn begin(&self) -> Result<Started, Problem> {
+        let routing = &self.entry.routing;
+        routing.note_request();
+        let mut tried = BTreeSet::new();
+        let mut attempts = 0;
+        let mut last = None;
+        loop {
+            let wanted = Wanted {
+                name: &self.model.name,
+                version: &self.version,
+                prefix: self.prompt.prefix,
+                tried: &tried,
+            };
+            let Some((flight, choice)) = routing.choose(wanted) else {
+                break;
+            };
+            tracing::debug!(agent = %choice.member, cause = ?choice.cause, "chosen");
+            let member = flight.member.id.clone();
+            let error = match self.attempt(flight).await {
+                Ok(started) => return Ok(started),
+                Err(error) => error,
+            };
+            tracing::info!(agent = %member, %error, "try failed");
+            metrics::counter!("apricothall_tries_failed_total", "reason" => error.label())
+                .increment(1);
+            tried.insert(member);
+            let elsewhere = error.is_elsewhere() && tried.len() < MAX_ELSEWHERE;
+            attempts += u32::from(!elsewhere);
+            let pause = if elsewhere {
+                Some(Duration::ZERO)
+            } else {
+                self.pause(&error, attempts)
+            };
+            last = Some(error);
+            let Some(pause) = pause else {
+                break;
+            };
+            sleep(pause).await;
+        }
+        Err(last.map_or_else(|| self.no_agent(), |e| spread(e.refusal().into())))
+    }
+
+    /// Pause before the next try; none when the failure is final.
+    fn pause(&self, error: &ForwardError, attempts: u32) -> Option<Duration> {
+        let failure = Failure {
+            outcome: if error.is_not_run() {
+                Outcome::NotRun
+            } else {
+                Outcome::Unknown
             },
+            repeatable: self.model.repeatable,
+            answered: false,
+            suspect: false,
+            attempts,
+        };
+        let verdict = self.entry.routing.retry(failure, self.deadline);
+        let label = match verdict {
+            Verdict::Retry(_) => "retry",
+            Verdict::Unsafe => "unsafe",
+            Verdict::Suspect => "suspect",
+            Verdict::Attempts => "attempts",
+            Verdict::Deadline => "deadline",
+            Verdict::Budget => "budget",
+        };
+        metrics::counter!("apricothall_retries_total", "verdict" => label).increment(1);
+        match verdict {
+            Verdict::Retry(pause) => Some(pause),
+            _ => None,
+        }
+    }
+
+    async fn attempt(&self, flight: Flight) -> Result<Started, ForwardError> {
+        let silence = self.entry.retry.silence.0;
+        let trace = self.ask.trace.child(&mut rand::rng()).to_string();
+        let connector = &self.entry.connector;
+        let start = Attempt::start(connector, &flight.member, self.order(), &trace);
+        let started = timeout(silence, start).await;
+        let lost = Err(ForwardError::Lost(WireError::Timeout));
+        let tried = match started.unwrap_or(lost) {
+            Ok(mut attempt) => {
+                let first = first(&mut attempt, silence).await;
+                if let Some(load) = attempt.take_load() {
+                    flight.note_load(load);
+                }
+                first.map(|first| (attempt, first))
+            }
+            Err(error) => Err(error),
         };
-        let trace = ask.trace.child(&mut rand::rng()).to_string();
-        match first(entry, &agent, order, &trace).await {
+        match tried {
             Ok((attempt, first)) => {
-                return Ok(Started {
+                flight.answered();
+                let version = self.version.clone();
+                Ok(Started {
                     attempt,
+                    flight,
                     version,
                     first,
-                });
+                    silence,
+                })
             }
             Err(error) => {
-                tracing::info!(agent = %agent.id, %error, "try failed");
-                let again = error.is_not_run() || model.repeatable;
-                last = Some(Problem::from(error.refusal()));
-                if !again {
-                    break;
+                flight.failed(&error);
+                if matches!(error, ForwardError::Lost(WireError::Timeout)) {
+                    // The connection may be cut off; the next try makes a new one.
+                    connector.forget(flight.member.address, Lane::Live).await;
                 }
+                Err(error)
             }
         }
-        tried.push(agent.id);
     }
-    let none = format_smolstr!("no agent serves {} {version}", model.name);
-    Err(last.unwrap_or_else(|| Problem::unavailable(none, NO_AGENT_RETRY)))
-}
 
-async fn first(
-    entry: &Entry,
-    agent: &apricothall_types::Member,
-    order: Order,
-    trace: &str,
-) -> Result<(Attempt, Bytes), ForwardError> {
-    let mut attempt = Attempt::start(&entry.connector, agent, order, trace).await?;
-    loop {
-        match attempt.next().await? {
-            Step::Head(_) => {}
-            Step::Data(data) => return Ok((attempt, data)),
-            Step::End(_) => return Ok((attempt, Bytes::new())),
+    fn order(&self) -> Order {
+        let left = self.deadline.since(self.entry.clock.now());
+        Order {
+            request: self.ask.trace.request,
+            caller: self.ask.caller.clone(),
+            name: self.model.name.clone(),
+            class: self.class,
+            budget: left.saturating_sub(MARGIN.min(left / MARGIN_PART)),
+            call: Call::Completion {
+                version: self.version.clone(),
+                body: Payload(self.prompt.body.clone()),
+            },
         }
     }
-}
 
-/// Passes the answer on as server-sent events. A broken one ends with an `error` event.
-fn stream(
-    started: Started,
-    ask: Ask,
-    deadline: tokio::time::Instant,
-    work: WorkGuard,
-) -> Response<Body> {
-    let (sender, receiver) = mpsc::channel::<Bytes>(EVENT_BUFFER);
-    tokio::spawn(async move {
-        let relayed = tokio::time::timeout_at(deadline, relay(started, &sender)).await;
-        let last = match relayed {
-            Ok(Ok(())) => sse::event(sse::DONE),
-            Ok(Err(error)) => error_event(&broken(&error), &ask),
-            Err(_) => error_event(&late_stream(), &ask),
-        };
-        // An error means that the caller has gone.
-        let _ = sender.send(last).await;
-        drop(work);
-    });
-    let events = futures::stream::unfold(receiver, |mut receiver| async move {
-        let event = receiver.recv().await?;
-        Some((Ok::<_, Infallible>(Frame::data(event)), receiver))
-    });
-    let mut response = Response::new(StreamBody::new(events).boxed());
-    let kind = HeaderValue::from_static("text/event-stream");
-    response.headers_mut().insert(header::CONTENT_TYPE, kind);
-    response
-}
-
-fn error_event(problem: &Problem, ask: &Ask) -> Bytes {
-    sse::error_event(&problem.to_json(ask.trace.request))
+    fn no_agent(&self) -> Problem {
+        let detail = format_smolstr!("no agent serves {} {}", self.model.name, self.version);
+        spread(Problem::unavailable(detail, NO_AGENT_RETRY))
+    }
 }
 
-fn late_stream() -> Problem {
+/// Spreads the time to come back, so that refused callers don't come back together.
+fn spread(problem: Problem) -> Problem {
+    let spread = |wait| Duration::from_secs(retry_after(wait, &mut rand::rng()));
     Problem {
-        status: StatusCode::GATEWAY_TIMEOUT,
-        ..Problem::failed("the deadline has passed")
+        retry: problem.retry.map(spread),
+        ..problem
     }
 }
 
-fn broken(error: &ForwardError) -> Problem {
-    Problem::failed(error.to_smolstr())
-}
-
-async fn relay(started: Started, sender: &mpsc::Sender<Bytes>) -> Result<(), ForwardError> {
-    let Started {
-        mut attempt, first, ..
-    } = started;
-    if first.is_empty() {
-        return Ok(());
-    }
-    let mut next = first;
+async fn first(attempt: &mut Attempt, silence: Duration) -> Result<Bytes, ForwardError> {
     loop {
-        if sender.send(sse::event(&next)).await.is_err() {
-            // The caller has gone; dropping the attempt cancels the request.
-            return Ok(());
+        match attempt.next_within(silence).await? {
+            Step::Head(_) => {}
+            Step::Data(data) => return Ok(data),
+            Step::End(_) => return Ok(Bytes::new()),
         }
-        next = match attempt.next().await? {
-            Step::Data(data) => data,
-            Step::End(_) => return Ok(()),
-            Step::Head(_) => return Err(ForwardError::Crossed),
-        };
-    }
-}
-
-/// Answers with the whole text at once.
-async fn collect(started: Started, ask: &Ask, name: &EntryName) -> Result<Response<Body>, Problem> {
-    let Started {
-        mut attempt,
-        version,
-        first,
-    } = started;
-    let mut text = String::new();
-    let mut next = first;
-    while !next.is_empty() {
-        let token: Token = serde_json::from_slice(&next)
-            .map_err(|e| Problem::failed(format_smolstr!("malformed token: {e}")))?;
-        text.push_str(&token.text);
-        next = match attempt.next().await.map_err(|e| broken(&e))? {
-            Step::Data(data) => data,
-            Step::End(_) => break,
-            Step::Head(_) => return Err(broken(&ForwardError::Crossed)),
-        };
     }
-    let value = json!({
-        "id": ask.trace.request, "model": name, "version": version,
-        "choices": [{ "index": 0, "text": text, "finish_reason": "stop" }],
-    });
-    Ok(json(StatusCode::OK, &value))
 }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,10 +1,14 @@
 //! One try of a request at one agent.
 
+use std::time::Duration;
+
 use apricothall_types::{Load, Member, Outcome, RequestId, Sequence};
+use apricothall_wire::answer::ELSEWHERE;
 use apricothall_wire::{
     Answer, AnswerFrame, Channel, Connector, Lane, Order, RUN_PATH, Refusal, WireError,
 };
 use futures::{SinkExt, StreamExt};
+use http::StatusCode;
 use smol_str::ToSmolStr;
 use thiserror::Error;
 
@@ -39,6 +43,37 @@
         }
     }
 
+    /// Whether the failure speaks against the agent or the way to it.
+    #[must_use]
+    pub fn is_fault(&self) -> bool {
+        match self {
+            Self::Refused(refusal) => {
+                let late = refusal.status == StatusCode::GATEWAY_TIMEOUT;
+                refusal.outcome != Outcome::NotRun && !late
+            }
+            _ => true,
+        }
+    }
+
+    /// Whether the agent leaves, so that another one may be asked at once.
+    #[must_use]
+    pub fn is_elsewhere(&self) -> bool {
+        matches!(self, Self::Refused(r) if r.retry == Some(ELSEWHERE))
+    }
+
+    /// Label for metrics.
+    #[must_use]
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Unsent(_) => "unsent",
+            Self::Refused(_) => "refused",
+            Self::Lost(WireError::Timeout) => "silent",
+            Self::Lost(_) => "lost",
+            Self::Crossed => "crossed",
+            Self::Truncated => "truncated",
+        }
+    }
+
     /// Whether it is certain that the request was not run by this try.
     #[must_use]
     pub fn is_not_run(&self) -> bool {
@@ -76,6 +111,7 @@
     request: RequestId,
     due: Sequence,
     length: u64,
+    load: Option<Load>,
 }
 
 impl Attempt {
@@ -100,14 +136,43 @@
             request,
             due: Sequence(0),
             length: 0,
+            load: None,
         })
     }
 
-    /// The next step of the answer.
+    /// Takes the load that the agent reported since the last call.
+    pub fn take_load(&mut self) -> Option<Load> {
+        self.load.take()
+    }
+
+    /// The next step of the answer, signs of life left out.
     ///
     /// # Errors
     /// When the answer cannot become whole any more.
     pub async fn next(&mut self) -> Result<Step, ForwardError> {
+        loop {
+            if let Some(step) = self.step().await? {
+                return Ok(step);
+            }
+        }
+    }
+
+    /// As [`Self::next`], but an agent that sends nothing at all for `silence` counts as lost.
+    ///
+    /// # Errors
+    /// When the answer cannot become whole any more.
+    pub async fn next_within(&mut self, silence: Duration) -> Result<Step, ForwardError> {
+        loop {
+            let step = tokio::time::timeout(silence, self.step()).await;
+            let step = step.unwrap_or(Err(ForwardError::Lost(WireError::Timeout)));
+            if let Some(step) = step? {
+                return Ok(step);
+            }
+        }
+    }
+
+    /// The next frame; none for a sign of life.
+    async fn step(&mut self) -> Result<Option<Step>, ForwardError> {
         let frame = self.channel.next().await.unwrap_or(Err(WireError::Ended));
         let frame = frame.map_err(ForwardError::Lost)?;
         if frame.request != self.request || frame.sequence != self.due {
@@ -116,14 +181,24 @@
         }
         self.due = self.due.next();
         match frame.answer {
+            Answer::Pending(load) => {
+                self.load = Some(load);
+                Ok(None)
+            }
             Answer::Data(payload) => {
                 self.length += payload.len() as u64;
-                Ok(Step::Data(payload.0))
+                Ok(Some(Step::Data(payload.0)))
+            }
+            Answer::End { length, load } if length == self.length => {
+                self.load = Some(load);
+                Ok(Some(Step::End(load)))
             }
-            Answer::End { length, load } if length == self.length => Ok(Step::End(load)),
             Answer::End { .. } => Err(ForwardError::Truncated),
-            Answer::Refused { refusal, .. } => Err(ForwardError::Refused(refusal)),
-            head @ Answer::Head { .. } => Ok(Step::Head(head)),
+            Answer::Refused { refusal, load } => {
+                self.load = Some(load);
+                Err(ForwardError::Refused(refusal))
+            }
+            head @ Answer::Head { .. } => Ok(Some(Step::Head(head))),
         }
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,9 +2,14 @@
 
 pub mod ask;
 pub mod callers;
-pub mod choose;
 pub mod completions;
+pub mod demand;
 pub mod entries;
+pub mod explain;
 pub mod forward;
+pub mod limits;
 pub mod problem;
+pub mod prompt;
+pub mod relay;
+pub mod routing;
 pub mod services;
--- /dev/null
+++ b/crates/entry/src/prompt.rs
@@ -0,0 +1,66 @@
+//! The parts of a completion call that the entry looks at.
+
+use apricothall_decide::routing::Prefix;
+use apricothall_types::EntryName;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::Value;
+use smol_str::format_smolstr;
+
+use crate::problem::Problem;
+
+/// A completion call.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    /// Catalogue entry asked for.
+    pub model: EntryName,
+    /// Whether the caller wants the answer streamed.
+    pub stream: bool,
+    /// Bound on the length of the answer, if any.
+    pub tokens: Option<u32>,
+    /// Prefix of the prompt, if it is a text.
+    pub prefix: Option<Prefix>,
+    /// Body for the engine, which always streams.
+    pub body: Bytes,
+}
+
+#[derive(Deserialize)]
+struct Head {
+    model: EntryName,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    prompt: Value,
+}
+
+impl Prompt {
+    /// Reads the body of a call.
+    ///
+    /// # Errors
+    /// When it is no completion call.
+    pub fn read(body: Bytes) -> Result<Self, Problem> {
+        let head: Head = serde_json::from_slice(&body).map_err(|e| malformed(&e))?;
+        let prefix = head.prompt.as_str().map(|p| Prefix::of(p.as_bytes()));
+        let body = if head.stream { body } else { streamed(&body)? };
+        Ok(Self {
+            model: head.model,
+            stream: head.stream,
+            tokens: head.max_tokens,
+            prefix,
+            body,
+        })
+    }
+}
+
+fn streamed(body: &[u8]) -> Result<Bytes, Problem> {
+    let mut value: Value = serde_json::from_slice(body).map_err(|e| malformed(&e))?;
+    value["stream"] = Value::Bool(true);
+    let text = serde_json::to_vec(&value).map_err(|e| malformed(&e))?;
+    Ok(text.into())
+}
+
+fn malformed(error: &serde_json::Error) -> Problem {
+    Problem::bad_request(format_smolstr!("malformed body: {error}"))
+}
--- /dev/null
+++ b/crates/entry/src/relay.rs
@@ -0,0 +1,156 @@
+//! Passes the answer of an agent on to the caller.
+//!
+//! A stream that breaks after its first piece is not continued on another replica, since engines
+//! need not give the same text twice: it ends with an `error` event.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use apricothall_fleet::http_server::{Body, json};
+use apricothall_platform::sse;
+use apricothall_types::{EntryName, Version};
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use serde::Deserialize;
+use serde_json::json;
+use smol_str::{ToSmolStr, format_smolstr};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+use crate::ask::Ask;
+use crate::forward::{Attempt, ForwardError, Step};
+use crate::problem::Problem;
+use crate::routing::Flight;
+
+/// Events that wait for a slow caller; further ones wait at the agent.
+const EVENT_BUFFER: usize = 64;
+
+#[derive(Deserialize)]
+struct Token {
+    text: String,
+}
+
+/// An answer whose first piece has arrived.
+pub struct Started {
+    /// The agent's answer.
+    pub attempt: Attempt,
+    /// Counts the request as in flight at the agent.
+    pub flight: Flight,
+    /// Version that answers.
+    pub version: Version,
+    /// The first piece; empty when the answer is.
+    pub first: Bytes,
+    /// Silence after which the agent counts as lost.
+    pub silence: Duration,
+}
+
+impl Started {
+    /// The piece after `self.first`; none once the answer is whole.
+    async fn next(&mut self) -> Result<Option<Bytes>, ForwardError> {
+        if self.first.is_empty() {
+            return Ok(None);
+        }
+        let step = self.attempt.next_within(self.silence).await;
+        if let Some(load) = self.attempt.take_load() {
+            self.flight.note_load(load);
+        }
+        match step {
+            Ok(Step::Data(data)) => Ok(Some(data)),
+            Ok(Step::End(_)) => Ok(None),
+            Ok(Step::Head(_)) => Err(self.broken(ForwardError::Crossed)),
+            Err(error) => Err(self.broken(error)),
+        }
+    }
+
+    fn broken(&self, error: ForwardError) -> ForwardError {
+        self.flight.failed(&error);
+        metrics::counter!("apricothall_answers_broken_total", "reason" => error.label())
+            .increment(1);
+        error
+    }
+}
+
+/// Passes the answer on as server-sent events. A broken one ends with an `error` event.
+pub fn stream(started: Started, ask: Ask, deadline: Instant) -> Response<Body> {
+    let (sender, receiver) = mpsc::channel::<Bytes>(EVENT_BUFFER);
+    tokio::spawn(async move {
+        let relayed = tokio::select! {
+            relayed = timeout_at(deadline, relay(started, &sender)) => relayed,
+            // Dropping the attempt cancels the request at the agent.
+            () = sender.closed() => {
+                metrics::counter!("apricothall_callers_gone_total").increment(1);
+                return;
+            }
+        };
+        let last = match relayed {
+            Ok(Ok(())) => sse::event(sse::DONE),
+            Ok(Err(error)) => error_event(&broken(&error), &ask),
+            Err(_) => error_event(&late(), &ask),
+        };
+        // An error means that the caller has gone.
+        let _ = sender.send(last).await;
+    });
+    let events = futures::stream::unfold(receiver, |mut receiver| async move {
+        let event = receiver.recv().await?;
+        Some((Ok::<_, Infallible>(Frame::data(event)), receiver))
+    });
+    let mut response = Response::new(StreamBody::new(events).boxed());
+    let kind = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+fn error_event(problem: &Problem, ask: &Ask) -> Bytes {
+    sse::error_event(&problem.to_json(ask.trace.request))
+}
+
+fn late() -> Problem {
+    Problem {
+        status: StatusCode::GATEWAY_TIMEOUT,
+        ..Problem::failed("the deadline has passed")
+    }
+}
+
+fn broken(error: &ForwardError) -> Problem {
+    Problem::failed(error.to_smolstr())
+}
+
+async fn relay(mut started: Started, sender: &mpsc::Sender<Bytes>) -> Result<(), ForwardError> {
+    if started.first.is_empty() {
+        return Ok(());
+    }
+    let mut next = Some(started.first.clone());
+    while let Some(data) = next {
+        if sender.send(sse::event(&data)).await.is_err() {
+            return Ok(());
+        }
+        next = started.next().await?;
+    }
+    Ok(())
+}
+
+/// Answers with the whole text at once.
+///
+/// # Errors
+/// When the answer is not whole.
+pub async fn collect(
+    mut started: Started,
+    ask: &Ask,
+    name: &EntryName,
+) -> Result<Response<Body>, Problem> {
+    let mut text = String::new();
+    let mut next = Some(started.first.clone()).filter(|first| !first.is_empty());
+    while let Some(data) = next {
+        let token: Token = serde_json::from_slice(&data)
+            .map_err(|e| Problem::failed(format_smolstr!("malformed token: {e}")))?;
+        text.push_str(&token.text);
+        next = started.next().await.map_err(|e| broken(&e))?;
+    }
+    let value = json!({
+        "id": ask.trace.request, "model": name, "version": started.version,
+        "choices": [{ "index": 0, "text": text, "finish_reason": "stop" }],
+    });
+    Ok(json(StatusCode::OK, &value))
+}
--- a/crates/fleet/src/http_server.rs
+++ b/crates/fleet/src/http_server.rs
@@ -18,6 +18,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::write_limit::WriteLimit;
+
 /// Body of all answers.
 pub type Body = BoxBody<Bytes, Infallible>;
 
@@ -27,6 +29,9 @@
 /// Largest head of a request, in bytes.
 const MAX_HEAD_BYTES: u32 = 16 << 10;
 
+/// Longest wait for a reader of an answer that is not a caller.
+const WRITE_LIMIT: Duration = Duration::from_secs(30);
+
 /// Pause after a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -39,6 +44,15 @@
     bound.map_err(|source| StartError::Listen { address, source })
 }
 
+/// Longest waits on a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Waits {
+    /// For the head of a request, idle time before it included.
+    pub read: Duration,
+    /// For the caller to take a part of an answer.
+    pub write: Duration,
+}
+
 /// Serves connections until `closing`; then finishes the requests in progress.
 ///
 /// A request whose head takes longer than `read` ends its connection.
@@ -50,13 +64,27 @@
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let write = WRITE_LIMIT;
+    serve_within(listener, Waits { read, write }, closing, handle).await;
+}
+
+/// As [`serve`], with a limit on writes too.
+pub async fn serve_within<H, F>(
+    listener: TcpListener,
+    waits: Waits,
+    closing: CancellationToken,
+    handle: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
     loop {
         tokio::select! {
             () = closing.cancelled() => break,
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => connection(stream, read, &graceful, handle.clone()),
+                Ok((stream, _)) => connection(stream, waits, &graceful, handle.clone()),
                 Err(error) => {
                     tracing::warn!(%error, "cannot accept");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -67,7 +95,7 @@
     graceful.shutdown().await;
 }
 
-fn connection<H, F>(stream: TcpStream, read: Duration, graceful: &GracefulShutdown, handle: H)
+fn connection<H, F>(stream: TcpStream, waits: Waits, graceful: &GracefulShutdown, handle: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -78,7 +106,7 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(read);
+        .header_read_timeout(waits.read);
     builder.http1().max_buf_size(MAX_HEAD_BYTES as usize);
     builder
         .http2()
@@ -87,17 +115,18 @@
     builder
         .http2()
         .max_header_list_size(MAX_HEAD_BYTES)
-        .keep_alive_interval(read);
+        .keep_alive_interval(waits.read);
     let service = service_fn(move |request| {
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let serving = builder
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(WriteLimit::new(stream, waits.write)), service)
         .into_owned();
     let watched = graceful.watch(serving);
     tokio::spawn(async move {
         if let Err(error) = watched.await {
+            metrics::counter!("apricothall_http_broken_total").increment(1);
             tracing::debug!(%error, "connection ended");
         }
     });
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod trace;
 pub mod view;
 pub mod vms;
+pub mod write_limit;
 
 pub use catalogue::CatalogueState;
 pub use peers::PeerRoutes;
--- a/crates/fleet/src/operators.rs
+++ b/crates/fleet/src/operators.rs
@@ -34,12 +34,19 @@
                 if request.method() != Method::GET {
                     return text(StatusCode::METHOD_NOT_ALLOWED, "only GET is served here\n");
                 }
-                match request.uri().path() {
+                let uri = request.uri();
+                match uri.path() {
                     "/healthz" => text(StatusCode::OK, "ok\n"),
                     "/readyz" => ready(&board),
                     "/metrics" => text(StatusCode::OK, telemetry.render()),
                     "/status" => json(StatusCode::OK, &board.status()),
-                    _ => text(StatusCode::NOT_FOUND, "no such path\n"),
+                    path => {
+                        let page = board.find_page(path, uri.query().unwrap_or_default());
+                        page.map_or_else(
+                            || text(StatusCode::NOT_FOUND, "no such path\n"),
+                            |value| json(StatusCode::OK, &value),
+                        )
+                    }
                 }
             }
         }));
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -1,11 +1,13 @@
 //! What `/status` and `/readyz` say, gathered from the plug-ins.
 
+use std::collections::BTreeMap;
 use std::sync::{PoisonError, RwLock};
 
 use serde_json::{Map, Value};
 use smol_str::SmolStr;
 
 type Section = Box<dyn Fn() -> Value + Send + Sync>;
+type Page = Box<dyn Fn(&str) -> Value + Send + Sync>;
 type Condition = Box<dyn Fn() -> Option<SmolStr> + Send + Sync>;
 
 /// Sections of the status and conditions of readiness.
@@ -13,6 +15,7 @@
 pub struct StatusBoard {
     sections: RwLock<Vec<(&'static str, Section)>>,
     conditions: RwLock<Vec<Condition>>,
+    pages: RwLock<BTreeMap<&'static str, Page>>,
 }
 
 impl StatusBoard {
@@ -34,6 +37,19 @@
         conditions.push(Box::new(reason));
     }
 
+    /// Answers `path` on the operators' port with a value computed from the query.
+    pub fn page(&self, path: &'static str, value: impl Fn(&str) -> Value + Send + Sync + 'static) {
+        let mut pages = self.pages.write().unwrap_or_else(PoisonError::into_inner);
+        pages.insert(path, Box::new(value));
+    }
+
+    /// The value of the page at `path`, if there is one.
+    #[must_use]
+    pub fn find_page(&self, path: &str, query: &str) -> Option<Value> {
+        let pages = self.pages.read().unwrap_or_else(PoisonError::into_inner);
+        pages.get(path).map(|value| value(query))
+    }
+
     /// The whole status.
     #[must_use]
     pub fn status(&self) -> Value {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
+use apricothall_decide::drain::Sign;
 use apricothall_decide::membership::{Extra, GossipMessage, Head, Membership, Outgoing};
 use apricothall_kernel::{Clock, Lifecycle};
 use apricothall_types::{Member, MemberId, MemberState, VmList};
@@ -153,7 +154,9 @@
     /// Takes in a VM list.
     pub fn observe_list(&self, list: VmList) {
         let now = self.clock.now();
-        self.apply(|membership| membership.observe_list(&list, now));
+        self.apply_by(Sign::VmList, |membership| {
+            membership.observe_list(&list, now);
+        });
         self.list.send_replace(Arc::new(list));
     }
 
@@ -209,8 +212,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Runs `change` and signals what it changed.
+    /// Runs `change`, which peers have caused, and signals what it changed.
     fn apply<T>(&self, change: impl FnOnce(&mut Membership) -> T) -> T {
+        self.apply_by(Sign::Peer, change)
+    }
+
+    /// As [`Self::apply`]; `sign` is noted when the change says that this daemon leaves.
+    fn apply_by<T>(&self, sign: Sign, change: impl FnOnce(&mut Membership) -> T) -> T {
         let mut membership = self.lock();
         let before = membership.generation();
         let result = change(&mut membership);
@@ -222,7 +230,7 @@
             tracing::error!("a later daemon runs under this id");
         }
         if superseded || leaving {
-            self.lifecycle.leave();
+            self.lifecycle.leave(sign);
         }
         if after != before {
             self.changes.send_replace(after);
--- a/crates/kernel/src/configs/callers.rs
+++ b/crates/kernel/src/configs/callers.rs
@@ -23,6 +23,9 @@
     /// Longest wait for the head of a request, and for its body.
     #[serde(default = "default_read")]
     pub read: Interval,
+    /// Longest wait for a caller to take a part of its answer.
+    #[serde(default = "default_write")]
+    pub write: Interval,
     /// Deadline of a request that names none.
     #[serde(default = "default_deadline")]
     pub deadline: Interval,
@@ -40,6 +43,10 @@
     Interval::secs(5)
 }
 
+fn default_write() -> Interval {
+    Interval::secs(30)
+}
+
 fn default_deadline() -> Interval {
     Interval::secs(60)
 }
--- a/crates/kernel/src/context.rs
+++ b/crates/kernel/src/context.rs
@@ -34,12 +34,13 @@
     #[must_use]
     pub fn new(settings: Settings, role: Role, telemetry: Telemetry) -> Self {
         let clock = Clock;
+        let lifecycle = Lifecycle::new(settings.drain.clone(), role, clock);
         Self {
             settings: Arc::new(settings),
             role,
             incarnation: clock.incarnation(),
             clock,
-            lifecycle: Lifecycle::default(),
+            lifecycle,
             telemetry,
             parts: Arc::default(),
         }
--- a/crates/kernel/src/lifecycle.rs
+++ b/crates/kernel/src/lifecycle.rs
@@ -1,30 +1,52 @@
 //! Phases of a daemon: running, leaving, stopping.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use apricothall_decide::configs::DrainConfig;
+use apricothall_decide::drain::{self, Drain, Intake, Sign, Step};
+use apricothall_types::Role;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::Clock;
+
 /// Longest wait for background tasks once the daemon is stopping.
 const TASK_GRACE: Duration = Duration::from_secs(2);
 
+/// Time between two looks at whether a leaving daemon may end.
+const STEP_PERIOD: Duration = Duration::from_millis(50);
+
 /// Tells plug-ins when to take no new work and when to end.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Lifecycle {
+    clock: Clock,
+    drain: Arc<Mutex<Drain>>,
     leaving: CancellationToken,
     stopping: CancellationToken,
     tasks: TaskTracker,
     work: Work,
+    transfers: Work,
 }
 
-/// Number of requests and uploads in progress.
+/// Number of pieces of work in progress.
 #[derive(Clone, Debug)]
 struct Work {
     count: Arc<watch::Sender<usize>>,
 }
 
+impl Work {
+    fn begin(&self) -> WorkGuard {
+        self.count.send_modify(|n| *n += 1);
+        WorkGuard { work: self.clone() }
+    }
+
+    fn count(&self) -> usize {
+        *self.count.borrow()
+    }
+}
+
 impl Default for Work {
     fn default() -> Self {
         Self {
@@ -46,11 +68,55 @@
 }
 
 impl Lifecycle {
-    /// Begins to leave: no new work from now on.
-    pub fn leave(&self) {
+    /// A daemon of `role` that serves.
+    #[must_use]
+    pub fn new(config: DrainConfig, role: Role, clock: Clock) -> Self {
+        Self {
+            clock,
+            drain: Arc::new(Mutex::new(Drain::new(config, role))),
+            leaving: CancellationToken::default(),
+            stopping: CancellationToken::default(),
+            tasks: TaskTracker::default(),
+            work: Work::default(),
+            transfers: Work::default(),
+        }
+    }
+
+    /// Begins to leave at the first sign. Later ones change nothing: work in progress is not cut
+    /// off.
+    pub fn leave(&self, sign: Sign) {
+        if self.drain().sign(sign, self.clock.now()) {
+            tracing::info!(?sign, in_progress = self.in_progress(), "leaving");
+            metrics::counter!("apricothall_leave_signs_total", "sign" => label(sign)).increment(1);
+        }
         self.leaving.cancel();
     }
 
+    /// What to do with a request that arrives now.
+    #[must_use]
+    pub fn intake(&self) -> Intake {
+        self.drain().intake(self.clock.now())
+    }
+
+    /// Waits until the daemon may end. The last step tells whether work is cut off at the limit.
+    pub async fn drained(&self) -> Step {
+        loop {
+            let work = drain::Work {
+                running: count(self.work.count()),
+                transfers: count(self.transfers.count()),
+            };
+            let step = self.drain().step(work, self.clock.now());
+            if matches!(step, Step::End | Step::Abort) {
+                return step;
+            }
+            tokio::time::sleep(STEP_PERIOD).await;
+        }
+    }
+
+    fn drain(&self) -> MutexGuard<'_, Drain> {
+        self.drain.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the daemon is leaving.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
@@ -87,26 +153,31 @@
         });
     }
 
-    /// Counts a piece of work as in progress until the guard is dropped.
+    /// Runs `task` in the background; it watches [`Self::stop_token`] and ends by itself.
+    pub fn spawn_closing<F>(&self, task: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.tasks.spawn(task);
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
     #[must_use]
     pub fn begin(&self) -> WorkGuard {
-        self.work.count.send_modify(|n| *n += 1);
-        WorkGuard {
-            work: self.work.clone(),
-        }
+        self.work.begin()
     }
 
-    /// Number of pieces of work in progress.
+    /// Counts a transfer that serves a peer as in progress until the guard is dropped. A leaving
+    /// daemon waits for it for a limited time.
     #[must_use]
-    pub fn in_progress(&self) -> usize {
-        *self.work.count.borrow()
+    pub fn begin_transfer(&self) -> WorkGuard {
+        self.transfers.begin()
     }
 
-    /// Waits until no work is in progress.
-    pub async fn idle(&self) {
-        let mut count = self.work.count.subscribe();
-        // The sender lives as long as `self`, so waiting cannot fail.
-        let _ = count.wait_for(|n| *n == 0).await;
+    /// Number of requests in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.work.count()
     }
 
     /// Ends background tasks and waits for them.
@@ -117,3 +188,15 @@
         let _ = tokio::time::timeout(TASK_GRACE, self.tasks.wait()).await;
     }
 }
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+fn label(sign: Sign) -> &'static str {
+    match sign {
+        Sign::Signal => "signal",
+        Sign::VmList => "vm_list",
+        Sign::Peer => "peer",
+    }
+}
--- a/crates/kernel/src/run.rs
+++ b/crates/kernel/src/run.rs
@@ -1,7 +1,6 @@
 //! Runs a daemon from start to exit.
 
-use std::time::Duration;
-
+use apricothall_decide::drain::{Sign, Step};
 use apricothall_types::Role;
 use thiserror::Error;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -66,17 +65,17 @@
                 _ = term.recv() => {}
                 _ = interrupt.recv() => {}
             }
-            tracing::info!(in_progress = lifecycle.in_progress(), "signal to leave");
-            lifecycle.leave();
+            lifecycle.leave(Sign::Signal);
         }
     });
 }
 
 async fn finish(context: Context) {
-    let grace: Duration = context.settings.drain.grace.0;
-    tracing::info!(?grace, "leaving");
-    tokio::time::sleep(grace).await;
-    context.lifecycle.idle().await;
+    if context.lifecycle.drained().await == Step::Abort {
+        let left = context.lifecycle.in_progress();
+        tracing::error!(left, "work is cut off at drain.limit");
+        metrics::counter!("apricothall_drain_aborted_total").increment(1);
+    }
     tracing::info!("stopped");
     context.lifecycle.clone().close().await;
 }
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -8,6 +8,9 @@
 
 use crate::{Header, Payload};
 
+/// Value of [`Refusal::retry`] of an agent that leaves: another one may be asked at once.
+pub const ELSEWHERE: Duration = Duration::ZERO;
+
 /// Why a request has no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
@@ -24,6 +27,8 @@
 /// One step of an answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
+    /// The agent has the order, which waits or runs; sent again while nothing else is.
+    Pending(Load),
     /// The backend server has accepted the request.
     Head {
         /// HTTP status of the backend server.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -41,3 +41,6 @@
 
 /// Path of streams that carry a `tarpc` session.
 pub const RPC_PATH: &str = "/rpc";
+
+/// Path of streams by which entries tell each other about demand and loans.
+pub const DEMAND_PATH: &str = "/demand";
