--- /dev/null
+++ b/crates/apricotd/tests/answers.rs
@@ -0,0 +1,219 @@
+//! Whole answers to one's own request, or an error that says so, whatever breaks on the way.
+
+mod fixture;
+
+use std::time::Duration;
+
+use apricothall_standin::caller::{CallOptions, Caller};
+use apricothall_standin::completion::{Streamed, Verdict, completion};
+use apricothall_standin::engine::EngineSettings;
+use apricothall_standin::fleet::{Fleet, until};
+use apricothall_standin::network::{Fault, Port, Rule, Side};
+use apricothall_types::Outcome;
+use fixture::{MODEL, caller, catalogue, counter, plan_with, serve, truth};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
+
+const QUICK: &str = "retry.silence = '1200ms'\n";
+
+/// Callers' port behind the proxy, so that only the caller's own buffers hold an answer.
+const DIRECT_PORT: u16 = 7_081;
+
+async fn fleet(engines: usize) -> Fleet {
+    let plan = plan_with(1, engines, &EngineSettings::default(), QUICK);
+    serve(plan.with_catalogue(catalogue(1, engines, &[]))).await
+}
+
+async fn ask(caller: &Caller, prompt: &str, tokens: u32) -> Streamed {
+    let deadline = Some(Duration::from_secs(8));
+    let options = CallOptions {
+        deadline,
+        ..CallOptions::default()
+    };
+    caller
+        .complete(completion(MODEL, prompt, tokens), &options)
+        .await
+}
+
+/// Agent that runs the request whose tokens are held back.
+async fn busy(fleet: &Fleet) -> String {
+    let check = async || {
+        let runs = |n: &&apricothall_standin::node::Node| n.engines[0].state().running > 0;
+        let node = fleet.agents().find(runs).ok_or("nothing runs")?;
+        Ok(node.plan.id.to_string())
+    };
+    until("a running request", check).await.expect("runs")
+}
+
+/// Breaks something while an answer of 12 tokens is held back at its sixth, then lets go.
+macro_rules! midstream {
+    ($($case:ident: |$fleet:ident, $agent:ident| $fault:expr => $verdict:expr;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            #[allow(unused_mut, reason = "some faults need it")]
+            let mut $fleet = fleet(2).await;
+            $fleet.agents().for_each(|n| n.engines[0].pause_at(Some(6)));
+            let crew = caller(&$fleet, "crew");
+            let asked = tokio::spawn({ let crew = crew.clone(); async move { ask(&crew, "span 4", 12).await } });
+            let $agent = busy(&$fleet).await;
+            // The caller has the first tokens once the entry counts the answer as begun.
+            let begun = async || match counter(&$fleet, "entry-0", "apricothall_first_piece_seconds_count").await {
+                n if n > 0.0 => Ok(()),
+                n => Err(n.to_string()),
+            };
+            until("the first piece", begun).await.expect("begins");
+            $fault;
+            $fleet.agents().for_each(|n| n.engines[0].pause_at(None));
+            let answer = asked.await.expect("no panic");
+            let verdict = answer.verdict(&truth());
+            assert_eq!(verdict, $verdict, "{:?}", answer.ended);
+            $fleet.close().await;
+        })*
+    };
+}
+
+midstream! {
+    nothing: |fleet, _agent| () => Verdict::Whole;
+    engine_restarts: |fleet, agent| fleet.node(&agent).engines[0].restart() => Verdict::Refused(Outcome::Failed);
+    agent_is_killed: |fleet, agent| fleet.node_mut(&agent).kill().await => Verdict::Refused(Outcome::Failed);
+    agent_is_frozen: |fleet, agent| fleet.node(&agent).process.as_ref().expect("runs").freeze() => Verdict::Refused(Outcome::Failed);
+    entry_is_killed: |fleet, _agent| fleet.node_mut("entry-0").kill().await => Verdict::Truncated;
+    link_is_reset: |fleet, agent| fleet.network.inject(Rule::new(Side::vm("entry-0"), Side::vm(&agent), Fault::Reset)) => Verdict::Refused(Outcome::Failed);
+    link_is_cut: |fleet, agent| fleet.network.inject(Rule::new(Side::vm(&agent), Side::vm("entry-0"), Fault::Cut)) => Verdict::Refused(Outcome::Failed);
+    link_stalls_briefly: |fleet, agent| {
+        let rule = fleet.network.add(Rule::new(Side::vm(&agent), Side::vm("entry-0"), Fault::Stall));
+        fleet.agents().for_each(|n| n.engines[0].pause_at(None));
+        let finished = async || fleet.node(&agent).engines[0].runs().iter().any(|r| r.finished).then_some(()).ok_or(String::new());
+        until("the end at the engine", finished).await.expect("ends");
+        fleet.network.lift(&[rule]);
+    } => Verdict::Whole;
+}
+
+/// Faults at many offsets of the bytes from agents to the entry, so that each kind of frame is cut.
+macro_rules! offsets {
+    ($($case:ident: $step:expr, $count:expr, $fault:expr;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            let fleet = fleet(2).await;
+            let crew = caller(&fleet, "crew");
+            let fault: fn(u64) -> Fault = $fault;
+            let mut broken = 0;
+            for offset in (0..$count).map(|n| n * $step) {
+                let rule = Rule::new(Side::Any, Side::vm("entry-0"), fault(offset)).on(Port::Peers);
+                let id = fleet.network.add(rule);
+                let answer = ask(&crew, &format!("span {offset}"), 6).await;
+                let verdict = answer.verdict(&truth());
+                assert!(matches!(verdict, Verdict::Whole | Verdict::Refused(_)), "{offset}: {verdict:?}: {:?}", answer.ended);
+                broken += u32::from(verdict != Verdict::Whole);
+                fleet.network.lift(&[id]);
+            }
+            assert!(broken > 0, "no fault has met an answer");
+            let served = async || match ask(&crew, "span last", 6).await.verdict(&truth()) {
+                Verdict::Whole => Ok(()),
+                other => Err(format!("{other:?}")),
+            };
+            until("a whole answer after the faults", served).await.expect("heals");
+            fleet.close().await;
+        })*
+    };
+}
+
+offsets! {
+    reset_at_each_offset: 23, 60, Fault::reset_after;
+    cut_at_each_offset: 97, 12, Fault::cut_after;
+    corrupt_at_each_offset: 11, 60, |offset| Fault::CorruptEvery(offset + 40);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_agent_is_left_for_another_and_wakes() {
+    let fleet = fleet(2).await;
+    let crew = caller(&fleet, "crew");
+    let frozen = fleet.node("engine-0").process.as_ref().expect("runs");
+    frozen.freeze();
+    let asked = (0..6).map(|n| {
+        let crew = crew.clone();
+        async move { ask(&crew, &format!("span {n}"), 6).await }
+    });
+    for answer in futures::future::join_all(asked).await {
+        assert_eq!(
+            answer.verdict(&truth()),
+            Verdict::Whole,
+            "{:?}",
+            answer.ended
+        );
+    }
+    frozen.thaw();
+    let answer = ask(&crew, "after", 6).await;
+    assert_eq!(
+        answer.verdict(&truth()),
+        Verdict::Whole,
+        "{:?}",
+        answer.ended
+    );
+    fleet.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_under_one_trace_are_not_crossed() {
+    let fleet = fleet(1).await;
+    let crew = caller(&fleet, "crew");
+    let trace = Some("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01".into());
+    let options = CallOptions {
+        trace,
+        ..CallOptions::default()
+    };
+    let asked =
+        (0..8).map(|n| crew.complete(completion(MODEL, &format!("span {n}"), 10 + n), &options));
+    for answer in futures::future::join_all(asked).await {
+        assert_eq!(
+            answer.verdict(&truth()),
+            Verdict::Whole,
+            "{:?}",
+            answer.ended
+        );
+    }
+    fleet.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_caller_is_let_go_and_its_request_cancelled() {
+    let mut engine = EngineSettings::default();
+    (engine.base, engine.share) = (Duration::ZERO, Duration::ZERO);
+    let mut plan = plan_with(1, 1, &engine, "").with_catalogue(catalogue(1, 1, &[]));
+    plan.vms[0].extra = "callers.write = '1s'".parse().expect("valid");
+    let fleet = serve(plan).await;
+    let socket = TcpSocket::new_v4().expect("socket");
+    socket.set_recv_buffer_size(4_096).expect("small buffer");
+    let address = (fleet.node("entry-0").ip, DIRECT_PORT).into();
+    let mut stream = socket.connect(address).await.expect("connects");
+    let body = serde_json::to_string(&completion(MODEL, "slow", 1_000_000)).expect("json");
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream
+        .write_all(format!("{head}{body}").as_bytes())
+        .await
+        .expect("sent");
+    let let_go = async || match counter(&fleet, "entry-0", "apricothall_slow_readers_total").await {
+        n if n > 0.0 => Ok(()),
+        n => Err(n.to_string()),
+    };
+    until("the slow caller to be let go", let_go)
+        .await
+        .expect("is let go");
+    let idle = async || match fleet.node("engine-0").engines[0].state().running {
+        0 => Ok(()),
+        n => Err(n.to_string()),
+    };
+    until("its cancellation", idle).await.expect("is cancelled");
+    assert!(!fleet.node("engine-0").engines[0].runs()[0].finished);
+    let answer = ask(&caller(&fleet, "crew"), "quick", 6).await;
+    assert_eq!(
+        answer.verdict(&truth()),
+        Verdict::Whole,
+        "{:?}",
+        answer.ended
+    );
+    fleet.close().await;
+}
