fix(wire): a refused stream is not a lost one

Cause: a refusal of the stream's head, as by a daemon that is not ready or has another protocol version, reached the entry as an error of reading, and the caller heard unknown although nothing was taken up. The carried error is brought back now, and counts as unsent.

Also one function for posts to an engine in place of two copies. Ruled out: a status frame in the answer (an older daemon would not know it).

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -124,9 +124,7 @@
     ) -> Result<EngineState, PlatformError> {
         let body = serde_json::to_vec(order);
         let body = body.map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
-        let request = Request::post(format!("http://{}/v1/load", self.address))
-            .body(Full::from(body))
-            .map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
+        let request = self.post("/v1/load", Full::from(body))?;
         let answer = self
             .http
             .call(request, wait, MAX_ANSWER_BYTES)
@@ -178,12 +176,15 @@
     /// # Errors
     /// When the engine does not answer in time.
     pub async fn cancel(&self, request: RequestId, wait: Duration) -> Result<bool, PlatformError> {
-        let call = Request::post(format!("http://{}/v1/cancel/{request}", self.address))
-            .body(Full::default())
-            .map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
+        let call = self.post(&format!("/v1/cancel/{request}"), Full::default())?;
         let answer = self.http.call(call, wait, MAX_ANSWER_BYTES).await?;
         Ok(answer.status.is_success())
     }
+
+    fn post(&self, path: &str, body: Full<Bytes>) -> Result<Request<Full<Bytes>>, PlatformError> {
+        let request = Request::post(format!("http://{}{path}", self.address)).body(body);
+        request.map_err(|e| PlatformError::Malformed(e.to_smolstr()))
+    }
 }
 
 fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -30,7 +30,7 @@
     Stream(#[from] h2::Error),
     /// Reading or writing failed.
     #[error("stream failed: {0}")]
-    Io(#[from] io::Error),
+    Io(io::Error),
     /// A frame could not be read.
     #[error("malformed frame: {0}")]
     Frame(SmolStr),
@@ -46,9 +46,16 @@
 }
 
 impl WireError {
-    /// Whether it is certain that no byte reached the other daemon.
+    /// Whether it is certain that the other daemon did not take up the stream.
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect { .. })
+        matches!(self, Self::Connect { .. } | Self::Refused { .. })
+    }
+}
+
+impl From<io::Error> for WireError {
+    /// Brings back an error that was carried through the reader of a stream.
+    fn from(error: io::Error) -> Self {
+        error.downcast::<Self>().unwrap_or_else(Self::Io)
     }
 }
