fix(wire): a checksum at the end of each frame

Bytes changed on the link between entry and agent passed bincode: in the row corrupt_at_each_offset an answer arrived with a changed key in its text and looked whole. TCP's checksum was relied on before. Each frame now ends with 8 bytes of BLAKE3; a wrong one breaks the stream, which ends in an error event. Reverting the comparison in FrameCodec::decode is that red run. 14 rows of answers pass.

--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -14,6 +14,18 @@
 /// Largest frame: a chunk of 8 MiB with its envelope.
 pub const MAX_FRAME_BYTES: usize = (8 << 20) + (64 << 10);
 
+/// Length of the checksum at the end of each frame, in bytes.
+const CHECKSUM_BYTES: usize = 8;
+
+/// Head of the content's BLAKE3 digest. TCP's own checksum lets some changed bytes pass, and a
+/// changed text would look like a whole answer.
+fn checksum(content: &[u8]) -> [u8; CHECKSUM_BYTES] {
+    let digest = blake3::hash(content);
+    let mut sum = [0; CHECKSUM_BYTES];
+    sum.copy_from_slice(&digest.as_bytes()[..CHECKSUM_BYTES]);
+    sum
+}
+
 /// Reads frames of type `In` and writes frames of type `Out`.
 pub struct FrameCodec<In, Out> {
     frames: LengthDelimitedCodec,
@@ -26,7 +38,7 @@
 impl<In, Out> Default for FrameCodec<In, Out> {
     fn default() -> Self {
         let frames = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME_BYTES)
+            .max_frame_length(MAX_FRAME_BYTES + CHECKSUM_BYTES)
             .new_codec();
         Self {
             frames,
@@ -62,7 +74,9 @@
     type Error = WireError;
 
     fn encode(&mut self, item: Out, buffer: &mut BytesMut) -> Result<(), WireError> {
-        let content = encode(&item)?;
+        let mut content = encode(&item)?;
+        let sum = checksum(&content);
+        content.extend_from_slice(&sum);
         Ok(self.frames.encode(Bytes::from(content), buffer)?)
     }
 }
@@ -75,6 +89,12 @@
         let Some(content) = self.frames.decode(buffer)? else {
             return Ok(None);
         };
-        decode(&content).map(Some)
+        let Some((content, sum)) = content.split_last_chunk::<CHECKSUM_BYTES>() else {
+            return Err(WireError::Frame("shorter than its checksum".into()));
+        };
+        if checksum(content) != *sum {
+            return Err(WireError::Frame("its checksum is wrong".into()));
+        }
+        decode(content).map(Some)
     }
 }
