--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -41,7 +41,6 @@
 struct Job<'a> {
     entry: &'a Entry,
     model: &'a CatalogueEntry,
-    version: Version,
     class: Class,
     ask: &'a Ask,
     prompt: &'a Prompt,
@@ -63,8 +62,6 @@
     let found = catalogue.value.entry(&prompt.model);
     let model = found.filter(|e| e.kind == Kind::Model);
     let model = model.ok_or_else(|| unknown_model(&prompt))?;
-    let no_version = || Problem::unavailable("the model has no current version", NO_AGENT_RETRY);
-    let version = model.current.clone().ok_or_else(no_version)?;
     let class = entry.limits.check(Asked {
         entry: model,
         caller: &ask.caller,
@@ -76,7 +73,6 @@
     let job = Job {
         entry: &entry,
         model,
-        version,
         class,
         ask: &ask,
         prompt: &prompt,
@@ -116,8 +112,7 @@
         let mut last = None;
         loop {
             let wanted = Wanted {
-                name: &self.model.name,
-                version: &self.version,
+                model: self.model,
                 prefix: self.prompt.prefix,
                 tried: &tried,
             };
@@ -183,7 +178,12 @@
         let silence = self.entry.retry.silence.0;
         let trace = self.ask.trace.child(&mut rand::rng()).to_string();
         let connector = &self.entry.connector;
-        let start = Attempt::start(connector, &flight.member, self.order(), &trace);
+        let start = Attempt::start(
+            connector,
+            &flight.member,
+            self.order(&flight.version),
+            &trace,
+        );
         let started = timeout(silence, start).await;
         let lost = Err(ForwardError::Lost(WireError::Timeout));
         let tried = match started.unwrap_or(lost) {
@@ -199,7 +199,7 @@
         match tried {
             Ok((attempt, first)) => {
                 flight.answered();
-                let version = self.version.clone();
+                let version = flight.version.clone();
                 Ok(Started {
                     attempt,
                     flight,
@@ -219,7 +219,7 @@
         }
     }
 
-    fn order(&self) -> Order {
+    fn order(&self, version: &Version) -> Order {
         let left = self.deadline.since(self.entry.clock.now());
         Order {
             request: self.ask.trace.request,
@@ -228,14 +228,14 @@
             class: self.class,
             budget: left.saturating_sub(MARGIN.min(left / MARGIN_PART)),
             call: Call::Completion {
-                version: self.version.clone(),
+                version: version.clone(),
                 body: Payload(self.prompt.body.clone()),
             },
         }
     }
 
     fn no_agent(&self) -> Problem {
-        let detail = format_smolstr!("no agent serves {} {}", self.model.name, self.version);
+        let detail = format_smolstr!("no agent serves {}", self.model.name);
         spread(Problem::unavailable(detail, NO_AGENT_RETRY))
     }
 }
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -79,12 +79,11 @@
     }
 
     fn route(&self, entry: &CatalogueEntry) -> Value {
-        let Some(version) = entry.current.as_ref().filter(|_| entry.kind == Kind::Model) else {
+        if entry.kind != Kind::Model {
             return json!("by the home of its key");
-        };
+        }
         let wanted = Wanted {
-            name: &entry.name,
-            version,
+            model: entry,
             prefix: None,
             tried: &BTreeSet::new(),
         };
