--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -115,7 +115,7 @@
         index: ChunkIndex,
     ) -> Result<(), WireError> {
         // Counted before the check, so that a stop between the two waits for this upload.
-        let _work = self.lifecycle.begin();
+        let _work = self.lifecycle.begin_transfer();
         let begun = self.clock.now();
         let found = self.chunks.chunk(digest, index, begun);
         let Some(data) = found.filter(|_| !self.lifecycle.is_leaving()) else {
--- a/xtask/src/resources.rs
+++ b/xtask/src/resources.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use apricothall_standin::fleet::Fleet;
+use apricothall_standin::process::Process;
 
 /// Size of a page, in bytes.
 const PAGE_BYTES: u64 = 4_096;
@@ -14,7 +15,7 @@
 pub async fn memory(fleet: &Fleet) -> u64 {
     let mut largest = 0;
     for node in fleet.agents() {
-        let id = node.process.as_ref().and_then(|p| p.id());
+        let id = node.process.as_ref().and_then(Process::id);
         let Some(resident) = id.and_then(resident) else {
             continue;
         };
