fix(xtask): killed agents leave the VM list after its lag

A dead agent that stays listed counts as lacking the version and holds up those ranked after it, as designed; the platform's list drops it after a while.

--- a/xtask/src/faults.rs
+++ b/xtask/src/faults.rs
@@ -5,7 +5,7 @@
 use apricothall_standin::fleet::Fleet;
 use apricothall_standin::network::{Fault as Effect, Port, Rule, RuleId, Side};
 use apricothall_standin::weights::Corruption;
-use apricothall_types::Digest;
+use apricothall_types::{Digest, MemberId};
 use clap::ValueEnum;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
@@ -16,6 +16,9 @@
 /// Time after which stalls and partitions end.
 const OUTAGE: Duration = Duration::from_secs(4);
 
+/// Time after which the VM list drops a killed agent.
+const LIST_LAG: Duration = Duration::from_secs(2);
+
 /// One agent in this many is hit by kills and stalls, at least one.
 const SHARE: usize = 8;
 
@@ -46,6 +49,7 @@
 pub struct Schedule {
     faults: Vec<(Duration, Fault)>,
     lifts: Vec<(Duration, Vec<RuleId>)>,
+    drops: Vec<(Duration, MemberId)>,
     rng: ChaCha8Rng,
     agents: usize,
     second: Digest,
@@ -70,6 +74,7 @@
         Self {
             faults,
             lifts: Vec::new(),
+            drops: Vec::new(),
             rng,
             agents,
             second: weights.0,
@@ -80,22 +85,15 @@
 
     /// Brings about what is due.
     pub async fn step(&mut self, fleet: &mut Fleet, elapsed: Duration) {
-        let (due, left) = std::mem::take(&mut self.faults)
-            .into_iter()
-            .partition(|(at, _)| *at <= elapsed);
-        self.faults = left;
-        let due: Vec<(Duration, Fault)> = due;
-        for (_, fault) in due {
+        for (_, fault) in take_due(&mut self.faults, elapsed) {
             self.bring(fleet, fault, elapsed).await;
         }
-        let (over, left) = std::mem::take(&mut self.lifts)
-            .into_iter()
-            .partition(|(at, _)| *at <= elapsed);
-        self.lifts = left;
-        let over: Vec<(Duration, Vec<RuleId>)> = over;
-        for (_, rules) in over {
+        for (_, rules) in take_due(&mut self.lifts, elapsed) {
             fleet.network.lift(&rules);
         }
+        for (_, id) in take_due(&mut self.drops, elapsed) {
+            fleet.platform.vms.drop_vm(&id);
+        }
     }
 
     async fn bring(&mut self, fleet: &mut Fleet, fault: Fault, now: Duration) {
@@ -103,6 +101,9 @@
             Fault::Kill => {
                 for id in self.victims() {
                     fleet.node_mut(&id).kill().await;
+                    if let Ok(vm) = fleet.node(&id).vm() {
+                        self.drops.push((now + LIST_LAG, vm.id));
+                    }
                 }
             }
             Fault::Stall => {
@@ -148,6 +149,15 @@
     }
 }
 
+/// Takes out what is due.
+fn take_due<T>(all: &mut Vec<(Duration, T)>, elapsed: Duration) -> Vec<(Duration, T)> {
+    let (due, left) = std::mem::take(all)
+        .into_iter()
+        .partition(|(at, _)| *at <= elapsed);
+    *all = left;
+    due
+}
+
 fn region(name: &str) -> Side {
     name.parse().map_or(Side::Any, Side::Region)
 }
