--- /dev/null
+++ b/crates/agent/tests/chunks.rs
@@ -0,0 +1,51 @@
+//! Chunks kept in memory: only those that verify, and a set is whole only with all of them.
+
+use apricothall_agent::chunks::{ChunkError, ChunkStore};
+use apricothall_types::{Bytes as Size, ChunkIndex, Digest, Manifest, Timestamp};
+use bytes::Bytes;
+
+const NOW: Timestamp = Timestamp(1);
+
+/// A version of two chunks that all hold `fill`, opened in `store`.
+fn open(store: &ChunkStore, fill: u8) -> Digest {
+    let manifest = Manifest::of(&[fill; 12], Size(8));
+    let digest = Digest::of(&[fill]);
+    store.open(digest, Bytes::new(), manifest, NOW);
+    digest
+}
+
+macro_rules! puts {
+    ($($case:ident: $index:expr, $data:expr => $result:expr;)*) => {
+        $(#[test] fn $case() {
+            let store = ChunkStore::default();
+            let digest = open(&store, 1);
+            open(&store, 2);
+            let put = store.put(digest, ChunkIndex($index), Bytes::from($data));
+            let result: Result<ChunkIndex, ChunkError> = $result;
+            assert_eq!(put.map(|proof| proof.chunk()), result);
+            assert_eq!(store.held(digest).count(), u32::from(result.is_ok()));
+            assert!(!store.is_complete(digest));
+        })*
+    };
+}
+
+puts! {
+    true_chunk_is_kept: 0, vec![1; 8] => Ok(ChunkIndex(0));
+    last_chunk_may_be_smaller: 1, vec![1; 4] => Ok(ChunkIndex(1));
+    changed_byte_is_refused: 0, vec![1, 1, 1, 9, 1, 1, 1, 1] => Err(ChunkError::Corrupt(ChunkIndex(0)));
+    chunk_of_another_version_is_refused: 0, vec![2; 8] => Err(ChunkError::Corrupt(ChunkIndex(0)));
+    cut_chunk_is_refused: 0, vec![1; 7] => Err(ChunkError::Corrupt(ChunkIndex(0)));
+    chunk_past_the_end_is_refused: 2, vec![1; 8] => Err(ChunkError::Corrupt(ChunkIndex(2)));
+}
+
+#[test]
+fn whole_set_is_complete_and_the_other_one_is_not() {
+    let store = ChunkStore::default();
+    let (one, two) = (open(&store, 1), open(&store, 2));
+    for (index, size) in [(0, 8), (1, 4)] {
+        let put = store.put(one, ChunkIndex(index), vec![1; size].into());
+        put.expect("verifies");
+    }
+    assert!(store.is_complete(one));
+    assert!(!store.is_complete(two));
+}
--- a/crates/apricotd/tests/weights.rs
+++ b/crates/apricotd/tests/weights.rs
@@ -14,15 +14,18 @@
 use apricothall_standin::plan::{Plan, VmPlan};
 use apricothall_standin::weights::Corruption;
 use apricothall_types::{Digest, Fence, Rate, Version};
-use fixture::{MODEL, caller, catalogue, plan, serving, start, truth, weights};
+use fixture::{MODEL, caller, catalogue, counter, plan, serving, start, truth, weights};
 
 const AGENTS: [&str; 2] = ["engine-0", "engine-1"];
 
 /// Rate of the store where a version is to change during a transfer.
 const SLOW_STORE: Rate = Rate::mbps(8);
 
-/// A byte in this many is changed in flight: more than control frames come to in a case.
-const CORRUPT_STEP: u64 = 150_000;
+/// A byte in this many is changed in flight, so that most chunks and few other frames are hit.
+const CORRUPT_STEP: u64 = 40_000;
+
+/// Counter of chunks that did not verify.
+const CORRUPT_METRIC: &str = "apricothall_chunk_corrupt_total";
 
 /// A fleet that serves version 1 under live requests.
 struct Bench {
@@ -107,6 +110,17 @@
         until(what, check).await.expect("the engine gets there");
     }
 
+    /// Waits until an agent has refused a chunk.
+    async fn refused(&self) {
+        let check = async || {
+            let counts = AGENTS.map(|a| counter(&self.fleet, a, CORRUPT_METRIC));
+            let refused = futures::future::join_all(counts).await.iter().sum::<f64>();
+            let is_any = refused > 0.0;
+            is_any.then_some(()).ok_or("none".to_owned())
+        };
+        until("a refused chunk", check).await.expect("refused");
+    }
+
     /// Waits until an agent says that its engine is not offered.
     async fn withdrawn(&self, agent: &str) {
         let test = |s: &serde_json::Value| s["servers"]["engines"][0]["offered"].is_null();
@@ -143,10 +157,13 @@
             .corrupt(digest, chunk, Corruption::Always);
     }
     bench.publish(2);
+    bench.refused().await;
     bench.served("2").await;
     bench.close().await;
 }
 
+/// Chunks between agents are caught by the checksum of their frame already, those of the store by
+/// their digest alone.
 async fn corrupt_path(from: &str, port: Port) {
     let bench = Bench::start(plan(1, 2)).await;
     let effect = Fault::CorruptEvery(CORRUPT_STEP);
@@ -155,7 +172,10 @@
         .network
         .add(Rule::new(Side::vm(from), Side::Any, effect).on(port));
     bench.publish(2);
-    bench.fetched(100).await;
+    match port {
+        Port::Platform => bench.refused().await,
+        _ => bench.fetched(100).await,
+    }
     bench.fleet.network.lift(&[rule]);
     bench.served("2").await;
     bench.close().await;
