feat(decide): claims for keys that hold no time

Keys that are no version 7 UUID were refused without a ticket, which callers cannot be asked to avoid. They are now taken as possibly as old as claims.opaque_horizon (default 2 min): the time for which callers retry one. An agent runs them only once lease, lag, twice the skew and that horizon have passed since its eligibility, and asks all older agents as before. Marks are kept so long that no accepted claim can follow; dedupe.horizon must cover both (settings check). Ruled out: a shorter wait at fleet start. The list shows no restart of a process on its VM, so nothing proves that no earlier process ran keys.

--- a/crates/decide/src/claims.rs
+++ b/crates/decide/src/claims.rs
@@ -5,7 +5,8 @@
 //! start the same key, the younger one asked the older one, which is told by its own record that
 //! it may not start the key or that it must not grant the claim.
 //!
-//! The key is a version 7 UUID: its time tells which departed agents can have run it.
+//! The time of a key tells which departed agents can have run it: that of a version 7 UUID, or, as
+//! callers retry other keys for a bounded time only, the earliest time of its first order.
 
 mod agent;
 mod view;
@@ -14,18 +15,58 @@
 use serde::{Deserialize, Serialize};
 use uuid::{Uuid, Version};
 
+use crate::configs::ClaimsConfig;
 use crate::dedupe::{CallKey, Home};
+use view::after;
 
 pub use agent::{Claims, Progress, Start};
 pub use view::{Position, View};
 
+/// What is known of the time from which agents can have run a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Birth {
+    /// Time of creation that the key holds.
+    Created(WallTime),
+    /// The key holds no time; callers cannot have used it before this. A later order for the same
+    /// key may state a later time.
+    Bounded(WallTime),
+}
+
+impl Birth {
+    /// No agent can have started the key before this, but for the skew.
+    #[must_use]
+    pub const fn time(self) -> WallTime {
+        match self {
+            Self::Created(time) | Self::Bounded(time) => time,
+        }
+    }
+
+    /// Last time at which an order or claim of this birth is accepted.
+    fn accepted(self, config: &ClaimsConfig) -> WallTime {
+        match self {
+            Self::Created(time) => after(time, config.horizon.0),
+            Self::Bounded(time) => after(time, 2 * config.opaque_horizon.0),
+        }
+    }
+
+    /// Time until which a key first seen with this birth is remembered: no order or claim that
+    /// is still accepted then can follow.
+    #[must_use]
+    pub fn kept(self, config: &ClaimsConfig) -> WallTime {
+        match self {
+            Self::Created(_) => self.accepted(config),
+            Self::Bounded(time) => after(time, 3 * config.opaque_horizon.0 + 2 * config.skew.0),
+        }
+    }
+}
+
 /// Asks an older agent for a claim on a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
     /// The key.
     pub key: CallKey,
-    /// Time of creation that the key holds.
-    pub birth: WallTime,
+    /// Time from which agents can have run the key.
+    pub birth: Birth,
     /// The agent that asks.
     pub by: Home,
 }
@@ -59,7 +100,7 @@
 /// Why a key is not started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Denied {
-    /// The key is no version 7 UUID; no agent ever runs it without a ticket.
+    /// The settings refuse keys without a time; no agent ever runs it without a ticket.
     Opaque,
     /// The key's time is over.
     Expired,
--- a/crates/decide/src/claims/agent.rs
+++ b/crates/decide/src/claims/agent.rs
@@ -5,8 +5,8 @@
 use apricothall_types::{MemberId, Timestamp, WallTime};
 
 use super::view::{View, after};
-use super::{Ask, Denied, Position, Reply, Verdict};
-use crate::configs::ClaimsConfig;
+use super::{Ask, Birth, Denied, Position, Reply, Verdict};
+use crate::configs::{ClaimsConfig, OpaqueKeys};
 use crate::dedupe::{CallKey, Clock, Home};
 
 /// Decision on an order that carries only a key.
@@ -62,7 +62,8 @@
     boot: WallTime,
     view: View,
     marks: BTreeMap<CallKey, Mark>,
-    births: BTreeSet<(WallTime, CallKey)>,
+    /// Keys by the time until which they are remembered.
+    ends: BTreeSet<(WallTime, CallKey)>,
     /// Largest wall time seen. It never goes back, so a forgotten key stays refused.
     floor: WallTime,
 }
@@ -77,7 +78,7 @@
             config,
             boot: clock.wall,
             marks: BTreeMap::new(),
-            births: BTreeSet::new(),
+            ends: BTreeSet::new(),
             floor: clock.wall,
         }
     }
@@ -107,7 +108,7 @@
         deadline: Timestamp,
         clock: Clock,
     ) -> Start {
-        let Some(birth) = birth else {
+        let Some(birth) = self.birth(birth, clock) else {
             return Start::Refuse(Denied::Opaque);
         };
         self.expire(clock.wall);
@@ -127,29 +128,39 @@
         }
     }
 
+    /// An order without a time is at most [`ClaimsConfig::opaque_horizon`] later than the first.
+    fn birth(&self, created: Option<WallTime>, clock: Clock) -> Option<Birth> {
+        if let Some(time) = created {
+            return Some(Birth::Created(time));
+        }
+        let span = u64::try_from(self.config.opaque_horizon.0.as_millis()).unwrap_or(u64::MAX);
+        let first = WallTime(clock.wall.0.saturating_sub(span));
+        (self.config.opaque == OpaqueKeys::Accept).then_some(Birth::Bounded(first))
+    }
+
     fn attempt(
         &self,
-        birth: WallTime,
+        birth: Birth,
         deadline: Timestamp,
         granted: BTreeSet<MemberId>,
         clock: Clock,
     ) -> Result<Attempt, Denied> {
-        if birth > after(clock.wall, self.config.skew.0) {
+        if birth.time() > after(clock.wall, self.config.skew.0) {
             return Err(Denied::Future);
         }
         let position = self.view.position(clock.now).ok_or(Denied::NoLease)?;
-        if !self.view.is_settled(birth) {
+        if !self.view.is_settled(birth.time()) {
             return Err(Denied::Unsettled);
         }
         Ok(Attempt {
             position: position.clone(),
             deadline,
             granted,
-            wanted: self.view.older(birth),
+            wanted: self.view.older(birth.time()),
         })
     }
 
-    fn begin(&mut self, key: CallKey, birth: WallTime, attempt: Attempt, clock: Clock) -> Start {
+    fn begin(&mut self, key: CallKey, birth: Birth, attempt: Attempt, clock: Clock) -> Start {
         let missing: BTreeSet<_> = attempt.missing().cloned().collect();
         if !self.mark(key, birth, Mark::Trying(attempt)) {
             return Start::Refuse(Denied::Full);
@@ -177,7 +188,7 @@
 
     fn verdict(&mut self, ask: &Ask) -> Verdict {
         // An earlier start of this agent may have run or granted the key.
-        let forgotten = ask.birth <= after(self.boot, 2 * self.config.skew.0);
+        let forgotten = ask.birth.time() <= after(self.boot, 2 * self.config.skew.0);
         if forgotten || self.is_expired(ask.birth) {
             return Verdict::Unsure;
         }
@@ -240,28 +251,30 @@
         Ok(())
     }
 
-    fn mark(&mut self, key: CallKey, birth: WallTime, mark: Mark) -> bool {
+    fn mark(&mut self, key: CallKey, birth: Birth, mark: Mark) -> bool {
         let known = self.marks.contains_key(&key);
         if !known && self.marks.len() >= self.config.max_marks {
             return false;
         }
-        self.births.insert((birth, key));
+        if !known {
+            self.ends.insert((birth.kept(&self.config), key));
+        }
         self.marks.insert(key, mark);
         true
     }
 
-    fn is_expired(&self, birth: WallTime) -> bool {
-        self.floor > after(birth, self.config.horizon.0)
+    fn is_expired(&self, birth: Birth) -> bool {
+        self.floor > birth.accepted(&self.config)
     }
 
     fn expire(&mut self, wall: WallTime) {
         self.floor = self.floor.max(wall);
         self.view.expire(self.floor);
-        while let Some((birth, key)) = self.births.first().copied() {
-            if !self.is_expired(birth) {
+        while let Some((end, key)) = self.ends.first().copied() {
+            if self.floor <= end {
                 return;
             }
-            self.births.remove(&(birth, key));
+            self.ends.remove(&(end, key));
             self.marks.remove(&key);
         }
     }
--- a/crates/decide/src/claims/view.rs
+++ b/crates/decide/src/claims/view.rs
@@ -130,7 +130,8 @@
 
     /// Forgets departed agents that can have run no key that is still accepted.
     pub fn expire(&mut self, floor: WallTime) {
-        let kept = self.quiet() + self.config.horizon.0;
+        let horizon = self.config.horizon.max(self.config.opaque_horizon);
+        let kept = self.quiet() + horizon.0;
         self.departed.retain(|_, at| floor <= after(*at, kept));
     }
 
--- a/crates/decide/src/configs/claims.rs
+++ b/crates/decide/src/configs/claims.rs
@@ -3,6 +3,17 @@
 use apricothall_types::Interval;
 use serde::{Deserialize, Serialize};
 
+/// What becomes of a key that is no version 7 UUID and comes without a ticket.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OpaqueKeys {
+    /// Taken as possibly as old as [`ClaimsConfig::opaque_horizon`].
+    #[default]
+    Accept,
+    /// Refused.
+    Refuse,
+}
+
 /// Settings of [`crate::claims`]. They must be equal at all agents of a pool.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -15,6 +26,10 @@
     pub skew: Interval,
     /// Time after its creation for which a key is accepted.
     pub horizon: Interval,
+    /// Whether keys without a time in them are accepted.
+    pub opaque: OpaqueKeys,
+    /// Time for which callers retry a key without a time in it.
+    pub opaque_horizon: Interval,
     /// Keys remembered at once.
     pub max_marks: usize,
 }
@@ -26,6 +41,8 @@
             lag: Interval::secs(30),
             skew: Interval::secs(2),
             horizon: Interval::secs(3_600),
+            opaque: OpaqueKeys::Accept,
+            opaque_horizon: Interval::secs(120),
             max_marks: 200_000,
         }
     }
--- a/crates/decide/src/configs/dedupe.rs
+++ b/crates/decide/src/configs/dedupe.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct DedupeConfig {
-    /// Longest life of a ticket or of a key with a time in it.
+    /// Longest life of a ticket or key: at least that of [`super::ClaimsConfig::horizon`] and skew.
     pub horizon: Interval,
     /// Calls remembered at once, besides tombstones.
     pub max_calls: usize,
@@ -20,7 +20,7 @@
 impl Default for DedupeConfig {
     fn default() -> Self {
         Self {
-            horizon: Interval::secs(3_600),
+            horizon: Interval::secs(3_660),
             max_calls: 100_000,
             max_tombstones: 50_000,
             answer_memory: Bytes::mib(16),
--- a/crates/decide/src/configs/mod.rs
+++ b/crates/decide/src/configs/mod.rs
@@ -15,7 +15,7 @@
 mod transfer;
 
 pub use admission::AdmissionConfig;
-pub use claims::ClaimsConfig;
+pub use claims::{ClaimsConfig, OpaqueKeys};
 pub use dedupe::DedupeConfig;
 pub use drain::DrainConfig;
 pub use limits::LimitsConfig;
--- a/crates/decide/src/dedupe/register.rs
+++ b/crates/decide/src/dedupe/register.rs
@@ -153,6 +153,12 @@
         self.answer_bytes
     }
 
+    /// Last time at which a known key is accepted.
+    #[must_use]
+    pub fn expires(&self, key: CallKey) -> Option<WallTime> {
+        self.calls.get(&key).map(|call| call.expires)
+    }
+
     /// Decides on an order and records the start when it is to be run.
     pub fn admit(&mut self, order: &Order, clock: Clock) -> Admit {
         if let Some(known) = self.known(order, clock) {
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -181,6 +181,7 @@
             Role::Agent => self.agent_fault(),
         }
         .or_else(|| self.address_fault())
+        .or_else(|| self.once_fault())
     }
 
     fn entry_fault(&self) -> Option<Fault> {
@@ -224,6 +225,21 @@
         self.servers.iter().find_map(server_fault)
     }
 
+    /// A register that forgets a key before it expires would run it again.
+    fn once_fault(&self) -> Option<Fault> {
+        let claims = &self.claims;
+        let kept = 3 * claims.opaque_horizon.0 + 2 * claims.skew.0;
+        if self.dedupe.horizon.0 < kept.max(claims.horizon.0 + claims.skew.0) {
+            let reason = "must be at least claims.horizon + claims.skew, and 3 times \
+                          claims.opaque_horizon + 2 times claims.skew";
+            return Some(Fault {
+                key: "dedupe.horizon",
+                reason,
+            });
+        }
+        None
+    }
+
     fn address_fault(&self) -> Option<Fault> {
         if self.peers.listen.ip() != self.daemon.address {
             let reason = "must be on the VM's own address, `daemon.address`";
--- a/crates/kernel/tests/settings.rs
+++ b/crates/kernel/tests/settings.rs
@@ -67,6 +67,8 @@
     engine_with_name: Agent, agent(&format!("{ENGINE}name = \"x\"\n{WEIGHTS}")) => "name =", "has no name";
     service_without_name: Agent, agent(&ENGINE.replace("engine", "service")) => "[[servers]]", "needs the name";
     peers_elsewhere: Entry, entry("\"127.0.0.1:7000\"", "\"127.0.0.2:7000\"") => "listen", "the VM's own address";
+    register_forgets_before_claims: Entry, entry("horizon = \"1h 1m\"", "horizon = \"1h 1s\"") => "horizon = \"1h 1s\"", "claims.horizon + claims.skew";
+    register_forgets_before_retries: Entry, entry("opaque_horizon = \"2m\"", "opaque_horizon = \"21m\"") => "horizon = \"1h 1m\"", "claims.opaque_horizon";
     same_port_twice: Entry, entry("\"127.0.0.1:7002\"", "\"127.0.0.1:7000\" # same") => "listen = \"127.0.0.1:7000\" # same", "must differ";
 }
 
