feat(entry,agent): at most once for services that may not be repeated

Calls by ticket go to the home that the ticket names, calls by key alone to the agents of the pool, which obtain claims by tarpc. The order carries the key, the fingerprint, the binding and the wall time at which it was sent, so that one that lay in a buffer is not started late. A leaving agent still tells what became of a call and starts nothing.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,9 +1,12 @@
 //! Plug-ins of the agent: weights in memory, backend servers and the work on them.
 
 pub mod chunks;
+pub mod claims;
 pub mod completion;
 pub mod fetch;
+pub mod keyed;
 pub mod loader;
+pub mod register;
 pub mod run;
 pub mod servers;
 pub mod service_call;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use apricothall_fleet::{PeerRoutes, Trace};
+use apricothall_kernel::lifecycle::WorkGuard;
 use apricothall_kernel::{Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture};
 use apricothall_types::{Load, Outcome, RequestId, Role, Sequence};
 use apricothall_wire::{
@@ -13,6 +14,7 @@
 use linkme::distributed_slice;
 use tracing::Instrument;
 
+use crate::claims::Claimant;
 use crate::servers::Servers;
 use crate::{completion, service_call};
 
@@ -68,12 +70,29 @@
 pub struct Runner {
     /// Backend servers of the VM.
     pub servers: Arc<Servers>,
+    /// Calls that may not be repeated.
+    pub claimant: Arc<Claimant>,
     lifecycle: Lifecycle,
 }
 
+impl Runner {
+    /// Whether this agent is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.lifecycle.is_leaving()
+    }
+
+    /// Counts a piece of work that a stop waits for.
+    #[must_use]
+    pub fn begin(&self) -> WorkGuard {
+        self.lifecycle.begin()
+    }
+}
+
 fn start(context: &Context) -> Result<(), StartError> {
     let runner = Runner {
         servers: context.part::<Servers>()?,
+        claimant: context.part()?,
         lifecycle: context.lifecycle.clone(),
     };
     context
@@ -114,7 +133,8 @@
 ) -> Result<(), WireError> {
     // Counted before the check, so that a stop between the two waits for this order.
     let _work = runner.lifecycle.begin();
-    if runner.lifecycle.is_leaving() {
+    // The home of a call still tells what became of it.
+    if runner.lifecycle.is_leaving() && order.once.is_none() {
         reply
             .send(refused(leaving(), runner.servers.load()))
             .await?;
--- a/crates/agent/src/service_call.rs
+++ b/crates/agent/src/service_call.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use smol_str::{SmolStr, ToSmolStr};
 
+use crate::keyed;
 use crate::run::{Reply, Runner, refused};
 
 /// When to come back after a refusal that passes.
@@ -33,6 +34,9 @@
     trace: Trace,
     reply: &mut Reply,
 ) -> Result<Answer, WireError> {
+    if let Some(once) = &order.once {
+        return keyed::run(runner, order, once, trace, reply).await;
+    }
     let Some(service) = runner.servers.service(&order.name) else {
         let refusal = refusal(Outcome::NotRun, 503, "no such service on this VM".into());
         return Ok(refused(refusal, runner.servers.load()));
@@ -42,7 +46,9 @@
         return Ok(refused(refusal, runner.servers.load()));
     };
     let running = service.begin();
-    let answered = service.client.call(call, order.budget).await;
+    let calls = &runner.claimant.calls;
+    let left = calls.left(calls.deadline(order.sent, order.budget));
+    let answered = service.client.call(call, left).await;
     drop(running);
     let load = runner.servers.load();
     match answered {
@@ -56,7 +62,8 @@
     }
 }
 
-fn call_of(order: &Order, trace: Trace) -> Option<ServiceCall> {
+/// The call that an order asks for; nothing when it is malformed.
+pub(crate) fn call_of(order: &Order, trace: Trace) -> Option<ServiceCall> {
     let Call::Service {
         method,
         path,
@@ -81,7 +88,8 @@
     })
 }
 
-fn head(answer: &ServiceAnswer) -> Answer {
+/// The head of the answer for the entry.
+pub(crate) fn head(answer: &ServiceAnswer) -> Answer {
     let shown = answer
         .headers
         .iter()
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -1,6 +1,7 @@
 //! Plug-in for the port of callers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use apricothall_fleet::http_server::{Body, listen, serve};
 use apricothall_fleet::{CatalogueState, Trace, View};
@@ -30,6 +31,8 @@
     pub config: CallersConfig,
     /// Availability zone of this VM.
     pub zone: Zone,
+    /// Time for which homes remember calls.
+    pub horizon: Duration,
     /// Other daemons.
     pub view: Arc<View>,
     /// The catalogue in force.
@@ -49,6 +52,7 @@
     let entry = Arc::new(Entry {
         config,
         zone: settings.daemon.zone.clone(),
+        horizon: settings.dedupe.horizon.0,
         view: context.part()?,
         catalogue: context.part()?,
         connector: context.part()?,
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -6,6 +6,7 @@
 
 use apricothall_fleet::Trace;
 use apricothall_fleet::http_server::{Body, json};
+use apricothall_kernel::Clock;
 use apricothall_kernel::lifecycle::WorkGuard;
 use apricothall_platform::sse;
 use apricothall_types::{CatalogueEntry, EntryName, Kind, Version};
@@ -125,6 +126,8 @@
             name: model.name.clone(),
             class,
             budget: ask.budget,
+            sent: Clock.wall(),
+            once: None,
             call: Call::Completion {
                 version: version.clone(),
                 body: Payload(body.clone()),
--- a/crates/entry/src/entries.rs
+++ b/crates/entry/src/entries.rs
@@ -1,13 +1,15 @@
 //! `GET /v1/entries`: the addresses that callers should use.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use apricothall_fleet::http_server::{Body, json};
-use apricothall_types::{Region, Role, Zone};
+use apricothall_types::{EntryName, Region, Role, Zone};
 use http::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use crate::callers::Entry;
+use crate::tickets::{self, TicketText};
 
 /// One address for callers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,6 +29,8 @@
     pub entries: Vec<EntryAddress>,
     /// How long the answer may be kept, in milliseconds.
     pub keep_ms: u64,
+    /// Tickets by service.
+    pub tickets: BTreeMap<EntryName, TicketText>,
 }
 
 /// Lists the entries that take new work.
@@ -48,5 +52,12 @@
         .collect();
     entries.sort_by_key(|e| (e.zone != entry.zone, e.address));
     let keep_ms = u64::try_from(entry.config.keep.0.as_millis()).unwrap_or(u64::MAX);
-    json(StatusCode::OK, &EntryList { entries, keep_ms })
+    json(
+        StatusCode::OK,
+        &EntryList {
+            entries,
+            keep_ms,
+            tickets: tickets::list(entry),
+        },
+    )
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod completions;
 pub mod entries;
 pub mod forward;
+pub mod home;
 pub mod problem;
 pub mod services;
+pub mod tickets;
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -6,6 +6,7 @@
 use apricothall_decide::rank;
 use apricothall_fleet::Trace;
 use apricothall_fleet::http_server::{Body, full};
+use apricothall_kernel::Clock;
 use apricothall_types::{CatalogueEntry, EntryName, Kind, Member, Role};
 use apricothall_wire::{Answer, Call, Header, Order, Payload};
 use bytes::{Bytes, BytesMut};
@@ -16,6 +17,7 @@
 use crate::ask::{self, Ask};
 use crate::callers::Entry;
 use crate::forward::{Attempt, ForwardError, Step};
+use crate::home;
 use crate::problem::Problem;
 
 /// Start of the paths of service calls.
@@ -56,17 +58,18 @@
     let catalogue = &catalogue.value;
     let service = catalogue.entry(&name).filter(|e| e.kind == Kind::Service);
     let service = service.ok_or_else(|| unknown_service(&name))?;
-    if !service.repeatable && ask.key.is_none() && ask.ticket.is_none() {
-        let detail = "calls to this service need an Idempotency-Key";
-        return Err(Problem::bad_request(detail));
-    }
     let call = Call::Service {
         method,
         path,
         headers,
         body,
     };
-    let run = run(&entry, service, &ask, call);
+    let run = async {
+        if service.repeatable {
+            return run(&entry, service, &ask, call).await;
+        }
+        home::answer(&entry, service, &ask, call).await
+    };
     let Ok(done) = tokio::time::timeout(ask.budget, run).await else {
         let status = StatusCode::GATEWAY_TIMEOUT;
         return Err(Problem {
@@ -117,7 +120,7 @@
     ask: &Ask,
     call: Call,
 ) -> Result<Response<Body>, Problem> {
-    let Some(agent) = home(entry, service, ask) else {
+    let Some(agent) = agent_of(entry, service, ask) else {
         let detail = format_smolstr!("no agent has service {}", service.name);
         return Err(Problem::unavailable(detail, NO_AGENT_RETRY));
     };
@@ -129,6 +132,8 @@
             .class
             .map_or(service.class, |asked| asked.min(service.class)),
         budget: ask.budget,
+        sent: Clock.wall(),
+        once: None,
         call,
     };
     let trace = ask.trace.child(&mut rand::rng()).to_string();
@@ -137,7 +142,7 @@
 }
 
 /// First agent by rank for the call's key that has the service.
-fn home(entry: &Entry, service: &CatalogueEntry, ask: &Ask) -> Option<Member> {
+fn agent_of(entry: &Entry, service: &CatalogueEntry, ask: &Ask) -> Option<Member> {
     let alive = entry
         .view
         .alive()
@@ -155,7 +160,8 @@
     able.iter().find(|m| m.id == *first).cloned()
 }
 
-async fn whole(
+/// Sends `order` to `agent` and waits for the whole answer.
+pub(crate) async fn whole(
     entry: &Entry,
     agent: &Member,
     order: Order,
--- /dev/null
+++ b/crates/entry/src/tickets.rs
@@ -0,0 +1,54 @@
+//! Tickets that bind calls to a home, handed out with the list of entries.
+
+use std::collections::BTreeMap;
+
+use apricothall_decide::dedupe::{Home, Ticket};
+use apricothall_kernel::Clock;
+use apricothall_types::{CatalogueEntry, EntryName, WallTime};
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, ToSmolStr};
+
+use crate::callers::Entry;
+
+/// A ticket as callers see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TicketText {
+    /// Value for `x-ticket`.
+    pub ticket: SmolStr,
+    /// Start of each key that is used with the ticket.
+    pub prefix: SmolStr,
+    /// Last time at which the ticket is accepted, in milliseconds since the Unix epoch.
+    pub expires_ms: u64,
+}
+
+/// A ticket for each service whose calls may not be repeated and that has a live home.
+#[must_use]
+pub fn list(entry: &Entry) -> BTreeMap<EntryName, TicketText> {
+    let catalogue = entry.catalogue.current();
+    let services = catalogue.value.entries.iter().filter(|e| !e.repeatable);
+    let tickets = services.filter_map(|s| Some((s.name.clone(), ticket(entry, s)?)));
+    tickets.collect()
+}
+
+fn ticket(entry: &Entry, service: &CatalogueEntry) -> Option<TicketText> {
+    let alive = entry.view.alive().into_iter();
+    let homes: Vec<_> = alive.filter(|m| service.pool.contains(&m.id)).collect();
+    let home = homes.choose(&mut rand::rng())?;
+    // Half of the time for which homes remember keys leaves room for skew.
+    let life = u64::try_from(entry.horizon.as_millis()).unwrap_or(u64::MAX) / 2;
+    let expires = WallTime(Clock.wall().0.saturating_add(life));
+    let ticket = Ticket {
+        home: Home {
+            id: home.id.clone(),
+            incarnation: home.incarnation,
+        },
+        name: service.name.clone(),
+        expires,
+    };
+    Some(TicketText {
+        ticket: ticket.to_smolstr(),
+        prefix: ticket.prefix().into(),
+        expires_ms: expires.0,
+    })
+}
--- /dev/null
+++ b/crates/fleet/src/claims.rs
@@ -0,0 +1,28 @@
+//! Where the plug-in that holds claims answers those of other agents.
+
+use std::sync::OnceLock;
+
+use apricothall_decide::claims::{Ask, Reply};
+use apricothall_types::EntryName;
+
+type Answer = Box<dyn Fn(&EntryName, &Ask) -> Option<Reply> + Send + Sync>;
+
+/// Passes claims of other agents on to the plug-in that answers them.
+#[derive(Default)]
+pub struct ClaimDesk {
+    answer: OnceLock<Answer>,
+}
+
+impl ClaimDesk {
+    /// Answers claims from now on. Only the first call has an effect.
+    pub fn open(&self, answer: impl Fn(&EntryName, &Ask) -> Option<Reply> + Send + Sync + 'static) {
+        // An error means that claims are answered already.
+        let _ = self.answer.set(Box::new(answer));
+    }
+
+    /// The answer to a claim, if this daemon gives one.
+    #[must_use]
+    pub fn ask(&self, name: &EntryName, ask: &Ask) -> Option<Reply> {
+        self.answer.get()?(name, ask)
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //! port for operators.
 
 pub mod catalogue;
+pub mod claims;
 pub mod http_server;
 pub mod membership;
 pub mod operators;
@@ -15,6 +16,7 @@
 pub mod vms;
 
 pub use catalogue::CatalogueState;
+pub use claims::ClaimDesk;
 pub use peers::PeerRoutes;
 pub use status::StatusBoard;
 pub use trace::Trace;
--- a/crates/fleet/src/rpc.rs
+++ b/crates/fleet/src/rpc.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
+use apricothall_decide::claims::{Ask, Reply};
 use apricothall_decide::membership::GossipMessage;
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_types::Role;
+use apricothall_types::{EntryName, Role};
 use apricothall_wire::peer::{Peer, PeerRequest, PeerResponse};
 use apricothall_wire::{Channel, Incoming, Published, RPC_PATH, Subject};
 use futures::StreamExt;
@@ -14,7 +15,7 @@
 
 use crate::membership::Heard;
 use crate::vms::VmListFollower;
-use crate::{CatalogueState, PeerRoutes, View};
+use crate::{CatalogueState, ClaimDesk, PeerRoutes, View};
 
 #[distributed_slice(PLUGINS)]
 static RPC: Plugin = Plugin {
@@ -32,6 +33,7 @@
     heard: Arc<Heard>,
     catalogue: Arc<CatalogueState>,
     vms: Arc<VmListFollower>,
+    claims: Arc<ClaimDesk>,
 }
 
 impl Peer for PeerServer {
@@ -47,6 +49,10 @@
             Subject::Vms => self.vms.published(),
         }
     }
+
+    async fn claim(self, _: tarpc::context::Context, name: EntryName, ask: Ask) -> Option<Reply> {
+        self.claims.ask(&name, &ask)
+    }
 }
 
 fn start(context: &Context) -> Result<(), StartError> {
@@ -55,6 +61,7 @@
         heard: context.part()?,
         catalogue: context.part()?,
         vms: context.part()?,
+        claims: context.part()?,
     };
     let routes = context.part::<PeerRoutes>()?;
     routes.add(RPC_PATH, move |incoming| session(server.clone(), incoming));
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -9,7 +9,7 @@
 use linkme::distributed_slice;
 use serde_json::json;
 
-use crate::{PeerRoutes, StatusBoard};
+use crate::{ClaimDesk, PeerRoutes, StatusBoard};
 
 #[distributed_slice(PLUGINS)]
 static SHARED: Plugin = Plugin {
@@ -34,6 +34,7 @@
     })));
     context.provide(Arc::new(HttpClient::new(Some(source), connect)));
     context.provide(Arc::new(PeerRoutes::default()));
+    context.provide(Arc::new(ClaimDesk::default()));
     let board = Arc::new(StatusBoard::default());
     add_daemon_section(&board, context);
     context.provide(board);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,7 +19,7 @@
 pub use client::{Connector, ConnectorConfig, Lane};
 pub use codec::{Channel, FrameCodec};
 pub use error::WireError;
-pub use order::{Call, Header, Order};
+pub use order::{Binding, Call, Header, Once, Order};
 pub use payload::Payload;
 pub use peer::{Published, Subject};
 pub use server::{Incoming, serve};
--- a/crates/wire/src/order.rs
+++ b/crates/wire/src/order.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use apricothall_types::{CallerId, Class, EntryName, RequestId, Version};
+use apricothall_decide::dedupe::{CallKey, Home};
+use apricothall_types::{CallerId, Class, Digest, EntryName, RequestId, Version, WallTime};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -40,6 +41,36 @@
     },
 }
 
+/// How a call that may not be repeated was bound to the agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Binding {
+    /// By a ticket that names its home.
+    Ticket {
+        /// The only daemon that may run the call.
+        home: Home,
+        /// Last time at which the ticket is accepted.
+        expires: WallTime,
+    },
+    /// By its key alone: the agent obtains claims.
+    Claims {
+        /// Time of creation that the key holds, if any.
+        created: Option<WallTime>,
+    },
+}
+
+/// What a call that may not be repeated carries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Once {
+    /// Names the call.
+    pub key: CallKey,
+    /// What the call asks for.
+    pub fingerprint: Digest,
+    /// How it was bound.
+    pub binding: Binding,
+    /// Whether only the answer or a tombstone is asked for, and not a run.
+    pub ask: bool,
+}
+
 /// One request, sent once on its own stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
@@ -53,6 +84,10 @@
     pub class: Class,
     /// Time left until the caller's deadline.
     pub budget: Duration,
+    /// Wall clock of the entry when it sent the order, by which a late one is recognized.
+    pub sent: WallTime,
+    /// Present for calls that may not be repeated.
+    pub once: Option<Once>,
     /// What to do.
     pub call: Call,
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,7 +1,8 @@
 //! Plain calls between daemons.
 
+use apricothall_decide::claims::{Ask, Reply};
 use apricothall_decide::membership::GossipMessage;
-use apricothall_types::Revision;
+use apricothall_types::{EntryName, Revision};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -30,4 +31,6 @@
     async fn exchange(message: GossipMessage) -> GossipMessage;
     /// The value of a subject that is in force.
     async fn published(subject: Subject) -> Option<Published>;
+    /// A claim on a key of a catalogue entry; no answer from a daemon outside its pool.
+    async fn claim(name: EntryName, ask: Ask) -> Option<Reply>;
 }
