fix(decide): a late order had the skew left, however late it was

Clock::deadline added the skew after it had cut the time left off at zero, so an order that lay in the buffer of a frozen home was run up to 2 s after its caller was told that the deadline had passed.

--- a/crates/decide/src/dedupe/key.rs
+++ b/crates/decide/src/dedupe/key.rs
@@ -23,7 +23,9 @@
     /// clock bounds it too, within `skew`.
     #[must_use]
     pub fn deadline(self, remaining: Duration, wall: WallTime, skew: Duration) -> Timestamp {
-        let left = Duration::from_millis(wall.0.saturating_sub(self.wall.0)) + skew;
+        let skew = u64::try_from(skew.as_millis()).unwrap_or(u64::MAX);
+        let end = wall.0.saturating_add(skew);
+        let left = Duration::from_millis(end.saturating_sub(self.wall.0));
         self.now + remaining.min(left)
     }
 }
--- a/crates/decide/tests/dedupe.rs
+++ b/crates/decide/tests/dedupe.rs
@@ -107,12 +107,23 @@
         Order { home: home(0), ..order(1, 1) }, 0 => Admit::Refuse(Refusal::OtherHome),
 }
 
-#[test]
-fn order_that_waited_while_frozen_has_no_time_left() {
-    let woken = clock(90_000);
-    let second = Duration::from_secs(1);
-    let deadline = woken.deadline(10 * second, WallTime(10_000), second);
-    assert_eq!(deadline, woken.now + second);
+/// Names an order sent at 0 with 10 s left, the time at which it is read and the time then left.
+macro_rules! deadlines {
+    ($($case:ident: $read:expr => $left:expr;)*) => {
+        $(#[test] fn $case() {
+            let second = Duration::from_secs(1);
+            let read = clock($read);
+            let deadline = read.deadline(10 * second, WallTime(10_000), second);
+            assert_eq!(deadline, read.now + Duration::from_millis($left));
+        })*
+    };
+}
+
+deadlines! {
+    order_that_comes_at_once_has_its_budget: 0 => 10_000;
+    order_that_comes_later_has_less: 5_000 => 6_000;
+    order_within_the_skew_has_the_rest_of_it: 10_400 => 600;
+    order_that_waited_while_frozen_has_no_time_left: 90_000 => 0;
 }
 
 #[test]
