--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -2,10 +2,13 @@
 
 pub mod admission;
 pub mod chunks;
+pub mod claims;
 pub mod completion;
 pub mod fetch;
+pub mod keyed;
 pub mod loader;
 pub mod placement;
+pub mod register;
 pub mod reload;
 pub mod run;
 pub mod servers;
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -55,6 +55,8 @@
     pub zone: Zone,
     /// Clock of the VM.
     pub clock: Clock,
+    /// Time for which homes remember calls.
+    pub horizon: Duration,
     /// Other daemons.
     pub view: Arc<View>,
     /// The catalogue in force.
@@ -80,6 +82,7 @@
         retry: settings.retry.clone(),
         zone: settings.daemon.zone.clone(),
         clock: context.clock,
+        horizon: settings.dedupe.horizon.0,
         view: context.part()?,
         catalogue: context.part()?,
         connector: context.part()?,
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -227,6 +227,8 @@
             name: self.model.name.clone(),
             class: self.class,
             budget: left.saturating_sub(MARGIN.min(left / MARGIN_PART)),
+            sent: self.entry.clock.wall(),
+            once: None,
             call: Call::Completion {
                 version: version.clone(),
                 body: Payload(self.prompt.body.clone()),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //! port for operators.
 
 pub mod catalogue;
+pub mod claims;
 pub mod http_server;
 pub mod membership;
 pub mod operators;
@@ -16,6 +17,7 @@
 pub mod write_limit;
 
 pub use catalogue::CatalogueState;
+pub use claims::ClaimDesk;
 pub use peers::PeerRoutes;
 pub use status::StatusBoard;
 pub use trace::Trace;
