--- a/crates/decide/examples/gossip_scale.rs
+++ b/crates/decide/examples/gossip_scale.rs
@@ -16,6 +16,15 @@
 const SETTLE_SECS: u64 = 20;
 const STEADY_SECS: u64 = 3;
 const LIMIT: u64 = 60 * SECOND;
+const CHURN_SECS: u64 = 60;
+/// Seconds between two revisions: 22,000 a day.
+const REVISION_SECS: usize = 4;
+/// Seconds between two restarts at the target size: 4,750 a day with the failures.
+const RESTART_SECS: u64 = 18;
+const TARGET: u64 = 2_400;
+const LOOK_MS: u64 = 50;
+const COPIES: usize = 50;
+const PAGE_BYTES: u64 = 4_096;
 const BURST_VMS: usize = 540;
 const BURST_ROUNDS: u64 = 3;
 const BURST_SECS: u64 = 15;
@@ -32,18 +41,8 @@
         sizes
     };
     println!(
-        "{:>5} {:>8} {:>8} {:>7} {:>7} {:>8} {:>9} {:>8} {:>8} {:>7} {:>8}",
-        "n",
-        "sent/s",
-        "recv/s",
-        "msg/10s",
-        "largest",
-        "cpu us/s",
-        "rev s",
-        "gone s",
-        "burst B/s",
-        "left",
-        "settle s"
+        "n | steady: sent B/s, received B/s, messages in 10 s | cpu us/s | slowest revision ms | \
+         gone s | burst: sent B/s, received B/s, messages in 10 s | left | settled after s"
     );
     for n in sizes {
         row(n);
@@ -54,54 +53,104 @@
     let mut fleet = Fleet::new(n, SEED);
     fleet.publish_value(stamp(1, 1));
     fleet.run(SETTLE_SECS * SECOND, |_| false);
+    eprintln!("n {n}: memory of one view {} B", view_bytes(&fleet));
 
     let clock = Instant::now();
     fleet.run(STEADY_SECS * SECOND, |_| false);
     let cpu = clock.elapsed().as_micros() / n as u128 / u128::from(STEADY_SECS);
+    let steady = measured(&mut fleet, STEADY_SECS, |f| {
+        f.run(STEADY_SECS * SECOND, |_| false);
+    });
+    eprintln!("n {n}: steady {steady}, cpu us/s {cpu}");
 
-    fleet.measure = true;
-    fleet.run(STEADY_SECS * SECOND, |_| false);
-    let per = (n as u64) * STEADY_SECS;
-    let sent = total(&fleet, |node| node.sent) / per;
-    let received = total(&fleet, |node| node.received) / per;
-    let messages = total(&fleet, |node| node.messages) * 10 / per;
-    let largest = fleet
-        .nodes
-        .iter()
-        .map(|node| node.largest)
-        .max()
-        .unwrap_or(0);
-    fleet.measure = false;
+    let mut spreads = Vec::new();
+    let churned = measured(&mut fleet, CHURN_SECS, |f| spreads = churn(f, n));
+    eprintln!("n {n}: churn {churned}, revision in force everywhere after ms {spreads:?}");
 
-    fleet.service[0] = Some(stamp(2, 1));
-    let revision = fleet.run(LIMIT, |f| f.all_in_force(stamp(2, 1)));
     fleet.nodes[n - 1].up = false;
     let gone = fleet.run(LIMIT, |f| f.all_see(n - 1, Some(MemberState::Gone)));
+    eprintln!("n {n}: gone {} s", shown(gone));
 
-    eprintln!(
-        "n {n}: sent/s {sent} recv/s {received} msgs in 10 s {messages} largest {largest} cpu us/s {cpu} rev {revision:?} gone {gone:?}"
-    );
-    let before = total(&fleet, |node| node.sent + node.received);
-    fleet.measure = true;
-    burst(&mut fleet, n.min(BURST_VMS));
-    fleet.measure = false;
-    let bytes = total(&fleet, |node| node.sent + node.received) - before;
-    let rate = bytes / (n as u64 * BURST_ROUNDS * BURST_SECS);
-    let left = fleet
-        .nodes
-        .iter()
-        .map(|node| node.view.backlog())
-        .max()
-        .unwrap_or(0);
+    let rate = measured(&mut fleet, BURST_ROUNDS * BURST_SECS, |f| {
+        burst(f, n.min(BURST_VMS));
+    });
+    let left = fleet.nodes.iter().map(|node| node.view.backlog()).max();
     let settle = fleet.run(LIMIT, Fleet::is_converged);
     println!(
-        "{n:>5} {sent:>8} {received:>8} {messages:>7} {largest:>7} {cpu:>8} {:>9} {:>8} {rate:>8} {left:>7} {:>8}",
-        shown(revision),
+        "{n:>5} | {steady} | {cpu:>6} | {:>6} | {} | {rate} | {:>5} | {}",
+        spreads.iter().max().copied().unwrap_or(0),
         shown(gone),
+        left.unwrap_or(0),
         shown(settle)
     );
 }
 
+/// Restarts, failures and revisions at the rates of the target, scaled to `n` members; returns
+/// the time in milliseconds after which each revision was in force everywhere.
+fn churn(fleet: &mut Fleet, n: usize) -> Vec<u64> {
+    let mut spreads = Vec::new();
+    let every = (RESTART_SECS * TARGET / n as u64).max(1);
+    for second in (0..CHURN_SECS).step_by(REVISION_SECS) {
+        if second % every < REVISION_SECS as u64 {
+            let index = 1 + usize::try_from(second).expect("small") % (n - 1);
+            fleet.add(index, 2 + second);
+        }
+        let value = stamp(2 + second, 1);
+        fleet.service[0] = Some(value);
+        let start = fleet.now;
+        fleet.look = LOOK_MS;
+        let done = fleet.run(REVISION_SECS as u64 * SECOND, |f| f.all_in_force(value));
+        fleet.look = SECOND;
+        let spent = u64::try_from(fleet.now.since(start).as_millis()).expect("seconds");
+        spreads.push(done.map_or(LIMIT, |_| spent));
+        fleet.run(
+            (REVISION_SECS as u64 * SECOND).saturating_sub(spent),
+            |_| false,
+        );
+    }
+    spreads
+}
+
+/// Resident memory of a view, as the growth of the process by copies of one.
+fn view_bytes(fleet: &Fleet) -> u64 {
+    let before = resident();
+    let copies = vec![fleet.nodes[0].view.clone(); COPIES];
+    let grown = resident().saturating_sub(before);
+    drop(copies);
+    grown / COPIES as u64
+}
+
+fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|p| p.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+/// Bytes a second, sent and received, and messages sent in 10 s, for each member.
+fn measured(fleet: &mut Fleet, secs: u64, work: impl FnOnce(&mut Fleet)) -> String {
+    let read = |f: &Fleet| {
+        let sent = total(f, |node| node.sent);
+        (
+            sent,
+            total(f, |node| node.received),
+            total(f, |node| node.messages),
+        )
+    };
+    let before = read(fleet);
+    fleet.measure = true;
+    work(fleet);
+    fleet.measure = false;
+    let after = read(fleet);
+    let per = fleet.nodes.len() as u64 * secs;
+    let rate = |from: u64, to: u64| to.saturating_sub(from) / per;
+    let messages = rate(before.2 * 10, after.2 * 10);
+    format!(
+        "{:>5} {:>5} {messages:>3}",
+        rate(before.0, after.0),
+        rate(before.1, after.1)
+    )
+}
+
 fn burst(fleet: &mut Fleet, count: usize) {
     for round in 0..BURST_ROUNDS {
         for step in 0..BURST_SECS {
--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -24,7 +24,9 @@
 use rand::Rng;
 
 pub use message::size_bound;
-pub use message::{Contact, Extra, GossipMessage, Head, Opinion, Outgoing, Verdict, Vouch, Window};
+pub use message::{
+    Change, Contact, Extra, GossipMessage, Head, Opinion, Outgoing, Verdict, Vouch, Window,
+};
 pub use peer::Seen;
 
 use crate::configs::MembershipConfig;
@@ -145,6 +147,9 @@
             self.accept_errand(ask.clone(), Contact { id, address });
         }
         let mut reply = self.bare(Some(&message.own.id));
+        if message.is_signal() {
+            return reply;
+        }
         self.fill(&mut reply, message.window.as_ref(), rng);
         reply
     }
@@ -161,11 +166,18 @@
 
     /// Changes the own record. A change of anything but the revision raises the sequence.
     ///
+    /// Only state, revision and holdings may change; the rest is fixed for an incarnation, since
+    /// [`Change`] does not carry it.
+    ///
     /// The revision changes at every member at once, several times a minute, so it does not make
     /// a change to pass on; [`Head`] spreads it.
     pub fn update_own(&mut self, change: impl FnOnce(&mut Member)) {
         let before = self.own.clone();
-        change(&mut self.own);
+        let mut next = before.clone();
+        change(&mut next);
+        self.own.state = next.state;
+        self.own.revision = next.revision;
+        self.own.holdings = next.holdings;
         let mut same = before.clone();
         same.revision = self.own.revision;
         if same != self.own {
@@ -257,9 +269,12 @@
         }
     }
 
-    fn changed(&mut self, id: &MemberId) {
-        self.queue.push(id.clone());
+    fn changed(&mut self, id: &MemberId, whole: bool) {
+        self.queue.push(id.clone(), whole);
         self.generation += 1;
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.changed = self.generation;
+        }
     }
 
     fn contact(&self, id: &MemberId) -> Option<Contact> {
--- a/crates/decide/src/membership/absorb.rs
+++ b/crates/decide/src/membership/absorb.rs
@@ -1,8 +1,8 @@
 //! Taking in records, verdicts and vouches.
 
-use apricothall_types::{Member, MemberState, Timestamp};
+use apricothall_types::{Incarnation, Member, MemberId, MemberState, Sequence, Timestamp};
 
-use super::message::{GossipMessage, Opinion, Verdict, Vouch};
+use super::message::{Change, GossipMessage, Opinion, Verdict, Vouch};
 use super::peer::{Health, Peer};
 use super::{Membership, buckets};
 
@@ -11,10 +11,16 @@
         if message.sign.is_some_and(|revision| revision >= self.list) {
             self.start_leaving();
         }
-        self.absorb_record(&message.own, now);
+        // What a newcomer is told of others is no news to them.
+        let old = self.is_behind();
+        self.absorb_record(&message.own, false, now);
         self.clear_doubt(&message.own.id);
         for record in &message.records {
-            self.absorb_record(record, now);
+            self.observe_duplicate(&record.id, (record.incarnation, record.sequence));
+            self.absorb_record(record, old, now);
+        }
+        for change in &message.changes {
+            self.absorb_change(change, now);
         }
         for verdict in &message.verdicts {
             self.absorb_verdict(verdict, now);
@@ -30,18 +36,20 @@
         }
     }
 
-    fn absorb_record(&mut self, record: &Member, now: Timestamp) {
+    /// `old` tells that a member unknown so far is known to others.
+    fn absorb_record(&mut self, record: &Member, old: bool, now: Timestamp) {
         if record.id == self.own.id {
             self.absorb_own(record.incarnation, record.sequence, false);
             return;
         }
         let Some(peer) = self.peers.get_mut(&record.id) else {
-            self.insert(record, now);
+            self.insert(record, old, now);
             return;
         };
         if record.supersedes(&peer.member) {
+            let whole = record.incarnation > peer.member.incarnation;
             *peer = Peer::new(record.clone(), now);
-            self.changed(&record.id);
+            self.changed(&record.id, whole);
             return;
         }
         let same = (record.incarnation, record.sequence)
@@ -51,17 +59,44 @@
         }
     }
 
-    fn insert(&mut self, record: &Member, now: Timestamp) {
+    /// Changed fields of a member that is not known here say nothing; the digest finds it later.
+    fn absorb_change(&mut self, change: &Change, now: Timestamp) {
+        if change.id == self.own.id {
+            self.absorb_own(change.incarnation, change.sequence, false);
+            return;
+        }
+        self.observe_duplicate(&change.id, (change.incarnation, change.sequence));
+        let known = self.peers.get(&change.id);
+        if let Some(record) = known.and_then(|peer| change.apply(&peer.member)) {
+            self.absorb_record(&record, false, now);
+        }
+    }
+
+    /// A rumour that comes back is known to others too, so it is passed on less often.
+    fn observe_duplicate(&mut self, id: &MemberId, version: (Incarnation, Sequence)) {
+        let peer = self.peers.get(id);
+        let same = peer.is_some_and(|p| (p.member.incarnation, p.member.sequence) == version);
+        if same {
+            let limit = self.sends();
+            self.queue.sent(id, limit);
+        }
+    }
+
+    fn insert(&mut self, record: &Member, old: bool, now: Timestamp) {
         // A record of a stopped member is of no use to whoever never knew it.
         if record.state == MemberState::Gone || self.peers.len() >= self.config.limit {
             return;
         }
         let id = record.id.clone();
         self.peers.insert(id, Peer::new(record.clone(), now));
-        self.changed(&record.id);
+        if old {
+            self.generation += 1;
+            return;
+        }
+        self.changed(&record.id, true);
     }
 
-    fn clear_doubt(&mut self, id: &apricothall_types::MemberId) {
+    fn clear_doubt(&mut self, id: &MemberId) {
         let Some(peer) = self.peers.get_mut(id) else {
             return;
         };
@@ -78,12 +113,7 @@
     }
 
     /// Others hold a record of this member, or an opinion on it (`judged`).
-    fn absorb_own(
-        &mut self,
-        incarnation: apricothall_types::Incarnation,
-        sequence: apricothall_types::Sequence,
-        judged: bool,
-    ) {
+    fn absorb_own(&mut self, incarnation: Incarnation, sequence: Sequence, judged: bool) {
         if incarnation > self.own.incarnation {
             self.superseded = Some(self.superseded.unwrap_or_default().max(incarnation));
             return;
@@ -122,6 +152,6 @@
                 peer.health = Health::Gone(now);
             }
         }
-        self.changed(&verdict.id);
+        self.changed(&verdict.id, false);
     }
 }
--- a/crates/decide/src/membership/build.rs
+++ b/crates/decide/src/membership/build.rs
@@ -1,13 +1,15 @@
 //! Filling a message within its budget.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
 use apricothall_types::MemberId;
 use rand::Rng;
+use rand::seq::SliceRandom;
 
 use super::Membership;
 use super::buckets::{self, BUCKETS, SUM_BYTES, WINDOW};
-use super::message::{self, GossipMessage, Window};
+use super::message::{self, Change, GossipMessage, Window};
 
 /// Share of the listed VMs, in tenths, below which a view counts as far behind.
 const BEHIND_TENTHS: usize = 9;
@@ -39,6 +41,7 @@
             heads: self.heads.clone(),
             sign,
             records: Vec::new(),
+            changes: Vec::new(),
             verdicts: peer
                 .and_then(super::peer::Peer::verdict)
                 .into_iter()
@@ -72,7 +75,7 @@
         Window { start, sums, bulk }
     }
 
-    fn is_behind(&self) -> bool {
+    pub(super) fn is_behind(&self) -> bool {
         let live = self.peers.values().filter(|p| !p.is_gone()).count() + 1;
         self.ticks <= JOIN_PERIODS || live * 10 < self.candidates.len() * BEHIND_TENTHS
     }
@@ -119,21 +122,30 @@
     ) {
         let buckets = buckets::differing(&self.totals(), window.start, &window.sums);
         let buckets: BTreeSet<u16> = buckets.into_iter().collect();
-        let ids: Vec<_> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| buckets.contains(&peer.bucket))
-            .map(|(id, _)| id)
+        let peers = self.peers.values();
+        let mut ids: Vec<_> = peers
+            .filter(|peer| buckets.contains(&peer.bucket))
+            .map(|peer| (Reverse(peer.changed), &peer.member.id))
             .collect();
-        if ids.is_empty() {
-            return;
+        // What changed last is most likely missing; the rest is drawn, so that all get their turn.
+        ids.sort_unstable();
+        let mut recent = Budget(budget.0 / 2);
+        let mut first = 0;
+        for (_, id) in &ids {
+            if !self.add_one(message, id, true, &mut recent) {
+                break;
+            }
+            first += 1;
+            included.insert((*id).clone());
         }
-        let offset = rng.random_range(0..ids.len());
-        for id in ids[offset..].iter().chain(&ids[..offset]) {
-            if !self.add_one(message, id, budget) {
+        budget.0 = budget.0 - budget.0 / 2 + recent.0;
+        let mut rest = ids.split_off(first);
+        rest.shuffle(rng);
+        for (_, id) in rest {
+            if !self.add_one(message, id, true, budget) {
                 return;
             }
-            included.insert((*id).clone());
+            included.insert(id.clone());
         }
     }
 
@@ -145,20 +157,33 @@
     ) {
         let limit = self.sends();
         let count = budget.0 / message::MIN_BYTES;
-        for id in self.queue.candidates(count) {
-            if included.contains(&id) || !self.add_one(message, &id, budget) {
+        for (id, whole) in self.queue.candidates(count) {
+            if included.contains(&id) || !self.add_one(message, &id, whole, budget) {
                 continue;
             }
             self.queue.sent(&id, limit);
         }
     }
 
-    /// Adds the record of `id`, or the verdict on it; false when it does not fit.
-    fn add_one(&self, message: &mut GossipMessage, id: &MemberId, budget: &mut Budget) -> bool {
+    /// Adds the record of `id`, `whole` or its changing fields, or the verdict on it; false when
+    /// it does not fit.
+    fn add_one(
+        &self,
+        message: &mut GossipMessage,
+        id: &MemberId,
+        whole: bool,
+        budget: &mut Budget,
+    ) -> bool {
         let Some(peer) = self.peers.get(id) else {
             return true;
         };
         let Some(verdict) = peer.verdict() else {
+            if !whole {
+                let change = Change::of(&peer.member);
+                let fits = budget.take(message::change_size(&change));
+                message.changes.extend(fits.then_some(change));
+                return fits;
+            }
             if !budget.take(message::member_size(&peer.member)) {
                 return false;
             }
@@ -173,7 +198,7 @@
     }
 
     /// Messages that carry one change: the natural logarithm of the view's size, plus one.
-    fn sends(&self) -> u32 {
+    pub(super) fn sends(&self) -> u32 {
         super::log2(self.peers.len() + 1) * 7 / 10 + 2
     }
 }
--- a/crates/decide/src/membership/message.rs
+++ b/crates/decide/src/membership/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use apricothall_types::{Incarnation, Member, MemberId, Revision, Sequence};
+use apricothall_types::{Holding, Incarnation, Member, MemberId, MemberState, Revision, Sequence};
 use serde::{Deserialize, Serialize};
 
 /// Bound on the encoded size of a 64-bit integer, in bytes.
@@ -38,6 +38,47 @@
     pub opinion: Opinion,
 }
 
+/// What changes of a record within an incarnation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The member.
+    pub id: MemberId,
+    /// Incarnation of the record.
+    pub incarnation: Incarnation,
+    /// Sequence of the record.
+    pub sequence: Sequence,
+    /// Whether the member takes part.
+    pub state: MemberState,
+    /// Versions held.
+    pub holdings: Vec<Holding>,
+}
+
+impl Change {
+    /// The changing fields of `member`.
+    pub(super) fn of(member: &Member) -> Self {
+        Self {
+            id: member.id.clone(),
+            incarnation: member.incarnation,
+            sequence: member.sequence,
+            state: member.state,
+            holdings: member.holdings.clone(),
+        }
+    }
+
+    /// The record that `known` becomes; none when it is of another incarnation.
+    pub(super) fn apply(&self, known: &Member) -> Option<Member> {
+        if known.incarnation != self.incarnation {
+            return None;
+        }
+        Some(Member {
+            sequence: self.sequence,
+            state: self.state,
+            holdings: self.holdings.clone(),
+            ..known.clone()
+        })
+    }
+}
+
 /// A member and where it is reached.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contact {
@@ -98,6 +139,8 @@
     pub sign: Option<Revision>,
     /// Records of members.
     pub records: Vec<Member>,
+    /// Changed fields of records that most members hold already.
+    pub changes: Vec<Change>,
     /// Opinions on members.
     pub verdicts: Vec<Verdict>,
     /// A member that the recipient is asked to probe.
@@ -110,6 +153,14 @@
     pub extras: Vec<Extra>,
 }
 
+impl GossipMessage {
+    /// Whether it only tells of the sender, so that the reply tells only of the recipient.
+    pub(super) fn is_signal(&self) -> bool {
+        let rumours = self.records.len() + self.changes.len() + self.verdicts.len();
+        self.window.is_none() && self.ask.is_none() && self.vouches.is_empty() && rumours == 0
+    }
+}
+
 /// A message to send. The reply goes to `receive_reply`, a failure to `probe_failed`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outgoing {
@@ -138,13 +189,22 @@
     ADDRESS_BYTES
 }
 
+fn holdings_size(holdings: &[Holding]) -> usize {
+    let texts = holdings
+        .iter()
+        .map(|h| h.name.as_str().len() + h.version.as_str().len() + TAG_BYTES);
+    texts.sum::<usize>() + TAG_BYTES
+}
+
+/// Bound on the encoded size of `change`, in bytes.
+pub(super) fn change_size(change: &Change) -> usize {
+    let counters = int_size(change.incarnation.0) + int_size(change.sequence.0);
+    change.id.as_str().len() + 1 + counters + 1 + holdings_size(&change.holdings)
+}
+
 /// Bound on the encoded size of `member`, in bytes.
 pub(super) fn member_size(member: &Member) -> usize {
-    let holdings: usize = member
-        .holdings
-        .iter()
-        .map(|h| h.name.as_str().len() + h.version.as_str().len() + TAG_BYTES)
-        .sum();
+    let holdings = holdings_size(&member.holdings);
     let texts = [
         member.id.as_str(),
         member.region.as_str(),
@@ -154,7 +214,7 @@
     let public = member.public.map_or(0, address_size) + 1;
     let counters =
         int_size(member.incarnation.0) + int_size(member.sequence.0) + int_size(member.revision.0);
-    texts + counters + address_size(member.address) + public + 2 + TAG_BYTES + holdings
+    texts + counters + address_size(member.address) + public + 2 + holdings
 }
 
 /// Bound on the encoded size of an opinion on `id`, in bytes.
@@ -166,6 +226,7 @@
 #[must_use]
 pub fn size_bound(message: &GossipMessage) -> usize {
     let records: usize = message.records.iter().map(member_size).sum();
+    let changes: usize = message.changes.iter().map(change_size).sum();
     let verdicts: usize = message.verdicts.iter().map(|v| verdict_size(&v.id)).sum();
     let ask = message
         .ask
@@ -182,8 +243,9 @@
         .map_or(0, |w| w.sums.len() + 3 * TAG_BYTES);
     let extras: usize = message.extras.iter().map(extra_size).sum();
     let heads = message.heads.len() * (2 * INT_BYTES + 1);
-    let frame = 8 * TAG_BYTES + INT_BYTES;
-    member_size(&message.own) + heads + records + verdicts + ask + vouches + window + extras + frame
+    let frame = 9 * TAG_BYTES + INT_BYTES;
+    let rumours = records + changes + verdicts;
+    member_size(&message.own) + heads + rumours + ask + vouches + window + extras + frame
 }
 
 /// Bound on the encoded size of `extra`, in bytes.
--- a/crates/decide/src/membership/peer.rs
+++ b/crates/decide/src/membership/peer.rs
@@ -25,6 +25,8 @@
     pub health: Health,
     pub bucket: u16,
     pub sum: u32,
+    /// Generation of the view at the last change.
+    pub changed: u64,
 }
 
 impl Peer {
@@ -37,6 +39,7 @@
             health,
             bucket,
             sum,
+            changed: 0,
         }
     }
 
--- a/crates/decide/src/membership/probe.rs
+++ b/crates/decide/src/membership/probe.rs
@@ -85,6 +85,21 @@
         out
     }
 
+    /// Signals to `count` random members that carry the own record and revisions, and no rumours.
+    ///
+    /// For a revision that came into force, or a change of the own record.
+    pub fn push(&self, count: usize, rng: &mut impl Rng) -> Vec<Outgoing> {
+        let contacts = self.live_contacts(|_| true);
+        let chosen = contacts.choose_multiple(rng, count).cloned();
+        chosen
+            .map(|contact| Outgoing {
+                message: self.bare(Some(&contact.id)),
+                target: Some(contact.id),
+                address: contact.address,
+            })
+            .collect()
+    }
+
     pub(super) fn accept_errand(&mut self, ask: Contact, origin: Contact) {
         if ask.id != self.own.id && self.errands.len() < MAX_ERRANDS {
             self.errands.push(Errand {
@@ -218,7 +233,7 @@
             changed.push(id.clone());
         }
         for id in changed {
-            self.changed(&id);
+            self.changed(&id, false);
         }
     }
 
--- a/crates/decide/src/membership/queue.rs
+++ b/crates/decide/src/membership/queue.rs
@@ -8,6 +8,7 @@
 struct Item {
     sent: u32,
     order: u64,
+    whole: bool,
 }
 
 /// Members whose newest record or verdict is passed on, each a bounded number of times.
@@ -18,11 +19,18 @@
 }
 
 impl Queue {
-    /// Starts over for `id`, whose record or verdict changed.
-    pub fn push(&mut self, id: MemberId) {
+    /// Starts over for `id`, whose record or verdict changed. `whole` asks for the whole record,
+    /// also of later changes while this one is still passed on.
+    pub fn push(&mut self, id: MemberId, whole: bool) {
         self.order += 1;
         let order = self.order;
-        self.items.insert(id, Item { sent: 0, order });
+        let whole = whole || self.items.get(&id).is_some_and(|i| i.whole);
+        let item = Item {
+            sent: 0,
+            order,
+            whole,
+        };
+        self.items.insert(id, item);
     }
 
     pub fn remove(&mut self, id: &MemberId) {
@@ -33,22 +41,24 @@
         self.items.len()
     }
 
-    /// At most `count` ids to pass on: least sent first, then newest first.
-    pub fn candidates(&self, count: usize) -> Vec<MemberId> {
+    /// At most `count` ids to pass on, and whether whole: least sent first, then newest first.
+    pub fn candidates(&self, count: usize) -> Vec<(MemberId, bool)> {
         let mut ids: Vec<_> = self
             .items
             .iter()
-            .map(|(id, item)| (item.sent, u64::MAX - item.order, id))
+            .map(|(id, item)| (item.sent, u64::MAX - item.order, id, item.whole))
             .collect();
         if count < ids.len() {
             ids.select_nth_unstable(count);
             ids.truncate(count);
         }
         ids.sort_unstable();
-        ids.into_iter().map(|(_, _, id)| id.clone()).collect()
+        ids.into_iter()
+            .map(|(_, _, id, whole)| (id.clone(), whole))
+            .collect()
     }
 
-    /// Counts one more message that carried `id`; drops it at `limit`.
+    /// Counts one more message that carried `id`, either way; drops it at `limit`.
     pub fn sent(&mut self, id: &MemberId, limit: u32) {
         let Some(item) = self.items.get_mut(id) else {
             return;
--- a/crates/decide/tests/fleet/mod.rs
+++ b/crates/decide/tests/fleet/mod.rs
@@ -62,6 +62,8 @@
     pub loss: f64,
     pub delay: (u64, u64),
     pub measure: bool,
+    /// Milliseconds of virtual time between two looks at a goal.
+    pub look: u64,
     pub list: VmList,
     pub service: [Option<Stamp>; REGIONS],
     pub reads: u64,
@@ -108,6 +110,7 @@
             loss: 0.0,
             delay: (1, 8),
             measure: false,
+            look: PERIOD_MS,
             list: VmList::default(),
             service: [None; REGIONS],
             reads: 0,
@@ -132,6 +135,8 @@
         let own = record(index, incarnation);
         let mut view = Membership::new(own, MembershipConfig::default(), self.now);
         view.observe_list(&self.list, self.now);
+        let old = self.nodes.get(index);
+        let counted = old.map_or((0, 0, 0), |n| (n.sent, n.received, n.messages));
         let node = Node {
             view,
             revisions: service::revisions(self.now),
@@ -141,9 +146,9 @@
             up: true,
             frozen: Timestamp(0),
             side: 0,
-            sent: 0,
-            received: 0,
-            messages: 0,
+            sent: counted.0,
+            received: counted.1,
+            messages: counted.2,
             largest: 0,
             bulk: 0,
         };
@@ -195,7 +200,7 @@
                 if done(self) {
                     return Some(self.now.since(start).as_secs());
                 }
-                check = check + Duration::from_millis(PERIOD_MS);
+                check = check + Duration::from_millis(self.look);
             }
         }
         self.now = end;
--- a/crates/decide/tests/fleet/service.rs
+++ b/crates/decide/tests/fleet/service.rs
@@ -10,6 +10,8 @@
 
 const SUBJECT: u8 = 0;
 const FETCH_MS: u64 = 50;
+/// As many as the daemons' view tells at once.
+const PUSH_FANOUT: usize = 3;
 
 /// Content that every member's check refuses.
 pub const INVALID: u8 = 255;
@@ -114,6 +116,7 @@
         if current < node.highest {
             node.reverts += 1;
         }
+        let moved = current > node.highest;
         node.highest = node.highest.max(current);
         let Some(current) = current else {
             return;
@@ -124,5 +127,9 @@
             revision: current.revision,
             mark: current.mark(),
         }]);
+        if moved {
+            let out = self.nodes[index].view.push(PUSH_FANOUT, &mut self.rng);
+            self.send(index, out);
+        }
     }
 }
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -12,7 +12,7 @@
 use linkme::distributed_slice;
 use serde_json::json;
 use tokio::sync::broadcast;
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::{StatusBoard, View};
 
@@ -46,6 +46,9 @@
     }
 }
 
+/// Least time between two rounds of news.
+const PUSH_GAP: Duration = Duration::from_millis(500);
+
 struct Gossip {
     view: Arc<View>,
     heard: Arc<Heard>,
@@ -80,6 +83,7 @@
         limit,
     });
     context.lifecycle.spawn(run(gossip.clone(), period));
+    context.lifecycle.spawn(push_news(gossip.clone()));
     let lifecycle = context.lifecycle.clone();
     context.lifecycle.spawn(async move {
         lifecycle.left().await;
@@ -114,6 +118,15 @@
     }
 }
 
+/// Passes news on at once, with a bound on how often.
+async fn push_news(gossip: Arc<Gossip>) {
+    loop {
+        gossip.view.news().await;
+        gossip.send_all(gossip.view.push());
+        sleep(PUSH_GAP).await;
+    }
+}
+
 impl Gossip {
     /// Sends each message in a task of its own, and those that follow from failures.
     fn send_all(self: &Arc<Self>, messages: Vec<Outgoing>) {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,13 +6,16 @@
 use apricothall_decide::membership::{Extra, GossipMessage, Head, Membership, Outgoing};
 use apricothall_kernel::{Clock, Lifecycle};
 use apricothall_types::{Member, MemberId, MemberState, VmList};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 type ExtraHandler = Box<dyn Fn(&MemberId, &[u8]) + Send + Sync>;
 
 /// Members asked at once when this daemon starts to leave.
 const LEAVE_FANOUT: usize = 8;
 
+/// Members told at once of a revision in force or a change of the own record.
+const PUSH_FANOUT: usize = 3;
+
 /// All members known to this daemon, itself included.
 pub struct View {
     own: MemberId,
@@ -24,6 +27,7 @@
     handlers: RwLock<BTreeMap<u8, ExtraHandler>>,
     list: watch::Sender<Arc<VmList>>,
     changes: watch::Sender<u64>,
+    news: Notify,
 }
 
 impl View {
@@ -40,6 +44,7 @@
             handlers: RwLock::default(),
             list: watch::Sender::default(),
             changes: watch::Sender::new(0),
+            news: Notify::new(),
         }
     }
 
@@ -119,7 +124,14 @@
 
     /// Changes this daemon's own record, which then spreads.
     pub fn update_own(&self, change: impl FnOnce(&mut Member)) {
-        self.apply(|membership| membership.update_own(change));
+        let changed = self.apply(|membership| {
+            let before = membership.own().sequence;
+            membership.update_own(change);
+            membership.own().sequence != before
+        });
+        if changed {
+            self.news.notify_one();
+        }
     }
 
     /// Sets the revision in force that all messages carry for `head.subject`.
@@ -128,6 +140,12 @@
         heads.insert(head.subject, head);
         let all = heads.values().copied().collect();
         self.lock().set_heads(all);
+        self.news.notify_one();
+    }
+
+    /// Waits for news of this daemon that others should not wait for.
+    pub async fn news(&self) {
+        self.news.notified().await;
     }
 
     /// Sets the section of another module that all messages carry.
@@ -164,6 +182,12 @@
         self.apply(|membership| membership.tick(now, &mut rand::rng()))
     }
 
+    /// Messages that tell a few others at once of this daemon's news.
+    #[must_use]
+    pub fn push(&self) -> Vec<Outgoing> {
+        self.lock().push(PUSH_FANOUT, &mut rand::rng())
+    }
+
     /// Messages that tell others at once that this daemon leaves.
     #[must_use]
     pub fn leave(&self) -> Vec<Outgoing> {
