--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -274,6 +274,7 @@
         self.generation += 1;
         if let Some(peer) = self.peers.get_mut(id) {
             peer.changed = self.generation;
+            peer.whole = whole;
         }
     }
 
--- a/crates/decide/src/membership/build.rs
+++ b/crates/decide/src/membership/build.rs
@@ -125,14 +125,14 @@
         let peers = self.peers.values();
         let mut ids: Vec<_> = peers
             .filter(|peer| buckets.contains(&peer.bucket))
-            .map(|peer| (Reverse(peer.changed), &peer.member.id))
+            .map(|peer| (Reverse(peer.changed), peer.whole, &peer.member.id))
             .collect();
         // What changed last is most likely missing; the rest is drawn, so that all get their turn.
         ids.sort_unstable();
         let mut recent = Budget(budget.0 / 2);
         let mut first = 0;
-        for (_, id) in &ids {
-            if !self.add_one(message, id, true, &mut recent) {
+        for (_, whole, id) in &ids {
+            if !self.add_one(message, id, *whole, &mut recent) {
                 break;
             }
             first += 1;
@@ -141,7 +141,7 @@
         budget.0 = budget.0 - budget.0 / 2 + recent.0;
         let mut rest = ids.split_off(first);
         rest.shuffle(rng);
-        for (_, id) in rest {
+        for (_, _, id) in rest {
             if !self.add_one(message, id, true, budget) {
                 return;
             }
--- a/crates/decide/src/membership/peer.rs
+++ b/crates/decide/src/membership/peer.rs
@@ -27,6 +27,8 @@
     pub sum: u32,
     /// Generation of the view at the last change.
     pub changed: u64,
+    /// Whether the last change needs the whole record to be passed on.
+    pub whole: bool,
 }
 
 impl Peer {
@@ -40,6 +42,7 @@
             bucket,
             sum,
             changed: 0,
+            whole: true,
         }
     }
 
