--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 
 mod build;
 mod burst;
+mod capacity;
 mod figures;
 mod fleet;
 mod progress;
@@ -24,15 +25,21 @@
     /// Spreads a model to all agents under live traffic, with real daemons on loopback.
     #[command(after_help = "Example: cargo xtask burst --agents 12 --fault kill,corrupt --json")]
     Burst(burst::BurstArguments),
+    /// Measures idle fleets of real daemons, for docs/CAPACITY.md.
+    #[command(after_help = "Example: cargo xtask capacity --agents 10,50,100")]
+    Capacity(capacity::CapacityArguments),
 }
 
 fn main() -> ExitCode {
-    let Task::Burst(arguments) = Arguments::parse().task;
+    let task = Arguments::parse().task;
     let done = build::daemon().and_then(|binary| {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .enable_all()
             .build()?;
-        runtime.block_on(burst::run(arguments, binary))
+        match task {
+            Task::Burst(arguments) => runtime.block_on(burst::run(arguments, binary)),
+            Task::Capacity(arguments) => runtime.block_on(capacity::run(arguments, binary)),
+        }
     });
     match done {
         Ok(()) => ExitCode::SUCCESS,
