--- /dev/null
+++ b/crates/apricotd/tests/leaving.rs
@@ -0,0 +1,226 @@
+//! A VM that leaves gets no new work after a few seconds, and a planned stop cuts off nothing.
+
+mod fixture;
+
+use std::time::Duration;
+
+use apricothall_standin::caller::CallOptions;
+use apricothall_standin::completion::{Ended, Verdict, completion};
+use apricothall_standin::engine::EngineSettings;
+use apricothall_standin::fleet::{Fleet, until};
+use apricothall_standin::load::{Load, LoadPlan, LoadReport, TrueWeights};
+use apricothall_standin::node::Node;
+use apricothall_standin::process::Process;
+use apricothall_standin::server::Mode;
+use apricothall_types::Outcome;
+use fixture::{MODEL, caller, catalogue, plan_with, serve, truth};
+use tokio::time::Instant;
+
+/// Longest time from a sign to the last new run.
+const BOUND: Duration = Duration::from_secs(3);
+
+/// Longest time until a daemon that left has ended.
+const END: Duration = Duration::from_secs(30);
+
+/// Tokens of a long stream, which outlasts all times of grace.
+const LONG: u32 = 1_200;
+
+/// Time between two looks at a leaving engine.
+const LOOK: Duration = Duration::from_millis(10);
+
+async fn fleet(entries: usize, engines: usize) -> Fleet {
+    let extra = "retry.silence = '1s'\n";
+    // Room for the long streams beside the load, also on the engine that is left.
+    let mut engine = EngineSettings::default();
+    (engine.slots, engine.share) = (32, Duration::from_micros(200));
+    let plan = plan_with(entries, engines, &engine, extra);
+    serve(plan.with_catalogue(catalogue(1, engines, &[]))).await
+}
+
+fn load(fleet: &Fleet, tokens: (u32, u32)) -> Load {
+    let plan = LoadPlan {
+        rate: 40.0,
+        models: vec![MODEL.into()],
+        tokens,
+        options: CallOptions::default(),
+        seed: 7,
+    };
+    let weights = TrueWeights::default();
+    for (version, digest) in truth() {
+        weights.add(version, digest);
+    }
+    Load::start(plan, vec![caller(fleet, "crew")], weights)
+}
+
+/// Waits until the load has had `count` answers since the last look.
+async fn answers(load: &Load, count: u64) {
+    let ended = async || match load.ended() {
+        n if n >= count => Ok(()),
+        n => Err(n.to_string()),
+    };
+    until("answers under load", ended).await.expect("answers");
+}
+
+fn all_whole(report: &LoadReport) {
+    let (ended, whole) = (report.ended, report.whole());
+    assert!(
+        ended > 0 && whole == ended,
+        "{:?} {:?}",
+        report.verdicts,
+        report.samples
+    );
+}
+
+fn process(node: &Node) -> &Process {
+    node.process.as_ref().expect("runs")
+}
+
+/// Time of the last new run at the engine of `id` until its daemon ends, which it must do well.
+async fn last_run(fleet: &mut Fleet, id: &str) -> Instant {
+    let mut last = Instant::now();
+    let mut seen = fleet.node(id).engines[0].runs().len();
+    let end = Instant::now() + END;
+    loop {
+        let node = fleet.node_mut(id);
+        let runs = node.engines[0].runs().len();
+        if runs != seen {
+            (seen, last) = (runs, Instant::now());
+        }
+        let process = node.process.as_mut().expect("runs");
+        if let Some(status) = process.status().expect("has a status") {
+            assert!(status.success(), "{status}: {}", process.tail());
+            return last;
+        }
+        assert!(Instant::now() < end, "still runs: {}", process.tail());
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// An agent leaves under load by one sign; all answers stay whole.
+macro_rules! signs {
+    ($($case:ident: |$fleet:ident| $sign:expr;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            let mut $fleet = fleet(2, 3).await;
+            let load = load(&$fleet, (5, 15));
+            answers(&load, 20).await;
+            $sign;
+            let since = Instant::now();
+            let last = last_run(&mut $fleet, "engine-0").await;
+            assert!(last < since + BOUND, "a run {:?} after the sign", last.duration_since(since));
+            let _ = load.take();
+            answers(&load, 20).await;
+            all_whole(&load.close().await);
+            $fleet.close().await;
+        })*
+    };
+}
+
+fn mark(fleet: &Fleet) {
+    let id = fleet.node("engine-0").vm().expect("valid").id;
+    let _ = fleet.platform.vms.mark_leaving(&id);
+}
+
+signs! {
+    by_signal: |fleet| process(fleet.node("engine-0")).terminate();
+    by_vm_list: |fleet| mark(&fleet);
+    by_peers_alone: |fleet| {
+        let own = fleet.sources(|vm| vm.id == "engine-0");
+        fleet.platform.vms.block(own);
+        mark(&fleet);
+    };
+    by_signal_with_the_platform_down: |fleet| {
+        fleet.platform.vms.set_mode(Mode::Refuse);
+        fleet.platform.config.set_mode(Mode::Refuse);
+        process(fleet.node("engine-0")).terminate();
+    };
+    by_vm_list_while_frozen: |fleet| {
+        process(fleet.node("engine-0")).freeze();
+        mark(&fleet);
+        fleet.status_until("entry-0", "the sign", |status| {
+            let members = status["members"].as_array();
+            members.into_iter().flatten().any(|m| m["id"] == "engine-0" && m["state"] != "alive")
+        }).await.expect("is seen");
+        process(fleet.node("engine-0")).thaw();
+    };
+}
+
+/// Daemons are stopped, with a second signal, while long streams and load run.
+macro_rules! stops {
+    ($($case:ident: $($id:literal)+;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            let mut fleet = fleet(2, 3).await;
+            let crew = caller(&fleet, "crew");
+            let streams = (0..6).map(|n| {
+                let crew = crew.clone();
+                let request = completion(MODEL, &format!("long {n}"), LONG);
+                tokio::spawn(async move { crew.complete(request, &CallOptions::default()).await })
+            }).collect::<Vec<_>>();
+            let load = load(&fleet, (5, 15));
+            answers(&load, 20).await;
+            for _ in 0..2 {
+                $(process(fleet.node($id)).terminate();)+
+                let _ = load.take();
+                answers(&load, 10).await;
+            }
+            for stream in streams {
+                let answer = stream.await.expect("no panic");
+                assert_eq!(answer.verdict(&truth()), Verdict::Whole, "{:?}", answer.ended);
+            }
+            $({
+                let process = fleet.node_mut($id).process.as_mut().expect("runs");
+                let status = process.wait(END).await.expect("ends");
+                assert!(status.success(), "{status}: {}", process.tail());
+            })+
+            all_whole(&load.close().await);
+            fleet.close().await;
+        })*
+    };
+}
+
+stops! {
+    stop_of_an_agent: "engine-0";
+    stop_of_an_entry: "entry-0";
+    stop_of_both: "engine-0" "entry-0";
+    stop_of_two_agents: "engine-0" "engine-1";
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_entry_is_not_listed_and_refuses_after_the_grace() {
+    let mut fleet = fleet(2, 1).await;
+    let crew = caller(&fleet, "crew");
+    let (gone, kept) = (
+        fleet.node("entry-0").callers(),
+        fleet.node("entry-1").callers(),
+    );
+    process(fleet.node("entry-0")).terminate();
+    let refused = async || {
+        let request = completion(MODEL, "span", 3);
+        match crew
+            .complete_at(gone, request, &CallOptions::default())
+            .await
+            .ended
+        {
+            Ended::Problem(problem) => Ok(problem),
+            other => Err(format!("{other:?}")),
+        }
+    };
+    let problem = until("a refusal", refused).await.expect("refuses");
+    assert_eq!(problem.outcome, Some(Outcome::NotRun));
+    assert!(problem.retry.is_some());
+    for known in [gone, kept] {
+        let asked = apricothall_standin::caller::Caller::new("crew", None, vec![known]);
+        let list = asked.entries().await.expect("is answered");
+        assert!(list.entries.iter().all(|e| e.address != gone), "{list:?}");
+    }
+    let end = fleet
+        .node_mut("entry-0")
+        .process
+        .as_mut()
+        .expect("runs")
+        .wait(END)
+        .await;
+    assert!(end.expect("ends").success());
+    fleet.close().await;
+}
--- /dev/null
+++ b/crates/apricotd/tests/overload.rs
@@ -0,0 +1,199 @@
+//! Hazard summaries never vanish, limits hold, and what is refused is refused at once.
+
+mod fixture;
+
+use std::time::Duration;
+
+use apricothall_standin::caller::CallOptions;
+use apricothall_standin::completion::Verdict;
+use apricothall_standin::engine::EngineSettings;
+use apricothall_standin::fleet::{Fleet, until};
+use apricothall_standin::load::{Load, LoadPlan, LoadReport, TrueWeights};
+use apricothall_standin::network::{Fault, Port, Rule, Side};
+use apricothall_standin::plan::VmPlan;
+use apricothall_types::{Class, Outcome};
+use fixture::{MODEL, caller, catalogue, plan_with, serve, truth};
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+
+/// Fleets under load run one at a time, so that they measure their own overload.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
+fn load(fleet: &Fleet, name: &str, rate: f64, class: Class) -> Load {
+    let options = CallOptions {
+        class: Some(class),
+        deadline: Some(Duration::from_secs(5)),
+        ..CallOptions::default()
+    };
+    let plan = LoadPlan {
+        rate,
+        models: vec![MODEL.into()],
+        tokens: (8, 12),
+        options,
+        seed: name.bytes().map(u64::from).sum(),
+    };
+    let weights = TrueWeights::default();
+    for (version, digest) in truth() {
+        weights.add(version, digest);
+    }
+    Load::start(plan, vec![caller(fleet, name)], weights)
+}
+
+async fn answers(load: &Load, count: u64) {
+    let ended = async || match load.ended() {
+        n if n >= count => Ok(()),
+        n => Err(n.to_string()),
+    };
+    until("answers under load", ended).await.expect("answers");
+}
+
+/// Whole answers and true refusals, nothing else. Callers of a killed entry find nobody there.
+fn honest(report: &LoadReport, killed: bool) {
+    let refused = report.count(Verdict::Refused(Outcome::NotRun));
+    let refused = refused
+        + if killed {
+            report.count(Verdict::Lost)
+        } else {
+            0
+        };
+    let sum = report.whole() + refused;
+    assert_eq!(
+        sum, report.ended,
+        "{:?} {:?}",
+        report.verdicts, report.samples
+    );
+}
+
+/// Two engines of 4 slots, 40 ms a request: 200 requests a second at the most.
+async fn small(limits: &str) -> Fleet {
+    let engine = EngineSettings {
+        slots: 4,
+        base: Duration::from_millis(4),
+        share: Duration::ZERO,
+        prefill: Duration::ZERO,
+        ..EngineSettings::default()
+    };
+    let entry = format!("class = \"critical\"\nlimits = {{ {limits} }}\nowner =");
+    let catalogue = catalogue(1, 2, &[]).replacen("owner =", &entry, 1);
+    serve(plan_with(2, 2, &engine, "").with_catalogue(catalogue)).await
+}
+
+/// Overload of class interactive beside some critical requests.
+macro_rules! overload {
+    ($($case:ident: $rate:expr;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            let _alone = ALONE.lock().await;
+            let fleet = small("rate = 10000, burst = 1000, caller = 10000").await;
+            let crews = load(&fleet, "crews", $rate, Class::Interactive);
+            let hazards = load(&fleet, "hazards", 25.0, Class::Critical);
+            answers(&hazards, 50).await;
+            let crews = crews.close().await;
+            let hazards = hazards.close().await;
+            assert_eq!(hazards.whole(), hazards.ended, "{:?} {:?}", hazards.verdicts, hazards.samples);
+            honest(&crews, false);
+            assert!(crews.whole() > 0 && crews.whole() < crews.ended, "{:?}", crews.verdicts);
+            fleet.close().await;
+        })*
+    };
+}
+
+overload! {
+    twice_the_capacity: 400.0;
+    five_times_the_capacity: 1_000.0;
+}
+
+/// What the limit of the catalogue lets pass in `span`, with a tenth above.
+fn bound(rate: u32, burst: u32, span: Duration) -> u64 {
+    let whole = f64::from(rate) * span.as_secs_f64() * 1.1 + f64::from(burst);
+    (0..)
+        .find(|n| f64::from(*n) >= whole)
+        .unwrap_or(u32::MAX)
+        .into()
+}
+
+/// One caller far above a limit of 60 a second, while the set of entries changes.
+macro_rules! limits {
+    ($($case:ident: $least:expr, $killed:expr, |$fleet:ident| $change:expr;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            let _alone = ALONE.lock().await;
+            #[allow(unused_mut, reason = "some changes need it")]
+            let mut $fleet = small("rate = 60, burst = 12, caller = 60").await;
+            let start = Instant::now();
+            let large = load(&$fleet, "large", 240.0, Class::Interactive);
+            answers(&large, 200).await;
+            $change;
+            answers(&large, 700).await;
+            let span = start.elapsed();
+            let report = large.close().await;
+            honest(&report, $killed);
+            let most = bound(60, 12, span);
+            assert!(report.whole() <= most, "{} of {most} in {span:?}", report.whole());
+            assert!(report.whole() * 100 >= most * $least, "{} of {most} in {span:?}", report.whole());
+            $fleet.close().await;
+        })*
+    };
+}
+
+limits! {
+    limit_holds: 70, false, |fleet| ();
+    limit_holds_while_gossip_is_silent: 40, false, |fleet| {
+        for (from, to) in [("entry-0", "entry-1"), ("entry-1", "entry-0")] {
+            fleet.network.inject(Rule::new(Side::vm(from), Side::vm(to), Fault::Cut).on(Port::Peers));
+        }
+    };
+    limit_holds_while_an_entry_joins: 40, false, |fleet| {
+        fleet.add(VmPlan::entry("entry-9", "lima", "lima-a").expect("valid")).await.expect("starts");
+        fleet.ready().await.expect("ready");
+    };
+    limit_holds_while_an_entry_is_killed: 30, true, |fleet| fleet.node_mut("entry-1").kill().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn small_callers_are_served_beside_a_large_one() {
+    let _alone = ALONE.lock().await;
+    let fleet = small("rate = 100, burst = 20, caller = 100").await;
+    let large = load(&fleet, "large", 300.0, Class::Interactive);
+    let small = (0..9).map(|n| load(&fleet, &format!("small-{n}"), 4.0, Class::Interactive));
+    let small: Vec<_> = small.collect();
+    answers(&large, 900).await;
+    let large = large.close().await;
+    honest(&large, false);
+    let (mut ended, mut whole) = (0, 0);
+    for load in small {
+        let report = load.close().await;
+        honest(&report, false);
+        ended += report.ended;
+        whole += report.whole();
+    }
+    assert!(
+        whole * 100 >= ended * 95,
+        "{whole} of {ended} served; large: {:?}",
+        large.verdicts
+    );
+    fleet.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_say_when_to_come_back() {
+    let _alone = ALONE.lock().await;
+    let fleet = small("rate = 1, burst = 1, caller = 1").await;
+    let crew = caller(&fleet, "crew");
+    let refused = async || {
+        let request = apricothall_standin::completion::completion(MODEL, "span", 2);
+        let options = CallOptions {
+            class: Some(Class::Interactive),
+            ..CallOptions::default()
+        };
+        match crew.complete(request, &options).await.ended {
+            apricothall_standin::completion::Ended::Problem(problem) => Ok(problem),
+            other => Err(format!("{other:?}")),
+        }
+    };
+    let problem = until("a refusal", refused).await.expect("refuses");
+    assert_eq!(problem.status.as_u16(), 429);
+    assert_eq!(problem.outcome, Some(Outcome::NotRun));
+    assert!(problem.retry.is_some_and(|seconds| seconds >= 1));
+    fleet.close().await;
+}
--- a/crates/kernel/src/configs/callers.rs
+++ b/crates/kernel/src/configs/callers.rs
@@ -14,7 +14,8 @@
     /// Address that callers use; `listen` by default.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub advertise: Option<SocketAddr>,
-    /// How long callers may keep the answer to `GET /v1/entries`.
+    /// How long callers may keep the answer to `GET /v1/entries`. Callers of a leaving entry are
+    /// refused once when it exceeds `drain.grace`.
     #[serde(default = "default_keep")]
     pub keep: Interval,
     /// Largest request body.
@@ -32,7 +33,7 @@
 }
 
 fn default_keep() -> Interval {
-    Interval::secs(10)
+    Interval::millis(1_500)
 }
 
 fn default_body() -> Bytes {
