--- a/crates/decide/src/limits/bucket.rs
+++ b/crates/decide/src/limits/bucket.rs
@@ -93,13 +93,16 @@
 /// Each caller has a small level of its own. What the rate yields goes in equal parts to the
 /// callers whose level is not full, and what is left goes to a spare level that all may take from.
 /// A caller that asks for less than an equal part therefore finds its level filled, whatever
-/// others ask for. In any window it grants at most `rate * window + burst / 2 + CALLER_LEVEL *
+/// others ask for. The first request of a caller that has no level yet is granted in advance, up to
+/// half the burst, so that a caller that comes seldom is not refused for another's sake. In any
+/// window it grants at most `rate * window + burst + CALLER_LEVEL *
 /// callers` requests, and not more than half the burst for the callers where that is larger.
 #[derive(Clone, Debug)]
 pub struct FairBucket {
     yielded: TokenBucket,
     spare: u64,
     debt: u64,
+    burst: u64,
     places: BTreeMap<CallerId, Place>,
     most: usize,
 }
@@ -112,6 +115,7 @@
             yielded: TokenBucket::new(0, now),
             spare: burst / 2,
             debt: 0,
+            burst,
             places: BTreeMap::new(),
             most,
         }
@@ -119,6 +123,7 @@
 
     /// Adds what `rate` yielded since the last call.
     pub fn refill(&mut self, rate: Quota, burst: u64, now: Timestamp) {
+        self.burst = burst;
         let gain = self.yielded.elapse(rate, now);
         let paid = gain.min(self.debt);
         self.debt -= paid;
@@ -130,7 +135,8 @@
     /// Takes one request of `caller`.
     pub fn take(&mut self, caller: &CallerId, now: Timestamp) -> bool {
         let full = self.places.len() >= self.most;
-        if !full || self.places.contains_key(caller) {
+        let known = self.places.contains_key(caller);
+        if !full || known {
             let fresh = Place {
                 level: 0,
                 used: now,
@@ -142,11 +148,17 @@
                 return true;
             }
         }
-        if self.spare < MILLI {
-            return false;
+        if self.spare >= MILLI {
+            self.spare -= MILLI;
+            return true;
         }
-        self.spare -= MILLI;
-        true
+        let first = !full && !known;
+        let fits = self.debt + MILLI <= self.burst / 2;
+        if first && fits {
+            self.debt += MILLI;
+            return true;
+        }
+        false
     }
 
     /// Takes one request that is never refused. What is missing is owed, up to `burst`, so that
