--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -4,13 +4,15 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use apricothall_decide::membership::Membership;
 use apricothall_decide::outlier::{self, Outlier, Permit};
 use apricothall_decide::retry::{Budget, Failure, Verdict};
 use apricothall_decide::routing::{Choice, Distance, Prefix, Query, Replica, Router, subset};
 use apricothall_fleet::{StatusBoard, View};
 use apricothall_kernel::{Clock, Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
 use apricothall_types::{
-    EntryName, Load, Member, MemberId, Region, Role, Timestamp, Version, Zone,
+    CatalogueEntry, EntryName, Load, Member, MemberId, ModelVersion, Region, Role, Timestamp,
+    Version, Zone,
 };
 use linkme::distributed_slice;
 use serde_json::{Value, json};
@@ -31,23 +33,25 @@
 /// What a replica is wanted for.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
-    /// Catalogue entry.
-    pub name: &'a EntryName,
-    /// Version that the request is pinned to.
-    pub version: &'a Version,
+    /// Catalogue entry. While a version spreads, its predecessors in the entry go on serving.
+    pub model: &'a CatalogueEntry,
     /// Prefix of the prompt, if any.
     pub prefix: Option<Prefix>,
     /// Members that were tried before.
     pub tried: &'a BTreeSet<MemberId>,
 }
 
-type Model = (EntryName, Version);
+/// Replicas of one model.
+struct Replicas {
+    versions: Vec<ModelVersion>,
+    all: Arc<Vec<Replica>>,
+}
 
-/// Replicas of each version at one generation of the view.
+/// Replicas of each model at one generation of the view.
 #[derive(Default)]
 struct Known {
     generation: u64,
-    replicas: HashMap<Model, Arc<Vec<Replica>>>,
+    models: HashMap<EntryName, Replicas>,
 }
 
 struct State {
@@ -71,6 +75,8 @@
     routing: Arc<Routing>,
     /// The replica's agent.
     pub member: Member,
+    /// Version that the replica serves, to which the try is pinned.
+    pub version: Version,
     started: Timestamp,
 }
 
@@ -122,12 +128,14 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let (choice, member) = self.pick(&mut state, wanted, now)?;
+        let version = served(wanted.model, &member)?.clone();
         state.router.note_start(&choice.member);
         state.outlier.note_start(&choice.member, now);
         drop(state);
         let flight = Flight {
             routing: self.clone(),
             member,
+            version,
             started: now,
         };
         Some((flight, choice))
@@ -208,29 +216,43 @@
     }
 
     fn replicas(&self, known: &mut Known, wanted: Wanted<'_>) -> Arc<Vec<Replica>> {
-        let (name, version) = (wanted.name, wanted.version);
+        let model = wanted.model;
         self.view.with(|membership| {
             let generation = membership.generation();
             if known.generation != generation {
-                known.replicas.clear();
+                known.models.clear();
                 known.generation = generation;
             }
-            let key = (name.clone(), version.clone());
-            let find = || {
-                let (region, zone) = &self.place;
-                let serving = membership.agents_serving(name, version);
-                let all: Vec<_> = serving
-                    .map(|member| Replica {
-                        id: member.id.clone(),
-                        distance: Distance::of(member, region, zone),
-                    })
-                    .collect();
-                Arc::new(subset(&membership.own().id, &all, self.subset))
+            let cached = known.models.get(&model.name);
+            if let Some(cached) = cached.filter(|c| c.versions == model.versions) {
+                return cached.all.clone();
+            }
+            let all = Arc::new(self.find(membership, model));
+            let versions = model.versions.clone();
+            let cached = Replicas {
+                versions,
+                all: all.clone(),
             };
-            known.replicas.entry(key).or_insert_with(find).clone()
+            known.models.insert(model.name.clone(), cached);
+            all
         })
     }
 
+    fn find(&self, membership: &Membership, model: &CatalogueEntry) -> Vec<Replica> {
+        let (region, zone) = &self.place;
+        let agents = membership.alive().filter(|m| m.role == Role::Agent);
+        let serving = agents.filter(|m| served(model, m).is_some());
+        let replicas = serving.map(|member| Replica {
+            id: member.id.clone(),
+            distance: Distance::of(member, region, zone),
+        });
+        subset(
+            &membership.own().id,
+            &replicas.collect::<Vec<_>>(),
+            self.subset,
+        )
+    }
+
     fn suspects(&self, replicas: &[Replica]) -> Vec<MemberId> {
         self.view.with(|membership| {
             let seen = replicas.iter().filter_map(|r| membership.member(&r.id));
@@ -258,6 +280,12 @@
     }
 }
 
+/// The version of the model that a member serves, if any.
+fn served<'a>(model: &'a CatalogueEntry, member: &Member) -> Option<&'a Version> {
+    let mut versions = model.versions.iter().map(|v| &v.version);
+    versions.find(|version| member.serves(&model.name, version))
+}
+
 fn start(context: &Context) -> Result<(), StartError> {
     let settings = &context.settings;
     let view = context.part::<View>()?;
