fix(decide): a member's public address travels with its changes

Gossip of changed fields left out the address for callers, which an entry now sets only once it listens; update_own dropped it, so GET /v1/entries was empty and every completion failed. Ruled out: the entry's readiness and its limits (both fine in the status).

The address is part of a change now. Also, tarpc's span of each exchange filled the logs; the default level is info,tarpc=warn.

--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -166,7 +166,7 @@
 
     /// Changes the own record. A change of anything but the revision raises the sequence.
     ///
-    /// Only state, revision and holdings may change; the rest is fixed for an incarnation, since
+    /// Only state, public address, revision and holdings may change; the rest is fixed for an incarnation, since
     /// [`Change`] does not carry it.
     ///
     /// The revision changes at every member at once, several times a minute, so it does not make
@@ -176,6 +176,7 @@
         let mut next = before.clone();
         change(&mut next);
         self.own.state = next.state;
+        self.own.public = next.public;
         self.own.revision = next.revision;
         self.own.holdings = next.holdings;
         let mut same = before.clone();
--- a/crates/decide/src/membership/message.rs
+++ b/crates/decide/src/membership/message.rs
@@ -49,6 +49,8 @@
     pub sequence: Sequence,
     /// Whether the member takes part.
     pub state: MemberState,
+    /// Address for callers, once an entry listens there.
+    pub public: Option<SocketAddr>,
     /// Versions held.
     pub holdings: Vec<Holding>,
 }
@@ -61,6 +63,7 @@
             incarnation: member.incarnation,
             sequence: member.sequence,
             state: member.state,
+            public: member.public,
             holdings: member.holdings.clone(),
         }
     }
@@ -73,6 +76,7 @@
         Some(Member {
             sequence: self.sequence,
             state: self.state,
+            public: self.public,
             holdings: self.holdings.clone(),
             ..known.clone()
         })
@@ -199,7 +203,8 @@
 /// Bound on the encoded size of `change`, in bytes.
 pub(super) fn change_size(change: &Change) -> usize {
     let counters = int_size(change.incarnation.0) + int_size(change.sequence.0);
-    change.id.as_str().len() + 1 + counters + 1 + holdings_size(&change.holdings)
+    let public = change.public.map_or(0, address_size) + 1;
+    change.id.as_str().len() + 1 + counters + 1 + public + holdings_size(&change.holdings)
 }
 
 /// Bound on the encoded size of `member`, in bytes.
--- a/crates/kernel/src/configs/log.rs
+++ b/crates/kernel/src/configs/log.rs
@@ -28,7 +28,7 @@
     fn default() -> Self {
         Self {
             format: LogFormat::default(),
-            level: SmolStr::new_static("info"),
+            level: SmolStr::new_static("info,tarpc=warn"),
         }
     }
 }
