--- a/crates/apricotd/tests/answers.rs
+++ b/crates/apricotd/tests/answers.rs
@@ -67,6 +67,8 @@
             let answer = asked.await.expect("no panic");
             let verdict = answer.verdict(&truth());
             assert_eq!(verdict, $verdict, "{:?}", answer.ended);
+            let late = format!("{:?}", answer.ended).contains("the deadline has passed");
+            assert!(!late, "the fault was noticed by the deadline alone");
             $fleet.close().await;
         })*
     };
--- a/crates/apricotd/tests/leaving.rs
+++ b/crates/apricotd/tests/leaving.rs
@@ -224,3 +224,55 @@
     assert!(end.expect("ends").success());
     fleet.close().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_that_wait_at_a_leaving_agent_are_served_elsewhere() {
+    const REQUESTS: u64 = 120;
+    let engine = EngineSettings {
+        slots: 3,
+        ..EngineSettings::default()
+    };
+    let plan = plan_with(1, 2, &engine, "admission.interactive = 200\n");
+    let fleet = serve(plan.with_catalogue(catalogue(1, 2, &[]))).await;
+    fleet.agents().for_each(|n| n.engines[0].pause_at(Some(0)));
+    let crew = caller(&fleet, "crew");
+    let asked: Vec<_> = (0..REQUESTS)
+        .map(|n| {
+            let crew = crew.clone();
+            let request = completion(MODEL, &format!("span {n}"), 2);
+            tokio::spawn(async move { crew.complete(request, &CallOptions::default()).await })
+        })
+        .collect();
+    let held = async || {
+        let mut sum = 0;
+        for agent in fleet.agents() {
+            let load = agent.status().await.map_err(|e| e.to_string())?["servers"]["load"].clone();
+            sum += load["running"].as_u64().unwrap_or(0) + load["queued"].as_u64().unwrap_or(0);
+        }
+        if sum == REQUESTS {
+            return Ok(());
+        }
+        Err(sum.to_string())
+    };
+    until("all orders at the agents", held)
+        .await
+        .expect("arrive");
+    process(fleet.node("engine-0")).terminate();
+    fleet
+        .status_until("engine-0", "an empty queue", |status| {
+            status["servers"]["load"]["queued"] == 0
+        })
+        .await
+        .expect("is emptied");
+    fleet.agents().for_each(|n| n.engines[0].pause_at(None));
+    for answer in asked {
+        let answer = answer.await.expect("no panic");
+        assert_eq!(
+            answer.verdict(&truth()),
+            Verdict::Whole,
+            "{:?}",
+            answer.ended
+        );
+    }
+    fleet.close().await;
+}
