feat(entry,agent,fleet): quarantine of completions that crash engines

Before an agent hands a completion to its engine it names the engine's start and whether the request runs alone (Answer::Placed, new first frame); after a crash it records all that ran there and tells the entry (Answer::Crashed, new). Records spread by gossip, kind numbers in fleet::extras. The order carries what the entry knows. An entry that lost the agent too records the crash once the agent is seen gone; a lost connection alone proves none. Agents whose engine stopped to serve keep their place in pairs for 15 s, so that the pair does not move. Class critical goes to the third server by rank when its pair is down: its answer must not vanish, and a critical poison request may cost three servers in place of two.

--- a/crates/agent/src/completion.rs
+++ b/crates/agent/src/completion.rs
@@ -38,6 +38,22 @@
         );
         return Ok(refused(refusal, runner.servers.load()));
     };
+    let entered = runner.suspects.enter(&engine, order, &order.name, &body);
+    let Ok(entered) = tokio::time::timeout(order.budget, entered).await else {
+        let late = refusal(Outcome::NotRun, 504, "the deadline has passed".into());
+        return Ok(refused(late, runner.servers.load()));
+    };
+    let place = match entered {
+        Ok(place) => place,
+        Err(refusal) => {
+            if let Some(record) = runner.suspects.record(&order.name, &body) {
+                reply.send(Answer::Crashed(record)).await?;
+            }
+            return Ok(refused(refusal, runner.servers.load()));
+        }
+    };
+    let (boot, alone) = (place.boot.clone(), place.is_alone());
+    reply.send(Answer::Placed { boot, alone }).await?;
     let running = engine.begin();
     let relayed = tokio::time::timeout(
         order.budget,
@@ -47,12 +63,21 @@
     drop(running);
     let load = runner.servers.load();
     match relayed {
-        Ok(Ok(length)) => Ok(Answer::End { length, load }),
+        Ok(Ok(length)) => {
+            place.completed();
+            Ok(Answer::End { length, load })
+        }
         Ok(Err(Fault::Entry(error))) => {
             cancel(&engine, order).await;
             Err(error)
         }
-        Ok(Err(Fault::Engine(refusal))) => Ok(refused(refusal, load)),
+        Ok(Err(Fault::Engine(refusal))) => {
+            let sent = refusal.outcome != Outcome::NotRun;
+            if let Some(record) = if sent { place.broken().await } else { None } {
+                reply.send(Answer::Crashed(record)).await?;
+            }
+            Ok(refused(refusal, load))
+        }
         Err(_) => {
             cancel(&engine, order).await;
             let late = refusal(Outcome::Failed, 504, "the deadline has passed".into());
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod run;
 pub mod servers;
 pub mod service_call;
+pub mod suspects;
 pub mod upload;
 pub mod weights_port;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -16,6 +16,7 @@
 
 use crate::claims::Claimant;
 use crate::servers::Servers;
+use crate::suspects::Suspects;
 use crate::{completion, service_call};
 
 #[distributed_slice(PLUGINS)]
@@ -70,6 +71,8 @@
 pub struct Runner {
     /// Backend servers of the VM.
     pub servers: Arc<Servers>,
+    /// Requests on the engines.
+    pub suspects: Arc<Suspects>,
     /// Calls that may not be repeated.
     pub claimant: Arc<Claimant>,
     lifecycle: Lifecycle,
@@ -92,6 +95,7 @@
 fn start(context: &Context) -> Result<(), StartError> {
     let runner = Runner {
         servers: context.part::<Servers>()?,
+        suspects: context.part()?,
         claimant: context.part()?,
         lifecycle: context.lifecycle.clone(),
     };
--- /dev/null
+++ b/crates/apricotd/tests/poison.rs
@@ -0,0 +1,230 @@
+//! A request that crashes the engine which runs it costs at most two crashes, through whichever
+//! entries it comes, and others are served meanwhile.
+
+mod fixture;
+
+use std::time::Duration;
+
+use apricothall_standin::caller::{CallOptions, Caller};
+use apricothall_standin::completion::{Ended, Streamed, Verdict, completion};
+use apricothall_standin::engine::EngineSettings;
+use apricothall_standin::fleet::Fleet;
+use apricothall_types::{Class, Outcome};
+use fixture::{MODEL, caller, catalogue, plan, serving, start, truth};
+
+/// Engines of the fleet.
+const ENGINES: [&str; 4] = ["engine-0", "engine-1", "engine-2", "engine-3"];
+
+/// Entries of the fleet.
+const ENTRIES: [&str; 3] = ["entry-0", "entry-1", "entry-2"];
+
+/// Part of a prompt that crashes engines.
+const POISON: &str = "poison";
+
+/// Times that a caller sends a poison request again.
+const SENT: usize = 9;
+
+/// Engine crashes that one poison request may cost.
+const CRASHES: u32 = 2;
+
+/// Tokens of a short answer.
+const TOKENS: u32 = 5;
+
+/// Times that a caller sends an innocent request again.
+const TRIES: usize = 20;
+
+/// Time between two of them.
+const PAUSE: Duration = Duration::from_millis(300);
+
+async fn fleet(restart: Duration) -> Fleet {
+    let mut plan = plan(ENTRIES.len(), 0).with_catalogue(critical());
+    for id in ENGINES {
+        let settings = EngineSettings {
+            restart,
+            ..EngineSettings::default()
+        };
+        plan = plan
+            .engine(id, "lima", "lima-a", settings)
+            .expect("valid id");
+    }
+    let fleet = start(plan).await;
+    for entry in ENTRIES {
+        for engine in ENGINES {
+            serving(&fleet, entry, engine, "1").await;
+        }
+        let known = fleet.status_until(entry, "all servers in pairs", |status| {
+            status["pairs"][format!("{MODEL} 1")] == ENGINES.len()
+        });
+        known.await.expect("in time");
+    }
+    for id in ENGINES {
+        fleet.node(id).engines[0].set_poison(Some(POISON));
+    }
+    fleet
+}
+
+/// The catalogue with the model in the highest class, to which requests are held.
+fn critical() -> String {
+    let text = catalogue(1, ENGINES.len(), &[]);
+    text.replacen("replicas", "class = \"critical\"\nreplicas", 1)
+}
+
+fn crashes(fleet: &Fleet) -> u32 {
+    let engines = fleet.agents().flat_map(|node| &node.engines);
+    engines
+        .map(apricothall_standin::engine::Engine::crashes)
+        .sum()
+}
+
+async fn send(fleet: &Fleet, caller: &Caller, turn: usize, class: Class, prompt: &str) -> Streamed {
+    let entry = fleet.node(ENTRIES[turn % ENTRIES.len()]).callers();
+    let request = completion(MODEL, prompt, TOKENS);
+    let options = CallOptions {
+        class: Some(class),
+        ..CallOptions::default()
+    };
+    let answer = caller.complete_at(entry, request, &options).await;
+    println!("{prompt} at {turn}: {:?}", answer.ended);
+    answer
+}
+
+/// Sends a poison request through each entry in turn, as a caller does that hopes on.
+async fn insist(fleet: &Fleet, caller: &Caller, class: Class, prompt: &str) -> Streamed {
+    for turn in 0..SENT {
+        let answer = send(fleet, caller, turn, class, prompt).await;
+        assert_ne!(answer.verdict(&truth()), Verdict::Whole);
+        tokio::time::sleep(PAUSE / 3).await;
+    }
+    send(fleet, caller, SENT, class, prompt).await
+}
+
+/// Sends an innocent request until it is served.
+async fn served(fleet: &Fleet, caller: &Caller, prompt: &str) {
+    for turn in 0..TRIES {
+        let answer = send(fleet, caller, turn, Class::Interactive, prompt).await;
+        match answer.verdict(&truth()) {
+            Verdict::Whole => return,
+            Verdict::Refused(_) => tokio::time::sleep(PAUSE).await,
+            other => panic!("{other:?}"),
+        }
+    }
+    panic!("{prompt} was not served");
+}
+
+fn is_final(answer: &Streamed) -> bool {
+    match &answer.ended {
+        Ended::Problem(problem) => {
+            let outcomes = [Some(Outcome::NotRun), Some(Outcome::Failed)];
+            problem.retry.is_none() && outcomes.contains(&problem.outcome)
+        }
+        _ => false,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn sent_again_through_each_entry() {
+    let fleet = fleet(Duration::from_millis(300)).await;
+    let caller = caller(&fleet, "crew");
+    let last = insist(&fleet, &caller, Class::Interactive, "poison 1").await;
+    assert!(crashes(&fleet) <= CRASHES, "{} crashes", crashes(&fleet));
+    assert!(is_final(&last), "{:?}", last.ended);
+    served(&fleet, &caller, "span 12").await;
+    fleet.close().await;
+}
+
+/// The price of the exception for class critical: one server more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn critical_poison_costs_one_more() {
+    let fleet = fleet(Duration::from_millis(300)).await;
+    let caller = caller(&fleet, "crew");
+    let last = insist(&fleet, &caller, Class::Critical, "poison 1").await;
+    assert!(
+        crashes(&fleet) <= CRASHES + 1,
+        "{} crashes",
+        crashes(&fleet)
+    );
+    assert!(is_final(&last), "{:?}", last.ended);
+    fleet.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn two_at_once_with_neighbours() {
+    let fleet = fleet(Duration::from_millis(300)).await;
+    let caller = caller(&fleet, "crew");
+    let prompts: Vec<_> = (0..12).map(|i| format!("span {i}")).collect();
+    let neighbours = prompts.iter().map(|prompt| served(&fleet, &caller, prompt));
+    let poison = async {
+        tokio::join!(
+            insist(&fleet, &caller, Class::Interactive, "poison 1"),
+            insist(&fleet, &caller, Class::Interactive, "poison 2")
+        )
+    };
+    let (_, last) = tokio::join!(futures::future::join_all(neighbours), poison);
+    assert!(
+        crashes(&fleet) <= 2 * CRASHES,
+        "{} crashes",
+        crashes(&fleet)
+    );
+    assert!(is_final(&last.0) && is_final(&last.1), "{last:?}");
+    served(&fleet, &caller, "span 99").await;
+    fleet.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn agent_killed_with_the_engine() {
+    let fleet = fleet(Duration::from_millis(300)).await;
+    let caller = caller(&fleet, "crew");
+    let kill = async {
+        let crashed = async || {
+            let mut agents = fleet.agents();
+            let found = agents.find(|node| node.engines[0].crashes() > 0);
+            found.ok_or_else(|| "no crash".to_owned())
+        };
+        let node = apricothall_standin::fleet::until("a crash", crashed).await;
+        let node = node.expect("in time");
+        node.process.as_ref().expect("runs").kill();
+    };
+    let (_, ()) = tokio::join!(
+        insist(&fleet, &caller, Class::Interactive, "poison 1"),
+        kill
+    );
+    for entry in ENTRIES {
+        let known = fleet.status_until(entry, "a condemned request", |status| {
+            status["quarantine"]["condemned"] == 1
+        });
+        known.await.expect("in time");
+    }
+    let last = send(&fleet, &caller, 1, Class::Interactive, "poison 1").await;
+    assert!(is_final(&last), "{:?}", last.ended);
+    assert!(crashes(&fleet) <= CRASHES, "{} crashes", crashes(&fleet));
+    served(&fleet, &caller, "span 12").await;
+    fleet.close().await;
+}
+
+/// Two of four engines are down for long: some requests have both of their servers there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn critical_requests_outlive_their_pair() {
+    let fleet = fleet(Duration::from_mins(1)).await;
+    let caller = caller(&fleet, "crew");
+    for id in &ENGINES[..2] {
+        fleet.node(id).engines[0].restart();
+    }
+    for entry in ENTRIES {
+        let down = fleet.status_until(entry, "two engines down", |status| {
+            let members = status["members"].as_array().into_iter().flatten();
+            let serving = members.filter(|m| m["holdings"].to_string().contains("serving"));
+            serving.count() == 2
+        });
+        down.await.expect("in time");
+    }
+    let mut put_off = 0;
+    for i in 0..24 {
+        let answer = send(&fleet, &caller, 0, Class::Critical, &format!("hazard {i}")).await;
+        assert_eq!(answer.verdict(&truth()), Verdict::Whole);
+        let other = send(&fleet, &caller, 0, Class::Interactive, &format!("span {i}")).await;
+        put_off += u32::from(other.verdict(&truth()) == Verdict::Refused(Outcome::NotRun));
+    }
+    println!("put off of class interactive: {put_off} of 24");
+    assert!(put_off > 0, "no request had both of its servers down");
+    fleet.close().await;
+}
--- a/crates/decide/src/quarantine/flights.rs
+++ b/crates/decide/src/quarantine/flights.rs
@@ -3,6 +3,8 @@
 //! Each fingerprint has a pair of servers, the first two by rank. All entries agree on the pair,
 //! so a request that crashes its servers meets two of them before the news has spread.
 
+use std::ops::Range;
+
 use apricothall_types::{Digest, MemberId};
 
 use super::{Records, Standing};
@@ -31,13 +33,37 @@
     fingerprint: &Digest,
     servers: &[MemberId],
     usable: impl Fn(&MemberId) -> bool,
+) -> Send {
+    place(records, fingerprint, servers, usable, 0..PAIR)
+}
+
+/// Decides where a request goes whose pair is down and that cannot wait: to the next server by
+/// rank only, so that a request that crashes servers meets three of them at most.
+pub fn spare(
+    records: &Records,
+    fingerprint: &Digest,
+    servers: &[MemberId],
+    usable: impl Fn(&MemberId) -> bool,
+) -> Send {
+    place(records, fingerprint, servers, usable, PAIR..PAIR + 1)
+}
+
+fn place(
+    records: &Records,
+    fingerprint: &Digest,
+    servers: &[MemberId],
+    usable: impl Fn(&MemberId) -> bool,
+    ranks: Range<usize>,
 ) -> Send {
     let standing = records.standing(fingerprint);
     if standing == Standing::Condemned {
         return Send::Refuse;
     }
-    let ranked = rank::order(&fingerprint.0, servers);
-    let open = ranked.into_iter().take(PAIR).filter(|id| usable(id));
+    let ranked = rank::order(&fingerprint.0, servers).into_iter();
+    let open = ranked
+        .skip(ranks.start)
+        .take(ranks.len())
+        .filter(|id| usable(id));
     let mut open = open
         .filter(|id| !records.is_barred(fingerprint, id))
         .cloned();
--- a/crates/decide/src/quarantine/records.rs
+++ b/crates/decide/src/quarantine/records.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// What is known of a fingerprint.
+    #[must_use]
+    pub fn get(&self, fingerprint: &Digest) -> Option<&Record> {
+        self.records.get(fingerprint)
+    }
+
     /// How a request with this fingerprint is treated.
     #[must_use]
     pub fn standing(&self, fingerprint: &Digest) -> Standing {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use apricothall_fleet::http_server::{Body, listen, serve};
-use apricothall_fleet::{CatalogueState, Trace, View};
+use apricothall_fleet::{CatalogueState, StatusBoard, Trace, View};
 use apricothall_kernel::configs::CallersConfig;
 use apricothall_kernel::{Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture};
 use apricothall_types::{Role, Zone};
@@ -15,6 +15,7 @@
 use tracing::Instrument;
 
 use crate::problem::Problem;
+use crate::quarantine::Pairs;
 use crate::{ask, completions, entries, services};
 
 #[distributed_slice(PLUGINS)]
@@ -35,6 +36,8 @@
     pub horizon: Duration,
     /// Other daemons.
     pub view: Arc<View>,
+    /// Servers that a completion may go to.
+    pub pairs: Arc<Pairs>,
     /// The catalogue in force.
     pub catalogue: Arc<CatalogueState>,
     /// Connections to agents.
@@ -53,11 +56,16 @@
         config,
         zone: settings.daemon.zone.clone(),
         horizon: settings.dedupe.horizon.0,
+        pairs: Arc::new(Pairs::new(context.part()?, context.part()?)),
         view: context.part()?,
         catalogue: context.part()?,
         connector: context.part()?,
         lifecycle: context.lifecycle.clone(),
     });
+    context.lifecycle.spawn(entry.pairs.clone().follow());
+    let pairs = entry.pairs.clone();
+    let board = context.part::<StatusBoard>()?;
+    board.section("pairs", move || pairs.status());
     let closing = context.lifecycle.stop_token();
     context
         .lifecycle
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -9,7 +9,7 @@
 use apricothall_kernel::Clock;
 use apricothall_kernel::lifecycle::WorkGuard;
 use apricothall_platform::sse;
-use apricothall_types::{CatalogueEntry, EntryName, Kind, Version};
+use apricothall_types::{CatalogueEntry, EntryName, Kind, Outcome, Version};
 use apricothall_wire::{Call, Order, Payload};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -25,6 +25,7 @@
 use crate::choose::choose;
 use crate::forward::{Attempt, ForwardError, Step};
 use crate::problem::Problem;
+use crate::quarantine::Suspect;
 
 /// Agents that are tried for one request.
 const MAX_TRIES: usize = 3;
@@ -113,10 +114,20 @@
     let class = ask
         .class
         .map_or(model.class, |asked| asked.min(model.class));
+    let suspect = entry.pairs.suspect(&model.name, &version, class, &body);
+    let mut outcome = None;
     let mut tried = Vec::new();
     let mut last = None;
     while tried.len() < MAX_TRIES {
-        let chosen = choose(&entry.view, &model.name, &version, &tried, &mut rand::rng());
+        let barred = suspect.barred(outcome)?;
+        let closed = [tried.as_slice(), &barred].concat();
+        let chosen = choose(
+            &entry.view,
+            &model.name,
+            &version,
+            &closed,
+            &mut rand::rng(),
+        );
         let Some(agent) = chosen else {
             break;
         };
@@ -127,6 +138,7 @@
             class,
             budget: ask.budget,
             sent: Clock.wall(),
+            record: suspect.record(),
             once: None,
             call: Call::Completion {
                 version: version.clone(),
@@ -134,7 +146,7 @@
             },
         };
         let trace = ask.trace.child(&mut rand::rng()).to_string();
-        match first(entry, &agent, order, &trace).await {
+        match first(entry, &agent, order, &trace, &suspect).await {
             Ok((attempt, first)) => {
                 return Ok(Started {
                     attempt,
@@ -144,6 +156,10 @@
             }
             Err(error) => {
                 tracing::info!(agent = %agent.id, %error, "try failed");
+                let refusal = error.refusal();
+                if refusal.outcome != Outcome::NotRun {
+                    outcome = Some(refusal.outcome);
+                }
                 let again = error.is_not_run() || model.repeatable;
                 last = Some(Problem::from(error.refusal()));
                 if !again {
@@ -162,8 +178,10 @@
     agent: &apricothall_types::Member,
     order: Order,
     trace: &str,
+    suspect: &Suspect,
 ) -> Result<(Attempt, Bytes), ForwardError> {
     let mut attempt = Attempt::start(&entry.connector, agent, order, trace).await?;
+    attempt.watch(suspect.clone());
     loop {
         match attempt.next().await? {
             Step::Head(_) => {}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -5,9 +5,11 @@
     Answer, AnswerFrame, Channel, Connector, Lane, Order, RUN_PATH, Refusal, WireError,
 };
 use futures::{SinkExt, StreamExt};
-use smol_str::ToSmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 use thiserror::Error;
 
+use crate::quarantine::Suspect;
+
 /// Why a try has no whole answer.
 #[derive(Debug, Error)]
 pub enum ForwardError {
@@ -76,6 +78,9 @@
     request: RequestId,
     due: Sequence,
     length: u64,
+    agent: Member,
+    suspect: Option<Suspect>,
+    placed: Option<(SmolStr, bool)>,
 }
 
 impl Attempt {
@@ -100,16 +105,34 @@
             request,
             due: Sequence(0),
             length: 0,
+            agent: agent.clone(),
+            suspect: None,
+            placed: None,
         })
     }
 
+    /// Notes crashes of the server under this request.
+    pub fn watch(&mut self, suspect: Suspect) {
+        self.suspect = Some(suspect);
+    }
+
+    /// Whether the server may have crashed under the request, as far as the connection tells.
+    fn note_lost(&mut self) {
+        if let (Some(suspect), Some((boot, alone))) = (&self.suspect, self.placed.take()) {
+            suspect.lost(&self.agent, boot, alone);
+        }
+    }
+
     /// The next step of the answer.
     ///
     /// # Errors
     /// When the answer cannot become whole any more.
     pub async fn next(&mut self) -> Result<Step, ForwardError> {
         let frame = self.channel.next().await.unwrap_or(Err(WireError::Ended));
-        let frame = frame.map_err(ForwardError::Lost)?;
+        let frame = frame.map_err(|error| {
+            self.note_lost();
+            ForwardError::Lost(error)
+        })?;
         if frame.request != self.request || frame.sequence != self.due {
             metrics::counter!("apricothall_frames_crossed_total").increment(1);
             return Err(ForwardError::Crossed);
@@ -123,6 +146,16 @@
             Answer::End { length, load } if length == self.length => Ok(Step::End(load)),
             Answer::End { .. } => Err(ForwardError::Truncated),
             Answer::Refused { refusal, .. } => Err(ForwardError::Refused(refusal)),
+            Answer::Placed { boot, alone } => {
+                self.placed = Some((boot, alone));
+                Box::pin(self.next()).await
+            }
+            Answer::Crashed(record) => {
+                if let Some(suspect) = &self.suspect {
+                    suspect.crashed(record);
+                }
+                Box::pin(self.next()).await
+            }
             head @ Answer::Head { .. } => Ok(Step::Head(head)),
         }
     }
--- a/crates/entry/src/home.rs
+++ b/crates/entry/src/home.rs
@@ -182,6 +182,7 @@
             class: class.map_or(self.service.class, |c| c.min(self.service.class)),
             budget: self.deadline.since(Clock.now()),
             sent: Clock.wall(),
+            record: None,
             once: Some(Once {
                 key: CallKey::new(&self.service.name, &self.ask.caller, self.key),
                 fingerprint: self.fingerprint,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod forward;
 pub mod home;
 pub mod problem;
+pub mod quarantine;
 pub mod services;
 pub mod tickets;
--- /dev/null
+++ b/crates/entry/src/quarantine.rs
@@ -0,0 +1,235 @@
+//! Where a completion may go, given what is known of requests that crash servers.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use apricothall_decide::quarantine::{Crash, Record, Send, send, spare};
+use apricothall_fleet::View;
+use apricothall_fleet::quarantine::{Quarantine, fingerprint};
+use apricothall_kernel::Clock;
+use apricothall_types::{
+    Class, Digest, EntryName, Holding, HoldingState, Member, MemberId, MemberState, Outcome, Role,
+    Timestamp, Version,
+};
+use http::StatusCode;
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use crate::problem::Problem;
+
+/// Time for which an agent whose engine stopped to serve keeps its place in pairs.
+const HOLD: Duration = Duration::from_secs(15);
+
+/// Longest and shortest time between two looks at what the agents serve.
+const LOOK: Duration = Duration::from_secs(1);
+const BETWEEN: Duration = Duration::from_millis(100);
+
+/// When to come back while no server of the pair takes the request.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// Longest wait for the news that a lost agent is gone.
+const GONE_LIMIT: Duration = Duration::from_secs(30);
+
+type Served = (EntryName, Version);
+
+/// Servers that serve or lately served a version.
+pub struct Pairs {
+    quarantine: Arc<Quarantine>,
+    view: Arc<View>,
+    seen: Mutex<HashMap<Served, BTreeMap<MemberId, Timestamp>>>,
+}
+
+impl Pairs {
+    /// Nothing was seen to serve yet.
+    #[must_use]
+    pub fn new(quarantine: Arc<Quarantine>, view: Arc<View>) -> Self {
+        Self {
+            quarantine,
+            view,
+            seen: Mutex::default(),
+        }
+    }
+
+    /// Follows one completion.
+    #[must_use]
+    pub fn suspect(
+        self: &Arc<Self>,
+        name: &EntryName,
+        version: &Version,
+        class: Class,
+        body: &[u8],
+    ) -> Suspect {
+        Suspect {
+            pairs: self.clone(),
+            served: (name.clone(), version.clone()),
+            fingerprint: fingerprint(name, body),
+            class,
+        }
+    }
+
+    /// Notes what each agent serves, also while no request asks for it.
+    pub async fn follow(self: Arc<Self>) {
+        let mut changes = self.view.changes();
+        loop {
+            self.note(&self.view.members());
+            tokio::time::sleep(BETWEEN).await;
+            // Without a change the notes are renewed, and those past their time dropped.
+            let _ = tokio::time::timeout(LOOK, changes.changed()).await;
+        }
+    }
+
+    /// Number of servers by entry and version, for the status.
+    #[must_use]
+    pub fn status(&self) -> Value {
+        let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let counts = seen.iter().map(|((name, version), agents)| {
+            (format!("{name} {version}"), Value::from(agents.len()))
+        });
+        Value::Object(counts.collect())
+    }
+
+    fn note(&self, members: &[Member]) {
+        let now = Clock.now();
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        for member in members.iter().filter(|m| m.role == Role::Agent) {
+            let serving = |h: &&Holding| h.state == HoldingState::Serving;
+            for holding in member.holdings.iter().filter(serving) {
+                let served = (holding.name.clone(), holding.version.clone());
+                seen.entry(served)
+                    .or_default()
+                    .insert(member.id.clone(), now);
+            }
+        }
+        for agents in seen.values_mut() {
+            agents.retain(|_, at| now.since(*at) < HOLD);
+        }
+        seen.retain(|_, agents| !agents.is_empty());
+    }
+
+    /// All that serve the version, and those that stopped lately without another version, which a
+    /// crash does.
+    fn servers(&self, served: &Served, members: &[Member]) -> Vec<MemberId> {
+        self.note(members);
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(agents) = seen.get_mut(served) else {
+            return Vec::new();
+        };
+        for member in members {
+            if member.state == MemberState::Leaving || has_moved(member, &served.1) {
+                agents.remove(&member.id);
+            }
+        }
+        agents.keys().cloned().collect()
+    }
+}
+
+/// Whether the agent serves or loads another version.
+fn has_moved(member: &Member, version: &Version) -> bool {
+    let mut holdings = member.holdings.iter();
+    holdings.any(|h| h.version != *version && h.state == HoldingState::Serving)
+}
+
+/// A completion and what is known of its like.
+#[derive(Clone)]
+pub struct Suspect {
+    pairs: Arc<Pairs>,
+    served: Served,
+    fingerprint: Digest,
+    class: Class,
+}
+
+impl Suspect {
+    /// Agents that the request must not be sent to.
+    ///
+    /// # Errors
+    /// When it may be sent nowhere. `outcome` is what its earlier attempts came to.
+    pub fn barred(&self, outcome: Option<Outcome>) -> Result<Vec<MemberId>, Problem> {
+        let (name, version) = &self.served;
+        let members = self.pairs.view.members();
+        let serving = members
+            .iter()
+            .filter(|m| m.role == Role::Agent && m.serves(name, version));
+        let usable: Vec<_> = serving
+            .filter(|m| m.is_alive())
+            .map(|m| m.id.clone())
+            .collect();
+        let servers = self.pairs.servers(&self.served, &members);
+        let quarantine = &self.pairs.quarantine;
+        let decided = quarantine.read(|records| {
+            let usable = |id: &MemberId| usable.contains(id);
+            let decided = send(records, &self.fingerprint, &servers, usable);
+            // A critical request must not vanish with its pair.
+            if decided == Send::Later && self.class == Class::Critical {
+                return spare(records, &self.fingerprint, &servers, usable);
+            }
+            decided
+        });
+        let outcome = outcome.unwrap_or(Outcome::NotRun);
+        let open = match decided {
+            Send::Shared(open) => open,
+            Send::Alone(one) => vec![one],
+            Send::Refuse => return Err(condemned(outcome)),
+            // Without any server the caller hears so from routing.
+            Send::Later if usable.is_empty() => return Ok(Vec::new()),
+            Send::Later => {
+                let late = Problem::unavailable("its servers are down; come back later", RETRY);
+                return Err(Problem { outcome, ..late });
+            }
+        };
+        Ok(usable.into_iter().filter(|id| !open.contains(id)).collect())
+    }
+
+    /// What the order tells the agent.
+    #[must_use]
+    pub fn record(&self) -> Option<Record> {
+        let quarantine = &self.pairs.quarantine;
+        quarantine.read(|records| records.get(&self.fingerprint).cloned())
+    }
+
+    /// Takes in what an agent found out.
+    pub fn crashed(&self, record: Record) {
+        self.pairs.quarantine.merge(&[(self.fingerprint, record)]);
+    }
+
+    /// The connection to an agent was lost while the request ran there. When the agent is gone
+    /// too, its server is taken for crashed.
+    pub fn lost(&self, agent: &Member, boot: SmolStr, alone: bool) {
+        let crash = Crash {
+            id: agent.id.clone(),
+            incarnation: agent.incarnation,
+            boot,
+        };
+        let suspect = self.clone();
+        tokio::spawn(async move {
+            let gone = tokio::time::timeout(GONE_LIMIT, suspect.gone(&crash)).await;
+            if gone.is_ok() {
+                let running = BTreeSet::from([suspect.fingerprint]);
+                suspect.pairs.quarantine.crashed(&crash, &running, alone);
+            }
+        });
+    }
+
+    async fn gone(&self, crash: &Crash) {
+        let mut changes = self.pairs.view.changes();
+        loop {
+            let member = self.pairs.view.member(&crash.id);
+            let same = member.is_some_and(|m| {
+                m.incarnation == crash.incarnation && m.state != MemberState::Gone
+            });
+            if !same || changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn condemned(outcome: Outcome) -> Problem {
+    metrics::counter!("apricothall_quarantine_refused_total").increment(1);
+    Problem {
+        status: StatusCode::UNPROCESSABLE_ENTITY,
+        outcome,
+        detail: "servers crashed while they ran this request; it is not run again".into(),
+        retry: None,
+    }
+}
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -133,6 +133,7 @@
             .map_or(service.class, |asked| asked.min(service.class)),
         budget: ask.budget,
         sent: Clock.wall(),
+        record: None,
         once: None,
         call,
     };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,10 +3,12 @@
 
 pub mod catalogue;
 pub mod claims;
+pub mod extras;
 pub mod http_server;
 pub mod membership;
 pub mod operators;
 pub mod peers;
+pub mod quarantine;
 pub mod rpc;
 pub mod shared;
 pub mod status;
@@ -18,6 +20,7 @@
 pub use catalogue::CatalogueState;
 pub use claims::ClaimDesk;
 pub use peers::PeerRoutes;
+pub use quarantine::Quarantine;
 pub use status::StatusBoard;
 pub use trace::Trace;
 pub use view::View;
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use apricothall_decide::quarantine::Record;
 use apricothall_types::{Load, Outcome, RequestId, Sequence, Version};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -24,6 +25,15 @@
 /// One step of an answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
+    /// The request is about to be sent to a server, so that the entry can name a crash of it.
+    Placed {
+        /// Start of the server.
+        boot: SmolStr,
+        /// Whether the request runs alone.
+        alone: bool,
+    },
+    /// The server crashed while the request ran: what is known of the request now.
+    Crashed(Record),
     /// The backend server has accepted the request.
     Head {
         /// HTTP status of the backend server.
--- a/crates/wire/src/order.rs
+++ b/crates/wire/src/order.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use apricothall_decide::dedupe::{CallKey, Home};
+use apricothall_decide::quarantine::Record;
 use apricothall_types::{CallerId, Class, Digest, EntryName, RequestId, Version, WallTime};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -88,6 +89,8 @@
     pub sent: WallTime,
     /// Present for calls that may not be repeated.
     pub once: Option<Once>,
+    /// What the entry knows of a request that crashed servers.
+    pub record: Option<Record>,
     /// What to do.
     pub call: Call,
 }
