--- a/crates/agent/src/servers.rs
+++ b/crates/agent/src/servers.rs
@@ -1,19 +1,22 @@
 //! Plug-in that knows the backend servers of this VM and what they serve.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
 use apricothall_fleet::{CatalogueState, StatusBoard, View};
 use apricothall_kernel::configs::{ServerConfig, ServerKind};
-use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
+use apricothall_kernel::{Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture};
 use apricothall_platform::{EngineClient, EngineState, HttpClient, ServiceClient, Serving};
-use apricothall_types::{EntryName, Holding, HoldingState, Load, Role, Version};
+use apricothall_types::{Catalogue, EntryName, Holding, HoldingState, Load, Role, Version};
 use linkme::distributed_slice;
 use serde_json::json;
 use smol_str::SmolStr;
 
+use crate::admission::Gate;
+use crate::transfers::Wants;
+
 #[distributed_slice(PLUGINS)]
 static SERVERS: Plugin = Plugin {
     name: "backend servers",
@@ -37,10 +40,26 @@
     pub config: ServerConfig,
     /// Calls it.
     pub client: EngineClient,
+    /// Its slots.
+    pub gate: Arc<Gate>,
     state: RwLock<Option<EngineState>>,
+    confirmed: RwLock<Confirmed>,
+    withdrawn: AtomicBool,
     running: AtomicU32,
 }
 
+/// What an engine is known to serve by a load, whatever it says later.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+enum Confirmed {
+    /// Nothing was ordered since this daemon started.
+    #[default]
+    Untouched,
+    /// The last order has not succeeded.
+    Nothing,
+    /// The last order succeeded in this boot of the engine.
+    Serving { boot: SmolStr, serving: Serving },
+}
+
 /// One plain service of this VM.
 pub struct Service {
     /// Its catalogue entry.
@@ -49,6 +68,8 @@
     pub config: ServerConfig,
     /// Calls it.
     pub client: ServiceClient,
+    /// Its slots.
+    pub gate: Arc<Gate>,
     running: AtomicU32,
 }
 
@@ -71,10 +92,75 @@
             .clone()
     }
 
-    /// The version that the engine last said it serves.
+    /// The version that the engine is offered for: it says that it serves what it was last
+    /// ordered to, without a restart since, and it is not withdrawn.
     #[must_use]
     pub fn serving(&self) -> Option<Serving> {
-        self.state()?.serving
+        if self.withdrawn.load(Ordering::Acquire) {
+            return None;
+        }
+        let state = self.state()?;
+        let said = state.serving.filter(|_| !state.loading)?;
+        let confirmed = self
+            .confirmed
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        match &*confirmed {
+            Confirmed::Serving { boot, serving } => {
+                (*boot == state.boot && *serving == said).then_some(said)
+            }
+            Confirmed::Untouched | Confirmed::Nothing => None,
+        }
+    }
+
+    /// Takes over what an earlier daemon of this VM has loaded, if the catalogue knows it.
+    pub fn adopt(&self, catalogue: &Catalogue) {
+        let Some(state) = self.state().filter(|s| !s.loading) else {
+            return;
+        };
+        let Some(serving) = state.serving else {
+            return;
+        };
+        let entry = catalogue.entry(&serving.name);
+        let mut versions = entry.into_iter().flat_map(|e| &e.versions);
+        let is_known =
+            versions.any(|v| v.version == serving.version && v.manifest == serving.manifest);
+        let mut confirmed = self.write_confirmed();
+        if is_known && *confirmed == Confirmed::Untouched {
+            let boot = state.boot;
+            *confirmed = Confirmed::Serving { boot, serving };
+        }
+    }
+
+    /// Notes that a load was ordered whose result is not known.
+    pub fn unconfirm(&self) {
+        *self.write_confirmed() = Confirmed::Nothing;
+    }
+
+    /// Notes what the engine serves after a load.
+    pub fn confirm(&self, state: EngineState) {
+        if let Some(serving) = state.serving.clone() {
+            let boot = state.boot.clone();
+            *self.write_confirmed() = Confirmed::Serving { boot, serving };
+        }
+        self.observe(Some(state));
+    }
+
+    /// Takes the engine out of service or back; returns whether that is a change.
+    pub fn set_withdrawn(&self, withdrawn: bool) -> bool {
+        self.withdrawn.swap(withdrawn, Ordering::AcqRel) != withdrawn
+    }
+
+    /// Whether no request runs.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.running.load(Ordering::Acquire) == 0
+    }
+
+    fn write_confirmed(&self) -> std::sync::RwLockWriteGuard<'_, Confirmed> {
+        self.confirmed
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records what the engine says of itself.
@@ -110,17 +196,25 @@
     pub engines: Vec<Arc<Engine>>,
     /// Plain services.
     pub services: Vec<Arc<Service>>,
+    held: RwLock<Vec<Holding>>,
 }
 
 impl Servers {
     fn new(context: &Context, http: &HttpClient) -> Self {
         let configs = &context.settings.servers;
+        let gate = |config: &ServerConfig| {
+            let admission = context.settings.admission.clone();
+            Arc::new(Gate::new(admission, config.slots.get(), context.clock))
+        };
         let engines = configs.iter().filter(|c| c.kind == ServerKind::Engine);
         let engines = engines.map(|config| {
             Arc::new(Engine {
                 config: config.clone(),
                 client: EngineClient::new(http.clone(), config.address),
+                gate: gate(config),
                 state: RwLock::default(),
+                confirmed: RwLock::default(),
+                withdrawn: AtomicBool::new(false),
                 running: AtomicU32::new(0),
             })
         });
@@ -132,20 +226,43 @@
                 name,
                 config: config.clone(),
                 client,
+                gate: gate(config),
                 running,
             }))
         });
         Self {
             engines: engines.collect(),
             services: services.collect(),
+            held: RwLock::default(),
+        }
+    }
+
+    /// Sets the versions held in memory; returns whether that is a change.
+    pub fn set_held(&self, held: Vec<Holding>) -> bool {
+        let mut old = self.held.write().unwrap_or_else(PoisonError::into_inner);
+        let is_new = *old != held;
+        *old = held;
+        is_new
+    }
+
+    /// All holdings for the member record; what serves is not listed as held besides.
+    fn holdings(&self) -> Vec<Holding> {
+        let mut all = self.serving();
+        let held = self.held.read().unwrap_or_else(PoisonError::into_inner);
+        for holding in held.iter() {
+            let is_same = |h: &Holding| h.name == holding.name && h.version == holding.version;
+            if !all.iter().any(is_same) {
+                all.push(holding.clone());
+            }
         }
+        all
     }
 
-    /// The engine with the fewest running requests of those that serve `version`.
+    /// The engine with the fewest requests of those that serve `version`.
     #[must_use]
     pub fn engine(&self, name: &EntryName, version: &Version) -> Option<Arc<Engine>> {
         let able = self.engines.iter().filter(|e| e.serves(name, version));
-        able.min_by_key(|e| e.running.load(Ordering::Relaxed))
+        able.min_by_key(|e| e.running.load(Ordering::Relaxed) + e.gate.queued())
             .cloned()
     }
 
@@ -153,21 +270,25 @@
     #[must_use]
     pub fn service(&self, name: &EntryName) -> Option<Arc<Service>> {
         let able = self.services.iter().filter(|s| s.name == *name);
-        able.min_by_key(|s| s.running.load(Ordering::Relaxed))
+        able.min_by_key(|s| s.running.load(Ordering::Relaxed) + s.gate.queued())
             .cloned()
     }
 
     /// Work at all servers together.
     #[must_use]
     pub fn load(&self) -> Load {
-        let engines = self.engines.iter().map(|e| (&e.running, e.config.slots));
-        let services = self.services.iter().map(|s| (&s.running, s.config.slots));
+        let engines = self
+            .engines
+            .iter()
+            .map(|e| (&e.running, &e.gate, &e.config));
+        let services = self.services.iter();
+        let services = services.map(|s| (&s.running, &s.gate, &s.config));
         engines
             .chain(services)
-            .fold(Load::default(), |sum, (running, slots)| Load {
+            .fold(Load::default(), |sum, (running, gate, config)| Load {
                 running: sum.running + running.load(Ordering::Relaxed),
-                queued: sum.queued,
-                slots: sum.slots + slots.get(),
+                queued: sum.queued + gate.queued(),
+                slots: sum.slots + config.slots.get(),
             })
     }
 
@@ -198,8 +319,12 @@
     let http = context.part::<HttpClient>()?;
     let servers = Arc::new(Servers::new(context, &http));
     context.provide(servers.clone());
+    context.provide(Arc::new(Wants::default()));
     let view = context.part::<View>()?;
     announce(&servers, &view);
+    context
+        .lifecycle
+        .spawn(refuse_waiting(context.lifecycle.clone(), servers.clone()));
     for engine in &servers.engines {
         let watched = watch_engine(engine.clone(), servers.clone(), view.clone());
         context.lifecycle.spawn(watched);
@@ -214,7 +339,7 @@
     board.section("servers", move || {
         let states = shown.engines.iter().map(|e| {
             json!({
-                "address": e.config.address, "state": e.state()
+                "address": e.config.address, "state": e.state(), "offered": e.serving()
             })
         });
         let services = shown.services.iter().map(|s| {
@@ -225,6 +350,16 @@
         json!({ "load": shown.load(), "engines": states.collect::<Vec<_>>(),
                 "services": services.collect::<Vec<_>>() })
     });
+    let shown = servers.clone();
+    board.section("admission", move || {
+        let engines = shown.engines.iter().map(|e| (e.config.address, &e.gate));
+        let services = shown.services.iter().map(|s| (s.config.address, &s.gate));
+        let gates = engines.chain(services);
+        gates
+            .map(|(address, gate)| (address.to_string(), gate.status()))
+            .collect::<serde_json::Map<_, _>>()
+            .into()
+    });
     board.condition(move || unready(&servers, &catalogue));
     Ok(())
 }
@@ -239,14 +374,15 @@
 
 /// Keeps the member record equal to what the servers say.
 pub fn announce(servers: &Servers, view: &View) {
-    let serving = servers.serving();
-    view.update_own(|own| {
-        let rest = own
-            .holdings
-            .iter()
-            .filter(|h| h.state != HoldingState::Serving);
-        own.holdings = serving.iter().chain(rest).cloned().collect();
-    });
+    // Computed under the lock of the view, so that the last change wins.
+    view.update_own(|own| own.holdings = servers.holdings());
+}
+
+/// Refuses what waits as soon as the agent leaves; entries send it elsewhere.
+async fn refuse_waiting(lifecycle: Lifecycle, servers: Arc<Servers>) {
+    lifecycle.left().await;
+    servers.engines.iter().for_each(|e| e.gate.drain());
+    servers.services.iter().for_each(|s| s.gate.drain());
 }
 
 async fn watch_engine(engine: Arc<Engine>, servers: Arc<Servers>, view: Arc<View>) {
--- a/crates/agent/src/suspects.rs
+++ b/crates/agent/src/suspects.rs
@@ -83,10 +83,9 @@
         self: &Arc<Self>,
         engine: &Arc<Engine>,
         order: &Order,
-        name: &EntryName,
         body: &[u8],
     ) -> Result<Place, Refusal> {
-        let fingerprint = fingerprint(name, body);
+        let fingerprint = fingerprint(&order.name, body);
         if let Some(record) = &order.record {
             self.quarantine.merge(&[(fingerprint, record.clone())]);
         }
--- a/crates/apricotd/tests/poison.rs
+++ b/crates/apricotd/tests/poison.rs
@@ -53,7 +53,7 @@
             serving(&fleet, entry, engine, "1").await;
         }
         let known = fleet.status_until(entry, "all servers in pairs", |status| {
-            status["pairs"][format!("{MODEL} 1")] == ENGINES.len()
+            status["pairs"][MODEL] == ENGINES.len()
         });
         known.await.expect("in time");
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,12 +2,17 @@
 
 pub mod ask;
 pub mod callers;
-pub mod choose;
 pub mod completions;
+pub mod demand;
 pub mod entries;
+pub mod explain;
 pub mod forward;
 pub mod home;
+pub mod limits;
 pub mod problem;
+pub mod prompt;
 pub mod quarantine;
+pub mod relay;
+pub mod routing;
 pub mod services;
 pub mod tickets;
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -10,7 +10,7 @@
 use apricothall_kernel::Clock;
 use apricothall_types::{
     Class, Digest, EntryName, Holding, HoldingState, Member, MemberId, MemberState, Outcome, Role,
-    Timestamp, Version,
+    Timestamp,
 };
 use http::StatusCode;
 use serde_json::Value;
@@ -31,13 +31,11 @@
 /// Longest wait for the news that a lost agent is gone.
 const GONE_LIMIT: Duration = Duration::from_secs(30);
 
-type Served = (EntryName, Version);
-
-/// Servers that serve or lately served a version.
+/// Servers that serve or lately served a model.
 pub struct Pairs {
     quarantine: Arc<Quarantine>,
     view: Arc<View>,
-    seen: Mutex<HashMap<Served, BTreeMap<MemberId, Timestamp>>>,
+    seen: Mutex<HashMap<EntryName, BTreeMap<MemberId, Timestamp>>>,
 }
 
 impl Pairs {
@@ -53,16 +51,10 @@
 
     /// Follows one completion.
     #[must_use]
-    pub fn suspect(
-        self: &Arc<Self>,
-        name: &EntryName,
-        version: &Version,
-        class: Class,
-        body: &[u8],
-    ) -> Suspect {
+    pub fn suspect(self: &Arc<Self>, name: &EntryName, class: Class, body: &[u8]) -> Suspect {
         Suspect {
             pairs: self.clone(),
-            served: (name.clone(), version.clone()),
+            name: name.clone(),
             fingerprint: fingerprint(name, body),
             class,
         }
@@ -83,9 +75,9 @@
     #[must_use]
     pub fn status(&self) -> Value {
         let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-        let counts = seen.iter().map(|((name, version), agents)| {
-            (format!("{name} {version}"), Value::from(agents.len()))
-        });
+        let counts = seen
+            .iter()
+            .map(|(name, agents)| (name.to_string(), Value::from(agents.len())));
         Value::Object(counts.collect())
     }
 
@@ -95,10 +87,8 @@
         for member in members.iter().filter(|m| m.role == Role::Agent) {
             let serving = |h: &&Holding| h.state == HoldingState::Serving;
             for holding in member.holdings.iter().filter(serving) {
-                let served = (holding.name.clone(), holding.version.clone());
-                seen.entry(served)
-                    .or_default()
-                    .insert(member.id.clone(), now);
+                let agents = seen.entry(holding.name.clone()).or_default();
+                agents.insert(member.id.clone(), now);
             }
         }
         for agents in seen.values_mut() {
@@ -107,16 +97,16 @@
         seen.retain(|_, agents| !agents.is_empty());
     }
 
-    /// All that serve the version, and those that stopped lately without another version, which a
-    /// crash does.
-    fn servers(&self, served: &Served, members: &[Member]) -> Vec<MemberId> {
+    /// All that serve the model, and those that stopped lately without another one, which a crash
+    /// does.
+    fn servers(&self, name: &EntryName, members: &[Member]) -> Vec<MemberId> {
         self.note(members);
         let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(agents) = seen.get_mut(served) else {
+        let Some(agents) = seen.get_mut(name) else {
             return Vec::new();
         };
         for member in members {
-            if member.state == MemberState::Leaving || has_moved(member, &served.1) {
+            if member.state == MemberState::Leaving || has_moved(member, name) {
                 agents.remove(&member.id);
             }
         }
@@ -124,17 +114,28 @@
     }
 }
 
-/// Whether the agent serves or loads another version.
-fn has_moved(member: &Member, version: &Version) -> bool {
+/// Whether the agent's engines serve other models only.
+fn has_moved(member: &Member, name: &EntryName) -> bool {
+    let serving = member
+        .holdings
+        .iter()
+        .filter(|h| h.state == HoldingState::Serving);
+    let names: Vec<_> = serving.map(|h| &h.name).collect();
+    !names.is_empty() && !names.contains(&name)
+}
+
+/// Whether an engine of the agent serves some version of the model. All versions share one pair, so
+/// that a rollout does not move it.
+fn serves(member: &Member, name: &EntryName) -> bool {
     let mut holdings = member.holdings.iter();
-    holdings.any(|h| h.version != *version && h.state == HoldingState::Serving)
+    holdings.any(|h| h.name == *name && h.state == HoldingState::Serving)
 }
 
 /// A completion and what is known of its like.
 #[derive(Clone)]
 pub struct Suspect {
     pairs: Arc<Pairs>,
-    served: Served,
+    name: EntryName,
     fingerprint: Digest,
     class: Class,
 }
@@ -145,16 +146,15 @@
     /// # Errors
     /// When it may be sent nowhere. `outcome` is what its earlier attempts came to.
     pub fn barred(&self, outcome: Option<Outcome>) -> Result<Vec<MemberId>, Problem> {
-        let (name, version) = &self.served;
         let members = self.pairs.view.members();
         let serving = members
             .iter()
-            .filter(|m| m.role == Role::Agent && m.serves(name, version));
+            .filter(|m| m.role == Role::Agent && serves(m, &self.name));
         let usable: Vec<_> = serving
             .filter(|m| m.is_alive())
             .map(|m| m.id.clone())
             .collect();
-        let servers = self.pairs.servers(&self.served, &members);
+        let servers = self.pairs.servers(&self.name, &members);
         let quarantine = &self.pairs.quarantine;
         let decided = quarantine.read(|records| {
             let usable = |id: &MemberId| usable.contains(id);
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -9,6 +9,9 @@
 
 use crate::{Header, Payload};
 
+/// Value of [`Refusal::retry`] of an agent that leaves: another one may be asked at once.
+pub const ELSEWHERE: Duration = Duration::ZERO;
+
 /// Why a request has no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
@@ -25,6 +28,8 @@
 /// One step of an answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
+    /// The agent has the order, which waits or runs; sent again while nothing else is.
+    Pending(Load),
     /// The request is about to be sent to a server, so that the entry can name a crash of it.
     Placed {
         /// Start of the server.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod server;
 
 pub use answer::{Answer, AnswerFrame, Refusal};
-pub use chunk::{ChunkFrame, ChunkRequest};
+pub use chunk::{ChunkFrame, ChunkRequest, ChunkWant};
 pub use client::{Connector, ConnectorConfig, Lane};
 pub use codec::{Channel, FrameCodec};
 pub use error::WireError;
@@ -41,3 +41,6 @@
 
 /// Path of streams that carry a `tarpc` session.
 pub const RPC_PATH: &str = "/rpc";
+
+/// Path of streams by which entries tell each other about demand and loans.
+pub const DEMAND_PATH: &str = "/demand";
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -27,6 +27,9 @@
 /// Copies of the model that the store's link carries while a VM's link carries one.
 const STORE_LINKS: u64 = 2;
 
+/// Period of membership in a burst.
+pub const MEMBERSHIP_PERIOD: &str = "250ms";
+
 /// Size of the weights served before the burst.
 const FIRST_SIZE: Bytes = Bytes::kib(256);
 
@@ -36,6 +39,8 @@
     pub first: Weights,
     /// Spread by the burst.
     pub second: Weights,
+    /// Published under way, where that is asked for.
+    pub third: Weights,
 }
 
 impl Versions {
@@ -44,7 +49,12 @@
     pub fn generate(arguments: &BurstArguments) -> Self {
         let first = Weights::generate(arguments.seed, FIRST_SIZE, arguments.chunk);
         let second = Weights::generate(arguments.seed + 1, arguments.size, arguments.chunk);
-        Self { first, second }
+        let third = Weights::generate(arguments.seed + 2, arguments.size, arguments.chunk);
+        Self {
+            first,
+            second,
+            third,
+        }
     }
 
     /// The catalogue with `current` in force.
@@ -54,12 +64,14 @@
         let replicas = arguments.agents;
         let window = arguments.window;
         let (first, second) = (self.first.digest, self.second.digest);
+        let third = self.third.digest;
         format!(
             "[[entries]]\nname = \"{MODEL}\"\nkind = \"model\"\nowner = \"desbroce\"\n\
              replicas = {replicas}\nwindow = {window}\nweighting = \"{weighting}\"\n\
              current = \"{current}\"\n\
              [[entries.versions]]\nversion = \"1\"\nmanifest = \"{first}\"\n\
-             [[entries.versions]]\nversion = \"2\"\nmanifest = \"{second}\"\n"
+             [[entries.versions]]\nversion = \"2\"\nmanifest = \"{second}\"\n\
+             [[entries.versions]]\nversion = \"3\"\nmanifest = \"{third}\"\n"
         )
     }
 }
@@ -91,9 +103,24 @@
     }
     plan.shape = shape(arguments);
     plan.seed = arguments.seed;
+    let plan = plan.with_settings(&settings(arguments))?;
+    let plan = plan.with_settings(&arguments.settings)?;
     Ok(plan.with_catalogue(catalogue))
 }
 
+/// Settings of all daemons: the rates of the shaped links, and a shorter period of membership, as
+/// the burst is over within seconds.
+fn settings(arguments: &BurstArguments) -> String {
+    let (link, between) = (arguments.link, arguments.between);
+    let store = Rate(link.0 * STORE_LINKS);
+    let strategy = arguments.strategy.as_str();
+    format!(
+        "membership.period = \"{MEMBERSHIP_PERIOD}\"\n\
+         [transfer]\nstrategy = \"{strategy}\"\nlink = \"{link}\"\nstore = \"{store}\"\n\
+         cross = \"{between}\"\n"
+    )
+}
+
 fn shape(arguments: &BurstArguments) -> Shape {
     Shape {
         zones: Duration::from_millis(4),
