--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -20,6 +20,7 @@
 use crate::admission::{Gate, Permit, refusal_of};
 use crate::claims::Claimant;
 use crate::servers::Servers;
+use crate::suspects::Suspects;
 use crate::{completion, service_call};
 
 #[distributed_slice(PLUGINS)]
@@ -80,6 +81,8 @@
     pub servers: Arc<Servers>,
     /// Clock of the VM.
     pub clock: Clock,
+    /// Requests on the engines.
+    pub suspects: Arc<Suspects>,
     /// Calls that may not be repeated.
     pub claimant: Arc<Claimant>,
     lifecycle: Lifecycle,
@@ -128,6 +131,7 @@
     let runner = Runner {
         servers: context.part::<Servers>()?,
         clock: context.clock,
+        suspects: context.part()?,
         claimant: context.part()?,
         lifecycle: context.lifecycle.clone(),
     };
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -10,7 +10,7 @@
 use apricothall_decide::configs::RetryConfig;
 use apricothall_decide::drain::Intake;
 use apricothall_fleet::http_server::{Body, Waits, serve_within};
-use apricothall_fleet::{CatalogueState, Trace, View};
+use apricothall_fleet::{CatalogueState, StatusBoard, Trace, View};
 use apricothall_kernel::configs::CallersConfig;
 use apricothall_kernel::lifecycle::WorkGuard;
 use apricothall_kernel::{
@@ -28,6 +28,7 @@
 
 use crate::limits::Limits;
 use crate::problem::Problem;
+use crate::quarantine::Pairs;
 use crate::routing::Routing;
 use crate::{ask, completions, entries, services};
 
@@ -59,6 +60,8 @@
     pub horizon: Duration,
     /// Other daemons.
     pub view: Arc<View>,
+    /// Servers that a completion may go to.
+    pub pairs: Arc<Pairs>,
     /// The catalogue in force.
     pub catalogue: Arc<CatalogueState>,
     /// Connections to agents.
@@ -83,6 +86,7 @@
         zone: settings.daemon.zone.clone(),
         clock: context.clock,
         horizon: settings.dedupe.horizon.0,
+        pairs: Arc::new(Pairs::new(context.part()?, context.part()?)),
         view: context.part()?,
         catalogue: context.part()?,
         connector: context.part()?,
@@ -90,6 +94,10 @@
         limits: context.part()?,
         lifecycle: context.lifecycle.clone(),
     });
+    context.lifecycle.spawn(entry.pairs.clone().follow());
+    let pairs = entry.pairs.clone();
+    let board = context.part::<StatusBoard>()?;
+    board.section("pairs", move || pairs.status());
     context.lifecycle.spawn_closing(open(entry, socket));
     Ok(())
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod limits;
 pub mod problem;
 pub mod prompt;
+pub mod quarantine;
 pub mod relay;
 pub mod routing;
 pub mod services;
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use apricothall_decide::quarantine::Record;
 use apricothall_types::{Load, Outcome, RequestId, Sequence, Version};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -29,6 +30,15 @@
 pub enum Answer {
     /// The agent has the order, which waits or runs; sent again while nothing else is.
     Pending(Load),
+    /// The request is about to be sent to a server, so that the entry can name a crash of it.
+    Placed {
+        /// Start of the server.
+        boot: SmolStr,
+        /// Whether the request runs alone.
+        alone: bool,
+    },
+    /// The server crashed while the request ran: what is known of the request now.
+    Crashed(Record),
     /// The backend server has accepted the request.
     Head {
         /// HTTP status of the backend server.
