--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -2,14 +2,18 @@
 
 pub mod admission;
 pub mod chunks;
+pub mod claims;
 pub mod completion;
 pub mod fetch;
+pub mod keyed;
 pub mod loader;
 pub mod placement;
+pub mod register;
 pub mod reload;
 pub mod run;
 pub mod servers;
 pub mod service_call;
+pub mod suspects;
 pub mod swarm;
 pub mod transfers;
 pub mod upload;
--- a/crates/decide/src/membership/peer.rs
+++ b/crates/decide/src/membership/peer.rs
@@ -25,6 +25,10 @@
     pub health: Health,
     pub bucket: u16,
     pub sum: u32,
+    /// Generation of the view at the last change.
+    pub changed: u64,
+    /// Whether the last change needs the whole record to be passed on.
+    pub whole: bool,
 }
 
 impl Peer {
@@ -37,6 +41,8 @@
             health,
             bucket,
             sum,
+            changed: 0,
+            whole: true,
         }
     }
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -9,9 +9,11 @@
 };
 use futures::{SinkExt, StreamExt};
 use http::StatusCode;
-use smol_str::ToSmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 use thiserror::Error;
 
+use crate::quarantine::Suspect;
+
 /// Why a try has no whole answer.
 #[derive(Debug, Error)]
 pub enum ForwardError {
@@ -112,6 +114,9 @@
     due: Sequence,
     length: u64,
     load: Option<Load>,
+    agent: Member,
+    suspect: Option<Suspect>,
+    placed: Option<(SmolStr, bool)>,
 }
 
 impl Attempt {
@@ -137,9 +142,24 @@
             due: Sequence(0),
             length: 0,
             load: None,
+            agent: agent.clone(),
+            suspect: None,
+            placed: None,
         })
     }
 
+    /// Notes crashes of the server under this request.
+    pub fn watch(&mut self, suspect: Suspect) {
+        self.suspect = Some(suspect);
+    }
+
+    /// Whether the server may have crashed under the request, as far as the connection tells.
+    fn note_lost(&mut self) {
+        if let (Some(suspect), Some((boot, alone))) = (&self.suspect, self.placed.take()) {
+            suspect.lost(&self.agent, boot, alone);
+        }
+    }
+
     /// Takes the load that the agent reported since the last call.
     pub fn take_load(&mut self) -> Option<Load> {
         self.load.take()
@@ -164,7 +184,10 @@
     pub async fn next_within(&mut self, silence: Duration) -> Result<Step, ForwardError> {
         loop {
             let step = tokio::time::timeout(silence, self.step()).await;
-            let step = step.unwrap_or(Err(ForwardError::Lost(WireError::Timeout)));
+            let Ok(step) = step else {
+                self.note_lost();
+                return Err(ForwardError::Lost(WireError::Timeout));
+            };
             if let Some(step) = step? {
                 return Ok(step);
             }
@@ -174,7 +197,10 @@
     /// The next frame; none for a sign of life.
     async fn step(&mut self) -> Result<Option<Step>, ForwardError> {
         let frame = self.channel.next().await.unwrap_or(Err(WireError::Ended));
-        let frame = frame.map_err(ForwardError::Lost)?;
+        let frame = frame.map_err(|error| {
+            self.note_lost();
+            ForwardError::Lost(error)
+        })?;
         if frame.request != self.request || frame.sequence != self.due {
             metrics::counter!("apricothall_frames_crossed_total").increment(1);
             return Err(ForwardError::Crossed);
@@ -185,6 +211,16 @@
                 self.load = Some(load);
                 Ok(None)
             }
+            Answer::Placed { boot, alone } => {
+                self.placed = Some((boot, alone));
+                Ok(None)
+            }
+            Answer::Crashed(record) => {
+                if let Some(suspect) = &self.suspect {
+                    suspect.crashed(record);
+                }
+                Ok(None)
+            }
             Answer::Data(payload) => {
                 self.length += payload.len() as u64;
                 Ok(Some(Step::Data(payload.0)))
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 
 mod build;
 mod burst;
+mod capacity;
 mod faults;
 mod figures;
 mod fleet;
@@ -33,6 +34,9 @@
     /// Runs a burst by the origin alone and one by the swarm, for each number of agents.
     #[command(after_help = "Example: cargo xtask compare --counts 6,12,24 --json")]
     Compare(CompareArguments),
+    /// Measures idle fleets of real daemons, for docs/CAPACITY.md.
+    #[command(after_help = "Example: cargo xtask capacity --agents 10,50,100")]
+    Capacity(capacity::CapacityArguments),
     /// Draws figures from the lines that bursts print.
     Report(report::ReportArguments),
 }
@@ -71,6 +75,7 @@
     runtime.block_on(async {
         match task {
             Task::Burst(arguments) => burst::run(arguments, binary).await,
+            Task::Capacity(arguments) => capacity::run(arguments, binary).await,
             Task::Compare(arguments) => compare(arguments, &binary).await,
             Task::Report(_) => Ok(()),
         }
