--- a/crates/apricotd/tests/configuration.rs
+++ b/crates/apricotd/tests/configuration.rs
@@ -6,9 +6,11 @@
 mod observer;
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use apricothall_standin::config::View;
 use apricothall_standin::fleet::{Fleet, until};
+use apricothall_standin::network::{Fault, Port, Rule, Side};
 use apricothall_standin::plan::{Plan, VmPlan};
 use apricothall_standin::server::Mode;
 use apricothall_types::Revision;
@@ -19,6 +21,8 @@
 const ZONES: [&str; 3] = ["lima", "arequipa", "cusco"];
 /// Reads that show that the service was asked again and again.
 const READS: u64 = 20;
+/// Delay of what peers tell a new process.
+const LATE: Duration = Duration::from_millis(300);
 /// Readers of a subject in a zone.
 const READERS: usize = 3;
 
@@ -74,6 +78,22 @@
     until("reads of the service", check).await.expect("asked");
 }
 
+/// Revision in force when the catalogue no longer keeps `id` from being ready.
+async fn accepted_first(fleet: &Fleet, id: &str) -> u64 {
+    let node = fleet.node(id);
+    let check = async || {
+        let answer = node.operator("/readyz").await.map_err(|e| e.to_string())?;
+        let reason = String::from_utf8_lossy(&answer.body).into_owned();
+        if reason.contains("is not known yet") {
+            return Err(reason);
+        }
+        node.status().await.map_err(|e| e.to_string())
+    };
+    let status = until("readiness of the catalogue", check).await;
+    let status = status.expect("known in time");
+    status["catalogue"]["revision"].as_u64().expect("a number")
+}
+
 macro_rules! never_reverts {
     ($($case:ident: |$fleet:ident| $body:block => $revision:literal;)*) => {
         $(#[tokio::test(flavor = "multi_thread")]
@@ -125,11 +145,13 @@
         publish(&fleet, 2);
         everywhere(&fleet, 2).await;
         fleet.platform.config.set_view(View::Stale(Revision(1)));
+        // Its peers answer later than the service.
+        let (base, jitter) = (LATE, Duration::ZERO);
+        let late = Fault::Delay { base, jitter };
+        fleet.network.inject(Rule::new(Side::Any, Side::vm("cusco-9"), late).on(Port::Peers));
         let vm = VmPlan::entry("cusco-9", "cusco", "cusco-a").expect("valid id");
         fleet.add(vm).await.expect("starts");
-        fleet.ready().await.expect("ready");
-        let status = fleet.node("cusco-9").status().await.expect("answers");
-        assert_eq!(status["catalogue"]["revision"], 2, "ready with an old revision");
+        assert_eq!(accepted_first(&fleet, "cusco-9").await, 2, "ready with an old revision");
     } => 2;
     woken_process_with_an_old_revision: |fleet| {
         let frozen = fleet.node("arequipa-1").process.as_ref().expect("runs");
--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -166,8 +166,8 @@
 
     /// Changes the own record. A change of anything but the revision raises the sequence.
     ///
-    /// Only state, revision and holdings may change; the rest is fixed for an incarnation, since
-    /// [`Change`] does not carry it.
+    /// Address for callers, state, revision and holdings may change; the rest is fixed for an
+    /// incarnation, since [`Change`] does not carry it.
     ///
     /// The revision changes at every member at once, several times a minute, so it does not make
     /// a change to pass on; [`Head`] spreads it.
@@ -175,6 +175,7 @@
         let before = self.own.clone();
         let mut next = before.clone();
         change(&mut next);
+        self.own.public = next.public;
         self.own.state = next.state;
         self.own.revision = next.revision;
         self.own.holdings = next.holdings;
@@ -239,6 +240,14 @@
         alive.map(|s| s.member)
     }
 
+    /// Other members that should be there: those that take new work, or as many as are listed.
+    ///
+    /// A new process reads the list before it has heard anybody.
+    #[must_use]
+    pub fn expected(&self) -> usize {
+        self.alive().count().max(self.candidates.len())
+    }
+
     /// Agents that take new work and serve `version` of `name`.
     pub fn agents_serving(
         &self,
--- a/crates/decide/src/membership/message.rs
+++ b/crates/decide/src/membership/message.rs
@@ -47,6 +47,8 @@
     pub incarnation: Incarnation,
     /// Sequence of the record.
     pub sequence: Sequence,
+    /// Address for callers; entries only.
+    pub public: Option<SocketAddr>,
     /// Whether the member takes part.
     pub state: MemberState,
     /// Versions held.
@@ -60,6 +62,7 @@
             id: member.id.clone(),
             incarnation: member.incarnation,
             sequence: member.sequence,
+            public: member.public,
             state: member.state,
             holdings: member.holdings.clone(),
         }
@@ -72,6 +75,7 @@
         }
         Some(Member {
             sequence: self.sequence,
+            public: self.public,
             state: self.state,
             holdings: self.holdings.clone(),
             ..known.clone()
@@ -199,7 +203,9 @@
 /// Bound on the encoded size of `change`, in bytes.
 pub(super) fn change_size(change: &Change) -> usize {
     let counters = int_size(change.incarnation.0) + int_size(change.sequence.0);
-    change.id.as_str().len() + 1 + counters + 1 + holdings_size(&change.holdings)
+    let public = change.public.map_or(0, address_size) + 1;
+    let fixed = change.id.as_str().len() + 2;
+    fixed + counters + public + holdings_size(&change.holdings)
 }
 
 /// Bound on the encoded size of `member`, in bytes.
--- a/crates/fleet/src/subject.rs
+++ b/crates/fleet/src/subject.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use apricothall_decide::membership::{GossipMessage, Head};
+use apricothall_decide::membership::{GossipMessage, Head, Membership};
 use apricothall_decide::revision::{Decision, Poll, Readiness, Revisions, Source, Stamp};
 use apricothall_kernel::Context;
 use apricothall_platform::{PlatformError, Value, Watched};
@@ -108,7 +108,7 @@
     /// Why this daemon may not serve yet, as far as this subject goes.
     #[must_use]
     pub fn unready(&self) -> Option<SmolStr> {
-        let known = self.view.with(|m| m.alive().count());
+        let known = self.view.with(Membership::expected);
         let now = self.clock.now();
         match self.lock().readiness(known, now) {
             Readiness::Ready(_) => None,
--- a/xtask/src/capacity.rs
+++ b/xtask/src/capacity.rs
@@ -8,8 +8,10 @@
 use apricothall_standin::fleet::{Fleet, until};
 use apricothall_standin::node::Node;
 use apricothall_standin::plan::Plan;
+use apricothall_standin::process::Process;
 use apricothall_types::Role;
 use clap::Args;
+use smol_str::SmolStr;
 
 use crate::burst::TaskError;
 use crate::fleet::REGIONS;
@@ -49,6 +51,9 @@
     received: u64,
 }
 
+/// Counters by id of the VM.
+type Usages = HashMap<SmolStr, Usage>;
+
 /// Runs the idle fleets one after the other and prints a line for each role.
 ///
 /// # Errors
@@ -98,10 +103,10 @@
     for node in fleet.nodes.values() {
         knows_all(fleet, node).await?;
     }
-    let (before, reads) = (usages(fleet), fleet.platform.config.reads().total);
+    let (before, reads) = (usages(fleet)?, fleet.platform.config.reads().total);
     let start = Instant::now();
     tokio::time::sleep(interval).await;
-    let (after, end) = (usages(fleet), fleet.platform.config.reads().total);
+    let (after, end) = (usages(fleet)?, fleet.platform.config.reads().total);
     let millis = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
     for role in [Role::Entry, Role::Agent] {
         print(fleet, role, &before, &after, millis, end - reads);
@@ -122,26 +127,25 @@
     Ok(until(&format!("all members at {}", node.plan.id), check).await?)
 }
 
-fn usages(fleet: &Fleet) -> HashMap<smol_str::SmolStr, Usage> {
+fn usages(fleet: &Fleet) -> std::io::Result<Usages> {
     let carried = fleet.network.carried();
     let nodes = fleet.nodes.values();
     let measured = nodes.map(|node| {
-        let mut usage = node.process.as_ref().map_or_else(Usage::default, |p| {
-            p.id().map_or_else(Usage::default, process_usage)
-        });
+        let pid = node.process.as_ref().and_then(Process::id);
+        let mut usage = pid.map_or_else(|| Ok(Usage::default()), process_usage)?;
         for ((from, to), bytes) in &carried {
             usage.sent += if *from == node.plan.id { *bytes } else { 0 };
             usage.received += if *to == node.plan.id { *bytes } else { 0 };
         }
-        (node.plan.id.clone(), usage)
+        Ok((node.plan.id.clone(), usage))
     });
     measured.collect()
 }
 
-/// Memory and processor time of a child process; zero once it has ended.
-fn process_usage(pid: u32) -> Usage {
+/// Memory and processor time of a child process.
+fn process_usage(pid: u32) -> std::io::Result<Usage> {
     let read = |name: &str| std::fs::read_to_string(format!("/proc/{pid}/{name}"));
-    let stat = read("stat").unwrap_or_default();
+    let stat = read("stat")?;
     let fields: Vec<_> = stat
         .rsplit(')')
         .next()
@@ -149,31 +153,24 @@
         .split_whitespace()
         .collect();
     let number = |index: usize| fields.get(index).and_then(|f| f.parse().ok()).unwrap_or(0);
-    let memory = read("statm").unwrap_or_default();
+    let memory = read("statm")?;
     let pages: u64 = memory
         .split(' ')
         .nth(1)
         .and_then(|f| f.parse().ok())
         .unwrap_or(0);
-    Usage {
+    Ok(Usage {
         resident: pages * PAGE_BYTES,
         ticks: number(USER_FIELD) + number(SYSTEM_FIELD),
         ..Usage::default()
-    }
+    })
 }
 
-fn print(
-    fleet: &Fleet,
-    role: Role,
-    before: &HashMap<smol_str::SmolStr, Usage>,
-    after: &HashMap<smol_str::SmolStr, Usage>,
-    millis: u64,
-    reads: u64,
-) {
+fn print(fleet: &Fleet, role: Role, before: &Usages, after: &Usages, millis: u64, reads: u64) {
     let nodes = fleet.nodes.values().filter(|n| n.plan.role == role);
     let ids: Vec<_> = nodes.map(|n| &n.plan.id).collect();
     let count = ids.len().max(1) as u64;
-    let sum = |map: &HashMap<_, Usage>, field: fn(&Usage) -> u64| -> u64 {
+    let sum = |map: &Usages, field: fn(&Usage) -> u64| -> u64 {
         ids.iter().filter_map(|id| map.get(*id)).map(field).sum()
     };
     let growth = |field: fn(&Usage) -> u64| sum(after, field).saturating_sub(sum(before, field));
