--- a/crates/agent/src/completion.rs
+++ b/crates/agent/src/completion.rs
@@ -1,5 +1,6 @@
 //! Runs a completion on an engine and passes its tokens on.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use apricothall_fleet::Trace;
@@ -11,6 +12,7 @@
 
 use crate::run::{BEAT, Reply, Runner, refused};
 use crate::servers::Engine;
+use crate::suspects::Place;
 
 /// When to come back after a refusal that passes.
 const RETRY: Duration = Duration::from_secs(1);
@@ -53,17 +55,30 @@
         Ok(permit) => permit,
         Err(refusal) => return Ok(refused(refusal, servers.load())),
     };
+    let place = match place(runner, &engine, order, &call, reply).await? {
+        Ok(place) => place,
+        Err(refusal) => return Ok(refused(refusal, servers.load())),
+    };
     let running = engine.begin();
     let left = call.deadline.since(runner.clock.now());
     let relay = relay(runner, &engine, order, call, reply);
     let relayed = tokio::time::timeout(left, relay).await;
     drop(running);
     let last = match relayed {
-        Ok(Ok(length)) => Ok(Answer::End {
-            length,
-            load: servers.load(),
-        }),
-        Ok(Err(Fault::Engine(refusal))) => Ok(refused(refusal, servers.load())),
+        Ok(Ok(length)) => {
+            place.completed();
+            Ok(Answer::End {
+                length,
+                load: servers.load(),
+            })
+        }
+        Ok(Err(Fault::Engine(refusal))) => {
+            let sent = refusal.outcome != Outcome::NotRun;
+            if let Some(record) = if sent { place.broken().await } else { None } {
+                reply.send(Answer::Crashed(record)).await?;
+            }
+            Ok(refused(refusal, servers.load()))
+        }
         Ok(Err(Fault::Entry(error))) => {
             cancel(&engine, order).await;
             Err(error)
@@ -79,6 +94,40 @@
     last
 }
 
+/// Waits until the request may run on `engine`, and tells the entry. The inner error is the final
+/// refusal: the order has not run.
+async fn place(
+    runner: &Runner,
+    engine: &Arc<Engine>,
+    order: &Order,
+    call: &Call<'_>,
+    reply: &mut Reply,
+) -> Result<Result<Place, Refusal>, WireError> {
+    let suspects = &runner.suspects;
+    let left = call.deadline.since(runner.clock.now());
+    let entered = suspects.enter(engine, order, &call.body);
+    let entered = tokio::time::timeout(left, entered);
+    let entered = match attended(runner, reply, entered).await {
+        Ok(entered) => entered,
+        Err(Fault::Entry(error)) => return Err(error),
+        Err(Fault::Engine(refusal)) => return Ok(Err(refusal)),
+    };
+    let late = || refusal(Outcome::NotRun, 504, "the deadline has passed".into());
+    let entered = entered.unwrap_or_else(|_| Err(late()));
+    match &entered {
+        Ok(place) => {
+            let (boot, alone) = (place.boot.clone(), place.is_alone());
+            reply.send(Answer::Placed { boot, alone }).await?;
+        }
+        Err(_) => {
+            if let Some(record) = suspects.record(&order.name, &call.body) {
+                reply.send(Answer::Crashed(record)).await?;
+            }
+        }
+    }
+    Ok(entered)
+}
+
 /// Why a relay ended early.
 enum Fault {
     Entry(WireError),
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod run;
 pub mod servers;
 pub mod service_call;
+pub mod suspects;
 pub mod swarm;
 pub mod transfers;
 pub mod upload;
--- a/crates/decide/src/membership/message.rs
+++ b/crates/decide/src/membership/message.rs
@@ -47,10 +47,10 @@
     pub incarnation: Incarnation,
     /// Sequence of the record.
     pub sequence: Sequence,
-    /// Address for callers; entries only.
-    pub public: Option<SocketAddr>,
     /// Whether the member takes part.
     pub state: MemberState,
+    /// Address for callers, once an entry listens there.
+    pub public: Option<SocketAddr>,
     /// Versions held.
     pub holdings: Vec<Holding>,
 }
@@ -62,8 +62,8 @@
             id: member.id.clone(),
             incarnation: member.incarnation,
             sequence: member.sequence,
-            public: member.public,
             state: member.state,
+            public: member.public,
             holdings: member.holdings.clone(),
         }
     }
@@ -75,8 +75,8 @@
         }
         Some(Member {
             sequence: self.sequence,
-            public: self.public,
             state: self.state,
+            public: self.public,
             holdings: self.holdings.clone(),
             ..known.clone()
         })
@@ -204,8 +204,7 @@
 pub(super) fn change_size(change: &Change) -> usize {
     let counters = int_size(change.incarnation.0) + int_size(change.sequence.0);
     let public = change.public.map_or(0, address_size) + 1;
-    let fixed = change.id.as_str().len() + 2;
-    fixed + counters + public + holdings_size(&change.holdings)
+    change.id.as_str().len() + 1 + counters + 1 + public + holdings_size(&change.holdings)
 }
 
 /// Bound on the encoded size of `member`, in bytes.
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -7,7 +7,7 @@
 use apricothall_decide::retry::{Failure, Verdict, retry_after};
 use apricothall_fleet::Trace;
 use apricothall_fleet::http_server::Body;
-use apricothall_types::{CatalogueEntry, Class, Kind, Outcome, Timestamp, Version};
+use apricothall_types::{CatalogueEntry, Class, Kind, MemberId, Outcome, Timestamp, Version};
 use apricothall_wire::{Call, Lane, Order, Payload, WireError};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -21,6 +21,7 @@
 use crate::limits::Asked;
 use crate::problem::Problem;
 use crate::prompt::Prompt;
+use crate::quarantine::Suspect;
 use crate::relay::{self, Started};
 use crate::routing::{Flight, Wanted};
 
@@ -45,6 +46,7 @@
     ask: &'a Ask,
     prompt: &'a Prompt,
     deadline: Timestamp,
+    suspect: Suspect,
 }
 
 /// Answers a completion call.
@@ -70,6 +72,7 @@
         body: prompt.body.len(),
     })?;
     let end = Instant::now() + ask.budget;
+    let suspect = entry.pairs.suspect(&model.name, class, &prompt.body);
     let job = Job {
         entry: &entry,
         model,
@@ -77,6 +80,7 @@
         ask: &ask,
         prompt: &prompt,
         deadline: entry.clock.now() + ask.budget,
+        suspect,
     };
     let started = timeout_at(end, job.begin()).await;
     let started = started.map_err(|_| too_late())??;
@@ -110,11 +114,13 @@
         let mut tried = BTreeSet::new();
         let mut attempts = 0;
         let mut last = None;
+        let mut ran = None;
         loop {
+            let closed = self.closed(&tried, ran)?;
             let wanted = Wanted {
                 model: self.model,
                 prefix: self.prompt.prefix,
-                tried: &tried,
+                tried: &closed,
             };
             let Some((flight, choice)) = routing.choose(wanted) else {
                 break;
@@ -129,6 +135,9 @@
             metrics::counter!("apricothall_tries_failed_total", "reason" => error.label())
                 .increment(1);
             tried.insert(member);
+            if !error.is_not_run() {
+                ran = Some(error.refusal().outcome);
+            }
             let elsewhere = error.is_elsewhere() && tried.len() < MAX_ELSEWHERE;
             attempts += u32::from(!elsewhere);
             let pause = if elsewhere {
@@ -145,6 +154,16 @@
         Err(last.map_or_else(|| self.no_agent(), |e| spread(e.refusal().into())))
     }
 
+    /// Agents that were tried, and those that quarantine rules out.
+    fn closed(
+        &self,
+        tried: &BTreeSet<MemberId>,
+        ran: Option<Outcome>,
+    ) -> Result<BTreeSet<MemberId>, Problem> {
+        let barred = self.suspect.barred(ran)?;
+        Ok(tried.iter().cloned().chain(barred).collect())
+    }
+
     /// Pause before the next try; none when the failure is final.
     fn pause(&self, error: &ForwardError, attempts: u32) -> Option<Duration> {
         let failure = Failure {
@@ -188,6 +207,7 @@
         let lost = Err(ForwardError::Lost(WireError::Timeout));
         let tried = match started.unwrap_or(lost) {
             Ok(mut attempt) => {
+                attempt.watch(self.suspect.clone());
                 let first = first(&mut attempt, silence).await;
                 if let Some(load) = attempt.take_load() {
                     flight.note_load(load);
@@ -229,6 +249,7 @@
             budget: left.saturating_sub(MARGIN.min(left / MARGIN_PART)),
             sent: self.entry.clock.wall(),
             once: None,
+            record: self.suspect.record(),
             call: Call::Completion {
                 version: version.clone(),
                 body: Payload(self.prompt.body.clone()),
