fix: the address of an entry stands in its record from the start

Since gossip carries changes in a short form, update_own takes over state, revision and holdings alone, so the address that an entry added once it listened was dropped and GET /v1/entries was empty: no request ran after the merge. The address is set at the start again. A starting entry is therefore listed a few seconds before it listens; callers find the connection refused and use another.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -120,8 +120,6 @@
             return;
         }
     };
-    let public = entry.config.public();
-    entry.view.update_own(|own| own.public = Some(public));
     let waits = Waits {
         read: entry.config.read.0,
         write: entry.config.write.0,
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use apricothall_decide::membership::{GossipMessage, Membership, Outgoing};
+use apricothall_kernel::configs::CallersConfig;
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
 use apricothall_types::{Member, MemberState, Revision, Role, Sequence};
 use apricothall_wire::{Connector, WireError};
@@ -98,8 +99,7 @@
         incarnation: context.incarnation,
         sequence: Sequence(0),
         address: settings.peers.public(),
-        // An entry adds its address once it listens there.
-        public: None,
+        public: settings.callers.as_ref().map(CallersConfig::public),
         role: context.role,
         region: settings.daemon.region.clone(),
         zone: settings.daemon.zone.clone(),
