test: room in the limits for the row of waiting orders

The row sent 120 requests at once against a caller's burst of 40, so 80 were refused by limits and the wait for 120 at the agents could not end. It passes now.

--- a/crates/apricotd/tests/leaving.rs
+++ b/crates/apricotd/tests/leaving.rs
@@ -233,7 +233,9 @@
         ..EngineSettings::default()
     };
     let plan = plan_with(1, 2, &engine, "admission.interactive = 200\n");
-    let fleet = serve(plan.with_catalogue(catalogue(1, 2, &[]))).await;
+    let limits = "limits = { rate = 1000, burst = 2000, caller = 1000 }\nowner =";
+    let catalogue = catalogue(1, 2, &[]).replacen("owner =", limits, 1);
+    let fleet = serve(plan.with_catalogue(catalogue)).await;
     fleet.agents().for_each(|n| n.engines[0].pause_at(Some(0)));
     let crew = caller(&fleet, "crew");
     let asked: Vec<_> = (0..REQUESTS)
