fix(fleet): a new daemon waits for the VM list before it counts its peers

process_starts_while_the_service_is_stale failed in one of several runs: the catalogue came before the VM list, the view was empty, so no peers were awaited and a stale revision was ready for good. Without a list the number of peers is now unknown, and only revision.patience ends the wait.

--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -241,10 +241,12 @@
     }
 
     /// Other members that should be there: those that take new work, or as many as are listed.
-    ///
-    /// A new process reads the list before it has heard anybody.
+    /// Without a list nobody can say, and the count is without bound.
     #[must_use]
     pub fn expected(&self) -> usize {
+        if self.list == Revision(0) {
+            return usize::MAX;
+        }
         self.alive().count().max(self.candidates.len())
     }
 
