feat(fleet): a revision goes between daemons as a patch

Ruled out: larger gaps between lists (leaving would be seen late), compressing the whole text (still tens of KB), a diff by lines with longest common subsequence (quadratic; runs of equal segments suffice for lists of records).

decide::delta makes and applies patches, checked by digest; a follower keeps its last 8 texts, at most 4 MiB, and answers with a patch when it knows the asker's. A patch that does not apply is followed by a request for the whole text.

Readers still read the list whole.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod claims;
 pub mod dedupe;
+pub mod delta;
 pub mod drain;
 pub mod limits;
 pub mod membership;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod catalogue;
 pub mod claims;
 pub mod extras;
+pub mod history;
 pub mod http_server;
 pub mod membership;
 pub mod operators;
--- a/crates/fleet/src/rpc.rs
+++ b/crates/fleet/src/rpc.rs
@@ -5,7 +5,7 @@
 use apricothall_decide::claims::{Ask, Reply};
 use apricothall_decide::membership::GossipMessage;
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_types::{EntryName, Role};
+use apricothall_types::{Digest, EntryName, Role};
 use apricothall_wire::peer::{Peer, PeerRequest, PeerResponse};
 use apricothall_wire::{Channel, Incoming, Published, RPC_PATH, Subject};
 use futures::StreamExt;
@@ -43,10 +43,15 @@
         reply
     }
 
-    async fn published(self, _: tarpc::context::Context, subject: Subject) -> Option<Published> {
+    async fn published(
+        self,
+        _: tarpc::context::Context,
+        subject: Subject,
+        base: Option<Digest>,
+    ) -> Option<Published> {
         match subject {
-            Subject::Catalogue => self.catalogue.published(),
-            Subject::Vms => self.vms.published(),
+            Subject::Catalogue => self.catalogue.published(base),
+            Subject::Vms => self.vms.published(base),
         }
     }
 
--- a/crates/fleet/src/subject.rs
+++ b/crates/fleet/src/subject.rs
@@ -4,20 +4,20 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use apricothall_decide::delta;
 use apricothall_decide::membership::{GossipMessage, Head, Membership};
 use apricothall_decide::revision::{Decision, Poll, Readiness, Revisions, Source, Stamp};
-use apricothall_kernel::Context;
+use apricothall_kernel::{Clock, Context, StartError};
 use apricothall_platform::{PlatformError, Value, Watched};
 use apricothall_types::{Digest, MemberId, Revision, Role, Timestamp, Zone};
-use apricothall_wire::{Connector, Published, Subject, WireError};
+use apricothall_wire::{Connector, Published, PublishedText, Subject, WireError};
 use serde_json::{Value as Json, json};
 use smol_str::{SmolStr, format_smolstr};
-use tokio::sync::broadcast;
-use tokio::sync::watch;
+use tokio::sync::{broadcast, watch};
 
+use crate::history::History;
 use crate::membership::Heard;
 use crate::{StatusBoard, View};
-use apricothall_kernel::{Clock, StartError};
 
 /// Longest time between two looks at whether this process is a reader.
 const READER_PERIOD: Duration = Duration::from_millis(500);
@@ -46,6 +46,7 @@
     view: Arc<View>,
     connector: Arc<Connector>,
     revisions: Mutex<Revisions>,
+    history: Mutex<History>,
     current: watch::Sender<Arc<Adopted<T>>>,
 }
 
@@ -78,6 +79,7 @@
             view: context.part()?,
             connector: context.part()?,
             revisions: Mutex::new(revisions),
+            history: Mutex::default(),
             current: watch::Sender::new(Arc::new(nothing)),
         })
     }
@@ -94,15 +96,22 @@
         self.current.subscribe()
     }
 
-    /// The value in force as other daemons get it.
+    /// The value in force for a daemon that has the text with digest `base`.
     #[must_use]
-    pub fn published(&self) -> Option<Published> {
+    pub fn published(&self, base: Option<Digest>) -> Option<Published> {
         let current = self.current();
-        let known = current.revision > Revision(0);
-        known.then(|| Published {
-            revision: current.revision,
-            text: current.text.clone(),
-        })
+        if current.revision == Revision(0) {
+            return None;
+        }
+        let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        let patch = base.and_then(|base| history.patch(base));
+        let digest = Digest::of(current.text.as_bytes());
+        // The history may be one step ahead of the value in force.
+        let patch = patch.filter(|patch| patch.digest == digest);
+        let whole = || PublishedText::Whole(current.text.clone());
+        let text = patch.map_or_else(whole, PublishedText::Patch);
+        let revision = current.revision;
+        Some(Published { revision, text })
     }
 
     /// Why this daemon may not serve yet, as far as this subject goes.
@@ -222,10 +231,7 @@
             return;
         };
         match self.fetch(message.own.address).await {
-            Ok(Some(published)) => {
-                let Published { revision, text } = published;
-                self.offer(&Source::Peer(peer), Value { revision, text });
-            }
+            Ok(Some(value)) => self.offer(&Source::Peer(peer), value),
             Ok(None) => self.lock().fetch_failed(&peer),
             Err(error) => {
                 tracing::debug!(subject = ?self.subject, %peer, %error, "cannot fetch");
@@ -234,16 +240,49 @@
         }
     }
 
-    async fn fetch(&self, address: SocketAddr) -> Result<Option<Published>, WireError> {
+    /// Fetches the value of a peer as a change of the own one, and whole if that fails.
+    async fn fetch(&self, address: SocketAddr) -> Result<Option<Value>, WireError> {
+        let current = self.current();
+        let known = current.revision > Revision(0);
+        let base = known.then(|| Digest::of(current.text.as_bytes()));
+        let Some(Published { revision, text }) = self.ask(address, base).await? else {
+            return Ok(None);
+        };
+        let text = match text {
+            PublishedText::Whole(text) => text,
+            PublishedText::Patch(patch) => match delta::apply(&current.text, &patch) {
+                Ok(text) => text.into(),
+                Err(error) => {
+                    tracing::warn!(subject = ?self.subject, %error, "patch refused");
+                    return self.fetch_whole(address).await;
+                }
+            },
+        };
+        Ok(Some(Value { revision, text }))
+    }
+
+    async fn fetch_whole(&self, address: SocketAddr) -> Result<Option<Value>, WireError> {
+        let published = self.ask(address, None).await?;
+        Ok(
+            published.and_then(|Published { revision, text }| match text {
+                PublishedText::Whole(text) => Some(Value { revision, text }),
+                PublishedText::Patch(_) => None,
+            }),
+        )
+    }
+
+    async fn ask(
+        &self,
+        address: SocketAddr,
+        base: Option<Digest>,
+    ) -> Result<Option<Published>, WireError> {
         let call = async {
             let client = self.connector.peer(address).await?;
-            Ok(client
-                .published(tarpc::context::current(), self.subject)
-                .await?)
+            let context = tarpc::context::current();
+            Ok(client.published(context, self.subject, base).await?)
         };
-        tokio::time::timeout(self.call, call)
-            .await
-            .map_err(|_| WireError::Timeout)?
+        let called = tokio::time::timeout(self.call, call).await;
+        called.map_err(|_| WireError::Timeout)?
     }
 
     fn offer(&self, source: &Source, value: Value) {
@@ -293,6 +332,9 @@
             revision,
             mark,
         });
+        let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        history.push(stamp.digest, adopted.text.clone());
+        drop(history);
         self.current.send_replace(Arc::new(adopted));
         tracing::info!(subject = ?self.subject, role = %self.role, %revision, "in force");
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -21,7 +21,7 @@
 pub use error::WireError;
 pub use order::{Binding, Call, Header, Once, Order};
 pub use payload::Payload;
-pub use peer::{Published, Subject};
+pub use peer::{Published, PublishedText, Subject};
 pub use server::{Incoming, serve};
 
 /// Version of the protocol between daemons.
--- a/crates/wire/tests/contract.rs
+++ b/crates/wire/tests/contract.rs
@@ -5,6 +5,7 @@
 
 use apricothall_decide::claims::{Ask, Birth, Reply, Verdict};
 use apricothall_decide::dedupe::{CallKey, Home};
+use apricothall_decide::delta::diff;
 use apricothall_decide::quarantine::{Crash, Record};
 use apricothall_types::{
     CallerId, Class, Digest, EntryName, Incarnation, Load, MemberId, Outcome, RequestId, Revision,
@@ -14,7 +15,8 @@
 use apricothall_wire::codec::{decode, encode};
 use apricothall_wire::{
     Binding, Call, Channel, Connector, ConnectorConfig, Header, Incoming, Lane, Once, Order,
-    PROTOCOL_HEADER, PROTOCOL_VERSION, Payload, Published, RUN_PATH, Subject, WireError, serve,
+    PROTOCOL_HEADER, PROTOCOL_VERSION, Payload, Published, PublishedText, RUN_PATH, Subject,
+    WireError, serve,
 };
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -150,7 +152,8 @@
     claim_asked: ask(Birth::Created(WallTime(1)));
     claim_asked_for_opaque_key: ask(Birth::Bounded(WallTime(1)));
     claim_answered: Reply { key: key(), from: id(), to: home(), verdict: Verdict::Unsure };
-    published: Published { revision: Revision(4), text: "x = 1".into() };
+    published: Published { revision: Revision(4), text: PublishedText::Whole("x = 1".into()) };
+    patch: Published { revision: Revision(4), text: PublishedText::Patch(diff("x = 1\n", "x = 2\n")) };
     subject: Subject::Vms;
     records: vec![(Digest([1; 32]), record())];
 }
