--- a/crates/fleet/src/subject.rs
+++ b/crates/fleet/src/subject.rs
@@ -1,27 +1,25 @@
 //! A published value that readers watch and all others learn by gossip.
 
-use std::net::SocketAddr;
+mod peers;
+mod reads;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use apricothall_decide::delta;
-use apricothall_decide::membership::{GossipMessage, Head, Membership};
-use apricothall_decide::revision::{Decision, Poll, Readiness, Revisions, Source, Stamp};
+use apricothall_decide::membership::{Head, Membership};
+use apricothall_decide::revision::{Decision, Readiness, Revisions, Source, Stamp};
 use apricothall_kernel::{Clock, Context, StartError};
 use apricothall_platform::{PlatformError, Value, Watched};
-use apricothall_types::{Digest, MemberId, Revision, Role, Timestamp, Zone};
-use apricothall_wire::{Connector, Published, PublishedText, Subject, WireError};
+use apricothall_types::{Digest, MemberId, Revision, Role, Zone};
+use apricothall_wire::{Connector, Published, PublishedText, Subject};
 use serde_json::{Value as Json, json};
 use smol_str::{SmolStr, format_smolstr};
-use tokio::sync::{broadcast, watch};
+use tokio::sync::watch;
 
 use crate::history::History;
 use crate::membership::Heard;
 use crate::{StatusBoard, View};
 
-/// Longest time between two looks at whether this process is a reader.
-const READER_PERIOD: Duration = Duration::from_millis(500);
-
 /// A value in force.
 #[derive(Debug)]
 pub struct Adopted<T> {
@@ -168,123 +166,6 @@
         board.condition(move || follower.unready());
     }
 
-    async fn watch_service<F>(self: Arc<Self>, watch: impl Fn(Revision) -> F + Send + Sync)
-    where
-        F: Future<Output = Result<Watched, PlatformError>> + Send,
-    {
-        loop {
-            let now = self.clock.now();
-            let at = self.next_poll(now);
-            if at > now {
-                tokio::time::sleep(at.since(now).min(READER_PERIOD)).await;
-                continue;
-            }
-            self.lock().poll_started(now);
-            let after = self.current().revision;
-            let poll = match watch(after).await {
-                Ok(Watched::Unchanged) => Poll::Answered,
-                Ok(Watched::Changed(value)) if value.revision < after => Poll::Stale,
-                Ok(Watched::Changed(value)) => {
-                    self.offer(&Source::Service, value);
-                    Poll::Answered
-                }
-                Err(error) => {
-                    tracing::debug!(subject = ?self.subject, %error, "cannot read");
-                    Poll::Failed
-                }
-            };
-            count_poll(self.subject, poll);
-            self.lock().poll_ended(poll);
-        }
-    }
-
-    fn next_poll(&self, now: Timestamp) -> Timestamp {
-        let revisions = self.lock();
-        let reader = self.is_reader(&revisions);
-        revisions.next_poll(reader, now, &mut rand::rng())
-    }
-
-    fn is_reader(&self, revisions: &Revisions) -> bool {
-        let (id, zone) = &self.place;
-        self.view
-            .with(|m| revisions.is_reader((id, zone), m.alive()))
-    }
-
-    async fn follow_peers(self: Arc<Self>, mut heard: broadcast::Receiver<Arc<GossipMessage>>) {
-        loop {
-            match heard.recv().await {
-                Ok(message) => self.told(&message).await,
-                // Messages missed under load are made up for by later ones.
-                Err(broadcast::error::RecvError::Lagged(_)) => {}
-                Err(broadcast::error::RecvError::Closed) => return,
-            }
-        }
-    }
-
-    async fn told(&self, message: &GossipMessage) {
-        let number = self.subject as u8;
-        let head = message.heads.iter().find(|h| h.subject == number);
-        let head = head.map(|h| (h.revision, h.mark));
-        let now = self.clock.now();
-        let chosen = self.lock().peer_told(&message.own.id, head, now);
-        let Some(peer) = chosen else {
-            return;
-        };
-        match self.fetch(message.own.address).await {
-            Ok(Some(value)) => self.offer(&Source::Peer(peer), value),
-            Ok(None) => self.lock().fetch_failed(&peer),
-            Err(error) => {
-                tracing::debug!(subject = ?self.subject, %peer, %error, "cannot fetch");
-                self.lock().fetch_failed(&peer);
-            }
-        }
-    }
-
-    /// Fetches the value of a peer as a change of the own one, and whole if that fails.
-    async fn fetch(&self, address: SocketAddr) -> Result<Option<Value>, WireError> {
-        let current = self.current();
-        let known = current.revision > Revision(0);
-        let base = known.then(|| Digest::of(current.text.as_bytes()));
-        let Some(Published { revision, text }) = self.ask(address, base).await? else {
-            return Ok(None);
-        };
-        let text = match text {
-            PublishedText::Whole(text) => text,
-            PublishedText::Patch(patch) => match delta::apply(&current.text, &patch) {
-                Ok(text) => text.into(),
-                Err(error) => {
-                    tracing::warn!(subject = ?self.subject, %error, "patch refused");
-                    return self.fetch_whole(address).await;
-                }
-            },
-        };
-        Ok(Some(Value { revision, text }))
-    }
-
-    async fn fetch_whole(&self, address: SocketAddr) -> Result<Option<Value>, WireError> {
-        let published = self.ask(address, None).await?;
-        Ok(
-            published.and_then(|Published { revision, text }| match text {
-                PublishedText::Whole(text) => Some(Value { revision, text }),
-                PublishedText::Patch(_) => None,
-            }),
-        )
-    }
-
-    async fn ask(
-        &self,
-        address: SocketAddr,
-        base: Option<Digest>,
-    ) -> Result<Option<Published>, WireError> {
-        let call = async {
-            let client = self.connector.peer(address).await?;
-            let context = tarpc::context::current();
-            Ok(client.published(context, self.subject, base).await?)
-        };
-        let called = tokio::time::timeout(self.call, call).await;
-        called.map_err(|_| WireError::Timeout)?
-    }
-
     fn offer(&self, source: &Source, value: Value) {
         let Value { revision, text } = value;
         let stamp = Stamp {
@@ -345,17 +226,3 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn count_poll(subject: Subject, poll: Poll) {
-    let result = match poll {
-        Poll::Answered => "answered",
-        Poll::Stale => "stale",
-        Poll::Failed => "failed",
-    };
-    let subject = match subject {
-        Subject::Catalogue => "catalogue",
-        Subject::Vms => "vms",
-    };
-    metrics::counter!("apricothall_reads_total", "subject" => subject, "result" => result)
-        .increment(1);
-}
--- /dev/null
+++ b/crates/fleet/src/subject/peers.rs
@@ -0,0 +1,94 @@
+//! Values learnt from other daemons, as changes of the own text where they know it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use apricothall_decide::delta;
+use apricothall_decide::membership::GossipMessage;
+use apricothall_decide::revision::Source;
+use apricothall_platform::Value;
+use apricothall_types::{Digest, Revision};
+use apricothall_wire::{Published, PublishedText, WireError};
+use tokio::sync::broadcast;
+
+use super::Follower;
+
+impl<T: Default + Send + Sync + 'static> Follower<T> {
+    pub(super) async fn follow_peers(
+        self: Arc<Self>,
+        mut heard: broadcast::Receiver<Arc<GossipMessage>>,
+    ) {
+        loop {
+            match heard.recv().await {
+                Ok(message) => self.told(&message).await,
+                // Messages missed under load are made up for by later ones.
+                Err(broadcast::error::RecvError::Lagged(_)) => {}
+                Err(broadcast::error::RecvError::Closed) => return,
+            }
+        }
+    }
+
+    async fn told(&self, message: &GossipMessage) {
+        let number = self.subject as u8;
+        let head = message.heads.iter().find(|h| h.subject == number);
+        let head = head.map(|h| (h.revision, h.mark));
+        let now = self.clock.now();
+        let chosen = self.lock().peer_told(&message.own.id, head, now);
+        let Some(peer) = chosen else {
+            return;
+        };
+        match self.fetch(message.own.address).await {
+            Ok(Some(value)) => self.offer(&Source::Peer(peer), value),
+            Ok(None) => self.lock().fetch_failed(&peer),
+            Err(error) => {
+                tracing::debug!(subject = ?self.subject, %peer, %error, "cannot fetch");
+                self.lock().fetch_failed(&peer);
+            }
+        }
+    }
+
+    /// Fetches the value of a peer as a change of the own one, and whole if that fails.
+    async fn fetch(&self, address: SocketAddr) -> Result<Option<Value>, WireError> {
+        let current = self.current();
+        let known = current.revision > Revision(0);
+        let base = known.then(|| Digest::of(current.text.as_bytes()));
+        let Some(Published { revision, text }) = self.ask(address, base).await? else {
+            return Ok(None);
+        };
+        let text = match text {
+            PublishedText::Whole(text) => text,
+            PublishedText::Patch(patch) => match delta::apply(&current.text, &patch) {
+                Ok(text) => text.into(),
+                Err(error) => {
+                    tracing::warn!(subject = ?self.subject, %error, "patch refused");
+                    return self.fetch_whole(address).await;
+                }
+            },
+        };
+        Ok(Some(Value { revision, text }))
+    }
+
+    async fn fetch_whole(&self, address: SocketAddr) -> Result<Option<Value>, WireError> {
+        let published = self.ask(address, None).await?;
+        Ok(
+            published.and_then(|Published { revision, text }| match text {
+                PublishedText::Whole(text) => Some(Value { revision, text }),
+                PublishedText::Patch(_) => None,
+            }),
+        )
+    }
+
+    async fn ask(
+        &self,
+        address: SocketAddr,
+        base: Option<Digest>,
+    ) -> Result<Option<Published>, WireError> {
+        let call = async {
+            let client = self.connector.peer(address).await?;
+            let context = tarpc::context::current();
+            Ok(client.published(context, self.subject, base).await?)
+        };
+        let called = tokio::time::timeout(self.call, call).await;
+        called.map_err(|_| WireError::Timeout)?
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/subject/reads.rs
@@ -0,0 +1,74 @@
+//! Reads of the platform's service by the daemons that are readers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricothall_decide::revision::{Poll, Revisions, Source};
+use apricothall_platform::{PlatformError, Watched};
+use apricothall_types::{Revision, Timestamp};
+use apricothall_wire::Subject;
+
+use super::Follower;
+
+/// Longest time between two looks at whether this process is a reader.
+const READER_PERIOD: Duration = Duration::from_millis(500);
+
+impl<T: Default + Send + Sync + 'static> Follower<T> {
+    pub(super) async fn watch_service<F>(
+        self: Arc<Self>,
+        watch: impl Fn(Revision) -> F + Send + Sync,
+    ) where
+        F: Future<Output = Result<Watched, PlatformError>> + Send,
+    {
+        loop {
+            let now = self.clock.now();
+            let at = self.next_poll(now);
+            if at > now {
+                tokio::time::sleep(at.since(now).min(READER_PERIOD)).await;
+                continue;
+            }
+            self.lock().poll_started(now);
+            let after = self.current().revision;
+            let poll = match watch(after).await {
+                Ok(Watched::Unchanged) => Poll::Answered,
+                Ok(Watched::Changed(value)) if value.revision < after => Poll::Stale,
+                Ok(Watched::Changed(value)) => {
+                    self.offer(&Source::Service, value);
+                    Poll::Answered
+                }
+                Err(error) => {
+                    tracing::debug!(subject = ?self.subject, %error, "cannot read");
+                    Poll::Failed
+                }
+            };
+            count_poll(self.subject, poll);
+            self.lock().poll_ended(poll);
+        }
+    }
+
+    fn next_poll(&self, now: Timestamp) -> Timestamp {
+        let revisions = self.lock();
+        let reader = self.is_reader(&revisions);
+        revisions.next_poll(reader, now, &mut rand::rng())
+    }
+
+    pub(super) fn is_reader(&self, revisions: &Revisions) -> bool {
+        let (id, zone) = &self.place;
+        self.view
+            .with(|m| revisions.is_reader((id, zone), m.alive()))
+    }
+}
+
+fn count_poll(subject: Subject, poll: Poll) {
+    let result = match poll {
+        Poll::Answered => "answered",
+        Poll::Stale => "stale",
+        Poll::Failed => "failed",
+    };
+    let subject = match subject {
+        Subject::Catalogue => "catalogue",
+        Subject::Vms => "vms",
+    };
+    metrics::counter!("apricothall_reads_total", "subject" => subject, "result" => result)
+        .increment(1);
+}
