fix(agent): a stop waits until the entry has read the end of an answer

Cause: a request counted as done once its last frame was handed to the h2 connection; a stop right after that could end the process with the frame still in its buffers, on a link that is slow or stalls. Found by reading. The agent now waits, at most 5 s, until the entry has closed its side of the stream.

Ruled out: graceful shutdown of the h2 connections (sessions for plain calls never end), a longer grace (only hides it).

Ports take at most 8,192 connections of daemons and 16,384 of others, further ones are closed and counted, so that memory has a bound.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -38,6 +38,9 @@
 /// Longest wait for the order of an open stream.
 const ORDER_LIMIT: Duration = Duration::from_secs(10);
 
+/// Longest wait for an entry to read the end of an answer.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
+
 /// The entry's side of one order.
 pub struct Reply {
     channel: Channel<Order, AnswerFrame>,
@@ -65,12 +68,16 @@
         while let Some(Ok(_)) = self.channel.next().await {}
     }
 
-    /// Ends the stream after its last step.
+    /// Ends the stream after its last step, and waits until the entry has read that.
     ///
     /// # Errors
     /// When the entry has gone.
     pub async fn close(mut self) -> Result<(), WireError> {
-        self.channel.close().await
+        self.channel.close().await?;
+        // The entry drops the stream after the last step. Until then a stop must wait, since the
+        // step may still be in this process.
+        let read = tokio::time::timeout(CLOSE_LIMIT, self.cancelled()).await;
+        read.map_err(|_| WireError::Timeout)
     }
 }
 
--- a/crates/fleet/src/http_server.rs
+++ b/crates/fleet/src/http_server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use apricothall_kernel::StartError;
@@ -16,6 +17,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
 use crate::write_limit::WriteLimit;
@@ -23,6 +25,9 @@
 /// Body of all answers.
 pub type Body = BoxBody<Bytes, Infallible>;
 
+/// Connections that may be open at once on one port.
+const MAX_CONNECTIONS: usize = 16_384;
+
 /// Streams that one HTTP/2 connection may have open.
 const MAX_STREAMS: u32 = 256;
 
@@ -80,11 +85,15 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
+    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         tokio::select! {
             () = closing.cancelled() => break,
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => connection(stream, waits, &graceful, handle.clone()),
+                Ok((stream, _)) => match slots.clone().try_acquire_owned() {
+                    Ok(slot) => connection(stream, slot, waits, &graceful, handle.clone()),
+                    Err(_) => metrics::counter!("apricothall_http_refused_total").increment(1),
+                },
                 Err(error) => {
                     tracing::warn!(%error, "cannot accept");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -95,8 +104,13 @@
     graceful.shutdown().await;
 }
 
-fn connection<H, F>(stream: TcpStream, waits: Waits, graceful: &GracefulShutdown, handle: H)
-where
+fn connection<H, F>(
+    stream: TcpStream,
+    slot: OwnedSemaphorePermit,
+    waits: Waits,
+    graceful: &GracefulShutdown,
+    handle: H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -125,6 +139,7 @@
         .into_owned();
     let watched = graceful.watch(serving);
     tokio::spawn(async move {
+        let _slot = slot;
         if let Err(error) = watched.await {
             metrics::counter!("apricothall_http_broken_total").increment(1);
             tracing::debug!(%error, "connection ended");
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -77,6 +77,7 @@
         PortEvent::BadHandshake => "handshake",
         PortEvent::BadVersion => "version",
         PortEvent::Broken => "broken",
+        PortEvent::Full => "full",
     };
     metrics::counter!("apricothall_peer_refused_total", "reason" => reason).increment(1);
 }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,6 +1,7 @@
 //! The port on which a daemon hears others.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
@@ -23,6 +25,9 @@
 /// Longest wait for the handshake of a new connection.
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(3);
 
+/// Connections that may be open at once: three lanes of some 2,700 daemons.
+pub const MAX_CONNECTIONS: usize = 8_192;
+
 /// Streams that one connection may have open.
 const MAX_STREAMS: u32 = 1_024;
 
@@ -85,20 +90,30 @@
     BadVersion,
     /// A connection ended with an error.
     Broken,
+    /// A connection was closed because too many are open.
+    Full,
 }
 
 /// Accepts connections and hands each stream to `handle`, each in a task of its own.
+///
+/// At most [`MAX_CONNECTIONS`] are open at once; more are closed at once.
 pub async fn serve<H, F, O>(listener: TcpListener, handle: H, observe: O)
 where
     H: Fn(Incoming) -> F + Clone + Send + 'static,
     F: Future<Output = ()> + Send + 'static,
     O: Fn(PortEvent) + Clone + Send + Sync + 'static,
 {
+    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
+                let Ok(slot) = slots.clone().try_acquire_owned() else {
+                    observe(PortEvent::Full);
+                    continue;
+                };
                 let (handle, observe) = (handle.clone(), observe.clone());
                 tokio::spawn(async move {
+                    let _slot = slot;
                     if let Some(event) = connection(stream, from, handle, &observe).await {
                         observe(event);
                     }
