feat: settings that contradict each other on leaving are refused

An entry with callers.keep above drain.keep leaves while callers still use its address; one with drain.limit below callers.deadline ends under requests it took. Both are refused with key, line and reason, for entries only.

--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -185,18 +185,35 @@
     }
 
     fn entry_fault(&self) -> Option<Fault> {
-        if self.callers.is_none() {
+        let Some(callers) = &self.callers else {
             return Some(Fault {
                 key: "callers",
                 reason: "an entry needs this section",
             });
-        }
+        };
         if !self.servers.is_empty() {
             return Some(Fault {
                 key: "servers",
                 reason: "an entry has no backend servers",
             });
         }
+        self.leaving_fault(callers)
+    }
+
+    /// A leaving entry outlasts the addresses that callers keep and the requests that it took.
+    fn leaving_fault(&self, callers: &CallersConfig) -> Option<Fault> {
+        if callers.keep.0 > self.drain.keep.0 {
+            return Some(Fault {
+                key: "callers.keep",
+                reason: "must not exceed `drain.keep`",
+            });
+        }
+        if self.drain.limit.0 < callers.deadline.0 {
+            return Some(Fault {
+                key: "drain.limit",
+                reason: "must be at least `callers.deadline`",
+            });
+        }
         None
     }
 
--- a/crates/kernel/tests/settings.rs
+++ b/crates/kernel/tests/settings.rs
@@ -69,6 +69,8 @@
     peers_elsewhere: Entry, entry("\"127.0.0.1:7000\"", "\"127.0.0.2:7000\"") => "listen", "the VM's own address";
     register_forgets_before_claims: Entry, entry("horizon = \"1h 1m\"", "horizon = \"1h 1s\"") => "horizon = \"1h 1s\"", "claims.horizon + claims.skew";
     register_forgets_before_retries: Entry, entry("opaque_horizon = \"2m\"", "opaque_horizon = \"21m\"") => "horizon = \"1h 1m\"", "claims.opaque_horizon";
+    callers_keep_longer_than_entries_stay: Entry, entry("keep = \"1500ms\"", "keep = \"31s\"") => "keep = \"31s\"", "callers.keep: must not exceed `drain.keep`";
+    drain_ends_before_deadlines: Entry, entry("limit = \"1h\"", "limit = \"59s\"") => "limit = \"59s\"", "drain.limit: must be at least `callers.deadline`";
     same_port_twice: Entry, entry("\"127.0.0.1:7002\"", "\"127.0.0.1:7000\" # same") => "listen = \"127.0.0.1:7000\" # same", "must differ";
 }
 
