feat: plain services pass the limits and the admission

Calls to plain services went around both, so one caller could fill a service. The entry now asks the limits; with a key or ticket its refusal is unknown, as an earlier copy may have run. The agent waits at the service's gate. A call that may not be repeated is recorded first, so copies wait for the same end; one that gets no slot is buried as unsent before its refusal is told.

--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -1,19 +1,24 @@
 //! Runs a call that may not be repeated.
 //!
-//! The call to the service goes on when the entry is lost; its answer is kept for the retry.
+//! The call to the service goes on when the entry is lost; its answer is kept for the retry. The
+//! register records the start before the call waits for a slot, so that copies wait for the same
+//! end; a call that gets no slot is buried there and never runs.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use apricothall_decide::claims::Denied;
-use apricothall_decide::dedupe;
+use apricothall_decide::dedupe::{self, CallKey};
+use apricothall_decide::limits;
 use apricothall_fleet::Trace;
 use apricothall_platform::{PlatformError, ServiceAnswer, ServiceCall};
-use apricothall_types::Outcome;
+use apricothall_types::{Class, Outcome, Timestamp};
 use apricothall_wire::{Answer, Header, Once, Order, Payload, Refusal, WireError, codec};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
+use tokio::sync::oneshot;
 
+use crate::admission::refusal_of;
 use crate::claims::Claimant;
 use crate::register::{End, Keyed, Step};
 use crate::run::{Reply, Runner, refused};
@@ -63,7 +68,7 @@
         let refusal = refusal(Outcome::Unknown, 503, "no such service on this VM".into());
         return Ok(refused(refusal, runner.servers.load()));
     };
-    let kept = match conclude(runner, &call, &service, &made).await {
+    let kept = match conclude(runner, order.class, &call, &service, &made).await {
         Ok(kept) => kept,
         Err(refusal) => return Ok(refused(refusal, runner.servers.load())),
     };
@@ -86,24 +91,36 @@
 /// Follows the call until its answer is known or it is refused.
 async fn conclude(
     runner: &Runner,
+    class: Class,
     call: &Keyed,
     service: &Arc<Service>,
     made: &ServiceCall,
 ) -> Result<Arc<[u8]>, Refusal> {
     let calls = &runner.claimant.calls;
+    let mut declined = None;
     let mut step = calls.order(call);
     loop {
         step = match step {
             Step::Claim(ask, ids) => runner.claimant.claim(call, &ask, &ids).await,
             Step::Run => {
-                start(runner, call, service.clone(), made.clone());
+                let job = Job {
+                    service: service.clone(),
+                    made: made.clone(),
+                    class,
+                    deadline: call.deadline,
+                };
+                declined = Some(start(runner, call.once.key, job));
                 calls.order(call)
             }
             Step::Wait(mut end) => {
                 // The sender is dropped at the end of the call, which is an error here.
                 let ended = tokio::time::timeout(calls.left(call.deadline), end.changed()).await;
                 if ended.is_err() {
-                    return Err(refusal(Outcome::Unknown, 504, "the call still runs".into()));
+                    return Err(refusal(
+                        Outcome::Unknown,
+                        504,
+                        "the call has not ended".into(),
+                    ));
                 }
                 calls.order(call)
             }
@@ -115,7 +132,10 @@
                     ..refusal(Outcome::Unknown, 409, detail)
                 });
             }
-            Step::Refuse(why) => return Err(by_register(why)),
+            Step::Refuse(why) => {
+                let told = declined.and_then(|mut told| told.try_recv().ok());
+                return Err(told.unwrap_or_else(|| by_register(why)));
+            }
             Step::Deny(why) => return Err(by_claims(why)),
             Step::Unseen => {
                 return Err(refusal(
@@ -128,36 +148,57 @@
     }
 }
 
-/// Makes the call in a task of its own, which counts as work in progress.
-fn start(runner: &Runner, call: &Keyed, service: Arc<Service>, made: ServiceCall) {
+/// A call whose start is recorded.
+struct Job {
+    service: Arc<Service>,
+    made: ServiceCall,
+    class: Class,
+    deadline: Timestamp,
+}
+
+/// Makes the call in a task of its own, which counts as work in progress. The receiver gets the
+/// refusal, if the call gets no slot, before the register is told.
+fn start(runner: &Runner, key: CallKey, job: Job) -> oneshot::Receiver<Refusal> {
     metrics::counter!("apricothall_once_started_total").increment(1);
     let work = runner.begin();
     let claimant = runner.claimant.clone();
-    let (key, deadline) = (call.once.key, call.deadline);
+    let (sender, told) = oneshot::channel();
     tokio::spawn(async move {
-        let end = make(&claimant, &service, made, deadline).await;
+        let end = make(&claimant, job).await.unwrap_or_else(|refusal| {
+            // An error means that nobody waits for it.
+            let _ = sender.send(refusal);
+            End::Unsent
+        });
         claimant.calls.end(key, end);
         drop(work);
     });
+    told
 }
 
-async fn make(
-    claimant: &Claimant,
-    service: &Service,
-    made: ServiceCall,
-    deadline: apricothall_types::Timestamp,
-) -> End {
+/// Waits for a slot and makes the call.
+async fn make(claimant: &Claimant, job: Job) -> Result<End, Refusal> {
+    let service = &job.service;
+    let entered = service.gate.enter(job.class, job.deadline).await;
+    let permit = entered.map_err(unadmitted)?;
     // The process may have been frozen since the start was recorded.
-    if claimant.calls.is_late(deadline) {
-        return End::Unsent;
+    if claimant.calls.is_late(job.deadline) {
+        return Ok(End::Unsent);
     }
     let running = service.begin();
-    let answered = service.client.call(made, RUN_LIMIT).await;
+    let answered = service.client.call(job.made, RUN_LIMIT).await;
     drop(running);
-    match answered {
+    drop(permit);
+    Ok(match answered {
         Ok(answer) => kept(answer).map_or(End::Lost, End::Answered),
         Err(error) => lost(&error),
-    }
+    })
+}
+
+/// The refusal of a call that got no slot: its key is used up.
+fn unadmitted(refusal: limits::Refusal) -> Refusal {
+    let refusal = refusal_of(refusal);
+    let detail = format_smolstr!("{}; use a new key", refusal.detail);
+    Refusal { detail, ..refusal }
 }
 
 fn lost(error: &PlatformError) -> End {
--- a/crates/agent/src/service_call.rs
+++ b/crates/agent/src/service_call.rs
@@ -45,11 +45,17 @@
         let refusal = refusal(Outcome::NotRun, 400, "the call is malformed".into());
         return Ok(refused(refusal, runner.servers.load()));
     };
-    let running = service.begin();
     let calls = &runner.claimant.calls;
-    let left = calls.left(calls.deadline(order.sent, order.budget));
-    let answered = service.client.call(call, left).await;
+    let deadline = calls.deadline(order.sent, order.budget);
+    let admitted = runner.admit(&service.gate, order, deadline, reply);
+    let permit = match admitted.await? {
+        Ok(permit) => permit,
+        Err(refusal) => return Ok(refused(refusal, runner.servers.load())),
+    };
+    let running = service.begin();
+    let answered = service.client.call(call, calls.left(deadline)).await;
     drop(running);
+    drop(permit);
     let load = runner.servers.load();
     match answered {
         Ok(answer) => {
--- /dev/null
+++ b/crates/apricotd/tests/services.rs
@@ -0,0 +1,264 @@
+//! Plain services under load and over their limits: refused at once with what the caller may
+//! conclude, run at most once; and what `GET /explain` says of them.
+
+mod fixture;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use apricothall_standin::caller::{CallOptions, Caller};
+use apricothall_standin::client::Answer;
+use apricothall_standin::fleet::{Fleet, until};
+use apricothall_standin::service::PlainService;
+use fixture::{MODEL, SERVICE, caller, catalogue, plan, serving, start};
+use http::Method;
+use serde_json::Value;
+
+/// Agent with the service.
+const DESK: &str = "desk-0";
+
+/// Calls at once, for 16 slots and 4 places in the queue.
+const CALLS: usize = 40;
+
+/// Calls that 16 slots, one of them for class critical only, take at least.
+const SERVED: usize = 15;
+
+/// Calls from which on the limits must have refused one.
+const TRIES: usize = 20;
+
+/// How the calls of a row are made.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// To a service whose calls may be repeated, without a key.
+    Plain,
+    /// To such a service, with a key.
+    PlainKey,
+    /// To a service whose calls may not be repeated, with a ticket.
+    Ticket,
+    /// To such a service, with a key alone.
+    Key,
+}
+
+struct Desk {
+    fleet: Fleet,
+    caller: Caller,
+    way: Way,
+}
+
+impl Desk {
+    /// One entry, and one agent with the service.
+    async fn start(way: Way, limits: &str) -> Self {
+        let model = catalogue(1, 1, &[]);
+        let once = match way {
+            Way::Ticket | Way::Key => format!("repeatable = false\npool = [\"{DESK}\"]\n"),
+            Way::Plain | Way::PlainKey => String::new(),
+        };
+        let text = format!(
+            "{model}[[entries]]\nname = \"{SERVICE}\"\nkind = \"service\"\nowner = \"desbroce\"\n\
+             replicas = 1\n{limits}\n{once}"
+        );
+        let plan = plan(1, 1).with_catalogue(text);
+        let plan = plan.service(DESK, "lima", "lima-a", SERVICE);
+        let few = "admission.interactive = 4\nadmission.reserve = 1";
+        let plan = plan.expect("valid id").with_settings(few);
+        let fleet = start(plan.expect("valid settings")).await;
+        fleet.ready().await.expect("ready");
+        serving(&fleet, "entry-0", "engine-0", "1").await;
+        serving(&fleet, "entry-0", DESK, "service").await;
+        if way == Way::Key {
+            let settled = fleet.status_until(DESK, "settled", |status| {
+                let claims = &status["claims"][SERVICE];
+                claims["settled_opaque"] == true && claims["lease"] == true
+            });
+            settled.await.expect("in time");
+        }
+        let caller = caller(&fleet, "crew");
+        Self { fleet, caller, way }
+    }
+
+    fn service(&self) -> &PlainService {
+        &self.fleet.node(DESK).services[0]
+    }
+
+    /// Runs of the call with this body.
+    fn runs(&self, body: &str) -> usize {
+        let runs = self.service().executions();
+        runs.iter().filter(|e| e.body == body.as_bytes()).count()
+    }
+
+    async fn options(&self, name: &str) -> CallOptions {
+        let options = CallOptions {
+            deadline: Some(Duration::from_secs(30)),
+            ..CallOptions::default()
+        };
+        match self.way {
+            Way::Plain => options,
+            Way::PlainKey | Way::Key => CallOptions {
+                key: Some(name.into()),
+                ..options
+            },
+            Way::Ticket => {
+                let list = self.caller.entries().await.expect("entries are listed");
+                let ticket = &list.tickets[SERVICE];
+                let prefix = ticket["prefix"].as_str().expect("a prefix");
+                CallOptions {
+                    key: Some(format!("{prefix}{name}").into()),
+                    ticket: Some(ticket["ticket"].as_str().expect("a ticket").into()),
+                    ..options
+                }
+            }
+        }
+    }
+
+    async fn call(&self, name: &str, options: &CallOptions) -> Answer {
+        let entry = self.fleet.node("entry-0").callers();
+        let (path, body) = (format!("{SERVICE}/cut"), name.to_owned());
+        let call = self
+            .caller
+            .call_at(entry, Method::POST, &path, body, options);
+        call.await.expect("answers")
+    }
+}
+
+/// Checks a refusal with status 429, whose detail starts with `by`.
+fn refused(answer: &Answer, outcome: &str, by: &str) {
+    let problem: Value = answer.json().expect("a problem");
+    let detail = problem["detail"].as_str();
+    assert!(detail.is_some_and(|d| d.starts_with(by)), "{problem}");
+    assert_eq!(answer.status.as_u16(), 429, "{problem}");
+    assert_eq!(problem["outcome"], outcome, "{problem}");
+    let retry = answer.number("retry-after");
+    assert!(retry.is_some_and(|seconds| seconds >= 1), "{problem}");
+}
+
+macro_rules! rows {
+    ($($case:ident: $run:ident($($value:expr),*);)*) => {
+        $(#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $case() { $run($($value),*).await; })*
+    };
+}
+
+rows! {
+    few_slots_for_plain_calls: few_slots(Way::Plain);
+    few_slots_for_calls_by_ticket: few_slots(Way::Ticket);
+    few_slots_for_calls_by_key: few_slots(Way::Key);
+    limit_on_plain_calls: limited(Way::Plain, "not_run");
+    limit_on_plain_calls_with_a_key: limited(Way::PlainKey, "unknown");
+    limit_on_calls_by_ticket: limited(Way::Ticket, "unknown");
+    limit_on_calls_by_key: limited(Way::Key, "unknown");
+}
+
+/// No call ends while the service keeps its answers back, so what is refused then is refused
+/// without waiting for a slot.
+async fn few_slots(way: Way) {
+    let limits = "limits = { rate = 10000, burst = 1000, caller = 10000 }";
+    let desk = Arc::new(Desk::start(way, limits).await);
+    desk.service().set_frozen(true);
+    let ended = Arc::new(AtomicUsize::new(0));
+    let mut calls = Vec::new();
+    for n in 0..CALLS {
+        let (desk, ended) = (desk.clone(), ended.clone());
+        let name = format!("call-{n}");
+        let options = desk.options(&name).await;
+        calls.push(tokio::spawn(async move {
+            let answer = desk.call(&name, &options).await;
+            ended.fetch_add(1, Ordering::SeqCst);
+            (name, options, answer)
+        }));
+    }
+    let early = async || match ended.load(Ordering::SeqCst) {
+        n if n >= CALLS - SERVED - 4 => Ok(()),
+        n => Err(n.to_string()),
+    };
+    until("refusals", early).await.expect("refused at once");
+    desk.service().set_frozen(false);
+    let mut served = 0;
+    for call in calls {
+        let (name, options, answer) = call.await.expect("ends");
+        if answer.status.is_success() {
+            served += 1;
+            assert_eq!(desk.runs(&name), 1, "{name}");
+            continue;
+        }
+        refused(&answer, "not_run", "not admitted");
+        assert_eq!(desk.runs(&name), 0, "{name} ran after all");
+        if way != Way::Plain {
+            let again = desk.call(&name, &options).await;
+            let problem: Value = again.json().expect("a problem");
+            assert_eq!(problem["outcome"], "not_run", "{problem}");
+            assert_eq!(desk.runs(&name), 0, "{name} ran after all");
+        }
+    }
+    assert!(served >= SERVED, "{served} served");
+    let options = desk.options("later").await;
+    let later = desk.call("later", &options).await;
+    assert!(later.status.is_success(), "{}", later.status);
+    close(desk).await;
+}
+
+async fn limited(way: Way, outcome: &str) {
+    let limits = "limits = { rate = 1, burst = 4, caller = 1 }";
+    let desk = Arc::new(Desk::start(way, limits).await);
+    let (mut served, mut over) = (0, 0);
+    for n in 0..TRIES {
+        let name = format!("call-{n}");
+        let options = desk.options(&name).await;
+        let answer = desk.call(&name, &options).await;
+        let runs = desk.runs(&name);
+        if answer.status.is_success() {
+            served += 1;
+            assert_eq!(runs, 1, "{name}");
+            continue;
+        }
+        refused(&answer, outcome, "refused by");
+        over += 1;
+        assert_eq!(runs, 0, "{name}");
+    }
+    assert!(served > 0 && over > 0, "{served} served, {over} refused");
+    close(desk).await;
+}
+
+async fn close(desk: Arc<Desk>) {
+    let desk = Arc::into_inner(desk).expect("all calls have ended");
+    desk.fleet.close().await;
+}
+
+/// A question and what must be said.
+macro_rules! explained {
+    ($desk:ident: $($case:ident: $query:expr => $pointer:literal, $check:expr;)*) => {
+        $({
+            let path = format!("/explain?{}", $query);
+            let answer = $desk.fleet.node("entry-0").operator(&path).await.expect("answers");
+            assert_eq!(answer.status.as_u16(), 200, stringify!($case));
+            let said: Value = answer.json().expect("JSON");
+            let check: fn(&Value) -> bool = $check;
+            let part = said.pointer($pointer);
+            assert!(part.is_some_and(check), "{}: {said}", stringify!($case));
+        })*
+    };
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn explain_says_what_would_be_done() {
+    let limits = "limits = { rate = 1, burst = 1, caller = 1 }";
+    let desk = Desk::start(Way::Plain, limits).await;
+    let over = async || {
+        let options = desk.options("over").await;
+        match desk.call("over", &options).await.status.as_u16() {
+            429 => Ok(()),
+            status => Err(status.to_string()),
+        }
+    };
+    until("a refusal", over).await.expect("refuses");
+    explained! { desk:
+        model: format!("name={MODEL}") => "/routing/member", |v| v == "engine-0";
+        model_within_limits: format!("name={MODEL}") => "/limits/granted", |v| v == true;
+        unknown_entry: "name=nobody" => "/catalogue", |v| v.as_str().is_some_and(|t| t.starts_with("refused"));
+        service: format!("name={SERVICE}") => "/catalogue/kind", |v| v == "service";
+        caller_over_its_limit: format!("name={SERVICE}&caller=crew") => "/limits/granted", |v| v == false;
+        malformed: "name=no%20body" => "/error", Value::is_string;
+        taking_in: format!("name={MODEL}") => "/intake", Value::is_string;
+    }
+    desk.fleet.close().await;
+}
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -7,7 +7,7 @@
 use apricothall_fleet::Trace;
 use apricothall_fleet::http_server::{Body, full};
 use apricothall_kernel::Clock;
-use apricothall_types::{CatalogueEntry, EntryName, Kind, Member, Role};
+use apricothall_types::{CatalogueEntry, Class, EntryName, Kind, Member, Outcome, Role};
 use apricothall_wire::{Answer, Call, Header, Order, Payload};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
@@ -18,6 +18,7 @@
 use crate::callers::Entry;
 use crate::forward::{Attempt, ForwardError, Step};
 use crate::home;
+use crate::limits::Asked;
 use crate::problem::Problem;
 
 /// Start of the paths of service calls.
@@ -53,16 +54,21 @@
     let (name, path) = split(request.uri())?;
     let method = SmolStr::new(request.method().as_str());
     let headers = passed(request.headers());
-    let body = Payload(ask::body(request, &entry.config).await?);
+    let body = ask::body(request, &entry.config).await?;
     let catalogue = entry.catalogue.current();
     let catalogue = &catalogue.value;
     let service = catalogue.entry(&name).filter(|e| e.kind == Kind::Service);
     let service = service.ok_or_else(|| unknown_service(&name))?;
+    let class = granted(&entry, service, &ask, body.len())?;
+    let ask = Ask {
+        class: Some(class),
+        ..ask
+    };
     let call = Call::Service {
         method,
         path,
         headers,
-        body,
+        body: Payload(body),
     };
     let run = async {
         if service.repeatable {
@@ -80,6 +86,31 @@
     done
 }
 
+/// Class that the limits grant the call.
+fn granted(
+    entry: &Entry,
+    service: &CatalogueEntry,
+    ask: &Ask,
+    body: usize,
+) -> Result<Class, Problem> {
+    let checked = entry.limits.check(Asked {
+        entry: service,
+        caller: &ask.caller,
+        class: ask.class,
+        tokens: Some(0),
+        body,
+    });
+    let repeated = ask.key.is_some() || ask.ticket.is_some();
+    checked.map_err(|refusal| {
+        if !repeated {
+            return refusal;
+        }
+        // An earlier copy of the call may have run.
+        let outcome = Outcome::Unknown;
+        Problem { outcome, ..refusal }
+    })
+}
+
 fn split(uri: &http::Uri) -> Result<(EntryName, SmolStr), Problem> {
     let whole = uri
         .path_and_query()
