--- a/crates/apricotd/tests/configuration.rs
+++ b/crates/apricotd/tests/configuration.rs
@@ -14,8 +14,8 @@
 use apricothall_standin::plan::{Plan, VmPlan};
 use apricothall_standin::server::Mode;
 use apricothall_types::Revision;
-use fixture::{DAEMON, FAST, catalogue, start};
-use observer::{Observer, running};
+use fixture::{DAEMON, FAST, catalogue, running, start};
+use observer::Observer;
 
 /// Zones, each in a region of its own.
 const ZONES: [&str; 3] = ["lima", "arequipa", "cusco"];
--- a/crates/apricotd/tests/membership.rs
+++ b/crates/apricotd/tests/membership.rs
@@ -12,8 +12,8 @@
 use apricothall_standin::plan::{Plan, VmPlan};
 use apricothall_standin::process::Process;
 use apricothall_types::MemberId;
-use fixture::{DAEMON, FAST, catalogue, start};
-use observer::{Observer, running};
+use fixture::{DAEMON, FAST, catalogue, running, start};
+use observer::Observer;
 use serde_json::Value;
 
 /// Longest wait for the exit of a daemon that must not go on.
--- a/crates/apricotd/tests/rollout.rs
+++ b/crates/apricotd/tests/rollout.rs
@@ -10,9 +10,9 @@
 use apricothall_standin::completion::Verdict;
 use apricothall_standin::engine::Engine;
 use apricothall_standin::fleet::{Fleet, WAIT_LIMIT};
-use apricothall_standin::load::{Load, LoadPlan, LoadReport, TrueWeights};
+use apricothall_standin::load::{Load, LoadPlan, LoadReport};
 use apricothall_standin::network::{Fault, Side};
-use fixture::{MODEL, caller, catalogue, plan, serving, start, truth};
+use fixture::{MODEL, caller, catalogue, plan, serving, start, true_weights};
 
 const AGENTS: [&str; 3] = ["engine-0", "engine-1", "engine-2"];
 
@@ -41,10 +41,6 @@
             serving(&fleet, "entry-0", agent, "1").await;
         }
         fleet.ready().await.expect("ready");
-        let weights = TrueWeights::default();
-        for (version, digest) in truth() {
-            weights.add(version, digest);
-        }
         let plan = LoadPlan {
             rate: 40.0,
             models: vec![MODEL.into()],
@@ -52,7 +48,7 @@
             options: CallOptions::default(),
             seed: 11,
         };
-        let load = Load::start(plan, vec![caller(&fleet, "crew")], weights);
+        let load = Load::start(plan, vec![caller(&fleet, "crew")], true_weights());
         Self { fleet, load }
     }
 
--- a/crates/apricotd/tests/weights.rs
+++ b/crates/apricotd/tests/weights.rs
@@ -2,19 +2,19 @@
 
 mod fixture;
 
-use std::collections::HashMap;
-
 use apricothall_platform::{EngineClient, HttpClient, LoadOrder, PlatformError};
 use apricothall_standin::caller::CallOptions;
 use apricothall_standin::completion::Verdict;
 use apricothall_standin::engine::{Engine, EngineSettings};
 use apricothall_standin::fleet::{Fleet, WAIT_LIMIT, until};
-use apricothall_standin::load::{Load, LoadPlan, TrueWeights};
+use apricothall_standin::load::{Load, LoadPlan};
 use apricothall_standin::network::{Fault, Port, Rule, Side};
 use apricothall_standin::plan::{Plan, VmPlan};
 use apricothall_standin::weights::Corruption;
-use apricothall_types::{Digest, Fence, Rate, Version};
-use fixture::{MODEL, caller, catalogue, counter, plan, serving, start, truth, weights};
+use apricothall_types::{Fence, Rate, Version};
+use fixture::{
+    MODEL, caller, catalogue, check_runs, counter, plan, serving, start, true_weights, weights,
+};
 
 const AGENTS: [&str; 2] = ["engine-0", "engine-1"];
 
@@ -64,10 +64,6 @@
             serving(&fleet, "entry-0", agent, "1").await;
         }
         fleet.ready().await.expect("ready");
-        let true_weights = TrueWeights::default();
-        for (version, digest) in truth() {
-            true_weights.add(version, digest);
-        }
         let plan = LoadPlan {
             rate: 30.0,
             models: vec![MODEL.into()],
@@ -75,7 +71,7 @@
             options: CallOptions::default(),
             seed: 7,
         };
-        let load = Load::start(plan, vec![caller(&fleet, "crew")], true_weights);
+        let load = Load::start(plan, vec![caller(&fleet, "crew")], true_weights());
         Self { fleet, load }
     }
 
@@ -135,13 +131,7 @@
             assert_eq!(report.count(verdict), 0, "{:?}", report.samples);
         }
         assert!(report.whole() > 0, "live requests were served");
-        let truth: HashMap<Version, Digest> = truth();
-        for node in self.fleet.agents() {
-            let runs = node.engines.iter().flat_map(Engine::runs);
-            for run in runs {
-                assert_eq!(truth.get(&run.version), Some(&run.weights), "{run:?}");
-            }
-        }
+        check_runs(&self.fleet);
         self.fleet.close().await;
     }
 }
