test: the rollout row says which verdicts it saw

Cause: in a fresh clone at load 30 one of 60 requests was refused during the rollout and the message did not say how.

--- a/crates/apricotd/tests/rollout.rs
+++ b/crates/apricotd/tests/rollout.rs
@@ -117,7 +117,7 @@
     let out = bench.roll(async { bench.publish() }, &AGENTS).await;
     assert_eq!(out, 1, "engines out of service at once");
     let report = bench.close().await;
-    assert_eq!(report.whole(), report.ended, "{:?}", report.samples);
+    assert_eq!(report.whole(), report.ended, "{:?}", report.verdicts);
 }
 
 #[tokio::test(flavor = "multi_thread")]
