--- a/crates/entry/src/ask.rs
+++ b/crates/entry/src/ask.rs
@@ -5,7 +5,7 @@
 
 use apricothall_fleet::Trace;
 use apricothall_kernel::configs::CallersConfig;
-use apricothall_types::{CallerId, Class, IdempotencyKey};
+use apricothall_types::{CallerId, Class, IdempotencyKey, Outcome};
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -69,6 +69,31 @@
     }
 }
 
+impl Ask {
+    /// The request after it has waited unread, which its deadline counts.
+    ///
+    /// # Errors
+    /// When the deadline has passed. An earlier copy of a keyed call may have run.
+    pub fn after(self, waited: Duration) -> Result<Self, Problem> {
+        let budget = self.budget.saturating_sub(waited);
+        if !budget.is_zero() {
+            return Ok(Self { budget, ..self });
+        }
+        let is_keyed = self.key.is_some() || self.ticket.is_some();
+        let outcome = if is_keyed {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        let late = Problem::unknown("the deadline passed before the request was read");
+        Err(Problem {
+            status: StatusCode::GATEWAY_TIMEOUT,
+            outcome,
+            ..late
+        })
+    }
+}
+
 /// The caller's trace, or a new one when it sent none that is valid.
 #[must_use]
 pub fn trace(headers: &HeaderMap) -> Trace {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpSocket;
 use tracing::Instrument;
 
+use crate::arrival::Arrival;
 use crate::limits::Limits;
 use crate::problem::Problem;
 use crate::quarantine::Pairs;
@@ -56,6 +57,8 @@
     pub zone: Zone,
     /// Clock of the VM.
     pub clock: Clock,
+    /// When requests that are read may have arrived.
+    pub arrival: Arc<Arrival>,
     /// Time for which homes remember calls.
     pub horizon: Duration,
     /// Other daemons.
@@ -85,6 +88,7 @@
         retry: settings.retry.clone(),
         zone: settings.daemon.zone.clone(),
         clock: context.clock,
+        arrival: Arc::new(Arrival::new(context.clock.now())),
         horizon: settings.dedupe.horizon.0,
         pairs: Arc::new(Pairs::new(context.part()?, context.part()?)),
         view: context.part()?,
@@ -95,6 +99,8 @@
         lifecycle: context.lifecycle.clone(),
     });
     context.lifecycle.spawn(entry.pairs.clone().follow());
+    let arrival = entry.arrival.clone();
+    context.lifecycle.spawn(arrival.follow(context.clock));
     let pairs = entry.pairs.clone();
     let board = context.part::<StatusBoard>()?;
     board.section("pairs", move || pairs.status());
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -64,7 +64,8 @@
     request: Request<Incoming>,
     trace: Trace,
 ) -> Result<Response<Body>, Problem> {
-    let ask = Ask::read(request.headers(), trace, &entry.config)?;
+    let waited = entry.arrival.waited(entry.clock.now());
+    let ask = Ask::read(request.headers(), trace, &entry.config)?.after(waited)?;
     let prompt = Prompt::read(ask::body(request, &entry.config).await?)?;
     let catalogue = entry.catalogue.current();
     let found = catalogue.value.entry(&prompt.model);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! Plug-ins of the entry: the port for callers and the way of a request to an agent.
 
+pub mod arrival;
 pub mod ask;
 pub mod callers;
 pub mod completions;
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -50,7 +50,8 @@
     request: Request<Incoming>,
     trace: Trace,
 ) -> Result<Response<Body>, Problem> {
-    let ask = Ask::read(request.headers(), trace, &entry.config)?;
+    let waited = entry.arrival.waited(entry.clock.now());
+    let ask = Ask::read(request.headers(), trace, &entry.config)?.after(waited)?;
     let (name, path) = split(request.uri())?;
     let method = SmolStr::new(request.method().as_str());
     let headers = passed(request.headers());
--- /dev/null
+++ b/crates/entry/tests/arrival.rs
@@ -0,0 +1,27 @@
+//! Requests that lay in the sockets of a stopped process count as having waited.
+
+use std::time::Duration;
+
+use apricothall_entry::arrival::Arrival;
+use apricothall_types::Timestamp;
+
+macro_rules! waits {
+    ($($case:ident: runs at $notes:expr, read at $read:expr => $waited:expr;)*) => {
+        $(#[test] fn $case() {
+            let arrival = Arrival::new(Timestamp::from_millis(0));
+            for note in $notes {
+                arrival.note(Timestamp::from_millis(note));
+            }
+            let waited = arrival.waited(Timestamp::from_millis($read));
+            assert_eq!(waited, Duration::from_millis($waited));
+        })*
+    };
+}
+
+waits! {
+    running: runs at [100, 200, 300], read at 350 => 0;
+    first_read_after_a_stop: runs at [100], read at 5_100 => 5_000;
+    read_after_the_first_note: runs at [100, 5_100, 5_200], read at 5_250 => 5_150;
+    long_after_a_stop: runs at [100, 5_100, 5_500, 5_900, 6_300], read at 6_400 => 0;
+    short_gap: runs at [100, 500], read at 900 => 0;
+}
