--- a/crates/fleet/src/wake_timer.rs
+++ b/crates/fleet/src/wake_timer.rs
@@ -13,7 +13,7 @@
 /// Time after the deadline in which waiting bytes are read.
 const GRACE: Duration = Duration::from_millis(100);
 
-/// Timer whose sleeps end [`GRACE`] after their deadline, counted from when it is seen.
+/// Timer whose sleeps end 100 ms after their deadline, counted from when it is seen.
 #[derive(Clone, Copy, Debug)]
 pub struct WakeTimer;
 
