--- a/crates/agent/src/weights_port.rs
+++ b/crates/agent/src/weights_port.rs
@@ -1,5 +1,6 @@
 //! Plug-in that lets the engines of this VM read complete versions over loopback.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use apricothall_types::{ChunkIndex, Digest, Role, Timestamp};
 use http::{Response, StatusCode};
 use linkme::distributed_slice;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::chunks::ChunkStore;
 
@@ -31,7 +32,7 @@
     context.provide(store.clone());
     let shown = store.clone();
     let board = context.part::<StatusBoard>()?;
-    board.section("weights", move || json!({ "bytes": shown.size().0 }));
+    board.section("weights", move || status(&shown));
     let Some(config) = &context.settings.weights else {
         return Ok(());
     };
@@ -47,6 +48,17 @@
     Ok(())
 }
 
+/// Memory taken, and how far each version has come.
+fn status(store: &ChunkStore) -> Value {
+    let kept = store.kept(&BTreeSet::new());
+    let transfers = kept.iter().map(|version| {
+        let chunks = store.manifest(version.manifest).map(|m| m.count());
+        let held = store.held(version.manifest).count();
+        json!({ "manifest": version.manifest, "held": held, "chunks": chunks })
+    });
+    json!({ "bytes": store.size().0, "transfers": transfers.collect::<Vec<_>>() })
+}
+
 fn answer(store: &ChunkStore, path: &str, now: Timestamp) -> Response<Body> {
     let found = find(store, path, now);
     found.unwrap_or_else(|| text(StatusCode::NOT_FOUND, "no complete version holds this\n"))
