--- a/crates/agent/src/claims.rs
+++ b/crates/agent/src/claims.rs
@@ -7,13 +7,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_clients::configuration::Watched;
+use apricothall_clients::vm_list::parse_list;
+use apricothall_clients::{HttpClient, PlatformError, VmListClient};
 use apricothall_decide::claims::{Ask, Denied, Reply};
 use apricothall_decide::dedupe::Home;
 use apricothall_fleet::{CatalogueState, ClaimDesk, StatusBoard, View};
 use apricothall_kernel::{Clock, Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_platform::configuration::Watched;
-use apricothall_platform::vm_list::parse_list;
-use apricothall_platform::{HttpClient, PlatformError, VmListClient};
 use apricothall_types::{EntryName, MemberId, Role, Timestamp, VmList};
 use apricothall_wire::{Connector, WireError};
 use futures::StreamExt;
--- a/crates/agent/src/completion.rs
+++ b/crates/agent/src/completion.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_clients::{EngineEvent, PlatformError};
 use apricothall_fleet::Trace;
-use apricothall_platform::{EngineEvent, PlatformError};
 use apricothall_types::{Outcome, Timestamp, Version};
 use apricothall_wire::{Answer, Order, Payload, Refusal, WireError};
 use bytes::Bytes;
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_clients::weights::parse_manifest;
+use apricothall_clients::{PlatformError, WeightsClient};
 use apricothall_decide::transfer::{ChunkSet, Failure, Source, Verified};
 use apricothall_fleet::View;
 use apricothall_kernel::Clock;
-use apricothall_platform::weights::parse_manifest;
-use apricothall_platform::{PlatformError, WeightsClient};
 use apricothall_types::{Bytes as Size, ChunkIndex, Digest, Manifest, MemberId};
 use apricothall_wire::{
     CHUNK_PATH, Channel, ChunkFrame, ChunkRequest, ChunkWant, Connector, Lane, WireError,
--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -7,11 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_clients::{PlatformError, ServiceAnswer, ServiceCall};
 use apricothall_decide::claims::Denied;
 use apricothall_decide::dedupe::{self, CallKey};
 use apricothall_decide::limits;
 use apricothall_fleet::Trace;
-use apricothall_platform::{PlatformError, ServiceAnswer, ServiceCall};
 use apricothall_types::{Class, Outcome, Timestamp};
 use apricothall_wire::{Answer, Header, Once, Order, Payload, Refusal, WireError, codec};
 use serde::{Deserialize, Serialize};
--- a/crates/agent/src/placement.rs
+++ b/crates/agent/src/placement.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeSet;
 
+use apricothall_clients::Serving;
 use apricothall_decide::rollout::{Candidate, place, ranks};
 use apricothall_fleet::View;
-use apricothall_platform::Serving;
 use apricothall_types::{Catalogue, CatalogueEntry, Kind, MemberId, Role, VmState};
 
 use crate::servers::SERVICE_VERSION;
--- a/crates/agent/src/reload.rs
+++ b/crates/agent/src/reload.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_clients::{LoadOrder, PlatformError, Serving};
 use apricothall_fleet::{CatalogueState, View};
-use apricothall_platform::{LoadOrder, PlatformError, Serving};
 use smol_str::SmolStr;
 use thiserror::Error;
 
--- a/crates/agent/src/servers.rs
+++ b/crates/agent/src/servers.rs
@@ -5,10 +5,10 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
+use apricothall_clients::{EngineClient, EngineState, HttpClient, ServiceClient, Serving};
 use apricothall_fleet::{CatalogueState, StatusBoard, View};
 use apricothall_kernel::configs::{ServerConfig, ServerKind};
 use apricothall_kernel::{Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_platform::{EngineClient, EngineState, HttpClient, ServiceClient, Serving};
 use apricothall_types::{Catalogue, EntryName, Holding, HoldingState, Load, Role, Version};
 use linkme::distributed_slice;
 use serde_json::json;
--- a/crates/agent/src/service_call.rs
+++ b/crates/agent/src/service_call.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use apricothall_clients::{PlatformError, ServiceAnswer, ServiceCall};
 use apricothall_fleet::Trace;
-use apricothall_platform::{PlatformError, ServiceAnswer, ServiceCall};
 use apricothall_types::Outcome;
 use apricothall_wire::{Answer, Call, Header, Order, Payload, Refusal, WireError};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
--- a/crates/agent/src/transfers.rs
+++ b/crates/agent/src/transfers.rs
@@ -4,11 +4,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use apricothall_clients::{HttpClient, WeightsClient};
 use apricothall_decide::configs::TransferConfig;
 use apricothall_decide::transfer::evict;
 use apricothall_fleet::CatalogueState;
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_platform::{HttpClient, WeightsClient};
 use apricothall_types::{Catalogue, Digest, Holding, HoldingState, Region, Role};
 use linkme::distributed_slice;
 use tokio::sync::watch;
--- a/crates/apricotctl/src/error.rs
+++ b/crates/apricotctl/src/error.rs
@@ -1,7 +1,7 @@
 //! Errors of the command line.
 
+use apricothall_clients::PlatformError;
 use apricothall_kernel::SettingsError;
-use apricothall_platform::PlatformError;
 use apricothall_types::CatalogueError;
 use smol_str::SmolStr;
 use thiserror::Error;
--- a/crates/apricotctl/src/operator.rs
+++ b/crates/apricotctl/src/operator.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use apricothall_platform::HttpClient;
-use apricothall_platform::http_client::get;
+use apricothall_clients::HttpClient;
+use apricothall_clients::http_client::get;
 use clap::Args;
 use serde::de::DeserializeOwned;
 use smol_str::ToSmolStr;
--- a/crates/apricotctl/src/request.rs
+++ b/crates/apricotctl/src/request.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use apricothall_platform::{HttpClient, PlatformError};
+use apricothall_clients::{HttpClient, PlatformError};
 use apricothall_types::{CallerId, EntryName, IdempotencyKey};
 use clap::Args;
 use http::{Method, Request};
--- a/crates/apricotd/src/main.rs
+++ b/crates/apricotd/src/main.rs
@@ -35,10 +35,14 @@
 }
 
 #[derive(Args)]
+#[group(required = true, multiple = false)]
 struct Source {
     /// Settings file in TOML; `apricotctl check --print-default` shows one.
     #[arg(long, value_name = "FILE")]
-    config: PathBuf,
+    config: Option<PathBuf>,
+    /// Run on a VM whose platform hands out the settings in its own form.
+    #[arg(long)]
+    machine: bool,
 }
 
 fn main() -> ExitCode {
@@ -56,7 +60,10 @@
 }
 
 fn start(role: Role, source: &Source) -> Result<(), Box<dyn std::error::Error>> {
-    let settings = Settings::load(&source.config, Some(role))?;
+    let Some(config) = &source.config else {
+        return start_on_machine();
+    };
+    let settings = Settings::load(config, Some(role))?;
     logging::install(&settings.log)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -64,3 +71,15 @@
     runtime.block_on(run(settings, role))?;
     Ok(())
 }
+
+/// Such VMs have a part of one core, so one thread does all work.
+fn start_on_machine() -> Result<(), Box<dyn std::error::Error>> {
+    let _writer = logging::install_machine()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let running =
+        apricothall_gateway::run::run(apricothall_platform::read, apricothall_platform::dialect());
+    runtime.block_on(running)?;
+    Ok(())
+}
--- a/crates/apricotd/tests/weights.rs
+++ b/crates/apricotd/tests/weights.rs
@@ -2,7 +2,7 @@
 
 mod fixture;
 
-use apricothall_platform::{EngineClient, HttpClient, LoadOrder, PlatformError};
+use apricothall_clients::{EngineClient, HttpClient, LoadOrder, PlatformError};
 use apricothall_standin::caller::CallOptions;
 use apricothall_standin::completion::Verdict;
 use apricothall_standin::engine::{Engine, EngineSettings};
--- a/crates/platform/src/sse.rs
+++ b/crates/clients/src/sse.rs
@@ -63,3 +63,60 @@
     line.extend_from_slice(&event(data.as_bytes()));
     line.freeze()
 }
+
+/// Splits a stream into whole events without changing their bytes.
+#[derive(Debug, Default)]
+pub struct RawEvents {
+    buffer: BytesMut,
+    scanned: usize,
+}
+
+/// One whole event as it came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RawEvent {
+    /// All its bytes, the empty line at its end included.
+    pub bytes: Bytes,
+    /// Its id, if it is a number.
+    pub id: Option<u64>,
+}
+
+impl RawEvents {
+    /// Takes the next piece of the stream.
+    pub fn push(&mut self, piece: &[u8]) {
+        self.buffer.extend_from_slice(piece);
+    }
+
+    /// The next whole event, if it has arrived.
+    ///
+    /// # Errors
+    /// When an unfinished event is too long.
+    pub fn next_event(&mut self) -> Result<Option<RawEvent>, EventTooLong> {
+        let from = self.scanned.saturating_sub(1);
+        let found = self.buffer[from..].windows(2).position(|w| w == b"\n\n");
+        let Some(at) = found else {
+            self.scanned = self.buffer.len();
+            if self.buffer.len() > MAX_EVENT_BYTES {
+                return Err(EventTooLong);
+            }
+            return Ok(None);
+        };
+        let bytes = self.buffer.split_to(from + at + 2).freeze();
+        self.scanned = 0;
+        let id = event_id(&bytes);
+        Ok(Some(RawEvent { bytes, id }))
+    }
+
+    /// Bytes of an unfinished event.
+    #[must_use]
+    pub fn rest(&mut self) -> Bytes {
+        self.scanned = 0;
+        self.buffer.split().freeze()
+    }
+}
+
+/// The number in the event's `id` line.
+fn event_id(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|b| *b == b'\n');
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/decide/src/pieces.rs
@@ -0,0 +1,167 @@
+//! From where an agent fetches each piece of a version.
+//!
+//! A piece leaves the origin once and crosses to each other region once: for each piece, agents
+//! are ranked by hash, over all of them for the origin and over those of a region for the
+//! crossing. The next rank takes over after [`PiecesConfig::takeover`]. Within a region agents
+//! copy from each other.
+
+use std::time::Duration;
+
+use apricothall_types::{ChunkIndex, MemberId, Region, Timestamp};
+
+use crate::rank;
+use crate::transfer::ChunkSet;
+
+/// An agent that takes part in the spread of a version.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    /// Its id.
+    pub id: MemberId,
+    /// Region of its VM.
+    pub region: Region,
+    /// Pieces that it can pass on.
+    pub held: ChunkSet,
+    /// Pieces being fetched from it.
+    pub flights: usize,
+    /// Whether it failed lately, so that others go first.
+    pub down: bool,
+}
+
+/// Where a piece comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The origin of the weights.
+    Origin,
+    /// Another agent.
+    Peer(MemberId),
+}
+
+/// Settings of [`plan`].
+#[derive(Clone, Copy, Debug)]
+pub struct PiecesConfig {
+    /// Delay of each further rank.
+    pub takeover: Duration,
+    /// Pieces fetched at once.
+    pub flights: usize,
+    /// Pieces fetched at once from one peer.
+    pub depth: usize,
+}
+
+impl Default for PiecesConfig {
+    fn default() -> Self {
+        Self {
+            takeover: Duration::from_millis(700),
+            flights: 4,
+            depth: 2,
+        }
+    }
+}
+
+/// The agent that plans.
+#[derive(Clone, Copy, Debug)]
+pub struct Fetcher<'a> {
+    /// Its id.
+    pub id: &'a MemberId,
+    /// Region of its VM.
+    pub region: &'a Region,
+    /// When it began to fetch the version.
+    pub since: Timestamp,
+    /// Text that tells versions apart in the ranking.
+    pub subject: &'a str,
+}
+
+/// Which of the `wanted` pieces to fetch now, and from where. `flying` are under way.
+#[must_use]
+pub fn plan(
+    config: &PiecesConfig,
+    me: Fetcher<'_>,
+    wanted: &[ChunkIndex],
+    flying: usize,
+    peers: &[Holder],
+    now: Timestamp,
+) -> Vec<(ChunkIndex, Source)> {
+    let mut room = config.flights.saturating_sub(flying);
+    let mut used: Vec<usize> = peers.iter().map(|p| p.flights).collect();
+    let mut chosen = Vec::new();
+    for chunk in in_own_order(me, wanted) {
+        if room == 0 {
+            break;
+        }
+        let Some(source) = source(config, me, chunk, peers, &mut used, now) else {
+            continue;
+        };
+        chosen.push((chunk, source));
+        room -= 1;
+    }
+    chosen
+}
+
+/// Each agent begins elsewhere, so that they have different pieces to pass on.
+fn in_own_order(me: Fetcher<'_>, wanted: &[ChunkIndex]) -> Vec<ChunkIndex> {
+    let mut ordered = wanted.to_vec();
+    ordered.sort_by_cached_key(|c| rank::weight(&subject(me.subject, *c, "order"), me.id));
+    ordered
+}
+
+fn subject(version: &str, chunk: ChunkIndex, use_: &str) -> Vec<u8> {
+    format!("{version}/{chunk}/{use_}").into_bytes()
+}
+
+fn source(
+    config: &PiecesConfig,
+    me: Fetcher<'_>,
+    chunk: ChunkIndex,
+    peers: &[Holder],
+    used: &mut [usize],
+    now: Timestamp,
+) -> Option<Source> {
+    let holders: Vec<usize> = (0..peers.len())
+        .filter(|i| peers[*i].held.contains(chunk) && !peers[*i].down)
+        .collect();
+    let is_near = |i: &usize| peers[*i].region == *me.region;
+    if holders.iter().any(is_near) {
+        let near = holders.iter().copied().filter(|i| is_near(i));
+        return take(config, peers, used, near);
+    }
+    let waited = now.since(me.since);
+    if !holders.is_empty() {
+        let mine = peers.iter().filter(|p| p.region == *me.region);
+        if !is_turn(config, me, chunk, "cross", mine, waited) {
+            return None;
+        }
+        return take(config, peers, used, holders.into_iter());
+    }
+    is_turn(config, me, chunk, "origin", peers.iter(), waited).then_some(Source::Origin)
+}
+
+/// The least used of `holders` that has room.
+fn take(
+    config: &PiecesConfig,
+    peers: &[Holder],
+    used: &mut [usize],
+    holders: impl Iterator<Item = usize>,
+) -> Option<Source> {
+    let best = holders
+        .filter(|i| used[*i] < config.depth)
+        .min_by_key(|i| used[*i])?;
+    used[best] += 1;
+    Some(Source::Peer(peers[best].id.clone()))
+}
+
+/// Whether the ranks before this agent have had their time.
+fn is_turn<'a>(
+    config: &PiecesConfig,
+    me: Fetcher<'_>,
+    chunk: ChunkIndex,
+    use_: &str,
+    peers: impl Iterator<Item = &'a Holder>,
+    waited: Duration,
+) -> bool {
+    let subject = subject(me.subject, chunk, use_);
+    let own = rank::weight(&subject, me.id);
+    let before = peers
+        .filter(|p| !p.down && rank::weight(&subject, &p.id) > own)
+        .count();
+    let before = u32::try_from(before).unwrap_or(u32::MAX);
+    waited >= config.takeover.saturating_mul(before)
+}
--- /dev/null
+++ b/crates/decide/src/reload.rs
@@ -0,0 +1,89 @@
+//! When an agent orders its engine to load another version.
+//!
+//! Engines of a zone reload in waves, so that a part of them keeps serving. An empty engine
+//! serves nothing and loads at once. Near the end of the time allowed all load.
+
+use std::time::Duration;
+
+use apricothall_types::{MemberId, Timestamp};
+use serde::{Deserialize, Serialize};
+
+use crate::rank;
+
+/// How far an engine has come with the wanted version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Progress {
+    /// Serves nothing.
+    Empty,
+    /// Serves an older version; the wanted one is not complete beside it.
+    Fetching,
+    /// Serves an older version; the wanted one is complete beside it.
+    Complete,
+    /// Is loading.
+    Loading,
+    /// Serves the wanted version.
+    Done,
+}
+
+/// An engine of the zone, as its agent tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Neighbour {
+    /// The agent.
+    pub id: MemberId,
+    /// How far its engine has come.
+    pub progress: Progress,
+}
+
+/// Settings of [`may_load`].
+#[derive(Clone, Copy, Debug)]
+pub struct ReloadConfig {
+    /// Part of a zone's engines that may load at once, in percent.
+    pub share: usize,
+    /// Time before the end of the time allowed at which all load.
+    pub rush: Duration,
+}
+
+impl Default for ReloadConfig {
+    fn default() -> Self {
+        Self {
+            share: 50,
+            rush: Duration::from_millis(3_600),
+        }
+    }
+}
+
+const WHOLE: usize = 100;
+
+/// Whether the engine of `me`, whose pieces are complete, may load now. `neighbours` are the
+/// other engines of its zone; `due` is the end of the time allowed.
+#[must_use]
+pub fn may_load(
+    config: &ReloadConfig,
+    me: &MemberId,
+    own: Progress,
+    neighbours: &[Neighbour],
+    due: Timestamp,
+    now: Timestamp,
+) -> bool {
+    match own {
+        Progress::Empty => return true,
+        Progress::Complete => {}
+        Progress::Fetching | Progress::Loading | Progress::Done => return false,
+    }
+    if now + config.rush >= due {
+        return true;
+    }
+    let in_use = |n: &&Neighbour| n.progress != Progress::Empty;
+    let engines = neighbours.iter().filter(in_use).count() + 1;
+    let window = (engines * config.share / WHOLE).max(1);
+    let loading = neighbours
+        .iter()
+        .filter(|n| n.progress == Progress::Loading)
+        .count();
+    let own_rank = rank::weight(b"reload", me);
+    let ahead = neighbours
+        .iter()
+        .filter(|n| n.progress == Progress::Complete && rank::weight(b"reload", &n.id) > own_rank)
+        .count();
+    loading + ahead < window
+}
--- /dev/null
+++ b/crates/decide/src/servers.rs
@@ -0,0 +1,189 @@
+//! Backend servers as the platform publishes them, and which of them take new requests.
+//!
+//! While the platform's store is away, entries of living servers lapse. They come back once it
+//! answers again, so a server that is missing shortly after an outage keeps its place until
+//! [`ServersConfig::restore`] has passed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricothall_types::{MemberId, Timestamp, WallTime, Zone};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Whether a server takes new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ServerState {
+    /// It does.
+    Ready,
+    /// It finishes what it runs and leaves.
+    Draining,
+}
+
+/// A model version that an engine has loaded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loaded {
+    /// The model.
+    pub model: SmolStr,
+    /// Version of its weights.
+    pub version: u64,
+}
+
+/// A backend server as published.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// Id of its present life.
+    pub id: MemberId,
+    /// Service that it belongs to.
+    pub service: SmolStr,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Availability zone of its VM.
+    pub zone: Zone,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: ServerState,
+    /// Start of its present life.
+    pub born: WallTime,
+    /// Model versions loaded; none for a plain service.
+    pub loaded: Vec<Loaded>,
+}
+
+/// Settings of [`Servers`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServersConfig {
+    /// Time after an outage of the store in which entries that lapsed come back.
+    pub restore: Duration,
+}
+
+impl Default for ServersConfig {
+    fn default() -> Self {
+        Self {
+            restore: Duration::from_millis(2_000),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    server: Server,
+    missing: bool,
+}
+
+/// The servers known, with the outages of the store that listed them.
+#[derive(Clone, Debug, Default)]
+pub struct Servers {
+    config: ServersConfig,
+    known: BTreeMap<MemberId, Known>,
+    away: bool,
+    returned: Option<Timestamp>,
+}
+
+impl Servers {
+    /// No server.
+    #[must_use]
+    pub fn new(config: ServersConfig) -> Self {
+        Self {
+            config,
+            ..Self::default()
+        }
+    }
+
+    /// Notes that the store did not answer. True when it had answered before.
+    pub fn store_failed(&mut self) -> bool {
+        !std::mem::replace(&mut self.away, true)
+    }
+
+    /// Notes that the store answered. True when it had been away.
+    pub fn store_answered(&mut self, now: Timestamp) -> bool {
+        let was_away = std::mem::take(&mut self.away);
+        if was_away {
+            self.returned = Some(now);
+        }
+        was_away
+    }
+
+    /// Whether the store is away.
+    #[must_use]
+    pub const fn is_away(&self) -> bool {
+        self.away
+    }
+
+    /// Takes one entry as written.
+    pub fn put(&mut self, server: Server) {
+        let id = server.id.clone();
+        let missing = false;
+        self.known.insert(id, Known { server, missing });
+    }
+
+    /// Takes the removal of an entry.
+    pub fn remove(&mut self, id: &MemberId, now: Timestamp) {
+        if !self.restoring(now) {
+            self.known.remove(id);
+            return;
+        }
+        if let Some(known) = self.known.get_mut(id) {
+            known.missing = true;
+        }
+    }
+
+    /// Drops an entry whose present value names no server.
+    pub fn forget(&mut self, id: &MemberId) {
+        self.known.remove(id);
+    }
+
+    /// Takes the whole list: servers that it lacks are removed.
+    pub fn replace(&mut self, list: Vec<Server>, now: Timestamp) {
+        let absent: Vec<_> = self
+            .known
+            .keys()
+            .filter(|id| !list.iter().any(|s| s.id == **id))
+            .cloned()
+            .collect();
+        for id in absent {
+            self.remove(&id, now);
+        }
+        for server in list {
+            self.put(server);
+        }
+    }
+
+    /// Takes the list of a peer that reaches the store: just these servers are known from now on.
+    pub fn adopt(&mut self, list: Vec<Server>) {
+        self.known.clear();
+        for server in list {
+            self.put(server);
+        }
+    }
+
+    /// Drops servers that are still missing once entries would have come back.
+    pub fn expire(&mut self, now: Timestamp) {
+        if !self.restoring(now) {
+            self.known.retain(|_, k| !k.missing);
+        }
+    }
+
+    /// All servers known, draining ones included.
+    pub fn iter(&self) -> impl Iterator<Item = &Server> {
+        self.known.values().map(|k| &k.server)
+    }
+
+    /// The server with `id`.
+    #[must_use]
+    pub fn get(&self, id: &MemberId) -> Option<&Server> {
+        self.known.get(id).map(|k| &k.server)
+    }
+
+    /// Servers of `service` that take new requests.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
+        self.iter()
+            .filter(move |s| s.service == service && s.state == ServerState::Ready)
+    }
+
+    fn restoring(&self, now: Timestamp) -> bool {
+        let recent = |at: Timestamp| now.since(at) < self.config.restore;
+        self.away || self.returned.is_some_and(recent)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/timing.rs
@@ -0,0 +1,90 @@
+//! Timing of a model engine that batches requests: when one more request gets its first event.
+//!
+//! The engine works in passes. A pass first reads prompts, then makes `stride` tokens for each
+//! request that is writing. Figures come from the service's published description.
+
+use std::time::Duration;
+
+const MS_PER_SECOND: f64 = 1_000.0;
+const TOKENS_PER_K: f64 = 1_000.0;
+const PAIRS_PER_M: f64 = 1e6;
+
+/// Published timing of an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Timing {
+    /// Requests written at once.
+    pub slots: u32,
+    /// A token step, in ms.
+    pub step: f64,
+    /// Addition to a step for each request that is writing, in ms.
+    pub per_request: f64,
+    /// Addition to a step for each 1,000 tokens of context, in ms.
+    pub per_context: f64,
+    /// Prompt tokens read a second.
+    pub reading: f64,
+    /// Addition to reading for a million pairs of a token and an earlier one, in ms.
+    pub per_pairs: f64,
+    /// Token steps of a pass.
+    pub stride: u32,
+    /// Mean tokens of a prompt.
+    pub prompt: f64,
+    /// Mean tokens of an answer.
+    pub answer: f64,
+}
+
+/// Work at an engine when a request arrives.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Requests that are writing or being read.
+    pub running: u32,
+    /// Requests that wait for a place.
+    pub waiting: u32,
+    /// Requests sent so recently that their prompts are not read yet.
+    pub unread: u32,
+    /// How many times slower than published the engine is; 1 is as published.
+    pub pace: f64,
+}
+
+impl Timing {
+    /// Time to read a prompt of `tokens`, in ms.
+    #[must_use]
+    pub fn read_ms(&self, tokens: f64) -> f64 {
+        let pairs = tokens * tokens / 2.0 / PAIRS_PER_M;
+        tokens / self.reading.max(1.0) * MS_PER_SECOND + pairs * self.per_pairs
+    }
+
+    /// Time of the token steps of one pass with `writers` requests, in ms.
+    #[must_use]
+    pub fn write_ms(&self, writers: u32) -> f64 {
+        let n = f64::from(writers);
+        let context = n * (self.prompt + self.answer / 2.0) / TOKENS_PER_K;
+        f64::from(self.stride) * (self.step + self.per_request * n + self.per_context * context)
+    }
+
+    /// Requests that a full engine ends in a second, as published.
+    #[must_use]
+    pub fn throughput(&self) -> f64 {
+        let passes = (self.answer / f64::from(self.stride.max(1)))
+            .ceil()
+            .max(1.0);
+        let places = f64::from(self.slots.max(1));
+        let reads = places / passes * self.read_ms(self.prompt);
+        places / (passes * (self.write_ms(self.slots) + reads)) * MS_PER_SECOND
+    }
+
+    /// Time until a request with a prompt of `tokens` gets its first event.
+    #[must_use]
+    pub fn first_event(&self, work: Work, tokens: f64) -> Duration {
+        let writers = work.running.min(self.slots);
+        let pass = self.write_ms(writers + 1);
+        let unread = f64::from(work.unread) * self.read_ms(self.prompt);
+        let own = self.read_ms(tokens);
+        let mut ms = pass * 1.5 + own + unread;
+        let taken = work.running + work.waiting;
+        if taken >= self.slots {
+            let behind = f64::from(taken - self.slots) + 0.5;
+            ms += behind / self.throughput().max(f64::EPSILON) * MS_PER_SECOND;
+        }
+        Duration::from_secs_f64((ms * work.pace.max(1.0) / MS_PER_SECOND).max(0.0))
+    }
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -6,8 +6,8 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
+use apricothall_clients::sse;
 use apricothall_fleet::http_server::{Body, json};
-use apricothall_platform::sse;
 use apricothall_types::{EntryName, Version};
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
--- a/crates/fleet/src/catalogue.rs
+++ b/crates/fleet/src/catalogue.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
+use apricothall_clients::{ConfigurationClient, HttpClient};
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_platform::{ConfigurationClient, HttpClient};
 use apricothall_types::{Catalogue, Role};
 use apricothall_wire::Subject;
 use linkme::distributed_slice;
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
+use apricothall_clients::HttpClient;
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartFuture};
-use apricothall_platform::HttpClient;
 use apricothall_types::Role;
 use apricothall_wire::{Connector, ConnectorConfig};
 use linkme::distributed_slice;
--- a/crates/fleet/src/subject.rs
+++ b/crates/fleet/src/subject.rs
@@ -6,10 +6,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use apricothall_clients::{PlatformError, Value, Watched};
 use apricothall_decide::membership::{Head, Membership};
 use apricothall_decide::revision::{Decision, Readiness, Revisions, Source, Stamp};
 use apricothall_kernel::{Clock, Context, StartError};
-use apricothall_platform::{PlatformError, Value, Watched};
 use apricothall_types::{Digest, MemberId, Revision, Role, Zone};
 use apricothall_wire::{Connector, Published, PublishedText, Subject};
 use serde_json::{Value as Json, json};
--- a/crates/fleet/src/subject/peers.rs
+++ b/crates/fleet/src/subject/peers.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use apricothall_clients::Value;
 use apricothall_decide::delta;
 use apricothall_decide::membership::GossipMessage;
 use apricothall_decide::revision::Source;
-use apricothall_platform::Value;
 use apricothall_types::{Digest, Revision};
 use apricothall_wire::{Published, PublishedText, WireError};
 use tokio::sync::broadcast;
--- a/crates/fleet/src/subject/reads.rs
+++ b/crates/fleet/src/subject/reads.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_clients::{PlatformError, Watched};
 use apricothall_decide::revision::{Poll, Revisions, Source};
-use apricothall_platform::{PlatformError, Watched};
 use apricothall_types::{Revision, Timestamp};
 use apricothall_wire::Subject;
 
--- a/crates/fleet/src/vms.rs
+++ b/crates/fleet/src/vms.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use apricothall_clients::vm_list::parse_list;
+use apricothall_clients::{HttpClient, VmListClient};
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_platform::vm_list::parse_list;
-use apricothall_platform::{HttpClient, VmListClient};
 use apricothall_types::{Role, VmList};
 use apricothall_wire::Subject;
 use linkme::distributed_slice;
--- /dev/null
+++ b/crates/gateway/src/agent/keeper.rs
@@ -0,0 +1,518 @@
+//! Keeps the engine on the newest version: fetches its pieces, verifies them, stages them and
+//! orders the load when it is this engine's turn.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricothall_clients::http_client::{Answer, HttpClient, get};
+use apricothall_decide::pieces::{Fetcher, Holder, PiecesConfig, Source, plan};
+use apricothall_decide::reload::{Neighbour, Progress, ReloadConfig, may_load};
+use apricothall_decide::transfer::ChunkSet;
+use apricothall_types::{ChunkIndex, MemberId, Role, Timestamp};
+use apricothall_wire::Connector;
+use bytes::Bytes;
+use smol_str::{SmolStr, ToSmolStr};
+use tokio::task::JoinSet;
+
+use crate::Context;
+use crate::agent::engine::Engine;
+use crate::agent::pieces;
+use crate::agent::shelf::{Shelf, VersionId};
+use crate::dialect::EngineReport;
+use crate::peers::{EngineNote, Peer};
+use crate::relay::connector;
+use crate::settings::LocalEngine;
+
+/// Time between two reports of the engine.
+const REPORT_EVERY: Duration = Duration::from_millis(100);
+
+/// Time between two rounds of planning while pieces are missing.
+const PLAN_EVERY: Duration = Duration::from_millis(25);
+
+/// Longest wait for the origin.
+const ORIGIN_WAIT: Duration = Duration::from_millis(3_000);
+
+/// Time for which a peer that gave nothing is left alone.
+const PEER_REST: Duration = Duration::from_millis(1_500);
+
+/// Pause before a failed fetch of the digests is repeated.
+const DIGESTS_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time for which the engine's report may still lag behind an order.
+const ORDER_LAG: Duration = Duration::from_millis(600);
+
+/// Time before an order in which entries learn that the engine is about to load.
+const NOTICE: Duration = Duration::from_millis(120);
+
+/// Largest answer of the origin, in bytes.
+const ANSWER_BYTES: usize = 16 << 20;
+
+/// A fetch that has ended.
+struct Fetched {
+    id: VersionId,
+    index: ChunkIndex,
+    source: Source,
+    bytes: Result<Bytes, SmolStr>,
+}
+
+/// The keeper of one engine.
+struct Keeper {
+    context: Context,
+    engine: Engine,
+    local: LocalEngine,
+    shelf: Shelf,
+    connector: Connector,
+    origin: HttpClient,
+    report: Option<EngineReport>,
+    flights: HashMap<ChunkIndex, Source>,
+    tasks: JoinSet<Fetched>,
+    resting: HashMap<MemberId, Timestamp>,
+    begun: Timestamp,
+    local_tried: Option<VersionId>,
+    digests_at: Timestamp,
+    ordered: Timestamp,
+    loading: bool,
+}
+
+/// Runs until the process ends.
+pub async fn run(context: &Context, engine: Engine, local: LocalEngine) {
+    let settings = context.settings();
+    let now = context.clock.now();
+    let keeper = Keeper {
+        context: context.clone(),
+        engine,
+        local,
+        shelf: context.shelf.clone(),
+        connector: connector(context),
+        origin: HttpClient::new(Some(settings.ip), ORIGIN_WAIT),
+        report: None,
+        flights: HashMap::new(),
+        tasks: JoinSet::new(),
+        resting: HashMap::new(),
+        begun: now,
+        local_tried: None,
+        digests_at: Timestamp::default(),
+        ordered: Timestamp::default(),
+        loading: false,
+    };
+    keeper.keep().await;
+}
+
+impl Keeper {
+    async fn keep(mut self) {
+        let mut reported = Timestamp::default();
+        loop {
+            let now = self.context.clock.now();
+            if now.since(reported) >= REPORT_EVERY {
+                reported = now;
+                self.look().await;
+            }
+            let wanted = self.wanted();
+            if let Some(wanted) = &wanted {
+                self.advance(wanted).await;
+            }
+            let fetching = !self.shelf.missing().is_empty();
+            self.context.fleet.set_fetching(fetching);
+            self.tell(wanted.as_ref());
+            let pause = if fetching { PLAN_EVERY } else { REPORT_EVERY };
+            tokio::select! {
+                Some(done) = self.tasks.join_next() => match done {
+                    Ok(fetched) => self.land(fetched),
+                    Err(error) => tracing::error!(%error, "a fetch ended without a result"),
+                },
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+    }
+
+    /// Reads the engine's report.
+    async fn look(&mut self) {
+        match self.engine.report().await {
+            Ok(report) => {
+                let before = self.report.as_ref().map_or(0, |r| r.born);
+                if report.born != before {
+                    tracing::info!(born = report.born, before, loaded = ?report.loaded, "engine found");
+                    self.local_tried = None;
+                    self.ordered = Timestamp::default();
+                }
+                self.report = Some(report);
+            }
+            Err(error) => {
+                if self.report.take().is_some() {
+                    tracing::warn!(%error, "engine lost");
+                }
+            }
+        }
+    }
+
+    /// The version that the engine should serve: the newest named, or the one that engines of
+    /// the model serve while none is named.
+    fn wanted(&self) -> Option<VersionId> {
+        let in_force = self.context.published.in_force()?;
+        let engines = in_force.configuration.engines(&self.local.service)?;
+        let model = engines.model.name.clone();
+        let named = self.context.published.version(&model).map(|n| n.version);
+        let version = named.unwrap_or(1);
+        Some(VersionId { model, version })
+    }
+
+    async fn advance(&mut self, wanted: &VersionId) {
+        if self.shelf.id().as_ref() != Some(wanted) {
+            self.begin(wanted).await;
+            return;
+        }
+        self.take_staged(wanted).await;
+        self.fetch(wanted);
+        let Some(pieces) = self.shelf.whole(wanted) else {
+            return;
+        };
+        let now = self.context.clock.now();
+        if self.may_load(wanted, now) {
+            self.load(wanted, pieces).await;
+        }
+    }
+
+    /// Fetches the digests of a version and begins it.
+    async fn begin(&mut self, wanted: &VersionId) {
+        let now = self.context.clock.now();
+        if now.since(self.digests_at) < DIGESTS_PAUSE {
+            return;
+        }
+        self.digests_at = now;
+        match self.digests(wanted).await {
+            Ok(digests) => {
+                tracing::info!(model = %wanted.model, version = wanted.version, pieces = digests.len(), "fetching a version");
+                self.begun = self.context.clock.now();
+                self.flights.clear();
+                self.tasks = JoinSet::new();
+                self.shelf.begin(wanted.clone(), digests);
+            }
+            Err(error) => {
+                tracing::warn!(model = %wanted.model, version = wanted.version, %error, "digests not fetched");
+            }
+        }
+    }
+
+    async fn digests(&self, wanted: &VersionId) -> Result<Vec<[u8; 32]>, SmolStr> {
+        let calls = &self.context.dialect.origin;
+        let path = (calls.manifest)(&wanted.model, wanted.version);
+        let from_origin = match self.ask_origin(&path).await {
+            Ok(body) => (calls.read_manifest)(&body).map_err(|e| e.to_smolstr()),
+            Err(error) => Err(error),
+        };
+        let error = match from_origin {
+            Ok(told) if told.version == wanted.version => return Ok(told.digests),
+            Ok(told) => SmolStr::new(format!("the origin tells of version {}", told.version)),
+            Err(error) => error,
+        };
+        for peer in self.agents(wanted) {
+            let asked = pieces::digests(&self.connector, peer.hello.address, wanted).await;
+            match asked {
+                Ok(digests) => return Ok(digests),
+                Err(error) => tracing::debug!(peer = %peer.hello.id, %error, "no digests there"),
+            }
+        }
+        Err(error)
+    }
+
+    async fn ask_origin(&self, path: &str) -> Result<Bytes, SmolStr> {
+        let in_force = self.context.published.in_force();
+        let origin = in_force.as_ref().and_then(|f| f.configuration.origin());
+        let origin = origin.ok_or_else(|| SmolStr::new("no origin is published"))?;
+        read_origin(&self.origin, origin.address, path).await
+    }
+
+    /// Agents that fetch or hold `wanted`.
+    fn agents(&self, wanted: &VersionId) -> Vec<Peer> {
+        let mut agents = self.context.peers.alive(self.context.clock.now());
+        agents.retain(|p| {
+            let note = p.engine.as_ref();
+            p.hello.role == Role::Agent && note.is_some_and(|n| n.version == wanted.version)
+        });
+        agents
+    }
+
+    /// Takes over, once, what lies staged beside the engine, as far as the digests are right.
+    async fn take_staged(&mut self, wanted: &VersionId) {
+        if self.report.is_none() || self.local_tried.as_ref() == Some(wanted) {
+            return;
+        }
+        self.local_tried = Some(wanted.clone());
+        let missing = self.shelf.missing();
+        if missing.is_empty() {
+            return;
+        }
+        let staged = match self.engine.staged(&wanted.model).await {
+            Ok(staged) => staged,
+            Err(error) => {
+                tracing::info!(%error, "nothing staged");
+                return;
+            }
+        };
+        let mut taken = 0_u32;
+        let mut wrong = 0_u32;
+        for index in missing.into_iter().filter(|i| staged.contains(*i)) {
+            match self.engine.get_piece(&wanted.model, index.0).await {
+                Ok(bytes) => match self.shelf.put(wanted, index, bytes) {
+                    true => taken += 1,
+                    false => wrong += 1,
+                },
+                Err(error) => tracing::info!(%index, %error, "staged piece not read"),
+            }
+            // Of another version all pieces differ.
+            if wrong > 1 && taken == 0 {
+                break;
+            }
+        }
+        tracing::info!(
+            version = wanted.version,
+            taken,
+            wrong,
+            "staged pieces checked"
+        );
+    }
+
+    /// Starts the fetches that the plan asks for.
+    fn fetch(&mut self, wanted: &VersionId) {
+        let mut missing = self.shelf.missing();
+        if missing.is_empty() {
+            return;
+        }
+        missing.retain(|index| !self.flights.contains_key(index));
+        let now = self.context.clock.now();
+        let agents = self.agents(wanted);
+        let holders: Vec<_> = agents.iter().map(|p| self.holder(p, now)).collect();
+        let settings = self.context.settings();
+        let subject = format!("{}/{}", wanted.model, wanted.version);
+        let me = Fetcher {
+            id: &settings.id,
+            region: &settings.region,
+            since: self.begun,
+            subject: &subject,
+        };
+        let config = PiecesConfig::default();
+        for (index, source) in plan(&config, me, &missing, self.flights.len(), &holders, now) {
+            self.start(wanted, index, source, &agents);
+        }
+    }
+
+    fn holder(&self, peer: &Peer, now: Timestamp) -> Holder {
+        let id = peer.hello.id.clone();
+        let held = peer
+            .engine
+            .as_ref()
+            .map_or_else(ChunkSet::default, |n| n.held.clone());
+        let is_it = |s: &&Source| matches!(s, Source::Peer(other) if *other == id);
+        Holder {
+            region: peer.hello.region.clone(),
+            held,
+            flights: self.flights.values().filter(is_it).count(),
+            down: self.resting.get(&id).is_some_and(|until| now < *until),
+            id,
+        }
+    }
+
+    fn start(&mut self, wanted: &VersionId, index: ChunkIndex, source: Source, agents: &[Peer]) {
+        self.flights.insert(index, source.clone());
+        let id = wanted.clone();
+        match &source {
+            Source::Peer(name) => {
+                let Some(peer) = agents.iter().find(|p| p.hello.id == *name) else {
+                    return;
+                };
+                let (address, connector) = (peer.hello.address, self.connector.clone());
+                self.tasks.spawn(async move {
+                    let bytes = pieces::fetch(&connector, address, &id, index).await;
+                    let bytes = bytes.map_err(|e| e.to_smolstr());
+                    Fetched {
+                        id,
+                        index,
+                        source,
+                        bytes,
+                    }
+                });
+            }
+            Source::Origin => {
+                let in_force = self.context.published.in_force();
+                let origin = in_force
+                    .as_ref()
+                    .and_then(|f| f.configuration.origin().cloned());
+                let path = (self.context.dialect.origin.piece)(&id.model, id.version, index.0);
+                let client = self.origin.clone();
+                self.tasks.spawn(async move {
+                    let bytes = match origin {
+                        Some(origin) => read_origin(&client, origin.address, &path).await,
+                        None => Err("no origin is published".into()),
+                    };
+                    Fetched {
+                        id,
+                        index,
+                        source,
+                        bytes,
+                    }
+                });
+            }
+        }
+    }
+
+    fn land(&mut self, fetched: Fetched) {
+        self.flights.remove(&fetched.index);
+        let from = match &fetched.source {
+            Source::Origin => "origin",
+            Source::Peer(_) => "peer",
+        };
+        let error = match fetched.bytes {
+            Ok(bytes) => {
+                let size = bytes.len() as u64;
+                if self.shelf.put(&fetched.id, fetched.index, bytes) {
+                    metrics::counter!("apricothall_piece_bytes_total", "source" => from)
+                        .increment(size);
+                    return;
+                }
+                "its digest is wrong".into()
+            }
+            Err(error) => error,
+        };
+        tracing::info!(version = fetched.id.version, index = %fetched.index, source = ?fetched.source, %error, "piece not fetched");
+        metrics::counter!("apricothall_piece_failures_total", "source" => from).increment(1);
+        if let Source::Peer(id) = fetched.source {
+            let until = self.context.clock.now() + PEER_REST;
+            self.resting.insert(id, until);
+        }
+    }
+
+    /// Whether the engine serves `wanted`, another version, or nothing.
+    fn progress(&self, wanted: &VersionId) -> Progress {
+        let Some(report) = &self.report else {
+            return Progress::Empty;
+        };
+        if self.loading || report.busy {
+            return Progress::Loading;
+        }
+        let loaded = report.loaded.iter().find(|(m, _)| *m == wanted.model);
+        match loaded {
+            None => Progress::Empty,
+            Some((_, version)) if *version >= wanted.version => Progress::Done,
+            Some(_) if self.shelf.whole(wanted).is_some() => Progress::Complete,
+            Some(_) => Progress::Fetching,
+        }
+    }
+
+    fn may_load(&self, wanted: &VersionId, now: Timestamp) -> bool {
+        if self.report.is_none() || now.since(self.ordered) < ORDER_LAG {
+            return false;
+        }
+        let zone = self.context.settings().zone.clone();
+        let mut neighbours = Vec::new();
+        self.context.peers.each(now, |peer| {
+            if peer.hello.role == Role::Agent
+                && peer.hello.zone == zone
+                && let Some(note) = &peer.engine
+            {
+                let id = peer.hello.id.clone();
+                let progress = note.progress;
+                neighbours.push(Neighbour { id, progress });
+            }
+        });
+        let allowed = self.context.settings().bounds.version;
+        let since = self
+            .context
+            .published
+            .version(&wanted.model)
+            .map_or(now, |n| n.since);
+        let me = &self.context.settings().id;
+        let config = ReloadConfig::default();
+        may_load(
+            &config,
+            me,
+            self.progress(wanted),
+            &neighbours,
+            since + allowed,
+            now,
+        )
+    }
+
+    /// Stages all pieces and orders the load. Pieces may rot where they are staged, so they are
+    /// put there right before the order.
+    async fn load(&mut self, wanted: &VersionId, pieces: Vec<Bytes>) {
+        let Some(report) = self.report.clone() else {
+            return;
+        };
+        let empty = report.loaded.is_empty();
+        self.loading = true;
+        self.tell(Some(wanted));
+        if !empty {
+            tokio::time::sleep(NOTICE).await;
+        }
+        let result = self.stage_and_order(wanted, pieces, report.orders).await;
+        self.loading = false;
+        self.ordered = self.context.clock.now();
+        match result {
+            Ok(true) => {
+                tracing::info!(model = %wanted.model, version = wanted.version, before = ?report.loaded, "load ordered");
+                metrics::counter!("apricothall_loads_ordered_total").increment(1);
+                if let Some(report) = &mut self.report {
+                    report.busy = true;
+                }
+            }
+            Ok(false) => tracing::info!(version = wanted.version, "load order does not fit"),
+            Err(error) => tracing::warn!(version = wanted.version, %error, "load not ordered"),
+        }
+    }
+
+    async fn stage_and_order(
+        &self,
+        wanted: &VersionId,
+        pieces: Vec<Bytes>,
+        orders: u64,
+    ) -> Result<bool, apricothall_clients::PlatformError> {
+        for (index, bytes) in (0..).zip(pieces) {
+            self.engine.put_piece(&wanted.model, index, bytes).await?;
+        }
+        self.engine
+            .load(&wanted.model, wanted.version, orders)
+            .await
+    }
+
+    /// Sets what is told of the engine.
+    fn tell(&self, wanted: Option<&VersionId>) {
+        let report = self.report.clone().unwrap_or_default();
+        let progress = wanted.map_or(Progress::Empty, |w| self.progress(w));
+        let is_model = |m: &SmolStr| wanted.is_none_or(|w| w.model == *m);
+        let serving = report.loaded.into_iter().find(|(m, _)| is_model(m));
+        let held = self.shelf.id();
+        self.context.fleet.set_own_note(EngineNote {
+            address: self.local.address,
+            born: report.born,
+            serving: serving.filter(|_| progress != Progress::Loading),
+            running: report.running,
+            queued: report.queued,
+            pace: percent(report.pace),
+            version: held.map_or(0, |h| h.version),
+            progress,
+            held: self.shelf.set(),
+        });
+    }
+}
+
+async fn read_origin(
+    client: &HttpClient,
+    address: SocketAddr,
+    path: &str,
+) -> Result<Bytes, SmolStr> {
+    let request = get(address, path).map_err(|e| e.to_smolstr())?;
+    let answer = client.call(request, ORIGIN_WAIT, ANSWER_BYTES).await;
+    let answer = answer.and_then(Answer::accepted);
+    answer.map(|a| a.body).map_err(|e| e.to_smolstr())
+}
+
+fn percent(pace: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to a small positive range"
+    )]
+    let number = (pace.clamp(0.0, 100.0) * 100.0) as u32;
+    number
+}
--- /dev/null
+++ b/crates/gateway/src/agent/pieces.rs
@@ -0,0 +1,138 @@
+//! Pieces of weights between agents.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricothall_types::ChunkIndex;
+use apricothall_wire::{Connector, Incoming, Lane, Payload, WireError};
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use thiserror::Error;
+
+use crate::Context;
+use crate::agent::shelf::VersionId;
+
+/// Path of streams that ask for a piece.
+pub const PATH: &str = "/piece";
+
+/// Longest wait for a piece from another agent.
+const WAIT: Duration = Duration::from_millis(1_800);
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Ask {
+    model: SmolStr,
+    version: u64,
+    want: Want,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+enum Want {
+    Digests,
+    Piece(ChunkIndex),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Told {
+    Digests(Vec<[u8; 32]>),
+    Piece(Payload),
+    Absent,
+}
+
+/// Why a peer gave nothing.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// The stream failed.
+    #[error(transparent)]
+    Wire(#[from] WireError),
+    /// There was no answer in time.
+    #[error("no answer in time")]
+    Timeout,
+    /// The peer does not hold it.
+    #[error("not held there")]
+    Absent,
+}
+
+/// Answers a peer that asks for a part of the version held here.
+///
+/// # Errors
+/// When the stream fails.
+pub async fn serve(context: &Context, incoming: Incoming) -> Result<(), WireError> {
+    let mut channel = incoming.accept::<Ask, Told>()?;
+    let Some(ask) = channel.next().await.transpose()? else {
+        return Ok(());
+    };
+    let id = VersionId {
+        model: ask.model,
+        version: ask.version,
+    };
+    let told = match ask.want {
+        Want::Digests => context.shelf.digests(&id).map(Told::Digests),
+        Want::Piece(index) => {
+            let piece = context.shelf.get(&id, index);
+            piece.map(|bytes| Told::Piece(Payload(bytes)))
+        }
+    };
+    channel.send(told.unwrap_or(Told::Absent)).await?;
+    channel.close().await
+}
+
+/// A piece of `id` from the agent at `peer`, unverified.
+///
+/// # Errors
+/// When it gives none.
+pub async fn fetch(
+    connector: &Connector,
+    peer: SocketAddr,
+    id: &VersionId,
+    index: ChunkIndex,
+) -> Result<Bytes, PeerError> {
+    match ask(connector, peer, id, Want::Piece(index)).await? {
+        Told::Piece(payload) => Ok(payload.0),
+        Told::Digests(_) | Told::Absent => Err(PeerError::Absent),
+    }
+}
+
+/// Digests of the pieces of `id` from the agent at `peer`.
+///
+/// # Errors
+/// When it gives none.
+pub async fn digests(
+    connector: &Connector,
+    peer: SocketAddr,
+    id: &VersionId,
+) -> Result<Vec<[u8; 32]>, PeerError> {
+    match ask(connector, peer, id, Want::Digests).await? {
+        Told::Digests(digests) => Ok(digests),
+        Told::Piece(_) | Told::Absent => Err(PeerError::Absent),
+    }
+}
+
+async fn ask(
+    connector: &Connector,
+    peer: SocketAddr,
+    id: &VersionId,
+    want: Want,
+) -> Result<Told, PeerError> {
+    let exchange = async {
+        let mut channel = connector
+            .open::<Told, Ask>(peer, Lane::Bulk, PATH, None)
+            .await?;
+        let (model, version) = (id.model.clone(), id.version);
+        channel
+            .send(Ask {
+                model,
+                version,
+                want,
+            })
+            .await?;
+        let told = channel.next().await.transpose()?;
+        Ok(told.unwrap_or(Told::Absent))
+    };
+    let answered = tokio::time::timeout(WAIT, exchange).await;
+    if !matches!(answered, Ok(Ok(_))) {
+        connector.forget(peer, Lane::Bulk).await;
+    }
+    answered.map_err(|_| PeerError::Timeout)?
+}
--- /dev/null
+++ b/crates/gateway/src/context.rs
@@ -0,0 +1,90 @@
+//! What is handed down in place of globals.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use apricothall_kernel::telemetry::Telemetry;
+use apricothall_kernel::{Clock, Lifecycle};
+use apricothall_types::Incarnation;
+
+use crate::agent::shelf::Shelf;
+use crate::dialect::Dialect;
+use crate::fleet::Fleet;
+use crate::peers::Peers;
+use crate::published::Published;
+use crate::settings::Settings;
+
+/// Handles shared by all parts of one process. Cheap to clone.
+#[derive(Clone)]
+pub struct Context(Arc<Parts>);
+
+/// The parts of a [`Context`].
+pub struct Parts {
+    settings: RwLock<Arc<Settings>>,
+    /// How the platform talks.
+    pub dialect: Dialect,
+    /// Clock of the VM.
+    pub clock: Clock,
+    /// Start of this process.
+    pub incarnation: Incarnation,
+    /// Phases of this process.
+    pub lifecycle: Lifecycle,
+    /// What operators and servers have published.
+    pub published: Published,
+    /// Other daemons.
+    pub peers: Peers,
+    /// Load and health of the backend servers.
+    pub fleet: Fleet,
+    /// Pieces of weights that this agent holds.
+    pub shelf: Shelf,
+    /// Metrics recorded so far.
+    pub telemetry: Telemetry,
+}
+
+impl Context {
+    /// A context in which nothing is known yet.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        dialect: Dialect,
+        lifecycle: Lifecycle,
+        telemetry: Telemetry,
+    ) -> Self {
+        let clock = Clock;
+        Self(Arc::new(Parts {
+            fleet: Fleet::new(&settings, clock.now()),
+            settings: RwLock::new(Arc::new(settings)),
+            dialect,
+            clock,
+            incarnation: clock.incarnation(),
+            lifecycle,
+            published: Published::default(),
+            peers: Peers::default(),
+            shelf: Shelf::default(),
+            telemetry,
+        }))
+    }
+
+    /// The settings in force.
+    #[must_use]
+    pub fn settings(&self) -> Arc<Settings> {
+        let held = self.0.settings.read();
+        held.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Puts changed settings in force. True when they differ from those before.
+    pub fn set_settings(&self, settings: Settings) -> bool {
+        let held = self.0.settings.write();
+        let mut held = held.unwrap_or_else(PoisonError::into_inner);
+        let changed = **held != settings;
+        *held = Arc::new(settings);
+        changed
+    }
+}
+
+impl std::ops::Deref for Context {
+    type Target = Parts;
+
+    fn deref(&self) -> &Parts {
+        &self.0
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/directory.rs
@@ -0,0 +1,121 @@
+//! Which entries callers should use, whether this one takes callers, and metrics.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use apricothall_fleet::http_server::{Body, listen, serve, text, with_type};
+use apricothall_kernel::StartError;
+use apricothall_types::Role;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio_util::sync::CancellationToken;
+
+use crate::Context;
+use crate::dialect::Place;
+use crate::gossip::{hello, phase};
+use crate::peers::{Hello, Phase};
+
+/// Longest wait for the head of a request.
+const READ_WAIT: std::time::Duration = std::time::Duration::from_secs(10);
+
+/// Seconds for which callers may keep the addresses.
+const KEEP_SECONDS: u64 = 1;
+
+/// Most addresses in an answer.
+const MOST: usize = 64;
+
+/// Least entries of the caller's own zone before those of other zones are left out.
+const LEAST_NEAR: usize = 2;
+
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves the ports beside that for callers until the process ends.
+///
+/// # Errors
+/// When an address cannot be bound.
+pub async fn start(context: &Context) -> Result<(), StartError> {
+    let listen_on = context.settings().listen.clone();
+    let ports = [listen_on.ready, listen_on.directory, listen_on.control];
+    let addresses: BTreeSet<SocketAddr> = ports.into_iter().flatten().collect();
+    for address in addresses {
+        let listener = listen(address).await?;
+        let serving = context.clone();
+        // These ports answer until the process ends, also while it is leaving.
+        let closing = CancellationToken::new();
+        context
+            .lifecycle
+            .spawn(serve(listener, READ_WAIT, closing, move |request| {
+                let context = serving.clone();
+                async move { answer(&context, &request) }
+            }));
+    }
+    Ok(())
+}
+
+fn answer(context: &Context, request: &Request<Incoming>) -> Response<Body> {
+    let calls = &context.dialect.directory;
+    let path = request.uri().path();
+    if path == calls.ready {
+        return ready(context);
+    }
+    if path == calls.entries {
+        let place = (calls.read_place)(request.uri().query().unwrap_or_default());
+        return entries(context, &place);
+    }
+    if path == METRICS_PATH {
+        return text(StatusCode::OK, context.telemetry.render());
+    }
+    text(StatusCode::NOT_FOUND, "no such path\n")
+}
+
+fn ready(context: &Context) -> Response<Body> {
+    match phase(context) {
+        Phase::Serving => text(StatusCode::OK, "serving\n"),
+        Phase::Starting => text(StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
+        Phase::Leaving => text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+    }
+}
+
+fn entries(context: &Context, place: &Place) -> Response<Body> {
+    let calls = &context.dialect.directory;
+    let chosen = choose(&all(context), place);
+    if chosen.is_empty() {
+        return text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no entry is known to serve\n",
+        );
+    }
+    let keep = KEEP_SECONDS.min(context.settings().bounds.keep.as_secs());
+    let body = (calls.write_entries)(&chosen, keep);
+    with_type(StatusCode::OK, "application/json", body)
+}
+
+fn all(context: &Context) -> Vec<Hello> {
+    let now = context.clock.now();
+    let mut all = vec![hello(context)];
+    context.peers.each(now, |peer| all.push(peer.hello.clone()));
+    all.retain(|h| h.role == Role::Entry && h.public.is_some());
+    all
+}
+
+/// Entries that serve, those of the caller's zone if there are enough. While none serves, those
+/// that are starting may be the first to.
+fn choose(all: &[Hello], place: &Place) -> Vec<SocketAddr> {
+    let in_phase = |phase| {
+        all.iter()
+            .filter(move |h| h.phase == phase)
+            .collect::<Vec<_>>()
+    };
+    let mut usable = in_phase(Phase::Serving);
+    if usable.is_empty() {
+        usable = in_phase(Phase::Starting);
+    }
+    let near = |h: &&&Hello| place.zone.as_deref() == Some(h.zone.as_str());
+    let zone: Vec<_> = usable.iter().filter(near).copied().collect();
+    let chosen = if zone.len() >= LEAST_NEAR {
+        zone
+    } else {
+        usable
+    };
+    chosen.iter().filter_map(|h| h.public).take(MOST).collect()
+}
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,466 @@
+//! Load and health of the backend servers, as this daemon sees them.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use apricothall_decide::configs::{OutlierConfig, RetryConfig};
+use apricothall_decide::outlier::{Attempt, Outlier};
+use apricothall_decide::placement::{self, Candidate, Choice, Distance, Need, PlacementConfig};
+use apricothall_decide::retry::{Budget, Failure, Verdict};
+use apricothall_decide::servers::Server;
+use apricothall_decide::timing::{Timing, Work};
+use apricothall_types::{Interval, MemberId, Outcome, Timestamp};
+use smol_str::SmolStr;
+
+use crate::Context;
+use crate::peers::EngineNote;
+use crate::published::Named;
+use crate::settings::Settings;
+
+/// Age up to which an agent's note tells the load of its engine.
+const NOTE_AGE: Duration = Duration::from_millis(900);
+
+/// Time that a request takes to show in an agent's note.
+const NOTE_LAG: Duration = Duration::from_millis(60);
+
+/// Time for which a prompt that was just sent counts as unread.
+const UNREAD: Duration = Duration::from_millis(50);
+
+/// Time for which a server that refused for want of room gets nothing.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+
+/// Time for which a server that is another than expected gets nothing.
+const STALE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Latency assumed of a plain service before it has answered.
+const PLAIN_LATENCY: Duration = Duration::from_millis(40);
+
+/// Weight of a new figure in a moving average.
+const AVERAGE_WEIGHT: f64 = 0.1;
+
+/// Bounds of the ratio of seen to predicted latency that predictions are corrected by.
+const DRIFT: (f64, f64) = (0.6, 6.0);
+
+/// Time kept between the last send of an old version and its end.
+const VERSION_MARGIN: Duration = Duration::from_millis(1_500);
+
+/// Entries that share the budget of repeats at most.
+const SHARERS: f64 = 16.0;
+
+/// Part of the budget of repeats that is used, so that the whole stays below its bound.
+const BUDGET_PART: f64 = 0.7;
+
+/// What is known of one server.
+#[derive(Debug, Default)]
+struct Load {
+    own: u32,
+    others: u32,
+    recent: VecDeque<Timestamp>,
+    latency: Option<Duration>,
+    drift: Option<f64>,
+    paused: Timestamp,
+}
+
+struct State {
+    loads: HashMap<MemberId, Load>,
+    notes: HashMap<SocketAddr, (EngineNote, Timestamp)>,
+    outlier: Outlier,
+    budgets: HashMap<SmolStr, Budget>,
+    retry: RetryConfig,
+    placement: PlacementConfig,
+}
+
+/// Load and health of all servers.
+pub struct Fleet {
+    state: Mutex<State>,
+    own: Mutex<Option<EngineNote>>,
+    fetching: AtomicBool,
+}
+
+/// A request that needs a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Timing and model, if its servers are engines.
+    pub engines: Option<&'a crate::model::EngineService>,
+    /// Newest version of the model.
+    pub version: Option<Named>,
+    /// What the caller needs.
+    pub need: Need,
+    /// Tokens of the prompt.
+    pub prompt: f64,
+    /// Servers that have had the request.
+    pub tried: &'a [MemberId],
+}
+
+/// A server chosen for a request.
+#[derive(Debug)]
+pub struct Placed {
+    /// The server.
+    pub server: Server,
+    /// Version of weights that the request is bound to.
+    pub version: Option<u64>,
+    /// Predicted time to the first event, or to the answer.
+    pub predicted: Duration,
+    /// Requests that were thought to be there.
+    pub load: u32,
+}
+
+/// Where a request goes.
+#[derive(Debug)]
+pub enum Placement {
+    /// To this server.
+    Go(Box<Placed>),
+    /// Nowhere now; there may be room after this time.
+    Refuse(Duration),
+    /// No server of the service is known to take requests.
+    Nobody,
+}
+
+impl Fleet {
+    /// Nothing known.
+    #[must_use]
+    pub fn new(settings: &Settings, _now: Timestamp) -> Self {
+        let saved = settings.bounds.repeat_extra * BUDGET_PART / SHARERS;
+        let ratio = settings.bounds.repeat_ratio * BUDGET_PART * 100.0;
+        let retry = RetryConfig {
+            ratio: whole(ratio),
+            minimum: 0,
+            saved: whole(saved).max(1),
+            attempts: u32::MAX,
+            base: Interval::default(),
+            longest: Interval::default(),
+            ..RetryConfig::default()
+        };
+        let outlier = OutlierConfig {
+            base: Interval::millis(1_000),
+            longest: Interval::secs(4),
+            probe: Interval::secs(2),
+            share: 60,
+            ..OutlierConfig::default()
+        };
+        Self {
+            state: Mutex::new(State {
+                loads: HashMap::new(),
+                notes: HashMap::new(),
+                outlier: Outlier::new(outlier),
+                budgets: HashMap::new(),
+                retry,
+                placement: PlacementConfig::default(),
+            }),
+            own: Mutex::default(),
+            fetching: AtomicBool::new(false),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What this agent tells of its engine.
+    #[must_use]
+    pub fn own_note(&self) -> Option<EngineNote> {
+        self.own
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Sets what this agent tells of its engine.
+    pub fn set_own_note(&self, note: EngineNote) {
+        *self.own.lock().unwrap_or_else(PoisonError::into_inner) = Some(note);
+    }
+
+    /// Whether this agent is fetching weights.
+    #[must_use]
+    pub fn is_fetching(&self) -> bool {
+        self.fetching.load(Ordering::Relaxed)
+    }
+
+    /// Says whether this agent is fetching weights.
+    pub fn set_fetching(&self, fetching: bool) {
+        self.fetching.store(fetching, Ordering::Relaxed);
+    }
+
+    /// Takes an agent's note on its engine.
+    pub fn take_note(&self, note: &EngineNote, now: Timestamp) {
+        let mut state = self.state();
+        state.notes.insert(note.address, (note.clone(), now));
+    }
+
+    /// The last note on the engine at `address`, if it is fresh.
+    #[must_use]
+    pub fn note(&self, address: &SocketAddr, now: Timestamp) -> Option<EngineNote> {
+        self.state().note(address, now).cloned()
+    }
+
+    /// Chooses a server for a request.
+    pub fn place(&self, context: &Context, ask: &Ask<'_>, now: Timestamp) -> Placement {
+        let settings = context.settings();
+        let drain = settings.bounds.version;
+        let mut state = self.state();
+        context.published.servers(|servers| {
+            let mut options = Vec::new();
+            let mut candidates = Vec::new();
+            for server in servers.ready(ask.service) {
+                if ask.tried.contains(&server.id) {
+                    continue;
+                }
+                let Some(version) = state.version(server, ask, drain, now) else {
+                    continue;
+                };
+                let distance = distance(&settings, server);
+                let (candidate, load) = state.candidate(server, distance, ask, now);
+                if state.is_paused(&server.id, now) {
+                    continue;
+                }
+                options.push((server, version, load));
+                candidates.push(candidate);
+            }
+            let config = state.placement;
+            match placement::choose(&config, &candidates, ask.need, &mut rand::rng()) {
+                Choice::Send(index) => {
+                    let (server, version, load) = options[index];
+                    state.outlier.note_start(&server.id, now);
+                    Placement::Go(Box::new(Placed {
+                        server: server.clone(),
+                        version,
+                        predicted: candidates[index].latency,
+                        load,
+                    }))
+                }
+                Choice::Refuse(after) => Placement::Refuse(after),
+                Choice::Nobody => Placement::Nobody,
+            }
+        })
+    }
+
+    /// Counts a request as in flight at `id` until the guard is dropped.
+    #[must_use]
+    pub fn begin(context: &Context, id: &MemberId, now: Timestamp) -> InFlight {
+        let mut state = context.fleet.state();
+        let load = state.loads.entry(id.clone()).or_default();
+        load.own += 1;
+        load.recent.push_back(now);
+        InFlight {
+            context: context.clone(),
+            id: id.clone(),
+        }
+    }
+
+    /// Notes how an attempt at `id` ended.
+    pub fn record(&self, id: &MemberId, attempt: Attempt, predicted: Duration, now: Timestamp) {
+        let mut state = self.state();
+        if let Attempt::Answered(latency) = attempt {
+            let load = state.loads.entry(id.clone()).or_default();
+            let ratio = latency.as_secs_f64() / predicted.as_secs_f64().max(0.001);
+            let drift = load.drift.unwrap_or(1.0) * ratio.clamp(0.2, 10.0).powf(AVERAGE_WEIGHT);
+            load.drift = Some(drift.clamp(DRIFT.0, DRIFT.1));
+            let mean = load.latency.unwrap_or(latency);
+            let mixed = mean.mul_f64(1.0 - AVERAGE_WEIGHT) + latency.mul_f64(AVERAGE_WEIGHT);
+            load.latency = Some(mixed);
+        }
+        if state.outlier.record(id, attempt, now) {
+            tracing::warn!(server = %id, ?attempt, "server ejected");
+            metrics::counter!("apricothall_ejections_total").increment(1);
+        }
+    }
+
+    /// Gives a server that refused a pause.
+    pub fn pause(&self, id: &MemberId, stale: bool, now: Timestamp) {
+        let mut state = self.state();
+        let pause = if stale { STALE_PAUSE } else { FULL_PAUSE };
+        state.loads.entry(id.clone()).or_default().paused = now + pause;
+    }
+
+    /// Notes the first attempt at a request of `service`.
+    pub fn note_request(&self, service: &SmolStr, now: Timestamp) {
+        self.state().budget(service, now).note_request(now);
+    }
+
+    /// Whether a request of `service` may be sent once more.
+    pub fn may_repeat(&self, service: &SmolStr, deadline: Timestamp, now: Timestamp) -> bool {
+        let failure = Failure {
+            outcome: Outcome::NotRun,
+            repeatable: true,
+            answered: false,
+            suspect: false,
+            attempts: 1,
+        };
+        let mut state = self.state();
+        let verdict = state
+            .budget(service, now)
+            .decide(failure, deadline, now, &mut rand::rng());
+        matches!(verdict, Verdict::Retry(_))
+    }
+
+    /// Drops what is known of servers that are gone.
+    pub fn retain(&self, ids: &[MemberId]) {
+        let mut state = self.state();
+        state
+            .loads
+            .retain(|id, load| load.own > 0 || ids.contains(id));
+        state.outlier.retain(ids.iter().cloned());
+    }
+}
+
+fn whole(value: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "settings keep it small and positive"
+    )]
+    let number = value.max(0.0) as u32;
+    number
+}
+
+fn distance(settings: &Settings, server: &Server) -> Distance {
+    if server.zone == settings.zone {
+        return Distance::Zone;
+    }
+    if settings.regions.get(&server.zone) == Some(&settings.region) {
+        return Distance::Region;
+    }
+    Distance::Far
+}
+
+impl State {
+    fn budget(&mut self, service: &SmolStr, now: Timestamp) -> &mut Budget {
+        let retry = self.retry.clone();
+        let budgets = &mut self.budgets;
+        budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(retry, now))
+    }
+
+    fn note(&self, address: &SocketAddr, now: Timestamp) -> Option<&EngineNote> {
+        let (note, heard) = self.notes.get(address)?;
+        (now.since(*heard) < NOTE_AGE).then_some(note)
+    }
+
+    fn is_paused(&self, id: &MemberId, now: Timestamp) -> bool {
+        self.loads.get(id).is_some_and(|l| now < l.paused)
+    }
+
+    /// The version that a request is bound to at `server`: none inside for a plain service, none
+    /// at all when the server can't take it.
+    #[expect(
+        clippy::option_option,
+        reason = "the outer level says whether it can serve at all"
+    )]
+    fn version(
+        &self,
+        server: &Server,
+        ask: &Ask<'_>,
+        allowed: Duration,
+        now: Timestamp,
+    ) -> Option<Option<u64>> {
+        let Some(engines) = ask.engines else {
+            return Some(None);
+        };
+        let model = &engines.model.name;
+        let note = self
+            .note(&server.address, now)
+            .filter(|n| n.born == server.born.0);
+        let version = match note {
+            Some(note) => {
+                let (name, version) = note.serving.as_ref()?;
+                (name == model).then_some(*version)?
+            }
+            None => server.loaded.iter().find(|l| l.model == *model)?.version,
+        };
+        let Some(named) = ask.version else {
+            return Some(Some(version));
+        };
+        let old = version < named.version;
+        let late = now.since(named.since) + VERSION_MARGIN >= allowed;
+        (!old || !late).then_some(Some(version))
+    }
+
+    fn candidate(
+        &mut self,
+        server: &Server,
+        distance: Distance,
+        ask: &Ask<'_>,
+        now: Timestamp,
+    ) -> (Candidate, u32) {
+        let permit = self.outlier.permit(&server.id, now);
+        let note = self.note(&server.address, now);
+        let seen = note.map(|n| (n.running + n.queued, f64::from(n.pace) / 100.0));
+        let load = self.loads.entry(server.id.clone()).or_default();
+        while load
+            .recent
+            .front()
+            .is_some_and(|at| now.since(*at) > NOTE_LAG)
+        {
+            load.recent.pop_front();
+        }
+        let unread = load
+            .recent
+            .iter()
+            .filter(|at| now.since(**at) < UNREAD)
+            .count();
+        let fresh = u32::try_from(load.recent.len()).unwrap_or(u32::MAX);
+        if let Some((total, _)) = seen {
+            load.others = total.saturating_sub(load.own.saturating_sub(fresh));
+        }
+        let taken = load.own + load.others;
+        let pace = seen.map_or(1.0, |(_, pace)| pace);
+        let (slots, latency) = match ask.engines {
+            Some(engines) => {
+                let timing = &engines.timing;
+                let work = work(timing, taken, unread, pace);
+                let drift = load.drift.unwrap_or(1.0);
+                (
+                    timing.slots,
+                    timing.first_event(work, ask.prompt).mul_f64(drift),
+                )
+            }
+            None => (server.slots, plain(load, server.slots)),
+        };
+        let free = taken < slots;
+        let candidate = Candidate {
+            distance,
+            permit,
+            latency,
+            free,
+        };
+        (candidate, taken)
+    }
+}
+
+fn work(timing: &Timing, taken: u32, unread: usize, pace: f64) -> Work {
+    let running = taken.min(timing.slots);
+    Work {
+        running,
+        waiting: taken - running,
+        unread: u32::try_from(unread).unwrap_or(u32::MAX),
+        pace,
+    }
+}
+
+/// Predicted latency of a plain service: its mean, and the wait for a place.
+fn plain(load: &Load, slots: u32) -> Duration {
+    let mean = load.latency.unwrap_or(PLAIN_LATENCY);
+    let taken = load.own + load.others;
+    let waiting = (taken + 1).saturating_sub(slots);
+    mean + mean * waiting / slots.max(1)
+}
+
+/// Counts a request as in flight until dropped.
+pub struct InFlight {
+    context: Context,
+    id: MemberId,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if let Some(load) = self.context.fleet.state().loads.get_mut(&self.id) {
+            load.own = load.own.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,381 @@
+//! Brings a call to servers until one answers, within its time, attempts and budget.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricothall_decide::outlier::Attempt;
+use apricothall_decide::placement::Need;
+use apricothall_decide::repeat::{End, History, Next};
+use apricothall_types::{MemberId, Timestamp};
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use smol_str::ToSmolStr;
+
+use crate::Context;
+use crate::answers::{Body, Fate, full, own, refuse};
+use crate::channels::Channels;
+use crate::exchange::{Answer, AttemptError, exchange};
+use crate::fleet::{Ask, Placed, Placement};
+use crate::request::{Call, end_to_end};
+use crate::stream::{Feed, Relay, relay};
+
+/// Largest answer that is held whole before it is passed on, in bytes.
+const ANSWER_BYTES: usize = 16 << 20;
+
+/// Least wait for the first sign of an answer before a repeatable request goes elsewhere.
+const PATIENCE: Duration = Duration::from_millis(700);
+
+/// Longest predicted wait that still helps a caller that is late already.
+const LATE_PATIENCE: Duration = Duration::from_millis(900);
+
+/// Shortest time for which a refused caller is told to stay away.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(300);
+
+/// Part of the time left within which callers come back when told to.
+const RETURN_SHARE: u32 = 3;
+
+/// Time after which a caller may come back when no server is known.
+const NOBODY_PAUSE: Duration = Duration::from_millis(600);
+
+/// Sends calls to servers. Cheap to clone.
+#[derive(Clone)]
+pub struct Forwarder {
+    /// What is handed down.
+    pub context: Context,
+    /// Connections to servers.
+    pub channels: Arc<Channels>,
+}
+
+/// What became of a call so far.
+struct Story {
+    history: History,
+    tried: Vec<MemberId>,
+    spare: Option<Response<Body>>,
+}
+
+impl Forwarder {
+    /// The answer to `call`.
+    pub async fn forward(&self, call: Call) -> Response<Body> {
+        self.context.fleet.note_request(&call.service, call.arrival);
+        let mut story = Story {
+            history: History {
+                repeatable: call.route.is_repeatable(),
+                allowed: call.route.attempts.max(1),
+                ..History::default()
+            },
+            tried: Vec::new(),
+            spare: None,
+        };
+        loop {
+            let now = self.context.clock.now();
+            if now >= call.deadline {
+                return self.give_up(&call, story, now, "the time is over");
+            }
+            let placed = match self.place(&call, &story.tried, now) {
+                Placement::Go(placed) => placed,
+                Placement::Refuse(after) => {
+                    return self.turn_away(&call, story, after, "no room in time", now);
+                }
+                Placement::Nobody => {
+                    return self.turn_away(&call, story, NOBODY_PAUSE, "no server", now);
+                }
+            };
+            story.tried.push(placed.server.id.clone());
+            let (end, error) = match self.attempt(&call, &placed, &mut story).await {
+                Ok(response) => return response,
+                Err(failed) => failed,
+            };
+            let now = self.context.clock.now();
+            let next = story.history.note(end);
+            tracing::info!(request = %call.id, service = %call.service, server = %placed.server.id, version = placed.version, load = placed.load, predicted_ms = millis(placed.predicted), waited_ms = millis(now.since(call.arrival)), %error, ?next, "attempt failed");
+            match next {
+                Next::Again { budgeted } => {
+                    if budgeted
+                        && !self
+                            .context
+                            .fleet
+                            .may_repeat(&call.service, call.deadline, now)
+                    {
+                        return self.give_up(&call, story, now, "the budget of repeats is used up");
+                    }
+                }
+                Next::NotRun | Next::Unknown => {
+                    return self.give_up(&call, story, now, "no attempt is left");
+                }
+            }
+        }
+    }
+
+    fn place(&self, call: &Call, tried: &[MemberId], now: Timestamp) -> Placement {
+        let spent = now.since(call.arrival);
+        let objective = if call.returning {
+            Duration::ZERO
+        } else {
+            call.route.target.saturating_sub(spent)
+        };
+        self.place_within(call, tried, objective, now)
+    }
+
+    fn place_within(
+        &self,
+        call: &Call,
+        tried: &[MemberId],
+        objective: Duration,
+        now: Timestamp,
+    ) -> Placement {
+        let model = call.engines.as_ref().map(|e| e.model.name.clone());
+        let ask = Ask {
+            service: &call.service,
+            engines: call.engines.as_ref(),
+            version: model.and_then(|m| self.context.published.version(&m)),
+            need: Need {
+                objective,
+                patience: LATE_PATIENCE.min(call.deadline.since(now)),
+            },
+            prompt: call.prompt,
+            tried,
+        };
+        self.context.fleet.place(&self.context, &ask, now)
+    }
+
+    /// One attempt. An error says what it means and what happened.
+    async fn attempt(
+        &self,
+        call: &Call,
+        placed: &Placed,
+        story: &mut Story,
+    ) -> Result<Response<Body>, (End, AttemptError)> {
+        let last = story.history.sent + 1 >= story.history.allowed;
+        let patient = last || !call.route.is_repeatable();
+        let patience = if patient {
+            Duration::MAX
+        } else {
+            PATIENCE + placed.predicted * 2
+        };
+        let sent = exchange(
+            &self.context,
+            &self.channels,
+            call,
+            placed,
+            call.resume,
+            patience,
+        );
+        let answer = sent.await.map_err(|e| self.note_error(placed, e))?;
+        if call.is_stream() && answer.status.is_success() {
+            return self
+                .stream(call, placed, answer, patience, &story.tried)
+                .await;
+        }
+        let status = answer.status;
+        let response = self.whole(call, placed, answer).await;
+        let response = response.map_err(|e| self.note_error(placed, e))?;
+        let again = status.is_server_error() && call.route.is_repeatable() && !last;
+        if !again {
+            return Ok(response);
+        }
+        story.spare = Some(response);
+        let error = AttemptError::Lost(status.to_smolstr());
+        Err((End::Failed, error))
+    }
+
+    fn note_error(&self, placed: &Placed, error: AttemptError) -> (End, AttemptError) {
+        let now = self.context.clock.now();
+        let id = &placed.server.id;
+        if error.is_fault() {
+            self.context
+                .fleet
+                .record(id, Attempt::Failed, placed.predicted, now);
+        }
+        if matches!(error, AttemptError::Refused { .. }) {
+            self.context.fleet.pause(id, error.is_stale(), now);
+        }
+        metrics::counter!("apricothall_attempt_failures_total", "end" => label(error.end()))
+            .increment(1);
+        (error.end(), error)
+    }
+
+    /// Reads an answer whole before any of it is passed on.
+    async fn whole(
+        &self,
+        call: &Call,
+        placed: &Placed,
+        answer: Answer,
+    ) -> Result<Response<Body>, AttemptError> {
+        let now = self.context.clock.now();
+        let left = call.deadline.since(now);
+        let reading = Limited::new(answer.body, ANSWER_BYTES).collect();
+        let read = tokio::time::timeout(left, reading).await;
+        let read = read.map_err(|_| AttemptError::Late)?;
+        let body = read
+            .map_err(|e| AttemptError::Lost(e.to_smolstr()))?
+            .to_bytes();
+        let now = self.context.clock.now();
+        let latency = now.since(answer.sent);
+        let attempt = if answer.status.is_server_error() {
+            Attempt::Failed
+        } else {
+            Attempt::Answered(latency)
+        };
+        let id = &placed.server.id;
+        self.context
+            .fleet
+            .record(id, attempt, placed.predicted, now);
+        self.channels.keep(answer.channel, now);
+        tracing::debug!(request = %call.id, server = %id, status = answer.status.as_u16(), latency_ms = millis(latency), "answered");
+        metrics::counter!("apricothall_answers_total", "status" => class(answer.status))
+            .increment(1);
+        metrics::histogram!("apricothall_answer_seconds")
+            .record(now.since(call.arrival).as_secs_f64());
+        Ok(respond(answer.status, &answer.headers, full(body)))
+    }
+
+    /// Passes a stream on from its first event.
+    async fn stream(
+        &self,
+        call: &Call,
+        placed: &Placed,
+        answer: Answer,
+        patience: Duration,
+        tried: &[MemberId],
+    ) -> Result<Response<Body>, (End, AttemptError)> {
+        let (status, headers) = (answer.status, answer.headers.clone());
+        let mut feed = Feed::new(answer, placed);
+        let left = call.deadline.since(self.context.clock.now());
+        let first = feed.next(patience.min(left)).await;
+        let first =
+            first.map_err(|e| self.note_error(placed, AttemptError::Lost(e.to_smolstr())))?;
+        let relaying = Relay {
+            forwarder: self.clone(),
+            call: call.clone(),
+            tried: tried.to_vec(),
+        };
+        Ok(respond(status, &headers, relay(relaying, feed, first)))
+    }
+
+    /// Another server's stream after event `last`, if the call, its attempts and the budget
+    /// allow one.
+    pub async fn resume(
+        &self,
+        call: &Call,
+        tried: &mut Vec<MemberId>,
+        last: Option<u64>,
+    ) -> Option<Feed> {
+        let allowed = usize::try_from(call.route.attempts).unwrap_or(usize::MAX);
+        while call.route.resumable && tried.len() < allowed {
+            let now = self.context.clock.now();
+            if now >= call.deadline {
+                return None;
+            }
+            if !self
+                .context
+                .fleet
+                .may_repeat(&call.service, call.deadline, now)
+            {
+                tracing::info!(request = %call.id, "not resumed: the budget of repeats is used up");
+                return None;
+            }
+            let Placement::Go(placed) = self.place_within(call, tried, Duration::ZERO, now) else {
+                tracing::info!(request = %call.id, "not resumed: no room");
+                return None;
+            };
+            tried.push(placed.server.id.clone());
+            let resume = last.or(call.resume);
+            let sent = exchange(
+                &self.context,
+                &self.channels,
+                call,
+                &placed,
+                resume,
+                Duration::MAX,
+            );
+            match sent.await {
+                Ok(answer) if answer.status.is_success() => {
+                    tracing::info!(request = %call.id, server = %placed.server.id, ?last, "stream resumed");
+                    return Some(Feed::new(answer, &placed));
+                }
+                Ok(answer) => {
+                    tracing::info!(request = %call.id, server = %placed.server.id, status = answer.status.as_u16(), "not resumed there");
+                }
+                Err(error) => {
+                    tracing::info!(request = %call.id, server = %placed.server.id, %error, "not resumed there");
+                    self.note_error(&placed, error);
+                }
+            }
+        }
+        None
+    }
+
+    /// Refuses a call that has no place, unless it may have run already.
+    fn turn_away(
+        &self,
+        call: &Call,
+        story: Story,
+        after: Duration,
+        reason: &'static str,
+        now: Timestamp,
+    ) -> Response<Body> {
+        if story.history.sent > 0 {
+            return self.give_up(call, story, now, reason);
+        }
+        let longest = call.deadline.since(now) / RETURN_SHARE;
+        let after = after.max(SHORTEST_PAUSE).min(longest);
+        tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, returning = call.returning, prompt = call.prompt, after_ms = millis(after), reason, "refused");
+        metrics::counter!("apricothall_refusals_total", "reason" => reason).increment(1);
+        refuse(after, reason)
+    }
+
+    /// The final answer when no further attempt is made.
+    fn give_up(
+        &self,
+        call: &Call,
+        story: Story,
+        now: Timestamp,
+        reason: &'static str,
+    ) -> Response<Body> {
+        let waited = now.since(call.arrival);
+        let fate = story.history.last();
+        tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, sent = story.history.sent, waited_ms = millis(waited), ?fate, reason, "given up");
+        metrics::counter!("apricothall_failures_total", "reason" => reason).increment(1);
+        if let Some(response) = story.spare {
+            return response;
+        }
+        match fate {
+            Next::Unknown if now >= call.deadline => {
+                own(StatusCode::GATEWAY_TIMEOUT, Fate::Unknown, reason)
+            }
+            Next::Unknown => own(StatusCode::BAD_GATEWAY, Fate::Unknown, reason),
+            Next::NotRun | Next::Again { .. } => refuse(SHORTEST_PAUSE, reason),
+        }
+    }
+}
+
+fn respond(status: StatusCode, headers: &HeaderMap, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = end_to_end(headers);
+    response
+}
+
+/// Milliseconds for a log line.
+#[must_use]
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn label(end: End) -> &'static str {
+    match end {
+        End::Unsent => "unsent",
+        End::Refused => "refused",
+        End::Lost => "lost",
+        End::Failed => "failed",
+    }
+}
+
+fn class(status: StatusCode) -> &'static str {
+    match status.as_u16() / 100 {
+        2 => "2xx",
+        3 => "3xx",
+        4 => "4xx",
+        _ => "5xx",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gossip.rs
@@ -0,0 +1,217 @@
+//! Datagrams by which daemons find each other and tell how they are.
+//!
+//! Each message echoes the receiver's last stamp, so the age of a confirmation that it carries
+//! can be dated by the receiver's own clock.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricothall_types::Role;
+use apricothall_wire::codec::{decode, encode};
+use rand::seq::IndexedRandom;
+use tokio::net::UdpSocket;
+
+use crate::Context;
+use crate::peers::{Gossip, Hello, Phase};
+use crate::published::Reader;
+
+/// Time between two messages to daemons that need news promptly.
+const BRISK: Duration = Duration::from_millis(100);
+
+/// Rounds of [`BRISK`] between two messages to all others.
+const CALM_ROUNDS: u64 = 4;
+
+/// Daemons that a round of all others reaches at most.
+const FANOUT: usize = 64;
+
+/// Addresses of others that a message carries.
+const KNOWN: usize = 6;
+
+/// Largest datagram.
+const DATAGRAM_BYTES: usize = 2_048;
+
+/// Sends and receives until the process ends.
+///
+/// # Errors
+/// When the port cannot be bound.
+pub async fn start(context: &Context) -> std::io::Result<()> {
+    let settings = context.settings();
+    let address = SocketAddr::new(settings.ip, settings.peer_port);
+    let socket = Arc::new(UdpSocket::bind(address).await?);
+    let (receiving, from) = (context.clone(), socket.clone());
+    context
+        .lifecycle
+        .spawn(async move { receive(&receiving, &from).await });
+    let sending = context.clone();
+    context
+        .lifecycle
+        .spawn(async move { send(&sending, &socket).await });
+    Ok(())
+}
+
+async fn receive(context: &Context, socket: &UdpSocket) {
+    let mut buffer = [0; DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // A refused datagram of ours shows here; the next one may arrive.
+                tracing::debug!(%error, "gossip not received");
+                continue;
+            }
+        };
+        match decode::<Gossip>(&buffer[..length]) {
+            Ok(gossip) => take(context, socket, &gossip).await,
+            Err(error) => {
+                metrics::counter!("apricothall_gossip_unusable_total").increment(1);
+                tracing::warn!(%from, %error, "gossip not understood");
+            }
+        }
+    }
+}
+
+async fn take(context: &Context, socket: &UdpSocket, gossip: &Gossip) {
+    let now = context.clock.now();
+    let known = context.peers.get(&gossip.hello.address, now).is_some();
+    if !context.peers.take(gossip, now) {
+        return;
+    }
+    for (model, version) in &gossip.versions {
+        context
+            .published
+            .name_version(model, *version, Reader::Peer, now);
+    }
+    if let Some(note) = &gossip.engine {
+        context.fleet.take_note(note, now);
+    }
+    // An echo of an earlier process on this VM is of another clock.
+    if let (Some(age), Some(echo)) = (gossip.confirmed, gossip.echo)
+        && echo.incarnation == context.incarnation
+    {
+        let sent = echo.stamp - Duration::from_millis(age);
+        context.published.confirm(gossip.revision, sent);
+    }
+    if known {
+        return;
+    }
+    // An answer makes both sides known at once, and tells a new daemon of the others.
+    send_to(context, socket, gossip.hello.address).await;
+    for address in &gossip.known {
+        if context.peers.get(address, now).is_none() {
+            send_to(context, socket, *address).await;
+        }
+    }
+}
+
+async fn send(context: &Context, socket: &UdpSocket) {
+    let mut round = 0_u64;
+    loop {
+        for address in receivers(context, round.is_multiple_of(CALM_ROUNDS)) {
+            send_to(context, socket, address).await;
+        }
+        round += 1;
+        tokio::time::sleep(BRISK).await;
+    }
+}
+
+/// Who gets a message in this round: agents tell entries of their zone in each round, and agents
+/// that spread weights tell each other; all others are told in calm rounds.
+fn receivers(context: &Context, calm: bool) -> Vec<SocketAddr> {
+    let settings = context.settings();
+    let now = context.clock.now();
+    let own = SocketAddr::new(settings.ip, settings.peer_port);
+    let fetching = context.fleet.is_fetching();
+    let mut chosen = Vec::new();
+    let mut others = Vec::new();
+    context.peers.each(now, |peer| {
+        let to = &peer.hello;
+        let brisk = settings.role == Role::Agent
+            && match to.role {
+                Role::Entry => to.zone == settings.zone,
+                Role::Agent => fetching,
+            };
+        let list = if brisk { &mut chosen } else { &mut others };
+        list.push(to.address);
+    });
+    if !calm {
+        return chosen;
+    }
+    let mut rng = rand::rng();
+    chosen.extend(others.choose_multiple(&mut rng, FANOUT).copied());
+    let silent: Vec<_> = settings
+        .seeds
+        .iter()
+        .copied()
+        .chain(context.peers.addresses())
+        .filter(|a| *a != own && !chosen.contains(a))
+        .collect();
+    chosen.extend(silent.choose_multiple(&mut rng, KNOWN));
+    chosen
+}
+
+async fn send_to(context: &Context, socket: &UdpSocket, address: SocketAddr) {
+    let gossip = message(context, &address);
+    if gossip.hello.address == address {
+        return;
+    }
+    match encode(&gossip) {
+        Ok(bytes) => {
+            if let Err(error) = socket.send_to(&bytes, address).await {
+                tracing::debug!(%address, %error, "gossip not sent");
+            }
+        }
+        Err(error) => tracing::error!(%error, "gossip has no form"),
+    }
+}
+
+fn message(context: &Context, to: &SocketAddr) -> Gossip {
+    let now = context.clock.now();
+    let age = context.published.age(now);
+    let alive = context.peers.alive(now);
+    let mut rng = rand::rng();
+    let known = alive.choose_multiple(&mut rng, KNOWN);
+    Gossip {
+        hello: hello(context),
+        stamp: now,
+        echo: context.peers.echo(to),
+        revision: context.published.revision(),
+        confirmed: age.map(|a| {
+            u64::try_from(a.as_millis())
+                .unwrap_or(u64::MAX)
+                .saturating_add(1)
+        }),
+        versions: context.published.versions(),
+        engine: context.fleet.own_note(),
+        known: known.map(|p| p.hello.address).collect(),
+    }
+}
+
+/// Who this daemon is at present.
+#[must_use]
+pub fn hello(context: &Context) -> Hello {
+    let settings = context.settings();
+    Hello {
+        id: settings.id.clone(),
+        role: settings.role,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        incarnation: context.incarnation,
+        address: SocketAddr::new(settings.ip, settings.peer_port),
+        public: settings.listen.callers,
+        phase: phase(context),
+    }
+}
+
+/// Whether this daemon takes work.
+#[must_use]
+pub fn phase(context: &Context) -> Phase {
+    if context.lifecycle.is_leaving() {
+        return Phase::Leaving;
+    }
+    let limit = context.settings().bounds.revoke.unwrap_or(Duration::MAX);
+    if context.published.is_fresh(limit, context.clock.now()) {
+        return Phase::Serving;
+    }
+    Phase::Starting
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,28 @@
+//! The daemon on VMs whose platform talks in its own way.
+//!
+//! An entry takes requests from callers and passes them straight to backend servers. An agent
+//! brings weights to the engine of its VM and tells entries how loaded it is. What the platform
+//! says comes through a [`dialect::Dialect`].
+
+pub mod agent;
+pub mod answers;
+pub mod callers;
+pub mod channels;
+pub mod context;
+pub mod dialect;
+pub mod directory;
+pub mod exchange;
+pub mod fleet;
+pub mod forward;
+pub mod gossip;
+pub mod model;
+pub mod peers;
+pub mod published;
+pub mod relay;
+pub mod request;
+pub mod run;
+pub mod settings;
+pub mod store;
+pub mod stream;
+
+pub use context::Context;
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,216 @@
+//! Other daemons, as heard of by gossip.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use apricothall_decide::reload::Progress;
+use apricothall_decide::transfer::ChunkSet;
+use apricothall_types::{Incarnation, MemberId, Region, Revision, Role, Timestamp, Zone};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Silence after which a daemon counts as gone.
+pub const SILENCE: Duration = Duration::from_millis(1_600);
+
+/// Shortest silence between two processes of one daemon.
+const RESTART: Duration = Duration::from_millis(400);
+
+/// Silence after which a daemon is forgotten.
+const FORGET: Duration = Duration::from_secs(30);
+
+/// Whether a daemon takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// It lacks what it needs to serve.
+    Starting,
+    /// It serves.
+    Serving,
+    /// It finishes what it runs and ends.
+    Leaving,
+}
+
+/// Who a daemon is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Its id.
+    pub id: MemberId,
+    /// Its role.
+    pub role: Role,
+    /// Availability zone of its VM.
+    pub zone: Zone,
+    /// Region of its VM.
+    pub region: Region,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Address for other daemons.
+    pub address: SocketAddr,
+    /// Address for callers; entries only.
+    pub public: Option<SocketAddr>,
+    /// Whether it takes work.
+    pub phase: Phase,
+}
+
+/// What an agent tells of the engine beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineNote {
+    /// Where the engine listens.
+    pub address: SocketAddr,
+    /// Start of its present life, in ms since the Unix epoch; zero while it does not answer.
+    pub born: u64,
+    /// Model and version that it serves.
+    pub serving: Option<(SmolStr, u64)>,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Its pace in percent of the published one: 200 is half as fast.
+    pub pace: u32,
+    /// Version that the agent fetches or holds.
+    pub version: u64,
+    /// How far it has come with that version.
+    pub progress: Progress,
+    /// Pieces of that version that the agent can pass on.
+    pub held: ChunkSet,
+}
+
+/// Names a message by its sender's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// Start of the daemon that sent it.
+    pub incarnation: Incarnation,
+    /// Its clock when it was sent.
+    pub stamp: Timestamp,
+}
+
+/// A message between daemons.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// Who sends it.
+    pub hello: Hello,
+    /// Sender's clock when it was sent.
+    pub stamp: Timestamp,
+    /// The last message that the sender had from the receiver.
+    pub echo: Option<Echo>,
+    /// Revision of the configuration in force at the sender.
+    pub revision: Revision,
+    /// Age of its last confirmation, in ms.
+    pub confirmed: Option<u64>,
+    /// Newest version of each model.
+    pub versions: Vec<(SmolStr, u64)>,
+    /// The engine beside the sender; agents only.
+    pub engine: Option<EngineNote>,
+    /// Addresses of other daemons.
+    pub known: Vec<SocketAddr>,
+}
+
+/// A daemon as last heard.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Who it is.
+    pub hello: Hello,
+    /// When it was last heard.
+    pub heard: Timestamp,
+    /// Stamp of its last message.
+    pub stamp: Timestamp,
+    /// Revision of the configuration in force there.
+    pub revision: Revision,
+    /// The engine beside it.
+    pub engine: Option<EngineNote>,
+}
+
+impl Peer {
+    /// Whether it was heard lately.
+    #[must_use]
+    pub fn is_alive(&self, now: Timestamp) -> bool {
+        now.since(self.heard) < SILENCE
+    }
+}
+
+/// Whether `gossip` was sent before the last message taken. Incarnations come from the time of
+/// day, which may be set back, so that after a silence another incarnation counts as a later one.
+fn is_older(gossip: &Gossip, before: &Peer, now: Timestamp) -> bool {
+    let (new, old) = (gossip.hello.incarnation, before.hello.incarnation);
+    if new == old {
+        return gossip.stamp <= before.stamp;
+    }
+    new < old && now.since(before.heard) < RESTART
+}
+
+/// All daemons heard of.
+#[derive(Default)]
+pub struct Peers {
+    known: Mutex<BTreeMap<SocketAddr, Peer>>,
+}
+
+impl Peers {
+    fn known(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Peer>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a message. False when it is older than one taken before.
+    pub fn take(&self, gossip: &Gossip, now: Timestamp) -> bool {
+        let mut known = self.known();
+        let address = gossip.hello.address;
+        if let Some(before) = known.get(&address) {
+            if is_older(gossip, before, now) {
+                return false;
+            }
+        }
+        let peer = Peer {
+            hello: gossip.hello.clone(),
+            heard: now,
+            stamp: gossip.stamp,
+            revision: gossip.revision,
+            engine: gossip.engine.clone(),
+        };
+        let before = known.insert(address, peer);
+        let phase = before.map(|p| (p.hello.phase, p.hello.incarnation));
+        if phase != Some((gossip.hello.phase, gossip.hello.incarnation)) {
+            tracing::info!(peer = %gossip.hello.id, %address, phase = ?gossip.hello.phase, incarnation = %gossip.hello.incarnation, "peer heard");
+        }
+        known.retain(|_, p| now.since(p.heard) < FORGET);
+        true
+    }
+
+    /// All daemons heard lately.
+    #[must_use]
+    pub fn alive(&self, now: Timestamp) -> Vec<Peer> {
+        let known = self.known();
+        known
+            .values()
+            .filter(|p| p.is_alive(now))
+            .cloned()
+            .collect()
+    }
+
+    /// Runs `read` on each daemon heard lately.
+    pub fn each(&self, now: Timestamp, mut read: impl FnMut(&Peer)) {
+        for peer in self.known().values().filter(|p| p.is_alive(now)) {
+            read(peer);
+        }
+    }
+
+    /// Addresses of all daemons known, silent ones included.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.known().keys().copied().collect()
+    }
+
+    /// The last message from `address`.
+    #[must_use]
+    pub fn echo(&self, address: &SocketAddr) -> Option<Echo> {
+        self.known().get(address).map(|p| Echo {
+            incarnation: p.hello.incarnation,
+            stamp: p.stamp,
+        })
+    }
+
+    /// The daemon at `address`, if it was heard lately.
+    #[must_use]
+    pub fn get(&self, address: &SocketAddr, now: Timestamp) -> Option<Peer> {
+        let known = self.known();
+        known.get(address).filter(|p| p.is_alive(now)).cloned()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/published.rs
@@ -0,0 +1,283 @@
+//! What operators and backend servers have published, as known here. It never goes back.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use apricothall_decide::lease::Lease;
+use apricothall_decide::servers::{Server, Servers};
+use apricothall_types::{MemberId, Revision, Timestamp};
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+use crate::dialect::{Change, Changes, Fact, Item, StoreCalls, Subject};
+use crate::model::Configuration;
+
+/// A configuration in force.
+#[derive(Debug)]
+pub struct InForce {
+    /// Revision under which it was written.
+    pub revision: Revision,
+    /// The item as written, for peers.
+    pub item: Item,
+    /// Its content.
+    pub configuration: Configuration,
+}
+
+/// The newest version of a model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Named {
+    /// The version.
+    pub version: u64,
+    /// When it was first heard of here.
+    pub since: Timestamp,
+}
+
+#[derive(Default)]
+struct State {
+    in_force: Option<Arc<InForce>>,
+    lease: Lease,
+    versions: BTreeMap<SmolStr, Named>,
+    servers: Servers,
+    servers_seen: Revision,
+}
+
+/// Facts published, with their revisions.
+pub struct Published {
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Published {
+    fn default() -> Self {
+        Self {
+            state: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+}
+
+/// Where a fact was read, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reader {
+    /// The store.
+    Store,
+    /// Another daemon.
+    Peer,
+}
+
+impl Published {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells of each change of the configuration or of a version.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.state().in_force.clone()
+    }
+
+    /// Revision of the configuration in force; the default before the first.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.state()
+            .in_force
+            .as_ref()
+            .map_or(Revision::default(), |f| f.revision)
+    }
+
+    /// Whether the configuration was known to be the newest less than `limit` ago.
+    #[must_use]
+    pub fn is_fresh(&self, limit: Duration, now: Timestamp) -> bool {
+        self.state().lease.holds(limit, now)
+    }
+
+    /// Time since the configuration was last known to be the newest.
+    #[must_use]
+    pub fn age(&self, now: Timestamp) -> Option<Duration> {
+        self.state().lease.age(now)
+    }
+
+    /// Notes that at `sent`, or later, the newest configuration had revision `seen`.
+    pub fn confirm(&self, seen: Revision, sent: Timestamp) {
+        let held = self.revision();
+        self.state().lease.confirm(seen, held, sent);
+    }
+
+    /// The newest version of `model`.
+    #[must_use]
+    pub fn version(&self, model: &str) -> Option<Named> {
+        self.state().versions.get(model).copied()
+    }
+
+    /// The newest version of each model.
+    #[must_use]
+    pub fn versions(&self) -> Vec<(SmolStr, u64)> {
+        let state = self.state();
+        state
+            .versions
+            .iter()
+            .map(|(m, n)| (m.clone(), n.version))
+            .collect()
+    }
+
+    /// Takes a version of a model. An older one than known is ignored.
+    pub fn name_version(&self, model: &SmolStr, version: u64, reader: Reader, now: Timestamp) {
+        let mut state = self.state();
+        let known = state.versions.get(model).map_or(0, |n| n.version);
+        if version <= known {
+            return;
+        }
+        let since = now;
+        state
+            .versions
+            .insert(model.clone(), Named { version, since });
+        drop(state);
+        tracing::info!(%model, version, before = known, ?reader, "version named");
+        self.notify();
+    }
+
+    /// Takes an item of the operators.
+    pub fn take_item(&self, calls: &StoreCalls, item: &Item, reader: Reader, now: Timestamp) {
+        match (calls.read_item)(item) {
+            Ok(Fact::Configuration(c)) => self.adopt(item, c, reader),
+            Ok(Fact::Version { model, version }) => {
+                self.name_version(&model, version, reader, now);
+            }
+            Ok(Fact::Server(_) | Fact::Other) => {}
+            Err(error) => {
+                tracing::warn!(key = %item.key, revision = %item.revision, %error, "item not understood");
+                metrics::counter!("apricothall_items_unusable_total").increment(1);
+            }
+        }
+    }
+
+    fn adopt(&self, item: &Item, configuration: Configuration, reader: Reader) {
+        let mut state = self.state();
+        let before = state
+            .in_force
+            .as_ref()
+            .map_or(Revision::default(), |f| f.revision);
+        if item.revision <= before {
+            return;
+        }
+        for name in &configuration.unusable {
+            tracing::warn!(item = %name, "part of the configuration not understood");
+        }
+        tracing::info!(version = configuration.version, revision = %item.revision, %before, ?reader, "configuration in force");
+        metrics::gauge!("apricothall_configuration_version").set(f64::from(
+            u32::try_from(configuration.version).unwrap_or(u32::MAX),
+        ));
+        state.in_force = Some(Arc::new(InForce {
+            revision: item.revision,
+            item: item.clone(),
+            configuration,
+        }));
+        drop(state);
+        self.notify();
+    }
+
+    /// Runs `act` on the servers.
+    pub fn with_servers<T>(&self, act: impl FnOnce(&mut Servers) -> T) -> T {
+        act(&mut self.state().servers)
+    }
+
+    /// Reads the servers.
+    pub fn servers<T>(&self, read: impl FnOnce(&Servers) -> T) -> T {
+        read(&self.state().servers)
+    }
+
+    /// Revision up to which the servers are known.
+    #[must_use]
+    pub fn servers_seen(&self) -> Revision {
+        self.state().servers_seen
+    }
+
+    /// Takes the whole list of servers as of `revision`.
+    pub fn replace_servers(&self, list: Vec<Server>, revision: Revision, now: Timestamp) {
+        let count = list.len();
+        self.with_servers(|servers| servers.replace(list, now));
+        self.state().servers_seen = revision;
+        tracing::debug!(count, %revision, "servers listed");
+    }
+
+    /// Takes the servers as a peer knows them, in place of what is known here.
+    pub fn adopt_servers(&self, list: Vec<Server>, revision: Revision) {
+        self.with_servers(|servers| servers.adopt(list));
+        self.state().servers_seen = revision;
+        tracing::debug!(%revision, "servers taken from a peer");
+    }
+
+    /// Takes changes of one subject.
+    pub fn take_changes(
+        &self,
+        calls: &StoreCalls,
+        subject: Subject,
+        changes: &Changes,
+        now: Timestamp,
+    ) {
+        for change in &changes.changes {
+            match (subject, change) {
+                (Subject::Operators, Change::Written(item)) => {
+                    self.take_item(calls, item, Reader::Store, now);
+                }
+                (Subject::Operators, Change::Removed { key, .. }) => {
+                    tracing::warn!(%key, "an operator's item was removed; what it said stays");
+                }
+                (Subject::Servers, Change::Written(item)) => self.take_server(calls, item),
+                (Subject::Servers, Change::Removed { key, .. }) => {
+                    self.remove_server(calls, key, now);
+                }
+            }
+        }
+        if subject == Subject::Servers {
+            self.state().servers_seen = changes.revision;
+        }
+    }
+
+    fn take_server(&self, calls: &StoreCalls, item: &Item) {
+        match (calls.read_item)(item) {
+            Ok(Fact::Server(server)) => {
+                tracing::info!(server = %server.id, address = %server.address, state = ?server.state, loaded = ?server.loaded, revision = %item.revision, "server changed");
+                self.with_servers(|servers| servers.put(server));
+            }
+            Ok(_) => {}
+            Err(error) => {
+                tracing::warn!(key = %item.key, %error, "server's entry not understood");
+                metrics::counter!("apricothall_items_unusable_total").increment(1);
+                self.forget_server(calls, &item.key);
+            }
+        }
+    }
+
+    /// An entry that names no server to use replaces what its key said before.
+    fn forget_server(&self, calls: &StoreCalls, key: &str) {
+        if let Some(id) = (calls.server_of)(key) {
+            self.with_servers(|servers| servers.forget(&id));
+        }
+    }
+
+    fn remove_server(&self, calls: &StoreCalls, key: &str, now: Timestamp) {
+        let Some(id) = (calls.server_of)(key) else {
+            return;
+        };
+        self.with_servers(|servers| servers.remove(&id, now));
+        tracing::info!(server = %id, "server's entry removed");
+    }
+
+    /// Ids of the servers known.
+    #[must_use]
+    pub fn server_ids(&self) -> Vec<MemberId> {
+        self.servers(|s| s.iter().map(|s| s.id.clone()).collect())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request.rs
@@ -0,0 +1,327 @@
+//! From a caller's request to a call that may be forwarded, or to the reason why it may not.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use apricothall_decide::routes::{Account, CallKind, Caller, Route};
+use apricothall_types::Timestamp;
+use bytes::Bytes;
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
+use rand::Rng;
+use smol_str::SmolStr;
+
+use crate::Context;
+use crate::answers::{Body, Fate, own, refuse};
+use crate::model::EngineService;
+use crate::published::InForce;
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    CONNECTION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    EXPECT,
+];
+
+/// Time after which a caller may come back when the configuration is not known or too old.
+const BLIND_PAUSE: Duration = Duration::from_millis(700);
+
+/// Part of the bound on revoked keys that is kept as a margin.
+const REVOKE_MARGIN: Duration = Duration::from_millis(600);
+
+/// Age of the configuration up to which it may say that something does not exist.
+const DENY_AGE: Duration = Duration::from_millis(1_800);
+
+/// Longest wait for a body.
+const BODY_WAIT: Duration = Duration::from_secs(4);
+
+/// Part of the longest time that callers of a route state, in percent, below which a request is
+/// taken for one that comes back.
+const RETURN_PERCENT: u32 = 94;
+
+/// A request that may be forwarded.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Id of the caller's attempt, for logs.
+    pub id: SmolStr,
+    /// Id of the caller's attempt, as sent.
+    pub attempt: Option<HeaderValue>,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Service that it goes to.
+    pub service: SmolStr,
+    /// The service's engines, if it has any.
+    pub engines: Option<EngineService>,
+    /// Client account.
+    pub account: Option<Arc<Account>>,
+    /// When it arrived.
+    pub arrival: Timestamp,
+    /// When its final answer is due.
+    pub deadline: Timestamp,
+    /// Whether the caller comes back after a refusal or failure.
+    pub returning: bool,
+    /// Tokens of its prompt.
+    pub prompt: f64,
+    /// Id of the last event that the caller has.
+    pub resume: Option<u64>,
+}
+
+impl Call {
+    /// Rank of the request; 0 goes first.
+    #[must_use]
+    pub fn priority(&self) -> u8 {
+        let account = self.account.as_ref().and_then(|a| a.priority);
+        account.unwrap_or(self.route.priority)
+    }
+
+    /// Whether a server's answer is a stream of events that may go on elsewhere.
+    #[must_use]
+    pub fn is_stream(&self) -> bool {
+        self.route.kind == CallKind::Stream
+    }
+}
+
+/// Longest time that callers of each route were seen to wait.
+#[derive(Default)]
+pub struct Budgets {
+    longest: Mutex<HashMap<SmolStr, Duration>>,
+}
+
+impl Budgets {
+    /// Notes the time that a caller states, and whether it is that of one that comes back.
+    pub fn note(&self, route: &SmolStr, stated: Duration) -> bool {
+        let mut longest = self.longest.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = longest.entry(route.clone()).or_default();
+        *known = (*known).max(stated);
+        stated * 100 < *known * RETURN_PERCENT
+    }
+}
+
+/// Checks `request` against the configuration in force.
+///
+/// # Errors
+/// The answer to give in its place.
+pub async fn admit(
+    context: &Context,
+    budgets: &Budgets,
+    request: Request<Incoming>,
+    arrival: Timestamp,
+) -> Result<Call, Box<Response<Body>>> {
+    let Some(in_force) = context.published.in_force() else {
+        return Err(Box::new(refuse(
+            BLIND_PAUSE,
+            "no configuration is known yet",
+        )));
+    };
+    let (parts, body) = request.into_parts();
+    let (route, account) = find(context, &in_force, &parts, arrival)?;
+    let body = read(&in_force, body).await?;
+    let names = &context.dialect.headers;
+    let draw = rand::rng().random::<f64>();
+    let service = route.service(draw).cloned();
+    let Some(service) = service else {
+        return Err(Box::new(refuse(
+            BLIND_PAUSE,
+            "the route leads to no service",
+        )));
+    };
+    let stated = number(&parts.headers, &names.deadline).map(Duration::from_millis);
+    let wait = stated.unwrap_or(route.timeout).min(route.timeout);
+    let returning = stated.is_some_and(|s| budgets.note(&route.name, s));
+    let engines = in_force.configuration.engines(&service).cloned();
+    let attempt = parts.headers.get(&names.attempt).cloned();
+    let id = attempt
+        .as_ref()
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default();
+    let usage = parts
+        .headers
+        .get(&names.usage)
+        .and_then(|v| v.to_str().ok());
+    let stated_prompt = usage.and_then(|u| u.split(',').next()?.trim().parse::<f64>().ok());
+    let usual = engines.as_ref().map_or(0.0, |e| e.timing.prompt);
+    Ok(Call {
+        id: SmolStr::new(id),
+        attempt,
+        headers: pass_on(context, &parts.headers, account.as_deref()),
+        resume: number(&parts.headers, &names.resume),
+        method: parts.method,
+        uri: path(&parts.uri),
+        body,
+        service,
+        engines,
+        account,
+        arrival,
+        deadline: arrival + wait,
+        returning,
+        prompt: stated_prompt.unwrap_or(usual),
+        route,
+    })
+}
+
+/// The route and the client account of a request.
+fn find(
+    context: &Context,
+    in_force: &InForce,
+    parts: &Parts,
+    now: Timestamp,
+) -> Result<(Arc<Route>, Option<Arc<Account>>), Box<Response<Body>>> {
+    let configuration = &in_force.configuration;
+    let host = parts.headers.get(HOST).and_then(|v| v.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let Some(route) = configuration.routes.find(host, parts.uri.path()) else {
+        return Err(Box::new(deny(
+            context,
+            StatusCode::NOT_FOUND,
+            "no such route",
+            now,
+        )));
+    };
+    let key = parts.headers.get(&context.dialect.headers.key);
+    let key = key.and_then(|v| v.to_str().ok());
+    match configuration.accounts.caller(route, key) {
+        Caller::Anyone => Ok((route.clone(), None)),
+        Caller::Unknown => Err(Box::new(deny(
+            context,
+            StatusCode::UNAUTHORIZED,
+            "no such key",
+            now,
+        ))),
+        Caller::Known(account) => {
+            if !may_use_keys(context, now) {
+                return Err(Box::new(refuse(
+                    BLIND_PAUSE,
+                    "the configuration is too old for keys",
+                )));
+            }
+            Ok((route.clone(), Some(account)))
+        }
+    }
+}
+
+/// Whether the configuration is fresh enough to trust that a key has not been taken away.
+#[must_use]
+pub fn may_use_keys(context: &Context, now: Timestamp) -> bool {
+    let Some(revoke) = context.settings().bounds.revoke else {
+        return true;
+    };
+    context
+        .published
+        .is_fresh(revoke.saturating_sub(REVOKE_MARGIN), now)
+}
+
+/// Says that something does not exist, if the configuration is fresh enough to know.
+fn deny(context: &Context, status: StatusCode, reason: &str, now: Timestamp) -> Response<Body> {
+    if context.published.is_fresh(DENY_AGE, now) {
+        return own(status, Fate::NotRun, reason);
+    }
+    refuse(BLIND_PAUSE, "the configuration is too old to tell")
+}
+
+async fn read(in_force: &InForce, body: Incoming) -> Result<Bytes, Box<Response<Body>>> {
+    let limit = in_force.configuration.limits.body;
+    let too_large = || {
+        Box::new(own(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            Fate::NotRun,
+            "body too large",
+        ))
+    };
+    if body.size_hint().lower() > limit as u64 {
+        return Err(too_large());
+    }
+    let reading = tokio::time::timeout(BODY_WAIT, Limited::new(body, limit).collect());
+    match reading.await {
+        Ok(Ok(read)) => Ok(read.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(error)) => {
+            tracing::info!(%error, "body not read");
+            Err(Box::new(own(
+                StatusCode::BAD_REQUEST,
+                Fate::NotRun,
+                "body not whole",
+            )))
+        }
+        Err(_) => Err(Box::new(own(
+            StatusCode::REQUEST_TIMEOUT,
+            Fate::NotRun,
+            "body too slow",
+        ))),
+    }
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+fn path(uri: &Uri) -> Uri {
+    let path = uri
+        .path_and_query()
+        .map_or("/", http::uri::PathAndQuery::as_str);
+    path.parse().unwrap_or_else(|_| Uri::from_static("/"))
+}
+
+/// Headers for the server: the caller's, without those of the connection and those that only
+/// this daemon sets.
+fn pass_on(context: &Context, from: &HeaderMap, account: Option<&Account>) -> HeaderMap {
+    let names = &context.dialect.headers;
+    let set_here = [
+        &names.deadline,
+        &names.account,
+        &names.server,
+        &names.urgency,
+        &names.version,
+        &names.key,
+        &names.resume,
+    ];
+    let mut headers = end_to_end(from);
+    for name in set_here {
+        headers.remove(name);
+    }
+    let account = account.and_then(|a| HeaderValue::from_str(&a.name).ok());
+    if let Some(value) = account {
+        headers.insert(names.account.clone(), value);
+    }
+    headers
+}
+
+/// All headers but those of one connection.
+#[must_use]
+pub fn end_to_end(from: &HeaderMap) -> HeaderMap {
+    let named = from
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok());
+    let named: Vec<_> = named
+        .flat_map(|list| list.split(','))
+        .filter_map(|name| name.trim().parse::<HeaderName>().ok())
+        .collect();
+    let mut headers = from.clone();
+    for name in HOP_BY_HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+    headers.remove(CONTENT_LENGTH);
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+    headers
+}
--- a/crates/kernel/src/logging.rs
+++ b/crates/kernel/src/logging.rs
@@ -29,3 +29,29 @@
     };
     done.map_err(|e| fail(e.to_string()))
 }
+
+/// Lines that wait for the writer before more are dropped.
+const WAITING_LINES: usize = 4_096;
+
+/// Sends logs as JSON lines to standard output. Lines are dropped, never waited for, when the
+/// reader is slow. The guard writes what is left when it is dropped.
+///
+/// # Errors
+/// When logs have been set up before.
+pub fn install_machine() -> Result<tracing_appender::non_blocking::WorkerGuard, LogError> {
+    let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(WAITING_LINES)
+        .finish(std::io::stdout());
+    let done = tracing_subscriber::fmt()
+        .with_max_level(tracing::Level::INFO)
+        .with_writer(writer)
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_current_span(false)
+        .with_span_list(false)
+        .try_init();
+    done.map_err(|e| LogError(e.to_string().into()))?;
+    Ok(guard)
+}
