fix: versions by the time they were named, few draws from the origin, paced uploads

Entries of restarted engines were used until they lapsed (421 by the thousand). Pieces filled the side links, so events came late. Ruled out: digests of another version (none were wrong).

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -16,6 +16,9 @@
 
 use crate::PlatformError;
 
+/// Time after which unacknowledged bytes end a connection.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Start of a failure's body that is kept, in bytes.
 const DETAIL_BYTES: usize = 200;
 
@@ -40,16 +43,29 @@
     /// A client whose connections start at `source`.
     #[must_use]
     pub fn new(source: Option<IpAddr>, connect: Duration) -> Self {
+        Self::build(source, connect, usize::MAX)
+    }
+
+    fn build(source: Option<IpAddr>, connect: Duration, idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_local_address(source);
         connector.set_connect_timeout(Some(connect));
+        connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
+            .pool_max_idle_per_host(idle)
             .build(connector);
         Self { client }
     }
 
+    /// A client that closes each connection after its call, for servers that few may hold
+    /// connections to.
+    #[must_use]
+    pub fn without_pool(source: Option<IpAddr>, connect: Duration) -> Self {
+        Self::build(source, connect, 0)
+    }
+
     /// Sends `request` and returns the answer as soon as its head has arrived.
     ///
     /// # Errors
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod servers;
 pub mod timing;
 pub mod transfer;
+pub mod versions;
--- a/crates/decide/src/pieces.rs
+++ b/crates/decide/src/pieces.rs
@@ -21,6 +21,8 @@
     pub region: Region,
     /// Pieces that it can pass on.
     pub held: ChunkSet,
+    /// Pieces that it is fetching from outside its region.
+    pub flying: ChunkSet,
     /// Pieces being fetched from it.
     pub flights: usize,
     /// Whether it failed lately, so that others go first.
@@ -45,18 +47,33 @@
     pub flights: usize,
     /// Pieces fetched at once from one peer.
     pub depth: usize,
+    /// Pieces fetched at once from the origin, whose link all agents share.
+    pub draws: usize,
+    /// Time after which a piece that another agent is fetching is fetched once more.
+    pub trust: Duration,
 }
 
 impl Default for PiecesConfig {
     fn default() -> Self {
         Self {
-            takeover: Duration::from_millis(700),
+            takeover: Duration::from_millis(500),
             flights: 4,
             depth: 2,
+            draws: 1,
+            trust: Duration::from_millis(2_500),
         }
     }
 }
 
+/// Pieces that the agent is fetching.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Flying {
+    /// From anywhere.
+    pub all: usize,
+    /// From the origin.
+    pub origin: usize,
+}
+
 /// The agent that plans.
 #[derive(Clone, Copy, Debug)]
 pub struct Fetcher<'a> {
@@ -76,11 +93,12 @@
     config: &PiecesConfig,
     me: Fetcher<'_>,
     wanted: &[ChunkIndex],
-    flying: usize,
+    flying: Flying,
     peers: &[Holder],
     now: Timestamp,
 ) -> Vec<(ChunkIndex, Source)> {
-    let mut room = config.flights.saturating_sub(flying);
+    let mut room = config.flights.saturating_sub(flying.all);
+    let mut draws = config.draws.saturating_sub(flying.origin);
     let mut used: Vec<usize> = peers.iter().map(|p| p.flights).collect();
     let mut chosen = Vec::new();
     for chunk in in_own_order(me, wanted) {
@@ -90,6 +108,12 @@
         let Some(source) = source(config, me, chunk, peers, &mut used, now) else {
             continue;
         };
+        if source == Source::Origin {
+            if draws == 0 {
+                continue;
+            }
+            draws -= 1;
+        }
         chosen.push((chunk, source));
         room -= 1;
     }
@@ -124,6 +148,14 @@
         return take(config, peers, used, near);
     }
     let waited = now.since(me.since);
+    let trusted = waited < config.trust;
+    let under_way = |near: bool| {
+        let mut others = peers.iter().filter(|p| !near || p.region == *me.region);
+        trusted && others.any(|p| !p.down && p.flying.contains(chunk))
+    };
+    if under_way(!holders.is_empty()) {
+        return None;
+    }
     if !holders.is_empty() {
         let mine = peers.iter().filter(|p| p.region == *me.region);
         if !is_turn(config, me, chunk, "cross", mine, waited) {
--- a/crates/gateway/src/agent/keeper.rs
+++ b/crates/gateway/src/agent/keeper.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use apricothall_clients::http_client::{Answer, HttpClient, get};
-use apricothall_decide::pieces::{Fetcher, Holder, PiecesConfig, Source, plan};
+use apricothall_decide::pieces::{Fetcher, Flying, Holder, PiecesConfig, Source, plan};
+use apricothall_decide::rank;
 use apricothall_decide::reload::{Neighbour, Progress, ReloadConfig, may_load};
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{ChunkIndex, MemberId, Role, Timestamp};
@@ -37,7 +38,13 @@
 const PEER_REST: Duration = Duration::from_millis(1_500);
 
 /// Pause before a failed fetch of the digests is repeated.
-const DIGESTS_PAUSE: Duration = Duration::from_millis(300);
+const DIGESTS_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time by which each agent waits for the one before it to ask the origin for digests.
+const DIGEST_STEP: Duration = Duration::from_millis(80);
+
+/// Peers that are asked for digests before the origin.
+const DIGEST_PEERS: usize = 2;
 
 /// Time for which the engine's report may still lag behind an order.
 const ORDER_LAG: Duration = Duration::from_millis(600);
@@ -69,6 +76,8 @@
     tasks: JoinSet<Fetched>,
     resting: HashMap<MemberId, Timestamp>,
     begun: Timestamp,
+    wanted_id: Option<VersionId>,
+    wanted_since: Timestamp,
     local_tried: Option<VersionId>,
     digests_at: Timestamp,
     ordered: Timestamp,
@@ -85,12 +94,14 @@
         local,
         shelf: context.shelf.clone(),
         connector: connector(context),
-        origin: HttpClient::new(Some(settings.ip), ORIGIN_WAIT),
+        origin: HttpClient::without_pool(Some(settings.ip), ORIGIN_WAIT),
         report: None,
         flights: HashMap::new(),
         tasks: JoinSet::new(),
         resting: HashMap::new(),
         begun: now,
+        wanted_id: None,
+        wanted_since: now,
         local_tried: None,
         digests_at: Timestamp::default(),
         ordered: Timestamp::default(),
@@ -152,8 +163,12 @@
         let in_force = self.context.published.in_force()?;
         let engines = in_force.configuration.engines(&self.local.service)?;
         let model = engines.model.name.clone();
-        let named = self.context.published.version(&model).map(|n| n.version);
-        let version = named.unwrap_or(1);
+        let version = self
+            .context
+            .published
+            .versions(&model)
+            .newest()
+            .unwrap_or(1);
         Some(VersionId { model, version })
     }
 
@@ -176,6 +191,10 @@
     /// Fetches the digests of a version and begins it.
     async fn begin(&mut self, wanted: &VersionId) {
         let now = self.context.clock.now();
+        if self.wanted_id.as_ref() != Some(wanted) {
+            self.wanted_id = Some(wanted.clone());
+            self.wanted_since = now;
+        }
         if now.since(self.digests_at) < DIGESTS_PAUSE {
             return;
         }
@@ -195,25 +214,44 @@
     }
 
     async fn digests(&self, wanted: &VersionId) -> Result<Vec<[u8; 32]>, SmolStr> {
-        let calls = &self.context.dialect.origin;
-        let path = (calls.manifest)(&wanted.model, wanted.version);
-        let from_origin = match self.ask_origin(&path).await {
-            Ok(body) => (calls.read_manifest)(&body).map_err(|e| e.to_smolstr()),
-            Err(error) => Err(error),
-        };
-        let error = match from_origin {
-            Ok(told) if told.version == wanted.version => return Ok(told.digests),
-            Ok(told) => SmolStr::new(format!("the origin tells of version {}", told.version)),
-            Err(error) => error,
-        };
-        for peer in self.agents(wanted) {
+        let mut agents = self.agents(wanted);
+        let region = &self.context.settings().region;
+        agents.sort_by_key(|p| p.hello.region != *region);
+        for peer in agents.iter().take(DIGEST_PEERS) {
             let asked = pieces::digests(&self.connector, peer.hello.address, wanted).await;
             match asked {
                 Ok(digests) => return Ok(digests),
                 Err(error) => tracing::debug!(peer = %peer.hello.id, %error, "no digests there"),
             }
         }
-        Err(error)
+        if !self.is_turn(wanted) {
+            return Err("another agent asks the origin first".into());
+        }
+        let calls = &self.context.dialect.origin;
+        let path = (calls.manifest)(&wanted.model, wanted.version);
+        let body = self.ask_origin(&path).await?;
+        let told = (calls.read_manifest)(&body).map_err(|e| e.to_smolstr())?;
+        if told.version != wanted.version {
+            return Err(SmolStr::new(format!(
+                "the origin tells of version {}",
+                told.version
+            )));
+        }
+        Ok(told.digests)
+    }
+
+    /// Agents ask the origin one after the other, by hash, so that most have it from a peer.
+    fn is_turn(&self, wanted: &VersionId) -> bool {
+        let now = self.context.clock.now();
+        let subject = format!("{}/{}/digests", wanted.model, wanted.version);
+        let me = &self.context.settings().id;
+        let own = rank::weight(subject.as_bytes(), me);
+        let mut before = 0;
+        self.context.peers.each(now, |p| {
+            let ahead = rank::weight(subject.as_bytes(), &p.hello.id) > own;
+            before += u32::from(p.hello.role == Role::Agent && ahead);
+        });
+        now.since(self.wanted_since) >= DIGEST_STEP * before
     }
 
     async fn ask_origin(&self, path: &str) -> Result<Bytes, SmolStr> {
@@ -292,11 +330,39 @@
             subject: &subject,
         };
         let config = PiecesConfig::default();
-        for (index, source) in plan(&config, me, &missing, self.flights.len(), &holders, now) {
+        for (index, source) in plan(&config, me, &missing, self.flying(), &holders, now) {
             self.start(wanted, index, source, &agents);
         }
     }
 
+    fn flying(&self) -> Flying {
+        let from_origin = self.flights.values().filter(|s| **s == Source::Origin);
+        Flying {
+            all: self.flights.len(),
+            origin: from_origin.count(),
+        }
+    }
+
+    /// Pieces being fetched from outside the region.
+    fn flying_set(&self) -> ChunkSet {
+        let region = self.context.settings().region.clone();
+        let now = self.context.clock.now();
+        let mut near = std::collections::BTreeSet::new();
+        self.context.peers.each(now, |p| {
+            if p.hello.region == region {
+                near.insert(p.hello.id.clone());
+            }
+        });
+        let mut set = ChunkSet::default();
+        for (index, source) in &self.flights {
+            let is_near = matches!(source, Source::Peer(id) if near.contains(id));
+            if !is_near {
+                set.insert(*index);
+            }
+        }
+        set
+    }
+
     fn holder(&self, peer: &Peer, now: Timestamp) -> Holder {
         let id = peer.hello.id.clone();
         let held = peer
@@ -307,6 +373,10 @@
         Holder {
             region: peer.hello.region.clone(),
             held,
+            flying: peer
+                .engine
+                .as_ref()
+                .map_or_else(ChunkSet::default, |n| n.flying.clone()),
             flights: self.flights.values().filter(is_it).count(),
             down: self.resting.get(&id).is_some_and(|until| now < *until),
             id,
@@ -390,15 +460,20 @@
         if self.loading || report.busy {
             return Progress::Loading;
         }
-        let loaded = report.loaded.iter().find(|(m, _)| *m == wanted.model);
-        match loaded {
+        match self.serving(&wanted.model) {
             None => Progress::Empty,
-            Some((_, version)) if *version >= wanted.version => Progress::Done,
+            Some(version) if version >= wanted.version => Progress::Done,
             Some(_) if self.shelf.whole(wanted).is_some() => Progress::Complete,
             Some(_) => Progress::Fetching,
         }
     }
 
+    /// Version of `model` that the engine has loaded.
+    fn serving(&self, model: &SmolStr) -> Option<u64> {
+        let loaded = &self.report.as_ref()?.loaded;
+        loaded.iter().find(|(m, _)| m == model).map(|(_, v)| *v)
+    }
+
     fn may_load(&self, wanted: &VersionId, now: Timestamp) -> bool {
         if self.report.is_none() || now.since(self.ordered) < ORDER_LAG {
             return false;
@@ -416,21 +491,14 @@
             }
         });
         let allowed = self.context.settings().bounds.version;
-        let since = self
-            .context
-            .published
-            .version(&wanted.model)
-            .map_or(now, |n| n.since);
+        let versions = self.context.published.versions(&wanted.model);
+        let serving = self.serving(&wanted.model);
+        let due = serving
+            .and_then(|v| versions.due(v, allowed))
+            .unwrap_or(now + allowed);
         let me = &self.context.settings().id;
         let config = ReloadConfig::default();
-        may_load(
-            &config,
-            me,
-            self.progress(wanted),
-            &neighbours,
-            since + allowed,
-            now,
-        )
+        may_load(&config, me, self.progress(wanted), &neighbours, due, now)
     }
 
     /// Stages all pieces and orders the load. Pieces may rot where they are staged, so they are
@@ -492,6 +560,7 @@
             version: held.map_or(0, |h| h.version),
             progress,
             held: self.shelf.set(),
+            flying: self.flying_set(),
         });
     }
 }
--- a/crates/gateway/src/agent/pieces.rs
+++ b/crates/gateway/src/agent/pieces.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use apricothall_types::ChunkIndex;
+use apricothall_types::{Bytes as Size, ChunkIndex};
 use apricothall_wire::{Connector, Incoming, Lane, Payload, WireError};
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -11,6 +11,8 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
+use tokio::sync::OwnedSemaphorePermit;
+
 use crate::Context;
 use crate::agent::shelf::VersionId;
 
@@ -20,6 +22,9 @@
 /// Longest wait for a piece from another agent.
 const WAIT: Duration = Duration::from_millis(1_800);
 
+/// Part of the VM's link that pieces may take, in percent.
+const LINK_PERCENT: u32 = 85;
+
 #[derive(Debug, Serialize, Deserialize)]
 struct Ask {
     model: SmolStr,
@@ -74,10 +79,29 @@
             piece.map(|bytes| Told::Piece(Payload(bytes)))
         }
     };
-    channel.send(told.unwrap_or(Told::Absent)).await?;
+    // The engine's answers share the link: one piece at a time, and with gaps between them.
+    let turn = match &told {
+        Some(Told::Piece(payload)) => Some(turn(context, payload.len()).await),
+        _ => None,
+    };
+    let sent = channel.send(told.unwrap_or(Told::Absent)).await;
+    if let Some((uploads, pause)) = turn {
+        tokio::time::sleep(pause).await;
+        drop(uploads);
+    }
+    sent?;
     channel.close().await
 }
 
+/// Waits for the turn to send `size` bytes; the next turn comes after the pause returned.
+async fn turn(context: &Context, size: usize) -> (Option<OwnedSemaphorePermit>, Duration) {
+    // The semaphore is never closed, so there is always a permit.
+    let permit = context.uploads.clone().acquire_owned().await.ok();
+    let size = Size(u64::try_from(size).unwrap_or(u64::MAX));
+    let alone = context.settings().link.time_for(size);
+    (permit, alone * 100 / LINK_PERCENT)
+}
+
 /// A piece of `id` from the agent at `peer`, unverified.
 ///
 /// # Errors
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -5,6 +5,7 @@
 use apricothall_kernel::telemetry::Telemetry;
 use apricothall_kernel::{Clock, Lifecycle};
 use apricothall_types::Incarnation;
+use tokio::sync::Semaphore;
 
 use crate::agent::shelf::Shelf;
 use crate::dialect::Dialect;
@@ -36,6 +37,8 @@
     pub fleet: Fleet,
     /// Pieces of weights that this agent holds.
     pub shelf: Shelf,
+    /// Turns of sending a piece to another agent.
+    pub uploads: Arc<Semaphore>,
     /// Metrics recorded so far.
     pub telemetry: Telemetry,
 }
@@ -60,6 +63,7 @@
             published: Published::default(),
             peers: Peers::default(),
             shelf: Shelf::default(),
+            uploads: Arc::new(Semaphore::new(1)),
             telemetry,
         }))
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,12 +12,13 @@
 use apricothall_decide::retry::{Budget, Failure, Verdict};
 use apricothall_decide::servers::Server;
 use apricothall_decide::timing::{Timing, Work};
+use apricothall_decide::versions::Versions;
 use apricothall_types::{Interval, MemberId, Outcome, Timestamp};
 use smol_str::SmolStr;
 
 use crate::Context;
 use crate::peers::EngineNote;
-use crate::published::Named;
+
 use crate::settings::Settings;
 
 /// Age up to which an agent's note tells the load of its engine.
@@ -87,8 +88,8 @@
     pub service: &'a str,
     /// Timing and model, if its servers are engines.
     pub engines: Option<&'a crate::model::EngineService>,
-    /// Newest version of the model.
-    pub version: Option<Named>,
+    /// Versions of the model.
+    pub versions: &'a Versions,
     /// What the caller needs.
     pub need: Need,
     /// Tokens of the prompt.
@@ -363,9 +364,11 @@
             return Some(None);
         };
         let model = &engines.model.name;
-        let note = self
-            .note(&server.address, now)
-            .filter(|n| n.born == server.born.0);
+        let note = self.note(&server.address, now);
+        // The entry of an engine that has ended or started anew stays for a while.
+        if note.is_some_and(|n| n.born != server.born.0 && server.born.0 != 0) {
+            return None;
+        }
         let version = match note {
             Some(note) => {
                 let (name, version) = note.serving.as_ref()?;
@@ -373,12 +376,10 @@
             }
             None => server.loaded.iter().find(|l| l.model == *model)?.version,
         };
-        let Some(named) = ask.version else {
-            return Some(Some(version));
-        };
-        let old = version < named.version;
-        let late = now.since(named.since) + VERSION_MARGIN >= allowed;
-        (!old || !late).then_some(Some(version))
+        let usable = ask
+            .versions
+            .is_usable(version, allowed, VERSION_MARGIN, now);
+        usable.then_some(Some(version))
     }
 
     fn candidate(
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -35,7 +35,7 @@
 const RETURN_SHARE: u32 = 3;
 
 /// Time after which a caller may come back when no server is known.
-const NOBODY_PAUSE: Duration = Duration::from_millis(600);
+const NOBODY_PAUSE: Duration = Duration::from_millis(2_500);
 
 /// Sends calls to servers. Cheap to clone.
 #[derive(Clone)]
@@ -123,11 +123,12 @@
         objective: Duration,
         now: Timestamp,
     ) -> Placement {
-        let model = call.engines.as_ref().map(|e| e.model.name.clone());
+        let model = call.engines.as_ref().map_or("", |e| e.model.name.as_str());
+        let versions = self.context.published.versions(model);
         let ask = Ask {
             service: &call.service,
             engines: call.engines.as_ref(),
-            version: model.and_then(|m| self.context.published.version(&m)),
+            versions: &versions,
             need: Need {
                 objective,
                 patience: LATE_PATIENCE.min(call.deadline.since(now)),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -7,13 +7,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use apricothall_types::Role;
+use apricothall_types::{Role, Timestamp};
 use apricothall_wire::codec::{decode, encode};
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 
 use crate::Context;
-use crate::peers::{Gossip, Hello, Phase};
+use crate::forward::millis;
+use crate::peers::{Gossip, Hello, Phase, VersionNote};
 use crate::published::Reader;
 
 /// Time between two messages to daemons that need news promptly.
@@ -28,6 +29,9 @@
 /// Addresses of others that a message carries.
 const KNOWN: usize = 6;
 
+/// Versions of a model that a message carries.
+const VERSIONS: usize = 3;
+
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 2_048;
 
@@ -77,10 +81,11 @@
     if !context.peers.take(gossip, now) {
         return;
     }
-    for (model, version) in &gossip.versions {
+    for note in &gossip.versions {
+        let since = note.age.map(|age| now - Duration::from_millis(age));
         context
             .published
-            .name_version(model, *version, Reader::Peer, now);
+            .name_version(&note.model, note.version, since, Reader::Peer);
     }
     if let Some(note) = &gossip.engine {
         context.fleet.take_note(note, now);
@@ -181,12 +186,27 @@
                 .unwrap_or(u64::MAX)
                 .saturating_add(1)
         }),
-        versions: context.published.versions(),
+        versions: versions(context, now),
         engine: context.fleet.own_note(),
         known: known.map(|p| p.hello.address).collect(),
     }
 }
 
+/// The newest versions of each model with their ages.
+fn versions(context: &Context, now: Timestamp) -> Vec<VersionNote> {
+    let mut notes = Vec::new();
+    context.published.each_version(|model, versions| {
+        let mut all: Vec<_> = versions.iter().collect();
+        let older = all.len().saturating_sub(VERSIONS);
+        notes.extend(all.drain(older..).map(|(version, since)| VersionNote {
+            model: model.clone(),
+            version,
+            age: since.map(|s| millis(now.since(s))),
+        }));
+    });
+    notes
+}
+
 /// Who this daemon is at present.
 #[must_use]
 pub fn hello(context: &Context) -> Hello {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -73,6 +73,19 @@
     pub progress: Progress,
     /// Pieces of that version that the agent can pass on.
     pub held: ChunkSet,
+    /// Pieces of that version that the agent is fetching from outside its region.
+    pub flying: ChunkSet,
+}
+
+/// A version of a model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionNote {
+    /// The model.
+    pub model: SmolStr,
+    /// The version.
+    pub version: u64,
+    /// Time since it was named, in ms, if that is known.
+    pub age: Option<u64>,
 }
 
 /// Names a message by its sender's clock.
@@ -97,8 +110,8 @@
     pub revision: Revision,
     /// Age of its last confirmation, in ms.
     pub confirmed: Option<u64>,
-    /// Newest version of each model.
-    pub versions: Vec<(SmolStr, u64)>,
+    /// Versions of models.
+    pub versions: Vec<VersionNote>,
     /// The engine beside the sender; agents only.
     pub engine: Option<EngineNote>,
     /// Addresses of other daemons.
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -6,6 +6,7 @@
 
 use apricothall_decide::lease::Lease;
 use apricothall_decide::servers::{Server, Servers};
+use apricothall_decide::versions::Versions;
 use apricothall_types::{MemberId, Revision, Timestamp};
 use smol_str::SmolStr;
 use tokio::sync::watch;
@@ -24,20 +25,11 @@
     pub configuration: Configuration,
 }
 
-/// The newest version of a model.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Named {
-    /// The version.
-    pub version: u64,
-    /// When it was first heard of here.
-    pub since: Timestamp,
-}
-
 #[derive(Default)]
 struct State {
     in_force: Option<Arc<InForce>>,
     lease: Lease,
-    versions: BTreeMap<SmolStr, Named>,
+    versions: BTreeMap<SmolStr, Versions>,
     servers: Servers,
     servers_seen: Revision,
 }
@@ -114,36 +106,39 @@
         self.state().lease.confirm(seen, held, sent);
     }
 
-    /// The newest version of `model`.
+    /// The versions of `model`.
     #[must_use]
-    pub fn version(&self, model: &str) -> Option<Named> {
-        self.state().versions.get(model).copied()
+    pub fn versions(&self, model: &str) -> Versions {
+        self.state()
+            .versions
+            .get(model)
+            .cloned()
+            .unwrap_or_default()
     }
 
-    /// The newest version of each model.
-    #[must_use]
-    pub fn versions(&self) -> Vec<(SmolStr, u64)> {
-        let state = self.state();
-        state
-            .versions
-            .iter()
-            .map(|(m, n)| (m.clone(), n.version))
-            .collect()
+    /// Runs `read` on the versions of each model.
+    pub fn each_version(&self, mut read: impl FnMut(&SmolStr, &Versions)) {
+        for (model, versions) in &self.state().versions {
+            read(model, versions);
+        }
     }
 
-    /// Takes a version of a model. An older one than known is ignored.
-    pub fn name_version(&self, model: &SmolStr, version: u64, reader: Reader, now: Timestamp) {
+    /// Takes a version of a model, named at `since` at the latest.
+    pub fn name_version(
+        &self,
+        model: &SmolStr,
+        version: u64,
+        since: Option<Timestamp>,
+        reader: Reader,
+    ) {
         let mut state = self.state();
-        let known = state.versions.get(model).map_or(0, |n| n.version);
-        if version <= known {
+        let versions = state.versions.entry(model.clone()).or_default();
+        let before = versions.newest();
+        if !versions.name(version, since) {
             return;
         }
-        let since = now;
-        state
-            .versions
-            .insert(model.clone(), Named { version, since });
         drop(state);
-        tracing::info!(%model, version, before = known, ?reader, "version named");
+        tracing::info!(%model, version, before, known_since = since.is_some(), ?reader, "version named");
         self.notify();
     }
 
@@ -152,7 +147,9 @@
         match (calls.read_item)(item) {
             Ok(Fact::Configuration(c)) => self.adopt(item, c, reader),
             Ok(Fact::Version { model, version }) => {
-                self.name_version(&model, version, reader, now);
+                // What a process finds at its start may have been named long before.
+                let since = self.in_force().map(|_| now);
+                self.name_version(&model, version, since, reader);
             }
             Ok(Fact::Server(_) | Fact::Other) => {}
             Err(error) => {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use apricothall_types::{MemberId, Region, Role, Zone};
+use apricothall_types::{MemberId, Rate, Region, Role, Zone};
 use smol_str::SmolStr;
 
 /// Settings of one process, as translated from the platform's form.
@@ -30,6 +30,8 @@
     pub listen: Listen,
     /// The engine of this VM; agents only.
     pub engine: Option<LocalEngine>,
+    /// Rate of the VM's link.
+    pub link: Rate,
     /// The platform's store.
     pub store: SocketAddr,
     /// Bounds that must be kept.
