--- a/crates/decide/src/pieces.rs
+++ b/crates/decide/src/pieces.rs
@@ -81,6 +81,8 @@
     pub id: &'a MemberId,
     /// Region of its VM.
     pub region: &'a Region,
+    /// Region of the origin, whose agents draw from it first.
+    pub home: Option<&'a Region>,
     /// When it began to fetch the version.
     pub since: Timestamp,
     /// Text that tells versions apart in the ranking.
@@ -163,7 +165,17 @@
         }
         return take(config, peers, used, holders.into_iter());
     }
-    is_turn(config, me, chunk, "origin", peers.iter(), waited).then_some(Source::Origin)
+    let is_home = |region: &Region| me.home.is_none_or(|home| home == region);
+    let here = is_home(me.region);
+    let rivals = peers.iter().filter(|p| is_home(&p.region) == here);
+    let elsewhere = !here && peers.iter().any(|p| !p.down && is_home(&p.region));
+    let waited = if elsewhere {
+        waited.saturating_sub(config.trust)
+    } else {
+        waited
+    };
+    let first = !elsewhere || !waited.is_zero();
+    (first && is_turn(config, me, chunk, "origin", rivals, waited)).then_some(Source::Origin)
 }
 
 /// The least used of `holders` that has room.
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -117,5 +117,5 @@
     if chosen.latency <= limit || chosen.free {
         return Choice::Send(index);
     }
-    Choice::Refuse(chosen.latency - limit)
+    Choice::Refuse(chosen.latency.saturating_sub(limit))
 }
--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -61,7 +61,7 @@
 impl Default for ServersConfig {
     fn default() -> Self {
         Self {
-            restore: Duration::from_millis(2_000),
+            restore: Duration::from_secs(2),
         }
     }
 }
--- a/crates/gateway/src/agent/keeper.rs
+++ b/crates/gateway/src/agent/keeper.rs
@@ -10,7 +10,7 @@
 use apricothall_decide::rank;
 use apricothall_decide::reload::{Neighbour, Progress, ReloadConfig, may_load};
 use apricothall_decide::transfer::ChunkSet;
-use apricothall_types::{ChunkIndex, MemberId, Role, Timestamp};
+use apricothall_types::{ChunkIndex, MemberId, Region, Role, Timestamp};
 use apricothall_wire::Connector;
 use bytes::Bytes;
 use smol_str::{SmolStr, ToSmolStr};
@@ -32,7 +32,7 @@
 const PLAN_EVERY: Duration = Duration::from_millis(25);
 
 /// Longest wait for the origin.
-const ORIGIN_WAIT: Duration = Duration::from_millis(3_000);
+const ORIGIN_WAIT: Duration = Duration::from_secs(3);
 
 /// Time for which a peer that gave nothing is left alone.
 const PEER_REST: Duration = Duration::from_millis(1_500);
@@ -52,12 +52,16 @@
 /// Time before an order in which entries learn that the engine is about to load.
 const NOTICE: Duration = Duration::from_millis(120);
 
+/// Time of a fetch from which on pieces are fetched one by one.
+const SLOW: Duration = Duration::from_millis(900);
+
 /// Largest answer of the origin, in bytes.
 const ANSWER_BYTES: usize = 16 << 20;
 
 /// A fetch that has ended.
 struct Fetched {
     id: VersionId,
+    since: Timestamp,
     index: ChunkIndex,
     source: Source,
     bytes: Result<Bytes, SmolStr>,
@@ -75,6 +79,7 @@
     flights: HashMap<ChunkIndex, Source>,
     tasks: JoinSet<Fetched>,
     resting: HashMap<MemberId, Timestamp>,
+    pace: Duration,
     begun: Timestamp,
     wanted_id: Option<VersionId>,
     wanted_since: Timestamp,
@@ -99,6 +104,7 @@
         flights: HashMap::new(),
         tasks: JoinSet::new(),
         resting: HashMap::new(),
+        pace: Duration::ZERO,
         begun: now,
         wanted_id: None,
         wanted_since: now,
@@ -292,10 +298,11 @@
         let mut wrong = 0_u32;
         for index in missing.into_iter().filter(|i| staged.contains(*i)) {
             match self.engine.get_piece(&wanted.model, index.0).await {
-                Ok(bytes) => match self.shelf.put(wanted, index, bytes) {
-                    true => taken += 1,
-                    false => wrong += 1,
-                },
+                Ok(bytes) => {
+                    let right = self.shelf.put(wanted, index, bytes);
+                    taken += u32::from(right);
+                    wrong += u32::from(!right);
+                }
                 Err(error) => tracing::info!(%index, %error, "staged piece not read"),
             }
             // Of another version all pieces differ.
@@ -323,18 +330,30 @@
         let holders: Vec<_> = agents.iter().map(|p| self.holder(p, now)).collect();
         let settings = self.context.settings();
         let subject = format!("{}/{}", wanted.model, wanted.version);
+        let home = self.home();
         let me = Fetcher {
             id: &settings.id,
             region: &settings.region,
+            home: home.as_ref(),
             since: self.begun,
             subject: &subject,
         };
-        let config = PiecesConfig::default();
+        let config = PiecesConfig {
+            flights: flights(self.pace),
+            ..PiecesConfig::default()
+        };
         for (index, source) in plan(&config, me, &missing, self.flying(), &holders, now) {
             self.start(wanted, index, source, &agents);
         }
     }
 
+    /// Region of the origin.
+    fn home(&self) -> Option<Region> {
+        let in_force = self.context.published.in_force()?;
+        let zone = in_force.configuration.origin()?.zone.clone()?;
+        self.context.settings().regions.get(&zone).cloned()
+    }
+
     fn flying(&self) -> Flying {
         let from_origin = self.flights.values().filter(|s| **s == Source::Origin);
         Flying {
@@ -386,6 +405,7 @@
     fn start(&mut self, wanted: &VersionId, index: ChunkIndex, source: Source, agents: &[Peer]) {
         self.flights.insert(index, source.clone());
         let id = wanted.clone();
+        let since = self.context.clock.now();
         match &source {
             Source::Peer(name) => {
                 let Some(peer) = agents.iter().find(|p| p.hello.id == *name) else {
@@ -397,6 +417,7 @@
                     let bytes = bytes.map_err(|e| e.to_smolstr());
                     Fetched {
                         id,
+                        since,
                         index,
                         source,
                         bytes,
@@ -417,6 +438,7 @@
                     };
                     Fetched {
                         id,
+                        since,
                         index,
                         source,
                         bytes,
@@ -428,6 +450,10 @@
 
     fn land(&mut self, fetched: Fetched) {
         self.flights.remove(&fetched.index);
+        if let Source::Peer(_) = fetched.source {
+            let took = self.context.clock.now().since(fetched.since);
+            self.pace = (self.pace * 3 + took) / 4;
+        }
         let from = match &fetched.source {
             Source::Origin => "origin",
             Source::Peer(_) => "peer",
@@ -576,6 +602,16 @@
     answer.map(|a| a.body).map_err(|e| e.to_smolstr())
 }
 
+/// Pieces fetched at once when one takes `pace`: few on a narrow link, which the engine's
+/// requests share.
+fn flights(pace: Duration) -> usize {
+    match pace {
+        pace if pace >= SLOW => 1,
+        pace if pace >= SLOW / 2 => 2,
+        _ => PiecesConfig::default().flights,
+    }
+}
+
 fn percent(pace: f64) -> u32 {
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/gateway/src/agent/pieces.rs
+++ b/crates/gateway/src/agent/pieces.rs
@@ -22,6 +22,9 @@
 /// Longest wait for a piece from another agent.
 const WAIT: Duration = Duration::from_millis(1_800);
 
+/// Longest wait until a receiver has taken a piece.
+const TAKE_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Part of the VM's link that pieces may take, in percent.
 const LINK_PERCENT: u32 = 85;
 
@@ -86,7 +89,9 @@
     };
     let sent = channel.send(told.unwrap_or(Told::Absent)).await;
     if let Some((uploads, pause)) = turn {
-        tokio::time::sleep(pause).await;
+        // The receiver ends the stream once it has the piece, later on a narrow link.
+        let taken = tokio::time::timeout(TAKE_WAIT, channel.next());
+        let _ = tokio::join!(taken, tokio::time::sleep(pause));
         drop(uploads);
     }
     sent?;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -21,9 +21,12 @@
 
 use crate::settings::Settings;
 
-/// Age up to which an agent's note tells the load of its engine.
+/// Age up to which an agent's note tells the state of its engine.
 const NOTE_AGE: Duration = Duration::from_millis(900);
 
+/// The same for agents of other regions, which tell less often.
+const FAR_NOTE_AGE: Duration = Duration::from_millis(2_600);
+
 /// Time that a request takes to show in an agent's note.
 const NOTE_LAG: Duration = Duration::from_millis(60);
 
@@ -188,9 +191,10 @@
     }
 
     /// Takes an agent's note on its engine.
-    pub fn take_note(&self, note: &EngineNote, now: Timestamp) {
+    pub fn take_note(&self, note: &EngineNote, far: bool, now: Timestamp) {
         let mut state = self.state();
-        state.notes.insert(note.address, (note.clone(), now));
+        let age = if far { FAR_NOTE_AGE } else { NOTE_AGE };
+        state.notes.insert(note.address, (note.clone(), now + age));
     }
 
     /// The last note on the engine at `address`, if it is fresh.
@@ -272,10 +276,10 @@
     }
 
     /// Gives a server that refused a pause.
-    pub fn pause(&self, id: &MemberId, stale: bool, now: Timestamp) {
+    pub fn pause(&self, id: &MemberId, misdirected: bool, now: Timestamp) {
+        let length = if misdirected { STALE_PAUSE } else { FULL_PAUSE };
         let mut state = self.state();
-        let pause = if stale { STALE_PAUSE } else { FULL_PAUSE };
-        state.loads.entry(id.clone()).or_default().paused = now + pause;
+        state.loads.entry(id.clone()).or_default().paused = now + length;
     }
 
     /// Notes the first attempt at a request of `service`.
@@ -339,8 +343,8 @@
     }
 
     fn note(&self, address: &SocketAddr, now: Timestamp) -> Option<&EngineNote> {
-        let (note, heard) = self.notes.get(address)?;
-        (now.since(*heard) < NOTE_AGE).then_some(note)
+        let (note, until) = self.notes.get(address)?;
+        (now < *until).then_some(note)
     }
 
     fn is_paused(&self, id: &MemberId, now: Timestamp) -> bool {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -69,15 +69,15 @@
         loop {
             let now = self.context.clock.now();
             if now >= call.deadline {
-                return self.give_up(&call, story, now, "the time is over");
+                return give_up(&call, story, now, "the time is over");
             }
             let placed = match self.place(&call, &story.tried, now) {
                 Placement::Go(placed) => placed,
                 Placement::Refuse(after) => {
-                    return self.turn_away(&call, story, after, "no room in time", now);
+                    return turn_away(&call, story, after, "no room in time", now);
                 }
                 Placement::Nobody => {
-                    return self.turn_away(&call, story, NOBODY_PAUSE, "no server", now);
+                    return turn_away(&call, story, NOBODY_PAUSE, "no server", now);
                 }
             };
             story.tried.push(placed.server.id.clone());
@@ -96,11 +96,11 @@
                             .fleet
                             .may_repeat(&call.service, call.deadline, now)
                     {
-                        return self.give_up(&call, story, now, "the budget of repeats is used up");
+                        return give_up(&call, story, now, "the budget of repeats is used up");
                     }
                 }
                 Next::NotRun | Next::Unknown => {
-                    return self.give_up(&call, story, now, "no attempt is left");
+                    return give_up(&call, story, now, "no attempt is left");
                 }
             }
         }
@@ -305,48 +305,41 @@
         }
         None
     }
+}
 
-    /// Refuses a call that has no place, unless it may have run already.
-    fn turn_away(
-        &self,
-        call: &Call,
-        story: Story,
-        after: Duration,
-        reason: &'static str,
-        now: Timestamp,
-    ) -> Response<Body> {
-        if story.history.sent > 0 {
-            return self.give_up(call, story, now, reason);
-        }
-        let longest = call.deadline.since(now) / RETURN_SHARE;
-        let after = after.max(SHORTEST_PAUSE).min(longest);
-        tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, returning = call.returning, prompt = call.prompt, after_ms = millis(after), reason, "refused");
-        metrics::counter!("apricothall_refusals_total", "reason" => reason).increment(1);
-        refuse(after, reason)
+/// Refuses a call that has no place, unless it may have run already.
+fn turn_away(
+    call: &Call,
+    story: Story,
+    after: Duration,
+    reason: &'static str,
+    now: Timestamp,
+) -> Response<Body> {
+    if story.history.sent > 0 {
+        return give_up(call, story, now, reason);
     }
+    let longest = call.deadline.since(now) / RETURN_SHARE;
+    let after = after.max(SHORTEST_PAUSE).min(longest);
+    tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, returning = call.returning, prompt = call.prompt, after_ms = millis(after), reason, "refused");
+    metrics::counter!("apricothall_refusals_total", "reason" => reason).increment(1);
+    refuse(after, reason)
+}
 
-    /// The final answer when no further attempt is made.
-    fn give_up(
-        &self,
-        call: &Call,
-        story: Story,
-        now: Timestamp,
-        reason: &'static str,
-    ) -> Response<Body> {
-        let waited = now.since(call.arrival);
-        let fate = story.history.last();
-        tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, sent = story.history.sent, waited_ms = millis(waited), ?fate, reason, "given up");
-        metrics::counter!("apricothall_failures_total", "reason" => reason).increment(1);
-        if let Some(response) = story.spare {
-            return response;
-        }
-        match fate {
-            Next::Unknown if now >= call.deadline => {
-                own(StatusCode::GATEWAY_TIMEOUT, Fate::Unknown, reason)
-            }
-            Next::Unknown => own(StatusCode::BAD_GATEWAY, Fate::Unknown, reason),
-            Next::NotRun | Next::Again { .. } => refuse(SHORTEST_PAUSE, reason),
+/// The final answer when no further attempt is made.
+fn give_up(call: &Call, story: Story, now: Timestamp, reason: &'static str) -> Response<Body> {
+    let waited = now.since(call.arrival);
+    let fate = story.history.last();
+    tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, sent = story.history.sent, waited_ms = millis(waited), ?fate, reason, "given up");
+    metrics::counter!("apricothall_failures_total", "reason" => reason).increment(1);
+    if let Some(response) = story.spare {
+        return response;
+    }
+    match fate {
+        Next::Unknown if now >= call.deadline => {
+            own(StatusCode::GATEWAY_TIMEOUT, Fate::Unknown, reason)
         }
+        Next::Unknown => own(StatusCode::BAD_GATEWAY, Fate::Unknown, reason),
+        Next::NotRun | Next::Again { .. } => refuse(SHORTEST_PAUSE, reason),
     }
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,14 +16,21 @@
 use crate::forward::millis;
 use crate::peers::{Gossip, Hello, Phase, VersionNote};
 use crate::published::Reader;
+use crate::settings::Settings;
 
 /// Time between two messages to daemons that need news promptly.
 const BRISK: Duration = Duration::from_millis(100);
 
-/// Rounds of [`BRISK`] between two messages to all others.
-const CALM_ROUNDS: u64 = 4;
+/// Rounds of [`BRISK`] between two messages to others of the region.
+const NEAR_ROUNDS: u64 = 4;
 
-/// Daemons that a round of all others reaches at most.
+/// Rounds between two messages of agents to other regions while they fetch weights.
+const FETCH_ROUNDS: u64 = 2;
+
+/// Rounds between two messages to other regions.
+const FAR_ROUNDS: u64 = 12;
+
+/// Daemons that a round reaches at most.
 const FANOUT: usize = 64;
 
 /// Addresses of others that a message carries.
@@ -78,7 +85,7 @@
 async fn take(context: &Context, socket: &UdpSocket, gossip: &Gossip) {
     let now = context.clock.now();
     let known = context.peers.get(&gossip.hello.address, now).is_some();
-    if !context.peers.take(gossip, now) {
+    if !context.peers.take(gossip, &context.settings().region, now) {
         return;
     }
     for note in &gossip.versions {
@@ -88,7 +95,8 @@
             .name_version(&note.model, note.version, since, Reader::Peer);
     }
     if let Some(note) = &gossip.engine {
-        context.fleet.take_note(note, now);
+        let far = gossip.hello.region != context.settings().region;
+        context.fleet.take_note(note, far, now);
     }
     // An echo of an earlier process on this VM is of another clock.
     if let (Some(age), Some(echo)) = (gossip.confirmed, gossip.echo)
@@ -112,7 +120,7 @@
 async fn send(context: &Context, socket: &UdpSocket) {
     let mut round = 0_u64;
     loop {
-        for address in receivers(context, round.is_multiple_of(CALM_ROUNDS)) {
+        for address in receivers(context, round) {
             send_to(context, socket, address).await;
         }
         round += 1;
@@ -120,41 +128,46 @@
     }
 }
 
-/// Who gets a message in this round: agents tell entries of their zone in each round, and agents
-/// that spread weights tell each other; all others are told in calm rounds.
-fn receivers(context: &Context, calm: bool) -> Vec<SocketAddr> {
+/// Who gets a message in this round.
+fn receivers(context: &Context, round: u64) -> Vec<SocketAddr> {
     let settings = context.settings();
     let now = context.clock.now();
-    let own = SocketAddr::new(settings.ip, settings.peer_port);
     let fetching = context.fleet.is_fetching();
-    let mut chosen = Vec::new();
-    let mut others = Vec::new();
+    let mut due = Vec::new();
     context.peers.each(now, |peer| {
-        let to = &peer.hello;
-        let brisk = settings.role == Role::Agent
-            && match to.role {
-                Role::Entry => to.zone == settings.zone,
-                Role::Agent => fetching,
-            };
-        let list = if brisk { &mut chosen } else { &mut others };
-        list.push(to.address);
+        if round.is_multiple_of(rounds(&settings, &peer.hello, fetching)) {
+            due.push(peer.hello.address);
+        }
     });
-    if !calm {
-        return chosen;
-    }
     let mut rng = rand::rng();
-    chosen.extend(others.choose_multiple(&mut rng, FANOUT).copied());
-    let silent: Vec<_> = settings
-        .seeds
-        .iter()
-        .copied()
-        .chain(context.peers.addresses())
-        .filter(|a| *a != own && !chosen.contains(a))
-        .collect();
-    chosen.extend(silent.choose_multiple(&mut rng, KNOWN));
+    let mut chosen: Vec<_> = due.choose_multiple(&mut rng, FANOUT).copied().collect();
+    if round.is_multiple_of(NEAR_ROUNDS) {
+        let own = SocketAddr::new(settings.ip, settings.peer_port);
+        let silent: Vec<_> = settings
+            .seeds
+            .iter()
+            .copied()
+            .chain(context.peers.addresses())
+            .filter(|a| *a != own && context.peers.get(a, now).is_none())
+            .collect();
+        chosen.extend(silent.choose_multiple(&mut rng, KNOWN));
+    }
     chosen
 }
 
+/// Rounds between two messages to `to`: entries of the zone hear of each load, agents that fetch
+/// weights tell all others what they hold, and bytes between regions are dear.
+fn rounds(settings: &Settings, to: &Hello, fetching: bool) -> u64 {
+    let far = to.region != settings.region;
+    match (settings.role, to.role) {
+        (Role::Agent, Role::Entry) if to.zone == settings.zone => 1,
+        (Role::Agent, Role::Agent) if fetching && far => FETCH_ROUNDS,
+        (Role::Agent, Role::Agent) if fetching => 1,
+        _ if far => FAR_ROUNDS,
+        _ => NEAR_ROUNDS,
+    }
+}
+
 async fn send_to(context: &Context, socket: &UdpSocket, address: SocketAddr) {
     let gossip = message(context, &address);
     if gossip.hello.address == address {
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -6,6 +6,7 @@
 
 use apricothall_decide::routes::{Accounts, RouteTable};
 use apricothall_decide::timing::Timing;
+use apricothall_types::Zone;
 use smol_str::SmolStr;
 
 /// A configuration in full.
@@ -83,6 +84,8 @@
 pub struct OriginService {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Its availability zone, if it is published.
+    pub zone: Option<Zone>,
 }
 
 impl Configuration {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,8 +11,11 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// Silence after which a daemon counts as gone.
-pub const SILENCE: Duration = Duration::from_millis(1_600);
+/// Silence after which a daemon of this region counts as gone.
+const SILENCE: Duration = Duration::from_millis(1_600);
+
+/// Silence after which a daemon of another region, which tells less often, counts as gone.
+const FAR_SILENCE: Duration = Duration::from_secs(3);
 
 /// Shortest silence between two processes of one daemon.
 const RESTART: Duration = Duration::from_millis(400);
@@ -131,13 +134,16 @@
     pub revision: Revision,
     /// The engine beside it.
     pub engine: Option<EngineNote>,
+    /// Whether it is in another region.
+    pub far: bool,
 }
 
 impl Peer {
     /// Whether it was heard lately.
     #[must_use]
     pub fn is_alive(&self, now: Timestamp) -> bool {
-        now.since(self.heard) < SILENCE
+        let limit = if self.far { FAR_SILENCE } else { SILENCE };
+        now.since(self.heard) < limit
     }
 }
 
@@ -163,13 +169,14 @@
     }
 
     /// Takes a message. False when it is older than one taken before.
-    pub fn take(&self, gossip: &Gossip, now: Timestamp) -> bool {
+    pub fn take(&self, gossip: &Gossip, region: &Region, now: Timestamp) -> bool {
         let mut known = self.known();
         let address = gossip.hello.address;
-        if let Some(before) = known.get(&address) {
-            if is_older(gossip, before, now) {
-                return false;
-            }
+        if known
+            .get(&address)
+            .is_some_and(|before| is_older(gossip, before, now))
+        {
+            return false;
         }
         let peer = Peer {
             hello: gossip.hello.clone(),
@@ -177,6 +184,7 @@
             stamp: gossip.stamp,
             revision: gossip.revision,
             engine: gossip.engine.clone(),
+            far: gossip.hello.region != *region,
         };
         let before = known.insert(address, peer);
         let phase = before.map(|p| (p.hello.phase, p.hello.incarnation));
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -179,13 +179,16 @@
     })
 }
 
+/// The route of a request, and its client account if a key is needed.
+type Admitted = (Arc<Route>, Option<Arc<Account>>);
+
 /// The route and the client account of a request.
 fn find(
     context: &Context,
     in_force: &InForce,
     parts: &Parts,
     now: Timestamp,
-) -> Result<(Arc<Route>, Option<Arc<Account>>), Box<Response<Body>>> {
+) -> Result<Admitted, Box<Response<Body>>> {
     let configuration = &in_force.configuration;
     let host = parts.headers.get(HOST).and_then(|v| v.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -16,7 +16,7 @@
 use crate::published::Reader;
 
 /// Longest wait of one watch by an entry.
-const ENTRY_WATCH: Duration = Duration::from_secs(2);
+const ENTRY_WATCH: Duration = Duration::from_secs(4);
 
 /// Longest wait of one watch by an agent, which needs changes less promptly.
 const AGENT_WATCH: Duration = Duration::from_secs(8);
@@ -28,7 +28,7 @@
 const LIST_WAIT: Duration = Duration::from_millis(1_200);
 
 /// Pause between two watches, which gathers changes that come in quick succession.
-const GATHER: Duration = Duration::from_millis(100);
+const GATHER: Duration = Duration::from_millis(150);
 
 /// Shortest pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
