--- a/crates/decide/src/pieces.rs
+++ b/crates/decide/src/pieces.rs
@@ -1,8 +1,8 @@
 //! From where an agent fetches each piece of a version.
 //!
-//! A piece leaves the origin once and crosses to each other region once: for each piece, agents
-//! are ranked by hash, over all of them for the origin and over those of a region for the
-//! crossing. The next rank takes over after [`PiecesConfig::takeover`]. Within a region agents
+//! A piece leaves the origin once and crosses to each other region once: each agent of the
+//! origin's region draws its part of the pieces, and each of another region fetches its part from
+//! outside. The next one takes over after [`PiecesConfig::takeover`]. Within a region agents
 //! copy from each other.
 
 use std::time::Duration;
@@ -41,8 +41,10 @@
 /// Settings of [`plan`].
 #[derive(Clone, Copy, Debug)]
 pub struct PiecesConfig {
-    /// Delay of each further rank.
+    /// Delay of each further rank that brings a piece into a region.
     pub takeover: Duration,
+    /// Delay of each further rank that draws a piece from the origin, which sends slowly.
+    pub draw_takeover: Duration,
     /// Pieces fetched at once.
     pub flights: usize,
     /// Pieces fetched at once from one peer.
@@ -57,14 +59,24 @@
     fn default() -> Self {
         Self {
             takeover: Duration::from_millis(500),
-            flights: 4,
+            draw_takeover: Duration::from_millis(1_600),
+            flights: 3,
             depth: 2,
-            draws: 1,
+            draws: 2,
             trust: Duration::from_millis(2_500),
         }
     }
 }
 
+/// A piece that the agent lacks and is not fetching.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// The piece.
+    pub chunk: ChunkIndex,
+    /// When an agent was first seen to hold it; none if nobody was.
+    pub held: Option<Timestamp>,
+}
+
 /// Pieces that the agent is fetching.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Flying {
@@ -94,7 +106,7 @@
 pub fn plan(
     config: &PiecesConfig,
     me: Fetcher<'_>,
-    wanted: &[ChunkIndex],
+    wanted: &[Wanted],
     flying: Flying,
     peers: &[Holder],
     now: Timestamp,
@@ -103,11 +115,11 @@
     let mut draws = config.draws.saturating_sub(flying.origin);
     let mut used: Vec<usize> = peers.iter().map(|p| p.flights).collect();
     let mut chosen = Vec::new();
-    for chunk in in_own_order(me, wanted) {
+    for piece in in_own_order(me, wanted) {
         if room == 0 {
             break;
         }
-        let Some(source) = source(config, me, chunk, peers, &mut used, now) else {
+        let Some(source) = source(config, me, piece, peers, &mut used, now) else {
             continue;
         };
         if source == Source::Origin {
@@ -116,16 +128,16 @@
             }
             draws -= 1;
         }
-        chosen.push((chunk, source));
+        chosen.push((piece.chunk, source));
         room -= 1;
     }
     chosen
 }
 
 /// Each agent begins elsewhere, so that they have different pieces to pass on.
-fn in_own_order(me: Fetcher<'_>, wanted: &[ChunkIndex]) -> Vec<ChunkIndex> {
+fn in_own_order(me: Fetcher<'_>, wanted: &[Wanted]) -> Vec<Wanted> {
     let mut ordered = wanted.to_vec();
-    ordered.sort_by_cached_key(|c| rank::weight(&subject(me.subject, *c, "order"), me.id));
+    ordered.sort_by_cached_key(|w| rank::weight(&subject(me.subject, w.chunk, "order"), me.id));
     ordered
 }
 
@@ -136,18 +148,19 @@
 fn source(
     config: &PiecesConfig,
     me: Fetcher<'_>,
-    chunk: ChunkIndex,
+    piece: Wanted,
     peers: &[Holder],
     used: &mut [usize],
     now: Timestamp,
 ) -> Option<Source> {
+    let chunk = piece.chunk;
     let holders: Vec<usize> = (0..peers.len())
         .filter(|i| peers[*i].held.contains(chunk) && !peers[*i].down)
         .collect();
     let is_near = |i: &usize| peers[*i].region == *me.region;
     if holders.iter().any(is_near) {
         let near = holders.iter().copied().filter(|i| is_near(i));
-        return take(config, peers, used, near);
+        return take(config, me, chunk, peers, used, near);
     }
     let waited = now.since(me.since);
     let trusted = waited < config.trust;
@@ -159,11 +172,12 @@
         return None;
     }
     if !holders.is_empty() {
+        let held = now.since(piece.held.unwrap_or(now));
         let mine = peers.iter().filter(|p| p.region == *me.region);
-        if !is_turn(config, me, chunk, "cross", mine, waited) {
+        if !is_turn(config.takeover, me, chunk, mine, held) {
             return None;
         }
-        return take(config, peers, used, holders.into_iter());
+        return take(config, me, chunk, peers, used, holders.into_iter());
     }
     let is_home = |region: &Region| me.home.is_none_or(|home| home == region);
     let here = is_home(me.region);
@@ -175,37 +189,42 @@
         waited
     };
     let first = !elsewhere || !waited.is_zero();
-    (first && is_turn(config, me, chunk, "origin", rivals, waited)).then_some(Source::Origin)
+    (first && is_turn(config.draw_takeover, me, chunk, rivals, waited)).then_some(Source::Origin)
 }
 
-/// The least used of `holders` that has room.
+/// The least used of `holders` that has room; among equals each agent has its own order, so that
+/// not all ask the same one.
 fn take(
     config: &PiecesConfig,
+    me: Fetcher<'_>,
+    chunk: ChunkIndex,
     peers: &[Holder],
     used: &mut [usize],
     holders: impl Iterator<Item = usize>,
 ) -> Option<Source> {
+    let subject = subject(me.subject, chunk, me.id.as_str());
     let best = holders
         .filter(|i| used[*i] < config.depth)
-        .min_by_key(|i| used[*i])?;
+        .min_by_key(|i| (used[*i], rank::weight(&subject, &peers[*i].id)))?;
     used[best] += 1;
     Some(Source::Peer(peers[best].id.clone()))
 }
 
-/// Whether the ranks before this agent have had their time.
+/// Whether the agents before this one have had their time. In the order of their ids each has
+/// every n-th piece, so that all have equally many, and the next in order follows.
 fn is_turn<'a>(
-    config: &PiecesConfig,
+    takeover: Duration,
     me: Fetcher<'_>,
     chunk: ChunkIndex,
-    use_: &str,
     peers: impl Iterator<Item = &'a Holder>,
     waited: Duration,
 ) -> bool {
-    let subject = subject(me.subject, chunk, use_);
-    let own = rank::weight(&subject, me.id);
-    let before = peers
-        .filter(|p| !p.down && rank::weight(&subject, &p.id) > own)
-        .count();
-    let before = u32::try_from(before).unwrap_or(u32::MAX);
-    waited >= config.takeover.saturating_mul(before)
+    let mut before = 0;
+    let mut all = 1;
+    for peer in peers.filter(|p| !p.down) {
+        all += 1;
+        before += u32::from(peer.id < *me.id);
+    }
+    let turn = (before + all - chunk.0 % all) % all;
+    waited >= takeover.saturating_mul(turn)
 }
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -22,10 +22,14 @@
 pub struct Candidate {
     /// How far it is.
     pub distance: Distance,
+    /// Whether this entry goes before the others of its zone there.
+    pub own: bool,
     /// Whether its recent results allow a request.
     pub permit: Permit,
     /// Predicted time to the first event, or to the answer.
     pub latency: Duration,
+    /// Longest pause that the request would cause there; zero for a plain service.
+    pub pause: Duration,
     /// Whether it has a free place, so that a refusal would waste it.
     pub free: bool,
 }
@@ -37,6 +41,8 @@
     pub objective: Duration,
     /// Longest wait after which an answer still helps.
     pub patience: Duration,
+    /// Longest pause that streams may have, if there is a bound.
+    pub gap: Option<Duration>,
 }
 
 /// The decision.
@@ -57,6 +63,9 @@
     pub zone_cost: Duration,
     /// What a server in another region costs, as latency.
     pub far_cost: Duration,
+    /// What a server costs that another entry of the zone goes before at, as latency. Where each
+    /// server has one main sender, that one knows its load without delay.
+    pub shared_cost: Duration,
     /// Servers whose costs differ by less count as equal.
     pub slack: Duration,
     /// Part of the objective that a prediction may take, in percent.
@@ -68,7 +77,8 @@
         Self {
             zone_cost: Duration::from_millis(30),
             far_cost: Duration::from_millis(45),
-            slack: Duration::from_millis(8),
+            shared_cost: Duration::from_millis(15),
+            slack: Duration::from_millis(6),
             margin: 85,
         }
     }
@@ -90,16 +100,20 @@
     let cost = |c: &Candidate| {
         c.latency
             + match c.distance {
-                Distance::Zone => Duration::ZERO,
+                Distance::Zone if c.own => Duration::ZERO,
+                Distance::Zone => config.shared_cost,
                 Distance::Region => config.zone_cost,
                 Distance::Far => config.far_cost,
             }
     };
+    let gap = need
+        .gap
+        .map_or(Duration::MAX, |gap| gap * config.margin / 100);
+    let is_open = |c: &Candidate| c.permit == Permit::Open;
+    let calm = candidates.iter().any(|c| is_open(c) && c.pause <= gap);
     let open = || {
-        candidates
-            .iter()
-            .enumerate()
-            .filter(|(_, c)| c.permit == Permit::Open)
+        let all = candidates.iter().enumerate();
+        all.filter(|(_, c)| is_open(c) && (!calm || c.pause <= gap))
     };
     let Some(best) = open().map(|(_, c)| cost(c)).min() else {
         return Choice::Nobody;
@@ -114,8 +128,9 @@
     } else {
         wanted
     };
-    if chosen.latency <= limit || chosen.free {
+    if chosen.latency <= limit && calm || chosen.free && chosen.pause <= gap {
         return Choice::Send(index);
     }
-    Choice::Refuse(chosen.latency.saturating_sub(limit))
+    let over = chosen.latency.saturating_sub(limit);
+    Choice::Refuse(over.max(chosen.pause.saturating_sub(gap)))
 }
--- a/crates/decide/src/reload.rs
+++ b/crates/decide/src/reload.rs
@@ -46,14 +46,20 @@
 impl Default for ReloadConfig {
     fn default() -> Self {
         Self {
-            share: 50,
-            rush: Duration::from_millis(3_600),
+            share: 40,
+            rush: Duration::from_secs(1),
         }
     }
 }
 
 const WHOLE: usize = 100;
 
+/// Whether the engine of `one` loads before that of `other`, if both could.
+#[must_use]
+pub fn loads_before(one: &MemberId, other: &MemberId) -> bool {
+    rank::weight(b"reload", one) > rank::weight(b"reload", other)
+}
+
 /// Whether the engine of `me`, whose pieces are complete, may load now. `neighbours` are the
 /// other engines of its zone; `due` is the end of the time allowed.
 #[must_use]
@@ -75,15 +81,14 @@
     }
     let in_use = |n: &&Neighbour| n.progress != Progress::Empty;
     let engines = neighbours.iter().filter(in_use).count() + 1;
-    let window = (engines * config.share / WHOLE).max(1);
+    let window = (engines * config.share).div_ceil(WHOLE);
     let loading = neighbours
         .iter()
         .filter(|n| n.progress == Progress::Loading)
         .count();
-    let own_rank = rank::weight(b"reload", me);
     let ahead = neighbours
         .iter()
-        .filter(|n| n.progress == Progress::Complete && rank::weight(b"reload", &n.id) > own_rank)
+        .filter(|n| n.progress == Progress::Complete && loads_before(&n.id, me))
         .count();
     loading + ahead < window
 }
--- a/crates/decide/src/timing.rs
+++ b/crates/decide/src/timing.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use apricothall_types::Timestamp;
+
 const MS_PER_SECOND: f64 = 1_000.0;
 const TOKENS_PER_K: f64 = 1_000.0;
 const PAIRS_PER_M: f64 = 1e6;
@@ -39,8 +41,8 @@
     pub running: u32,
     /// Requests that wait for a place.
     pub waiting: u32,
-    /// Requests sent so recently that their prompts are not read yet.
-    pub unread: u32,
+    /// Time that prompts sent before will still take to be read, in ms.
+    pub unread: f64,
     /// How many times slower than published the engine is; 1 is as published.
     pub pace: f64,
 }
@@ -72,14 +74,22 @@
         places / (passes * (self.write_ms(self.slots) + reads)) * MS_PER_SECOND
     }
 
+    /// Longest pause of the requests that are writing, if a prompt of `tokens` is read now: prompts
+    /// are read between their steps.
+    #[must_use]
+    pub fn pause(&self, work: Work, tokens: f64) -> Duration {
+        let writers = work.running.min(self.slots);
+        let ms = self.write_ms(writers + 1) + work.unread + self.read_ms(tokens);
+        Duration::from_secs_f64((ms * work.pace.max(1.0) / MS_PER_SECOND).max(0.0))
+    }
+
     /// Time until a request with a prompt of `tokens` gets its first event.
     #[must_use]
     pub fn first_event(&self, work: Work, tokens: f64) -> Duration {
         let writers = work.running.min(self.slots);
         let pass = self.write_ms(writers + 1);
-        let unread = f64::from(work.unread) * self.read_ms(self.prompt);
         let own = self.read_ms(tokens);
-        let mut ms = pass * 1.5 + own + unread;
+        let mut ms = pass * 1.5 + own + work.unread;
         let taken = work.running + work.waiting;
         if taken >= self.slots {
             let behind = f64::from(taken - self.slots) + 0.5;
@@ -88,3 +98,28 @@
         Duration::from_secs_f64((ms * work.pace.max(1.0) / MS_PER_SECOND).max(0.0))
     }
 }
+
+/// Part of its time that an engine with unread prompts spends on reading them.
+const READING_SHARE: f64 = 0.85;
+
+/// Prompts sent to an engine and not yet read, as time.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Backlog {
+    ms: f64,
+    at: Timestamp,
+}
+
+impl Backlog {
+    /// Adds a prompt that takes `ms` to read.
+    pub fn add(&mut self, ms: f64, now: Timestamp) {
+        self.ms = self.left(now) + ms;
+        self.at = now;
+    }
+
+    /// Time that the prompts will still take, in ms.
+    #[must_use]
+    pub fn left(&self, now: Timestamp) -> f64 {
+        let read = now.since(self.at).as_secs_f64() * MS_PER_SECOND * READING_SHARE;
+        (self.ms - read).max(0.0)
+    }
+}
--- a/crates/gateway/src/agent/keeper.rs
+++ b/crates/gateway/src/agent/keeper.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use apricothall_clients::http_client::{Answer, HttpClient, get};
-use apricothall_decide::pieces::{Fetcher, Flying, Holder, PiecesConfig, Source, plan};
+use apricothall_decide::pieces::{Fetcher, Flying, Holder, PiecesConfig, Source, Wanted, plan};
 use apricothall_decide::rank;
-use apricothall_decide::reload::{Neighbour, Progress, ReloadConfig, may_load};
+use apricothall_decide::reload::{Neighbour, Progress, ReloadConfig, loads_before, may_load};
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{ChunkIndex, MemberId, Region, Role, Timestamp};
 use apricothall_wire::Connector;
@@ -18,7 +18,7 @@
 
 use crate::Context;
 use crate::agent::engine::Engine;
-use crate::agent::pieces;
+use crate::agent::pieces::{self, PeerError, Rank};
 use crate::agent::shelf::{Shelf, VersionId};
 use crate::dialect::EngineReport;
 use crate::peers::{EngineNote, Peer};
@@ -37,6 +37,9 @@
 /// Time for which a peer that gave nothing is left alone.
 const PEER_REST: Duration = Duration::from_millis(1_500);
 
+/// The same for a peer that is sending to others.
+const BUSY_REST: Duration = Duration::from_millis(60);
+
 /// Pause before a failed fetch of the digests is repeated.
 const DIGESTS_PAUSE: Duration = Duration::from_millis(100);
 
@@ -64,7 +67,21 @@
     since: Timestamp,
     index: ChunkIndex,
     source: Source,
-    bytes: Result<Bytes, SmolStr>,
+    bytes: Result<Bytes, FetchError>,
+}
+
+/// Why a piece was not fetched.
+#[derive(Debug, thiserror::Error)]
+enum FetchError {
+    /// A peer gave none.
+    #[error(transparent)]
+    Peer(#[from] PeerError),
+    /// The origin gave none.
+    #[error("origin: {0}")]
+    Origin(SmolStr),
+    /// The bytes are not those of the piece.
+    #[error("its digest is wrong")]
+    Digest,
 }
 
 /// The keeper of one engine.
@@ -77,6 +94,7 @@
     origin: HttpClient,
     report: Option<EngineReport>,
     flights: HashMap<ChunkIndex, Source>,
+    held_since: HashMap<ChunkIndex, Timestamp>,
     tasks: JoinSet<Fetched>,
     resting: HashMap<MemberId, Timestamp>,
     pace: Duration,
@@ -102,6 +120,7 @@
         origin: HttpClient::without_pool(Some(settings.ip), ORIGIN_WAIT),
         report: None,
         flights: HashMap::new(),
+        held_since: HashMap::new(),
         tasks: JoinSet::new(),
         resting: HashMap::new(),
         pace: Duration::ZERO,
@@ -210,6 +229,7 @@
                 tracing::info!(model = %wanted.model, version = wanted.version, pieces = digests.len(), "fetching a version");
                 self.begun = self.context.clock.now();
                 self.flights.clear();
+                self.held_since.clear();
                 self.tasks = JoinSet::new();
                 self.shelf.begin(wanted.clone(), digests);
             }
@@ -328,6 +348,7 @@
         let now = self.context.clock.now();
         let agents = self.agents(wanted);
         let holders: Vec<_> = agents.iter().map(|p| self.holder(p, now)).collect();
+        let missing = self.note_held(&missing, &holders, now);
         let settings = self.context.settings();
         let subject = format!("{}/{}", wanted.model, wanted.version);
         let home = self.home();
@@ -347,6 +368,25 @@
         }
     }
 
+    /// Notes which of the missing pieces are held by anybody.
+    fn note_held(
+        &mut self,
+        missing: &[ChunkIndex],
+        holders: &[Holder],
+        now: Timestamp,
+    ) -> Vec<Wanted> {
+        let mut wanted = Vec::new();
+        for chunk in missing {
+            if holders.iter().any(|h| h.held.contains(*chunk)) {
+                self.held_since.entry(*chunk).or_insert(now);
+            }
+            let held = self.held_since.get(chunk).copied();
+            let chunk = *chunk;
+            wanted.push(Wanted { chunk, held });
+        }
+        wanted
+    }
+
     /// Region of the origin.
     fn home(&self) -> Option<Region> {
         let in_force = self.context.published.in_force()?;
@@ -354,6 +394,20 @@
         self.context.settings().regions.get(&zone).cloned()
     }
 
+    /// Place among those that ask `peer` for pieces.
+    fn rank(&self, peer: &Peer) -> Rank {
+        if peer.far {
+            return Rank(0);
+        }
+        let settings = self.context.settings();
+        let mut before = 1;
+        self.context.peers.each(self.context.clock.now(), |other| {
+            let mate = other.hello.role == Role::Agent && other.hello.zone == settings.zone;
+            before += u16::from(mate && loads_before(&other.hello.id, &settings.id));
+        });
+        Rank(before)
+    }
+
     fn flying(&self) -> Flying {
         let from_origin = self.flights.values().filter(|s| **s == Source::Origin);
         Flying {
@@ -411,10 +465,11 @@
                 let Some(peer) = agents.iter().find(|p| p.hello.id == *name) else {
                     return;
                 };
-                let (address, connector) = (peer.hello.address, self.connector.clone());
+                let (address, rank) = (peer.hello.address, self.rank(peer));
+                let connector = self.connector.clone();
                 self.tasks.spawn(async move {
-                    let bytes = pieces::fetch(&connector, address, &id, index).await;
-                    let bytes = bytes.map_err(|e| e.to_smolstr());
+                    let bytes = pieces::fetch(&connector, address, &id, index, rank).await;
+                    let bytes = bytes.map_err(FetchError::from);
                     Fetched {
                         id,
                         since,
@@ -434,8 +489,9 @@
                 self.tasks.spawn(async move {
                     let bytes = match origin {
                         Some(origin) => read_origin(&client, origin.address, &path).await,
-                        None => Err("no origin is published".into()),
+                        None => Err("none is published".into()),
                     };
+                    let bytes = bytes.map_err(FetchError::Origin);
                     Fetched {
                         id,
                         since,
@@ -466,14 +522,18 @@
                         .increment(size);
                     return;
                 }
-                "its digest is wrong".into()
+                FetchError::Digest
             }
             Err(error) => error,
         };
+        let rest = match error {
+            FetchError::Peer(PeerError::Busy) => BUSY_REST,
+            _ => PEER_REST,
+        };
         tracing::info!(version = fetched.id.version, index = %fetched.index, source = ?fetched.source, %error, "piece not fetched");
         metrics::counter!("apricothall_piece_failures_total", "source" => from).increment(1);
         if let Source::Peer(id) = fetched.source {
-            let until = self.context.clock.now() + PEER_REST;
+            let until = self.context.clock.now() + rest;
             self.resting.insert(id, until);
         }
     }
--- a/crates/gateway/src/agent/pieces.rs
+++ b/crates/gateway/src/agent/pieces.rs
@@ -4,14 +4,17 @@
 use std::time::Duration;
 
 use apricothall_types::{Bytes as Size, ChunkIndex};
-use apricothall_wire::{Connector, Incoming, Lane, Payload, WireError};
+use apricothall_wire::{Channel, Connector, Incoming, Lane, Payload, WireError};
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use thiserror::Error;
 
-use tokio::sync::OwnedSemaphorePermit;
+use std::collections::BTreeSet;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::Notify;
 
 use crate::Context;
 use crate::agent::shelf::VersionId;
@@ -22,16 +25,29 @@
 /// Longest wait for a piece from another agent.
 const WAIT: Duration = Duration::from_millis(1_800);
 
+/// Pieces sent and not yet taken.
+const UNTAKEN: usize = 2;
+
+/// Requests for pieces that may wait for their turn; others are told to ask elsewhere.
+const WAITING: usize = 2;
+
 /// Longest wait until a receiver has taken a piece.
 const TAKE_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Part of the VM's link that pieces may take, in percent.
-const LINK_PERCENT: u32 = 85;
+const LINK_PERCENT: u32 = 92;
+
+/// Place of an agent among those that wait for pieces: 0 brings them into a region, the others
+/// follow in the order in which their engines load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Rank(pub u16);
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Ask {
     model: SmolStr,
     version: u64,
+    /// Place of the asker among those that wait.
+    rank: Rank,
     want: Want,
 }
 
@@ -46,6 +62,7 @@
     Digests(Vec<[u8; 32]>),
     Piece(Payload),
     Absent,
+    Busy,
 }
 
 /// Why a peer gave nothing.
@@ -60,6 +77,9 @@
     /// The peer does not hold it.
     #[error("not held there")]
     Absent,
+    /// The peer is sending to others.
+    #[error("busy")]
+    Busy,
 }
 
 /// Answers a peer that asks for a part of the version held here.
@@ -76,35 +96,127 @@
         version: ask.version,
     };
     let told = match ask.want {
-        Want::Digests => context.shelf.digests(&id).map(Told::Digests),
-        Want::Piece(index) => {
-            let piece = context.shelf.get(&id, index);
-            piece.map(|bytes| Told::Piece(Payload(bytes)))
-        }
+        Want::Digests => context
+            .shelf
+            .digests(&id)
+            .map_or(Told::Absent, Told::Digests),
+        Want::Piece(_) if context.uploads.is_busy(ask.rank) => Told::Busy,
+        Want::Piece(index) => match context.shelf.get(&id, index) {
+            Some(piece) => return send_piece(context, &mut channel, ask.rank, piece).await,
+            None => Told::Absent,
+        },
     };
-    // The engine's answers share the link: one piece at a time, and with gaps between them.
-    let turn = match &told {
-        Some(Told::Piece(payload)) => Some(turn(context, payload.len()).await),
-        _ => None,
-    };
-    let sent = channel.send(told.unwrap_or(Told::Absent)).await;
-    if let Some((uploads, pause)) = turn {
-        // The receiver ends the stream once it has the piece, later on a narrow link.
-        let taken = tokio::time::timeout(TAKE_WAIT, channel.next());
-        let _ = tokio::join!(taken, tokio::time::sleep(pause));
-        drop(uploads);
-    }
-    sent?;
+    channel.send(told).await?;
     channel.close().await
 }
 
-/// Waits for the turn to send `size` bytes; the next turn comes after the pause returned.
-async fn turn(context: &Context, size: usize) -> (Option<OwnedSemaphorePermit>, Duration) {
-    // The semaphore is never closed, so there is always a permit.
-    let permit = context.uploads.clone().acquire_owned().await.ok();
-    let size = Size(u64::try_from(size).unwrap_or(u64::MAX));
+/// Who waits to be sent a piece: by rank, then in the order of asking.
+type Waiting = BTreeSet<(Rank, u64)>;
+
+#[derive(Default)]
+struct Queue {
+    waiting: Waiting,
+    asked: u64,
+    pacing: bool,
+    untaken: usize,
+}
+
+/// Turns of sending a piece to another agent: one at a time, few before they are taken, and the
+/// first of the ranking first, so that its engine can load while others still fetch.
+#[derive(Default)]
+pub struct Uploads {
+    queue: Mutex<Queue>,
+    changed: Notify,
+}
+
+impl Uploads {
+    fn queue(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether an asker of `rank` would wait behind too many.
+    fn is_busy(&self, rank: Rank) -> bool {
+        let queue = self.queue();
+        queue.waiting.range(..=(rank, u64::MAX)).count() >= WAITING
+    }
+
+    /// Waits for the turn of an asker of `rank`.
+    async fn turn(&self, rank: Rank) {
+        let mut place = Place::take(self, rank);
+        loop {
+            let changed = self.changed.notified();
+            if place.is_next() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn paced(&self) {
+        self.queue().pacing = false;
+        self.changed.notify_waiters();
+    }
+
+    fn taken(&self) {
+        self.queue().untaken -= 1;
+        self.changed.notify_waiters();
+    }
+}
+
+/// A place in the queue; dropping it leaves the queue.
+struct Place<'a> {
+    uploads: &'a Uploads,
+    key: (Rank, u64),
+}
+
+impl<'a> Place<'a> {
+    fn take(uploads: &'a Uploads, rank: Rank) -> Self {
+        let mut queue = uploads.queue();
+        queue.asked += 1;
+        let key = (rank, queue.asked);
+        queue.waiting.insert(key);
+        Self { uploads, key }
+    }
+
+    /// Takes the turn if nothing is being sent and nobody goes before.
+    fn is_next(&mut self) -> bool {
+        let mut queue = self.uploads.queue();
+        let free = !queue.pacing && queue.untaken < UNTAKEN;
+        if !free || queue.waiting.first() != Some(&self.key) {
+            return false;
+        }
+        queue.waiting.remove(&self.key);
+        queue.pacing = true;
+        queue.untaken += 1;
+        true
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.uploads.queue().waiting.remove(&self.key);
+        self.uploads.changed.notify_waiters();
+    }
+}
+
+/// Sends a piece in its turn, and keeps the turn until the link is free for the next one.
+async fn send_piece(
+    context: &Context,
+    channel: &mut Channel<Ask, Told>,
+    rank: Rank,
+    piece: Bytes,
+) -> Result<(), WireError> {
+    let size = Size(u64::try_from(piece.len()).unwrap_or(u64::MAX));
     let alone = context.settings().link.time_for(size);
-    (permit, alone * 100 / LINK_PERCENT)
+    context.uploads.turn(rank).await;
+    let sent = channel.send(Told::Piece(Payload(piece))).await;
+    tokio::time::sleep(alone * 100 / LINK_PERCENT).await;
+    context.uploads.paced();
+    // The receiver ends the stream once it has the piece, later on a narrow link. If it does not
+    // end it in time, the next piece may follow all the same.
+    let _ = tokio::time::timeout(TAKE_WAIT, channel.next()).await;
+    context.uploads.taken();
+    sent
 }
 
 /// A piece of `id` from the agent at `peer`, unverified.
@@ -116,9 +228,11 @@
     peer: SocketAddr,
     id: &VersionId,
     index: ChunkIndex,
+    rank: Rank,
 ) -> Result<Bytes, PeerError> {
-    match ask(connector, peer, id, Want::Piece(index)).await? {
+    match ask(connector, peer, id, Want::Piece(index), rank).await? {
         Told::Piece(payload) => Ok(payload.0),
+        Told::Busy => Err(PeerError::Busy),
         Told::Digests(_) | Told::Absent => Err(PeerError::Absent),
     }
 }
@@ -132,9 +246,9 @@
     peer: SocketAddr,
     id: &VersionId,
 ) -> Result<Vec<[u8; 32]>, PeerError> {
-    match ask(connector, peer, id, Want::Digests).await? {
+    match ask(connector, peer, id, Want::Digests, Rank(0)).await? {
         Told::Digests(digests) => Ok(digests),
-        Told::Piece(_) | Told::Absent => Err(PeerError::Absent),
+        Told::Piece(_) | Told::Absent | Told::Busy => Err(PeerError::Absent),
     }
 }
 
@@ -143,6 +257,7 @@
     peer: SocketAddr,
     id: &VersionId,
     want: Want,
+    rank: Rank,
 ) -> Result<Told, PeerError> {
     let exchange = async {
         let mut channel = connector
@@ -153,6 +268,7 @@
             .send(Ask {
                 model,
                 version,
+                rank,
                 want,
             })
             .await?;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -5,8 +5,8 @@
 use apricothall_kernel::telemetry::Telemetry;
 use apricothall_kernel::{Clock, Lifecycle};
 use apricothall_types::Incarnation;
-use tokio::sync::Semaphore;
 
+use crate::agent::pieces::Uploads;
 use crate::agent::shelf::Shelf;
 use crate::dialect::Dialect;
 use crate::fleet::Fleet;
@@ -38,7 +38,7 @@
     /// Pieces of weights that this agent holds.
     pub shelf: Shelf,
     /// Turns of sending a piece to another agent.
-    pub uploads: Arc<Semaphore>,
+    pub uploads: Uploads,
     /// Metrics recorded so far.
     pub telemetry: Telemetry,
 }
@@ -63,7 +63,7 @@
             published: Published::default(),
             peers: Peers::default(),
             shelf: Shelf::default(),
-            uploads: Arc::new(Semaphore::new(1)),
+            uploads: Uploads::default(),
             telemetry,
         }))
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -126,7 +126,7 @@
         return Err(AttemptError::Closed);
     }
     let request = build(context, call, placed, resume, left);
-    let flight = Fleet::begin(context, &placed.server.id, now);
+    let flight = Fleet::begin(context, placed.server.address, now);
     let sending = channel.sender().try_send_request(request);
     let answered = tokio::time::timeout(patience.min(left), sending).await;
     let response = match answered {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -11,7 +11,7 @@
 use apricothall_decide::placement::{self, Candidate, Choice, Distance, Need, PlacementConfig};
 use apricothall_decide::retry::{Budget, Failure, Verdict};
 use apricothall_decide::servers::Server;
-use apricothall_decide::timing::{Timing, Work};
+use apricothall_decide::timing::{Backlog, Timing, Work};
 use apricothall_decide::versions::Versions;
 use apricothall_types::{Interval, MemberId, Outcome, Timestamp};
 use smol_str::SmolStr;
@@ -30,8 +30,15 @@
 /// Time that a request takes to show in an agent's note.
 const NOTE_LAG: Duration = Duration::from_millis(60);
 
-/// Time for which a prompt that was just sent counts as unread.
-const UNREAD: Duration = Duration::from_millis(50);
+/// Prompts that each other entry of the zone is taken to send meanwhile, for each one sent to a
+/// server that this entry goes first at.
+const UNSEEN_OWN: f64 = 0.2;
+
+/// The same at another server of the zone.
+const UNSEEN_SHARED: f64 = 0.6;
+
+/// The same for each entry at a far server.
+const UNSEEN_FAR: f64 = 0.5;
 
 /// Time for which a server that refused for want of room gets nothing.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
@@ -46,10 +53,10 @@
 const AVERAGE_WEIGHT: f64 = 0.1;
 
 /// Bounds of the ratio of seen to predicted latency that predictions are corrected by.
-const DRIFT: (f64, f64) = (0.6, 6.0);
+const DRIFT: (f64, f64) = (0.9, 6.0);
 
 /// Time kept between the last send of an old version and its end.
-const VERSION_MARGIN: Duration = Duration::from_millis(1_500);
+const VERSION_MARGIN: Duration = Duration::from_millis(900);
 
 /// Entries that share the budget of repeats at most.
 const SHARERS: f64 = 16.0;
@@ -60,17 +67,47 @@
 /// What is known of one server.
 #[derive(Debug, Default)]
 struct Load {
+    /// Requests of this entry.
     own: u32,
+    /// Requests of other entries at the time of the last note.
     others: u32,
+    /// When this entry sent its last requests.
     recent: VecDeque<Timestamp>,
+    backlog: Backlog,
     latency: Option<Duration>,
     drift: Option<f64>,
     paused: Timestamp,
 }
 
+/// An agent's note on its engine.
+struct Noted {
+    note: EngineNote,
+    heard: Timestamp,
+    until: Timestamp,
+}
+
+/// Numbers of entries that send requests to the same servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entries {
+    /// Those of this availability zone, this one included.
+    pub zone: u32,
+    /// Place of this one among them, in the order of their ids.
+    pub index: u32,
+    /// All.
+    pub all: u32,
+}
+
+impl Entries {
+    /// Whether this entry goes before the others at the server with the place `at` in its zone.
+    const fn owns(&self, at: u32) -> bool {
+        at % self.zone == self.index
+    }
+}
+
 struct State {
-    loads: HashMap<MemberId, Load>,
-    notes: HashMap<SocketAddr, (EngineNote, Timestamp)>,
+    loads: HashMap<SocketAddr, Load>,
+    notes: HashMap<SocketAddr, Noted>,
+    entries: Entries,
     outlier: Outlier,
     budgets: HashMap<SmolStr, Budget>,
     retry: RetryConfig,
@@ -84,6 +121,24 @@
     fetching: AtomicBool,
 }
 
+/// A server by its present life and its address.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Id of its present life.
+    pub id: MemberId,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl From<&Server> for Place {
+    fn from(server: &Server) -> Self {
+        Self {
+            id: server.id.clone(),
+            address: server.address,
+        }
+    }
+}
+
 /// A request that needs a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
@@ -151,6 +206,11 @@
             state: Mutex::new(State {
                 loads: HashMap::new(),
                 notes: HashMap::new(),
+                entries: Entries {
+                    zone: 1,
+                    index: 0,
+                    all: 1,
+                },
                 outlier: Outlier::new(outlier),
                 budgets: HashMap::new(),
                 retry,
@@ -194,13 +254,20 @@
     pub fn take_note(&self, note: &EngineNote, far: bool, now: Timestamp) {
         let mut state = self.state();
         let age = if far { FAR_NOTE_AGE } else { NOTE_AGE };
-        state.notes.insert(note.address, (note.clone(), now + age));
+        let load = state.loads.entry(note.address).or_default();
+        let seen = load.own.saturating_sub(load.sent_since(now - NOTE_LAG));
+        load.others = (note.running + note.queued).saturating_sub(seen);
+        let noted = Noted {
+            note: note.clone(),
+            heard: now,
+            until: now + age,
+        };
+        state.notes.insert(note.address, noted);
     }
 
-    /// The last note on the engine at `address`, if it is fresh.
-    #[must_use]
-    pub fn note(&self, address: &SocketAddr, now: Timestamp) -> Option<EngineNote> {
-        self.state().note(address, now).cloned()
+    /// Sets the numbers of entries.
+    pub fn set_entries(&self, entries: Entries) {
+        self.state().entries = entries;
     }
 
     /// Chooses a server for a request.
@@ -211,6 +278,7 @@
         context.published.servers(|servers| {
             let mut options = Vec::new();
             let mut candidates = Vec::new();
+            let mut near = 0;
             for server in servers.ready(ask.service) {
                 if ask.tried.contains(&server.id) {
                     continue;
@@ -219,8 +287,11 @@
                     continue;
                 };
                 let distance = distance(&settings, server);
-                let (candidate, load) = state.candidate(server, distance, ask, now);
-                if state.is_paused(&server.id, now) {
+                let own = distance == Distance::Zone && state.entries.owns(near);
+                near += u32::from(distance == Distance::Zone);
+                let (mut candidate, load) = state.candidate(server, distance, ask, now);
+                candidate.own = own;
+                if state.is_paused(&server.address, now) {
                     continue;
                 }
                 options.push((server, version, load));
@@ -230,6 +301,7 @@
             match placement::choose(&config, &candidates, ask.need, &mut rand::rng()) {
                 Choice::Send(index) => {
                     let (server, version, load) = options[index];
+                    state.note_prompt(server, &candidates[index], ask, now);
                     state.outlier.note_start(&server.id, now);
                     Placement::Go(Box::new(Placed {
                         server: server.clone(),
@@ -246,22 +318,23 @@
 
     /// Counts a request as in flight at `id` until the guard is dropped.
     #[must_use]
-    pub fn begin(context: &Context, id: &MemberId, now: Timestamp) -> InFlight {
+    pub fn begin(context: &Context, address: SocketAddr, now: Timestamp) -> InFlight {
         let mut state = context.fleet.state();
-        let load = state.loads.entry(id.clone()).or_default();
+        let load = state.loads.entry(address).or_default();
         load.own += 1;
         load.recent.push_back(now);
         InFlight {
             context: context.clone(),
-            id: id.clone(),
+            address,
         }
     }
 
-    /// Notes how an attempt at `id` ended.
-    pub fn record(&self, id: &MemberId, attempt: Attempt, predicted: Duration, now: Timestamp) {
+    /// Notes how an attempt at a server ended.
+    pub fn record(&self, at: &Place, attempt: Attempt, predicted: Duration, now: Timestamp) {
+        let (id, address) = (&at.id, at.address);
         let mut state = self.state();
         if let Attempt::Answered(latency) = attempt {
-            let load = state.loads.entry(id.clone()).or_default();
+            let load = state.loads.entry(address).or_default();
             let ratio = latency.as_secs_f64() / predicted.as_secs_f64().max(0.001);
             let drift = load.drift.unwrap_or(1.0) * ratio.clamp(0.2, 10.0).powf(AVERAGE_WEIGHT);
             load.drift = Some(drift.clamp(DRIFT.0, DRIFT.1));
@@ -276,10 +349,10 @@
     }
 
     /// Gives a server that refused a pause.
-    pub fn pause(&self, id: &MemberId, misdirected: bool, now: Timestamp) {
+    pub fn pause(&self, address: SocketAddr, misdirected: bool, now: Timestamp) {
         let length = if misdirected { STALE_PAUSE } else { FULL_PAUSE };
         let mut state = self.state();
-        state.loads.entry(id.clone()).or_default().paused = now + length;
+        state.loads.entry(address).or_default().paused = now + length;
     }
 
     /// Notes the first attempt at a request of `service`.
@@ -304,12 +377,13 @@
     }
 
     /// Drops what is known of servers that are gone.
-    pub fn retain(&self, ids: &[MemberId]) {
+    pub fn retain(&self, places: Vec<Place>) {
         let mut state = self.state();
+        let known = |address: &SocketAddr| places.iter().any(|p| p.address == *address);
         state
             .loads
-            .retain(|id, load| load.own > 0 || ids.contains(id));
-        state.outlier.retain(ids.iter().cloned());
+            .retain(|address, load| load.own > 0 || known(address));
+        state.outlier.retain(places.into_iter().map(|p| p.id));
     }
 }
 
@@ -343,12 +417,38 @@
     }
 
     fn note(&self, address: &SocketAddr, now: Timestamp) -> Option<&EngineNote> {
-        let (note, until) = self.notes.get(address)?;
-        (now < *until).then_some(note)
+        self.noted(address, now).map(|n| &n.note)
     }
 
-    fn is_paused(&self, id: &MemberId, now: Timestamp) -> bool {
-        self.loads.get(id).is_some_and(|l| now < l.paused)
+    /// Counts the prompt of a request that is about to be sent.
+    fn note_prompt(
+        &mut self,
+        server: &Server,
+        candidate: &Candidate,
+        ask: &Ask<'_>,
+        now: Timestamp,
+    ) {
+        let Some(engines) = ask.engines else {
+            return;
+        };
+        let (others, part) = match candidate.distance {
+            Distance::Zone if candidate.own => (self.entries.zone, UNSEEN_OWN),
+            Distance::Zone => (self.entries.zone, UNSEEN_SHARED),
+            Distance::Region | Distance::Far => (self.entries.all, UNSEEN_FAR),
+        };
+        let factor = 1.0 + f64::from(others.saturating_sub(1)) * part;
+        let ms = engines.timing.read_ms(ask.prompt) * factor;
+        let load = self.loads.entry(server.address).or_default();
+        load.backlog.add(ms, now);
+    }
+
+    fn noted(&self, address: &SocketAddr, now: Timestamp) -> Option<&Noted> {
+        let noted = self.notes.get(address)?;
+        (now < noted.until).then_some(noted)
+    }
+
+    fn is_paused(&self, address: &SocketAddr, now: Timestamp) -> bool {
+        self.loads.get(address).is_some_and(|l| now < l.paused)
     }
 
     /// The version that a request is bound to at `server`: none inside for a plain service, none
@@ -394,56 +494,75 @@
         now: Timestamp,
     ) -> (Candidate, u32) {
         let permit = self.outlier.permit(&server.id, now);
-        let note = self.note(&server.address, now);
-        let seen = note.map(|n| (n.running + n.queued, f64::from(n.pace) / 100.0));
-        let load = self.loads.entry(server.id.clone()).or_default();
-        while load
-            .recent
-            .front()
-            .is_some_and(|at| now.since(*at) > NOTE_LAG)
-        {
-            load.recent.pop_front();
-        }
-        let unread = load
-            .recent
-            .iter()
-            .filter(|at| now.since(**at) < UNREAD)
-            .count();
-        let fresh = u32::try_from(load.recent.len()).unwrap_or(u32::MAX);
-        if let Some((total, _)) = seen {
-            load.others = total.saturating_sub(load.own.saturating_sub(fresh));
-        }
-        let taken = load.own + load.others;
-        let pace = seen.map_or(1.0, |(_, pace)| pace);
-        let (slots, latency) = match ask.engines {
+        let noted = self.noted(&server.address, now);
+        let noted = noted.map(|n| (n.heard, f64::from(n.note.pace) / 100.0));
+        let alike = match distance {
+            Distance::Zone => self.entries.zone,
+            Distance::Region | Distance::Far => self.entries.all,
+        };
+        let load = self.loads.entry(server.address).or_default();
+        load.forget_old(now);
+        let taken = match noted {
+            Some((heard, _)) => load.taken(alike, heard - NOTE_LAG),
+            None if ask.engines.is_some() => load.own * alike,
+            None => load.own,
+        };
+        let unread = load.backlog.left(now);
+        let pace = noted.map_or(1.0, |(_, pace)| pace);
+        let (slots, latency, pause) = match ask.engines {
             Some(engines) => {
                 let timing = &engines.timing;
                 let work = work(timing, taken, unread, pace);
                 let drift = load.drift.unwrap_or(1.0);
-                (
-                    timing.slots,
-                    timing.first_event(work, ask.prompt).mul_f64(drift),
-                )
+                let first = timing.first_event(work, ask.prompt).mul_f64(drift);
+                (timing.slots, first, timing.pause(work, ask.prompt))
             }
-            None => (server.slots, plain(load, server.slots)),
+            None => (server.slots, plain(load, server.slots), Duration::ZERO),
         };
         let free = taken < slots;
         let candidate = Candidate {
             distance,
+            own: false,
             permit,
             latency,
+            pause,
             free,
         };
         (candidate, taken)
     }
 }
 
-fn work(timing: &Timing, taken: u32, unread: usize, pace: f64) -> Work {
+impl Load {
+    /// Requests sent by this entry after `since`.
+    fn sent_since(&self, since: Timestamp) -> u32 {
+        let sent = self.recent.iter().rev().take_while(|at| **at > since);
+        u32::try_from(sent.count()).unwrap_or(u32::MAX)
+    }
+
+    fn forget_old(&mut self, now: Timestamp) {
+        while self
+            .recent
+            .front()
+            .is_some_and(|at| now.since(*at) > FAR_NOTE_AGE)
+        {
+            self.recent.pop_front();
+        }
+    }
+
+    /// Requests at the server, if each of `alike` entries has sent as many as this one since the
+    /// time that the last note speaks of.
+    fn taken(&self, alike: u32, noted: Timestamp) -> u32 {
+        let unseen = self.sent_since(noted);
+        self.own + self.others + unseen * alike.saturating_sub(1)
+    }
+}
+
+fn work(timing: &Timing, taken: u32, unread: f64, pace: f64) -> Work {
     let running = taken.min(timing.slots);
     Work {
         running,
         waiting: taken - running,
-        unread: u32::try_from(unread).unwrap_or(u32::MAX),
+        unread,
         pace,
     }
 }
@@ -451,20 +570,19 @@
 /// Predicted latency of a plain service: its mean, and the wait for a place.
 fn plain(load: &Load, slots: u32) -> Duration {
     let mean = load.latency.unwrap_or(PLAIN_LATENCY);
-    let taken = load.own + load.others;
-    let waiting = (taken + 1).saturating_sub(slots);
+    let waiting = (load.own + 1).saturating_sub(slots);
     mean + mean * waiting / slots.max(1)
 }
 
 /// Counts a request as in flight until dropped.
 pub struct InFlight {
     context: Context,
-    id: MemberId,
+    address: SocketAddr,
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(load) = self.context.fleet.state().loads.get_mut(&self.id) {
+        if let Some(load) = self.context.fleet.state().loads.get_mut(&self.address) {
             load.own = load.own.saturating_sub(1);
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use crate::answers::{Body, Fate, full, own, refuse};
 use crate::channels::Channels;
 use crate::exchange::{Answer, AttemptError, exchange};
-use crate::fleet::{Ask, Placed, Placement};
+use crate::fleet::{Ask, Place, Placed, Placement};
 use crate::request::{Call, end_to_end};
 use crate::stream::{Feed, Relay, relay};
 
@@ -28,8 +28,12 @@
 /// Longest predicted wait that still helps a caller that is late already.
 const LATE_PATIENCE: Duration = Duration::from_millis(900);
 
-/// Shortest time for which a refused caller is told to stay away.
-const SHORTEST_PAUSE: Duration = Duration::from_millis(300);
+/// Shortest part of the time left for which a refused caller is told to stay away, so that a
+/// caller that comes back can be told by the time that it states.
+const SHORTEST_SHARE: u32 = 5;
+
+/// Time after which a caller may come back whose request failed without having run.
+const FAILED_PAUSE: Duration = Duration::from_millis(300);
 
 /// Part of the time left within which callers come back when told to.
 const RETURN_SHARE: u32 = 3;
@@ -132,6 +136,7 @@
             need: Need {
                 objective,
                 patience: LATE_PATIENCE.min(call.deadline.since(now)),
+                gap: call.route.gap,
             },
             prompt: call.prompt,
             tried,
@@ -181,14 +186,16 @@
 
     fn note_error(&self, placed: &Placed, error: AttemptError) -> (End, AttemptError) {
         let now = self.context.clock.now();
-        let id = &placed.server.id;
+        let place = Place::from(&placed.server);
         if error.is_fault() {
             self.context
                 .fleet
-                .record(id, Attempt::Failed, placed.predicted, now);
+                .record(&place, Attempt::Failed, placed.predicted, now);
         }
         if matches!(error, AttemptError::Refused { .. }) {
-            self.context.fleet.pause(id, error.is_stale(), now);
+            self.context
+                .fleet
+                .pause(place.address, error.is_stale(), now);
         }
         metrics::counter!("apricothall_attempt_failures_total", "end" => label(error.end()))
             .increment(1);
@@ -217,12 +224,12 @@
         } else {
             Attempt::Answered(latency)
         };
-        let id = &placed.server.id;
+        let place = Place::from(&placed.server);
         self.context
             .fleet
-            .record(id, attempt, placed.predicted, now);
+            .record(&place, attempt, placed.predicted, now);
         self.channels.keep(answer.channel, now);
-        tracing::debug!(request = %call.id, server = %id, status = answer.status.as_u16(), latency_ms = millis(latency), "answered");
+        tracing::debug!(request = %call.id, server = %place.id, status = answer.status.as_u16(), latency_ms = millis(latency), "answered");
         metrics::counter!("apricothall_answers_total", "status" => class(answer.status))
             .increment(1);
         metrics::histogram!("apricothall_answer_seconds")
@@ -318,8 +325,8 @@
     if story.history.sent > 0 {
         return give_up(call, story, now, reason);
     }
-    let longest = call.deadline.since(now) / RETURN_SHARE;
-    let after = after.max(SHORTEST_PAUSE).min(longest);
+    let left = call.deadline.since(now);
+    let after = after.max(left / SHORTEST_SHARE).min(left / RETURN_SHARE);
     tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, returning = call.returning, prompt = call.prompt, after_ms = millis(after), reason, "refused");
     metrics::counter!("apricothall_refusals_total", "reason" => reason).increment(1);
     refuse(after, reason)
@@ -339,7 +346,7 @@
             own(StatusCode::GATEWAY_TIMEOUT, Fate::Unknown, reason)
         }
         Next::Unknown => own(StatusCode::BAD_GATEWAY, Fate::Unknown, reason),
-        Next::NotRun | Next::Again { .. } => refuse(SHORTEST_PAUSE, reason),
+        Next::NotRun | Next::Again { .. } => refuse(FAILED_PAUSE, reason),
     }
 }
 
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -7,11 +7,12 @@
 use apricothall_decide::lease::Lease;
 use apricothall_decide::servers::{Server, Servers};
 use apricothall_decide::versions::Versions;
-use apricothall_types::{MemberId, Revision, Timestamp};
+use apricothall_types::{Revision, Timestamp};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
 use crate::dialect::{Change, Changes, Fact, Item, StoreCalls, Subject};
+use crate::fleet::Place;
 use crate::model::Configuration;
 
 /// A configuration in force.
@@ -142,14 +143,18 @@
         self.notify();
     }
 
-    /// Takes an item of the operators.
-    pub fn take_item(&self, calls: &StoreCalls, item: &Item, reader: Reader, now: Timestamp) {
+    /// Takes an item of the operators. A version in it was named at `named`, if that is known.
+    pub fn take_item(
+        &self,
+        calls: &StoreCalls,
+        item: &Item,
+        reader: Reader,
+        named: Option<Timestamp>,
+    ) {
         match (calls.read_item)(item) {
             Ok(Fact::Configuration(c)) => self.adopt(item, c, reader),
             Ok(Fact::Version { model, version }) => {
-                // What a process finds at its start may have been named long before.
-                let since = self.in_force().map(|_| now);
-                self.name_version(&model, version, since, reader);
+                self.name_version(&model, version, named, reader);
             }
             Ok(Fact::Server(_) | Fact::Other) => {}
             Err(error) => {
@@ -226,7 +231,7 @@
         for change in &changes.changes {
             match (subject, change) {
                 (Subject::Operators, Change::Written(item)) => {
-                    self.take_item(calls, item, Reader::Store, now);
+                    self.take_item(calls, item, Reader::Store, Some(now));
                 }
                 (Subject::Operators, Change::Removed { key, .. }) => {
                     tracing::warn!(%key, "an operator's item was removed; what it said stays");
@@ -272,9 +277,9 @@
         tracing::info!(server = %id, "server's entry removed");
     }
 
-    /// Ids of the servers known.
+    /// The servers known.
     #[must_use]
-    pub fn server_ids(&self) -> Vec<MemberId> {
-        self.servers(|s| s.iter().map(|s| s.id.clone()).collect())
+    pub fn places(&self) -> Vec<Place> {
+        self.servers(|s| s.iter().map(Place::from).collect())
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -198,7 +198,6 @@
     };
     let answered = tokio::time::timeout(PEER_WAIT, exchange).await;
     let told = answered.map_err(|_| RelayError::Timeout)??;
-    let now = context.clock.now();
     if let Some((key, value)) = told.configuration {
         let item = Item {
             key,
@@ -207,7 +206,7 @@
         };
         context
             .published
-            .take_item(&context.dialect.store, &item, Reader::Peer, now);
+            .take_item(&context.dialect.store, &item, Reader::Peer, None);
     }
     if let Some(age) = told.confirmed {
         let since = sent - Duration::from_millis(age);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -49,7 +49,7 @@
 
 /// Part of the longest time that callers of a route state, in percent, below which a request is
 /// taken for one that comes back.
-const RETURN_PERCENT: u32 = 94;
+const RETURN_PERCENT: u32 = 84;
 
 /// A request that may be forwarded.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,6 +12,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::dialect::{Dialect, DialectError};
+use crate::fleet::Entries;
 use crate::settings::Settings;
 use crate::{Context, agent, callers, directory, gossip, relay, store};
 
@@ -128,6 +129,27 @@
     }
 }
 
+fn count_entries(context: &Context) -> Entries {
+    let settings = context.settings();
+    let mut entries = Entries {
+        zone: 1,
+        index: 0,
+        all: 1,
+    };
+    context.peers.each(context.clock.now(), |peer| {
+        let other = &peer.hello;
+        if other.role != Role::Entry {
+            return;
+        }
+        entries.all += 1;
+        if other.zone == settings.zone {
+            entries.zone += 1;
+            entries.index += u32::from(other.id < settings.id);
+        }
+    });
+    entries
+}
+
 /// Drops servers that did not come back after an outage, and what is known of them.
 fn keep_house(context: &Context) {
     let keeping = context.clone();
@@ -136,7 +158,8 @@
             tokio::time::sleep(KEEP_HOUSE).await;
             let now = keeping.clock.now();
             keeping.published.with_servers(|s| s.expire(now));
-            keeping.fleet.retain(&keeping.published.server_ids());
+            keeping.fleet.retain(keeping.published.places());
+            keeping.fleet.set_entries(count_entries(&keeping));
         }
     });
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -185,8 +185,12 @@
             .replace_servers(servers.collect(), revision, now);
         return;
     }
+    // What a process finds at its start may have been named long before.
+    let named = context.published.in_force().map(|_| now);
     for item in items {
-        context.published.take_item(calls, item, Reader::Store, now);
+        context
+            .published
+            .take_item(calls, item, Reader::Store, named);
     }
     // Whatever the operators wrote last is in `items`, so what is held now was newest at `sent`.
     context
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,8 +16,8 @@
 use crate::answers::{Body, Broken};
 use crate::channels::Channel;
 use crate::exchange::Answer;
-use crate::fleet::{InFlight, Placed};
-use crate::forward::Forwarder;
+use crate::fleet::{InFlight, Place, Placed};
+use crate::forward::{Forwarder, millis};
 use crate::request::Call;
 
 /// Events that wait for a slow caller.
@@ -57,9 +57,10 @@
     ended: bool,
     channel: Channel,
     _flight: InFlight,
-    server: MemberId,
+    server: Place,
     sent: Timestamp,
     predicted: Duration,
+    load: u32,
 }
 
 impl Feed {
@@ -74,15 +75,16 @@
             ended: false,
             channel: answer.channel,
             _flight: answer.flight,
-            server: placed.server.id.clone(),
+            server: Place::from(&placed.server),
             sent: answer.sent,
             predicted: placed.predicted,
+            load: placed.load,
         }
     }
 
     /// The server that it comes from.
     #[must_use]
-    pub fn server(&self) -> &MemberId {
+    pub fn server(&self) -> &Place {
         &self.server
     }
 
@@ -186,7 +188,7 @@
             Ok(Step::Pass(event)) => next = Some(event),
             Ok(Step::Skip) => {}
             Ok(Step::End) => {
-                tracing::debug!(request = %relay.call.id, server = %feed.server, passed, "stream ended");
+                tracing::debug!(request = %relay.call.id, server = %feed.server.id, passed, "stream ended");
                 metrics::counter!("apricothall_streams_total", "outcome" => "whole").increment(1);
                 let now = context.clock.now();
                 relay.forwarder.channels.keep(feed.channel, now);
@@ -241,7 +243,7 @@
     let context = &relay.forwarder.context;
     let now = context.clock.now();
     let spent = now >= relay.call.deadline;
-    tracing::info!(request = %relay.call.id, server = %failed.server, ?last, %error, spent, "stream interrupted");
+    tracing::info!(request = %relay.call.id, server = %failed.server.id, ?last, %error, spent, "stream interrupted");
     if spent {
         return None;
     }
@@ -265,6 +267,7 @@
         now,
     );
     let total = now.since(relay.call.arrival);
+    tracing::debug!(request = %relay.call.id, server = %feed.server.id, load = feed.load, predicted_ms = millis(feed.predicted), latency_ms = millis(latency), total_ms = millis(total), returning = relay.call.returning, "first event");
     metrics::histogram!("apricothall_first_event_seconds").record(total.as_secs_f64());
     metrics::histogram!("apricothall_first_event_predicted_seconds")
         .record(feed.predicted.as_secs_f64());
@@ -272,5 +275,5 @@
 
 fn note_left(relay: &Relay, feed: &Feed, passed: u32) {
     metrics::counter!("apricothall_streams_total", "outcome" => "left").increment(1);
-    tracing::info!(request = %relay.call.id, server = %feed.server, passed, "caller left");
+    tracing::info!(request = %relay.call.id, server = %feed.server.id, passed, "caller left");
 }
