--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod drain;
 pub mod lease;
 pub mod limits;
+pub mod load;
 pub mod membership;
 pub mod outlier;
 pub mod pieces;
--- /dev/null
+++ b/crates/decide/src/load.rs
@@ -0,0 +1,238 @@
+//! Load of a backend server as one entry estimates it: its own requests exactly, those of others
+//! from the last note, and what others have sent since by what it sent itself.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use apricothall_types::Timestamp;
+
+use crate::placement::Distance;
+use crate::timing::{Backlog, Timing, Work};
+
+/// Time that a request takes to show in a note.
+const NOTE_LAG: Duration = Duration::from_millis(60);
+
+/// Time for which sent requests are remembered; no note is older.
+const MEMORY: Duration = Duration::from_secs(3);
+
+/// Prompts that each other entry of the zone is taken to send meanwhile, for each one sent to a
+/// server that this entry goes first at.
+const UNSEEN_OWN: f64 = 0.2;
+
+/// The same at another server of the zone.
+const UNSEEN_SHARED: f64 = 0.6;
+
+/// The same for each entry at a far server.
+const UNSEEN_FAR: f64 = 0.5;
+
+/// Latency assumed of a plain service before it has answered.
+const PLAIN_LATENCY: Duration = Duration::from_millis(40);
+
+/// Weight of a new figure in a moving average.
+const AVERAGE_WEIGHT: f64 = 0.1;
+
+/// Bounds of one ratio of seen to predicted latency, so that none weighs too much.
+const RATIO: (f64, f64) = (0.2, 10.0);
+
+/// Bounds of the correction that predictions get from such ratios.
+const DRIFT: (f64, f64) = (0.9, 6.0);
+
+/// Shortest prediction that a ratio is taken of, in seconds.
+const SHORTEST: f64 = 0.001;
+
+/// Entries that send requests to the same servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entries {
+    /// Those of this availability zone, this one included.
+    pub zone: u32,
+    /// Place of this one among them, in the order of their ids.
+    pub index: u32,
+    /// All.
+    pub all: u32,
+}
+
+impl Entries {
+    /// This entry alone.
+    pub const ALONE: Self = Self {
+        zone: 1,
+        index: 0,
+        all: 1,
+    };
+
+    /// Whether this entry goes before the others at the server with the place `at` in its zone.
+    #[must_use]
+    pub const fn owns(&self, at: u32) -> bool {
+        at % self.zone == self.index
+    }
+
+    /// Entries that send to a server at `distance`.
+    #[must_use]
+    pub const fn alike(&self, distance: Distance) -> u32 {
+        match distance {
+            Distance::Zone => self.zone,
+            Distance::Region | Distance::Far => self.all,
+        }
+    }
+}
+
+/// Where a server stands for this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// How far it is.
+    pub distance: Distance,
+    /// Whether this entry goes before the others of its zone there.
+    pub own: bool,
+    /// Entries that send to it.
+    pub alike: u32,
+}
+
+/// What is expected of one more request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Forecast {
+    /// Time to its first event, or to its answer.
+    pub latency: Duration,
+    /// Longest pause that it causes for others.
+    pub pause: Duration,
+    /// Requests thought to be at the server.
+    pub taken: u32,
+    /// Whether there is a free place.
+    pub free: bool,
+}
+
+/// A note on an engine's load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Noted {
+    heard: Timestamp,
+    until: Timestamp,
+    pace: f64,
+}
+
+/// Load of one server.
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    own: u32,
+    others: u32,
+    recent: VecDeque<Timestamp>,
+    noted: Option<Noted>,
+    backlog: Backlog,
+    latency: Option<Duration>,
+    drift: Option<f64>,
+    paused: Timestamp,
+}
+
+impl Load {
+    /// Counts a request as sent.
+    pub fn begin(&mut self, now: Timestamp) {
+        self.own += 1;
+        self.recent.push_back(now);
+        while self
+            .recent
+            .front()
+            .is_some_and(|at| now.since(*at) > MEMORY)
+        {
+            self.recent.pop_front();
+        }
+    }
+
+    /// Counts a request as ended.
+    pub const fn end(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Whether none of this entry's requests is there.
+    #[must_use]
+    pub const fn is_idle(&self) -> bool {
+        self.own == 0
+    }
+
+    /// Takes a note: `total` requests are there, and the engine is `pace` times slower than
+    /// published. It holds until `until`.
+    pub fn note(&mut self, total: u32, pace: f64, now: Timestamp, until: Timestamp) {
+        let seen = self.own.saturating_sub(self.sent_since(now - NOTE_LAG));
+        self.others = total.saturating_sub(seen);
+        let heard = now;
+        self.noted = Some(Noted { heard, until, pace });
+    }
+
+    /// Gives the server a pause.
+    pub const fn pause_until(&mut self, until: Timestamp) {
+        self.paused = until;
+    }
+
+    /// Whether the server has a pause.
+    #[must_use]
+    pub fn is_paused(&self, now: Timestamp) -> bool {
+        now < self.paused
+    }
+
+    /// Takes the latency of an answer for which `predicted` was expected.
+    pub fn answered(&mut self, latency: Duration, predicted: Duration) {
+        let ratio = latency.as_secs_f64() / predicted.as_secs_f64().max(SHORTEST);
+        let drift = self.drift.unwrap_or(1.0) * ratio.clamp(RATIO.0, RATIO.1).powf(AVERAGE_WEIGHT);
+        self.drift = Some(drift.clamp(DRIFT.0, DRIFT.1));
+        let mean = self.latency.unwrap_or(latency);
+        let mixed = mean.mul_f64(1.0 - AVERAGE_WEIGHT) + latency.mul_f64(AVERAGE_WEIGHT);
+        self.latency = Some(mixed);
+    }
+
+    /// Counts a prompt of `tokens` that is about to be sent, and those that others send alike.
+    pub fn add_prompt(&mut self, timing: &Timing, tokens: f64, at: Standing, now: Timestamp) {
+        let part = match at.distance {
+            Distance::Zone if at.own => UNSEEN_OWN,
+            Distance::Zone => UNSEEN_SHARED,
+            Distance::Region | Distance::Far => UNSEEN_FAR,
+        };
+        let factor = 1.0 + f64::from(at.alike.saturating_sub(1)) * part;
+        self.backlog.add(timing.read_ms(tokens) * factor, now);
+    }
+
+    /// What is expected of a request with a prompt of `tokens` at an engine.
+    #[must_use]
+    pub fn engine(&self, timing: &Timing, tokens: f64, at: Standing, now: Timestamp) -> Forecast {
+        let noted = self.noted.filter(|n| now < n.until);
+        let taken = match noted {
+            Some(noted) => self.taken(at.alike, noted.heard - NOTE_LAG),
+            None => self.own * at.alike.max(1),
+        };
+        let running = taken.min(timing.slots);
+        let work = Work {
+            running,
+            waiting: taken - running,
+            unread: self.backlog.left(now),
+            pace: noted.map_or(1.0, |n| n.pace),
+        };
+        let first = timing.first_event(work, tokens);
+        Forecast {
+            latency: first.mul_f64(self.drift.unwrap_or(1.0)),
+            pause: timing.pause(work, tokens),
+            taken,
+            free: taken < timing.slots,
+        }
+    }
+
+    /// What is expected of a request at a plain service with `slots` places.
+    #[must_use]
+    pub fn plain(&self, slots: u32) -> Forecast {
+        let mean = self.latency.unwrap_or(PLAIN_LATENCY);
+        let waiting = (self.own + 1).saturating_sub(slots);
+        Forecast {
+            latency: mean + mean * waiting / slots.max(1),
+            pause: Duration::ZERO,
+            taken: self.own,
+            free: self.own < slots,
+        }
+    }
+
+    /// Requests at the server, if each of `alike` entries has sent as many as this one since the
+    /// time that the last note speaks of.
+    fn taken(&self, alike: u32, noted: Timestamp) -> u32 {
+        let unseen = self.sent_since(noted);
+        self.own + self.others + unseen * alike.saturating_sub(1)
+    }
+
+    /// Requests sent by this entry after `since`.
+    fn sent_since(&self, since: Timestamp) -> u32 {
+        let sent = self.recent.iter().rev().take_while(|at| **at > since);
+        u32::try_from(sent.count()).unwrap_or(u32::MAX)
+    }
+}
--- a/crates/decide/src/reload.rs
+++ b/crates/decide/src/reload.rs
@@ -41,6 +41,9 @@
     pub share: usize,
     /// Time before the end of the time allowed at which all load.
     pub rush: Duration,
+    /// Time for which the pieces must have been complete, so that the others of the zone have
+    /// told how far they are.
+    pub settle: Duration,
 }
 
 impl Default for ReloadConfig {
@@ -48,6 +51,7 @@
         Self {
             share: 40,
             rush: Duration::from_secs(1),
+            settle: Duration::from_millis(250),
         }
     }
 }
@@ -60,13 +64,14 @@
     rank::weight(b"reload", one) > rank::weight(b"reload", other)
 }
 
-/// Whether the engine of `me`, whose pieces are complete, may load now. `neighbours` are the
-/// other engines of its zone; `due` is the end of the time allowed.
+/// Whether the engine of `me`, whose pieces have been complete since `complete`, may load now.
+/// `neighbours` are the other engines of its zone; `due` is the end of the time allowed.
 #[must_use]
 pub fn may_load(
     config: &ReloadConfig,
     me: &MemberId,
     own: Progress,
+    complete: Timestamp,
     neighbours: &[Neighbour],
     due: Timestamp,
     now: Timestamp,
@@ -79,6 +84,9 @@
     if now + config.rush >= due {
         return true;
     }
+    if now.since(complete) < config.settle {
+        return false;
+    }
     let in_use = |n: &&Neighbour| n.progress != Progress::Empty;
     let engines = neighbours.iter().filter(in_use).count() + 1;
     let window = (engines * config.share).div_ceil(WHOLE);
--- /dev/null
+++ b/crates/decide/tests/engine_timing.rs
@@ -0,0 +1,77 @@
+//! The published timing of an engine against figures that follow from it by hand.
+
+use std::time::Duration;
+
+use apricothall_decide::timing::{Backlog, Timing, Work};
+use apricothall_types::Timestamp;
+
+const TIMING: Timing = Timing {
+    slots: 16,
+    step: 6.73,
+    per_request: 0.0219,
+    per_context: 0.0068,
+    reading: 30_600.0,
+    per_pairs: 0.647,
+    stride: 6,
+    prompt: 964.0,
+    answer: 119.0,
+};
+
+fn idle() -> Work {
+    Work {
+        pace: 1.0,
+        ..Work::default()
+    }
+}
+
+#[test]
+fn a_prompt_of_964_tokens_is_read_in_32_ms() {
+    let ms = TIMING.read_ms(964.0);
+    assert!((31.5..32.0).contains(&ms), "{ms}");
+}
+
+/// 16 places, 20 passes of 43 ms an answer, and 32 ms of reading for each request.
+#[test]
+fn a_full_engine_ends_about_twelve_requests_a_second() {
+    let rate = TIMING.throughput();
+    assert!((11.0..13.0).contains(&rate), "{rate}");
+}
+
+#[test]
+fn waiting_requests_add_the_time_of_places_that_become_free() {
+    let full = Work {
+        running: 16,
+        ..idle()
+    };
+    let behind = Work { waiting: 4, ..full };
+    let four = Duration::from_secs_f64(4.0 / TIMING.throughput());
+    let expected = TIMING.first_event(full, 964.0) + four;
+    let found = TIMING.first_event(behind, 964.0);
+    assert!(
+        found.abs_diff(expected) < Duration::from_millis(1),
+        "{found:?}"
+    );
+}
+
+#[test]
+fn a_slow_engine_takes_longer_in_proportion() {
+    let slow = Work {
+        pace: 3.0,
+        ..idle()
+    };
+    let found = TIMING.first_event(slow, 964.0);
+    let expected = TIMING.first_event(idle(), 964.0) * 3;
+    // Times are rounded to nanoseconds.
+    assert!(
+        found.abs_diff(expected) < Duration::from_micros(1),
+        "{found:?}"
+    );
+}
+
+#[test]
+fn a_backlog_is_read_in_time() {
+    let mut backlog = Backlog::default();
+    backlog.add(85.0, Timestamp::from_millis(1_000));
+    assert!(backlog.left(Timestamp::from_millis(1_050)) > 40.0);
+    assert!(backlog.left(Timestamp::from_millis(1_100)) < f64::EPSILON);
+}
--- /dev/null
+++ b/crates/decide/tests/load.rs
@@ -0,0 +1,136 @@
+//! Load of an engine as an entry estimates it, under the patterns that misled it.
+
+use std::time::Duration;
+
+use apricothall_decide::load::{Entries, Load, Standing};
+use apricothall_decide::placement::Distance;
+use apricothall_decide::timing::Timing;
+use apricothall_types::Timestamp;
+
+const TIMING: Timing = Timing {
+    slots: 16,
+    step: 6.73,
+    per_request: 0.0219,
+    per_context: 0.0068,
+    reading: 30_600.0,
+    per_pairs: 0.647,
+    stride: 6,
+    prompt: 964.0,
+    answer: 119.0,
+};
+
+/// Time for which a note of another zone holds.
+const HOLDS: Duration = Duration::from_millis(2_600);
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+const FAR: Standing = Standing {
+    distance: Distance::Far,
+    own: false,
+    alike: 7,
+};
+
+const OWN: Standing = Standing {
+    distance: Distance::Zone,
+    own: true,
+    alike: 2,
+};
+
+/// Seven entries see an engine that has just become free, by notes that come every 1.2 s. Each
+/// must stop long before it has filled all 16 places by itself.
+#[test]
+fn entries_do_not_all_fill_one_freed_engine_between_two_notes() {
+    let mut load = Load::default();
+    load.note(0, 1.0, at(1_000), at(1_000) + HOLDS);
+    let mut sent = 0;
+    while load.engine(&TIMING, 964.0, FAR, at(1_100)).free {
+        load.begin(at(1_100));
+        sent += 1;
+    }
+    assert!(
+        sent * FAR.alike <= 16 + FAR.alike,
+        "{sent} sent by each of 7"
+    );
+}
+
+/// Requests sent before a note and not yet in it are not counted twice when it comes.
+#[test]
+fn a_note_does_not_count_own_requests_as_those_of_others() {
+    let mut load = Load::default();
+    for ms in 0..4 {
+        load.begin(at(900 + ms));
+    }
+    load.note(4, 1.0, at(1_000), at(2_000));
+    assert_eq!(load.engine(&TIMING, 964.0, OWN, at(1_100)).taken, 4);
+}
+
+/// Own requests that end later do not turn into requests of others.
+#[test]
+fn requests_of_others_are_those_of_the_note() {
+    let mut load = Load::default();
+    load.note(10, 1.0, at(1_000), at(2_000));
+    load.begin(at(1_500));
+    load.end();
+    assert_eq!(load.engine(&TIMING, 964.0, OWN, at(1_950)).taken, 11);
+}
+
+/// Ten prompts within a tenth of a second hold up all that are being written: the eleventh is
+/// expected to cause a pause of several hundred ms.
+#[test]
+fn a_burst_of_prompts_shows_as_a_pause() {
+    let mut load = Load::default();
+    load.note(0, 1.0, at(1_000), at(2_000));
+    for ms in 0..10 {
+        load.add_prompt(&TIMING, 964.0, OWN, at(1_000 + ms * 10));
+        load.begin(at(1_000 + ms * 10));
+    }
+    let now = load.engine(&TIMING, 964.0, OWN, at(1_100));
+    let later = load.engine(&TIMING, 964.0, OWN, at(1_600));
+    assert!(now.pause > Duration::from_millis(300), "{:?}", now.pause);
+    assert!(
+        later.pause < Duration::from_millis(120),
+        "{:?}",
+        later.pause
+    );
+}
+
+/// An engine that answers three times slower than predicted is soon expected to.
+#[test]
+fn a_slow_engine_is_learned_from_its_answers() {
+    let mut load = Load::default();
+    load.note(0, 1.0, at(0), at(60_000));
+    let before = load.engine(&TIMING, 964.0, OWN, at(1)).latency;
+    for _ in 0..30 {
+        let predicted = load.engine(&TIMING, 964.0, OWN, at(1)).latency;
+        load.answered(before * 3, predicted);
+    }
+    let after = load.engine(&TIMING, 964.0, OWN, at(1)).latency;
+    assert!(after > before * 2, "{before:?} became {after:?}");
+}
+
+/// Without a fresh note others are taken to send as much.
+#[test]
+fn silence_of_the_agent_does_not_hide_others() {
+    let mut load = Load::default();
+    load.note(3, 1.0, at(0), at(500));
+    load.begin(at(600));
+    load.begin(at(601));
+    assert_eq!(load.engine(&TIMING, 964.0, OWN, at(700)).taken, 4);
+}
+
+#[test]
+fn each_server_of_a_zone_has_one_main_entry() {
+    for at in 0..11 {
+        let owners = (0..3).filter(|index| {
+            let entries = Entries {
+                zone: 3,
+                index: *index,
+                all: 8,
+            };
+            entries.owns(at)
+        });
+        assert_eq!(owners.count(), 1, "server {at}");
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/pieces.rs
@@ -0,0 +1,232 @@
+//! The spread of a version over agents of three regions, with news that lags.
+
+use std::collections::BTreeMap;
+
+use apricothall_decide::pieces::{Fetcher, Flying, Holder, PiecesConfig, Source, Wanted, plan};
+use apricothall_decide::transfer::ChunkSet;
+use apricothall_types::{ChunkIndex, MemberId, Region, Timestamp};
+
+const PIECES: u32 = 64;
+const STEP_MS: u64 = 25;
+/// Time for which news of other agents lags behind.
+const LAG_MS: u64 = 100;
+const ORIGIN_MS: u64 = 150;
+const PEER_MS: u64 = 120;
+const END_MS: u64 = 30_000;
+
+struct Agent {
+    id: MemberId,
+    region: Region,
+    held: ChunkSet,
+    seen: BTreeMap<u32, Timestamp>,
+    flights: Vec<(ChunkIndex, Source, u64)>,
+    down: bool,
+}
+
+struct Spread {
+    agents: Vec<Agent>,
+    draws: u32,
+    crossings: BTreeMap<Region, u32>,
+    ended: u64,
+}
+
+fn region(name: &str) -> Region {
+    name.parse().expect("valid")
+}
+
+fn fleet(each: usize) -> Vec<Agent> {
+    let names = ["home", "east", "west"];
+    let all = names.iter().flat_map(|r| (0..each).map(move |i| (r, i)));
+    all.map(|(r, i)| Agent {
+        id: format!("{r}-{i}").parse().expect("valid"),
+        region: region(r),
+        held: ChunkSet::default(),
+        seen: BTreeMap::new(),
+        flights: Vec::new(),
+        down: false,
+    })
+    .collect()
+}
+
+/// Pieces and flights of an agent as others see them.
+#[derive(Clone)]
+struct News {
+    held: ChunkSet,
+    flying: ChunkSet,
+}
+
+fn news(agents: &[Agent], by: &BTreeMap<MemberId, Region>) -> Vec<News> {
+    let outside = |a: &Agent, s: &Source| match s {
+        Source::Origin => true,
+        Source::Peer(id) => by[id] != a.region,
+    };
+    agents
+        .iter()
+        .map(|a| {
+            let mut flying = ChunkSet::default();
+            for (chunk, source, _) in &a.flights {
+                if outside(a, source) {
+                    flying.insert(*chunk);
+                }
+            }
+            News {
+                held: a.held.clone(),
+                flying,
+            }
+        })
+        .collect()
+}
+
+fn spread(mut agents: Vec<Agent>) -> Spread {
+    let config = PiecesConfig::default();
+    let home = region("home");
+    let by: BTreeMap<_, _> = agents
+        .iter()
+        .map(|a| (a.id.clone(), a.region.clone()))
+        .collect();
+    let mut told = vec![news(&agents, &by)];
+    let lag = usize::try_from(LAG_MS / STEP_MS).expect("small");
+    let mut spread = Spread {
+        agents: Vec::new(),
+        draws: 0,
+        crossings: BTreeMap::new(),
+        ended: END_MS,
+    };
+    for now in (0..END_MS).step_by(usize::try_from(STEP_MS).expect("small")) {
+        for agent in &mut agents {
+            let done = agent
+                .flights
+                .iter()
+                .filter(|f| f.2 <= now)
+                .cloned()
+                .collect::<Vec<_>>();
+            agent.flights.retain(|f| f.2 > now);
+            for (chunk, ..) in done {
+                agent.held.insert(chunk);
+            }
+        }
+        let living = agents.iter().filter(|a| !a.down);
+        if living.clone().all(|a| a.held.count() == PIECES) {
+            spread.ended = now;
+            break;
+        }
+        let seen = told[told.len().saturating_sub(lag)].clone();
+        for i in 0..agents.len() {
+            if !agents[i].down {
+                step(&mut agents, i, &seen, &config, &home, now, &by, &mut spread);
+            }
+        }
+        told.push(news(&agents, &by));
+    }
+    spread.agents = agents;
+    spread
+}
+
+#[expect(
+    clippy::too_many_arguments,
+    reason = "the state of one step of the play"
+)]
+fn step(
+    agents: &mut [Agent],
+    i: usize,
+    seen: &[News],
+    config: &PiecesConfig,
+    home: &Region,
+    now: u64,
+    by: &BTreeMap<MemberId, Region>,
+    spread: &mut Spread,
+) {
+    let at = Timestamp::from_millis(now);
+    let peers: Vec<_> = (0..agents.len())
+        .filter(|j| *j != i)
+        .map(|j| Holder {
+            id: agents[j].id.clone(),
+            region: agents[j].region.clone(),
+            held: seen[j].held.clone(),
+            flying: seen[j].flying.clone(),
+            flights: 0,
+            down: agents[j].down,
+        })
+        .collect();
+    let me = &mut agents[i];
+    let mut wanted = Vec::new();
+    for chunk in (0..PIECES).map(ChunkIndex) {
+        if me.held.contains(chunk) || me.flights.iter().any(|f| f.0 == chunk) {
+            continue;
+        }
+        if peers.iter().any(|p| p.held.contains(chunk)) {
+            me.seen.entry(chunk.0).or_insert(at);
+        }
+        let held = me.seen.get(&chunk.0).copied();
+        wanted.push(Wanted { chunk, held });
+    }
+    let fetcher = Fetcher {
+        id: &me.id,
+        region: &me.region,
+        home: Some(home),
+        since: Timestamp::default(),
+        subject: "m/2",
+    };
+    let flying = Flying {
+        all: me.flights.len(),
+        origin: me.flights.iter().filter(|f| f.1 == Source::Origin).count(),
+    };
+    for (chunk, source) in plan(config, fetcher, &wanted, flying, &peers, at) {
+        let takes = match &source {
+            Source::Origin => {
+                spread.draws += 1;
+                ORIGIN_MS
+            }
+            Source::Peer(id) => {
+                let crosses = by[id] != me.region;
+                *spread.crossings.entry(me.region.clone()).or_default() += u32::from(crosses);
+                PEER_MS
+            }
+        };
+        me.flights.push((chunk, source, now + takes));
+    }
+}
+
+/// Most pieces that may leave the origin, or cross into a region: a tenth more than one copy.
+const ONE_COPY: u32 = PIECES + PIECES / 10;
+
+#[test]
+fn one_copy_leaves_the_origin_and_one_crosses_to_each_region() {
+    let spread = spread(fleet(6));
+    assert!(spread.ended < END_MS, "not all are complete");
+    assert!(spread.draws <= ONE_COPY, "{} draws", spread.draws);
+    for (region, count) in &spread.crossings {
+        assert!(*count <= ONE_COPY, "{count} into {region}");
+    }
+}
+
+#[test]
+fn agents_that_are_down_do_not_hold_up_the_others() {
+    let mut agents = fleet(6);
+    for agent in agents.iter_mut().step_by(3) {
+        agent.down = true;
+    }
+    let spread = spread(agents);
+    assert!(spread.ended < END_MS, "not all are complete");
+}
+
+#[test]
+fn without_an_agent_in_the_region_of_the_origin_others_draw() {
+    let mut agents = fleet(4);
+    for agent in agents.iter_mut().filter(|a| a.region == region("home")) {
+        agent.down = true;
+    }
+    let spread = spread(agents);
+    assert!(spread.ended < END_MS, "not all are complete");
+}
+
+#[test]
+fn what_agents_hold_already_is_not_drawn_from_the_origin() {
+    let mut agents = fleet(3);
+    for chunk in (0..PIECES).map(ChunkIndex) {
+        agents[0].held.insert(chunk);
+    }
+    let spread = spread(agents);
+    assert!(spread.ended < END_MS, "not all are complete");
+    assert_eq!(spread.draws, 0);
+}
--- /dev/null
+++ b/crates/decide/tests/placement.rs
@@ -0,0 +1,79 @@
+//! Where a request goes, under the loads that make the choice matter.
+
+use std::time::Duration;
+
+use apricothall_decide::outlier::Permit;
+use apricothall_decide::placement::{Candidate, Choice, Distance, Need, PlacementConfig, choose};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn candidate(latency: u64) -> Candidate {
+    Candidate {
+        distance: Distance::Zone,
+        own: true,
+        permit: Permit::Open,
+        latency: ms(latency),
+        pause: ms(60),
+        free: true,
+    }
+}
+
+fn full(latency: u64) -> Candidate {
+    Candidate {
+        free: false,
+        ..candidate(latency)
+    }
+}
+
+fn fresh() -> Need {
+    Need {
+        objective: ms(400),
+        patience: ms(900),
+        gap: Some(ms(300)),
+    }
+}
+
+fn back() -> Need {
+    Need {
+        objective: Duration::ZERO,
+        ..fresh()
+    }
+}
+
+macro_rules! chooses {
+    ($($case:ident: $need:expr, [$($candidate:expr),*] => $choice:expr;)*) => {
+        $(#[test] fn $case() {
+            let mut rng = ChaCha8Rng::seed_from_u64(7);
+            let config = PlacementConfig::default();
+            assert_eq!(choose(&config, &[$($candidate),*], $need, &mut rng), $choice);
+        })*
+    };
+}
+
+chooses! {
+    nobody_serves: fresh(), [] => Choice::Nobody;
+    the_faster_one: fresh(), [candidate(200), candidate(100)] => Choice::Send(1);
+    all_full_and_too_late: fresh(), [full(500), full(450)] => Choice::Refuse(ms(110));
+    full_but_in_time: fresh(), [full(300)] => Choice::Send(0);
+    a_free_place_is_used_though_late: fresh(), [candidate(500)] => Choice::Send(0);
+    one_that_comes_back_may_wait: back(), [full(800)] => Choice::Send(0);
+    one_that_comes_back_may_not_wait_for_ever: back(), [full(1_000)] => Choice::Refuse(ms(100));
+    a_burst_at_a_freed_engine_goes_elsewhere: fresh(),
+        [Candidate { pause: ms(400), ..candidate(90) }, candidate(150)] => Choice::Send(1);
+    a_burst_everywhere_is_refused: fresh(),
+        [Candidate { pause: ms(400), ..candidate(90) }] => Choice::Refuse(ms(145));
+    the_near_one_unless_it_is_much_slower: fresh(),
+        [candidate(130), Candidate { distance: Distance::Far, ..candidate(100) }] => Choice::Send(0);
+    the_far_one_when_the_zone_is_busy: fresh(),
+        [full(300), Candidate { distance: Distance::Far, ..candidate(100) }] => Choice::Send(1);
+    an_ejected_one_gets_nothing: fresh(),
+        [Candidate { permit: Permit::Ejected, ..candidate(10) }, candidate(200)] => Choice::Send(1);
+    a_recovered_one_is_tried_with_one_request: fresh(),
+        [candidate(10), Candidate { permit: Permit::Probe, ..candidate(200) }] => Choice::Send(1);
+    the_own_engine_among_equals: fresh(),
+        [Candidate { own: false, ..candidate(100) }, candidate(105)] => Choice::Send(1);
+}
--- /dev/null
+++ b/crates/decide/tests/reload.rs
@@ -0,0 +1,106 @@
+//! Engines of a zone reload in waves: capacity holds, and all are done in time.
+
+use apricothall_decide::reload::{Neighbour, Progress, ReloadConfig, may_load};
+use apricothall_types::{MemberId, Timestamp};
+use proptest::prelude::*;
+
+const STEP_MS: u64 = 100;
+/// Time that an engine takes to end what runs and to load.
+const LOAD_MS: u64 = 2_000;
+const DUE_MS: u64 = 8_000;
+
+fn agents(count: usize) -> Vec<MemberId> {
+    let name = |i| format!("agent-{i}").parse().expect("valid");
+    (0..count).map(name).collect()
+}
+
+struct Played {
+    most_out: usize,
+    last_start: u64,
+}
+
+/// Plays one zone whose engines all have the pieces at `complete` ms; each agent sees the others
+/// as they were one step before.
+fn play(count: usize, complete: u64) -> Played {
+    let config = ReloadConfig::default();
+    let ids = agents(count);
+    let mut started: Vec<Option<u64>> = vec![None; count];
+    let mut played = Played {
+        most_out: 0,
+        last_start: 0,
+    };
+    let progress = |start: Option<u64>, now: u64| match start {
+        Some(at) if now >= at + LOAD_MS => Progress::Done,
+        Some(_) => Progress::Loading,
+        None if now >= complete => Progress::Complete,
+        None => Progress::Fetching,
+    };
+    let due = Timestamp::from_millis(DUE_MS);
+    for now in (0..DUE_MS + LOAD_MS).step_by(usize::try_from(STEP_MS).expect("small")) {
+        let seen = started.clone();
+        for (i, me) in ids.iter().enumerate() {
+            let others = (0..count).filter(|j| *j != i).map(|j| Neighbour {
+                id: ids[j].clone(),
+                progress: progress(seen[j], now.saturating_sub(STEP_MS)),
+            });
+            let others: Vec<_> = others.collect();
+            let own = progress(started[i], now);
+            let since = Timestamp::from_millis(complete);
+            if may_load(
+                &config,
+                me,
+                own,
+                since,
+                &others,
+                due,
+                Timestamp::from_millis(now),
+            ) {
+                started[i] = Some(now);
+                played.last_start = now;
+            }
+        }
+        let loading = |s: &&Option<u64>| progress(**s, now) == Progress::Loading;
+        let out = started.iter().filter(loading).count();
+        if now + 1_000 < DUE_MS {
+            played.most_out = played.most_out.max(out);
+        }
+    }
+    assert!(
+        started.iter().all(Option::is_some),
+        "an engine never loaded"
+    );
+    played
+}
+
+proptest! {
+    #[test]
+    fn part_of_a_zone_keeps_serving_and_all_begin_in_time(
+        count in 1..12_usize,
+        complete in 1_000..5_000_u64,
+    ) {
+        let played = play(count, complete);
+        prop_assert!(played.most_out <= (count * 40).div_ceil(100), "{} of {count}", played.most_out);
+        prop_assert!(played.last_start < DUE_MS);
+    }
+}
+
+#[test]
+fn an_empty_engine_loads_at_once() {
+    let ids = agents(2);
+    let other = Neighbour {
+        id: ids[1].clone(),
+        progress: Progress::Loading,
+    };
+    let now = Timestamp::from_millis(0);
+    let due = Timestamp::from_millis(DUE_MS);
+    let config = ReloadConfig::default();
+    assert!(may_load(
+        &config,
+        &ids[0],
+        Progress::Empty,
+        now,
+        &[other],
+        due,
+        now
+    ));
+}
--- /dev/null
+++ b/crates/decide/tests/servers.rs
@@ -0,0 +1,104 @@
+//! Backend servers as published, around outages of the store that lists them.
+
+use std::time::Duration;
+
+use apricothall_decide::servers::{Server, ServerState, Servers, ServersConfig};
+use apricothall_types::{MemberId, Timestamp, WallTime};
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn id(name: &str) -> MemberId {
+    name.parse().expect("valid")
+}
+
+fn server(name: &str, state: ServerState) -> Server {
+    Server {
+        id: id(name),
+        service: "drafts".into(),
+        address: "10.0.0.1:80".parse().expect("valid"),
+        zone: "a".parse().expect("valid"),
+        slots: 4,
+        state,
+        born: WallTime(1),
+        loaded: Vec::new(),
+    }
+}
+
+fn two() -> Servers {
+    let mut servers = Servers::new(ServersConfig {
+        restore: Duration::from_secs(2),
+    });
+    servers.put(server("s1", ServerState::Ready));
+    servers.put(server("s2", ServerState::Ready));
+    servers
+}
+
+fn ready(servers: &Servers) -> Vec<&str> {
+    servers.ready("drafts").map(|s| s.id.as_str()).collect()
+}
+
+#[test]
+fn a_draining_server_takes_nothing_new() {
+    let mut servers = two();
+    servers.put(server("s1", ServerState::Draining));
+    assert_eq!(ready(&servers), ["s2"]);
+    assert!(servers.get(&id("s1")).is_some());
+}
+
+#[test]
+fn a_removed_server_is_gone_at_once_while_the_store_answers() {
+    let mut servers = two();
+    servers.remove(&id("s1"), at(1_000));
+    assert_eq!(ready(&servers), ["s2"]);
+}
+
+#[test]
+fn a_lapse_during_an_outage_drops_no_server_until_entries_would_be_back() {
+    let mut servers = two();
+    servers.store_failed();
+    servers.remove(&id("s1"), at(1_000));
+    assert_eq!(ready(&servers), ["s1", "s2"]);
+    servers.store_answered(at(5_000));
+    servers.replace(vec![server("s2", ServerState::Ready)], at(5_000));
+    servers.expire(at(6_999));
+    assert_eq!(ready(&servers), ["s1", "s2"]);
+    servers.expire(at(7_000));
+    assert_eq!(ready(&servers), ["s2"]);
+}
+
+#[test]
+fn an_entry_that_is_back_after_an_outage_stays() {
+    let mut servers = two();
+    servers.store_failed();
+    servers.store_answered(at(5_000));
+    servers.replace(vec![server("s2", ServerState::Ready)], at(5_000));
+    servers.put(server("s1", ServerState::Ready));
+    servers.expire(at(9_000));
+    assert_eq!(ready(&servers), ["s1", "s2"]);
+}
+
+#[test]
+fn a_list_from_a_peer_that_reaches_the_store_holds_during_an_outage_here() {
+    let mut servers = two();
+    servers.store_failed();
+    servers.adopt(vec![server("s2", ServerState::Ready)]);
+    assert_eq!(ready(&servers), ["s2"]);
+}
+
+#[test]
+fn an_entry_that_names_no_server_any_more_takes_it_out() {
+    let mut servers = two();
+    servers.forget(&id("s2"));
+    assert_eq!(ready(&servers), ["s1"]);
+}
+
+#[test]
+fn only_the_first_failure_and_the_first_answer_are_news() {
+    let mut servers = two();
+    assert!(servers.store_failed());
+    assert!(!servers.store_failed());
+    assert!(servers.store_answered(at(1)));
+    assert!(!servers.store_answered(at(2)));
+}
--- a/crates/gateway/src/agent/keeper.rs
+++ b/crates/gateway/src/agent/keeper.rs
@@ -99,6 +99,7 @@
     resting: HashMap<MemberId, Timestamp>,
     pace: Duration,
     begun: Timestamp,
+    complete_since: Option<Timestamp>,
     wanted_id: Option<VersionId>,
     wanted_since: Timestamp,
     local_tried: Option<VersionId>,
@@ -125,6 +126,7 @@
         resting: HashMap::new(),
         pace: Duration::ZERO,
         begun: now,
+        complete_since: None,
         wanted_id: None,
         wanted_since: now,
         local_tried: None,
@@ -205,9 +207,11 @@
         self.take_staged(wanted).await;
         self.fetch(wanted);
         let Some(pieces) = self.shelf.whole(wanted) else {
+            self.complete_since = None;
             return;
         };
         let now = self.context.clock.now();
+        self.complete_since.get_or_insert(now);
         if self.may_load(wanted, now) {
             self.load(wanted, pieces).await;
         }
@@ -584,7 +588,16 @@
             .unwrap_or(now + allowed);
         let me = &self.context.settings().id;
         let config = ReloadConfig::default();
-        may_load(&config, me, self.progress(wanted), &neighbours, due, now)
+        let complete = self.complete_since.unwrap_or(now);
+        may_load(
+            &config,
+            me,
+            self.progress(wanted),
+            complete,
+            &neighbours,
+            due,
+            now,
+        )
     }
 
     /// Stages all pieces and orders the load. Pieces may rot where they are staged, so they are
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -54,7 +54,7 @@
     ) -> Self {
         let clock = Clock;
         Self(Arc::new(Parts {
-            fleet: Fleet::new(&settings, clock.now()),
+            fleet: Fleet::new(&settings),
             settings: RwLock::new(Arc::new(settings)),
             dialect,
             clock,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,24 +1,24 @@
 //! Load and health of the backend servers, as this daemon sees them.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use apricothall_decide::configs::{OutlierConfig, RetryConfig};
-use apricothall_decide::outlier::{Attempt, Outlier};
+use apricothall_decide::load::{Entries, Forecast, Load, Standing};
+use apricothall_decide::outlier::{Attempt, Outlier, Permit};
 use apricothall_decide::placement::{self, Candidate, Choice, Distance, Need, PlacementConfig};
 use apricothall_decide::retry::{Budget, Failure, Verdict};
-use apricothall_decide::servers::Server;
-use apricothall_decide::timing::{Backlog, Timing, Work};
+use apricothall_decide::servers::{Server, Servers};
 use apricothall_decide::versions::Versions;
 use apricothall_types::{Interval, MemberId, Outcome, Timestamp};
 use smol_str::SmolStr;
 
 use crate::Context;
+use crate::model::EngineService;
 use crate::peers::EngineNote;
-
 use crate::settings::Settings;
 
 /// Age up to which an agent's note tells the state of its engine.
@@ -27,93 +27,49 @@
 /// The same for agents of other regions, which tell less often.
 const FAR_NOTE_AGE: Duration = Duration::from_millis(2_600);
 
-/// Time that a request takes to show in an agent's note.
-const NOTE_LAG: Duration = Duration::from_millis(60);
-
-/// Prompts that each other entry of the zone is taken to send meanwhile, for each one sent to a
-/// server that this entry goes first at.
-const UNSEEN_OWN: f64 = 0.2;
-
-/// The same at another server of the zone.
-const UNSEEN_SHARED: f64 = 0.6;
-
-/// The same for each entry at a far server.
-const UNSEEN_FAR: f64 = 0.5;
-
 /// Time for which a server that refused for want of room gets nothing.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
 /// Time for which a server that is another than expected gets nothing.
 const STALE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Latency assumed of a plain service before it has answered.
-const PLAIN_LATENCY: Duration = Duration::from_millis(40);
-
-/// Weight of a new figure in a moving average.
-const AVERAGE_WEIGHT: f64 = 0.1;
-
-/// Bounds of the ratio of seen to predicted latency that predictions are corrected by.
-const DRIFT: (f64, f64) = (0.9, 6.0);
-
 /// Time kept between the last send of an old version and its end.
 const VERSION_MARGIN: Duration = Duration::from_millis(900);
 
-/// Entries that share the budget of repeats at most.
-const SHARERS: f64 = 16.0;
+/// Least number of entries that the budget of repeats is shared by, since some are not known yet.
+const LEAST_SHARERS: u32 = 8;
 
 /// Part of the budget of repeats that is used, so that the whole stays below its bound.
 const BUDGET_PART: f64 = 0.7;
 
-/// What is known of one server.
-#[derive(Debug, Default)]
-struct Load {
-    /// Requests of this entry.
-    own: u32,
-    /// Requests of other entries at the time of the last note.
-    others: u32,
-    /// When this entry sent its last requests.
-    recent: VecDeque<Timestamp>,
-    backlog: Backlog,
-    latency: Option<Duration>,
-    drift: Option<f64>,
-    paused: Timestamp,
-}
+const PERCENT: f64 = 100.0;
+
+/// Pace in a note of an engine that is as fast as published.
+const WHOLE_PACE: f64 = 100.0;
 
 /// An agent's note on its engine.
 struct Noted {
     note: EngineNote,
-    heard: Timestamp,
     until: Timestamp,
 }
 
-/// Numbers of entries that send requests to the same servers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Entries {
-    /// Those of this availability zone, this one included.
-    pub zone: u32,
-    /// Place of this one among them, in the order of their ids.
-    pub index: u32,
-    /// All.
-    pub all: u32,
-}
-
-impl Entries {
-    /// Whether this entry goes before the others at the server with the place `at` in its zone.
-    const fn owns(&self, at: u32) -> bool {
-        at % self.zone == self.index
-    }
-}
-
 struct State {
     loads: HashMap<SocketAddr, Load>,
     notes: HashMap<SocketAddr, Noted>,
     entries: Entries,
     outlier: Outlier,
     budgets: HashMap<SmolStr, Budget>,
-    retry: RetryConfig,
+    repeats: Repeats,
     placement: PlacementConfig,
 }
 
+/// Bound on repeats over all entries.
+#[derive(Clone, Copy, Debug)]
+struct Repeats {
+    ratio: f64,
+    extra: f64,
+}
+
 /// Load and health of all servers.
 pub struct Fleet {
     state: Mutex<State>,
@@ -145,7 +101,7 @@
     /// The service.
     pub service: &'a str,
     /// Timing and model, if its servers are engines.
-    pub engines: Option<&'a crate::model::EngineService>,
+    pub engines: Option<&'a EngineService>,
     /// Versions of the model.
     pub versions: &'a Versions,
     /// What the caller needs.
@@ -180,21 +136,18 @@
     Nobody,
 }
 
+/// A server that could take a request.
+struct Offer<'a> {
+    server: &'a Server,
+    version: Option<u64>,
+    standing: Standing,
+    forecast: Forecast,
+}
+
 impl Fleet {
     /// Nothing known.
     #[must_use]
-    pub fn new(settings: &Settings, _now: Timestamp) -> Self {
-        let saved = settings.bounds.repeat_extra * BUDGET_PART / SHARERS;
-        let ratio = settings.bounds.repeat_ratio * BUDGET_PART * 100.0;
-        let retry = RetryConfig {
-            ratio: whole(ratio),
-            minimum: 0,
-            saved: whole(saved).max(1),
-            attempts: u32::MAX,
-            base: Interval::default(),
-            longest: Interval::default(),
-            ..RetryConfig::default()
-        };
+    pub fn new(settings: &Settings) -> Self {
         let outlier = OutlierConfig {
             base: Interval::millis(1_000),
             longest: Interval::secs(4),
@@ -206,14 +159,13 @@
             state: Mutex::new(State {
                 loads: HashMap::new(),
                 notes: HashMap::new(),
-                entries: Entries {
-                    zone: 1,
-                    index: 0,
-                    all: 1,
-                },
+                entries: Entries::ALONE,
                 outlier: Outlier::new(outlier),
                 budgets: HashMap::new(),
-                retry,
+                repeats: Repeats {
+                    ratio: settings.bounds.repeat_ratio,
+                    extra: settings.bounds.repeat_extra,
+                },
                 placement: PlacementConfig::default(),
             }),
             own: Mutex::default(),
@@ -228,10 +180,8 @@
     /// What this agent tells of its engine.
     #[must_use]
     pub fn own_note(&self) -> Option<EngineNote> {
-        self.own
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        let own = self.own.lock();
+        own.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Sets what this agent tells of its engine.
@@ -252,17 +202,13 @@
 
     /// Takes an agent's note on its engine.
     pub fn take_note(&self, note: &EngineNote, far: bool, now: Timestamp) {
+        let until = now + if far { FAR_NOTE_AGE } else { NOTE_AGE };
         let mut state = self.state();
-        let age = if far { FAR_NOTE_AGE } else { NOTE_AGE };
         let load = state.loads.entry(note.address).or_default();
-        let seen = load.own.saturating_sub(load.sent_since(now - NOTE_LAG));
-        load.others = (note.running + note.queued).saturating_sub(seen);
-        let noted = Noted {
-            note: note.clone(),
-            heard: now,
-            until: now + age,
-        };
-        state.notes.insert(note.address, noted);
+        let pace = f64::from(note.pace) / WHOLE_PACE;
+        load.note(note.running + note.queued, pace, now, until);
+        let note = note.clone();
+        state.notes.insert(note.address, Noted { note, until });
     }
 
     /// Sets the numbers of entries.
@@ -273,42 +219,18 @@
     /// Chooses a server for a request.
     pub fn place(&self, context: &Context, ask: &Ask<'_>, now: Timestamp) -> Placement {
         let settings = context.settings();
-        let drain = settings.bounds.version;
         let mut state = self.state();
         context.published.servers(|servers| {
-            let mut options = Vec::new();
-            let mut candidates = Vec::new();
-            let mut near = 0;
-            for server in servers.ready(ask.service) {
-                if ask.tried.contains(&server.id) {
-                    continue;
-                }
-                let Some(version) = state.version(server, ask, drain, now) else {
-                    continue;
-                };
-                let distance = distance(&settings, server);
-                let own = distance == Distance::Zone && state.entries.owns(near);
-                near += u32::from(distance == Distance::Zone);
-                let (mut candidate, load) = state.candidate(server, distance, ask, now);
-                candidate.own = own;
-                if state.is_paused(&server.address, now) {
-                    continue;
-                }
-                options.push((server, version, load));
-                candidates.push(candidate);
-            }
-            let config = state.placement;
-            match placement::choose(&config, &candidates, ask.need, &mut rand::rng()) {
+            let offers = state.offers(&settings, servers, ask, now);
+            let candidates: Vec<_> = offers
+                .iter()
+                .map(|o| o.candidate(state.outlier.permit(&o.server.id, now)))
+                .collect();
+            let choice =
+                placement::choose(&state.placement, &candidates, ask.need, &mut rand::rng());
+            match choice {
                 Choice::Send(index) => {
-                    let (server, version, load) = options[index];
-                    state.note_prompt(server, &candidates[index], ask, now);
-                    state.outlier.note_start(&server.id, now);
-                    Placement::Go(Box::new(Placed {
-                        server: server.clone(),
-                        version,
-                        predicted: candidates[index].latency,
-                        load,
-                    }))
+                    Placement::Go(Box::new(state.take(&offers[index], ask, now)))
                 }
                 Choice::Refuse(after) => Placement::Refuse(after),
                 Choice::Nobody => Placement::Nobody,
@@ -316,13 +238,11 @@
         })
     }
 
-    /// Counts a request as in flight at `id` until the guard is dropped.
+    /// Counts a request as in flight at `address` until the guard is dropped.
     #[must_use]
     pub fn begin(context: &Context, address: SocketAddr, now: Timestamp) -> InFlight {
         let mut state = context.fleet.state();
-        let load = state.loads.entry(address).or_default();
-        load.own += 1;
-        load.recent.push_back(now);
+        state.loads.entry(address).or_default().begin(now);
         InFlight {
             context: context.clone(),
             address,
@@ -331,19 +251,13 @@
 
     /// Notes how an attempt at a server ended.
     pub fn record(&self, at: &Place, attempt: Attempt, predicted: Duration, now: Timestamp) {
-        let (id, address) = (&at.id, at.address);
         let mut state = self.state();
         if let Attempt::Answered(latency) = attempt {
-            let load = state.loads.entry(address).or_default();
-            let ratio = latency.as_secs_f64() / predicted.as_secs_f64().max(0.001);
-            let drift = load.drift.unwrap_or(1.0) * ratio.clamp(0.2, 10.0).powf(AVERAGE_WEIGHT);
-            load.drift = Some(drift.clamp(DRIFT.0, DRIFT.1));
-            let mean = load.latency.unwrap_or(latency);
-            let mixed = mean.mul_f64(1.0 - AVERAGE_WEIGHT) + latency.mul_f64(AVERAGE_WEIGHT);
-            load.latency = Some(mixed);
+            let load = state.loads.entry(at.address).or_default();
+            load.answered(latency, predicted);
         }
-        if state.outlier.record(id, attempt, now) {
-            tracing::warn!(server = %id, ?attempt, "server ejected");
+        if state.outlier.record(&at.id, attempt, now) {
+            tracing::warn!(server = %at.id, ?attempt, "server ejected");
             metrics::counter!("apricothall_ejections_total").increment(1);
         }
     }
@@ -352,7 +266,8 @@
     pub fn pause(&self, address: SocketAddr, misdirected: bool, now: Timestamp) {
         let length = if misdirected { STALE_PAUSE } else { FULL_PAUSE };
         let mut state = self.state();
-        state.loads.entry(address).or_default().paused = now + length;
+        let load = state.loads.entry(address).or_default();
+        load.pause_until(now + length);
     }
 
     /// Notes the first attempt at a request of `service`.
@@ -370,9 +285,8 @@
             attempts: 1,
         };
         let mut state = self.state();
-        let verdict = state
-            .budget(service, now)
-            .decide(failure, deadline, now, &mut rand::rng());
+        let budget = state.budget(service, now);
+        let verdict = budget.decide(failure, deadline, now, &mut rand::rng());
         matches!(verdict, Verdict::Retry(_))
     }
 
@@ -382,21 +296,11 @@
         let known = |address: &SocketAddr| places.iter().any(|p| p.address == *address);
         state
             .loads
-            .retain(|address, load| load.own > 0 || known(address));
+            .retain(|address, load| !load.is_idle() || known(address));
         state.outlier.retain(places.into_iter().map(|p| p.id));
     }
 }
 
-fn whole(value: f64) -> u32 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "settings keep it small and positive"
-    )]
-    let number = value.max(0.0) as u32;
-    number
-}
-
 fn distance(settings: &Settings, server: &Server) -> Distance {
     if server.zone == settings.zone {
         return Distance::Zone;
@@ -407,48 +311,96 @@
     Distance::Far
 }
 
+impl Offer<'_> {
+    fn candidate(&self, permit: Permit) -> Candidate {
+        Candidate {
+            distance: self.standing.distance,
+            own: self.standing.own,
+            permit,
+            latency: self.forecast.latency,
+            pause: self.forecast.pause,
+            free: self.forecast.free,
+        }
+    }
+}
+
 impl State {
     fn budget(&mut self, service: &SmolStr, now: Timestamp) -> &mut Budget {
-        let retry = self.retry.clone();
+        let sharers = f64::from(self.entries.all.max(LEAST_SHARERS));
+        let retry = RetryConfig {
+            ratio: whole(self.repeats.ratio * BUDGET_PART * PERCENT),
+            minimum: 0,
+            saved: whole(self.repeats.extra * BUDGET_PART / sharers).max(1),
+            attempts: u32::MAX,
+            base: Interval::default(),
+            longest: Interval::default(),
+            ..RetryConfig::default()
+        };
         let budgets = &mut self.budgets;
         budgets
             .entry(service.clone())
             .or_insert_with(|| Budget::new(retry, now))
     }
 
-    fn note(&self, address: &SocketAddr, now: Timestamp) -> Option<&EngineNote> {
-        self.noted(address, now).map(|n| &n.note)
-    }
-
-    /// Counts the prompt of a request that is about to be sent.
-    fn note_prompt(
-        &mut self,
-        server: &Server,
-        candidate: &Candidate,
+    /// Servers that could take a request, with what is expected of it there.
+    fn offers<'a>(
+        &self,
+        settings: &Settings,
+        servers: &'a Servers,
         ask: &Ask<'_>,
         now: Timestamp,
-    ) {
-        let Some(engines) = ask.engines else {
-            return;
-        };
-        let (others, part) = match candidate.distance {
-            Distance::Zone if candidate.own => (self.entries.zone, UNSEEN_OWN),
-            Distance::Zone => (self.entries.zone, UNSEEN_SHARED),
-            Distance::Region | Distance::Far => (self.entries.all, UNSEEN_FAR),
-        };
-        let factor = 1.0 + f64::from(others.saturating_sub(1)) * part;
-        let ms = engines.timing.read_ms(ask.prompt) * factor;
-        let load = self.loads.entry(server.address).or_default();
-        load.backlog.add(ms, now);
-    }
-
-    fn noted(&self, address: &SocketAddr, now: Timestamp) -> Option<&Noted> {
-        let noted = self.notes.get(address)?;
-        (now < noted.until).then_some(noted)
+    ) -> Vec<Offer<'a>> {
+        let unknown = Load::default();
+        let mut offers = Vec::new();
+        let mut place = 0;
+        for server in servers.ready(ask.service) {
+            if ask.tried.contains(&server.id) {
+                continue;
+            }
+            let allowed = settings.bounds.version;
+            let Some(version) = self.version(server, ask, allowed, now) else {
+                continue;
+            };
+            let distance = distance(settings, server);
+            let near = distance == Distance::Zone;
+            let standing = Standing {
+                distance,
+                own: near && self.entries.owns(place),
+                alike: self.entries.alike(distance),
+            };
+            place += u32::from(near);
+            let load = self.loads.get(&server.address).unwrap_or(&unknown);
+            if load.is_paused(now) {
+                continue;
+            }
+            let forecast = match ask.engines {
+                Some(engines) => load.engine(&engines.timing, ask.prompt, standing, now),
+                None => load.plain(server.slots),
+            };
+            offers.push(Offer {
+                server,
+                version,
+                standing,
+                forecast,
+            });
+        }
+        offers
     }
 
-    fn is_paused(&self, address: &SocketAddr, now: Timestamp) -> bool {
-        self.loads.get(address).is_some_and(|l| now < l.paused)
+    /// Counts the prompt of a request that is about to be sent.
+    fn take(&mut self, offer: &Offer<'_>, ask: &Ask<'_>, now: Timestamp) -> Placed {
+        let server = offer.server;
+        self.outlier.note_start(&server.id, now);
+        if let Some(engines) = ask.engines {
+            let load = self.loads.entry(server.address).or_default();
+            load.add_prompt(&engines.timing, ask.prompt, offer.standing, now);
+        }
+        Placed {
+            server: server.clone(),
+            version: offer.version,
+            predicted: offer.forecast.latency,
+            load: offer.forecast.taken,
+        }
     }
 
     /// The version that a request is bound to at `server`: none inside for a plain service, none
@@ -468,7 +420,8 @@
             return Some(None);
         };
         let model = &engines.model.name;
-        let note = self.note(&server.address, now);
+        let note = self.notes.get(&server.address).filter(|n| now < n.until);
+        let note = note.map(|n| &n.note);
         // The entry of an engine that has ended or started anew stays for a while.
         if note.is_some_and(|n| n.born != server.born.0 && server.born.0 != 0) {
             return None;
@@ -485,93 +438,16 @@
             .is_usable(version, allowed, VERSION_MARGIN, now);
         usable.then_some(Some(version))
     }
-
-    fn candidate(
-        &mut self,
-        server: &Server,
-        distance: Distance,
-        ask: &Ask<'_>,
-        now: Timestamp,
-    ) -> (Candidate, u32) {
-        let permit = self.outlier.permit(&server.id, now);
-        let noted = self.noted(&server.address, now);
-        let noted = noted.map(|n| (n.heard, f64::from(n.note.pace) / 100.0));
-        let alike = match distance {
-            Distance::Zone => self.entries.zone,
-            Distance::Region | Distance::Far => self.entries.all,
-        };
-        let load = self.loads.entry(server.address).or_default();
-        load.forget_old(now);
-        let taken = match noted {
-            Some((heard, _)) => load.taken(alike, heard - NOTE_LAG),
-            None if ask.engines.is_some() => load.own * alike,
-            None => load.own,
-        };
-        let unread = load.backlog.left(now);
-        let pace = noted.map_or(1.0, |(_, pace)| pace);
-        let (slots, latency, pause) = match ask.engines {
-            Some(engines) => {
-                let timing = &engines.timing;
-                let work = work(timing, taken, unread, pace);
-                let drift = load.drift.unwrap_or(1.0);
-                let first = timing.first_event(work, ask.prompt).mul_f64(drift);
-                (timing.slots, first, timing.pause(work, ask.prompt))
-            }
-            None => (server.slots, plain(load, server.slots), Duration::ZERO),
-        };
-        let free = taken < slots;
-        let candidate = Candidate {
-            distance,
-            own: false,
-            permit,
-            latency,
-            pause,
-            free,
-        };
-        (candidate, taken)
-    }
 }
 
-impl Load {
-    /// Requests sent by this entry after `since`.
-    fn sent_since(&self, since: Timestamp) -> u32 {
-        let sent = self.recent.iter().rev().take_while(|at| **at > since);
-        u32::try_from(sent.count()).unwrap_or(u32::MAX)
-    }
-
-    fn forget_old(&mut self, now: Timestamp) {
-        while self
-            .recent
-            .front()
-            .is_some_and(|at| now.since(*at) > FAR_NOTE_AGE)
-        {
-            self.recent.pop_front();
-        }
-    }
-
-    /// Requests at the server, if each of `alike` entries has sent as many as this one since the
-    /// time that the last note speaks of.
-    fn taken(&self, alike: u32, noted: Timestamp) -> u32 {
-        let unseen = self.sent_since(noted);
-        self.own + self.others + unseen * alike.saturating_sub(1)
-    }
-}
-
-fn work(timing: &Timing, taken: u32, unread: f64, pace: f64) -> Work {
-    let running = taken.min(timing.slots);
-    Work {
-        running,
-        waiting: taken - running,
-        unread,
-        pace,
-    }
-}
-
-/// Predicted latency of a plain service: its mean, and the wait for a place.
-fn plain(load: &Load, slots: u32) -> Duration {
-    let mean = load.latency.unwrap_or(PLAIN_LATENCY);
-    let waiting = (load.own + 1).saturating_sub(slots);
-    mean + mean * waiting / slots.max(1)
+fn whole(value: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "settings keep it small and positive"
+    )]
+    let number = value.max(0.0) as u32;
+    number
 }
 
 /// Counts a request as in flight until dropped.
@@ -583,7 +459,7 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         if let Some(load) = self.context.fleet.state().loads.get_mut(&self.address) {
-            load.own = load.own.saturating_sub(1);
+            load.end();
         }
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,6 +4,7 @@
 
 use apricothall_decide::configs::DrainConfig;
 use apricothall_decide::drain::{Sign, Step};
+use apricothall_decide::load::Entries;
 use apricothall_kernel::telemetry::{Telemetry, TelemetryError};
 use apricothall_kernel::{Clock, Lifecycle, StartError};
 use apricothall_types::{Interval, Role};
@@ -12,7 +13,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::dialect::{Dialect, DialectError};
-use crate::fleet::Entries;
+
 use crate::settings::Settings;
 use crate::{Context, agent, callers, directory, gossip, relay, store};
 
@@ -131,11 +132,7 @@
 
 fn count_entries(context: &Context) -> Entries {
     let settings = context.settings();
-    let mut entries = Entries {
-        zone: 1,
-        index: 0,
-        all: 1,
-    };
+    let mut entries = Entries::ALONE;
     context.peers.each(context.clock.now(), |peer| {
         let other = &peer.hello;
         if other.role != Role::Entry {
