--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -177,7 +177,7 @@
     }
 
     /// Servers of `service` that take new requests.
-    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
+    pub fn ready<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Server> {
         self.iter()
             .filter(move |s| s.service == service && s.state == ServerState::Ready)
     }
