--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -1,14 +1,18 @@
 //! The port for callers: connections, their limits, and their end.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use apricothall_fleet::wake_timer::WakeTimer;
 use apricothall_fleet::write_limit::WriteLimit;
+use apricothall_kernel::lifecycle::WorkGuard;
+use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -16,7 +20,7 @@
 use tokio::sync::Semaphore;
 
 use crate::Context;
-use crate::answers::{Body, refuse};
+use crate::answers::{Body, Broken, refuse};
 use crate::channels::{Channels, set_options};
 use crate::forward::Forwarder;
 use crate::model::CallerLimits;
@@ -153,15 +157,31 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    response.map(|body| counted(body, work))
+    response.map(|body| Body::new(Counted { body, _work: work }))
 }
 
 /// Counts the request as in progress until its answer has been passed on.
-fn counted(body: Body, work: apricothall_kernel::lifecycle::WorkGuard) -> Body {
-    use http_body_util::BodyExt;
-    let held = body.map_frame(move |frame| {
-        let _ = &work;
-        frame
-    });
-    BodyExt::boxed(held)
+struct Counted {
+    body: Body,
+    _work: WorkGuard,
+}
+
+impl hyper::body::Body for Counted {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -76,7 +76,10 @@
 }
 
 /// Starts all parts of the role, in order.
-async fn start(context: &Context) -> Result<(), RunError> {
+///
+/// # Errors
+/// When a port cannot be bound.
+pub async fn start(context: &Context) -> Result<(), RunError> {
     store::start(context);
     gossip::start(context).await?;
     relay::start(context).await?;
