--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lease;
 pub mod limits;
 pub mod load;
+pub mod log_budget;
 pub mod membership;
 pub mod outlier;
 pub mod pieces;
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -137,6 +137,10 @@
 async fn serve(port: &Port, request: Request<Incoming>) -> Response<Body> {
     let context = &port.forwarder.context;
     let arrival = context.clock.now();
+    let id = request
+        .headers()
+        .get(&context.dialect.headers.attempt)
+        .cloned();
     let work = context.lifecycle.begin();
     let intake = context.lifecycle.intake();
     let mut response = if intake == apricothall_decide::drain::Intake::Refuse {
@@ -147,7 +151,9 @@
             Ok(call) => port.forwarder.forward(call).await,
             Err(answer) => {
                 let status = answer.status().as_u16();
-                tracing::info!(status, "request not admitted");
+                if context.lines.failure(arrival) {
+                    tracing::info!(request = ?id, status, config_age_ms = context.published.age(arrival).map(crate::forward::millis), "request not admitted");
+                }
                 metrics::counter!("apricothall_not_admitted_total").increment(1);
                 *answer
             }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -10,6 +10,7 @@
 use crate::agent::shelf::Shelf;
 use crate::dialect::Dialect;
 use crate::fleet::Fleet;
+use crate::lines::Lines;
 use crate::peers::Peers;
 use crate::published::Published;
 use crate::settings::Settings;
@@ -39,6 +40,8 @@
     pub shelf: Shelf,
     /// Turns of sending a piece to another agent.
     pub uploads: Uploads,
+    /// Bounds on log lines about requests.
+    pub lines: Lines,
     /// Metrics recorded so far.
     pub telemetry: Telemetry,
 }
@@ -63,6 +66,7 @@
             published: Published::default(),
             peers: Peers::default(),
             shelf: Shelf::default(),
+            lines: Lines::default(),
             uploads: Uploads::default(),
             telemetry,
         }))
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -35,7 +35,12 @@
 /// When an address cannot be bound.
 pub async fn start(context: &Context) -> Result<(), StartError> {
     let listen_on = context.settings().listen.clone();
-    let ports = [listen_on.ready, listen_on.directory, listen_on.control];
+    let ports = [
+        listen_on.ready,
+        listen_on.directory,
+        listen_on.control,
+        listen_on.metrics,
+    ];
     let addresses: BTreeSet<SocketAddr> = ports.into_iter().flatten().collect();
     for address in addresses {
         let listener = listen(address).await?;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -73,15 +73,15 @@
         loop {
             let now = self.context.clock.now();
             if now >= call.deadline {
-                return give_up(&call, story, now, "the time is over");
+                return give_up(&self.context, &call, story, now, "the time is over");
             }
             let placed = match self.place(&call, &story.tried, now) {
                 Placement::Go(placed) => placed,
                 Placement::Refuse(after) => {
-                    return turn_away(&call, story, after, "no room in time", now);
+                    return turn_away(&self.context, &call, story, after, "no room in time", now);
                 }
                 Placement::Nobody => {
-                    return turn_away(&call, story, NOBODY_PAUSE, "no server", now);
+                    return turn_away(&self.context, &call, story, NOBODY_PAUSE, "no server", now);
                 }
             };
             story.tried.push(placed.server.id.clone());
@@ -91,7 +91,9 @@
             };
             let now = self.context.clock.now();
             let next = story.history.note(end);
-            tracing::info!(request = %call.id, service = %call.service, server = %placed.server.id, version = placed.version, load = placed.load, predicted_ms = millis(placed.predicted), waited_ms = millis(now.since(call.arrival)), %error, ?next, "attempt failed");
+            if self.context.lines.failure(now) {
+                tracing::info!(request = %call.id, service = %call.service, server = %placed.server.id, version = placed.version, load = placed.load, predicted_ms = millis(placed.predicted), waited_ms = millis(now.since(call.arrival)), %error, ?next, "attempt failed");
+            }
             match next {
                 Next::Again { budgeted } => {
                     if budgeted
@@ -100,11 +102,17 @@
                             .fleet
                             .may_repeat(&call.service, call.deadline, now)
                     {
-                        return give_up(&call, story, now, "the budget of repeats is used up");
+                        return give_up(
+                            &self.context,
+                            &call,
+                            story,
+                            now,
+                            "the budget of repeats is used up",
+                        );
                     }
                 }
                 Next::NotRun | Next::Unknown => {
-                    return give_up(&call, story, now, "no attempt is left");
+                    return give_up(&self.context, &call, story, now, "no attempt is left");
                 }
             }
         }
@@ -229,7 +237,9 @@
             .fleet
             .record(&place, attempt, placed.predicted, now);
         self.channels.keep(answer.channel, now);
-        tracing::debug!(request = %call.id, server = %place.id, status = answer.status.as_u16(), latency_ms = millis(latency), "answered");
+        if self.context.lines.success(now) {
+            tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, server = %place.id, load = placed.load, status = answer.status.as_u16(), predicted_ms = millis(placed.predicted), latency_ms = millis(latency), total_ms = millis(now.since(call.arrival)), config_age_ms = self.context.published.age(now).map(millis), "answered");
+        }
         metrics::counter!("apricothall_answers_total", "status" => class(answer.status))
             .increment(1);
         metrics::histogram!("apricothall_answer_seconds")
@@ -316,6 +326,7 @@
 
 /// Refuses a call that has no place, unless it may have run already.
 fn turn_away(
+    context: &Context,
     call: &Call,
     story: Story,
     after: Duration,
@@ -323,20 +334,30 @@
     now: Timestamp,
 ) -> Response<Body> {
     if story.history.sent > 0 {
-        return give_up(call, story, now, reason);
+        return give_up(context, call, story, now, reason);
     }
     let left = call.deadline.since(now);
     let after = after.max(left / SHORTEST_SHARE).min(left / RETURN_SHARE);
-    tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, returning = call.returning, prompt = call.prompt, after_ms = millis(after), reason, "refused");
+    if context.lines.failure(now) {
+        tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, returning = call.returning, prompt = call.prompt, after_ms = millis(after), config_age_ms = context.published.age(now).map(millis), reason, "refused");
+    }
     metrics::counter!("apricothall_refusals_total", "reason" => reason).increment(1);
     refuse(after, reason)
 }
 
 /// The final answer when no further attempt is made.
-fn give_up(call: &Call, story: Story, now: Timestamp, reason: &'static str) -> Response<Body> {
+fn give_up(
+    context: &Context,
+    call: &Call,
+    story: Story,
+    now: Timestamp,
+    reason: &'static str,
+) -> Response<Body> {
     let waited = now.since(call.arrival);
     let fate = story.history.last();
-    tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, sent = story.history.sent, waited_ms = millis(waited), ?fate, reason, "given up");
+    if context.lines.failure(now) {
+        tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, sent = story.history.sent, waited_ms = millis(waited), ?fate, config_age_ms = context.published.age(now).map(millis), reason, "given up");
+    }
     metrics::counter!("apricothall_failures_total", "reason" => reason).increment(1);
     if let Some(response) = story.spare {
         return response;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod forward;
 pub mod gossip;
+pub mod lines;
 pub mod model;
 pub mod peers;
 pub mod published;
--- /dev/null
+++ b/crates/gateway/src/lines.rs
@@ -0,0 +1,57 @@
+//! Bounds on log lines about requests: failures and successes have a budget each, so that
+//! successes never crowd out failures.
+
+use std::sync::{Mutex, PoisonError};
+
+use apricothall_decide::log_budget::{LogBudget, Verdict};
+use apricothall_types::Timestamp;
+
+/// Lines a second about requests that went well.
+const SUCCESSES: u32 = 40;
+
+/// Lines a second about requests that were refused or failed.
+const FAILURES: u32 = 150;
+
+/// Budgets of lines.
+pub struct Lines {
+    successes: Mutex<LogBudget>,
+    failures: Mutex<LogBudget>,
+}
+
+impl Default for Lines {
+    fn default() -> Self {
+        Self {
+            successes: Mutex::new(LogBudget::new(SUCCESSES)),
+            failures: Mutex::new(LogBudget::new(FAILURES)),
+        }
+    }
+}
+
+impl Lines {
+    /// Whether a line about a request that went well is written.
+    #[must_use]
+    pub fn success(&self, now: Timestamp) -> bool {
+        allow(&self.successes, "success", now)
+    }
+
+    /// Whether a line about a request that was refused or failed is written.
+    #[must_use]
+    pub fn failure(&self, now: Timestamp) -> bool {
+        allow(&self.failures, "failure", now)
+    }
+}
+
+fn allow(budget: &Mutex<LogBudget>, kind: &'static str, now: Timestamp) -> bool {
+    let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
+    match budget.decide(now) {
+        Verdict::Write { left_out } => {
+            if left_out > 0 {
+                tracing::info!(kind, left_out, "lines left out in the last second");
+                metrics::counter!("apricothall_log_lines_left_out_total", "kind" => kind)
+                    .increment(u64::from(left_out));
+            }
+            true
+        }
+        Verdict::LeaveOut => false,
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -49,6 +49,8 @@
     pub control: Option<SocketAddr>,
     /// Which entries to use.
     pub directory: Option<SocketAddr>,
+    /// Metrics.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// The engine beside an agent.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -61,6 +61,7 @@
     sent: Timestamp,
     predicted: Duration,
     load: u32,
+    first: Duration,
 }
 
 impl Feed {
@@ -79,6 +80,7 @@
             sent: answer.sent,
             predicted: placed.predicted,
             load: placed.load,
+            first: Duration::ZERO,
         }
     }
 
@@ -168,7 +170,7 @@
     let mut last = relay.call.resume;
     let mut next = first;
     let context = relay.forwarder.context.clone();
-    note_first(&relay, &feed);
+    note_first(&relay, &mut feed);
     let mut passed = 0_u32;
     loop {
         if let Some(event) = next.take() {
@@ -188,7 +190,7 @@
             Ok(Step::Pass(event)) => next = Some(event),
             Ok(Step::Skip) => {}
             Ok(Step::End) => {
-                tracing::debug!(request = %relay.call.id, server = %feed.server.id, passed, "stream ended");
+                note_end(&relay, &feed, passed);
                 metrics::counter!("apricothall_streams_total", "outcome" => "whole").increment(1);
                 let now = context.clock.now();
                 relay.forwarder.channels.keep(feed.channel, now);
@@ -256,7 +258,7 @@
         .await
 }
 
-fn note_first(relay: &Relay, feed: &Feed) {
+fn note_first(relay: &Relay, feed: &mut Feed) {
     let context = &relay.forwarder.context;
     let now = context.clock.now();
     let latency = now.since(feed.sent);
@@ -267,12 +269,22 @@
         now,
     );
     let total = now.since(relay.call.arrival);
-    tracing::debug!(request = %relay.call.id, server = %feed.server.id, load = feed.load, predicted_ms = millis(feed.predicted), latency_ms = millis(latency), total_ms = millis(total), returning = relay.call.returning, "first event");
+    feed.first = total;
     metrics::histogram!("apricothall_first_event_seconds").record(total.as_secs_f64());
     metrics::histogram!("apricothall_first_event_predicted_seconds")
         .record(feed.predicted.as_secs_f64());
 }
 
+fn note_end(relay: &Relay, feed: &Feed, passed: u32) {
+    let context = &relay.forwarder.context;
+    let now = context.clock.now();
+    if !context.lines.success(now) {
+        return;
+    }
+    let call = &relay.call;
+    tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, server = %feed.server.id, load = feed.load, returning = call.returning, prompt = call.prompt, predicted_ms = millis(feed.predicted), first_ms = millis(feed.first), total_ms = millis(now.since(call.arrival)), servers = relay.tried.len(), passed, config_age_ms = context.published.age(now).map(millis), "stream passed on");
+}
+
 fn note_left(relay: &Relay, feed: &Feed, passed: u32) {
     metrics::counter!("apricothall_streams_total", "outcome" => "left").increment(1);
     tracing::info!(request = %relay.call.id, server = %feed.server.id, passed, "caller left");
