fix: agents draw from the origin before they fetch from peers

Nobody could load the version, and the old one ran out. Ruled out: the budget of repeats (4 lines in the log), keys (config_age_ms stays below 1,200).

--- a/crates/decide/src/pieces.rs
+++ b/crates/decide/src/pieces.rs
@@ -45,7 +45,7 @@
     pub takeover: Duration,
     /// Delay of each further rank that draws a piece from the origin, which sends slowly.
     pub draw_takeover: Duration,
-    /// Pieces fetched at once.
+    /// Pieces fetched at once from peers.
     pub flights: usize,
     /// Pieces fetched at once from one peer.
     pub depth: usize,
@@ -111,25 +111,24 @@
     peers: &[Holder],
     now: Timestamp,
 ) -> Vec<(ChunkIndex, Source)> {
-    let mut room = config.flights.saturating_sub(flying.all);
-    let mut draws = config.draws.saturating_sub(flying.origin);
     let mut used: Vec<usize> = peers.iter().map(|p| p.flights).collect();
-    let mut chosen = Vec::new();
-    for piece in in_own_order(me, wanted) {
+    let ordered = in_own_order(me, wanted);
+    // The origin is slow and may go away, so its link is kept busy before anything else.
+    let mut chosen: Vec<_> = ordered
+        .iter()
+        .filter(|w| is_drawn(config, me, **w, peers, now))
+        .map(|w| (w.chunk, Source::Origin))
+        .take(config.draws.saturating_sub(flying.origin))
+        .collect();
+    let mut room = config.flights.saturating_sub(flying.all - flying.origin);
+    for piece in ordered {
         if room == 0 {
             break;
         }
-        let Some(source) = source(config, me, piece, peers, &mut used, now) else {
-            continue;
-        };
-        if source == Source::Origin {
-            if draws == 0 {
-                continue;
-            }
-            draws -= 1;
+        if let Some(source) = peer(config, me, piece, peers, &mut used, now) {
+            chosen.push((piece.chunk, source));
+            room -= 1;
         }
-        chosen.push((piece.chunk, source));
-        room -= 1;
     }
     chosen
 }
@@ -145,7 +144,54 @@
     format!("{version}/{chunk}/{use_}").into_bytes()
 }
 
-fn source(
+/// Holders of a piece that may be asked.
+fn holders(piece: Wanted, peers: &[Holder]) -> Vec<usize> {
+    (0..peers.len())
+        .filter(|i| peers[*i].held.contains(piece.chunk) && !peers[*i].down)
+        .collect()
+}
+
+/// Whether another agent, or one of the region, is bringing the piece.
+fn is_under_way(
+    config: &PiecesConfig,
+    me: Fetcher<'_>,
+    piece: Wanted,
+    peers: &[Holder],
+    near: bool,
+    now: Timestamp,
+) -> bool {
+    let mut others = peers.iter().filter(|p| !near || p.region == *me.region);
+    let trusted = now.since(me.since) < config.trust;
+    trusted && others.any(|p| !p.down && p.flying.contains(piece.chunk))
+}
+
+/// Whether this agent is to draw the piece from the origin.
+fn is_drawn(
+    config: &PiecesConfig,
+    me: Fetcher<'_>,
+    piece: Wanted,
+    peers: &[Holder],
+    now: Timestamp,
+) -> bool {
+    let held = !holders(piece, peers).is_empty();
+    if held || is_under_way(config, me, piece, peers, false, now) {
+        return false;
+    }
+    let is_home = |region: &Region| me.home.is_none_or(|home| home == region);
+    let here = is_home(me.region);
+    let mut waited = now.since(me.since);
+    if !here && peers.iter().any(|p| !p.down && is_home(&p.region)) {
+        if waited <= config.trust {
+            return false;
+        }
+        waited = waited.saturating_sub(config.trust);
+    }
+    let rivals = peers.iter().filter(|p| is_home(&p.region) == here);
+    is_turn(config.draw_takeover, me, piece.chunk, rivals, waited)
+}
+
+/// The peer that this agent is to fetch the piece from.
+fn peer(
     config: &PiecesConfig,
     me: Fetcher<'_>,
     piece: Wanted,
@@ -153,43 +199,21 @@
     used: &mut [usize],
     now: Timestamp,
 ) -> Option<Source> {
-    let chunk = piece.chunk;
-    let holders: Vec<usize> = (0..peers.len())
-        .filter(|i| peers[*i].held.contains(chunk) && !peers[*i].down)
-        .collect();
+    let holders = holders(piece, peers);
     let is_near = |i: &usize| peers[*i].region == *me.region;
     if holders.iter().any(is_near) {
-        let near = holders.iter().copied().filter(|i| is_near(i));
-        return take(config, me, chunk, peers, used, near);
+        let near = holders.into_iter().filter(|i| is_near(i));
+        return take(config, me, piece.chunk, peers, used, near);
     }
-    let waited = now.since(me.since);
-    let trusted = waited < config.trust;
-    let under_way = |near: bool| {
-        let mut others = peers.iter().filter(|p| !near || p.region == *me.region);
-        trusted && others.any(|p| !p.down && p.flying.contains(chunk))
-    };
-    if under_way(!holders.is_empty()) {
+    if is_under_way(config, me, piece, peers, true, now) {
         return None;
     }
-    if !holders.is_empty() {
-        let held = now.since(piece.held.unwrap_or(now));
-        let mine = peers.iter().filter(|p| p.region == *me.region);
-        if !is_turn(config.takeover, me, chunk, mine, held) {
-            return None;
-        }
-        return take(config, me, chunk, peers, used, holders.into_iter());
+    let held = now.since(piece.held.unwrap_or(now));
+    let mine = peers.iter().filter(|p| p.region == *me.region);
+    if !is_turn(config.takeover, me, piece.chunk, mine, held) {
+        return None;
     }
-    let is_home = |region: &Region| me.home.is_none_or(|home| home == region);
-    let here = is_home(me.region);
-    let rivals = peers.iter().filter(|p| is_home(&p.region) == here);
-    let elsewhere = !here && peers.iter().any(|p| !p.down && is_home(&p.region));
-    let waited = if elsewhere {
-        waited.saturating_sub(config.trust)
-    } else {
-        waited
-    };
-    let first = !elsewhere || !waited.is_zero();
-    (first && is_turn(config.draw_takeover, me, chunk, rivals, waited)).then_some(Source::Origin)
+    take(config, me, piece.chunk, peers, used, holders.into_iter())
 }
 
 /// The least used of `holders` that has room; among equals each agent has its own order, so that
