--- a/crates/gateway/src/agent/mod.rs
+++ b/crates/gateway/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent beside a model engine: brings it its weights and tells entries how loaded it is.
 
 pub mod engine;
+pub mod fetch;
 pub mod keeper;
 pub mod pieces;
 pub mod shelf;
