fix: the version of a request is looked at again right before it is sent

Change: exchange checks the version after the connection is made, with 0.5 s kept; the request then goes to another server, as nothing was sent.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,6 +20,9 @@
 /// Highest value of the order of admission.
 const LAST_URGENCY: u8 = 9;
 
+/// Time kept between the send of a request on an old version and that version's end.
+const VERSION_MARGIN: Duration = Duration::from_millis(500);
+
 /// How far requests that come back stand behind others of their rank.
 const RETURN_URGENCY: u8 = 4;
 
@@ -35,6 +38,9 @@
     /// The configuration has become too old for keys.
     #[error("the configuration is too old for keys")]
     Stale,
+    /// The version that the request is bound to has run out meanwhile.
+    #[error("the version has run out")]
+    Outdated,
     /// The server says that it did not run the request.
     #[error("refused with {status}")]
     Refused {
@@ -57,7 +63,7 @@
     #[must_use]
     pub const fn end(&self) -> End {
         match self {
-            Self::Connect(_) | Self::Closed | Self::Stale => End::Unsent,
+            Self::Connect(_) | Self::Closed | Self::Stale | Self::Outdated => End::Unsent,
             Self::Refused { .. } => End::Refused,
             Self::Lost(_) | Self::Late | Self::Foreign(_) => End::Lost,
         }
@@ -75,7 +81,10 @@
     /// Whether it speaks against the server's health.
     #[must_use]
     pub const fn is_fault(&self) -> bool {
-        !matches!(self, Self::Refused { .. } | Self::Stale | Self::Closed)
+        !matches!(
+            self,
+            Self::Refused { .. } | Self::Stale | Self::Outdated | Self::Closed
+        )
     }
 }
 
@@ -121,6 +130,9 @@
     if call.account.is_some() && !may_use_keys(context, now) {
         return Err(AttemptError::Stale);
     }
+    if !is_usable(context, call, placed, now) {
+        return Err(AttemptError::Outdated);
+    }
     let left = call.deadline.since(now);
     if left.is_zero() {
         return Err(AttemptError::Closed);
@@ -154,6 +166,16 @@
     })
 }
 
+/// Whether the version that was chosen before the connection was made may still be used.
+fn is_usable(context: &Context, call: &Call, placed: &Placed, now: Timestamp) -> bool {
+    let (Some(version), Some(engines)) = (placed.version, &call.engines) else {
+        return true;
+    };
+    let versions = context.published.versions(&engines.model.name);
+    let allowed = context.settings().bounds.version;
+    versions.is_usable(version, allowed, VERSION_MARGIN, now)
+}
+
 /// A connection; only requests that may run twice use one that could be closing.
 async fn connect(
     context: &Context,
