fix(fleet): a daemon sees the VM list that came before its first look

Cause: the task that passes each VM list on to the view subscribed when it first ran, while the follower was already reading in another task. On a runtime with several threads the first list could be in force before the subscription, which then took it for seen. The agent had no list, so no catalogue entry was its own, and nothing was fetched until the next list.

Ruled out: the loader and the transfers look every 50 ms and miss no signal; the catalogue's own task starts from the present value.

Change: the value in force stands in `InForce`, whose `changes` signals a value that is there already. The same holds for the catalogue. `View::lists` had no user and is gone.

Before: value_before_the_first_look failed.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod extras;
 pub mod history;
 pub mod http_server;
+pub mod in_force;
 pub mod membership;
 pub mod operators;
 pub mod peers;
--- a/crates/fleet/src/subject.rs
+++ b/crates/fleet/src/subject.rs
@@ -14,23 +14,13 @@
 use apricothall_wire::{Connector, Published, PublishedText, Subject};
 use serde_json::{Value as Json, json};
 use smol_str::{SmolStr, format_smolstr};
-use tokio::sync::watch;
+use tokio::sync::watch::Receiver;
 
 use crate::history::History;
+use crate::in_force::{Adopted, InForce};
 use crate::membership::Heard;
 use crate::{StatusBoard, View};
 
-/// A value in force.
-#[derive(Debug)]
-pub struct Adopted<T> {
-    /// Its revision; zero when there is none yet.
-    pub revision: Revision,
-    /// Its text as published.
-    pub text: SmolStr,
-    /// What the text says.
-    pub value: T,
-}
-
 type Parse<T> = fn(&str) -> Result<T, SmolStr>;
 
 /// Follows one subject.
@@ -45,7 +35,7 @@
     connector: Arc<Connector>,
     revisions: Mutex<Revisions>,
     history: Mutex<History>,
-    current: watch::Sender<Arc<Adopted<T>>>,
+    current: InForce<T>,
 }
 
 impl<T: Default + Send + Sync + 'static> Follower<T> {
@@ -62,11 +52,6 @@
         let settings = &context.settings;
         let config = settings.revision.clone();
         let revisions = Revisions::new(SmolStr::new(name), config, context.clock.now());
-        let nothing = Adopted {
-            revision: Revision(0),
-            text: SmolStr::default(),
-            value: T::default(),
-        };
         Ok(Self {
             subject,
             parse,
@@ -78,20 +63,20 @@
             connector: context.part()?,
             revisions: Mutex::new(revisions),
             history: Mutex::default(),
-            current: watch::Sender::new(Arc::new(nothing)),
+            current: InForce::default(),
         })
     }
 
     /// The value in force.
     #[must_use]
     pub fn current(&self) -> Arc<Adopted<T>> {
-        self.current.borrow().clone()
+        self.current.current()
     }
 
-    /// Signals each new value.
+    /// Signals the value in force, unless there is none yet, and then each new one.
     #[must_use]
-    pub fn changes(&self) -> watch::Receiver<Arc<Adopted<T>>> {
-        self.current.subscribe()
+    pub fn changes(&self) -> Receiver<Arc<Adopted<T>>> {
+        self.current.changes()
     }
 
     /// The value in force for a daemon that has the text with digest `base`.
@@ -216,7 +201,7 @@
         let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
         history.push(stamp.digest, adopted.text.clone());
         drop(history);
-        self.current.send_replace(Arc::new(adopted));
+        self.current.adopt(adopted);
         tracing::info!(subject = ?self.subject, role = %self.role, %revision, "in force");
     }
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -111,12 +111,6 @@
         self.list.borrow().clone()
     }
 
-    /// Signals each new VM list.
-    #[must_use]
-    pub fn lists(&self) -> watch::Receiver<Arc<VmList>> {
-        self.list.subscribe()
-    }
-
     /// Signals each change of the view.
     #[must_use]
     pub fn changes(&self) -> watch::Receiver<u64> {
--- /dev/null
+++ b/crates/fleet/tests/in_force.rs
@@ -0,0 +1,34 @@
+//! Whoever follows a subject sees the value in force, however late it subscribes.
+
+use apricothall_fleet::in_force::{Adopted, InForce};
+use apricothall_types::Revision;
+
+fn adopted(revision: u64) -> Adopted<u64> {
+    Adopted {
+        revision: Revision(revision),
+        value: revision,
+        ..Adopted::default()
+    }
+}
+
+/// The order of events at an agent's start that left it without a VM list: the list came before
+/// the task that passes it on had run for the first time.
+#[test]
+fn value_before_the_first_look() {
+    let subject = InForce::default();
+    subject.adopt(adopted(7));
+    let mut changes = subject.changes();
+    assert!(changes.has_changed().expect("open"));
+    assert_eq!(changes.borrow_and_update().value, 7);
+    assert!(!changes.has_changed().expect("open"));
+}
+
+#[test]
+fn value_after_the_first_look() {
+    let subject = InForce::default();
+    let mut changes = subject.changes();
+    assert!(!changes.has_changed().expect("open"));
+    subject.adopt(adopted(7));
+    assert!(changes.has_changed().expect("open"));
+    assert_eq!(changes.borrow_and_update().value, 7);
+}
