fix(decide): with all servers ejected the fastest of them is tried

Ruled out: the bound on the share of ejected servers, which holds over all servers of a daemon and not over those of one service.

Change: where no candidate looks sound, all of them count.

Before: all_ejected_and_the_faster_one_is_tried failed (Nobody).

--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -109,7 +109,9 @@
     let gap = need
         .gap
         .map_or(Duration::MAX, |gap| gap * config.margin / 100);
-    let is_open = |c: &Candidate| c.permit == Permit::Open;
+    // With none that looks sound, one that does not is still better than a sure refusal.
+    let sound = candidates.iter().any(|c| c.permit == Permit::Open);
+    let is_open = |c: &Candidate| !sound || c.permit == Permit::Open;
     let calm = candidates.iter().any(|c| is_open(c) && c.pause <= gap);
     let open = || {
         let all = candidates.iter().enumerate();
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -72,6 +72,9 @@
         [full(300), Candidate { distance: Distance::Far, ..candidate(100) }] => Choice::Send(1);
     an_ejected_one_gets_nothing: fresh(),
         [Candidate { permit: Permit::Ejected, ..candidate(10) }, candidate(200)] => Choice::Send(1);
+    all_ejected_and_the_faster_one_is_tried: fresh(),
+        [Candidate { permit: Permit::Ejected, ..candidate(200) },
+         Candidate { permit: Permit::Ejected, ..candidate(100) }] => Choice::Send(1);
     a_recovered_one_is_tried_with_one_request: fresh(),
         [candidate(10), Candidate { permit: Permit::Probe, ..candidate(200) }] => Choice::Send(1);
     the_own_engine_among_equals: fresh(),
