test: a fault soak with real entries

Four entries of the machines' deployment run as processes of their own, with a store and four servers behind loopback proxies. A seeded series kills, stops, freezes and starts entries, delays, stalls, cuts (one way), resets and refuses connections to the store and to servers, drains and replaces servers and takes a key away, in steps that overlap. Callers keep their connections.

Checked from what callers and servers see: a booking runs once, what was refused as not run never ran, a success is the server's whole answer, a stream has all its events in order, no key works 5.5 s after it was taken away, each request has its end in its route's time, and each entry serves again within 8 s once the faults have ended.

Agents and weights, clocks and narrow links are not in it.

`Process::spawn_with` sets variables of the environment; the stand-ins of platform/tests are shared, so that names of the wire stay there.

--- /dev/null
+++ b/crates/apricotd/tests/soak.rs
@@ -0,0 +1,122 @@
+//! Random faults against entries of the machines' deployment, each a process of its own.
+//!
+//! `cargo test -p apricotd --test soak` plays the seeds that are kept. More with
+//! `SOAK_FIRST=100 SOAK_SEEDS=50 cargo test -p apricotd --test soak -- --ignored --nocapture`.
+
+#[path = "soak/check.rs"]
+mod check;
+#[allow(dead_code, reason = "no test uses all of it")]
+#[path = "../../../platform/tests/standin/mod.rs"]
+mod standin;
+#[path = "soak/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use check::Checks;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use world::World;
+
+/// Length of one play.
+const PLAY: Duration = Duration::from_secs(12);
+
+/// Time between two requests of one caller.
+const PACE: Duration = Duration::from_millis(15);
+
+/// Callers at once.
+const CALLERS: u32 = 4;
+
+/// Plays `seed` and returns the promises that were broken.
+async fn play(seed: u64) -> Vec<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut world = World::start(seed).await;
+    let checks = Checks::new(&world);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let checks = checks.clone();
+            let rng = ChaCha8Rng::seed_from_u64(seed * u64::from(CALLERS) + u64::from(caller));
+            tokio::spawn(call(checks, caller, rng))
+        })
+        .collect();
+    let ends = tokio::time::Instant::now() + PLAY;
+    while tokio::time::Instant::now() < ends {
+        let step = disturb(&mut world, &checks, &mut rng).await;
+        eprintln!("seed {seed}: {step}");
+        tokio::time::sleep(Duration::from_millis(rng.random_range(50..900))).await;
+    }
+    world.settle().await;
+    checks.serves_again().await;
+    for caller in callers {
+        caller.abort();
+        // A caller that was cut off has no answer to check.
+        let _ = caller.await;
+    }
+    let broken = checks.broken();
+    if !broken.is_empty() {
+        eprintln!("seed {seed}: logs in {}", world.keep_logs().display());
+    }
+    world.close().await;
+    broken
+}
+
+/// Requests of one caller, one after the other.
+async fn call(checks: Checks, caller: u32, mut rng: ChaCha8Rng) {
+    for number in 0.. {
+        let path = ["/read/1", "/book/1", "/book/2", "/draft/1"]
+            .choose(&mut rng)
+            .expect("some");
+        checks.ask(&format!("c{caller}-{number}"), path).await;
+        tokio::time::sleep(PACE).await;
+    }
+}
+
+/// Does one thing to the world; faults of several steps overlap.
+async fn disturb(world: &mut World, checks: &Checks, rng: &mut ChaCha8Rng) -> String {
+    let entry = rng.random_range(0..world::ENTRIES);
+    let server = rng.random_range(0..world::SERVERS);
+    match rng.random_range(0..10) {
+        0 => world.kill(entry).await,
+        1 => world.terminate(entry).await,
+        2 => world.freeze(entry, checks),
+        3 => world.thaw_all(),
+        4 => world.harm_server(server, rng),
+        5 => world.harm_store(rng),
+        6 => world.drain(server),
+        7 => world.replace(server),
+        8 => world.revoke(checks),
+        _ => world.heal(),
+    }
+}
+
+macro_rules! kept_seeds {
+    ($($case:ident: $seed:literal;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            let broken = play($seed).await;
+            assert!(broken.is_empty(), "seed {}: {broken:#?}", $seed);
+        })*
+    };
+}
+
+kept_seeds! {
+    seed_1: 1;
+    seed_2: 2;
+}
+
+/// Many seeds by hand; the first and their number come from the environment.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes minutes; see the head of this file"]
+async fn fresh_seeds() {
+    let number = |name: &str, other| std::env::var(name).map_or(other, |t| t.parse().expect(name));
+    let first: u64 = number("SOAK_FIRST", 1_000);
+    let mut failed = Vec::new();
+    for seed in first..first + number("SOAK_SEEDS", 10) {
+        let broken = play(seed).await;
+        if !broken.is_empty() {
+            failed.push((seed, broken));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
--- /dev/null
+++ b/crates/apricotd/tests/soak/world.rs
@@ -0,0 +1,352 @@
+//! The processes, the stand-ins between them, and what is done to them.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use apricothall_standin::addresses::Addresses;
+use apricothall_standin::network::{Fault, Network, Place, Port, Rule, Shape, Side};
+use apricothall_standin::process::Process;
+use apricothall_standin::proxy::{Proxy, Target};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinHandle;
+
+use crate::check::Checks;
+use crate::standin::{
+    Act, KEY, Request, Seen, Store, answer, boot_file, events, listen, refusal, serve,
+};
+
+/// Entries.
+pub const ENTRIES: usize = 4;
+
+/// Backend servers.
+pub const SERVERS: usize = 4;
+
+/// First port of an entry; each entry has an address of its own.
+const PORT: u16 = 7_100;
+
+/// Time for which faults are gone before the end of a play.
+const SETTLE: Duration = Duration::from_secs(4);
+
+/// Events of a whole stream.
+pub const EVENTS: u32 = 8;
+
+fn luck(id: &str) -> u32 {
+    id.bytes().fold(7, |sum, b| (sum * 31 + u32::from(b)) % 997)
+}
+
+/// Whether servers refuse the request with this id without having run it.
+pub fn refuses(id: &str) -> bool {
+    luck(id) % 23 == 3
+}
+
+/// A server: most answers are whole, some are refused, fail or break off, by the request's id.
+fn script(request: &Request, _: usize) -> Act {
+    let id = request.attempt();
+    let luck = luck(id);
+    if request.line.starts_with("GET /draft/") {
+        return draft(request, luck);
+    }
+    let whole = answer(request, "200 OK", &format!("done {id}"));
+    match luck % 23 {
+        0 => Act::Cut(whole.replace("done", "do")),
+        1 => Act::Cut(String::new()),
+        2 => Act::Send(answer(request, "500 Oops", "sorry")),
+        3 => Act::Send(refusal(request)),
+        _ => Act::Send(whole),
+    }
+}
+
+fn draft(request: &Request, luck: u32) -> Act {
+    match request.last_event() {
+        None if luck.is_multiple_of(5) => {
+            Act::Cut(events(request, 1, 3, false) + "20\r\nid: 4\ndata: hal")
+        }
+        last => Act::Send(events(request, last.unwrap_or(0) + 1, EVENTS, true)),
+    }
+}
+
+struct Entry {
+    name: String,
+    ip: IpAddr,
+    process: Option<Process>,
+    frozen: bool,
+}
+
+/// All processes and stand-ins of one play.
+pub struct World {
+    entries: Vec<Entry>,
+    store: Store,
+    store_at: SocketAddr,
+    network: Network,
+    proxies: Vec<Proxy>,
+    tasks: Vec<JoinHandle<()>>,
+    lives: Vec<u32>,
+    version: u32,
+    /// What each server has seen.
+    pub seen: Vec<Seen>,
+    folder: PathBuf,
+    _addresses: Addresses,
+}
+
+fn place(id: &str) -> Place {
+    Place {
+        id: id.into(),
+        region: "r".parse().expect("valid"),
+        zone: "a".parse().expect("valid"),
+        client: false,
+    }
+}
+
+impl World {
+    /// Starts all, and waits until the entries serve.
+    pub async fn start(seed: u64) -> Self {
+        let mut addresses = Addresses::reserve().expect("addresses");
+        let network = Network::new(Shape::default(), seed);
+        let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let store = Store::default();
+        let (listener, behind) = listen().await;
+        let mut tasks = vec![tokio::spawn(store.clone().serve(listener))];
+        let mut proxies = vec![proxy(&network, "store", behind).await];
+        let mut servers = Vec::new();
+        for index in 0..SERVERS {
+            let (listener, behind) = listen().await;
+            let watched = Seen::default();
+            servers.push(watched.clone());
+            tasks.push(tokio::spawn(serve(listener, script, watched)));
+            proxies.push(proxy(&network, &format!("server-{index}"), behind).await);
+        }
+        let entries = (0..ENTRIES).map(|index| Entry {
+            name: format!("entry-{index}"),
+            ip: addresses.take().expect("an address"),
+            process: None,
+            frozen: false,
+        });
+        let mut world = Self {
+            entries: entries.collect(),
+            store,
+            store_at: proxies[0].address(),
+            network,
+            proxies,
+            tasks,
+            lives: vec![0; SERVERS],
+            version: 0,
+            seen: servers,
+            folder,
+            _addresses: addresses,
+        };
+        world.configure(&format!("\"{KEY}\",\"spare\""));
+        for server in 0..SERVERS {
+            world.list(server, "ready");
+        }
+        for entry in 0..ENTRIES {
+            world.run(entry);
+        }
+        world.ready().await;
+        world
+    }
+
+    /// Addresses for callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let at = |e: &Entry| SocketAddr::new(e.ip, PORT + 1);
+        self.entries.iter().map(at).collect()
+    }
+
+    fn run(&mut self, index: usize) {
+        let seed = self.entries[0].ip;
+        let store = self.store_at;
+        let entry = &mut self.entries[index];
+        let file = self.folder.join(format!("{}.toml", entry.name));
+        std::fs::write(&file, boot_file(&entry.name, entry.ip, PORT, seed, store))
+            .expect("written");
+        let program = Path::new(env!("CARGO_BIN_EXE_apricotd"));
+        let args = ["entry", "--machine"];
+        let variables = [("APRICOTHALL_BOOT", file.as_path())];
+        let process = Process::spawn_with(&entry.name, program, &args, &variables, &self.folder);
+        entry.process = Some(process.expect("starts"));
+        entry.frozen = false;
+    }
+
+    async fn ready(&self) {
+        for entry in &self.entries {
+            let ready = SocketAddr::new(entry.ip, PORT + 2);
+            let is_up = async {
+                while !crate::check::is_ready(ready).await {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            };
+            let up = tokio::time::timeout(crate::standin::WAIT, is_up).await;
+            up.unwrap_or_else(|_| panic!("{} does not serve", entry.name));
+        }
+    }
+
+    fn configure(&mut self, keys: &str) {
+        self.version += 1;
+        self.store.configure(keys, self.version);
+    }
+
+    /// Lists the present life of a server.
+    fn list(&self, server: usize, state: &str) {
+        let life = self.lives[server];
+        let address = self.proxies[server + 1].address();
+        self.store
+            .put_server(&format!("i-{server}-{life}"), address, state);
+    }
+
+    /// Kills an entry and starts it again.
+    pub async fn kill(&mut self, index: usize) -> String {
+        if let Some(process) = self.entries[index].process.take() {
+            process.kill();
+            process.close().await;
+        }
+        self.run(index);
+        format!("entry {index} killed and started")
+    }
+
+    /// Stops an entry as an operator does, and starts it again.
+    pub async fn terminate(&mut self, index: usize) -> String {
+        if self.entries[index].frozen {
+            return format!("entry {index} is frozen");
+        }
+        if let Some(mut process) = self.entries[index].process.take() {
+            process.terminate();
+            // One that does not end by itself is killed, as a platform would.
+            if process.wait(Duration::from_secs(8)).await.is_err() {
+                process.close().await;
+            }
+        }
+        self.run(index);
+        format!("entry {index} stopped and started")
+    }
+
+    /// Stops an entry's processor.
+    pub fn freeze(&mut self, index: usize, checks: &Checks) -> String {
+        let entry = &mut self.entries[index];
+        checks.excuse(entry.ip);
+        if let Some(process) = &entry.process {
+            process.freeze();
+            entry.frozen = true;
+        }
+        format!("entry {index} frozen")
+    }
+
+    /// Lets all entries run again.
+    pub fn thaw_all(&mut self) -> String {
+        for entry in self.entries.iter_mut().filter(|e| e.frozen) {
+            if let Some(process) = &entry.process {
+                process.thaw();
+            }
+            entry.frozen = false;
+        }
+        "entries thawed".into()
+    }
+
+    /// Harms the way to a server.
+    pub fn harm_server(&self, server: usize, rng: &mut ChaCha8Rng) -> String {
+        self.harm(&format!("server-{server}"), rng)
+    }
+
+    /// Harms the way to the store.
+    pub fn harm_store(&self, rng: &mut ChaCha8Rng) -> String {
+        self.harm("store", rng)
+    }
+
+    fn harm(&self, id: &str, rng: &mut ChaCha8Rng) -> String {
+        let delay = Fault::Delay {
+            base: Duration::from_millis(rng.random_range(5..200)),
+            jitter: Duration::from_millis(100),
+        };
+        let faults = [delay, Fault::Stall, Fault::Cut, Fault::Reset, Fault::Refuse];
+        let fault = faults.choose(rng).expect("some").clone();
+        let (there, back) = (Side::Any, Side::vm(id));
+        let text = format!("{id}: {fault:?}");
+        // One way or the other, so that half of the faults lose answers only.
+        let (from, to) = if rng.random_bool(0.5) {
+            (there, back)
+        } else {
+            (back, there)
+        };
+        let rule = Rule::new(from, to, fault);
+        self.network.inject(rule);
+        text
+    }
+
+    /// Lifts all faults of the network.
+    pub fn heal(&self) -> String {
+        self.network.heal();
+        "network healed".into()
+    }
+
+    /// A server is about to leave.
+    pub fn drain(&self, server: usize) -> String {
+        self.list(server, "draining");
+        format!("server {server} drains")
+    }
+
+    /// A server has a new life at its address.
+    pub fn replace(&mut self, server: usize) -> String {
+        self.list(server, "gone");
+        self.lives[server] += 1;
+        self.list(server, "ready");
+        format!("server {server} has a new life")
+    }
+
+    /// Takes a key away that callers use.
+    pub fn revoke(&mut self, checks: &Checks) -> String {
+        if !checks.use_spare() {
+            return "the key is gone already".into();
+        }
+        self.configure("\"spare\"");
+        "key taken away".into()
+    }
+
+    /// Ends all faults.
+    pub async fn settle(&mut self) {
+        self.thaw_all();
+        self.network.heal();
+        for server in 0..SERVERS {
+            self.list(server, "ready");
+        }
+        tokio::time::sleep(SETTLE).await;
+        self.ready().await;
+    }
+
+    /// Leaves the logs where they are.
+    pub fn keep_logs(&mut self) -> PathBuf {
+        let kept = self.folder.with_extension("failed");
+        // A play of the same seed by this process may have left logs.
+        let _ = std::fs::remove_dir_all(&kept);
+        std::fs::rename(&self.folder, &kept).expect("moved");
+        kept
+    }
+
+    /// Ends the processes that this play started.
+    pub async fn close(self) {
+        for entry in self.entries {
+            if let Some(process) = entry.process {
+                process.close().await;
+            }
+        }
+        for proxy in self.proxies {
+            proxy.close().await;
+        }
+        for task in self.tasks {
+            task.abort();
+        }
+        // Moved away if a promise was broken.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+async fn proxy(network: &Network, id: &str, behind: SocketAddr) -> Proxy {
+    let target = Target {
+        listen: SocketAddr::new(behind.ip(), 0),
+        behind,
+        place: place(id),
+        port: Port::Platform,
+    };
+    Proxy::start(network, target).await.expect("a proxy")
+}
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -25,10 +25,25 @@
     /// # Errors
     /// When the log cannot be opened or the program cannot be started.
     pub fn spawn(name: &str, program: &Path, args: &[&str], dir: &Path) -> io::Result<Self> {
+        Self::spawn_with(name, program, args, &[], dir)
+    }
+
+    /// The same with variables of the environment beside the inherited ones.
+    ///
+    /// # Errors
+    /// As [`Process::spawn`].
+    pub fn spawn_with(
+        name: &str,
+        program: &Path,
+        args: &[&str],
+        variables: &[(&str, &Path)],
+        dir: &Path,
+    ) -> io::Result<Self> {
         let log = dir.join(format!("{name}.log"));
         let output = File::options().create(true).append(true).open(&log)?;
         let child = Command::new(program)
             .args(args)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
             .stderr(output)
