feat(apricotctl): the story of a request from logs, and machine settings

`apricotctl story ID [LOG...]` reads JSON lines of several processes from files or standard input and prints those about one request in order, with the fields that decided each step; what stands before the JSON names the process.

The issue calls it `explain`; that command asks a daemon of the product's own deployments.

--- a/crates/apricotctl/src/check.rs
+++ b/crates/apricotctl/src/check.rs
@@ -1,6 +1,6 @@
 //! `apricotctl check`: settings and catalogues, by the code that daemons run.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use apricothall_kernel::Settings;
 use apricothall_kernel::settings::DEFAULT_FILE;
@@ -14,6 +14,7 @@
 const EXAMPLES: &str = "Examples:
   apricotctl check lima-entry-1.toml
   apricotctl check --role agent lima-agent-1.toml
+  apricotctl check --machine /etc/apricothall/node.toml
   apricotctl check --catalogue catalogue.toml
   apricotctl check --print-default > lima-entry-1.toml";
 
@@ -22,11 +23,14 @@
 #[command(after_help = EXAMPLES)]
 pub struct CheckArguments {
     /// Settings files.
-    #[arg(required_unless_present_any = ["catalogue", "print_default"])]
+    #[arg(required_unless_present_any = ["catalogue", "machine", "print_default"])]
     files: Vec<PathBuf>,
     /// Role that the settings are for; guessed from the sections when absent.
     #[arg(long)]
     role: Option<Role>,
+    /// A settings file as a platform hands it to its machines.
+    #[arg(long, value_name = "FILE")]
+    machine: Option<PathBuf>,
     /// A catalogue file.
     #[arg(long, value_name = "FILE")]
     catalogue: Option<PathBuf>,
@@ -60,6 +64,9 @@
             println!("{}: fine, settings of {role} {id}", path.display());
         }
     }
+    if let Some(path) = &arguments.machine {
+        check_machine(path, arguments.json)?;
+    }
     let Some(path) = &arguments.catalogue else {
         return Ok(());
     };
@@ -79,3 +86,20 @@
     }
     Ok(())
 }
+
+fn check_machine(path: &Path, json: bool) -> Result<(), ControlError> {
+    let name = path.display();
+    let text = std::fs::read_to_string(path)?;
+    let settings = apricothall_platform::read_text(&text)
+        .map_err(|e| ControlError::Refused(format_smolstr!("{name}: {e}")))?;
+    let (id, role) = (&settings.id, settings.role);
+    if json {
+        println!(
+            "{}",
+            json!({ "file": path, "role": role, "id": id, "fine": true })
+        );
+    } else {
+        println!("{name}: fine, machine settings of {role} {id}");
+    }
+    Ok(())
+}
--- a/crates/apricotctl/src/main.rs
+++ b/crates/apricotctl/src/main.rs
@@ -12,6 +12,7 @@
 mod operator;
 mod request;
 mod status;
+mod story;
 mod table;
 
 use error::ControlError;
@@ -38,6 +39,8 @@
     Catalogue(operator::Target),
     /// Shows why a request would be routed, limited or refused.
     Explain(explain::ExplainArguments),
+    /// Shows what became of a request, from log lines.
+    Story(story::StoryArguments),
     /// Sends one request through an entry.
     Request(request::RequestArguments),
     /// Prints completions for a shell.
@@ -69,6 +72,7 @@
         Command::Entries(arguments) => runtime.block_on(entries::run(&arguments)),
         Command::Catalogue(target) => runtime.block_on(catalogue::run(&target)),
         Command::Explain(arguments) => runtime.block_on(explain::run(&arguments)),
+        Command::Story(arguments) => story::run(&arguments),
         Command::Request(arguments) => runtime.block_on(request::run(arguments)),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
--- a/crates/apricotctl/tests/commands.rs
+++ b/crates/apricotctl/tests/commands.rs
@@ -33,3 +33,60 @@
     silent_entry_fails: ["entries", "--entry", "127.0.0.1:1"] => 1, "cannot connect";
     model_or_service_is_usage: ["request", "--entry", "127.0.0.1:1"] => 2, "--model";
 }
+
+fn file(name: &str, text: &str) -> String {
+    let path = std::env::temp_dir().join(format!("apricotctl-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("written");
+    path.to_str().expect("valid").to_owned()
+}
+
+const SECOND: &str = r#"{"timestamp":"2026-12-04T04:00:01.2Z","level":"INFO","message":"refused","request":"q1","reason":"no room in time"}
+{"timestamp":"2026-12-04T04:00:01.3Z","level":"INFO","message":"answered","request":"q10"}
+not a line of ours, though it names q1 {
+"#;
+
+const FIRST: &str = r#"  1.1 entry-2 {"timestamp":"2026-12-04T04:00:01.1Z","level":"INFO","message":"attempt failed","request":"q1","server":"s4"}
+"#;
+
+#[test]
+fn a_story_is_told_over_processes_in_order() {
+    let logs = [file("second.log", SECOND), file("first.log", FIRST)];
+    let output = run(&["story", "q1", &logs[0], &logs[1]]);
+    assert_eq!(output.status.code(), Some(0));
+    let text = String::from_utf8_lossy(&output.stdout);
+    let at = |part: &str| text.find(part).unwrap_or_else(|| panic!("{part}: {text}"));
+    assert!(at("attempt failed") < at("refused"), "{text}");
+    assert!(at("entry-2") < at("no room in time"), "{text}");
+    assert!(!text.contains("answered"), "another request: {text}");
+    for log in logs {
+        std::fs::remove_file(log).expect("removed");
+    }
+}
+
+#[test]
+fn a_request_without_lines_is_said_so() {
+    let log = file("empty.log", SECOND);
+    let output = run(&["story", "q2", &log]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("no line tells of request q2"));
+    std::fs::remove_file(log).expect("removed");
+}
+
+macro_rules! machine_settings {
+    ($($case:ident: $text:expr => $message:expr;)*) => {
+        $(#[test] fn $case() {
+            let path = file(concat!(stringify!($case), ".toml"), $text);
+            let output = run(&["check", "--machine", &path]);
+            assert_eq!(output.status.code(), Some(1));
+            let text = String::from_utf8_lossy(&output.stderr);
+            assert!(text.contains(&path) && text.contains($message), "{text}");
+            std::fs::remove_file(path).expect("removed");
+        })*
+    };
+}
+
+machine_settings! {
+    empty_settings: "" => "missing field";
+    settings_of_another_format: "nodeName = [" => "line 1";
+    settings_with_text_for_a_list: "nodeName = \"a\"\ninternalPorts = \"7000\"" => "line 2";
+}
