--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod configs;
 
 pub mod admission;
+pub mod cadence;
 pub mod claims;
 pub mod dedupe;
 pub mod delta;
@@ -20,6 +21,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod rank;
+pub mod readers;
 pub mod reload;
 pub mod repeat;
 pub mod retry;
--- a/crates/decide/src/pieces.rs
+++ b/crates/decide/src/pieces.rs
@@ -59,7 +59,7 @@
     fn default() -> Self {
         Self {
             takeover: Duration::from_millis(500),
-            draw_takeover: Duration::from_millis(1_600),
+            draw_takeover: Duration::from_millis(900),
             flights: 3,
             depth: 2,
             draws: 2,
@@ -99,6 +99,9 @@
     pub since: Timestamp,
     /// Text that tells versions apart in the ranking.
     pub subject: &'a str,
+    /// Other agents of the region that share the work, whether or not they have begun: all of
+    /// them must divide the pieces alike, though they learn of each other's beginning late.
+    pub mates: &'a [MemberId],
 }
 
 /// Which of the `wanted` pieces to fetch now, and from where. `flying` are under way.
@@ -180,14 +183,13 @@
     let is_home = |region: &Region| me.home.is_none_or(|home| home == region);
     let here = is_home(me.region);
     let mut waited = now.since(me.since);
-    if !here && peers.iter().any(|p| !p.down && is_home(&p.region)) {
+    if !here && peers.iter().any(|p| is_home(&p.region)) {
         if waited <= config.trust {
             return false;
         }
         waited = waited.saturating_sub(config.trust);
     }
-    let rivals = peers.iter().filter(|p| is_home(&p.region) == here);
-    is_turn(config.draw_takeover, me, piece.chunk, rivals, waited)
+    is_turn(config.draw_takeover, me, piece.chunk, waited)
 }
 
 /// The peer that this agent is to fetch the piece from.
@@ -209,8 +211,7 @@
         return None;
     }
     let held = now.since(piece.held.unwrap_or(now));
-    let mine = peers.iter().filter(|p| p.region == *me.region);
-    if !is_turn(config.takeover, me, piece.chunk, mine, held) {
+    if !is_turn(config.takeover, me, piece.chunk, held) {
         return None;
     }
     take(config, me, piece.chunk, peers, used, holders.into_iter())
@@ -236,19 +237,24 @@
 
 /// Whether the agents before this one have had their time. In the order of their ids each has
 /// every n-th piece, so that all have equally many, and the next in order follows.
-fn is_turn<'a>(
-    takeover: Duration,
-    me: Fetcher<'_>,
-    chunk: ChunkIndex,
-    peers: impl Iterator<Item = &'a Holder>,
-    waited: Duration,
-) -> bool {
+fn is_turn(takeover: Duration, me: Fetcher<'_>, chunk: ChunkIndex, waited: Duration) -> bool {
     let mut before = 0;
     let mut all = 1;
-    for peer in peers.filter(|p| !p.down) {
+    for mate in me.mates {
         all += 1;
-        before += u32::from(peer.id < *me.id);
+        before += u32::from(mate < me.id);
     }
     let turn = (before + all - chunk.0 % all) % all;
     waited >= takeover.saturating_mul(turn)
 }
+
+/// Connections to the origin at once, over all agents of its region: enough to fill its link, and
+/// fewer than it accepts.
+const DRAWS: usize = 24;
+
+/// Pieces that each of the `agents` of the origin's region draws at once.
+#[must_use]
+pub fn draws(agents: usize) -> usize {
+    let most = PiecesConfig::default().draws;
+    (DRAWS / agents.max(1)).clamp(1, most)
+}
--- /dev/null
+++ b/crates/decide/src/readers.rs
@@ -0,0 +1,58 @@
+//! Which daemons read the platform's store for all others.
+//!
+//! Calls to the store are dear and bounded, so a few entries of each availability zone read it and
+//! the rest learn from them. There is no election: each daemon decides by whom it hears, so for a
+//! while there may be more readers than needed, which harms nothing, and with nobody heard each
+//! daemon reads. Two of a zone do, so that the silence of one delays nothing.
+
+use apricothall_types::{MemberId, Role};
+
+/// Another daemon heard lately that serves and that the store answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sound<'a> {
+    /// Its id.
+    pub id: &'a MemberId,
+    /// Its role.
+    pub role: Role,
+    /// Whether it is in the zone of the daemon that decides.
+    pub near: bool,
+}
+
+/// What a daemon does about the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It reads, as the first of its zone.
+    First,
+    /// It reads as well, and confirms what is held only if the first does not.
+    Second,
+    /// It learns from others.
+    Learns,
+}
+
+impl Turn {
+    /// Whether it reads.
+    #[must_use]
+    pub fn reads(self) -> bool {
+        self != Self::Learns
+    }
+}
+
+/// The turn of the daemon `own`. `others` are the sound ones it hears.
+#[must_use]
+pub fn turn<'a>(own: &MemberId, role: Role, others: impl Iterator<Item = Sound<'a>>) -> Turn {
+    let mut before = 0;
+    let mut entries = 0;
+    for other in others.filter(|o| o.near) {
+        before += u32::from(other.role == role && other.id < own);
+        entries += u32::from(other.role == Role::Entry);
+    }
+    // Agents learn from entries as long as there are any in the zone.
+    if role == Role::Agent && entries > 0 {
+        return Turn::Learns;
+    }
+    match before {
+        0 => Turn::First,
+        1 => Turn::Second,
+        _ => Turn::Learns,
+    }
+}
--- a/crates/decide/src/reload.rs
+++ b/crates/decide/src/reload.rs
@@ -58,6 +58,34 @@
 
 const WHOLE: usize = 100;
 
+/// A version whose fetch is under way when a newer one is named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unfinished {
+    /// Pieces of it that this agent or another one holds.
+    pub gathered: u32,
+    /// All its pieces.
+    pub pieces: u32,
+    /// When it must be out of use.
+    pub due: Timestamp,
+}
+
+/// Part of a version's pieces that must be gathered for its fetch to go on, in percent.
+const GATHERED_PART: u32 = 25;
+
+/// Time of use for which loading a version is worth its cost.
+pub const WORTH: Duration = Duration::from_millis(1_500);
+
+/// Whether the fetch of a version goes on though a newer one is named. What has left the origin
+/// reaches all agents soon, while the newer version has yet to leave it, and it may go away
+/// before; and the version before both runs out first.
+#[must_use]
+pub fn finishes_first(unfinished: Unfinished, now: Timestamp) -> bool {
+    let gathered = u64::from(unfinished.gathered) * 100;
+    unfinished.pieces > 0
+        && gathered >= u64::from(unfinished.pieces) * u64::from(GATHERED_PART)
+        && now + WORTH < unfinished.due
+}
+
 /// Whether the engine of `one` loads before that of `other`, if both could.
 #[must_use]
 pub fn loads_before(one: &MemberId, other: &MemberId) -> bool {
--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -51,6 +51,24 @@
     pub loaded: Vec<Loaded>,
 }
 
+/// A server in a [`Listing`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// The server.
+    pub server: Server,
+    /// Whether its entry has lapsed and may still come back.
+    pub missing: bool,
+}
+
+/// The servers known to one daemon, for another.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// The servers.
+    pub servers: Vec<Listed>,
+    /// Time for which entries that have lapsed may still come back.
+    pub restoring: Duration,
+}
+
 /// Settings of [`Servers`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServersConfig {
@@ -77,6 +95,9 @@
 pub struct Servers {
     config: ServersConfig,
     known: BTreeMap<MemberId, Known>,
+    /// The latest start at each address. The entry of a server that has died stays for a while,
+    /// beside that of the server which has its address now.
+    latest: BTreeMap<SocketAddr, WallTime>,
     away: bool,
     returned: Option<Timestamp>,
 }
@@ -113,15 +134,28 @@
 
     /// Takes one entry as written.
     pub fn put(&mut self, server: Server) {
+        self.insert(server, false);
+        self.index();
+    }
+
+    fn insert(&mut self, server: Server, missing: bool) {
         let id = server.id.clone();
-        let missing = false;
         self.known.insert(id, Known { server, missing });
     }
 
+    /// Notes who holds each address.
+    fn index(&mut self) {
+        self.latest.clear();
+        for Known { server, .. } in self.known.values() {
+            let latest = self.latest.entry(server.address).or_default();
+            *latest = server.born.max(*latest);
+        }
+    }
+
     /// Takes the removal of an entry.
     pub fn remove(&mut self, id: &MemberId, now: Timestamp) {
         if !self.restoring(now) {
-            self.known.remove(id);
+            self.forget(id);
             return;
         }
         if let Some(known) = self.known.get_mut(id) {
@@ -131,7 +165,9 @@
 
     /// Drops an entry whose present value names no server.
     pub fn forget(&mut self, id: &MemberId) {
-        self.known.remove(id);
+        if self.known.remove(id).is_some() {
+            self.index();
+        }
     }
 
     /// Takes the whole list: servers that it lacks are removed.
@@ -146,23 +182,48 @@
             self.remove(&id, now);
         }
         for server in list {
-            self.put(server);
+            self.insert(server, false);
         }
+        self.index();
     }
 
-    /// Takes the list of a peer that reaches the store: just these servers are known from now on.
-    pub fn adopt(&mut self, list: Vec<Server>) {
+    /// All that is known here, for a daemon that does not read the store.
+    #[must_use]
+    pub fn listing(&self, now: Timestamp) -> Listing {
+        let listed = self.known.values().map(|k| Listed {
+            server: k.server.clone(),
+            missing: k.missing,
+        });
+        let left = |at: Timestamp| self.config.restore.saturating_sub(now.since(at));
+        Listing {
+            servers: listed.collect(),
+            restoring: self.returned.map(left).unwrap_or_default(),
+        }
+    }
+
+    /// Takes what a peer knows that reads the store: just these servers are known from now on.
+    pub fn adopt(&mut self, listing: Listing, now: Timestamp) {
         self.known.clear();
-        for server in list {
-            self.put(server);
+        for Listed { server, missing } in listing.servers {
+            self.insert(server, missing);
         }
+        self.index();
+        let since = self.config.restore.saturating_sub(listing.restoring);
+        self.returned = Some(now - since);
+    }
+
+    /// Notes that others read the store from now on.
+    pub const fn leave_reading(&mut self) {
+        self.away = false;
     }
 
     /// Drops servers that are still missing once entries would have come back.
     pub fn expire(&mut self, now: Timestamp) {
-        if !self.restoring(now) {
-            self.known.retain(|_, k| !k.missing);
+        if self.restoring(now) || !self.known.values().any(|k| k.missing) {
+            return;
         }
+        self.known.retain(|_, k| !k.missing);
+        self.index();
     }
 
     /// All servers known, draining ones included.
@@ -178,8 +239,13 @@
 
     /// Servers of `service` that take new requests.
     pub fn ready<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Server> {
-        self.iter()
-            .filter(move |s| s.service == service && s.state == ServerState::Ready)
+        self.iter().filter(move |s| {
+            s.service == service && s.state == ServerState::Ready && self.holds_address(s)
+        })
+    }
+
+    fn holds_address(&self, server: &Server) -> bool {
+        self.latest.get(&server.address) == Some(&server.born)
     }
 
     fn restoring(&self, now: Timestamp) -> bool {
--- a/crates/decide/tests/pieces.rs
+++ b/crates/decide/tests/pieces.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use apricothall_decide::pieces::{Fetcher, Flying, Holder, PiecesConfig, Source, Wanted, plan};
+use apricothall_decide::pieces::{
+    Fetcher, Flying, Holder, PiecesConfig, Source, Wanted, draws, plan,
+};
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{ChunkIndex, MemberId, Region, Timestamp};
 
@@ -10,7 +12,10 @@
 const STEP_MS: u64 = 25;
 /// Time for which news of other agents lags behind.
 const LAG_MS: u64 = 100;
-const ORIGIN_MS: u64 = 150;
+/// Time from a draw to its first byte.
+const ORIGIN_MS: u64 = 20;
+/// Time that a piece takes on the origin's link, which all draws share.
+const LINK_MS: u64 = 26;
 const PEER_MS: u64 = 120;
 const END_MS: u64 = 30_000;
 
@@ -28,6 +33,10 @@
     draws: u32,
     crossings: BTreeMap<Region, u32>,
     ended: u64,
+    /// When the last piece left the origin.
+    drawn: u64,
+    /// When the origin's link is free again.
+    link: u64,
 }
 
 fn region(name: &str) -> Region {
@@ -35,8 +44,13 @@
 }
 
 fn fleet(each: usize) -> Vec<Agent> {
-    let names = ["home", "east", "west"];
-    let all = names.iter().flat_map(|r| (0..each).map(move |i| (r, i)));
+    sized([each; 3])
+}
+
+/// Agents of three regions, the first of which is the origin's.
+fn sized(counts: [usize; 3]) -> Vec<Agent> {
+    let regions = ["home", "east", "west"].into_iter().zip(counts);
+    let all = regions.flat_map(|(r, count)| (0..count).map(move |i| (r, i)));
     all.map(|(r, i)| Agent {
         id: format!("{r}-{i}").parse().expect("valid"),
         region: region(r),
@@ -77,9 +91,19 @@
         .collect()
 }
 
-fn spread(mut agents: Vec<Agent>) -> Spread {
-    let config = PiecesConfig::default();
+fn spread(agents: Vec<Agent>) -> Spread {
+    spread_with(agents, |_, _, _| true)
+}
+
+/// `hears` tells whether an agent hears of another in a step, by their numbers and the step's.
+fn spread_with(mut agents: Vec<Agent>, hears: fn(usize, usize, u64) -> bool) -> Spread {
     let home = region("home");
+    let at_home = agents.iter().filter(|a| a.region == home && !a.down);
+    let config = PiecesConfig {
+        draws: draws(at_home.count()),
+        ..PiecesConfig::default()
+    };
+    let mut views: Vec<Vec<Option<News>>> = vec![vec![None; agents.len()]; agents.len()];
     let by: BTreeMap<_, _> = agents
         .iter()
         .map(|a| (a.id.clone(), a.region.clone()))
@@ -91,6 +115,8 @@
         draws: 0,
         crossings: BTreeMap::new(),
         ended: END_MS,
+        drawn: 0,
+        link: 0,
     };
     for now in (0..END_MS).step_by(usize::try_from(STEP_MS).expect("small")) {
         for agent in &mut agents {
@@ -112,8 +138,14 @@
         }
         let seen = told[told.len().saturating_sub(lag)].clone();
         for i in 0..agents.len() {
+            for (j, news) in seen.iter().enumerate() {
+                if hears(i, j, now / STEP_MS) {
+                    views[i][j] = Some(news.clone());
+                }
+            }
             if !agents[i].down {
-                step(&mut agents, i, &seen, &config, &home, now, &by, &mut spread);
+                let view = &views[i];
+                step(&mut agents, i, view, &config, &home, now, &by, &mut spread);
             }
         }
         told.push(news(&agents, &by));
@@ -129,7 +161,7 @@
 fn step(
     agents: &mut [Agent],
     i: usize,
-    seen: &[News],
+    seen: &[Option<News>],
     config: &PiecesConfig,
     home: &Region,
     now: u64,
@@ -139,15 +171,24 @@
     let at = Timestamp::from_millis(now);
     let peers: Vec<_> = (0..agents.len())
         .filter(|j| *j != i)
-        .map(|j| Holder {
-            id: agents[j].id.clone(),
-            region: agents[j].region.clone(),
-            held: seen[j].held.clone(),
-            flying: seen[j].flying.clone(),
-            flights: 0,
-            down: agents[j].down,
+        .filter_map(|j| {
+            let news = seen[j].as_ref()?;
+            Some(Holder {
+                id: agents[j].id.clone(),
+                region: agents[j].region.clone(),
+                held: news.held.clone(),
+                flying: news.flying.clone(),
+                flights: 0,
+                down: agents[j].down,
+            })
         })
         .collect();
+    let own = agents[i].region.clone();
+    let mates = agents.iter().enumerate().filter(|(j, _)| *j != i);
+    let mates: Vec<_> = mates
+        .filter(|(_, a)| a.region == own)
+        .map(|(_, a)| a.id.clone())
+        .collect();
     let me = &mut agents[i];
     let mut wanted = Vec::new();
     for chunk in (0..PIECES).map(ChunkIndex) {
@@ -166,6 +207,7 @@
         home: Some(home),
         since: Timestamp::default(),
         subject: "m/2",
+        mates: &mates,
     };
     let flying = Flying {
         all: me.flights.len(),
@@ -175,7 +217,9 @@
         let takes = match &source {
             Source::Origin => {
                 spread.draws += 1;
-                ORIGIN_MS
+                spread.link = spread.link.max(now) + LINK_MS;
+                spread.drawn = spread.link;
+                spread.link - now + ORIGIN_MS
             }
             Source::Peer(id) => {
                 let crosses = by[id] != me.region;
@@ -230,3 +274,17 @@
     assert!(spread.ended < END_MS, "not all are complete");
     assert_eq!(spread.draws, 0);
 }
+
+/// A large region, whose agents hear of each other a few at a time: the origin sends one copy
+/// without a pause, so that it may go away right afterwards.
+#[test]
+fn a_large_region_empties_the_origin_without_a_pause() {
+    // In each step an agent hears of three of 22 others.
+    let spread = spread_with(sized([23, 10, 7]), |i, j, step| {
+        (i * 7 + j * 5 + usize::try_from(step).expect("small") * 3) % 23 < 3
+    });
+    assert!(spread.ended < END_MS, "not all are complete");
+    assert!(spread.draws <= ONE_COPY, "{} draws", spread.draws);
+    let alone = u64::from(PIECES) * LINK_MS;
+    assert!(spread.drawn <= alone * 115 / 100, "{} ms", spread.drawn);
+}
--- /dev/null
+++ b/crates/decide/tests/readers.rs
@@ -0,0 +1,64 @@
+//! Who reads the store, as daemons come, go and lose it.
+
+use apricothall_decide::readers::{Sound, Turn, turn};
+use apricothall_types::{MemberId, Role};
+
+fn id(name: &str) -> MemberId {
+    name.parse().expect("valid")
+}
+
+/// The turn of `own`, hearing entries of its zone (`a-…`) and of another (`b-…`), and agents of
+/// its zone (`side-…`).
+fn decides(own: &str, heard: &[&str]) -> Turn {
+    let role = |name: &str| {
+        if name.starts_with("side") {
+            return Role::Agent;
+        }
+        Role::Entry
+    };
+    let ids: Vec<_> = heard.iter().map(|name| (id(name), role(name))).collect();
+    let others = ids.iter().map(|(id, role)| Sound {
+        id,
+        role: *role,
+        near: !id.as_str().starts_with("b-"),
+    });
+    turn(&id(own), role(own), others)
+}
+
+macro_rules! readers {
+    ($($case:ident: $own:literal hears $heard:expr => $turn:ident;)*) => {
+        $(#[test] fn $case() { assert_eq!(decides($own, &$heard), Turn::$turn); })*
+    };
+}
+
+readers! {
+    at_the_start_nobody_is_heard: "a-9" hears [] => First;
+    the_first_of_a_zone: "a-1" hears ["a-2", "a-3", "a-4"] => First;
+    the_second_of_a_zone: "a-2" hears ["a-1", "a-3", "a-4"] => Second;
+    the_third_learns: "a-3" hears ["a-1", "a-2", "a-4"] => Learns;
+    the_third_when_the_first_is_silent: "a-3" hears ["a-2", "a-4"] => Second;
+    entries_of_other_zones_read_for_theirs: "a-3" hears ["b-1", "b-2", "a-1"] => Second;
+    agents_read_for_no_entry: "a-3" hears ["side-1", "side-2", "a-1"] => Second;
+    an_agent_learns_from_an_entry_of_its_zone: "side-1" hears ["a-1"] => Learns;
+    an_agent_whose_zone_has_lost_its_entries: "side-1" hears ["b-1", "side-2"] => First;
+    two_agents_of_such_a_zone_are_enough: "side-3" hears ["b-1", "side-1", "side-2"] => Learns;
+}
+
+/// All entries of a zone that hear each other: two read, whoever they are.
+#[test]
+fn two_of_a_zone_read() {
+    let names = [
+        "a-1", "a-2", "a-3", "a-4", "a-5", "a-6", "a-7", "a-8", "a-9",
+    ];
+    for lost in 0..names.len() {
+        let alive: Vec<_> = names.iter().skip(lost).copied().collect();
+        let count = alive
+            .iter()
+            .filter(|own| {
+                let heard: Vec<_> = alive.iter().filter(|n| n != own).copied().collect();
+                decides(own, &heard).reads()
+            })
+            .count();
+        assert_eq!(count, alive.len().min(2), "{alive:?}");
+    }
+}
--- a/crates/decide/tests/reload.rs
+++ b/crates/decide/tests/reload.rs
@@ -1,6 +1,8 @@
 //! Engines of a zone reload in waves: capacity holds, and all are done in time.
 
-use apricothall_decide::reload::{Neighbour, Progress, ReloadConfig, may_load};
+use apricothall_decide::reload::{
+    Neighbour, Progress, ReloadConfig, Unfinished, finishes_first, may_load,
+};
 use apricothall_types::{MemberId, Timestamp};
 use proptest::prelude::*;
 
@@ -104,3 +106,27 @@
         now
     ));
 }
+
+macro_rules! finishes {
+    ($($case:ident: $gathered:literal of $pieces:literal, due at $due:literal => $finishes:literal;)*) => {
+        $(#[test] fn $case() {
+            let unfinished = Unfinished {
+                gathered: $gathered,
+                pieces: $pieces,
+                due: Timestamp::from_millis($due),
+            };
+            let now = Timestamp::from_millis(20_000);
+            assert_eq!(finishes_first(unfinished, now), $finishes);
+        })*
+    };
+}
+
+// Two versions are named two seconds apart, and the origin goes away half a second later: agents
+// that dropped the first one had neither when the version before both ran out.
+finishes! {
+    nearly_all_of_the_first_is_out: 60 of 64, due at 28_000 => true;
+    half_of_the_first_is_out: 33 of 64, due at 28_000 => true;
+    the_first_has_hardly_begun: 10 of 64, due at 28_000 => false;
+    the_first_would_run_out_as_soon_as_it_served: 64 of 64, due at 21_400 => false;
+    nothing_is_known_of_the_first: 0 of 0, due at 28_000 => false;
+}
--- a/crates/decide/tests/servers.rs
+++ b/crates/decide/tests/servers.rs
@@ -83,7 +83,33 @@
 fn a_list_from_a_peer_that_reaches_the_store_holds_during_an_outage_here() {
     let mut servers = two();
     servers.store_failed();
-    servers.adopt(vec![server("s2", ServerState::Ready)]);
+    let mut peer = two();
+    peer.remove(&id("s1"), at(1_000));
+    servers.adopt(peer.listing(at(1_000)), at(1_001));
+    assert_eq!(ready(&servers), ["s2"]);
+}
+
+/// A reader waits for entries that lapsed in an outage; so do those that learn from it.
+#[test]
+fn a_lapse_that_a_reader_waits_out_is_waited_out_by_those_who_learn_from_it() {
+    let mut reader = two();
+    reader.store_failed();
+    reader.store_answered(at(5_000));
+    reader.replace(vec![server("s2", ServerState::Ready)], at(5_000));
+    let mut servers = two();
+    servers.adopt(reader.listing(at(5_500)), at(5_500));
+    servers.expire(at(6_999));
+    assert_eq!(ready(&servers), ["s1", "s2"]);
+    servers.expire(at(7_000));
+    assert_eq!(ready(&servers), ["s2"]);
+}
+
+#[test]
+fn a_removal_while_the_store_answers_is_final_for_those_who_learn_of_it() {
+    let mut reader = two();
+    reader.remove(&id("s1"), at(1_000));
+    let mut servers = two();
+    servers.adopt(reader.listing(at(1_000)), at(1_000));
     assert_eq!(ready(&servers), ["s2"]);
 }
 
@@ -102,3 +128,17 @@
     assert!(servers.store_answered(at(1)));
     assert!(!servers.store_answered(at(2)));
 }
+
+/// All engines lose power: the entries of their former lives stay until they lapse, and say what
+/// those had loaded.
+#[test]
+fn an_address_belongs_to_the_server_that_started_last() {
+    let mut servers = two();
+    let mut later = server("s3", ServerState::Ready);
+    later.born = WallTime(2);
+    later.service = "bookings".into();
+    servers.put(later);
+    assert!(ready(&servers).is_empty(), "both entries name its address");
+    servers.remove(&id("s3"), at(1_000));
+    assert_eq!(ready(&servers), ["s1", "s2"]);
+}
--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -5,25 +5,30 @@
 use std::time::Duration;
 
 use apricothall_clients::http_client::{Answer, HttpClient, get};
-use apricothall_decide::pieces::{Fetcher, Flying, Holder, PiecesConfig, Source, Wanted, plan};
+use apricothall_decide::pieces::{
+    Fetcher, Flying, Holder, PiecesConfig, Source, Wanted, draws, plan,
+};
 use apricothall_decide::rank;
 use apricothall_decide::reload::loads_before;
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{ChunkIndex, MemberId, Region, Role, Timestamp};
 use apricothall_wire::Connector;
 use bytes::Bytes;
-use smol_str::{SmolStr, ToSmolStr};
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use tokio::task::JoinSet;
 
 use crate::Context;
 use crate::agent::pieces::{self, PeerError, Rank};
 use crate::agent::shelf::{Shelf, VersionId};
-use crate::peers::Peer;
+use crate::peers::{EngineNote, Peer};
 use crate::relay::connector;
 
-/// Longest wait for the origin.
+/// Longest wait for a piece from the origin.
 const ORIGIN_WAIT: Duration = Duration::from_secs(3);
 
+/// Longest wait for digests from the origin, during which the agent does nothing else.
+const DIGESTS_WAIT: Duration = Duration::from_millis(700);
+
 /// Time for which a peer that gave nothing is left alone.
 const PEER_REST: Duration = Duration::from_millis(1_500);
 
@@ -34,7 +39,20 @@
 const DIGESTS_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time by which each agent waits for the one before it to ask the origin for digests.
-const DIGEST_STEP: Duration = Duration::from_millis(80);
+const DIGEST_STEP: Duration = Duration::from_millis(40);
+
+/// Agents that ask the origin for digests at once, so that the silence of one delays nothing.
+const FIRST_ASKERS: u32 = 3;
+
+/// Agents of other regions wait for as many more before them, since those of the origin's region
+/// tell them soon.
+const FAR_ASKERS: u32 = 15;
+
+/// Shortest pause after the origin gave nothing.
+const ORIGIN_REST: Duration = Duration::from_millis(150);
+
+/// Longest pause after the origin gave nothing several times.
+const LONGEST_ORIGIN_REST: Duration = Duration::from_millis(1_200);
 
 /// Peers that are asked for digests before the origin.
 const DIGEST_PEERS: usize = 2;
@@ -68,6 +86,26 @@
     Digest,
 }
 
+/// Why there are no digests yet.
+#[derive(Debug, thiserror::Error)]
+enum DigestsError {
+    /// Other agents ask first.
+    #[error("other agents ask the origin first")]
+    OthersFirst,
+    /// The origin gave nothing lately.
+    #[error("the origin failed lately")]
+    Resting,
+    /// The origin gave none.
+    #[error("origin: {0}")]
+    Origin(SmolStr),
+}
+
+impl From<SmolStr> for DigestsError {
+    fn from(error: SmolStr) -> Self {
+        Self::Origin(error)
+    }
+}
+
 /// The fetch of the wanted version.
 pub struct Fetch {
     context: Context,
@@ -83,6 +121,9 @@
     wanted_id: Option<VersionId>,
     wanted_since: Timestamp,
     digests_at: Timestamp,
+    /// Pause after the last failure of the origin, and its end.
+    origin_rest: Duration,
+    origin_again: Timestamp,
 }
 
 impl Fetch {
@@ -104,6 +145,8 @@
             wanted_id: None,
             wanted_since: now,
             digests_at: Timestamp::default(),
+            origin_rest: Duration::ZERO,
+            origin_again: Timestamp::default(),
         }
     }
 
@@ -136,13 +179,17 @@
                 self.tasks = JoinSet::new();
                 self.shelf.begin(wanted.clone(), digests);
             }
-            Err(error) => {
+            Err(error @ (DigestsError::OthersFirst | DigestsError::Resting)) => {
+                tracing::debug!(version = wanted.version, %error, "no digests yet");
+            }
+            Err(DigestsError::Origin(error)) => {
+                self.rest_origin();
                 tracing::warn!(model = %wanted.model, version = wanted.version, %error, "digests not fetched");
             }
         }
     }
 
-    async fn digests(&self, wanted: &VersionId) -> Result<Vec<[u8; 32]>, SmolStr> {
+    async fn digests(&self, wanted: &VersionId) -> Result<Vec<[u8; 32]>, DigestsError> {
         let mut agents = self.agents(wanted);
         let region = &self.context.settings().region;
         agents.sort_by_key(|p| p.hello.region != *region);
@@ -154,32 +201,45 @@
             }
         }
         if !self.is_turn(wanted) {
-            return Err("another agent asks the origin first".into());
+            return Err(DigestsError::OthersFirst);
+        }
+        if self.context.clock.now() < self.origin_again {
+            return Err(DigestsError::Resting);
         }
         let calls = &self.context.dialect.origin;
         let path = (calls.manifest)(&wanted.model, wanted.version);
         let body = self.ask_origin(&path).await?;
         let told = (calls.read_manifest)(&body).map_err(|e| e.to_smolstr())?;
         if told.version != wanted.version {
-            return Err(SmolStr::new(format!(
-                "the origin tells of version {}",
-                told.version
-            )));
+            return Err(format_smolstr!("it tells of version {}", told.version).into());
         }
         Ok(told.digests)
     }
 
-    /// Agents ask the origin one after the other, by hash, so that most have it from a peer.
+    /// Agents ask the origin one after the other, by hash, so that most have it from a peer. Those
+    /// of the origin's region go first.
     fn is_turn(&self, wanted: &VersionId) -> bool {
         let now = self.context.clock.now();
         let subject = format!("{}/{}/digests", wanted.model, wanted.version);
-        let me = &self.context.settings().id;
-        let own = rank::weight(subject.as_bytes(), me);
-        let mut before = 0;
+        let settings = self.context.settings();
+        let home = self.home();
+        let is_home = |region: &Region| home.as_ref().is_none_or(|home| home == region);
+        let own = rank::weight(subject.as_bytes(), &settings.id);
+        let here = is_home(&settings.region);
+        let (mut before, mut any_home) = (0, false);
         self.context.peers.each(now, |p| {
+            if p.hello.role != Role::Agent {
+                return;
+            }
+            let theirs = is_home(&p.hello.region);
+            any_home |= theirs;
             let ahead = rank::weight(subject.as_bytes(), &p.hello.id) > own;
-            before += u32::from(p.hello.role == Role::Agent && ahead);
+            before += u32::from(theirs == here && ahead);
         });
+        if !here && any_home {
+            before += FAR_ASKERS;
+        }
+        let before = (before + 1).saturating_sub(FIRST_ASKERS);
         now.since(self.wanted_since) >= DIGEST_STEP * before
     }
 
@@ -187,7 +247,7 @@
         let in_force = self.context.published.in_force();
         let origin = in_force.as_ref().and_then(|f| f.configuration.origin());
         let origin = origin.ok_or_else(|| SmolStr::new("no origin is published"))?;
-        read_origin(&self.origin, origin.address, path).await
+        read_origin(&self.origin, origin.address, path, DIGESTS_WAIT).await
     }
 
     /// Agents that fetch or hold `wanted`.
@@ -195,11 +255,24 @@
         let mut agents = self.context.peers.alive(self.context.clock.now());
         agents.retain(|p| {
             let note = p.engine.as_ref();
-            p.hello.role == Role::Agent && note.is_some_and(|n| n.version == wanted.version)
+            let has = |n: &EngineNote| n.version == wanted.version || n.whole == wanted.version;
+            p.hello.role == Role::Agent && note.is_some_and(has)
         });
         agents
     }
 
+    /// Other agents of this region, whether or not they have begun.
+    fn mates(&self, now: Timestamp) -> Vec<MemberId> {
+        let region = &self.context.settings().region;
+        let mut mates = Vec::new();
+        self.context.peers.each(now, |p| {
+            if p.hello.role == Role::Agent && p.hello.region == *region {
+                mates.push(p.hello.id.clone());
+            }
+        });
+        mates
+    }
+
     /// Starts the fetches that the plan asks for.
     pub fn advance(&mut self, wanted: &VersionId) {
         let mut missing = self.shelf.missing();
@@ -209,22 +282,28 @@
         missing.retain(|index| !self.flights.contains_key(index));
         let now = self.context.clock.now();
         let agents = self.agents(wanted);
-        let holders: Vec<_> = agents.iter().map(|p| self.holder(p, now)).collect();
+        let holders = self.holders(wanted, &agents, now);
         let missing = self.note_held(&missing, &holders, now);
         let settings = self.context.settings();
         let subject = format!("{}/{}", wanted.model, wanted.version);
         let home = self.home();
+        let mates = self.mates(now);
         let me = Fetcher {
             id: &settings.id,
             region: &settings.region,
             home: home.as_ref(),
             since: self.begun,
             subject: &subject,
+            mates: &mates,
         };
-        let config = PiecesConfig {
+        let mut config = PiecesConfig {
             flights: flights(self.pace),
+            draws: draws(mates.len() + 1),
             ..PiecesConfig::default()
         };
+        if now < self.origin_again {
+            config.draws = 0;
+        }
         for (index, source) in plan(&config, me, &missing, self.flying(), &holders, now) {
             self.start(wanted, index, source, &agents);
         }
@@ -299,24 +378,48 @@
         set
     }
 
-    fn holder(&self, peer: &Peer, now: Timestamp) -> Holder {
-        let id = peer.hello.id.clone();
-        let held = peer
-            .engine
-            .as_ref()
-            .map_or_else(ChunkSet::default, |n| n.held.clone());
-        let is_it = |s: &&Source| matches!(s, Source::Peer(other) if *other == id);
-        Holder {
-            region: peer.hello.region.clone(),
-            held,
-            flying: peer
-                .engine
-                .as_ref()
-                .map_or_else(ChunkSet::default, |n| n.flying.clone()),
-            flights: self.flights.values().filter(is_it).count(),
-            down: self.resting.get(&id).is_some_and(|until| now < *until),
-            id,
+    /// Agents that fetch or hold `wanted`, with the pieces that they can pass on.
+    fn holders(&self, wanted: &VersionId, agents: &[Peer], now: Timestamp) -> Vec<Holder> {
+        let count = self.shelf.digests(wanted).map_or(0, |d| d.len());
+        let mut all = ChunkSet::default();
+        for index in (0..).take(count) {
+            all.insert(ChunkIndex(index));
         }
+        let holder = |peer: &Peer| {
+            let note = peer.engine.as_ref()?;
+            let fetches = note.version == wanted.version;
+            let held = if fetches { &note.held } else { &all };
+            let id = peer.hello.id.clone();
+            let is_it = |s: &&Source| matches!(s, Source::Peer(other) if *other == id);
+            Some(Holder {
+                region: peer.hello.region.clone(),
+                held: held.clone(),
+                flying: if fetches {
+                    note.flying.clone()
+                } else {
+                    ChunkSet::default()
+                },
+                flights: self.flights.values().filter(is_it).count(),
+                down: self.resting.get(&id).is_some_and(|until| now < *until),
+                id,
+            })
+        };
+        agents.iter().filter_map(holder).collect()
+    }
+
+    /// How much of `wanted` this agent and those that it hears hold between them: the pieces held
+    /// by any of them, and all pieces.
+    #[must_use]
+    pub fn gathered(&self, wanted: &VersionId) -> (u32, u32) {
+        let agents = self.agents(wanted);
+        let holders = self.holders(wanted, &agents, self.context.clock.now());
+        let own = self.shelf.set();
+        let count = self.shelf.digests(wanted).map_or(0, |d| d.len());
+        let is_held =
+            |c: &ChunkIndex| own.contains(*c) || holders.iter().any(|h| h.held.contains(*c));
+        let held = (0..).take(count).map(ChunkIndex).filter(is_held).count();
+        let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        (number(held), number(count))
     }
 
     fn start(&mut self, wanted: &VersionId, index: ChunkIndex, source: Source, agents: &[Peer]) {
@@ -351,7 +454,9 @@
                 let client = self.origin.clone();
                 self.tasks.spawn(async move {
                     let bytes = match origin {
-                        Some(origin) => read_origin(&client, origin.address, &path).await,
+                        Some(origin) => {
+                            read_origin(&client, origin.address, &path, ORIGIN_WAIT).await
+                        }
                         None => Err("none is published".into()),
                     };
                     let bytes = bytes.map_err(FetchError::Origin);
@@ -380,6 +485,9 @@
         let error = match fetched.bytes {
             Ok(bytes) => {
                 let size = bytes.len() as u64;
+                if fetched.source == Source::Origin {
+                    self.origin_rest = Duration::ZERO;
+                }
                 if self.shelf.put(&fetched.id, fetched.index, bytes) {
                     metrics::counter!("apricothall_piece_bytes_total", "source" => from)
                         .increment(size);
@@ -395,20 +503,31 @@
         };
         tracing::info!(version = fetched.id.version, index = %fetched.index, source = ?fetched.source, %error, "piece not fetched");
         metrics::counter!("apricothall_piece_failures_total", "source" => from).increment(1);
-        if let Source::Peer(id) = fetched.source {
-            let until = self.context.clock.now() + rest;
-            self.resting.insert(id, until);
+        let now = self.context.clock.now();
+        match fetched.source {
+            Source::Peer(id) => {
+                self.resting.insert(id, now + rest);
+            }
+            Source::Origin => self.rest_origin(),
         }
     }
+
+    /// Leaves the origin alone for a while, longer each time that it fails in a row.
+    fn rest_origin(&mut self) {
+        let longer = (self.origin_rest * 2).max(ORIGIN_REST);
+        self.origin_rest = longer.min(LONGEST_ORIGIN_REST);
+        self.origin_again = self.context.clock.now() + self.origin_rest;
+    }
 }
 
 async fn read_origin(
     client: &HttpClient,
     address: SocketAddr,
     path: &str,
+    wait: Duration,
 ) -> Result<Bytes, SmolStr> {
     let request = get(address, path).map_err(|e| e.to_smolstr())?;
-    let answer = client.call(request, ORIGIN_WAIT, ANSWER_BYTES).await;
+    let answer = client.call(request, wait, ANSWER_BYTES).await;
     let answer = answer.and_then(Answer::accepted);
     answer.map(|a| a.body).map_err(|e| e.to_smolstr())
 }
--- a/crates/gateway/src/agent/keeper.rs
+++ b/crates/gateway/src/agent/keeper.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use apricothall_clients::PlatformError;
-use apricothall_decide::reload::{Neighbour, Progress, ReloadConfig, may_load};
+use apricothall_decide::reload::{
+    Neighbour, Progress, ReloadConfig, Unfinished, WORTH, finishes_first, may_load,
+};
 use apricothall_types::{Role, Timestamp};
 use bytes::Bytes;
 use smol_str::SmolStr;
@@ -37,7 +39,8 @@
     shelf: Shelf,
     fetch: Fetch,
     report: Option<EngineReport>,
-    complete_since: Option<Timestamp>,
+    /// The whole version that waits to be loaded, and since when.
+    ready: Option<(VersionId, Timestamp)>,
     local_tried: Option<VersionId>,
     ordered: Timestamp,
     loading: bool,
@@ -52,7 +55,7 @@
         shelf: context.shelf.clone(),
         fetch: Fetch::new(context),
         report: None,
-        complete_since: None,
+        ready: None,
         local_tried: None,
         ordered: Timestamp::default(),
         loading: false,
@@ -71,7 +74,9 @@
             }
             let wanted = self.wanted();
             if let Some(wanted) = &wanted {
-                self.advance(wanted).await;
+                let target = self.target(wanted, now);
+                self.advance(&target).await;
+                self.load_if_due(wanted).await;
             }
             let fetching = !self.shelf.missing().is_empty();
             self.context.fleet.set_fetching(fetching);
@@ -119,24 +124,76 @@
         Some(VersionId { model, version })
     }
 
-    async fn advance(&mut self, wanted: &VersionId) {
-        if self.shelf.id().as_ref() != Some(wanted) {
-            self.fetch.begin(wanted).await;
-            return;
+    /// The version to fetch: the newest, or the one whose fetch is nearly done.
+    fn target(&self, newest: &VersionId, now: Timestamp) -> VersionId {
+        let Some(current) = self.shelf.id() else {
+            return newest.clone();
+        };
+        let other = current.model != newest.model || current.version >= newest.version;
+        if other || self.shelf.missing().is_empty() {
+            return newest.clone();
+        }
+        let (gathered, pieces) = self.fetch.gathered(&current);
+        let unfinished = Unfinished {
+            gathered,
+            pieces,
+            due: self.due(&current, now),
+        };
+        if finishes_first(unfinished, now) {
+            return current;
+        }
+        newest.clone()
+    }
+
+    /// When `version` must be out of use, as far as newer ones are named.
+    fn due(&self, version: &VersionId, now: Timestamp) -> Timestamp {
+        let allowed = self.context.settings().bounds.version;
+        let versions = self.context.published.versions(&version.model);
+        let due = versions.due(version.version, allowed);
+        due.unwrap_or(now + allowed)
+    }
+
+    async fn advance(&mut self, target: &VersionId) {
+        if self.shelf.id().as_ref() != Some(target) {
+            self.fetch.begin(target).await;
         }
-        self.take_staged(wanted).await;
-        self.fetch.advance(wanted);
-        let Some(pieces) = self.shelf.whole(wanted) else {
-            self.complete_since = None;
+        // Without the digests of the target, the fetch before it goes on.
+        let Some(current) = self.shelf.id() else {
             return;
         };
+        self.take_staged(&current).await;
+        self.fetch.advance(&current);
+    }
+
+    /// Loads the newest version that is whole here, if the engine lacks it and it is its turn.
+    async fn load_if_due(&mut self, newest: &VersionId) {
         let now = self.context.clock.now();
-        self.complete_since.get_or_insert(now);
-        if self.may_load(wanted, now) {
-            self.load(wanted, pieces).await;
+        let Some(version) = self.loadable(newest, now) else {
+            self.ready = None;
+            return;
+        };
+        if self.ready.as_ref().is_none_or(|(id, _)| *id != version) {
+            self.ready = Some((version.clone(), now));
+        }
+        if !self.may_load(newest, now) {
+            return;
+        }
+        if let Some(pieces) = self.shelf.whole(&version) {
+            self.load(newest, &version, pieces).await;
         }
     }
 
+    /// The newest version that is whole here, if it is newer than what the engine serves and not
+    /// about to run out.
+    fn loadable(&self, newest: &VersionId, now: Timestamp) -> Option<VersionId> {
+        let whole = self.shelf.newest_whole()?;
+        let newer = self
+            .serving(&whole.model)
+            .is_none_or(|serving| whole.version > serving);
+        let lasts = now + WORTH < self.due(&whole, now);
+        (whole.model == newest.model && newer && lasts).then_some(whole)
+    }
+
     /// Takes over, once, what lies staged beside the engine, as far as the digests are right.
     async fn take_staged(&mut self, wanted: &VersionId) {
         if self.report.is_none() || self.local_tried.as_ref() == Some(wanted) {
@@ -178,18 +235,18 @@
         );
     }
 
-    /// Whether the engine serves `wanted`, another version, or nothing.
-    fn progress(&self, wanted: &VersionId) -> Progress {
+    /// How far the engine is on its way to the newest version.
+    fn progress(&self, newest: &VersionId) -> Progress {
         let Some(report) = &self.report else {
             return Progress::Empty;
         };
         if self.loading || report.busy {
             return Progress::Loading;
         }
-        match self.serving(&wanted.model) {
+        match self.serving(&newest.model) {
             None => Progress::Empty,
-            Some(version) if version >= wanted.version => Progress::Done,
-            Some(_) if self.shelf.whole(wanted).is_some() => Progress::Complete,
+            Some(version) if version >= newest.version => Progress::Done,
+            Some(_) if self.ready.is_some() => Progress::Complete,
             Some(_) => Progress::Fetching,
         }
     }
@@ -200,7 +257,7 @@
         loaded.iter().find(|(m, _)| m == model).map(|(_, v)| *v)
     }
 
-    fn may_load(&self, wanted: &VersionId, now: Timestamp) -> bool {
+    fn may_load(&self, newest: &VersionId, now: Timestamp) -> bool {
         if self.report.is_none() || now.since(self.ordered) < ORDER_LAG {
             return false;
         }
@@ -216,19 +273,16 @@
                 neighbours.push(Neighbour { id, progress });
             }
         });
-        let allowed = self.context.settings().bounds.version;
-        let versions = self.context.published.versions(&wanted.model);
-        let serving = self.serving(&wanted.model);
-        let due = serving
-            .and_then(|v| versions.due(v, allowed))
-            .unwrap_or(now + allowed);
+        let model = newest.model.clone();
+        let serving = self.serving(&model);
+        let due = serving.map_or(now, |version| self.due(&VersionId { model, version }, now));
         let me = &self.context.settings().id;
         let config = ReloadConfig::default();
-        let complete = self.complete_since.unwrap_or(now);
+        let complete = self.ready.as_ref().map_or(now, |(_, since)| *since);
         may_load(
             &config,
             me,
-            self.progress(wanted),
+            self.progress(newest),
             complete,
             &neighbours,
             due,
@@ -238,29 +292,30 @@
 
     /// Stages all pieces and orders the load. Pieces may rot where they are staged, so they are
     /// put there right before the order.
-    async fn load(&mut self, wanted: &VersionId, pieces: Vec<Bytes>) {
+    async fn load(&mut self, newest: &VersionId, version: &VersionId, pieces: Vec<Bytes>) {
         let Some(report) = self.report.clone() else {
             return;
         };
         let empty = report.loaded.is_empty();
         self.loading = true;
-        self.tell(Some(wanted));
+        tracing::info!(version = version.version, before = ?report.loaded, running = report.running, "load begins");
+        self.tell(Some(newest));
         if !empty {
             tokio::time::sleep(NOTICE).await;
         }
-        let result = self.stage_and_order(wanted, pieces, report.orders).await;
+        let result = self.stage_and_order(version, pieces, report.orders).await;
         self.loading = false;
         self.ordered = self.context.clock.now();
         match result {
             Ok(true) => {
-                tracing::info!(model = %wanted.model, version = wanted.version, before = ?report.loaded, "load ordered");
+                tracing::info!(model = %version.model, version = version.version, before = ?report.loaded, "load ordered");
                 metrics::counter!("apricothall_loads_ordered_total").increment(1);
                 if let Some(report) = &mut self.report {
                     report.busy = true;
                 }
             }
-            Ok(false) => tracing::info!(version = wanted.version, "load order does not fit"),
-            Err(error) => tracing::warn!(version = wanted.version, %error, "load not ordered"),
+            Ok(false) => tracing::info!(version = version.version, "load order does not fit"),
+            Err(error) => tracing::warn!(version = version.version, %error, "load not ordered"),
         }
     }
 
@@ -293,6 +348,7 @@
             queued: report.queued,
             pace: percent(report.pace),
             version: held.map_or(0, |h| h.version),
+            whole: self.shelf.newest_whole().map_or(0, |w| w.version),
             progress,
             held: self.shelf.set(),
             flying: self.fetch.flying_set(),
--- a/crates/gateway/src/agent/shelf.rs
+++ b/crates/gateway/src/agent/shelf.rs
@@ -1,4 +1,4 @@
-//! Verified pieces of one version, in memory.
+//! Verified pieces in memory: of the version that is fetched, and of the last one that was whole.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -23,47 +23,79 @@
     pieces: Vec<Option<Bytes>>,
 }
 
-/// The version that an agent fetches or holds. Cheap to clone.
+impl Held {
+    fn is_whole(&self) -> bool {
+        self.pieces.iter().all(Option::is_some)
+    }
+}
+
+#[derive(Default)]
+struct Contents {
+    /// The version that is fetched.
+    fetched: Option<Held>,
+    /// The version before it, if that was whole, for the engine and for other agents.
+    earlier: Option<Held>,
+}
+
+impl Contents {
+    fn find(&self, id: &VersionId) -> Option<&Held> {
+        let all = self.fetched.iter().chain(&self.earlier);
+        all.into_iter().find(|h| h.id == *id)
+    }
+}
+
+/// The versions that an agent fetches or holds. Cheap to clone.
 #[derive(Clone, Default)]
 pub struct Shelf {
-    held: Arc<Mutex<Option<Held>>>,
+    contents: Arc<Mutex<Contents>>,
 }
 
 impl Shelf {
-    fn held(&self) -> MutexGuard<'_, Option<Held>> {
-        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    fn contents(&self) -> MutexGuard<'_, Contents> {
+        self.contents.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Begins a version with the digests of its pieces. What was held of another one is dropped.
+    /// Begins a version with the digests of its pieces. The one before is kept only if it is
+    /// whole.
     pub fn begin(&self, id: VersionId, digests: Vec<[u8; 32]>) {
         let pieces = vec![None; digests.len()];
-        *self.held() = Some(Held {
+        let mut contents = self.contents();
+        let before = contents.fetched.replace(Held {
             id,
             digests,
             pieces,
         });
+        if let Some(whole) = before.filter(Held::is_whole) {
+            contents.earlier = Some(whole);
+        }
     }
 
-    /// The version held.
+    /// The version that is fetched.
     #[must_use]
     pub fn id(&self) -> Option<VersionId> {
-        self.held().as_ref().map(|h| h.id.clone())
+        self.contents().fetched.as_ref().map(|h| h.id.clone())
+    }
+
+    /// The newest version that is whole.
+    #[must_use]
+    pub fn newest_whole(&self) -> Option<VersionId> {
+        let contents = self.contents();
+        let mut all = contents.fetched.iter().chain(&contents.earlier);
+        all.find(|h| h.is_whole()).map(|h| h.id.clone())
     }
 
     /// Digests of the pieces of `id`.
     #[must_use]
     pub fn digests(&self, id: &VersionId) -> Option<Vec<[u8; 32]>> {
-        let held = self.held();
-        held.as_ref()
-            .filter(|h| h.id == *id)
-            .map(|h| h.digests.clone())
+        self.contents().find(id).map(|h| h.digests.clone())
     }
 
-    /// Takes a piece if its digest is right. False if it is not, or of another version.
+    /// Takes a piece if its digest is right. False if it is not, or not of the version that is
+    /// fetched.
     pub fn put(&self, id: &VersionId, index: ChunkIndex, bytes: Bytes) -> bool {
         let found: [u8; 32] = Sha256::digest(&bytes).into();
-        let mut held = self.held();
-        let Some(held) = held.as_mut().filter(|h| h.id == *id) else {
+        let mut contents = self.contents();
+        let Some(held) = contents.fetched.as_mut().filter(|h| h.id == *id) else {
             return false;
         };
         let at = index.0 as usize;
@@ -77,12 +109,11 @@
     /// A piece of `id`.
     #[must_use]
     pub fn get(&self, id: &VersionId, index: ChunkIndex) -> Option<Bytes> {
-        let held = self.held();
-        let held = held.as_ref().filter(|h| h.id == *id)?;
-        held.pieces.get(index.0 as usize)?.clone()
+        let contents = self.contents();
+        contents.find(id)?.pieces.get(index.0 as usize)?.clone()
     }
 
-    /// Which pieces are held.
+    /// Which pieces of the version that is fetched are held.
     #[must_use]
     pub fn set(&self) -> ChunkSet {
         let mut set = ChunkSet::default();
@@ -99,8 +130,8 @@
     }
 
     fn indices(&self, present: bool) -> Vec<ChunkIndex> {
-        let held = self.held();
-        let pieces = held.as_ref().map_or(&[][..], |h| &h.pieces);
+        let contents = self.contents();
+        let pieces = contents.fetched.as_ref().map_or(&[][..], |h| &h.pieces);
         (0..)
             .zip(pieces)
             .filter(|(_, p)| p.is_some() == present)
@@ -111,8 +142,6 @@
     /// All pieces of `id`, if none is missing.
     #[must_use]
     pub fn whole(&self, id: &VersionId) -> Option<Vec<Bytes>> {
-        let held = self.held();
-        let held = held.as_ref().filter(|h| h.id == *id)?;
-        held.pieces.iter().cloned().collect()
+        self.contents().find(id)?.pieces.iter().cloned().collect()
     }
 }
--- a/crates/gateway/src/channels.rs
+++ b/crates/gateway/src/channels.rs
@@ -113,6 +113,10 @@
             .map_err(|_| fail(&"no answer in time"))?
             .map_err(|e| fail(&e))?;
         set_options(&stream).map_err(|e| fail(&e))?;
+        // A request that its caller has left must not reach the server later: closing drops what
+        // has not gone out yet.
+        let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        reset.map_err(|e| fail(&e))?;
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(|e| fail(&e))?;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -4,7 +4,7 @@
 
 use apricothall_kernel::telemetry::Telemetry;
 use apricothall_kernel::{Clock, Lifecycle};
-use apricothall_types::Incarnation;
+use apricothall_types::{Incarnation, Timestamp};
 
 use crate::agent::pieces::Uploads;
 use crate::agent::shelf::Shelf;
@@ -79,6 +79,12 @@
         held.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Whether this daemon reads the store, for itself and for others.
+    #[must_use]
+    pub fn reads_store(&self, now: Timestamp) -> bool {
+        self.peers.turn(&self.settings(), now).reads()
+    }
+
     /// Puts changed settings in force. True when they differ from those before.
     pub fn set_settings(&self, settings: Settings) -> bool {
         let held = self.0.settings.write();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,8 +20,12 @@
 /// Highest value of the order of admission.
 const LAST_URGENCY: u8 = 9;
 
-/// Time kept between the send of a request on an old version and that version's end.
-const VERSION_MARGIN: Duration = Duration::from_millis(500);
+/// Time kept between the predicted start of a request on an old version and that version's end,
+/// when it is looked at again right before the send.
+const VERSION_MARGIN: Duration = Duration::from_millis(700);
+
+/// Time before the end of a version at which a request that has not begun on it is taken back.
+const BEGIN_MARGIN: Duration = Duration::from_millis(120);
 
 /// How far requests that come back stand behind others of their rank.
 const RETURN_URGENCY: u8 = 4;
@@ -53,6 +57,9 @@
     /// There was no answer in time.
     #[error("no answer in time")]
     Late,
+    /// There was no sign of a start before the version that the request is bound to ran out.
+    #[error("not begun before its version ran out")]
+    Overdue,
     /// The answer is not that of this request.
     #[error("not an answer to this request: {0}")]
     Foreign(SmolStr),
@@ -65,7 +72,7 @@
         match self {
             Self::Connect(_) | Self::Closed | Self::Stale | Self::Outdated => End::Unsent,
             Self::Refused { .. } => End::Refused,
-            Self::Lost(_) | Self::Late | Self::Foreign(_) => End::Lost,
+            Self::Lost(_) | Self::Late | Self::Overdue | Self::Foreign(_) => End::Lost,
         }
     }
 
@@ -83,7 +90,7 @@
     pub const fn is_fault(&self) -> bool {
         !matches!(
             self,
-            Self::Refused { .. } | Self::Stale | Self::Outdated | Self::Closed
+            Self::Refused { .. } | Self::Stale | Self::Outdated | Self::Overdue | Self::Closed
         )
     }
 }
@@ -140,8 +147,11 @@
     let request = build(context, call, placed, resume, left);
     let flight = Fleet::begin(context, placed.server.address, now);
     let sending = channel.sender().try_send_request(request);
-    let answered = tokio::time::timeout(patience.min(left), sending).await;
+    let begin = begin_limit(context, call, placed).map_or(Duration::MAX, |by| by.since(now));
+    let wait = patience.min(left);
+    let answered = tokio::time::timeout(wait.min(begin), sending).await;
     let response = match answered {
+        Err(_) if begin < wait => return Err(AttemptError::Overdue),
         Err(_) => return Err(AttemptError::Late),
         Ok(Err(mut error)) => {
             if error.take_message().is_some() {
@@ -166,6 +176,16 @@
     })
 }
 
+/// When `call` must have begun at the server in `placed`, if its version runs out.
+#[must_use]
+pub fn begin_limit(context: &Context, call: &Call, placed: &Placed) -> Option<Timestamp> {
+    let engines = call.engines.as_ref()?;
+    let versions = context.published.versions(&engines.model.name);
+    let allowed = context.settings().bounds.version;
+    let due = versions.due(placed.version?, allowed)?;
+    Some(due - BEGIN_MARGIN)
+}
+
 /// Whether the version that was chosen before the connection was made may still be used.
 fn is_usable(context: &Context, call: &Call, placed: &Placed, now: Timestamp) -> bool {
     let (Some(version), Some(engines)) = (placed.version, &call.engines) else {
@@ -173,7 +193,8 @@
     };
     let versions = context.published.versions(&engines.model.name);
     let allowed = context.settings().bounds.version;
-    versions.is_usable(version, allowed, VERSION_MARGIN, now)
+    let margin = VERSION_MARGIN + placed.predicted;
+    versions.is_usable(version, allowed, margin, now)
 }
 
 /// A connection; only requests that may run twice use one that could be closing.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -33,7 +33,7 @@
 /// Time for which a server that is another than expected gets nothing.
 const STALE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Time kept between the last send of an old version and its end.
+/// Time kept between the predicted start of a request on an old version and that version's end.
 const VERSION_MARGIN: Duration = Duration::from_millis(900);
 
 /// Least number of entries that the budget of repeats is shared by, since some are not known yet.
@@ -301,16 +301,6 @@
     }
 }
 
-fn distance(settings: &Settings, server: &Server) -> Distance {
-    if server.zone == settings.zone {
-        return Distance::Zone;
-    }
-    if settings.regions.get(&server.zone) == Some(&settings.region) {
-        return Distance::Region;
-    }
-    Distance::Far
-}
-
 impl Offer<'_> {
     fn candidate(&self, permit: Permit) -> Candidate {
         Candidate {
@@ -357,11 +347,10 @@
             if ask.tried.contains(&server.id) {
                 continue;
             }
-            let allowed = settings.bounds.version;
-            let Some(version) = self.version(server, ask, allowed, now) else {
+            let Some(version) = self.version(server, ask, now) else {
                 continue;
             };
-            let distance = distance(settings, server);
+            let distance = settings.distance(&server.zone);
             let near = distance == Distance::Zone;
             let standing = Standing {
                 distance,
@@ -377,6 +366,11 @@
                 Some(engines) => load.engine(&engines.timing, ask.prompt, standing, now),
                 None => load.plain(server.slots),
             };
+            let allowed = settings.bounds.version;
+            let margin = VERSION_MARGIN + forecast.latency;
+            if version.is_some_and(|v| !ask.versions.is_usable(v, allowed, margin, now)) {
+                continue;
+            }
             offers.push(Offer {
                 server,
                 version,
@@ -403,19 +397,13 @@
         }
     }
 
-    /// The version that a request is bound to at `server`: none inside for a plain service, none
-    /// at all when the server can't take it.
+    /// The version that a request would be bound to at `server`: none inside for a plain service,
+    /// none at all when the server can't take it.
     #[expect(
         clippy::option_option,
         reason = "the outer level says whether it can serve at all"
     )]
-    fn version(
-        &self,
-        server: &Server,
-        ask: &Ask<'_>,
-        allowed: Duration,
-        now: Timestamp,
-    ) -> Option<Option<u64>> {
+    fn version(&self, server: &Server, ask: &Ask<'_>, now: Timestamp) -> Option<Option<u64>> {
         let Some(engines) = ask.engines else {
             return Some(None);
         };
@@ -433,10 +421,7 @@
             }
             None => server.loaded.iter().find(|l| l.model == *model)?.version,
         };
-        let usable = ask
-            .versions
-            .is_usable(version, allowed, VERSION_MARGIN, now);
-        usable.then_some(Some(version))
+        Some(Some(version))
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -14,10 +14,10 @@
 use crate::Context;
 use crate::answers::{Body, Fate, full, own, refuse};
 use crate::channels::Channels;
-use crate::exchange::{Answer, AttemptError, exchange};
+use crate::exchange::{Answer, AttemptError, begin_limit, exchange};
 use crate::fleet::{Ask, Place, Placed, Placement};
 use crate::request::{Call, end_to_end};
-use crate::stream::{Feed, Relay, relay};
+use crate::stream::{Feed, FeedError, Relay, relay};
 
 /// Largest answer that is held whole before it is passed on, in bytes.
 const ANSWER_BYTES: usize = 16 << 20;
@@ -258,10 +258,18 @@
     ) -> Result<Response<Body>, (End, AttemptError)> {
         let (status, headers) = (answer.status, answer.headers.clone());
         let mut feed = Feed::new(answer, placed);
-        let left = call.deadline.since(self.context.clock.now());
-        let first = feed.next(patience.min(left)).await;
-        let first =
-            first.map_err(|e| self.note_error(placed, AttemptError::Lost(e.to_smolstr())))?;
+        let now = self.context.clock.now();
+        let wait = patience.min(call.deadline.since(now));
+        let begin =
+            begin_limit(&self.context, call, placed).map_or(Duration::MAX, |by| by.since(now));
+        let first = feed.next(wait.min(begin)).await;
+        let first = first.map_err(|error| {
+            let error = match error {
+                FeedError::Stalled if begin < wait => AttemptError::Overdue,
+                error => AttemptError::Lost(error.to_smolstr()),
+            };
+            self.note_error(placed, error)
+        })?;
         let relaying = Relay {
             forwarder: self.clone(),
             call: call.clone(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_decide::cadence::{ROUND, fetch_sample, period};
+use apricothall_decide::placement::Distance;
 use apricothall_types::{Role, Timestamp};
 use apricothall_wire::codec::{decode, encode};
 use rand::seq::IndexedRandom;
@@ -16,19 +18,9 @@
 use crate::forward::millis;
 use crate::peers::{Gossip, Hello, Phase, VersionNote};
 use crate::published::Reader;
-use crate::settings::Settings;
 
-/// Time between two messages to daemons that need news promptly.
-const BRISK: Duration = Duration::from_millis(100);
-
-/// Rounds of [`BRISK`] between two messages to others of the region.
-const NEAR_ROUNDS: u64 = 4;
-
-/// Rounds between two messages of agents to other regions while they fetch weights.
-const FETCH_ROUNDS: u64 = 2;
-
-/// Rounds between two messages to other regions.
-const FAR_ROUNDS: u64 = 12;
+/// Rounds between two tries to reach daemons that are silent.
+const SEEK_ROUNDS: u64 = 4;
 
 /// Daemons that a round reaches at most.
 const FANOUT: usize = 64;
@@ -85,15 +77,22 @@
 async fn take(context: &Context, socket: &UdpSocket, gossip: &Gossip) {
     let now = context.clock.now();
     let known = context.peers.get(&gossip.hello.address, now).is_some();
-    if !context.peers.take(gossip, &context.settings().region, now) {
+    if !context.peers.take(gossip, &context.settings(), now) {
         return;
     }
+    let from_reader = gossip.hello.role == Role::Entry
+        && gossip.hello.phase == Phase::Serving
+        && gossip.hello.zone == context.settings().zone
+        && !gossip.away;
     for note in &gossip.versions {
         let since = note.age.map(|age| now - Duration::from_millis(age));
         context
             .published
             .name_version(&note.model, note.version, since, Reader::Peer);
     }
+    if from_reader {
+        context.published.note_known(now);
+    }
     if let Some(note) = &gossip.engine {
         let far = gossip.hello.region != context.settings().region;
         context.fleet.take_note(note, far, now);
@@ -119,12 +118,35 @@
 
 async fn send(context: &Context, socket: &UdpSocket) {
     let mut round = 0_u64;
+    let mut news = context.published.changes();
     loop {
         for address in receivers(context, round) {
             send_to(context, socket, address).await;
         }
         round += 1;
-        tokio::time::sleep(BRISK).await;
+        let waited = tokio::time::timeout(ROUND, news.changed()).await;
+        if waited.is_ok() {
+            pass_on(context, socket).await;
+            tokio::time::sleep(ROUND).await;
+        }
+    }
+}
+
+/// Tells the zone at once of news from the store.
+async fn pass_on(context: &Context, socket: &UdpSocket) {
+    let now = context.clock.now();
+    if !context.reads_store(now) {
+        return;
+    }
+    let zone = context.settings().zone.clone();
+    let mut near = Vec::new();
+    context.peers.each(now, |peer| {
+        if peer.hello.zone == zone {
+            near.push(peer.hello.address);
+        }
+    });
+    for address in near {
+        send_to(context, socket, address).await;
     }
 }
 
@@ -132,16 +154,27 @@
 fn receivers(context: &Context, round: u64) -> Vec<SocketAddr> {
     let settings = context.settings();
     let now = context.clock.now();
-    let fetching = context.fleet.is_fetching();
-    let mut due = Vec::new();
+    let (mut due, mut near, mut far) = (Vec::new(), Vec::new(), Vec::new());
     context.peers.each(now, |peer| {
-        if round.is_multiple_of(rounds(&settings, &peer.hello, fetching)) {
-            due.push(peer.hello.address);
+        let distance = settings.distance(&peer.hello.zone);
+        let period = period(settings.role, peer.hello.role, distance);
+        let address = peer.hello.address;
+        if round.is_multiple_of(u64::from(period)) {
+            due.push(address);
+        } else if peer.hello.role == Role::Agent && distance == Distance::Far {
+            far.push(address);
+        } else if peer.hello.role == Role::Agent {
+            near.push(address);
         }
     });
     let mut rng = rand::rng();
     let mut chosen: Vec<_> = due.choose_multiple(&mut rng, FANOUT).copied().collect();
-    if round.is_multiple_of(NEAR_ROUNDS) {
+    if context.fleet.is_fetching() {
+        let sample = fetch_sample(round);
+        chosen.extend(near.choose_multiple(&mut rng, sample.near));
+        chosen.extend(far.choose_multiple(&mut rng, sample.far));
+    }
+    if round.is_multiple_of(SEEK_ROUNDS) {
         let own = SocketAddr::new(settings.ip, settings.peer_port);
         let silent: Vec<_> = settings
             .seeds
@@ -155,19 +188,6 @@
     chosen
 }
 
-/// Rounds between two messages to `to`: entries of the zone hear of each load, agents that fetch
-/// weights tell all others what they hold, and bytes between regions are dear.
-fn rounds(settings: &Settings, to: &Hello, fetching: bool) -> u64 {
-    let far = to.region != settings.region;
-    match (settings.role, to.role) {
-        (Role::Agent, Role::Entry) if to.zone == settings.zone => 1,
-        (Role::Agent, Role::Agent) if fetching && far => FETCH_ROUNDS,
-        (Role::Agent, Role::Agent) if fetching => 1,
-        _ if far => FAR_ROUNDS,
-        _ => NEAR_ROUNDS,
-    }
-}
-
 async fn send_to(context: &Context, socket: &UdpSocket, address: SocketAddr) {
     let gossip = message(context, &address);
     if gossip.hello.address == address {
@@ -199,6 +219,10 @@
                 .unwrap_or(u64::MAX)
                 .saturating_add(1)
         }),
+        servers: context.published.servers_seen(),
+        away: context
+            .published
+            .servers(apricothall_decide::servers::Servers::is_away),
         versions: versions(context, now),
         engine: context.fleet.own_note(),
         known: known.map(|p| p.hello.address).collect(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,17 +5,19 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use apricothall_decide::cadence::silence;
+use apricothall_decide::placement::Distance;
+use apricothall_decide::readers::{Sound, Turn, turn};
 use apricothall_decide::reload::Progress;
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{Incarnation, MemberId, Region, Revision, Role, Timestamp, Zone};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// Silence after which a daemon of this region counts as gone.
-const SILENCE: Duration = Duration::from_millis(1_600);
+use crate::settings::Settings;
 
-/// Silence after which a daemon of another region, which tells less often, counts as gone.
-const FAR_SILENCE: Duration = Duration::from_secs(3);
+/// Silence after which a daemon of this zone no longer counts as one that reads the store.
+const READER_SILENCE: Duration = Duration::from_secs(1);
 
 /// Shortest silence between two processes of one daemon.
 const RESTART: Duration = Duration::from_millis(400);
@@ -72,7 +74,9 @@
     pub pace: u32,
     /// Version that the agent fetches or holds.
     pub version: u64,
-    /// How far it has come with that version.
+    /// Newest version that the agent holds whole; zero for none.
+    pub whole: u64,
+    /// How far its engine is on its way to the newest version.
     pub progress: Progress,
     /// Pieces of that version that the agent can pass on.
     pub held: ChunkSet,
@@ -113,6 +117,10 @@
     pub revision: Revision,
     /// Age of its last confirmation, in ms.
     pub confirmed: Option<u64>,
+    /// Revision up to which it knows the servers.
+    pub servers: Revision,
+    /// Whether the store does not answer it.
+    pub away: bool,
     /// Versions of models.
     pub versions: Vec<VersionNote>,
     /// The engine beside the sender; agents only.
@@ -132,18 +140,34 @@
     pub stamp: Timestamp,
     /// Revision of the configuration in force there.
     pub revision: Revision,
+    /// Revision up to which it knows the servers.
+    pub servers: Revision,
+    /// Whether the store does not answer it.
+    pub away: bool,
     /// The engine beside it.
     pub engine: Option<EngineNote>,
     /// Whether it is in another region.
     pub far: bool,
+    /// Silence after which it counts as gone.
+    pub silence: Duration,
 }
 
 impl Peer {
     /// Whether it was heard lately.
     #[must_use]
     pub fn is_alive(&self, now: Timestamp) -> bool {
-        let limit = if self.far { FAR_SILENCE } else { SILENCE };
-        now.since(self.heard) < limit
+        now.since(self.heard) < self.silence
+    }
+
+    /// Whether it serves and the store answers it, so that others may learn from it.
+    #[must_use]
+    pub fn is_sound(&self, now: Timestamp) -> bool {
+        let limit = if self.far {
+            self.silence
+        } else {
+            READER_SILENCE
+        };
+        self.hello.phase == Phase::Serving && !self.away && now.since(self.heard) < limit
     }
 }
 
@@ -169,7 +193,7 @@
     }
 
     /// Takes a message. False when it is older than one taken before.
-    pub fn take(&self, gossip: &Gossip, region: &Region, now: Timestamp) -> bool {
+    pub fn take(&self, gossip: &Gossip, settings: &Settings, now: Timestamp) -> bool {
         let mut known = self.known();
         let address = gossip.hello.address;
         if known
@@ -178,13 +202,17 @@
         {
             return false;
         }
+        let distance = settings.distance(&gossip.hello.zone);
         let peer = Peer {
             hello: gossip.hello.clone(),
             heard: now,
             stamp: gossip.stamp,
             revision: gossip.revision,
+            servers: gossip.servers,
+            away: gossip.away,
             engine: gossip.engine.clone(),
-            far: gossip.hello.region != *region,
+            far: distance == Distance::Far,
+            silence: silence(gossip.hello.role, settings.role, distance),
         };
         let before = known.insert(address, peer);
         let phase = before.map(|p| (p.hello.phase, p.hello.incarnation));
@@ -213,6 +241,26 @@
         }
     }
 
+    /// What the daemon of `settings` does about the store.
+    #[must_use]
+    pub fn turn(&self, settings: &Settings, now: Timestamp) -> Turn {
+        let known = self.known();
+        let sound = known.values().filter(|p| p.is_sound(now));
+        let others = sound.map(|p| Sound {
+            id: &p.hello.id,
+            role: p.hello.role,
+            near: p.hello.zone == settings.zone,
+        });
+        turn(&settings.id, settings.role, others)
+    }
+
+    /// Whether the store does not answer some daemon heard lately.
+    #[must_use]
+    pub fn any_away(&self, now: Timestamp) -> bool {
+        let known = self.known();
+        known.values().any(|p| p.away && p.is_alive(now))
+    }
+
     /// Addresses of all daemons known, silent ones included.
     #[must_use]
     pub fn addresses(&self) -> Vec<SocketAddr> {
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use apricothall_decide::lease::Lease;
-use apricothall_decide::servers::{Server, Servers};
+use apricothall_decide::servers::{Listing, Server, Servers};
 use apricothall_decide::versions::Versions;
 use apricothall_types::{Revision, Timestamp};
 use smol_str::SmolStr;
@@ -33,6 +33,8 @@
     versions: BTreeMap<SmolStr, Versions>,
     servers: Servers,
     servers_seen: Revision,
+    /// Until when all that operators wrote is known, from the store or from a peer that reads it.
+    operators_known: Option<Timestamp>,
 }
 
 /// Facts published, with their revisions.
@@ -64,7 +66,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Tells of each change of the configuration or of a version.
+    /// Tells of each change of the configuration, of a version or of the servers.
     #[must_use]
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
@@ -210,16 +212,36 @@
         let count = list.len();
         self.with_servers(|servers| servers.replace(list, now));
         self.state().servers_seen = revision;
+        self.notify();
         tracing::debug!(count, %revision, "servers listed");
     }
 
     /// Takes the servers as a peer knows them, in place of what is known here.
-    pub fn adopt_servers(&self, list: Vec<Server>, revision: Revision) {
-        self.with_servers(|servers| servers.adopt(list));
+    pub fn adopt_servers(&self, listing: Listing, revision: Revision, now: Timestamp) {
+        self.with_servers(|servers| servers.adopt(listing, now));
         self.state().servers_seen = revision;
         tracing::debug!(%revision, "servers taken from a peer");
     }
 
+    /// Takes the whole list of what operators have written, asked for at `sent`.
+    pub fn take_operators(&self, calls: &StoreCalls, items: &[Item], sent: Timestamp) {
+        // A version that this list is the first to tell of may have been named right after the
+        // read before, or long before the process started.
+        let named = self.state().operators_known;
+        for item in items {
+            self.take_item(calls, item, Reader::Store, named);
+        }
+        self.note_known(sent);
+        // Whatever was written last is in `items`, so what is held now was newest at `sent`.
+        self.confirm(self.revision(), sent);
+    }
+
+    /// Notes that all that operators wrote until `at` is known here.
+    pub fn note_known(&self, at: Timestamp) {
+        let mut state = self.state();
+        state.operators_known = state.operators_known.max(Some(at));
+    }
+
     /// Takes changes of one subject.
     pub fn take_changes(
         &self,
@@ -242,8 +264,14 @@
                 }
             }
         }
-        if subject == Subject::Servers {
-            self.state().servers_seen = changes.revision;
+        match subject {
+            // The store's revision rises with each heartbeat; peers need to hear of changes only.
+            Subject::Servers if changes.changes.is_empty() => {}
+            Subject::Servers => {
+                self.state().servers_seen = changes.revision;
+                self.notify();
+            }
+            Subject::Operators => self.note_known(now),
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,9 +1,10 @@
-//! How daemons that the store turns away learn what was published: from each other.
+//! How daemons that do not read the store, or that it turns away, learn what was published: from
+//! each other.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use apricothall_decide::servers::Server;
+use apricothall_decide::servers::{Listing, Servers};
 use apricothall_types::{Revision, Role, Timestamp};
 use apricothall_wire::{Connector, ConnectorConfig, Incoming, Lane, Payload, WireError};
 use futures::{SinkExt, StreamExt};
@@ -24,7 +25,7 @@
 /// Time between two looks at whether a peer knows more.
 const STEP: Duration = Duration::from_millis(100);
 
-/// Time for which the own watch may still bring a revision that peers have.
+/// Time for which a reader's own watch may still bring a revision that peers have.
 const PATIENCE: Duration = Duration::from_millis(200);
 
 /// Time between two reads of a peer's servers while the store is away.
@@ -35,7 +36,10 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Ask {
+    /// Revision of the configuration held.
     held: Revision,
+    /// Revision up to which the servers are known; zero asks for them in any case.
+    servers: Revision,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -43,7 +47,14 @@
     revision: Revision,
     configuration: Option<(SmolStr, Payload)>,
     confirmed: Option<u64>,
-    servers: Option<(Revision, Vec<Server>)>,
+    servers: Option<(Revision, Listing)>,
+}
+
+/// What peers know and this daemon does not.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lack {
+    configuration: bool,
+    servers: bool,
 }
 
 #[derive(Debug, Error)]
@@ -113,10 +124,9 @@
     let newer = in_force.filter(|f| f.revision > ask.held);
     let age = context.published.age(now);
     let seen = context.published.servers_seen();
-    let away = context
-        .published
-        .servers(apricothall_decide::servers::Servers::is_away);
-    let list = || context.published.servers(|s| s.iter().cloned().collect());
+    let away = context.published.servers(Servers::is_away);
+    let newer_servers = !away && seen > ask.servers;
+    let list = || context.published.servers(|s| s.listing(now));
     let told = Told {
         revision: context.published.revision(),
         configuration: newer.map(|f| (f.item.key.clone(), Payload(f.item.value.clone()))),
@@ -125,13 +135,13 @@
                 .unwrap_or(u64::MAX)
                 .saturating_add(1)
         }),
-        servers: (!away && seen > Revision::default()).then(|| (seen, list())),
+        servers: newer_servers.then(|| (seen, list())),
     };
     channel.send(told).await?;
     channel.close().await
 }
 
-/// Asks peers for newer configurations and, while the store is away, for servers.
+/// Asks peers for newer configurations and servers.
 async fn follow(context: &Context) {
     let connector = connector(context);
     let mut behind: Option<Timestamp> = None;
@@ -139,20 +149,22 @@
     loop {
         tokio::time::sleep(STEP).await;
         let now = context.clock.now();
-        let held = context.published.revision();
-        let is_entry = context.settings().role == Role::Entry;
-        let away = context
-            .published
-            .servers(apricothall_decide::servers::Servers::is_away);
-        let lacks = context.peers.alive(now).iter().any(|p| p.revision > held);
-        let due = away && is_entry && now.since(asked) >= SERVERS_EVERY;
-        behind = lacks.then(|| behind.unwrap_or(now));
-        let overdue = behind.is_some_and(|since| away || now.since(since) >= PATIENCE);
-        if !overdue && !due {
+        let away = context.published.servers(Servers::is_away);
+        let reads = context.reads_store(now);
+        let mut lack = lack(context, away || !reads, now);
+        if away && context.settings().role == Role::Entry && now.since(asked) >= SERVERS_EVERY {
+            lack.servers = true;
+        }
+        if !lack.configuration && !lack.servers {
+            behind = None;
+            continue;
+        }
+        let since = *behind.get_or_insert(now);
+        if reads && !away && now.since(since) < PATIENCE {
             continue;
         }
         asked = now;
-        let Some(peer) = choose(context, held, overdue, now) else {
+        let Some(peer) = choose(context, lack, now) else {
             continue;
         };
         if let Err(error) = ask(context, &connector, peer, now).await {
@@ -162,21 +174,41 @@
     }
 }
 
-/// An entry that knows more, of the own zone if there is one.
-fn choose(context: &Context, held: Revision, newer: bool, now: Timestamp) -> Option<SocketAddr> {
+/// What peers know that this daemon does not. Only `learner`s take servers from peers.
+fn lack(context: &Context, learner: bool, now: Timestamp) -> Lack {
+    let held = context.published.revision();
+    let seen = context.published.servers_seen();
+    let settings = context.settings();
+    let learner = learner && settings.role == Role::Entry;
+    let mut lack = Lack::default();
+    context.peers.each(now, |peer| {
+        let near = peer.hello.zone == settings.zone;
+        lack.configuration |= peer.revision > held;
+        lack.servers |= learner && near && peer.is_sound(now) && peer.servers > seen;
+    });
+    lack
+}
+
+/// A daemon that knows what is lacking, of the own zone if there is one.
+fn choose(context: &Context, lack: Lack, now: Timestamp) -> Option<SocketAddr> {
     let zone = context.settings().zone.clone();
-    let peers = context.peers.alive(now);
-    let fits =
-        |p: &&crate::peers::Peer| p.hello.role == Role::Entry && (!newer || p.revision > held);
-    let near: Vec<_> = peers
-        .iter()
-        .filter(fits)
-        .filter(|p| p.hello.zone == zone)
-        .collect();
-    let all: Vec<_> = peers.iter().filter(fits).collect();
+    let held = context.published.revision();
+    let seen = context.published.servers_seen();
+    let (mut near, mut all) = (Vec::new(), Vec::new());
+    context.peers.each(now, |peer| {
+        let servers = peer.hello.role == Role::Entry && !peer.away && peer.servers >= seen;
+        if !(lack.configuration && peer.revision > held || lack.servers && servers) {
+            return;
+        }
+        all.push(peer.hello.address);
+        if peer.hello.zone == zone {
+            near.push(peer.hello.address);
+        }
+    });
     let mut rng = rand::rng();
-    let chosen = near.choose(&mut rng).or_else(|| all.choose(&mut rng))?;
-    Some(chosen.hello.address)
+    near.choose(&mut rng)
+        .or_else(|| all.choose(&mut rng))
+        .copied()
 }
 
 async fn ask(
@@ -189,7 +221,12 @@
         let opened = connector.open::<Told, Ask>(peer, Lane::Control, PUBLISHED_PATH, None);
         let mut channel = opened.await?;
         let held = context.published.revision();
-        channel.send(Ask { held }).await?;
+        let servers = if context.published.servers(Servers::is_away) {
+            Revision::default()
+        } else {
+            context.published.servers_seen()
+        };
+        channel.send(Ask { held, servers }).await?;
         channel
             .next()
             .await
@@ -212,14 +249,13 @@
         let since = sent - Duration::from_millis(age);
         context.published.confirm(told.revision, since);
     }
-    let away = context
-        .published
-        .servers(apricothall_decide::servers::Servers::is_away);
-    if let Some((revision, servers)) = told.servers
-        && away
+    let now = context.clock.now();
+    let learner = context.published.servers(Servers::is_away) || !context.reads_store(now);
+    if let Some((revision, listing)) = told.servers
+        && learner
         && revision >= context.published.servers_seen()
     {
-        context.published.adopt_servers(servers, revision);
+        context.published.adopt_servers(listing, revision, now);
     }
     Ok(())
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use apricothall_decide::placement::Distance;
 use apricothall_types::{MemberId, Rate, Region, Role, Zone};
 use smol_str::SmolStr;
 
@@ -38,6 +39,20 @@
     pub bounds: Bounds,
 }
 
+impl Settings {
+    /// How far `zone` is.
+    #[must_use]
+    pub fn distance(&self, zone: &Zone) -> Distance {
+        if *zone == self.zone {
+            return Distance::Zone;
+        }
+        if self.regions.get(zone) == Some(&self.region) {
+            return Distance::Region;
+        }
+        Distance::Far
+    }
+}
+
 /// Addresses that a process listens on; what its role does not serve is absent.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Listen {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,10 +1,13 @@
 //! Reads the platform's store: lists, then waits for changes, and lists anew after each fault.
+//!
+//! A few entries of each zone do so; others learn from them (see [`crate::relay`]).
 
 use std::time::Duration;
 
 use apricothall_clients::PlatformError;
 use apricothall_clients::http_client::{HttpClient, get};
-use apricothall_decide::servers::Server;
+use apricothall_decide::readers::Turn;
+use apricothall_decide::servers::{Server, Servers};
 use apricothall_types::{Revision, Role, Timestamp};
 use http::StatusCode;
 use rand::Rng;
@@ -13,13 +16,9 @@
 
 use crate::Context;
 use crate::dialect::{Changes, Fact, Item, Page, Subject};
-use crate::published::Reader;
 
-/// Longest wait of one watch by an entry.
-const ENTRY_WATCH: Duration = Duration::from_secs(4);
-
-/// Longest wait of one watch by an agent, which needs changes less promptly.
-const AGENT_WATCH: Duration = Duration::from_secs(8);
+/// Longest wait of one watch.
+const WATCH: Duration = Duration::from_secs(4);
 
 /// Time beyond its wait after which a watch counts as lost.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
@@ -28,7 +27,7 @@
 const LIST_WAIT: Duration = Duration::from_millis(1_200);
 
 /// Pause between two watches, which gathers changes that come in quick succession.
-const GATHER: Duration = Duration::from_millis(150);
+const GATHER: Duration = Duration::from_millis(300);
 
 /// Shortest pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -36,8 +35,24 @@
 /// Time between two looks at whether the configuration needs a new confirmation.
 const CONFIRM_STEP: Duration = Duration::from_millis(150);
 
-/// Age of the last confirmation at which an entry reads the store itself.
-const CONFIRM_AGE: Duration = Duration::from_millis(900);
+/// Age of the last confirmation at which the configuration is confirmed, as a part of the longest
+/// age that keys allow, in percent.
+const fn confirm_part(turn: Turn) -> u32 {
+    match turn {
+        Turn::First => 20,
+        Turn::Second => 30,
+        Turn::Learns => 45,
+    }
+}
+
+/// Age of the configuration that counts when keys allow any.
+const ANY_AGE: Duration = Duration::from_secs(5);
+
+/// Time between two looks at whether this daemon has become a reader.
+const TURN_STEP: Duration = Duration::from_millis(100);
+
+/// Time after the start in which an agent may hear of entries before it reads itself.
+const AGENT_WAIT: Duration = Duration::from_millis(800);
 
 /// Largest answer of the store, in bytes.
 const ANSWER_BYTES: usize = 8 << 20;
@@ -45,9 +60,11 @@
 /// Longest wait for a connection to the store.
 const CONNECT_WAIT: Duration = Duration::from_millis(800);
 
-/// Why a read brought nothing.
+/// Why the changes of a subject are no longer followed.
 #[derive(Debug, Error)]
 enum ReadError {
+    #[error("others read for this daemon")]
+    OtherReaders,
     #[error(transparent)]
     Call(#[from] PlatformError),
     #[error("answer not understood: {0}")]
@@ -73,15 +90,36 @@
     let watching = context.clone();
     let client = HttpClient::new(Some(context.settings().ip), CONNECT_WAIT);
     context.lifecycle.spawn(async move {
+        if watching.settings().role == Role::Agent {
+            tokio::time::sleep(AGENT_WAIT).await;
+        }
         loop {
+            await_turn(&watching, subject).await;
             let error = follow(&watching, &client, subject).await;
-            note_failure(&watching, subject, &error);
+            note_end(&watching, subject, &error);
             let pause = RETRY_PAUSE.mul_f64(1.0 + rand::rng().random::<f64>());
             tokio::time::sleep(pause).await;
         }
     });
 }
 
+/// Waits until this daemon is one that reads the store.
+async fn await_turn(context: &Context, subject: Subject) {
+    if context.reads_store(context.clock.now()) {
+        return;
+    }
+    context.published.with_servers(Servers::leave_reading);
+    while !context.reads_store(context.clock.now()) {
+        tokio::time::sleep(TURN_STEP).await;
+    }
+    // Entries of servers may have lapsed in an outage that other readers have seen.
+    let outage = context.peers.any_away(context.clock.now());
+    if outage {
+        context.published.with_servers(Servers::store_failed);
+    }
+    tracing::info!(?subject, outage, "reads the store from now on");
+}
+
 /// Lists and follows changes until a call fails.
 async fn follow(context: &Context, client: &HttpClient, subject: Subject) -> ReadError {
     let mut revision = match list(context, client, subject).await {
@@ -95,14 +133,17 @@
         };
         note_answer(context);
         let now = context.clock.now();
+        let calls = &context.dialect.store;
+        context
+            .published
+            .take_changes(calls, subject, &changes, now);
         if !changes.changes.is_empty() {
-            let calls = &context.dialect.store;
-            context
-                .published
-                .take_changes(calls, subject, &changes, now);
             tokio::time::sleep(GATHER).await;
         }
         revision = revision.max(changes.revision);
+        if !context.reads_store(now) {
+            return ReadError::OtherReaders;
+        }
     }
 }
 
@@ -113,15 +154,11 @@
     after: Revision,
 ) -> Result<Changes, ReadError> {
     let settings = context.settings();
-    let wait = match settings.role {
-        Role::Entry => ENTRY_WATCH,
-        Role::Agent => AGENT_WATCH,
-    };
-    let path = (context.dialect.store.watch)(subject, after, wait);
+    let path = (context.dialect.store.watch)(subject, after, WATCH);
     count("watch");
     let call = client.call(
         get(settings.store, &path)?,
-        wait + WATCH_SLACK,
+        WATCH + WATCH_SLACK,
         ANSWER_BYTES,
     );
     let answer = call.await?;
@@ -185,17 +222,7 @@
             .replace_servers(servers.collect(), revision, now);
         return;
     }
-    // What a process finds at its start may have been named long before.
-    let named = context.published.in_force().map(|_| now);
-    for item in items {
-        context
-            .published
-            .take_item(calls, item, Reader::Store, named);
-    }
-    // Whatever the operators wrote last is in `items`, so what is held now was newest at `sent`.
-    context
-        .published
-        .confirm(context.published.revision(), sent);
+    context.published.take_operators(calls, items, sent);
 }
 
 fn server(context: &Context, item: &Item) -> Option<Server> {
@@ -209,33 +236,42 @@
     }
 }
 
-/// Reads the store whenever no entry has confirmed the configuration lately.
+/// Reads the store whenever no reader has confirmed the configuration lately.
 async fn confirm(context: &Context) {
     let client = HttpClient::new(Some(context.settings().ip), CONNECT_WAIT);
     loop {
         let step = CONFIRM_STEP.mul_f64(0.5 + rand::rng().random::<f64>());
         tokio::time::sleep(step).await;
-        let age = context.published.age(context.clock.now());
-        if age.is_some_and(|age| age < CONFIRM_AGE) {
+        let now = context.clock.now();
+        let part = confirm_part(context.peers.turn(&context.settings(), now));
+        let allowed = context.settings().bounds.revoke.unwrap_or(ANY_AGE);
+        let due = allowed * part / 100;
+        if context.published.age(now).is_some_and(|age| age < due) {
             continue;
         }
         if let Err(error) = list(context, &client, Subject::Operators).await {
-            note_failure(context, Subject::Operators, &error);
+            note_end(context, Subject::Operators, &error);
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 }
 
-fn note_failure(context: &Context, subject: Subject, error: &ReadError) {
+fn note_end(context: &Context, subject: Subject, error: &ReadError) {
+    if matches!(error, ReadError::OtherReaders) {
+        tracing::info!(?subject, "others read the store from now on");
+        return;
+    }
     metrics::counter!("apricothall_store_failures_total").increment(1);
+    if !context.reads_store(context.clock.now()) {
+        // Others read, so that the store is not away for this daemon.
+        tracing::info!(?subject, %error, "a read of the store failed");
+        return;
+    }
     if matches!(error, ReadError::Compacted) {
         tracing::info!(?subject, "the store has dropped its history: listing anew");
         return;
     }
-    if context
-        .published
-        .with_servers(apricothall_decide::servers::Servers::store_failed)
-    {
+    if context.published.with_servers(Servers::store_failed) {
         tracing::warn!(?subject, %error, "store lost");
     }
 }
