fix(gateway): a version named in an outage counts from the first read after it

Cause: dated a version that a list is the first to tell of by the last word of a reader before.

Ruled out: the order of two versions named 2 s apart (no load of version 2 was ordered before the change either), and the squeezed side links.

Change: such a version counts from the read that told of it, as before today; a peer that knows an earlier time still says so, and the earlier of two times counts.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -80,19 +80,12 @@
     if !context.peers.take(gossip, &context.settings(), now) {
         return;
     }
-    let from_reader = gossip.hello.role == Role::Entry
-        && gossip.hello.phase == Phase::Serving
-        && gossip.hello.zone == context.settings().zone
-        && !gossip.away;
     for note in &gossip.versions {
         let since = note.age.map(|age| now - Duration::from_millis(age));
         context
             .published
             .name_version(&note.model, note.version, since, Reader::Peer);
     }
-    if from_reader {
-        context.published.note_known(now);
-    }
     if let Some(note) = &gossip.engine {
         let far = gossip.hello.region != context.settings().region;
         context.fleet.take_note(note, far, now);
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -33,8 +33,6 @@
     versions: BTreeMap<SmolStr, Versions>,
     servers: Servers,
     servers_seen: Revision,
-    /// Until when all that operators wrote is known, from the store or from a peer that reads it.
-    operators_known: Option<Timestamp>,
 }
 
 /// Facts published, with their revisions.
@@ -223,25 +221,24 @@
         tracing::debug!(%revision, "servers taken from a peer");
     }
 
-    /// Takes the whole list of what operators have written, asked for at `sent`.
-    pub fn take_operators(&self, calls: &StoreCalls, items: &[Item], sent: Timestamp) {
-        // A version that this list is the first to tell of may have been named right after the
-        // read before, or long before the process started.
-        let named = self.state().operators_known;
+    /// Takes the whole list of what operators have written, asked for at `sent` and read at `now`.
+    pub fn take_operators(
+        &self,
+        calls: &StoreCalls,
+        items: &[Item],
+        sent: Timestamp,
+        now: Timestamp,
+    ) {
+        // What a process finds at its start may have been named long before. Later on the store
+        // was away if a list is the first to tell of a version, and peers that know better say so.
+        let named = self.in_force().map(|_| now);
         for item in items {
             self.take_item(calls, item, Reader::Store, named);
         }
-        self.note_known(sent);
         // Whatever was written last is in `items`, so what is held now was newest at `sent`.
         self.confirm(self.revision(), sent);
     }
 
-    /// Notes that all that operators wrote until `at` is known here.
-    pub fn note_known(&self, at: Timestamp) {
-        let mut state = self.state();
-        state.operators_known = state.operators_known.max(Some(at));
-    }
-
     /// Takes changes of one subject.
     pub fn take_changes(
         &self,
@@ -264,14 +261,10 @@
                 }
             }
         }
-        match subject {
-            // The store's revision rises with each heartbeat; peers need to hear of changes only.
-            Subject::Servers if changes.changes.is_empty() => {}
-            Subject::Servers => {
-                self.state().servers_seen = changes.revision;
-                self.notify();
-            }
-            Subject::Operators => self.note_known(now),
+        // The store's revision rises with each heartbeat; peers need to hear of changes only.
+        if subject == Subject::Servers && !changes.changes.is_empty() {
+            self.state().servers_seen = changes.revision;
+            self.notify();
         }
     }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -222,7 +222,7 @@
             .replace_servers(servers.collect(), revision, now);
         return;
     }
-    context.published.take_operators(calls, items, sent);
+    context.published.take_operators(calls, items, sent, now);
 }
 
 fn server(context: &Context, item: &Item) -> Option<Server> {
