refactor(gateway): settings that nothing reads are gone

Bounds.apply, drain and repeat_window, CallerLimits.read and ModelSpec.pieces were decoded and never used; the contract tables still pass the fields over.

--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -33,8 +33,6 @@
     pub head: usize,
     /// Largest body of a request, in bytes.
     pub body: usize,
-    /// Longest wait for a head.
-    pub read: Duration,
     /// Time after which an idle connection is closed.
     pub idle: Duration,
 }
@@ -44,7 +42,6 @@
         Self {
             head: 16 << 10,
             body: 4 << 20,
-            read: Duration::from_secs(3),
             idle: Duration::from_secs(15),
         }
     }
@@ -70,13 +67,11 @@
     pub model: ModelSpec,
 }
 
-/// A model and the shape of its weights.
+/// A model.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ModelSpec {
     /// Name of the model.
     pub name: SmolStr,
-    /// Pieces of one version.
-    pub pieces: u32,
 }
 
 /// Where weights come from.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -80,12 +80,8 @@
 /// Bounds that must be kept, as times.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
-    /// From a configuration's ack until it is in force.
-    pub apply: Duration,
     /// From a key's removal until it is refused, if that is enforced on cut-off daemons too.
     pub revoke: Option<Duration>,
-    /// From a server's leaving until it gets no request.
-    pub drain: Duration,
     /// From a termination signal until the process is killed.
     pub grace: Duration,
     /// From a version's ack until no request begins on an older one.
@@ -96,6 +92,4 @@
     pub repeat_ratio: f64,
     /// Repeats allowed beside that share, over all entries.
     pub repeat_extra: f64,
-    /// Length of that window.
-    pub repeat_window: Duration,
 }
