fix(gateway): the first list of a process never dates a version

The order by which a process was taken for one that knew was "a configuration is in force", which a peer's word meets too; with few readers that is common.

Ruled out: queues at engines (0.16 s there) and late news of the version (named everywhere within 0.4 s of the store's return).

Change: only lists after the first one of a process date a version.

Before: a_version_found_at_the_start_counts_as_long_named_whoever_told_of_the_configuration failed; after: it passes.

--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -33,6 +33,8 @@
     versions: BTreeMap<SmolStr, Versions>,
     servers: Servers,
     servers_seen: Revision,
+    /// Whether this process has listed what operators wrote.
+    listed: bool,
 }
 
 /// Facts published, with their revisions.
@@ -231,7 +233,8 @@
     ) {
         // What a process finds at its start may have been named long before. Later on the store
         // was away if a list is the first to tell of a version, and peers that know better say so.
-        let named = self.in_force().map(|_| now);
+        let listed = std::mem::replace(&mut self.state().listed, true);
+        let named = listed.then_some(now);
         for item in items {
             self.take_item(calls, item, Reader::Store, named);
         }
