--- a/crates/apricotd/tests/soak.rs
+++ b/crates/apricotd/tests/soak.rs
@@ -5,7 +5,7 @@
 
 #[path = "soak/check.rs"]
 mod check;
-#[allow(dead_code, reason = "no test uses all of it")]
+#[allow(dead_code, unused_imports, reason = "no test uses all of it")]
 #[path = "../../../platform/tests/standin/mod.rs"]
 mod standin;
 #[path = "soak/world.rs"]
