feat(xtask): load patterns against the decisions, on a clock of its own

`standin::emulator` is an engine with the published timing, `experiment` plays arrivals of several kinds against `decide::placement` over `decide::load` as entries use them, with notes that lag. `cargo xtask load` prints what came of each kind under a burst, slow, lost and arriving engines, for seeds and weights of choices. A fixed seed plays the same.

Tests: eight, under each pattern with bounds that follow from the engines that are there; too much of everything starves no kind.

--- /dev/null
+++ b/crates/standin/src/emulator.rs
@@ -0,0 +1,131 @@
+//! A model engine with the published timing, on a clock of its own.
+
+use std::collections::VecDeque;
+
+use apricothall_decide::timing::Timing;
+
+/// A request at an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    /// Its number.
+    pub id: usize,
+    /// Tokens of its prompt.
+    pub prompt: f64,
+    /// Tokens of its answer.
+    pub answer: f64,
+}
+
+/// What happened to a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Happened {
+    /// Its first event came.
+    First,
+    /// Its last event came; the longest pause between two events was this long, in ms.
+    End {
+        /// Longest pause, in ms.
+        pause: f64,
+    },
+}
+
+struct Running {
+    job: Job,
+    left: f64,
+    last: Option<f64>,
+    pause: f64,
+}
+
+/// An engine. It works in passes: it reads the prompts that it has taken in, then makes
+/// [`Timing::stride`] tokens for each request.
+pub struct Emulator {
+    timing: Timing,
+    /// How many times slower than published it is.
+    pub pace: f64,
+    running: Vec<Running>,
+    waiting: VecDeque<Job>,
+    ends: Option<f64>,
+}
+
+impl Emulator {
+    /// An idle engine.
+    #[must_use]
+    pub fn new(timing: Timing) -> Self {
+        Self {
+            timing,
+            pace: 1.0,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            ends: None,
+        }
+    }
+
+    /// Requests there.
+    #[must_use]
+    pub fn total(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
+    /// Takes a request.
+    pub fn push(&mut self, job: Job) {
+        self.waiting.push_back(job);
+    }
+
+    /// Drops all requests and returns their numbers, as when it crashes.
+    pub fn crash(&mut self) -> Vec<usize> {
+        self.ends = None;
+        let running = self.running.drain(..).map(|r| r.job.id);
+        running
+            .chain(self.waiting.drain(..).map(|j| j.id))
+            .collect()
+    }
+
+    /// Lets time pass until `now`, in ms, and tells what happened to whom.
+    pub fn step(&mut self, now: f64, mut tell: impl FnMut(usize, Happened)) {
+        if let Some(ends) = self.ends.filter(|ends| *ends <= now) {
+            self.end_pass(ends, &mut tell);
+            self.ends = None;
+        }
+        if self.ends.is_none() {
+            self.begin_pass(now);
+        }
+    }
+
+    fn end_pass(&mut self, at: f64, tell: &mut impl FnMut(usize, Happened)) {
+        let tokens = f64::from(self.timing.stride);
+        self.running.retain_mut(|running| {
+            match running.last {
+                None => tell(running.job.id, Happened::First),
+                Some(last) => running.pause = running.pause.max(at - last),
+            }
+            running.last = Some(at);
+            running.left -= tokens;
+            if running.left <= 0.0 {
+                let pause = running.pause;
+                tell(running.job.id, Happened::End { pause });
+            }
+            running.left > 0.0
+        });
+    }
+
+    fn begin_pass(&mut self, now: f64) {
+        let slots = usize::try_from(self.timing.slots).unwrap_or(usize::MAX);
+        let mut reading = 0.0;
+        while self.running.len() < slots {
+            let Some(job) = self.waiting.pop_front() else {
+                break;
+            };
+            reading += self.timing.read_ms(job.prompt);
+            self.running.push(Running {
+                job,
+                left: job.answer,
+                last: None,
+                pause: 0.0,
+            });
+        }
+        if self.running.is_empty() {
+            return;
+        }
+        let writers = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let ms = (reading + self.timing.write_ms(writers)) * self.pace;
+        self.ends = Some(now + ms);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/experiment.rs
@@ -0,0 +1,377 @@
+//! Load patterns against the decisions of entries and emulated engines, on a clock of its own.
+//!
+//! Entries choose servers with `decide::placement` over `decide::load`, as daemons do; engines are
+//! [`Emulator`]s of one zone. The network, the store and versions are left out.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use apricothall_decide::load::{Load, Standing};
+use apricothall_decide::outlier::Permit;
+use apricothall_decide::placement::{Candidate, Choice, Distance, Need, PlacementConfig, choose};
+use apricothall_decide::timing::Timing;
+use apricothall_types::Timestamp;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol_str::SmolStr;
+
+use crate::emulator::{Emulator, Happened, Job};
+
+/// Time between two notes of an agent, in ms.
+const NOTE_EVERY: u64 = 100;
+
+/// Age of an engine's report, in ms.
+const REPORT_LAG: u64 = 200;
+
+/// Time for which a note holds.
+const NOTE_AGE: Duration = Duration::from_millis(900);
+
+/// Time from an entry to an engine, in ms.
+const WAY: f64 = 2.0;
+
+/// Longest predicted wait for a caller that has come back.
+const PATIENCE: Duration = Duration::from_millis(900);
+
+/// Longest pause between two events.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Part of its full worth that a late answer has.
+const LATE: f64 = 0.25;
+
+/// Time before the end from which on nothing arrives, so that all have their end, in ms.
+const LAST: u64 = 4_000;
+
+/// Shortest and longest time for which a refused caller stays away, in ms.
+const STAY: (u64, u64) = (1_200, 2_000);
+
+/// A kind of request.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Its name.
+    pub name: SmolStr,
+    /// Share of all requests.
+    pub share: f64,
+    /// Mean tokens of the prompt.
+    pub prompt: f64,
+    /// Mean tokens of the answer.
+    pub answer: f64,
+    /// Time to the first event for full worth.
+    pub aim: Duration,
+}
+
+/// What happens to load and engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pattern {
+    /// Nothing.
+    Calm,
+    /// Twice the load for three seconds.
+    Burst,
+    /// A third of the engines is three times slower for ten seconds.
+    Slow,
+    /// A third of the engines crashes and stays away for six seconds.
+    Lost,
+    /// Half of the engines is there from the eighth second on only.
+    Arriving,
+}
+
+/// An experiment.
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    /// Timing of the engines.
+    pub timing: Timing,
+    /// Kinds of request.
+    pub kinds: Vec<Kind>,
+    /// Engines.
+    pub engines: usize,
+    /// Entries.
+    pub entries: u32,
+    /// Requests a second.
+    pub rate: f64,
+    /// What happens.
+    pub pattern: Pattern,
+    /// Length, in ms.
+    pub length: u64,
+    /// Weights of choices.
+    pub placement: PlacementConfig,
+    /// Seed of arrivals and sizes.
+    pub seed: u64,
+}
+
+/// What came of the requests of a kind.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Outcome {
+    /// All.
+    pub asked: u32,
+    /// With the first event in its aim and no long pause.
+    pub timely: u32,
+    /// Whole, but later.
+    pub late: u32,
+    /// Refused twice.
+    pub refused: u32,
+    /// Broken off by a crash.
+    pub lost: u32,
+}
+
+impl Outcome {
+    /// Worth earned as a part of the worth of all.
+    #[must_use]
+    pub fn worth(&self) -> f64 {
+        let earned = f64::from(self.timely) + f64::from(self.late) * LATE;
+        earned / f64::from(self.asked.max(1))
+    }
+}
+
+struct Request {
+    kind: usize,
+    job: Job,
+    arrived: u64,
+    entry: usize,
+    engine: usize,
+    sent: Timestamp,
+    predicted: Duration,
+    first: Option<f64>,
+}
+
+struct Play<'a> {
+    experiment: &'a Experiment,
+    rng: ChaCha8Rng,
+    engines: Vec<Emulator>,
+    totals: Vec<Vec<usize>>,
+    entries: Vec<Vec<Load>>,
+    requests: Vec<Request>,
+    outcomes: Vec<Outcome>,
+    /// Refused callers by the time at which they come back.
+    back: BinaryHeap<Reverse<(u64, usize)>>,
+}
+
+/// Plays `experiment` and returns what came of each kind.
+#[must_use]
+pub fn play(experiment: &Experiment) -> Vec<Outcome> {
+    let engines = || 0..experiment.engines;
+    let timing = experiment.timing;
+    let entries = usize::try_from(experiment.entries).unwrap_or(1).max(1);
+    let loads = || engines().map(|_| Load::default()).collect::<Vec<_>>();
+    let mut play = Play {
+        experiment,
+        rng: ChaCha8Rng::seed_from_u64(experiment.seed),
+        engines: engines().map(|_| Emulator::new(timing)).collect(),
+        totals: engines().map(|_| Vec::new()).collect(),
+        entries: (0..entries).map(|_| loads()).collect(),
+        requests: Vec::new(),
+        outcomes: vec![Outcome::default(); experiment.kinds.len()],
+        back: BinaryHeap::new(),
+    };
+    let mut next = 0.0;
+    for now in 0..experiment.length {
+        play.disturb(now);
+        play.work(now);
+        if now % NOTE_EVERY == 0 {
+            play.note(now);
+        }
+        while next <= now_ms(now) && now + LAST < experiment.length {
+            play.arrive(now);
+            let gap = -(1.0 - play.rng.random::<f64>()).ln() * 1_000.0;
+            next += gap / (experiment.rate * play.surge(now)).max(f64::EPSILON);
+        }
+        while let Some(Reverse((_, id))) = play.back.pop_if_due(now) {
+            play.place(id, true, now);
+        }
+    }
+    play.outcomes
+}
+
+/// Takes what is due off a heap.
+trait PopIfDue {
+    fn pop_if_due(&mut self, now: u64) -> Option<Reverse<(u64, usize)>>;
+}
+
+impl PopIfDue for BinaryHeap<Reverse<(u64, usize)>> {
+    fn pop_if_due(&mut self, now: u64) -> Option<Reverse<(u64, usize)>> {
+        let due = self.peek().is_some_and(|Reverse((at, _))| *at <= now);
+        due.then(|| self.pop()).flatten()
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "experiments last minutes")]
+const fn now_ms(now: u64) -> f64 {
+    now as f64
+}
+
+impl Play<'_> {
+    fn surge(&self, now: u64) -> f64 {
+        let burst = self.experiment.pattern == Pattern::Burst;
+        if burst && (10_000..13_000).contains(&now) {
+            2.0
+        } else {
+            1.0
+        }
+    }
+
+    /// Whether the pattern takes engine `index` away.
+    fn is_away(&self, index: usize, now: u64) -> bool {
+        match self.experiment.pattern {
+            Pattern::Lost => index.is_multiple_of(3) && (10_000..16_000).contains(&now),
+            Pattern::Arriving => index.is_multiple_of(2) && now < 8_000,
+            Pattern::Calm | Pattern::Burst | Pattern::Slow => false,
+        }
+    }
+
+    fn disturb(&mut self, now: u64) {
+        let slow = self.experiment.pattern == Pattern::Slow;
+        for index in 0..self.engines.len() {
+            let harmed = index.is_multiple_of(3) && (10_000..20_000).contains(&now);
+            self.engines[index].pace = if slow && harmed { 3.0 } else { 1.0 };
+            if self.is_away(index, now) {
+                for id in self.engines[index].crash() {
+                    let request = &self.requests[id];
+                    self.entries[request.entry][index].end();
+                    self.outcomes[request.kind].lost += 1;
+                }
+            }
+        }
+    }
+
+    fn work(&mut self, now: u64) {
+        for index in 0..self.engines.len() {
+            let mut happened = Vec::new();
+            self.engines[index].step(now_ms(now), |id, what| happened.push((id, what)));
+            for (id, what) in happened {
+                self.take(id, what, now);
+            }
+        }
+    }
+
+    fn take(&mut self, id: usize, what: Happened, now: u64) {
+        let request = &mut self.requests[id];
+        let load = &mut self.entries[request.entry][request.engine];
+        match what {
+            Happened::First => {
+                request.first = Some(now_ms(now - request.arrived) + WAY);
+                let latency = Timestamp::from_millis(now).since(request.sent);
+                load.answered(latency, request.predicted);
+            }
+            Happened::End { pause } => {
+                load.end();
+                let aim = self.experiment.kinds[request.kind].aim.as_secs_f64() * 1_000.0;
+                let fluent = pause <= PAUSE.as_secs_f64() * 1_000.0;
+                let timely = fluent && request.first.is_some_and(|first| first <= aim);
+                let outcome = &mut self.outcomes[request.kind];
+                outcome.timely += u32::from(timely);
+                outcome.late += u32::from(!timely);
+            }
+        }
+    }
+
+    /// Agents tell all entries how many requests their engines had a while ago.
+    fn note(&mut self, now: u64) {
+        let lag = usize::try_from(REPORT_LAG / NOTE_EVERY).unwrap_or(0);
+        let at = Timestamp::from_millis(now);
+        for index in 0..self.engines.len() {
+            let totals = &mut self.totals[index];
+            totals.push(self.engines[index].total());
+            let total = totals[totals.len().saturating_sub(lag + 1)];
+            let total = u32::try_from(total).unwrap_or(u32::MAX);
+            let pace = self.engines[index].pace;
+            for loads in &mut self.entries {
+                loads[index].note(total, pace, at, at + NOTE_AGE);
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: u64) {
+        let mut drawn = self.rng.random::<f64>();
+        let kinds = &self.experiment.kinds;
+        let found = kinds.iter().position(|kind| {
+            drawn -= kind.share;
+            drawn < 0.0
+        });
+        let kind = found.unwrap_or(kinds.len() - 1);
+        // From a quarter of the mean up, so that few are very long.
+        let mut size = |mean: f64| {
+            let spread = -(1.0 - self.rng.random::<f64>()).ln();
+            (mean * (0.25 + 0.75 * spread)).max(1.0)
+        };
+        let job = Job {
+            id: self.requests.len(),
+            prompt: size(kinds[kind].prompt),
+            answer: size(kinds[kind].answer),
+        };
+        let entry = self.rng.random_range(0..self.entries.len());
+        self.outcomes[kind].asked += 1;
+        self.requests.push(Request {
+            kind,
+            job,
+            arrived: now,
+            entry,
+            engine: 0,
+            sent: Timestamp::default(),
+            predicted: Duration::ZERO,
+            first: None,
+        });
+        self.place(job.id, false, now);
+    }
+
+    fn place(&mut self, id: usize, returning: bool, now: u64) {
+        let at = Timestamp::from_millis(now);
+        let (kind, job, entry) = {
+            let request = &self.requests[id];
+            (request.kind, request.job, request.entry)
+        };
+        let there: Vec<_> = (0..self.engines.len())
+            .filter(|index| !self.is_away(*index, now))
+            .collect();
+        let alike = self.experiment.entries;
+        let standing = |index: usize| Standing {
+            distance: Distance::Zone,
+            own: index % self.entries.len() == entry,
+            alike,
+        };
+        let timing = &self.experiment.timing;
+        let candidates: Vec<_> = there
+            .iter()
+            .map(|index| {
+                let standing = standing(*index);
+                let forecast = self.entries[entry][*index].engine(timing, job.prompt, standing, at);
+                Candidate {
+                    distance: Distance::Zone,
+                    own: standing.own,
+                    permit: Permit::Open,
+                    latency: forecast.latency,
+                    pause: forecast.pause,
+                    free: forecast.free,
+                }
+            })
+            .collect();
+        let objective = if returning {
+            Duration::ZERO
+        } else {
+            self.experiment.kinds[kind].aim
+        };
+        let need = Need {
+            objective,
+            patience: PATIENCE,
+            gap: Some(PAUSE),
+        };
+        match choose(&self.experiment.placement, &candidates, need, &mut self.rng) {
+            Choice::Send(chosen) => {
+                let index = there[chosen];
+                let standing = standing(index);
+                let load = &mut self.entries[entry][index];
+                load.begin(at);
+                load.add_prompt(timing, job.prompt, standing, at);
+                let request = &mut self.requests[id];
+                request.engine = index;
+                request.sent = at;
+                request.predicted = candidates[chosen].latency;
+                self.engines[index].push(job);
+            }
+            Choice::Refuse(after) if !returning => {
+                let after = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+                let stay = after.clamp(STAY.0, STAY.1);
+                self.back.push(Reverse((now + stay, id)));
+            }
+            Choice::Refuse(_) | Choice::Nobody => self.outcomes[kind].refused += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/experiment.rs
@@ -0,0 +1,119 @@
+//! The decisions under load patterns, and the emulator that they meet.
+
+use std::time::Duration;
+
+use apricothall_decide::placement::PlacementConfig;
+use apricothall_decide::timing::Timing;
+use apricothall_standin::emulator::{Emulator, Happened, Job};
+use apricothall_standin::experiment::{Experiment, Kind, Outcome, Pattern, play};
+
+const TIMING: Timing = Timing {
+    slots: 16,
+    step: 6.73,
+    per_request: 0.0219,
+    per_context: 0.0068,
+    reading: 30_600.0,
+    per_pairs: 0.647,
+    stride: 6,
+    prompt: 900.0,
+    answer: 120.0,
+};
+
+fn experiment(pattern: Pattern, rate: f64) -> Experiment {
+    let kind = |name: &str, share, prompt, answer, aim| Kind {
+        name: name.into(),
+        share,
+        prompt,
+        answer,
+        aim: Duration::from_millis(aim),
+    };
+    Experiment {
+        timing: TIMING,
+        kinds: vec![
+            kind("long", 0.6, 1_050.0, 144.0, 400),
+            kind("short", 0.4, 600.0, 72.0, 300),
+        ],
+        engines: 10,
+        entries: 4,
+        rate,
+        pattern,
+        length: 24_000,
+        placement: PlacementConfig::default(),
+        seed: 7,
+    }
+}
+
+fn sum(outcomes: &[Outcome], part: fn(&Outcome) -> u32) -> u32 {
+    outcomes.iter().map(part).sum()
+}
+
+/// Twenty passes of six tokens make 120 tokens.
+#[test]
+fn an_engine_alone_with_a_request_needs_its_passes() {
+    let mut engine = Emulator::new(TIMING);
+    engine.push(Job {
+        id: 0,
+        prompt: 900.0,
+        answer: 120.0,
+    });
+    let (mut first, mut end) = (0.0, 0.0);
+    for now in 0..3_000_u32 {
+        let now = f64::from(now);
+        engine.step(now, |_, what| match what {
+            Happened::First => first = now,
+            Happened::End { .. } => end = now,
+        });
+    }
+    let pass = TIMING.write_ms(1);
+    let read = TIMING.read_ms(900.0);
+    assert!((first - read - pass).abs() < 2.0, "{first}");
+    assert!((end - read - pass * 20.0).abs() < 22.0, "{end}");
+}
+
+#[test]
+fn the_same_seed_plays_the_same() {
+    let one = play(&experiment(Pattern::Burst, 90.0));
+    assert_eq!(one, play(&experiment(Pattern::Burst, 90.0)));
+}
+
+/// Ten engines end about 120 requests a second.
+#[test]
+fn a_calm_load_is_served_in_time_and_nobody_is_refused() {
+    let outcomes = play(&experiment(Pattern::Calm, 75.0));
+    assert_eq!(sum(&outcomes, |o| o.refused), 0, "{outcomes:?}");
+    for outcome in &outcomes {
+        assert!(outcome.worth() > 0.85, "{outcome:?}");
+    }
+}
+
+macro_rules! under {
+    ($($case:ident: $pattern:ident at $rate:literal => worth of $least:literal at least;)*) => {
+        $(#[test] fn $case() {
+            let outcomes = play(&experiment(Pattern::$pattern, $rate));
+            let asked = f64::from(sum(&outcomes, |o| o.asked));
+            let worth: f64 = outcomes.iter().map(|o| o.worth() * f64::from(o.asked)).sum();
+            assert!(worth / asked >= $least, "{:.3}: {outcomes:?}", worth / asked);
+        })*
+    };
+}
+
+// An engine ends 12 requests a second. What is asked beyond that, or lost in a crash, is out of
+// reach: 120 of 2,160, none, 28 of 1,680 and 80 of 1,680. The least is nine tenths of the rest.
+under! {
+    a_burst_of_twice_the_load: Burst at 80.0 => worth of 0.85 at least;
+    a_third_of_the_engines_slow: Slow at 70.0 => worth of 0.9 at least;
+    a_third_of_the_engines_lost: Lost at 70.0 => worth of 0.88 at least;
+    half_of_the_engines_arriving_late: Arriving at 70.0 => worth of 0.86 at least;
+}
+
+/// Neither kind is starved while demand exceeds what engines give.
+#[test]
+fn too_much_of_everything_starves_no_kind() {
+    let outcomes = play(&experiment(Pattern::Calm, 200.0));
+    let served = |o: &Outcome| f64::from(o.timely + o.late) / f64::from(o.asked);
+    let (long, short) = (served(&outcomes[0]), served(&outcomes[1]));
+    assert!(
+        long > short * 0.5 && short > long * 0.5,
+        "{long:.2} {short:.2}"
+    );
+}
--- /dev/null
+++ b/xtask/src/load.rs
@@ -0,0 +1,154 @@
+//! `cargo xtask load`: load patterns against the decisions of entries and emulated engines.
+
+use std::time::Duration;
+
+use apricothall_decide::placement::PlacementConfig;
+use apricothall_decide::timing::Timing;
+use apricothall_standin::experiment::{Experiment, Kind, Outcome, Pattern, play};
+use clap::{Args, ValueEnum};
+use comfy_table::Table;
+
+/// Length of a play, in ms.
+const LENGTH: u64 = 24_000;
+
+/// The experiments to play.
+#[derive(Args)]
+pub struct LoadArguments {
+    /// What happens to load and engines; all patterns when absent.
+    #[arg(long, value_delimiter = ',')]
+    pattern: Vec<PatternName>,
+    /// Engines of the zone.
+    #[arg(long, default_value_t = 10)]
+    engines: usize,
+    /// Entries of the zone.
+    #[arg(long, default_value_t = 4)]
+    entries: u32,
+    /// Requests a second for each engine.
+    #[arg(long, default_value_t = 8.0)]
+    rate: f64,
+    /// Seeds, from 1 on.
+    #[arg(long, default_value_t = 5)]
+    seeds: u64,
+    /// Part of the objective that a prediction may take, in percent.
+    #[arg(long)]
+    margin: Option<u32>,
+    /// What a server costs that another entry goes before at, in ms.
+    #[arg(long)]
+    shared_cost: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum PatternName {
+    Calm,
+    Burst,
+    Slow,
+    Lost,
+    Arriving,
+}
+
+impl From<PatternName> for Pattern {
+    fn from(name: PatternName) -> Self {
+        match name {
+            PatternName::Calm => Self::Calm,
+            PatternName::Burst => Self::Burst,
+            PatternName::Slow => Self::Slow,
+            PatternName::Lost => Self::Lost,
+            PatternName::Arriving => Self::Arriving,
+        }
+    }
+}
+
+/// Plays the experiments and prints a row for each pattern and kind.
+pub fn run(arguments: &LoadArguments) {
+    let mut patterns = arguments.pattern.clone();
+    if patterns.is_empty() {
+        patterns = PatternName::value_variants().to_vec();
+    }
+    let mut table = Table::new();
+    table.set_header([
+        "pattern", "kind", "asked", "timely", "late", "refused", "lost", "worth",
+    ]);
+    for pattern in patterns {
+        let experiment = experiment(arguments, pattern.into());
+        for (kind, outcome) in experiment
+            .kinds
+            .iter()
+            .zip(sum(&experiment, arguments.seeds))
+        {
+            table.add_row([
+                format!("{pattern:?}").to_lowercase(),
+                kind.name.to_string(),
+                outcome.asked.to_string(),
+                outcome.timely.to_string(),
+                outcome.late.to_string(),
+                outcome.refused.to_string(),
+                outcome.lost.to_string(),
+                format!("{:.3}", outcome.worth()),
+            ]);
+        }
+    }
+    println!("{table}");
+}
+
+/// What came of each kind over all seeds.
+fn sum(experiment: &Experiment, seeds: u64) -> Vec<Outcome> {
+    let mut sums = vec![Outcome::default(); experiment.kinds.len()];
+    for seed in 1..=seeds {
+        let played = play(&Experiment {
+            seed,
+            ..experiment.clone()
+        });
+        for (sum, outcome) in sums.iter_mut().zip(played) {
+            sum.asked += outcome.asked;
+            sum.timely += outcome.timely;
+            sum.late += outcome.late;
+            sum.refused += outcome.refused;
+            sum.lost += outcome.lost;
+        }
+    }
+    sums
+}
+
+/// Engines with 16 places and three kinds of drafts.
+fn experiment(arguments: &LoadArguments, pattern: Pattern) -> Experiment {
+    let kind = |name: &str, share, prompt, answer, aim| Kind {
+        name: name.into(),
+        share,
+        prompt,
+        answer,
+        aim: Duration::from_millis(aim),
+    };
+    let default = PlacementConfig::default();
+    let shared_cost = arguments.shared_cost.map(Duration::from_millis);
+    #[expect(clippy::cast_precision_loss, reason = "few engines")]
+    let engines = arguments.engines as f64;
+    Experiment {
+        timing: Timing {
+            slots: 16,
+            step: 6.73,
+            per_request: 0.0219,
+            per_context: 0.0068,
+            reading: 30_600.0,
+            per_pairs: 0.647,
+            stride: 6,
+            prompt: 964.0,
+            answer: 119.0,
+        },
+        kinds: vec![
+            kind("report", 0.39, 1_330.0, 144.0, 400),
+            kind("summary", 0.28, 827.0, 144.0, 400),
+            kind("note", 0.33, 647.0, 72.0, 300),
+        ],
+        engines: arguments.engines,
+        entries: arguments.entries,
+        rate: arguments.rate * engines,
+        pattern,
+        length: LENGTH,
+        placement: PlacementConfig {
+            margin: arguments.margin.unwrap_or(default.margin),
+            shared_cost: shared_cost.unwrap_or(default.shared_cost),
+            ..default
+        },
+        seed: 1,
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod figures;
 mod fleet;
+mod load;
 mod progress;
 mod report;
 mod resources;
@@ -37,6 +38,9 @@
     /// Measures idle fleets of real daemons, for docs/CAPACITY.md.
     #[command(after_help = "Example: cargo xtask capacity --agents 10,50,100")]
     Capacity(capacity::CapacityArguments),
+    /// Plays load patterns against the decisions of entries and emulated engines.
+    #[command(after_help = "Example: cargo xtask load --pattern burst,lost --margin 80")]
+    Load(load::LoadArguments),
     /// Draws figures from the lines that bursts print.
     Report(report::ReportArguments),
 }
@@ -65,8 +69,13 @@
 }
 
 fn run(task: Task) -> Result<(), TaskError> {
-    if let Task::Report(arguments) = &task {
-        return report::run(arguments);
+    match &task {
+        Task::Report(arguments) => return report::run(arguments),
+        Task::Load(arguments) => {
+            load::run(arguments);
+            return Ok(());
+        }
+        Task::Burst(_) | Task::Compare(_) | Task::Capacity(_) => {}
     }
     let binary = build::daemon()?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -77,7 +86,7 @@
             Task::Burst(arguments) => burst::run(arguments, binary).await,
             Task::Capacity(arguments) => capacity::run(arguments, binary).await,
             Task::Compare(arguments) => compare(arguments, &binary).await,
-            Task::Report(_) => Ok(()),
+            Task::Report(_) | Task::Load(_) => Ok(()),
         }
     })
 }
