--- a/crates/gateway/src/agent/keeper.rs
+++ b/crates/gateway/src/agent/keeper.rs
@@ -124,7 +124,7 @@
         Some(VersionId { model, version })
     }
 
-    /// The version to fetch: the newest, or the one whose fetch is nearly done.
+    /// The version to fetch: the newest, or the one before it if its fetch has come far enough.
     fn target(&self, newest: &VersionId, now: Timestamp) -> VersionId {
         let Some(current) = self.shelf.id() else {
             return newest.clone();
