refactor: names of the wire out of two tests, one copy of a timing

A grep for names of the wire outside `platform/` found the variable of the settings file in two tests of apricotd; the soak takes it from the stand-ins now, and the deploy test clears the environment. The timing of experiments stood in the tool and in its tests and is `emulator::TIMING`.

--- a/crates/apricotd/tests/deploy.rs
+++ b/crates/apricotd/tests/deploy.rs
@@ -17,7 +17,7 @@
         let program = words.next().expect("a program");
         assert_eq!(program, "target/release/apricotd", "{name}");
         let mut command = Command::new(env!("CARGO_BIN_EXE_apricotd"));
-        let output = command.args(words).env_remove("APRICOTHALL_BOOT").output();
+        let output = command.args(words).env_clear().output();
         let output = output.expect("the program starts");
         let error = String::from_utf8_lossy(&output.stderr);
         assert_eq!(output.status.code(), Some(1), "{name}: {error}");
--- a/crates/apricotd/tests/soak/world.rs
+++ b/crates/apricotd/tests/soak/world.rs
@@ -15,7 +15,8 @@
 
 use crate::check::Checks;
 use crate::standin::{
-    Act, KEY, Request, Seen, Store, answer, boot_file, events, listen, refusal, serve,
+    Act, BOOT_VARIABLE, KEY, Request, Seen, Store, answer, boot_file, events, listen, refusal,
+    serve,
 };
 
 /// Entries.
@@ -164,7 +165,7 @@
             .expect("written");
         let program = Path::new(env!("CARGO_BIN_EXE_apricotd"));
         let args = ["entry", "--machine"];
-        let variables = [("APRICOTHALL_BOOT", file.as_path())];
+        let variables = [(BOOT_VARIABLE, file.as_path())];
         let process = Process::spawn_with(&entry.name, program, &args, &variables, &self.folder);
         entry.process = Some(process.expect("starts"));
         entry.frozen = false;
--- a/crates/standin/tests/experiment.rs
+++ b/crates/standin/tests/experiment.rs
@@ -3,22 +3,9 @@
 use std::time::Duration;
 
 use apricothall_decide::placement::PlacementConfig;
-use apricothall_decide::timing::Timing;
-use apricothall_standin::emulator::{Emulator, Happened, Job};
+use apricothall_standin::emulator::{Emulator, Happened, Job, TIMING};
 use apricothall_standin::experiment::{Experiment, Kind, Outcome, Pattern, play};
 
-const TIMING: Timing = Timing {
-    slots: 16,
-    step: 6.73,
-    per_request: 0.0219,
-    per_context: 0.0068,
-    reading: 30_600.0,
-    per_pairs: 0.647,
-    stride: 6,
-    prompt: 900.0,
-    answer: 120.0,
-};
-
 fn experiment(pattern: Pattern, rate: f64) -> Experiment {
     let kind = |name: &str, share, prompt, answer, aim| Kind {
         name: name.into(),
--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use apricothall_decide::placement::PlacementConfig;
-use apricothall_decide::timing::Timing;
+use apricothall_standin::emulator::TIMING;
 use apricothall_standin::experiment::{Experiment, Kind, Outcome, Pattern, play};
 use clap::{Args, ValueEnum};
 use comfy_table::Table;
@@ -123,17 +123,7 @@
     #[expect(clippy::cast_precision_loss, reason = "few engines")]
     let engines = arguments.engines as f64;
     Experiment {
-        timing: Timing {
-            slots: 16,
-            step: 6.73,
-            per_request: 0.0219,
-            per_context: 0.0068,
-            reading: 30_600.0,
-            per_pairs: 0.647,
-            stride: 6,
-            prompt: 964.0,
-            answer: 119.0,
-        },
+        timing: TIMING,
         kinds: vec![
             kind("report", 0.39, 1_330.0, 144.0, 400),
             kind("summary", 0.28, 827.0, 144.0, 400),
