refactor(standin): callers that come back are taken by a method

A trait for a single use on the heap of an experiment is a method of the play now, and a comment of the soak says what it holds.

--- a/crates/apricotd/tests/soak/check.rs
+++ b/crates/apricotd/tests/soak/check.rs
@@ -34,7 +34,7 @@
 struct State {
     /// Requests that were answered with the promise that they never run.
     not_run: Vec<String>,
-    /// When requests with the key that was taken away were sent late.
+    /// Requests sent with a key after it had to be out of use.
     late_keys: Vec<String>,
     broken: Vec<String>,
     excused: HashMap<IpAddr, Instant>,
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -174,31 +174,29 @@
             let gap = -(1.0 - play.rng.random::<f64>()).ln() * 1_000.0;
             next += gap / (experiment.rate * play.surge(now)).max(f64::EPSILON);
         }
-        while let Some(Reverse((_, id))) = play.back.pop_if_due(now) {
+        while let Some(id) = play.next_back(now) {
             play.place(id, true, now);
         }
     }
     play.outcomes
 }
 
-/// Takes what is due off a heap.
-trait PopIfDue {
-    fn pop_if_due(&mut self, now: u64) -> Option<Reverse<(u64, usize)>>;
-}
-
-impl PopIfDue for BinaryHeap<Reverse<(u64, usize)>> {
-    fn pop_if_due(&mut self, now: u64) -> Option<Reverse<(u64, usize)>> {
-        let due = self.peek().is_some_and(|Reverse((at, _))| *at <= now);
-        due.then(|| self.pop()).flatten()
-    }
-}
-
 #[expect(clippy::cast_precision_loss, reason = "experiments last minutes")]
 const fn now_ms(now: u64) -> f64 {
     now as f64
 }
 
 impl Play<'_> {
+    /// A refused caller whose time to come back has come.
+    fn next_back(&mut self, now: u64) -> Option<usize> {
+        let Reverse((at, id)) = *self.back.peek()?;
+        if at > now {
+            return None;
+        }
+        self.back.pop();
+        Some(id)
+    }
+
     fn surge(&self, now: u64) -> f64 {
         let burst = self.experiment.pattern == Pattern::Burst;
         if burst && (10_000..13_000).contains(&now) {
