feat(gateway): logs and metrics tell which attempts are at the same request

Lines named an attempt's id only, and no metric told first attempts from repeats.

Lines about requests now carry the fingerprint (digest of path, client account and body), 'apricotctl story' takes one, and apricothall_attempts_total counts first attempts and repeats. No decision is changed.

--- a/crates/apricotctl/src/story.rs
+++ b/crates/apricotctl/src/story.rs
@@ -19,7 +19,7 @@
 #[derive(Args)]
 #[command(after_help = EXAMPLES)]
 pub struct StoryArguments {
-    /// Id of the caller's attempt.
+    /// Id of the caller's attempt, or the fingerprint of a request for all attempts at it.
     request: SmolStr,
     /// Logs, JSON lines; standard input when there are none.
     logs: Vec<PathBuf>,
@@ -75,7 +75,7 @@
     Ok(())
 }
 
-/// Adds the lines of `log` that tell of `request`. Whatever stands before the JSON names the
+/// Adds the lines of `log` that tell of `request`, an attempt's id or a fingerprint. Whatever stands before the JSON names the
 /// process, as collectors of logs put it there.
 fn gather(
     steps: &mut Vec<Step>,
@@ -93,7 +93,8 @@
             eprintln!("apricotctl: not a JSON line: {line}");
             continue;
         };
-        if fields.get("request").and_then(Value::as_str) != Some(request) {
+        let is_named = |field| fields.get(field).and_then(Value::as_str) == Some(request);
+        if !is_named("request") && !is_named("fingerprint") {
             continue;
         }
         let time = fields.get("timestamp").and_then(Value::as_str);
@@ -109,7 +110,7 @@
 
 /// The fields that decided a step, as `name=value`.
 fn inputs(fields: &Map<String, Value>) -> String {
-    const KNOWN: [&str; 5] = ["timestamp", "level", "message", "request", "target"];
+    const KNOWN: [&str; 4] = ["timestamp", "level", "message", "target"];
     let rest = fields.iter().filter(|(k, _)| !KNOWN.contains(&k.as_str()));
     let texts = rest.map(|(name, value)| format!("{name}={}", cell(value)));
     texts.collect::<Vec<_>>().join(" ")
--- a/crates/apricotctl/tests/commands.rs
+++ b/crates/apricotctl/tests/commands.rs
@@ -63,6 +63,21 @@
     }
 }
 
+const REPEATED: &str = r#"{"timestamp":"2026-12-04T04:00:01.1Z","message":"attempt failed","request":"q1","fingerprint":"00ff"}
+{"timestamp":"2026-12-04T04:00:01.2Z","message":"attempt failed","request":"q2","fingerprint":"00ff"}
+{"timestamp":"2026-12-04T04:00:01.3Z","message":"attempt failed","request":"q3","fingerprint":"00aa"}
+"#;
+
+#[test]
+fn a_story_by_fingerprint_has_all_attempts_at_the_request() {
+    let log = file("repeated.log", REPEATED);
+    let output = run(&["story", "00ff", &log]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    let has = |id| text.contains(&format!("request={id}"));
+    assert!(has("q1") && has("q2") && !has("q3"), "{text}");
+    std::fs::remove_file(log).expect("removed");
+}
+
 #[test]
 fn a_request_without_lines_is_said_so() {
     let log = file("empty.log", SECOND);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -92,7 +92,7 @@
             let now = self.context.clock.now();
             let next = story.history.note(end);
             if self.context.lines.failure(now) {
-                tracing::info!(request = %call.id, service = %call.service, server = %placed.server.id, version = placed.version, load = placed.load, predicted_ms = millis(placed.predicted), waited_ms = millis(now.since(call.arrival)), %error, ?next, "attempt failed");
+                tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), service = %call.service, server = %placed.server.id, version = placed.version, load = placed.load, predicted_ms = millis(placed.predicted), waited_ms = millis(now.since(call.arrival)), %error, ?next, "attempt failed");
             }
             match next {
                 Next::Again { budgeted } => {
@@ -166,6 +166,7 @@
         } else {
             PATIENCE + placed.predicted * 2
         };
+        note_attempt(story.history.sent > 0);
         let sent = exchange(
             &self.context,
             &self.channels,
@@ -238,7 +239,7 @@
             .record(&place, attempt, placed.predicted, now);
         self.channels.keep(answer.channel, now);
         if self.context.lines.success(now) {
-            tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, server = %place.id, load = placed.load, status = answer.status.as_u16(), predicted_ms = millis(placed.predicted), latency_ms = millis(latency), total_ms = millis(now.since(call.arrival)), config_age_ms = self.context.published.age(now).map(millis), "answered");
+            tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, server = %place.id, load = placed.load, status = answer.status.as_u16(), predicted_ms = millis(placed.predicted), latency_ms = millis(latency), total_ms = millis(now.since(call.arrival)), config_age_ms = self.context.published.age(now).map(millis), "answered");
         }
         metrics::counter!("apricothall_answers_total", "status" => class(answer.status))
             .increment(1);
@@ -306,6 +307,7 @@
             };
             tried.push(placed.server.id.clone());
             let resume = last.or(call.resume);
+            note_attempt(true);
             let sent = exchange(
                 &self.context,
                 &self.channels,
@@ -316,14 +318,14 @@
             );
             match sent.await {
                 Ok(answer) if answer.status.is_success() => {
-                    tracing::info!(request = %call.id, server = %placed.server.id, ?last, "stream resumed");
+                    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), server = %placed.server.id, ?last, "stream resumed");
                     return Some(Feed::new(answer, &placed));
                 }
                 Ok(answer) => {
-                    tracing::info!(request = %call.id, server = %placed.server.id, status = answer.status.as_u16(), "not resumed there");
+                    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), server = %placed.server.id, status = answer.status.as_u16(), "not resumed there");
                 }
                 Err(error) => {
-                    tracing::info!(request = %call.id, server = %placed.server.id, %error, "not resumed there");
+                    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), server = %placed.server.id, %error, "not resumed there");
                     self.note_error(&placed, error);
                 }
             }
@@ -347,7 +349,7 @@
     let left = call.deadline.since(now);
     let after = after.max(left / SHORTEST_SHARE).min(left / RETURN_SHARE);
     if context.lines.failure(now) {
-        tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, returning = call.returning, prompt = call.prompt, after_ms = millis(after), config_age_ms = context.published.age(now).map(millis), reason, "refused");
+        tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, returning = call.returning, prompt = call.prompt, after_ms = millis(after), config_age_ms = context.published.age(now).map(millis), reason, "refused");
     }
     metrics::counter!("apricothall_refusals_total", "reason" => reason).increment(1);
     refuse(after, reason)
@@ -364,7 +366,7 @@
     let waited = now.since(call.arrival);
     let fate = story.history.last();
     if context.lines.failure(now) {
-        tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, sent = story.history.sent, waited_ms = millis(waited), ?fate, config_age_ms = context.published.age(now).map(millis), reason, "given up");
+        tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, sent = story.history.sent, waited_ms = millis(waited), ?fate, config_age_ms = context.published.age(now).map(millis), reason, "given up");
     }
     metrics::counter!("apricothall_failures_total", "reason" => reason).increment(1);
     if let Some(response) = story.spare {
@@ -379,6 +381,11 @@
     }
 }
 
+fn note_attempt(repeat: bool) {
+    let kind = if repeat { "repeat" } else { "first" };
+    metrics::counter!("apricothall_attempts_total", "kind" => kind).increment(1);
+}
+
 fn respond(status: StatusCode, headers: &HeaderMap, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use apricothall_decide::routes::{Account, CallKind, Caller, Route};
-use apricothall_types::Timestamp;
+use apricothall_types::{Digest, Timestamp};
 use bytes::Bytes;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
@@ -82,6 +82,8 @@
     pub returning: bool,
     /// Tokens of its prompt.
     pub prompt: f64,
+    /// What every attempt at the same request has in common.
+    pub fingerprint: Digest,
     /// Id of the last event that the caller has.
     pub resume: Option<u64>,
 }
@@ -160,13 +162,15 @@
         .and_then(|v| v.to_str().ok());
     let stated_prompt = usage.and_then(|u| u.split(',').next()?.trim().parse::<f64>().ok());
     let usual = engines.as_ref().map_or(0.0, |e| e.timing.prompt);
+    let uri = path(&parts.uri);
     Ok(Call {
+        fingerprint: fingerprint(&uri, account.as_deref(), &body),
         id: SmolStr::new(id),
         attempt,
         headers: pass_on(context, &parts.headers, account.as_deref()),
         resume: number(&parts.headers, &names.resume),
         method: parts.method,
-        uri: path(&parts.uri),
+        uri,
         body,
         service,
         engines,
@@ -284,6 +288,13 @@
     path.parse().unwrap_or_else(|_| Uri::from_static("/"))
 }
 
+/// Digest of path, client account and body.
+fn fingerprint(uri: &Uri, account: Option<&Account>, body: &[u8]) -> Digest {
+    let path = uri.to_string();
+    let account = account.map_or("", |a| a.name.as_str());
+    Digest::of(&[path.as_bytes(), &[0], account.as_bytes(), &[0], body].concat())
+}
+
 /// Headers for the server: the caller's, without those of the connection and those that only
 /// this daemon sets.
 fn pass_on(context: &Context, from: &HeaderMap, account: Option<&Account>) -> HeaderMap {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -245,7 +245,7 @@
     let context = &relay.forwarder.context;
     let now = context.clock.now();
     let spent = now >= relay.call.deadline;
-    tracing::info!(request = %relay.call.id, server = %failed.server.id, ?last, %error, spent, "stream interrupted");
+    tracing::info!(request = %relay.call.id, fingerprint = %relay.call.fingerprint.short(), server = %failed.server.id, ?last, %error, spent, "stream interrupted");
     if spent {
         return None;
     }
@@ -282,10 +282,10 @@
         return;
     }
     let call = &relay.call;
-    tracing::info!(request = %call.id, route = %call.route.name, service = %call.service, server = %feed.server.id, load = feed.load, returning = call.returning, prompt = call.prompt, predicted_ms = millis(feed.predicted), first_ms = millis(feed.first), total_ms = millis(now.since(call.arrival)), servers = relay.tried.len(), passed, config_age_ms = context.published.age(now).map(millis), "stream passed on");
+    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, server = %feed.server.id, load = feed.load, returning = call.returning, prompt = call.prompt, predicted_ms = millis(feed.predicted), first_ms = millis(feed.first), total_ms = millis(now.since(call.arrival)), servers = relay.tried.len(), passed, config_age_ms = context.published.age(now).map(millis), "stream passed on");
 }
 
 fn note_left(relay: &Relay, feed: &Feed, passed: u32) {
     metrics::counter!("apricothall_streams_total", "outcome" => "left").increment(1);
-    tracing::info!(request = %relay.call.id, server = %feed.server.id, passed, "caller left");
+    tracing::info!(request = %relay.call.id, fingerprint = %relay.call.fingerprint.short(), server = %feed.server.id, passed, "caller left");
 }
--- a/crates/types/src/digest.rs
+++ b/crates/types/src/digest.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use smol_str::{SmolStr, format_smolstr};
 use thiserror::Error;
 
 const DIGEST_BYTES: usize = 32;
@@ -23,6 +24,13 @@
     pub fn of(data: &[u8]) -> Self {
         Self(*blake3::hash(data).as_bytes())
     }
+
+    /// The first 16 hexadecimal digits, for log lines.
+    #[must_use]
+    pub fn short(&self) -> SmolStr {
+        let head = self.0.first_chunk().map_or(0, |b| u64::from_be_bytes(*b));
+        format_smolstr!("{head:016x}")
+    }
 }
 
 impl fmt::Display for Digest {
