test(apricotd): a request that ends its servers reaches them again and again

Real entries, stand-in servers that end when a lethal request begins to run and come back under a new life; the request comes again at any entry as new attempts; entries are killed, frozen or left alone; servers also end of themselves; other requests share the servers. Counted by request over all entries.

The entries as processes are shared with the soak now (machines/entries.rs).

--- /dev/null
+++ b/crates/apricotd/tests/crash_loop.rs
@@ -0,0 +1,274 @@
+//! A request that ends each server which begins to run it, and comes again at any entry.
+//!
+//! Entries are real processes, servers stand-ins. What reaches the servers is counted by request,
+//! over all entries.
+
+#[allow(dead_code, reason = "no test uses all of it")]
+#[path = "machines/entries.rs"]
+mod entries;
+#[allow(dead_code, unused_imports, reason = "no test uses all of it")]
+#[path = "../../../platform/tests/standin/mod.rs"]
+mod standin;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use apricothall_clients::http_client::HttpClient;
+use entries::Entries;
+use http::{Method, StatusCode};
+use rand::seq::IndexedRandom;
+use standin::{Arrival, KEY, LETHAL, Mortal, Store, caller_request, listen};
+
+/// Entries.
+const ENTRIES: usize = 4;
+
+/// Servers.
+const SERVERS: usize = 6;
+
+/// Length of one play.
+const PLAY: Duration = Duration::from_secs(9);
+
+/// Time between two attempts at the lethal request.
+const LETHAL_EVERY: Duration = Duration::from_millis(250);
+
+/// Callers with other requests.
+const CALLERS: usize = 8;
+
+/// Time between two requests of such a caller.
+const PACE: Duration = Duration::from_millis(20);
+
+/// Attempts that such a caller makes at one request.
+const ATTEMPTS: u32 = 4;
+
+/// Time between two attempts.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// Crashes by one request after which entries must know of it.
+const CRASHES: usize = 3;
+
+/// Time in which all entries hear of the third crash.
+const NEWS: Duration = Duration::from_secs(3);
+
+/// Times that the request may reach a server after that.
+const LATE_ARRIVALS: usize = 3;
+
+/// Longest wait of a caller.
+const CALLER_WAIT: Duration = Duration::from_secs(6);
+
+/// Largest answer, in bytes.
+const ANSWER_BYTES: usize = 1 << 20;
+
+/// Requests of ordinary callers by their ends.
+#[derive(Default)]
+struct Served {
+    first: AtomicU32,
+    later: AtomicU32,
+    never: Mutex<Vec<String>>,
+}
+
+struct World {
+    entries: Entries,
+    servers: Vec<Mortal>,
+    callers: Vec<SocketAddr>,
+    client: HttpClient,
+}
+
+impl World {
+    async fn start(case: &str) -> Self {
+        let store = Store::default();
+        store.configure(&format!("\"{KEY}\""), 1);
+        let (listener, address) = listen().await;
+        tokio::spawn(store.clone().serve(listener));
+        let mut servers = Vec::new();
+        for index in 0..SERVERS {
+            servers.push(Mortal::start(&format!("i-{index}"), &store).await);
+        }
+        let folder = std::env::temp_dir().join(format!("{case}-{}", std::process::id()));
+        let entries = Entries::start(ENTRIES, address, folder);
+        entries.ready().await;
+        Self {
+            callers: entries.callers(),
+            entries,
+            servers,
+            client: HttpClient::without_pool(None, Duration::from_secs(1)),
+        }
+    }
+
+    /// Sends one draft to any entry. True when its answer is whole.
+    async fn ask(client: &HttpClient, callers: &[SocketAddr], id: &str, body: &str) -> bool {
+        let at = *callers.choose(&mut rand::rng()).expect("some");
+        let request = caller_request(at, id, "/draft/1", KEY);
+        let mut request = request.map(|_| http_body_util::Full::from(body.to_owned()));
+        *request.method_mut() = Method::POST;
+        let answer = client.call(request, CALLER_WAIT, ANSWER_BYTES).await;
+        answer.is_ok_and(|a| {
+            a.status == StatusCode::OK && String::from_utf8_lossy(&a.body).contains("id: 6")
+        })
+    }
+
+    /// Requests of one ordinary caller, each made anew until it is served.
+    fn work(&self, caller: usize, served: &Arc<Served>) -> tokio::task::JoinHandle<()> {
+        let (client, callers, served) = (self.client.clone(), self.callers.clone(), served.clone());
+        tokio::spawn(async move {
+            for number in 0.. {
+                let body = format!("{caller}-{number}");
+                let mut attempt = 0;
+                loop {
+                    attempt += 1;
+                    let id = format!("{body}-{attempt}");
+                    if Self::ask(&client, &callers, &id, &body).await {
+                        break;
+                    }
+                    if attempt == ATTEMPTS {
+                        served.never.lock().expect("no panic").push(body);
+                        break;
+                    }
+                    tokio::time::sleep(COME_BACK).await;
+                }
+                let end = if attempt == 1 {
+                    &served.first
+                } else {
+                    &served.later
+                };
+                end.fetch_add(1, Ordering::Relaxed);
+                tokio::time::sleep(PACE).await;
+            }
+        })
+    }
+
+    /// The lethal request, again and again.
+    fn attack(&self) -> tokio::task::JoinHandle<()> {
+        let (client, callers) = (self.client.clone(), self.callers.clone());
+        tokio::spawn(async move {
+            for number in 0.. {
+                let id = format!("lethal-{number}");
+                let (client, callers) = (client.clone(), callers.clone());
+                tokio::spawn(async move { Self::ask(&client, &callers, &id, LETHAL).await });
+                tokio::time::sleep(LETHAL_EVERY).await;
+            }
+        })
+    }
+
+    /// Arrivals of the lethal request, in order.
+    fn lethal(&self) -> Vec<Arrival> {
+        let all = self.servers.iter().flat_map(Mortal::arrivals);
+        let mut lethal: Vec<_> = all.filter(|a| a.lethal).collect();
+        lethal.sort_by_key(|a| a.at);
+        lethal
+    }
+
+    /// When it ended servers, in order.
+    fn crashes(&self) -> Vec<Instant> {
+        let mut crashes: Vec<_> = self.servers.iter().flat_map(Mortal::crashes).collect();
+        crashes.sort();
+        crashes
+    }
+}
+
+/// What else happens, a step each second.
+type Disturb = fn(u32) -> Step;
+
+/// One thing that happens.
+enum Step {
+    Nothing,
+    Kill(usize),
+    KillAllBut(usize),
+    Freeze(usize),
+    Thaw,
+    EndServer(usize),
+}
+
+async fn apply(world: &mut World, step: Step) {
+    match step {
+        Step::Nothing => {}
+        Step::Kill(entry) => {
+            world.entries.kill(entry).await;
+        }
+        Step::KillAllBut(left) => {
+            for entry in (0..ENTRIES).filter(|e| *e != left) {
+                world.entries.kill(entry).await;
+            }
+        }
+        Step::Freeze(entry) => {
+            world.entries.freeze(entry);
+        }
+        Step::Thaw => {
+            world.entries.thaw_all();
+        }
+        Step::EndServer(server) => world.servers[server].end(),
+    }
+}
+
+async fn play(case: &str, disturb: Disturb) {
+    let mut world = World::start(case).await;
+    let served = Arc::new(Served::default());
+    let mut tasks: Vec<_> = (0..CALLERS).map(|c| world.work(c, &served)).collect();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    tasks.push(world.attack());
+    let begin = tokio::time::Instant::now();
+    for second in 0.. {
+        if begin.elapsed() >= PLAY {
+            break;
+        }
+        apply(&mut world, disturb(second)).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    for task in tasks {
+        task.abort();
+    }
+    let (arrivals, crashes) = (world.lethal(), world.crashes());
+    let third = crashes.get(CRASHES - 1).copied();
+    let late = third.map_or(0, |third| {
+        arrivals.iter().filter(|a| a.at > third + NEWS).count()
+    });
+    let never = served.never.lock().expect("no panic").clone();
+    let (first, later) = (&served.first, &served.later);
+    eprintln!(
+        "{case}: the lethal request arrived {} times and ended {} servers, {late} arrivals late; others: {first:?} served at once, {later:?} later, {never:?} never",
+        arrivals.len(),
+        crashes.len(),
+    );
+    let failed = late > LATE_ARRIVALS || !never.is_empty();
+    if failed {
+        eprintln!("{case}: logs in {}", world.entries.keep_logs().display());
+    }
+    world.entries.close().await;
+    assert!(
+        late <= LATE_ARRIVALS,
+        "{late} times to servers after all had to know of it"
+    );
+    assert!(never.is_empty(), "others were never served: {never:?}");
+}
+
+macro_rules! stays_out {
+    ($($case:ident: $disturb:expr;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            play(stringify!($case), $disturb).await;
+        })*
+    };
+}
+
+// Guards against a request that goes on to reach servers after it has ended three of them.
+stays_out! {
+    lethal_request_stays_out: |_| Step::Nothing;
+    lethal_request_stays_out_of_restarted_entries: |second| match second {
+        1 | 4 | 6 => Step::Kill(second as usize % ENTRIES),
+        2 | 5 => Step::Kill(1),
+        _ => Step::Nothing,
+    };
+    lethal_request_stays_out_when_one_entry_is_left: |second| match second {
+        3 | 6 => Step::KillAllBut(2),
+        _ => Step::Nothing,
+    };
+    lethal_request_stays_out_of_entries_that_hear_late: |second| match second {
+        0 | 5 => Step::Freeze(second as usize % ENTRIES),
+        4 | 7 => Step::Thaw,
+        _ => Step::Nothing,
+    };
+    lethal_request_stays_out_while_servers_end_of_themselves: |second| {
+        Step::EndServer(second as usize % SERVERS)
+    };
+}
--- /dev/null
+++ b/crates/apricotd/tests/machines/entries.rs
@@ -0,0 +1,177 @@
+//! Entries of the machines' deployment, each a process of its own.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use apricothall_clients::http_client::{HttpClient, get};
+use apricothall_standin::addresses::Addresses;
+use apricothall_standin::process::Process;
+use http::StatusCode;
+
+use crate::standin::{BOOT_VARIABLE, READY_PATH, WAIT, boot_file};
+
+/// First port of an entry; each entry has an address of its own.
+const PORT: u16 = 7_100;
+
+/// Time after which a process that was asked to stop is killed, as a platform would.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Largest answer of an entry about itself, in bytes.
+const ANSWER_BYTES: usize = 1 << 20;
+
+struct Entry {
+    name: String,
+    ip: IpAddr,
+    process: Option<Process>,
+    frozen: bool,
+}
+
+/// The entries of one play.
+pub struct Entries {
+    entries: Vec<Entry>,
+    store: SocketAddr,
+    folder: PathBuf,
+    _addresses: Addresses,
+}
+
+impl Entries {
+    /// Starts `count` entries that read the store at `store`.
+    pub fn start(count: usize, store: SocketAddr, folder: PathBuf) -> Self {
+        let mut addresses = Addresses::reserve().expect("addresses");
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let entries = (0..count).map(|index| Entry {
+            name: format!("entry-{index}"),
+            ip: addresses.take().expect("an address"),
+            process: None,
+            frozen: false,
+        });
+        let mut started = Self {
+            entries: entries.collect(),
+            store,
+            folder,
+            _addresses: addresses,
+        };
+        for index in 0..count {
+            started.run(index);
+        }
+        started
+    }
+
+    fn run(&mut self, index: usize) {
+        let seed = self.entries[index ^ 1].ip;
+        let entry = &mut self.entries[index];
+        let file = self.folder.join(format!("{}.toml", entry.name));
+        let settings = boot_file(&entry.name, entry.ip, PORT, seed, self.store);
+        std::fs::write(&file, settings).expect("written");
+        let program = Path::new(env!("CARGO_BIN_EXE_apricotd"));
+        let args = ["entry", "--machine"];
+        let variables = [(BOOT_VARIABLE, file.as_path())];
+        let process = Process::spawn_with(&entry.name, program, &args, &variables, &self.folder);
+        entry.process = Some(process.expect("starts"));
+        entry.frozen = false;
+    }
+
+    /// Addresses for callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let at = |e: &Entry| SocketAddr::new(e.ip, PORT + 1);
+        self.entries.iter().map(at).collect()
+    }
+
+    /// Address of the VM of an entry.
+    pub fn ip(&self, index: usize) -> IpAddr {
+        self.entries[index].ip
+    }
+
+    /// Waits until all take callers.
+    pub async fn ready(&self) {
+        for entry in &self.entries {
+            let ready = SocketAddr::new(entry.ip, PORT + 2);
+            let is_up = async {
+                while !is_ready(ready).await {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            };
+            let up = tokio::time::timeout(WAIT, is_up).await;
+            up.unwrap_or_else(|_| panic!("{} does not serve", entry.name));
+        }
+    }
+
+    /// Kills an entry and starts it again.
+    pub async fn kill(&mut self, index: usize) -> String {
+        if let Some(process) = self.entries[index].process.take() {
+            process.kill();
+            process.close().await;
+        }
+        self.run(index);
+        format!("entry {index} killed and started")
+    }
+
+    /// Stops an entry as an operator does, and starts it again.
+    pub async fn terminate(&mut self, index: usize) -> String {
+        if self.entries[index].frozen {
+            return format!("entry {index} is frozen");
+        }
+        if let Some(mut process) = self.entries[index].process.take() {
+            process.terminate();
+            if process.wait(GRACE).await.is_err() {
+                process.close().await;
+            }
+        }
+        self.run(index);
+        format!("entry {index} stopped and started")
+    }
+
+    /// Stops an entry's processor.
+    pub fn freeze(&mut self, index: usize) -> String {
+        let entry = &mut self.entries[index];
+        if let Some(process) = &entry.process {
+            process.freeze();
+            entry.frozen = true;
+        }
+        format!("entry {index} frozen")
+    }
+
+    /// Lets all entries run again.
+    pub fn thaw_all(&mut self) -> String {
+        for entry in self.entries.iter_mut().filter(|e| e.frozen) {
+            if let Some(process) = &entry.process {
+                process.thaw();
+            }
+            entry.frozen = false;
+        }
+        "entries thawed".into()
+    }
+
+    /// Leaves the logs where they are.
+    pub fn keep_logs(&mut self) -> PathBuf {
+        let kept = self.folder.with_extension("failed");
+        // A play of the same seed by this process may have left logs.
+        let _ = std::fs::remove_dir_all(&kept);
+        std::fs::rename(&self.folder, &kept).expect("moved");
+        kept
+    }
+
+    /// Ends all processes and removes their logs, unless these are kept.
+    pub async fn close(self) {
+        for entry in self.entries {
+            if let Some(process) = entry.process {
+                process.close().await;
+            }
+        }
+        // Moved away if the logs are kept.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Whether an entry says that it takes callers.
+async fn is_ready(at: SocketAddr) -> bool {
+    let client = HttpClient::without_pool(None, Duration::from_millis(300));
+    let Ok(request) = get(at, READY_PATH) else {
+        return false;
+    };
+    let answer = client
+        .call(request, Duration::from_secs(1), ANSWER_BYTES)
+        .await;
+    answer.is_ok_and(|a| a.status == StatusCode::OK)
+}
--- a/crates/apricotd/tests/soak.rs
+++ b/crates/apricotd/tests/soak.rs
@@ -5,6 +5,9 @@
 
 #[path = "soak/check.rs"]
 mod check;
+#[allow(dead_code, reason = "no test uses all of it")]
+#[path = "machines/entries.rs"]
+mod entries;
 #[allow(dead_code, unused_imports, reason = "no test uses all of it")]
 #[path = "../../../platform/tests/standin/mod.rs"]
 mod standin;
--- a/crates/apricotd/tests/soak/check.rs
+++ b/crates/apricotd/tests/soak/check.rs
@@ -5,11 +5,11 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use apricothall_clients::http_client::{Answer, HttpClient, get};
+use apricothall_clients::http_client::{Answer, HttpClient};
 use http::StatusCode;
 use rand::seq::IndexedRandom;
 
-use crate::standin::{KEY, READY_PATH, Seen, caller_request};
+use crate::standin::{KEY, Seen, caller_request};
 use crate::world::{EVENTS, World};
 
 /// Time after which a route's request must have its answer.
@@ -197,15 +197,3 @@
     let ids = body.lines().filter_map(|l| l.strip_prefix("id: "));
     ids.eq((1..=EVENTS).map(|n| n.to_string()))
 }
-
-/// Whether an entry says that it takes callers.
-pub async fn is_ready(at: SocketAddr) -> bool {
-    let client = HttpClient::without_pool(None, Duration::from_millis(300));
-    let Ok(request) = get(at, READY_PATH) else {
-        return false;
-    };
-    let answer = client
-        .call(request, Duration::from_secs(1), ANSWER_BYTES)
-        .await;
-    answer.is_ok_and(|a| a.status == StatusCode::OK)
-}
--- a/crates/apricotd/tests/soak/world.rs
+++ b/crates/apricotd/tests/soak/world.rs
@@ -1,12 +1,10 @@
 //! The processes, the stand-ins between them, and what is done to them.
 
-use std::net::{IpAddr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
-use apricothall_standin::addresses::Addresses;
 use apricothall_standin::network::{Fault, Network, Place, Port, Rule, Shape, Side};
-use apricothall_standin::process::Process;
 use apricothall_standin::proxy::{Proxy, Target};
 use rand::Rng;
 use rand::seq::IndexedRandom;
@@ -14,10 +12,8 @@
 use tokio::task::JoinHandle;
 
 use crate::check::Checks;
-use crate::standin::{
-    Act, BOOT_VARIABLE, KEY, Request, Seen, Store, answer, boot_file, events, listen, refusal,
-    serve,
-};
+use crate::entries::Entries;
+use crate::standin::{Act, KEY, Request, Seen, Store, answer, events, listen, refusal, serve};
 
 /// Entries.
 pub const ENTRIES: usize = 4;
@@ -25,9 +21,6 @@
 /// Backend servers.
 pub const SERVERS: usize = 4;
 
-/// First port of an entry; each entry has an address of its own.
-const PORT: u16 = 7_100;
-
 /// Time for which faults are gone before the end of a play.
 const SETTLE: Duration = Duration::from_secs(4);
 
@@ -69,18 +62,10 @@
     }
 }
 
-struct Entry {
-    name: String,
-    ip: IpAddr,
-    process: Option<Process>,
-    frozen: bool,
-}
-
 /// All processes and stand-ins of one play.
 pub struct World {
-    entries: Vec<Entry>,
+    entries: Entries,
     store: Store,
-    store_at: SocketAddr,
     network: Network,
     proxies: Vec<Proxy>,
     tasks: Vec<JoinHandle<()>>,
@@ -88,8 +73,6 @@
     version: u32,
     /// What each server has seen.
     pub seen: Vec<Seen>,
-    folder: PathBuf,
-    _addresses: Addresses,
 }
 
 fn place(id: &str) -> Place {
@@ -104,10 +87,7 @@
 impl World {
     /// Starts all, and waits until the entries serve.
     pub async fn start(seed: u64) -> Self {
-        let mut addresses = Addresses::reserve().expect("addresses");
         let network = Network::new(Shape::default(), seed);
-        let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
         let store = Store::default();
         let (listener, behind) = listen().await;
         let mut tasks = vec![tokio::spawn(store.clone().serve(listener))];
@@ -120,68 +100,29 @@
             tasks.push(tokio::spawn(serve(listener, script, watched)));
             proxies.push(proxy(&network, &format!("server-{index}"), behind).await);
         }
-        let entries = (0..ENTRIES).map(|index| Entry {
-            name: format!("entry-{index}"),
-            ip: addresses.take().expect("an address"),
-            process: None,
-            frozen: false,
-        });
+        let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+        let entries = Entries::start(ENTRIES, proxies[0].address(), folder);
         let mut world = Self {
-            entries: entries.collect(),
+            entries,
             store,
-            store_at: proxies[0].address(),
             network,
             proxies,
             tasks,
             lives: vec![0; SERVERS],
             version: 0,
             seen: servers,
-            folder,
-            _addresses: addresses,
         };
         world.configure(&format!("\"{KEY}\",\"spare\""));
         for server in 0..SERVERS {
             world.list(server, "ready");
         }
-        for entry in 0..ENTRIES {
-            world.run(entry);
-        }
-        world.ready().await;
+        world.entries.ready().await;
         world
     }
 
     /// Addresses for callers.
     pub fn callers(&self) -> Vec<SocketAddr> {
-        let at = |e: &Entry| SocketAddr::new(e.ip, PORT + 1);
-        self.entries.iter().map(at).collect()
-    }
-
-    fn run(&mut self, index: usize) {
-        let seed = self.entries[0].ip;
-        let store = self.store_at;
-        let entry = &mut self.entries[index];
-        let file = self.folder.join(format!("{}.toml", entry.name));
-        std::fs::write(&file, boot_file(&entry.name, entry.ip, PORT, seed, store))
-            .expect("written");
-        let program = Path::new(env!("CARGO_BIN_EXE_apricotd"));
-        let args = ["entry", "--machine"];
-        let variables = [(BOOT_VARIABLE, file.as_path())];
-        let process = Process::spawn_with(&entry.name, program, &args, &variables, &self.folder);
-        entry.process = Some(process.expect("starts"));
-        entry.frozen = false;
-    }
-
-    async fn ready(&self) {
-        for entry in &self.entries {
-            let ready = SocketAddr::new(entry.ip, PORT + 2);
-            let is_up = async {
-                while !crate::check::is_ready(ready).await {
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                }
-            };
-            let up = tokio::time::timeout(crate::standin::WAIT, is_up).await;
-            up.unwrap_or_else(|_| panic!("{} does not serve", entry.name));
-        }
+        self.entries.callers()
     }
 
     fn configure(&mut self, keys: &str) {
@@ -199,50 +140,23 @@
 
     /// Kills an entry and starts it again.
     pub async fn kill(&mut self, index: usize) -> String {
-        if let Some(process) = self.entries[index].process.take() {
-            process.kill();
-            process.close().await;
-        }
-        self.run(index);
-        format!("entry {index} killed and started")
+        self.entries.kill(index).await
     }
 
     /// Stops an entry as an operator does, and starts it again.
     pub async fn terminate(&mut self, index: usize) -> String {
-        if self.entries[index].frozen {
-            return format!("entry {index} is frozen");
-        }
-        if let Some(mut process) = self.entries[index].process.take() {
-            process.terminate();
-            // One that does not end by itself is killed, as a platform would.
-            if process.wait(Duration::from_secs(8)).await.is_err() {
-                process.close().await;
-            }
-        }
-        self.run(index);
-        format!("entry {index} stopped and started")
+        self.entries.terminate(index).await
     }
 
     /// Stops an entry's processor.
     pub fn freeze(&mut self, index: usize, checks: &Checks) -> String {
-        let entry = &mut self.entries[index];
-        checks.excuse(entry.ip);
-        if let Some(process) = &entry.process {
-            process.freeze();
-            entry.frozen = true;
-        }
-        format!("entry {index} frozen")
+        checks.excuse(self.entries.ip(index));
+        self.entries.freeze(index)
     }
 
     /// Lets all entries run again.
     pub fn thaw_all(&mut self) -> String {
-        for entry in self.entries.iter_mut().filter(|e| e.frozen) {
-            if let Some(process) = &entry.process {
-                process.thaw();
-            }
-            entry.frozen = false;
-        }
-        "entries thawed".into()
+        self.entries.thaw_all()
     }
 
     /// Harms the way to a server.
@@ -312,33 +226,23 @@
             self.list(server, "ready");
         }
         tokio::time::sleep(SETTLE).await;
-        self.ready().await;
+        self.entries.ready().await;
     }
 
     /// Leaves the logs where they are.
     pub fn keep_logs(&mut self) -> PathBuf {
-        let kept = self.folder.with_extension("failed");
-        // A play of the same seed by this process may have left logs.
-        let _ = std::fs::remove_dir_all(&kept);
-        std::fs::rename(&self.folder, &kept).expect("moved");
-        kept
+        self.entries.keep_logs()
     }
 
     /// Ends the processes that this play started.
     pub async fn close(self) {
-        for entry in self.entries {
-            if let Some(process) = entry.process {
-                process.close().await;
-            }
-        }
+        self.entries.close().await;
         for proxy in self.proxies {
             proxy.close().await;
         }
         for task in self.tasks {
             task.abort();
         }
-        // Moved away if a promise was broken.
-        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
