--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -4,12 +4,20 @@
 //! too. Suspects run alone. One that completes alone is cleared; one that crashes a second server,
 //! or a server on which it ran alone, is condemned and refused everywhere.
 //!
+//! Where an entry sends requests straight to servers, it can neither make a suspect run alone nor
+//! see a crash itself. There a lost answer counts as a crash until the server is seen later in the
+//! same life ([`Doubts`]), suspects run in company, and [`News`] says what others are told when.
+//!
 //! [`Records`] is a set that only grows and merges in any order, so entries and agents share it by
 //! gossip. [`send`] binds equal fingerprints to the same two servers, and [`arrive`] is the
 //! agent's check.
 
+mod doubts;
 mod flights;
+mod news;
 mod records;
 
+pub use doubts::Doubts;
 pub use flights::{Arrival, Send, arrive, pair, send, spare};
+pub use news::News;
 pub use records::{Crash, Record, Records, Standing};
--- /dev/null
+++ b/crates/decide/src/quarantine/news.rs
@@ -0,0 +1,53 @@
+//! Which records other daemons are told, and when.
+//!
+//! Most lost answers are no crash, which shows soon, so a record waits for a while before it is
+//! told. It is then sent at once and again in later messages, as any of them may be lost.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use apricothall_types::{Digest, Timestamp};
+
+/// Time for which a record that was told goes into later messages too.
+const REPEATED: Duration = Duration::from_millis(1_500);
+
+/// Fingerprints whose records are told.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    waiting: BTreeMap<Digest, Timestamp>,
+    told: VecDeque<(Digest, Timestamp)>,
+}
+
+impl News {
+    /// Notes that the record of `fingerprint` has changed and is to be told at `due`, or sooner if
+    /// it waits already.
+    pub fn note(&mut self, fingerprint: Digest, due: Timestamp) {
+        let at = self.waiting.entry(fingerprint).or_insert(due);
+        *at = due.min(*at);
+    }
+
+    /// Notes that a record is cleared again. Others need not hear of one that was not told.
+    pub fn cleared(&mut self, fingerprint: Digest, now: Timestamp) {
+        if self.waiting.remove(&fingerprint).is_none() {
+            self.note(fingerprint, now);
+        }
+    }
+
+    /// Takes at most `most` records that are due. True when there are any.
+    pub fn take_due(&mut self, most: usize, now: Timestamp) -> bool {
+        self.told.retain(|(_, at)| now.since(*at) < REPEATED);
+        let due = self.waiting.iter().filter(|(_, at)| **at <= now);
+        let due: Vec<_> = due.take(most).map(|(f, _)| *f).collect();
+        for fingerprint in &due {
+            self.waiting.remove(fingerprint);
+            self.told.push_front((*fingerprint, now));
+        }
+        !due.is_empty()
+    }
+
+    /// What goes into a message, latest first.
+    pub fn told(&self, now: Timestamp) -> impl Iterator<Item = &Digest> {
+        let lately = move |(_, at): &&(Digest, Timestamp)| now.since(*at) < REPEATED;
+        self.told.iter().filter(lately).map(|(f, _)| f)
+    }
+}
--- a/crates/decide/src/quarantine/records.rs
+++ b/crates/decide/src/quarantine/records.rs
@@ -8,8 +8,12 @@
 
 use crate::configs::QuarantineConfig;
 
-/// Crashes that condemn a fingerprint.
-const CRASHES_CONDEMN: usize = 2;
+/// Crashes that condemn a fingerprint whose second run had no company.
+const CRASHES_ALONE: usize = 2;
+/// Crashes that condemn a fingerprint that runs in company each time.
+const CRASHES_IN_COMPANY: usize = 3;
+/// Crashes from which on records are compared between daemons.
+const CRASHES_SHARED: usize = 2;
 /// Crashes kept of one fingerprint.
 const MAX_CRASHES: usize = 8;
 
@@ -49,11 +53,10 @@
 }
 
 impl Record {
-    /// The treatment that follows from the record.
-    #[must_use]
-    pub fn standing(&self) -> Standing {
+    /// The treatment that follows from the record, if `limit` crashes condemn.
+    fn standing(&self, limit: usize) -> Standing {
         let open = self.open().count();
-        if self.alone || open >= CRASHES_CONDEMN {
+        if self.alone || open >= limit {
             return Standing::Condemned;
         }
         if open > 0 || self.saturated {
@@ -62,10 +65,10 @@
         Standing::Clear
     }
 
-    /// Agents of the servers that crashed with it and where it may not run again.
-    pub fn open(&self) -> impl Iterator<Item = &MemberId> {
+    /// Crashes that nothing has cleared it of.
+    pub fn open(&self) -> impl Iterator<Item = &Crash> {
         let open = self.crashes.iter().filter(|(_, cleared)| !**cleared);
-        open.map(|(crash, _)| &crash.id)
+        open.map(|(crash, _)| crash)
     }
 
     fn merge(&mut self, other: &Self) {
@@ -86,38 +89,51 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Records {
     config: QuarantineConfig,
-    records: BTreeMap<Digest, Record>,
+    limit: usize,
+    known: BTreeMap<Digest, Record>,
 }
 
 impl Records {
-    /// An empty set.
+    /// An empty set, where suspects run alone: the second crash condemns.
     #[must_use]
     pub fn new(config: QuarantineConfig) -> Self {
+        Self::with_limit(config, CRASHES_ALONE)
+    }
+
+    /// An empty set, where suspects share servers with others, which may therefore be present at
+    /// two crashes without having caused one: the third condemns.
+    #[must_use]
+    pub fn in_company(config: QuarantineConfig) -> Self {
+        Self::with_limit(config, CRASHES_IN_COMPANY)
+    }
+
+    fn with_limit(config: QuarantineConfig, limit: usize) -> Self {
         Self {
             config,
-            records: BTreeMap::new(),
+            limit,
+            known: BTreeMap::new(),
         }
     }
 
     /// What is known of a fingerprint.
     #[must_use]
     pub fn get(&self, fingerprint: &Digest) -> Option<&Record> {
-        self.records.get(fingerprint)
+        self.known.get(fingerprint)
     }
 
     /// How a request with this fingerprint is treated.
     #[must_use]
     pub fn standing(&self, fingerprint: &Digest) -> Standing {
-        let record = self.records.get(fingerprint);
-        record.map_or(Standing::Clear, Record::standing)
+        let record = self.known.get(fingerprint);
+        record.map_or(Standing::Clear, |r| r.standing(self.limit))
     }
 
     /// Whether the server of `id` crashed with this fingerprint, which was not cleared since. It
     /// is then tried at another server only, so no server is lost to it twice.
     #[must_use]
     pub fn is_barred(&self, fingerprint: &Digest, id: &MemberId) -> bool {
-        let record = self.records.get(fingerprint);
-        record.is_some_and(|r| r.open().any(|at| at == id))
+        let record = self.known.get(fingerprint);
+        record.is_some_and(|r| r.open().any(|crash| crash.id == *id))
     }
 
     /// Records that a server crashed while these ran on it, and returns what to gossip. An entry
@@ -144,14 +160,11 @@
         changes
     }
 
-    /// Records that a suspect completed alone, and returns what to gossip.
-    pub fn completed_alone(
-        &mut self,
-        fingerprint: Digest,
-        wall: WallTime,
-    ) -> Vec<(Digest, Record)> {
+    /// Records that a suspect has completed, and returns what to gossip. Where suspects run alone,
+    /// only a run alone counts.
+    pub fn completed(&mut self, fingerprint: Digest, wall: WallTime) -> Vec<(Digest, Record)> {
         let until = self.until(wall);
-        let Some(record) = self.records.get_mut(&fingerprint) else {
+        let Some(record) = self.known.get_mut(&fingerprint) else {
             return Vec::new();
         };
         // Only the crashes known now are cleared: one that is learnt later counts anew.
@@ -163,11 +176,45 @@
         vec![(fingerprint, record.clone())]
     }
 
+    /// Clears `fingerprint` of a crash that did not happen: the server was seen later in the same
+    /// life.
+    pub fn survived(&mut self, crash: &Crash, fingerprint: &Digest) {
+        let record = self.known.get_mut(fingerprint);
+        if let Some(cleared) = record.and_then(|r| r.crashes.get_mut(crash)) {
+            *cleared = true;
+        }
+    }
+
+    /// Records that all daemons should have alike: those of more than one crash.
+    pub fn shared(&self) -> impl Iterator<Item = (&Digest, &Record)> {
+        let many = |(_, r): &(&Digest, &Record)| r.crashes.len() >= CRASHES_SHARED;
+        self.known.iter().filter(many)
+    }
+
+    /// A digest of [`Records::shared`], to compare with that of another daemon; zero for none.
+    #[must_use]
+    pub fn summary(&self) -> u64 {
+        let mut bytes = Vec::new();
+        for (fingerprint, record) in self.shared() {
+            bytes.extend_from_slice(&fingerprint.0);
+            for (crash, cleared) in &record.crashes {
+                bytes.extend_from_slice(crash.id.as_str().as_bytes());
+                bytes.extend_from_slice(crash.boot.as_bytes());
+                bytes.push(u8::from(*cleared));
+            }
+        }
+        if bytes.is_empty() {
+            return 0;
+        }
+        let digest = Digest::of(&bytes);
+        digest.0.first_chunk().map_or(0, |b| u64::from_be_bytes(*b))
+    }
+
     /// Takes in records of another daemon.
     pub fn merge(&mut self, others: &[(Digest, Record)], wall: WallTime) {
         for (fingerprint, other) in others {
             if other.until >= wall {
-                self.records.entry(*fingerprint).or_default().merge(other);
+                self.known.entry(*fingerprint).or_default().merge(other);
             }
         }
         self.expire(wall);
@@ -176,29 +223,29 @@
     /// All records, for gossip.
     #[must_use]
     pub fn all(&self) -> Vec<(Digest, Record)> {
-        self.records.iter().map(|(f, r)| (*f, r.clone())).collect()
+        self.known.iter().map(|(f, r)| (*f, r.clone())).collect()
     }
 
     /// Records remembered.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.records.len()
+        self.known.len()
     }
 
     /// Whether nothing is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.known.is_empty()
     }
 
     fn expire(&mut self, wall: WallTime) {
-        self.records.retain(|_, record| record.until >= wall);
-        while self.records.len() > self.config.max_records {
-            let rank = |(f, r): (&Digest, &Record)| (r.standing(), r.until, *f);
-            let Some((_, _, least)) = self.records.iter().map(rank).min() else {
+        self.known.retain(|_, record| record.until >= wall);
+        while self.known.len() > self.config.max_records {
+            let rank = |(f, r): (&Digest, &Record)| (r.standing(self.limit), r.until, *f);
+            let Some((_, _, least)) = self.known.iter().map(rank).min() else {
                 return;
             };
-            self.records.remove(&least);
+            self.known.remove(&least);
         }
     }
 
--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -154,7 +154,7 @@
 
     /// Takes the removal of an entry.
     pub fn remove(&mut self, id: &MemberId, now: Timestamp) {
-        if !self.restoring(now) {
+        if !self.is_restoring(now) {
             self.forget(id);
             return;
         }
@@ -219,7 +219,7 @@
 
     /// Drops servers that are still missing once entries would have come back.
     pub fn expire(&mut self, now: Timestamp) {
-        if self.restoring(now) || !self.known.values().any(|k| k.missing) {
+        if self.is_restoring(now) || !self.known.values().any(|k| k.missing) {
             return;
         }
         self.known.retain(|_, k| !k.missing);
@@ -248,7 +248,9 @@
         self.latest.get(&server.address) == Some(&server.born)
     }
 
-    fn restoring(&self, now: Timestamp) -> bool {
+    /// Whether the store is away, or came back a moment ago.
+    #[must_use]
+    pub fn is_restoring(&self, now: Timestamp) -> bool {
         let recent = |at: Timestamp| now.since(at) < self.config.restore;
         self.away || self.returned.is_some_and(recent)
     }
--- /dev/null
+++ b/crates/decide/tests/crash_loop.rs
@@ -0,0 +1,304 @@
+//! Entries that send requests straight to servers, and one request that ends each server which
+//! begins to run it: what it costs while news is late or lost, and what happens to others.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use apricothall_decide::configs::QuarantineConfig;
+use apricothall_decide::quarantine::{Crash, Doubts, News, Records, Standing};
+use apricothall_types::{Digest, Incarnation, MemberId, Timestamp, WallTime};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Time at which all plays begin.
+const NOW: WallTime = WallTime(1_000_000);
+
+/// Time between two attempts at the lethal request, over all entries.
+const COMES_EVERY: Duration = Duration::from_millis(250);
+
+/// Time between two rounds of news.
+const ROUND: Duration = Duration::from_millis(100);
+
+/// Time in which all that are in touch hear of news.
+const IN_TOUCH: Duration = Duration::from_secs(3);
+
+/// Arrivals at servers that the users bear after that.
+const LATE_ARRIVALS: usize = 3;
+
+/// Crashes that condemn.
+const CRASHES: usize = 3;
+
+fn print(number: u8) -> Digest {
+    Digest::of(&[number])
+}
+
+fn crash(server: usize, life: u64) -> Crash {
+    Crash {
+        id: format!("s{server}").parse::<MemberId>().expect("valid"),
+        incarnation: Incarnation::default(),
+        boot: life.to_string().into(),
+    }
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::default() + Duration::from_millis(millis)
+}
+
+fn company() -> Records {
+    Records::in_company(QuarantineConfig::default())
+}
+
+fn struck(records: &mut Records, number: u8, lives: &[(usize, u64)]) {
+    for (server, life) in lives {
+        let _ = records.crashed(&crash(*server, *life), &[print(number)].into(), false, NOW);
+    }
+}
+
+macro_rules! standing {
+    ($($case:ident: |$records:ident| $steps:block => $standing:ident;)*) => {
+        $(#[test] fn $case() {
+            let mut $records = company();
+            $steps
+            assert_eq!($records.standing(&print(0)), Standing::$standing);
+        })*
+    };
+}
+
+standing! {
+    two_crashes_in_company_do_not_condemn: |r| { struck(&mut r, 0, &[(0, 1), (1, 1)]); } => Suspect;
+    three_crashes_condemn: |r| { struck(&mut r, 0, &[(0, 1), (1, 1), (2, 1)]); } => Condemned;
+    a_server_that_came_back_counts_again: |r| {
+        struck(&mut r, 0, &[(0, 1), (0, 2), (0, 3)]);
+    } => Condemned;
+    one_crash_told_by_two_entries_counts_once: |r| {
+        struck(&mut r, 0, &[(0, 1), (0, 1), (0, 1)]);
+    } => Suspect;
+    a_whole_answer_clears: |r| {
+        struck(&mut r, 0, &[(0, 1), (1, 1)]);
+        let _ = r.completed(print(0), NOW);
+        struck(&mut r, 0, &[(2, 1)]);
+    } => Suspect;
+    a_server_that_lives_clears: |r| {
+        struck(&mut r, 0, &[(0, 1), (1, 1), (2, 1)]);
+        r.survived(&crash(1, 1), &print(0));
+    } => Suspect;
+    what_clears_one_request_clears_no_other: |r| {
+        struck(&mut r, 0, &[(0, 1), (1, 1), (2, 1)]);
+        r.survived(&crash(1, 1), &print(1));
+    } => Condemned;
+}
+
+#[test]
+fn a_server_seen_before_the_loss_proves_nothing() {
+    let mut doubts = Doubts::default();
+    doubts.note(&crash(0, 1), print(0), at(1_000));
+    doubts.note(&crash(0, 1), print(1), at(2_000));
+    assert_eq!(doubts.seen(&crash(0, 1), at(900)), []);
+    assert_eq!(doubts.seen(&crash(0, 2), at(3_000)), [], "another life");
+    // The later loss stays in doubt, whatever is known of the earlier one.
+    assert_eq!(doubts.seen(&crash(0, 1), at(1_500)), [print(0)]);
+    assert_eq!(doubts.seen(&crash(0, 1), at(2_500)), [print(1)]);
+    assert!(doubts.is_empty());
+}
+
+#[test]
+fn doubts_end_with_time() {
+    let mut doubts = Doubts::default();
+    doubts.note(&crash(0, 1), print(0), at(0));
+    doubts.expire(at(60_000));
+    assert!(doubts.is_empty());
+}
+
+#[test]
+fn news_is_told_when_due_and_repeated() {
+    let mut news = News::default();
+    news.note(print(0), at(2_000));
+    assert!(!news.take_due(8, at(1_000)));
+    news.note(print(0), at(1_000));
+    assert!(news.take_due(8, at(1_000)), "the sooner time counts");
+    assert!(!news.take_due(8, at(1_100)), "once");
+    assert_eq!(news.told(at(2_000)).count(), 1, "still in messages");
+    assert_eq!(news.told(at(3_000)).count(), 0);
+}
+
+#[test]
+fn what_was_never_told_is_not_taken_back() {
+    let mut news = News::default();
+    news.note(print(0), at(2_000));
+    news.cleared(print(0), at(500));
+    assert!(!news.take_due(8, at(5_000)));
+    news.note(print(1), at(0));
+    assert!(news.take_due(8, at(0)));
+    news.cleared(print(1), at(500));
+    assert!(news.take_due(8, at(500)), "others know of it");
+}
+
+#[test]
+fn equal_knowledge_has_equal_summaries() {
+    let (mut one, mut other) = (company(), company());
+    assert_eq!(one.summary(), 0);
+    struck(&mut one, 0, &[(0, 1)]);
+    assert_eq!(one.summary(), 0, "a single crash is not compared");
+    struck(&mut one, 0, &[(1, 1)]);
+    struck(&mut other, 0, &[(1, 1), (0, 1)]);
+    assert_eq!(one.summary(), other.summary());
+    other.survived(&crash(1, 1), &print(0));
+    assert_ne!(one.summary(), other.summary());
+    let shared: Vec<_> = other.shared().map(|(f, r)| (*f, r.clone())).collect();
+    one.merge(&shared, NOW);
+    assert_eq!(one.summary(), other.summary());
+}
+
+/// One entry: what it knows, and what it is about to tell.
+struct Entry {
+    records: Records,
+    news: News,
+    cut: bool,
+}
+
+/// Entries that lose messages, restart and are cut off, under a request that comes again.
+struct Play {
+    entries: Vec<Entry>,
+    lives: BTreeMap<usize, u64>,
+    crashes: Vec<Duration>,
+    /// Arrivals at servers later than all in touch had to know, from entries in touch.
+    late: usize,
+    started: Vec<Duration>,
+}
+
+impl Play {
+    fn new(entries: usize) -> Self {
+        let entry = || Entry {
+            records: company(),
+            news: News::default(),
+            cut: false,
+        };
+        Self {
+            started: vec![Duration::ZERO; entries],
+            entries: std::iter::repeat_with(entry).take(entries).collect(),
+            lives: BTreeMap::new(),
+            crashes: Vec::new(),
+            late: 0,
+        }
+    }
+
+    /// The lethal request comes to an entry, which sends it to two servers at most.
+    fn come(&mut self, at: usize, now: Duration, rng: &mut ChaCha8Rng) {
+        for _ in 0..2 {
+            if self.entries[at].records.standing(&print(0)) == Standing::Condemned {
+                return;
+            }
+            let third = self.crashes.get(CRASHES - 1);
+            let in_touch = !self.entries[at].cut && now >= self.started[at] + IN_TOUCH;
+            if in_touch && third.is_some_and(|third| now > *third + IN_TOUCH) {
+                self.late += 1;
+            }
+            let server = rng.random_range(0..8);
+            let life = self.lives.entry(server).or_default();
+            *life += 1;
+            let ended = crash(server, *life);
+            self.crashes.push(now);
+            let entry = &mut self.entries[at];
+            let _ = entry
+                .records
+                .crashed(&ended, &[print(0)].into(), false, NOW);
+            entry.news.note(print(0), Timestamp::default() + now);
+        }
+    }
+
+    /// A round of messages: news at once, and all records from a peer that knows others.
+    fn talk(&mut self, now: Duration, lost: f64, rng: &mut ChaCha8Rng) {
+        for from in 0..self.entries.len() {
+            let stamp = Timestamp::default() + now;
+            let entry = &mut self.entries[from];
+            let due = entry.news.take_due(8, stamp);
+            let told: Vec<_> = entry.news.told(stamp).copied().collect();
+            let record = |f: &Digest| Some((*f, entry.records.get(f)?.clone()));
+            let told: Vec<_> = told.iter().filter_map(record).collect();
+            let all: Vec<_> = entry
+                .records
+                .shared()
+                .map(|(f, r)| (*f, r.clone()))
+                .collect();
+            let summary = entry.records.summary();
+            for to in 0..self.entries.len() {
+                let cut = self.entries[from].cut || self.entries[to].cut;
+                if to == from || cut || rng.random_bool(lost) {
+                    continue;
+                }
+                let other = &mut self.entries[to];
+                if due {
+                    other.records.merge(&told, NOW);
+                }
+                // A pull is as rare as messages to other regions.
+                if summary != 0 && other.records.summary() != summary && rng.random_bool(0.08) {
+                    other.records.merge(&all, NOW);
+                }
+            }
+        }
+    }
+
+    fn restart(&mut self, at: usize, now: Duration) {
+        self.entries[at].records = company();
+        self.entries[at].news = News::default();
+        self.started[at] = now;
+    }
+}
+
+/// Plays 20 s; returns late arrivals and all crashes.
+fn play(seed: u64, entries: usize, lost: f64, restarts: f64, cuts: f64) -> (usize, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut play = Play::new(entries);
+    let mut now = Duration::ZERO;
+    let mut comes = Duration::ZERO;
+    while now < Duration::from_secs(20) {
+        now += ROUND;
+        if now >= comes {
+            comes += COMES_EVERY;
+            let at = rng.random_range(0..entries);
+            play.come(at, now, &mut rng);
+        }
+        let some = rng.random_range(0..entries);
+        if rng.random_bool(restarts) {
+            play.restart(some, now);
+        }
+        if rng.random_bool(cuts) {
+            let healed = play.entries[some].cut;
+            play.entries[some].cut = !healed;
+            if healed {
+                play.started[some] = now;
+            }
+        }
+        play.talk(now, lost, &mut rng);
+    }
+    (play.late, play.crashes.len())
+}
+
+macro_rules! storms {
+    ($($case:ident: $seeds:literal seeds, $entries:literal entries, lost $lost:literal, restarts $restarts:literal, cuts $cuts:literal;)*) => {
+        $(#[test] fn $case() {
+            for seed in 0..$seeds {
+                let (late, _) = play(seed, $entries, $lost, $restarts, $cuts);
+                assert!(late <= LATE_ARRIVALS, "seed {seed}: {late} late arrivals");
+            }
+        })*
+    };
+}
+
+// Guards against a request that goes on to reach servers after it has ended three of them.
+storms! {
+    many_entries: 40 seeds, 36 entries, lost 0.05, restarts 0.0, cuts 0.0;
+    lost_messages: 200 seeds, 8 entries, lost 0.3, restarts 0.0, cuts 0.0;
+    restarted_entries: 200 seeds, 8 entries, lost 0.1, restarts 0.02, cuts 0.0;
+    entries_cut_off: 200 seeds, 8 entries, lost 0.1, restarts 0.0, cuts 0.02;
+    restarts_and_cuts: 200 seeds, 8 entries, lost 0.1, restarts 0.02, cuts 0.02;
+}
+
+/// With news in time, the third crash is the last.
+#[test]
+fn third_crash_is_the_last() {
+    for seed in 0..200 {
+        let (_, crashes) = play(seed, 8, 0.0, 0.0, 0.0);
+        assert_eq!(crashes, CRASHES, "seed {seed}");
+    }
+}
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -64,7 +64,7 @@
     /// Records that a suspect ran alone and whole.
     pub fn completed_alone(&self, fingerprint: Digest) {
         let wall = self.clock.wall();
-        let _ = self.lock().records.completed_alone(fingerprint, wall);
+        let _ = self.lock().records.completed(fingerprint, wall);
         self.publish();
     }
 
@@ -98,7 +98,8 @@
     fn status(&self) -> Value {
         self.read(|records| {
             let all = records.all();
-            let count = |standing| all.iter().filter(|(_, r)| r.standing() == standing).count();
+            let is = |f, standing| records.standing(f) == standing;
+            let count = |standing| all.iter().filter(|(f, _)| is(f, standing)).count();
             json!({
                 "records": records.len(),
                 "suspects": count(Standing::Suspect),
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -13,6 +13,7 @@
 use crate::lines::Lines;
 use crate::peers::Peers;
 use crate::published::Published;
+use crate::quarantine::Quarantine;
 use crate::settings::Settings;
 
 /// Handles shared by all parts of one process. Cheap to clone.
@@ -36,6 +37,8 @@
     pub peers: Peers,
     /// Load and health of the backend servers.
     pub fleet: Fleet,
+    /// Requests that end servers.
+    pub quarantine: Quarantine,
     /// Pieces of weights that this agent holds.
     pub shelf: Shelf,
     /// Turns of sending a piece to another agent.
@@ -65,6 +68,7 @@
             lifecycle,
             published: Published::default(),
             peers: Peers::default(),
+            quarantine: Quarantine::new(clock),
             shelf: Shelf::default(),
             lines: Lines::default(),
             uploads: Uploads::default(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,6 +15,7 @@
 use crate::Context;
 use crate::channels::{Channel, Channels, ConnectError};
 use crate::fleet::{Fleet, InFlight, Placed};
+use crate::quarantine::Loss;
 use crate::request::{Call, may_use_keys};
 
 /// Highest value of the order of admission.
@@ -45,6 +46,9 @@
     /// The version that the request is bound to has run out meanwhile.
     #[error("the version has run out")]
     Outdated,
+    /// Servers have ended under the request meanwhile.
+    #[error("servers ended under the request")]
+    Condemned,
     /// The server says that it did not run the request.
     #[error("refused with {status}")]
     Refused {
@@ -70,7 +74,9 @@
     #[must_use]
     pub const fn end(&self) -> End {
         match self {
-            Self::Connect(_) | Self::Closed | Self::Stale | Self::Outdated => End::Unsent,
+            Self::Connect(_) | Self::Closed | Self::Stale | Self::Outdated | Self::Condemned => {
+                End::Unsent
+            }
             Self::Refused { .. } => End::Refused,
             Self::Lost(_) | Self::Late | Self::Overdue | Self::Foreign(_) => End::Lost,
         }
@@ -90,7 +96,12 @@
     pub const fn is_fault(&self) -> bool {
         !matches!(
             self,
-            Self::Refused { .. } | Self::Stale | Self::Outdated | Self::Overdue | Self::Closed
+            Self::Refused { .. }
+                | Self::Stale
+                | Self::Outdated
+                | Self::Condemned
+                | Self::Overdue
+                | Self::Closed
         )
     }
 }
@@ -140,12 +151,15 @@
     if !is_usable(context, call, placed, now) {
         return Err(AttemptError::Outdated);
     }
+    if context.quarantine.is_condemned(&call.fingerprint) {
+        return Err(AttemptError::Condemned);
+    }
     let left = call.deadline.since(now);
     if left.is_zero() {
         return Err(AttemptError::Closed);
     }
     let request = build(context, call, placed, resume, left);
-    let flight = Fleet::begin(context, placed.server.address, now);
+    let flight = Fleet::begin(context, &placed.server, call.fingerprint, now);
     let sending = channel.sender().try_send_request(request);
     let begin = begin_limit(context, call, placed).map_or(Duration::MAX, |by| by.since(now));
     let wait = patience.min(left);
@@ -155,14 +169,18 @@
         Err(_) => return Err(AttemptError::Late),
         Ok(Err(mut error)) => {
             if error.take_message().is_some() {
+                flight.settle();
                 return Err(AttemptError::Closed);
             }
+            flight.lost(Loss::Broken);
             return Err(AttemptError::Lost(error.into_error().to_smolstr()));
         }
         Ok(Ok(response)) => response,
     };
     let (parts, body) = response.into_parts();
+    flight.settle();
     check(context, call, parts.status, &parts.headers)?;
+    flight.answered();
     if let Some(limit) = idle_limit(&parts.headers) {
         channel.limit_idle(limit);
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -10,15 +10,17 @@
 use apricothall_decide::load::{Entries, Forecast, Load, Standing};
 use apricothall_decide::outlier::{Attempt, Outlier, Permit};
 use apricothall_decide::placement::{self, Candidate, Choice, Distance, Need, PlacementConfig};
+use apricothall_decide::quarantine::Crash;
 use apricothall_decide::retry::{Budget, Failure, Verdict};
 use apricothall_decide::servers::{Server, Servers};
 use apricothall_decide::versions::Versions;
-use apricothall_types::{Interval, MemberId, Outcome, Timestamp};
+use apricothall_types::{Digest, Interval, MemberId, Outcome, Timestamp};
 use smol_str::SmolStr;
 
 use crate::Context;
 use crate::model::EngineService;
 use crate::peers::EngineNote;
+use crate::quarantine::{Loss, end_of};
 use crate::settings::Settings;
 
 /// Age up to which an agent's note tells the state of its engine.
@@ -55,6 +57,8 @@
 
 struct State {
     loads: HashMap<SocketAddr, Load>,
+    /// Suspects of this entry that are at each server.
+    suspects: HashMap<SocketAddr, u32>,
     notes: HashMap<SocketAddr, Noted>,
     entries: Entries,
     outlier: Outlier,
@@ -110,6 +114,8 @@
     pub prompt: f64,
     /// Servers that have had the request.
     pub tried: &'a [MemberId],
+    /// Whether servers may have ended under the request.
+    pub suspect: bool,
 }
 
 /// A server chosen for a request.
@@ -158,6 +164,7 @@
         Self {
             state: Mutex::new(State {
                 loads: HashMap::new(),
+                suspects: HashMap::new(),
                 notes: HashMap::new(),
                 entries: Entries::ALONE,
                 outlier: Outlier::new(outlier),
@@ -238,14 +245,28 @@
         })
     }
 
-    /// Counts a request as in flight at `address` until the guard is dropped.
+    /// Counts a request as in flight at `server` until the guard is dropped.
     #[must_use]
-    pub fn begin(context: &Context, address: SocketAddr, now: Timestamp) -> InFlight {
+    pub fn begin(
+        context: &Context,
+        server: &Server,
+        fingerprint: Digest,
+        now: Timestamp,
+    ) -> InFlight {
+        let suspect = !context.quarantine.is_clear(&fingerprint);
         let mut state = context.fleet.state();
-        state.loads.entry(address).or_default().begin(now);
+        state.loads.entry(server.address).or_default().begin(now);
+        if suspect {
+            *state.suspects.entry(server.address).or_default() += 1;
+        }
         InFlight {
             context: context.clone(),
-            address,
+            address: server.address,
+            fingerprint,
+            crash: end_of(server),
+            sent: now,
+            suspect,
+            settled: AtomicBool::new(false),
         }
     }
 
@@ -378,9 +399,31 @@
                 forecast,
             });
         }
+        if ask.suspect {
+            self.keep_apart(&mut offers);
+        }
         offers
     }
 
+    /// Leaves out servers that have a suspect, if there are others, so that one which ends its
+    /// server takes no other suspect with it.
+    fn keep_apart(&self, offers: &mut Vec<Offer<'_>>) {
+        let has_suspect = |o: &Offer<'_>| self.suspects.contains_key(&o.server.address);
+        if !offers.iter().all(has_suspect) {
+            offers.retain(|o| !has_suspect(o));
+        }
+    }
+
+    fn end_suspect(&mut self, address: SocketAddr) {
+        let Some(count) = self.suspects.get_mut(&address) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.suspects.remove(&address);
+        }
+    }
+
     /// Counts the prompt of a request that is about to be sent.
     fn take(&mut self, offer: &Offer<'_>, ask: &Ask<'_>, now: Timestamp) -> Placed {
         let server = offer.server;
@@ -435,16 +478,61 @@
     number
 }
 
-/// Counts a request as in flight until dropped.
+/// Counts a request as in flight until dropped. The server counts as crashed with it, unless the
+/// request is settled before or the server is seen later in the same life.
 pub struct InFlight {
     context: Context,
     address: SocketAddr,
+    fingerprint: Digest,
+    crash: Crash,
+    sent: Timestamp,
+    suspect: bool,
+    settled: AtomicBool,
+}
+
+impl InFlight {
+    /// Notes that the server answered, or never got the request.
+    pub fn settle(&self) {
+        self.settled.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes that the server began to answer.
+    pub fn answered(&self) {
+        self.settle();
+        let now = self.context.clock.now();
+        let quarantine = &self.context.quarantine;
+        if quarantine.has_doubts() {
+            quarantine.answered(&self.crash, self.sent, now);
+        }
+    }
+
+    /// Notes that the request was answered whole.
+    pub fn completed(&self) {
+        self.answered();
+        let now = self.context.clock.now();
+        self.context.quarantine.completed(self.fingerprint, now);
+    }
+
+    /// Notes that the answer was lost.
+    pub fn lost(&self, loss: Loss) {
+        self.settle();
+        let now = self.context.clock.now();
+        let quarantine = &self.context.quarantine;
+        quarantine.lost(self.fingerprint, &self.crash, loss, now);
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(load) = self.context.fleet.state().loads.get_mut(&self.address) {
+        if !self.settled.load(Ordering::Relaxed) {
+            self.lost(Loss::Silent);
+        }
+        let mut state = self.context.fleet.state();
+        if let Some(load) = state.loads.get_mut(&self.address) {
             load.end();
         }
+        if self.suspect {
+            state.end_suspect(self.address);
+        }
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -16,6 +16,7 @@
 use crate::channels::Channels;
 use crate::exchange::{Answer, AttemptError, begin_limit, exchange};
 use crate::fleet::{Ask, Place, Placed, Placement};
+use crate::quarantine::Loss;
 use crate::request::{Call, end_to_end};
 use crate::stream::{Feed, FeedError, Relay, relay};
 
@@ -75,6 +76,9 @@
             if now >= call.deadline {
                 return give_up(&self.context, &call, story, now, "the time is over");
             }
+            if self.context.quarantine.is_condemned(&call.fingerprint) {
+                return condemn(&self.context, &call, &story, now);
+            }
             let placed = match self.place(&call, &story.tried, now) {
                 Placement::Go(placed) => placed,
                 Placement::Refuse(after) => {
@@ -148,6 +152,7 @@
             },
             prompt: call.prompt,
             tried,
+            suspect: !self.context.quarantine.is_clear(&call.fingerprint),
         };
         self.context.fleet.place(&self.context, &ask, now)
     }
@@ -224,8 +229,14 @@
         let read = tokio::time::timeout(left, reading).await;
         let read = read.map_err(|_| AttemptError::Late)?;
         let body = read
-            .map_err(|e| AttemptError::Lost(e.to_smolstr()))?
+            .map_err(|e| {
+                answer.flight.lost(Loss::Broken);
+                AttemptError::Lost(e.to_smolstr())
+            })?
             .to_bytes();
+        if answer.status.is_success() {
+            answer.flight.completed();
+        }
         let now = self.context.clock.now();
         let latency = now.since(answer.sent);
         let attempt = if answer.status.is_server_error() {
@@ -265,6 +276,7 @@
             begin_limit(&self.context, call, placed).map_or(Duration::MAX, |by| by.since(now));
         let first = feed.next(wait.min(begin)).await;
         let first = first.map_err(|error| {
+            feed.note_lost(&error);
             let error = match error {
                 FeedError::Stalled if begin < wait => AttemptError::Overdue,
                 error => AttemptError::Lost(error.to_smolstr()),
@@ -293,6 +305,10 @@
             if now >= call.deadline {
                 return None;
             }
+            if self.context.quarantine.is_condemned(&call.fingerprint) {
+                tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), "not resumed: servers ended under it");
+                return None;
+            }
             if !self
                 .context
                 .fleet
@@ -355,6 +371,21 @@
     refuse(after, reason)
 }
 
+/// The final answer to a request under which servers have ended. It does not say when to come
+/// back, as it will not be run.
+fn condemn(context: &Context, call: &Call, story: &Story, now: Timestamp) -> Response<Body> {
+    if context.lines.failure(now) {
+        tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, sent = story.history.sent, "condemned request refused");
+    }
+    metrics::counter!("apricothall_quarantine_refused_total").increment(1);
+    let fate = match story.history.last() {
+        Next::Unknown => Fate::Unknown,
+        Next::NotRun | Next::Again { .. } => Fate::NotRun,
+    };
+    let reason = "servers ended while they ran this request; it is not run again";
+    own(StatusCode::BAD_GATEWAY, fate, reason)
+}
+
 /// The final answer when no further attempt is made.
 fn give_up(
     context: &Context,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,6 +9,7 @@
 
 use apricothall_decide::cadence::{ROUND, fetch_sample, period};
 use apricothall_decide::placement::Distance;
+use apricothall_decide::servers::Server;
 use apricothall_types::{Role, Timestamp};
 use apricothall_wire::codec::{decode, encode};
 use rand::seq::IndexedRandom;
@@ -16,8 +17,9 @@
 
 use crate::Context;
 use crate::forward::millis;
-use crate::peers::{Gossip, Hello, Phase, VersionNote};
+use crate::peers::{EngineNote, Gossip, Hello, Phase, VersionNote};
 use crate::published::Reader;
+use crate::quarantine::{end_of, knows_others};
 
 /// Rounds between two tries to reach daemons that are silent.
 const SEEK_ROUNDS: u64 = 4;
@@ -46,6 +48,10 @@
     context
         .lifecycle
         .spawn(async move { receive(&receiving, &from).await });
+    let (warning, to) = (context.clone(), socket.clone());
+    context
+        .lifecycle
+        .spawn(async move { warn(&warning, &to).await });
     let sending = context.clone();
     context
         .lifecycle
@@ -86,7 +92,13 @@
             .published
             .name_version(&note.model, note.version, since, Reader::Peer);
     }
+    context.quarantine.merge(&gossip.suspects, now);
+    let knows_more = knows_others(gossip.quarantine, context.quarantine.summary());
+    if gossip.hello.phase == Phase::Serving && !knows_more {
+        context.quarantine.set_learned();
+    }
     if let Some(note) = &gossip.engine {
+        note_life(context, note, now);
         let far = gossip.hello.region != context.settings().region;
         context.fleet.take_note(note, far, now);
     }
@@ -109,6 +121,45 @@
     }
 }
 
+/// Clears requests that were thought to have ended an engine which still lives.
+fn note_life(context: &Context, note: &EngineNote, now: Timestamp) {
+    if !context.quarantine.has_doubts() {
+        return;
+    }
+    let server = context.published.servers(|servers| {
+        let mut all = servers.iter();
+        let is_same = |s: &&Server| s.address == note.address && s.born.0 == note.born;
+        all.find(is_same).cloned()
+    });
+    if let Some(server) = server {
+        context.quarantine.heard(&end_of(&server), now);
+    }
+}
+
+/// Tells all entries of requests that end servers, as soon as that is due.
+async fn warn(context: &Context, socket: &UdpSocket) {
+    loop {
+        tokio::time::sleep(ROUND).await;
+        let now = context.clock.now();
+        if !context.quarantine.take_due(now) {
+            continue;
+        }
+        let mut entries = Vec::new();
+        context.peers.each(now, |peer| {
+            if peer.hello.role == Role::Entry {
+                entries.push(peer.hello.address);
+            }
+        });
+        let chosen: Vec<_> = entries
+            .choose_multiple(&mut rand::rng(), FANOUT)
+            .copied()
+            .collect();
+        for address in chosen {
+            send_to(context, socket, address).await;
+        }
+    }
+}
+
 async fn send(context: &Context, socket: &UdpSocket) {
     let mut round = 0_u64;
     let mut news = context.published.changes();
@@ -217,6 +268,8 @@
             .published
             .servers(apricothall_decide::servers::Servers::is_away),
         versions: versions(context, now),
+        suspects: context.quarantine.told(now),
+        quarantine: context.quarantine.summary(),
         engine: context.fleet.own_note(),
         known: known.map(|p| p.hello.address).collect(),
     }
@@ -260,7 +313,8 @@
         return Phase::Leaving;
     }
     let limit = context.settings().bounds.revoke.unwrap_or(Duration::MAX);
-    if context.published.is_fresh(limit, context.clock.now()) {
+    let now = context.clock.now();
+    if context.published.is_fresh(limit, now) && context.quarantine.has_learned(now) {
         return Phase::Serving;
     }
     Phase::Starting
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod model;
 pub mod peers;
 pub mod published;
+pub mod quarantine;
 pub mod relay;
 pub mod request;
 pub mod run;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,10 +7,11 @@
 
 use apricothall_decide::cadence::silence;
 use apricothall_decide::placement::Distance;
+use apricothall_decide::quarantine::Record;
 use apricothall_decide::readers::{Sound, Turn, turn};
 use apricothall_decide::reload::Progress;
 use apricothall_decide::transfer::ChunkSet;
-use apricothall_types::{Incarnation, MemberId, Region, Revision, Role, Timestamp, Zone};
+use apricothall_types::{Digest, Incarnation, MemberId, Region, Revision, Role, Timestamp, Zone};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -123,6 +124,10 @@
     pub away: bool,
     /// Versions of models.
     pub versions: Vec<VersionNote>,
+    /// Requests that end servers, as far as there is news of them.
+    pub suspects: Vec<(Digest, Record)>,
+    /// A digest of what the sender knows of such requests; zero for nothing.
+    pub quarantine: u64,
     /// The engine beside the sender; agents only.
     pub engine: Option<EngineNote>,
     /// Addresses of other daemons.
@@ -144,6 +149,8 @@
     pub servers: Revision,
     /// Whether the store does not answer it.
     pub away: bool,
+    /// A digest of what it knows of requests that end servers; zero for nothing.
+    pub quarantine: u64,
     /// The engine beside it.
     pub engine: Option<EngineNote>,
     /// Whether it is in another region.
@@ -210,6 +217,7 @@
             revision: gossip.revision,
             servers: gossip.servers,
             away: gossip.away,
+            quarantine: gossip.quarantine,
             engine: gossip.engine.clone(),
             far: distance == Distance::Far,
             silence: silence(gossip.hello.role, settings.role, distance),
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,247 @@
+//! Requests under which servers end, as all daemons know them.
+//!
+//! An entry sees only that an answer is lost. It counts that as a crash of the server until the
+//! server shows that it still has the same life.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use apricothall_decide::configs::QuarantineConfig;
+use apricothall_decide::quarantine::{Crash, Doubts, News, Record, Records, Standing};
+use apricothall_decide::servers::Server;
+use apricothall_kernel::Clock;
+use apricothall_types::{Digest, Incarnation, Timestamp};
+use smol_str::ToSmolStr;
+
+/// Time for which others are not told of a loss by silence, which seldom means a crash.
+const SILENT_WAIT: Duration = Duration::from_secs(2);
+
+/// Time for which what is heard of a server may lag behind.
+const LIFE_LAG: Duration = Duration::from_millis(600);
+
+/// Longest wait for others after the start of this daemon.
+const LEARN_WAIT: Duration = Duration::from_secs(1);
+
+/// Records that go into one message.
+const TOLD_AT_ONCE: usize = 8;
+
+/// How an answer was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// The connection broke.
+    Broken,
+    /// Nothing came in time, or the caller left before anything came.
+    Silent,
+}
+
+#[derive(Default)]
+struct State {
+    doubts: Doubts,
+    news: News,
+}
+
+/// What is known of requests that end servers.
+pub struct Quarantine {
+    clock: Clock,
+    started: Timestamp,
+    learned: AtomicBool,
+    records: Mutex<Records>,
+    state: Mutex<State>,
+}
+
+/// The crash that would end the present life of `server`.
+#[must_use]
+pub fn end_of(server: &Server) -> Crash {
+    Crash {
+        id: server.id.clone(),
+        incarnation: Incarnation::default(),
+        boot: server.born.0.to_smolstr(),
+    }
+}
+
+/// Whether a daemon whose digest is `theirs` knows other such requests than one with `own`.
+#[must_use]
+pub const fn knows_others(theirs: u64, own: u64) -> bool {
+    theirs != 0 && theirs != own
+}
+
+impl Quarantine {
+    /// Nothing known.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            started: clock.now(),
+            learned: AtomicBool::new(false),
+            records: Mutex::new(Records::in_company(QuarantineConfig::default())),
+            state: Mutex::default(),
+        }
+    }
+
+    /// Whether this daemon knows what others do, or has waited for long enough after its start.
+    #[must_use]
+    pub fn has_learned(&self, now: Timestamp) -> bool {
+        self.learned.load(Ordering::Relaxed) || now.since(self.started) >= LEARN_WAIT
+    }
+
+    /// Notes that a daemon which serves knows no more than this one.
+    pub fn set_learned(&self) {
+        self.learned.store(true, Ordering::Relaxed);
+    }
+
+    fn records(&self) -> MutexGuard<'_, Records> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn standing(&self, fingerprint: &Digest) -> Standing {
+        self.records().standing(fingerprint)
+    }
+
+    /// Whether no server is known to have ended under a request.
+    #[must_use]
+    pub fn is_clear(&self, fingerprint: &Digest) -> bool {
+        self.standing(fingerprint) == Standing::Clear
+    }
+
+    /// Whether a request is not run again.
+    #[must_use]
+    pub fn is_condemned(&self, fingerprint: &Digest) -> bool {
+        self.standing(fingerprint) == Standing::Condemned
+    }
+
+    /// Notes that the answer to a request was lost, by a crash of the server unless that is seen
+    /// again.
+    pub fn lost(&self, fingerprint: Digest, crash: &Crash, loss: Loss, now: Timestamp) {
+        let wall = self.clock.wall();
+        let mut records = self.records();
+        let running = [fingerprint].into();
+        let _ = records.crashed(crash, &running, false, wall);
+        let standing = records.standing(&fingerprint);
+        drop(records);
+        let wait = match loss {
+            Loss::Silent if standing != Standing::Condemned => SILENT_WAIT,
+            Loss::Silent | Loss::Broken => Duration::ZERO,
+        };
+        let mut state = self.state();
+        state.doubts.expire(now);
+        state.doubts.note(crash, fingerprint, now);
+        state.news.note(fingerprint, now + wait);
+        drop(state);
+        metrics::counter!("apricothall_quarantine_crashes_total").increment(1);
+        if standing == Standing::Condemned {
+            tracing::warn!(fingerprint = %fingerprint.short(), server = %crash.id, born = %crash.boot, ?loss, "request condemned");
+        } else {
+            tracing::info!(fingerprint = %fingerprint.short(), server = %crash.id, born = %crash.boot, ?loss, "request suspected");
+        }
+    }
+
+    /// Notes that a request has completed, so that it ends no server.
+    pub fn completed(&self, fingerprint: Digest, now: Timestamp) {
+        let mut records = self.records();
+        if records.standing(&fingerprint) == Standing::Clear {
+            return;
+        }
+        let changed = records.completed(fingerprint, self.clock.wall());
+        drop(records);
+        let mut state = self.state();
+        for (fingerprint, _) in changed {
+            state.news.cleared(fingerprint, now);
+        }
+    }
+
+    /// Whether some crash is in doubt, so that signs of life matter.
+    #[must_use]
+    pub fn has_doubts(&self) -> bool {
+        !self.state().doubts.is_empty()
+    }
+
+    /// Notes that a request that was sent at `sent` was answered in the life that `crash` ends.
+    pub fn answered(&self, crash: &Crash, sent: Timestamp, now: Timestamp) {
+        self.alive(crash, sent, now);
+    }
+
+    /// Notes that a server was heard of in the life that `crash` ends.
+    pub fn heard(&self, crash: &Crash, now: Timestamp) {
+        self.alive(crash, now - LIFE_LAG, now);
+    }
+
+    fn alive(&self, crash: &Crash, seen: Timestamp, now: Timestamp) {
+        let cleared = self.state().doubts.seen(crash, seen);
+        if cleared.is_empty() {
+            return;
+        }
+        let mut records = self.records();
+        for fingerprint in &cleared {
+            records.survived(crash, fingerprint);
+        }
+        drop(records);
+        tracing::info!(server = %crash.id, born = %crash.boot, count = cleared.len(), "server lives; requests cleared");
+        metrics::counter!("apricothall_quarantine_cleared_total").increment(cleared.len() as u64);
+        let mut state = self.state();
+        for fingerprint in cleared {
+            state.news.cleared(fingerprint, now);
+        }
+    }
+
+    /// Takes what another daemon knows.
+    pub fn merge(&self, told: &[(Digest, Record)], now: Timestamp) {
+        if told.is_empty() {
+            return;
+        }
+        let mut records = self.records();
+        let before: Vec<_> = told.iter().map(|(f, _)| records.standing(f)).collect();
+        records.merge(told, self.clock.wall());
+        let mut open = Vec::new();
+        for ((fingerprint, _), before) in told.iter().zip(before) {
+            let after = records.standing(fingerprint);
+            if after == Standing::Condemned && before != after {
+                tracing::warn!(fingerprint = %fingerprint.short(), "request condemned, as told by a peer");
+            }
+            let record = records.get(fingerprint);
+            let crashes = record.into_iter().flat_map(Record::open);
+            open.extend(crashes.map(|c| (c.clone(), *fingerprint)));
+        }
+        drop(records);
+        let mut state = self.state();
+        for (crash, fingerprint) in open {
+            state.doubts.note(&crash, fingerprint, now);
+        }
+    }
+
+    /// Takes the next records to tell. True when there are any.
+    pub fn take_due(&self, now: Timestamp) -> bool {
+        self.state().news.take_due(TOLD_AT_ONCE, now)
+    }
+
+    /// Records for a message.
+    #[must_use]
+    pub fn told(&self, now: Timestamp) -> Vec<(Digest, Record)> {
+        let told: Vec<_> = {
+            let state = self.state();
+            state.news.told(now).take(TOLD_AT_ONCE).copied().collect()
+        };
+        let records = self.records();
+        let known = told.into_iter();
+        known
+            .filter_map(|f| Some((f, records.get(&f)?.clone())))
+            .collect()
+    }
+
+    /// A digest of the records that all daemons should have alike; zero for none.
+    #[must_use]
+    pub fn summary(&self) -> u64 {
+        self.records().summary()
+    }
+
+    /// The records that all daemons should have alike.
+    #[must_use]
+    pub fn shared(&self) -> Vec<(Digest, Record)> {
+        let records = self.records();
+        records.shared().map(|(f, r)| (*f, r.clone())).collect()
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use apricothall_decide::quarantine::Record;
 use apricothall_decide::servers::{Listing, Servers};
-use apricothall_types::{Revision, Role, Timestamp};
+use apricothall_types::{Digest, Revision, Role, Timestamp};
 use apricothall_wire::{Connector, ConnectorConfig, Incoming, Lane, Payload, WireError};
 use futures::{SinkExt, StreamExt};
 use rand::seq::IndexedRandom;
@@ -18,6 +19,7 @@
 use crate::agent::pieces;
 use crate::dialect::Item;
 use crate::published::Reader;
+use crate::quarantine::knows_others;
 
 /// Path of streams that ask for what was published.
 const PUBLISHED_PATH: &str = "/published";
@@ -31,6 +33,9 @@
 /// Time between two reads of a peer's servers while the store is away.
 const SERVERS_EVERY: Duration = Duration::from_millis(400);
 
+/// Least time between two reads of what a peer knows of requests that end servers.
+const SUSPECTS_EVERY: Duration = Duration::from_millis(500);
+
 /// Longest wait for a peer.
 const PEER_WAIT: Duration = Duration::from_millis(800);
 
@@ -40,6 +45,8 @@
     held: Revision,
     /// Revision up to which the servers are known; zero asks for them in any case.
     servers: Revision,
+    /// A digest of what is known of requests that end servers.
+    quarantine: u64,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -48,6 +55,7 @@
     configuration: Option<(SmolStr, Payload)>,
     confirmed: Option<u64>,
     servers: Option<(Revision, Listing)>,
+    suspects: Vec<(Digest, Record)>,
 }
 
 /// What peers know and this daemon does not.
@@ -55,6 +63,7 @@
 struct Lack {
     configuration: bool,
     servers: bool,
+    suspects: bool,
 }
 
 #[derive(Debug, Error)]
@@ -127,6 +136,11 @@
     let away = context.published.servers(Servers::is_away);
     let newer_servers = !away && seen > ask.servers;
     let list = || context.published.servers(|s| s.listing(now));
+    let suspects = if ask.quarantine == context.quarantine.summary() {
+        Vec::new()
+    } else {
+        context.quarantine.shared()
+    };
     let told = Told {
         revision: context.published.revision(),
         configuration: newer.map(|f| (f.item.key.clone(), Payload(f.item.value.clone()))),
@@ -136,6 +150,7 @@
                 .saturating_add(1)
         }),
         servers: newer_servers.then(|| (seen, list())),
+        suspects,
     };
     channel.send(told).await?;
     channel.close().await
@@ -155,12 +170,13 @@
         if away && context.settings().role == Role::Entry && now.since(asked) >= SERVERS_EVERY {
             lack.servers = true;
         }
-        if !lack.configuration && !lack.servers {
+        lack.suspects &= now.since(asked) >= SUSPECTS_EVERY;
+        if !lack.configuration && !lack.servers && !lack.suspects {
             behind = None;
             continue;
         }
         let since = *behind.get_or_insert(now);
-        if reads && !away && now.since(since) < PATIENCE {
+        if reads && !away && !lack.suspects && now.since(since) < PATIENCE {
             continue;
         }
         asked = now;
@@ -180,11 +196,13 @@
     let seen = context.published.servers_seen();
     let settings = context.settings();
     let learner = learner && settings.role == Role::Entry;
+    let summary = context.quarantine.summary();
     let mut lack = Lack::default();
     context.peers.each(now, |peer| {
         let near = peer.hello.zone == settings.zone;
         lack.configuration |= peer.revision > held;
         lack.servers |= learner && near && peer.is_sound(now) && peer.servers > seen;
+        lack.suspects |= knows_others(peer.quarantine, summary);
     });
     lack
 }
@@ -194,10 +212,13 @@
     let zone = context.settings().zone.clone();
     let held = context.published.revision();
     let seen = context.published.servers_seen();
+    let summary = context.quarantine.summary();
     let (mut near, mut all) = (Vec::new(), Vec::new());
     context.peers.each(now, |peer| {
+        let suspects = lack.suspects && knows_others(peer.quarantine, summary);
         let servers = peer.hello.role == Role::Entry && !peer.away && peer.servers >= seen;
-        if !(lack.configuration && peer.revision > held || lack.servers && servers) {
+        let newer = lack.configuration && peer.revision > held;
+        if !(newer || lack.servers && servers || suspects) {
             return;
         }
         all.push(peer.hello.address);
@@ -226,7 +247,13 @@
         } else {
             context.published.servers_seen()
         };
-        channel.send(Ask { held, servers }).await?;
+        let quarantine = context.quarantine.summary();
+        let ask = Ask {
+            held,
+            servers,
+            quarantine,
+        };
+        channel.send(ask).await?;
         channel
             .next()
             .await
@@ -250,6 +277,8 @@
         context.published.confirm(told.revision, since);
     }
     let now = context.clock.now();
+    context.quarantine.merge(&told.suspects, now);
+    context.quarantine.set_learned();
     let learner = context.published.servers(Servers::is_away) || !context.reads_store(now);
     if let Some((revision, listing)) = told.servers
         && learner
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -38,6 +38,9 @@
 /// Time after which a caller may come back when the configuration is not known or too old.
 const BLIND_PAUSE: Duration = Duration::from_millis(700);
 
+/// Time after which a caller may come back to an entry that has just started.
+const START_PAUSE: Duration = Duration::from_millis(300);
+
 /// Part of the bound on revoked keys that is kept as a margin.
 const REVOKE_MARGIN: Duration = Duration::from_millis(600);
 
@@ -135,6 +138,10 @@
             "no configuration is known yet",
         )));
     };
+    if !context.quarantine.has_learned(arrival) {
+        let reason = "this entry has just started";
+        return Err(Box::new(refuse(START_PAUSE, reason)));
+    }
     let (parts, body) = request.into_parts();
     let (route, account) = find(context, &in_force, &parts, arrival)?;
     let body = read(&in_force, body).await?;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -15,7 +15,8 @@
 use thiserror::Error;
 
 use crate::Context;
-use crate::dialect::{Changes, Fact, Item, Page, Subject};
+use crate::dialect::{Change, Changes, Fact, Item, Page, Subject};
+use crate::quarantine::end_of;
 
 /// Longest wait of one watch.
 const WATCH: Duration = Duration::from_secs(4);
@@ -137,6 +138,9 @@
         context
             .published
             .take_changes(calls, subject, &changes, now);
+        if subject == Subject::Servers {
+            note_lives(context, &changes, now);
+        }
         if !changes.changes.is_empty() {
             tokio::time::sleep(GATHER).await;
         }
@@ -147,6 +151,22 @@
     }
 }
 
+/// Clears requests that were thought to have ended servers which have written their entries since.
+/// After an outage the store tells of writes from long before.
+fn note_lives(context: &Context, changes: &Changes, now: Timestamp) {
+    let current = context.published.servers(|s| !s.is_restoring(now));
+    if !current || !context.quarantine.has_doubts() {
+        return;
+    }
+    for change in &changes.changes {
+        if let Change::Written(item) = change
+            && let Ok(Fact::Server(server)) = (context.dialect.store.read_item)(item)
+        {
+            context.quarantine.heard(&end_of(&server), now);
+        }
+    }
+}
+
 async fn changes(
     context: &Context,
     client: &HttpClient,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -18,6 +18,7 @@
 use crate::exchange::Answer;
 use crate::fleet::{InFlight, Place, Placed};
 use crate::forward::{Forwarder, millis};
+use crate::quarantine::Loss;
 use crate::request::Call;
 
 /// Events that wait for a slow caller.
@@ -56,7 +57,7 @@
     framed: bool,
     ended: bool,
     channel: Channel,
-    _flight: InFlight,
+    flight: InFlight,
     server: Place,
     sent: Timestamp,
     predicted: Duration,
@@ -75,7 +76,7 @@
             ready: VecDeque::new(),
             ended: false,
             channel: answer.channel,
-            _flight: answer.flight,
+            flight: answer.flight,
             server: Place::from(&placed.server),
             sent: answer.sent,
             predicted: placed.predicted,
@@ -90,6 +91,15 @@
         &self.server
     }
 
+    /// Notes that the stream was lost.
+    pub fn note_lost(&self, error: &FeedError) {
+        match error {
+            FeedError::Lost(_) => self.flight.lost(Loss::Broken),
+            FeedError::Stalled => self.flight.lost(Loss::Silent),
+            FeedError::Malformed(_) | FeedError::Gap { .. } => {}
+        }
+    }
+
     /// The next event; none at the end.
     ///
     /// # Errors
@@ -190,6 +200,7 @@
             Ok(Step::Pass(event)) => next = Some(event),
             Ok(Step::Skip) => {}
             Ok(Step::End) => {
+                feed.flight.completed();
                 note_end(&relay, &feed, passed);
                 metrics::counter!("apricothall_streams_total", "outcome" => "whole").increment(1);
                 let now = context.clock.now();
@@ -246,6 +257,7 @@
     let now = context.clock.now();
     let spent = now >= relay.call.deadline;
     tracing::info!(request = %relay.call.id, fingerprint = %relay.call.fingerprint.short(), server = %failed.server.id, ?last, %error, spent, "stream interrupted");
+    failed.note_lost(error);
     if spent {
         return None;
     }
