fix(gateway): entries that start anew have no more repeats than their share

What servers would see: more repeats in ten seconds than allowed for all entries together, when entries are killed in series or cut off from each other while much fails.

Cause: a process began with its whole saved share, so each start handed out another one; shares were by the entries heard of, at least eight, so 36 that hear of no other had four and a half times the bound.

Evidence: platform/tests/repeats.rs, on the code before: kills_in_series 224 of 144, kills_in_series_under_load 536 of 504, many_entries_cut_from_each_other 396 of 224.

Change: a budget starts empty and is earned by requests; the share is by the most entries heard of in the life of the process, and tiny for one that hears of none. After: all five cases pass.

--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -65,6 +65,23 @@
         }
     }
 
+    /// A budget that has to be earned first, so that processes which start anew have no more than
+    /// their share.
+    #[must_use]
+    pub fn empty(config: RetryConfig, now: Timestamp) -> Self {
+        Self {
+            config,
+            saved: 0.0,
+            last: now,
+        }
+    }
+
+    /// Changes the retries that may be saved.
+    pub fn limit(&mut self, saved: u32) {
+        self.config.saved = saved;
+        self.saved = self.saved.min(f64::from(saved));
+    }
+
     /// Notes a first attempt, which earns a part of a retry.
     pub fn note_request(&mut self, now: Timestamp) {
         let earned = f64::from(self.config.ratio) / PERCENT;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -41,6 +41,9 @@
 /// Least number of entries that the budget of repeats is shared by, since some are not known yet.
 const LEAST_SHARERS: u32 = 8;
 
+/// Entries that an entry which hears of no other shares the budget of repeats with.
+const UNKNOWN_SHARERS: u32 = 100;
+
 /// Part of the budget of repeats that is used, so that the whole stays below its bound.
 const BUDGET_PART: f64 = 0.7;
 
@@ -61,6 +64,8 @@
     suspects: HashMap<SocketAddr, u32>,
     notes: HashMap<SocketAddr, Noted>,
     entries: Entries,
+    /// Most entries heard of at once.
+    sharers: u32,
     outlier: Outlier,
     budgets: HashMap<SmolStr, Budget>,
     repeats: Repeats,
@@ -167,6 +172,7 @@
                 suspects: HashMap::new(),
                 notes: HashMap::new(),
                 entries: Entries::ALONE,
+                sharers: Entries::ALONE.all,
                 outlier: Outlier::new(outlier),
                 budgets: HashMap::new(),
                 repeats: Repeats {
@@ -220,7 +226,10 @@
 
     /// Sets the numbers of entries.
     pub fn set_entries(&self, entries: Entries) {
-        self.state().entries = entries;
+        let mut state = self.state();
+        state.entries = entries;
+        // Entries that are cut off from each other still share.
+        state.sharers = state.sharers.max(entries.all);
     }
 
     /// Chooses a server for a request.
@@ -337,20 +346,24 @@
 
 impl State {
     fn budget(&mut self, service: &SmolStr, now: Timestamp) -> &mut Budget {
-        let sharers = f64::from(self.entries.all.max(LEAST_SHARERS));
+        let sharers = match self.sharers {
+            1 => UNKNOWN_SHARERS,
+            known => known.max(LEAST_SHARERS),
+        };
+        let saved = whole(self.repeats.extra * BUDGET_PART / f64::from(sharers)).max(1);
         let retry = RetryConfig {
             ratio: whole(self.repeats.ratio * BUDGET_PART * PERCENT),
             minimum: 0,
-            saved: whole(self.repeats.extra * BUDGET_PART / sharers).max(1),
+            saved,
             attempts: u32::MAX,
             base: Interval::default(),
             longest: Interval::default(),
             ..RetryConfig::default()
         };
-        let budgets = &mut self.budgets;
-        budgets
-            .entry(service.clone())
-            .or_insert_with(|| Budget::new(retry, now))
+        let held = self.budgets.entry(service.clone());
+        let budget = held.or_insert_with(|| Budget::empty(retry, now));
+        budget.limit(saved);
+        budget
     }
 
     /// Servers that could take a request, with what is expected of it there.
