fix(gateway): the first failure after a start may be repeated

Cause: let a process begin with nothing saved, so an entry without traffic could not repeat its first failed read.

Change: one repeat is there from the start, the rest is earned. The five cases of platform/tests/repeats.rs still pass.

--- a/crates/decide/src/retry.rs
+++ b/crates/decide/src/retry.rs
@@ -65,14 +65,13 @@
         }
     }
 
-    /// A budget that has to be earned first, so that processes which start anew have no more than
-    /// their share.
+    /// A budget of one retry; others have to be earned first, so that processes which start anew
+    /// have no more than their share.
     #[must_use]
-    pub fn empty(config: RetryConfig, now: Timestamp) -> Self {
+    pub fn of_one(config: RetryConfig, now: Timestamp) -> Self {
         Self {
-            config,
-            saved: 0.0,
-            last: now,
+            saved: f64::from(config.saved.min(1)),
+            ..Self::new(config, now)
         }
     }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -361,7 +361,7 @@
             ..RetryConfig::default()
         };
         let held = self.budgets.entry(service.clone());
-        let budget = held.or_insert_with(|| Budget::empty(retry, now));
+        let budget = held.or_insert_with(|| Budget::of_one(retry, now));
         budget.limit(saved);
         budget
     }
