--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -44,7 +44,7 @@
     /// Turns of sending a piece to another agent.
     pub uploads: Uploads,
     /// Bounds on log lines about requests.
-    pub lines: Lines,
+    pub lines: Arc<Lines>,
     /// Metrics recorded so far.
     pub telemetry: Telemetry,
 }
@@ -59,6 +59,7 @@
         telemetry: Telemetry,
     ) -> Self {
         let clock = Clock;
+        let lines = Arc::new(Lines::default());
         Self(Arc::new(Parts {
             fleet: Fleet::new(&settings),
             settings: RwLock::new(Arc::new(settings)),
@@ -68,9 +69,9 @@
             lifecycle,
             published: Published::default(),
             peers: Peers::default(),
-            quarantine: Quarantine::new(clock),
+            quarantine: Quarantine::new(clock, lines.clone()),
             shelf: Shelf::default(),
-            lines: Lines::default(),
+            lines,
             uploads: Uploads::default(),
             telemetry,
         }))
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,7 +4,7 @@
 //! server shows that it still has the same life.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use apricothall_decide::configs::QuarantineConfig;
@@ -14,6 +14,8 @@
 use apricothall_types::{Digest, Incarnation, Timestamp};
 use smol_str::ToSmolStr;
 
+use crate::lines::Lines;
+
 /// Time for which others are not told of a loss by silence, which seldom means a crash.
 const SILENT_WAIT: Duration = Duration::from_secs(2);
 
@@ -44,6 +46,7 @@
 /// What is known of requests that end servers.
 pub struct Quarantine {
     clock: Clock,
+    lines: Arc<Lines>,
     started: Timestamp,
     learned: AtomicBool,
     records: Mutex<Records>,
@@ -69,9 +72,10 @@
 impl Quarantine {
     /// Nothing known.
     #[must_use]
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock, lines: Arc<Lines>) -> Self {
         Self {
             clock,
+            lines,
             started: clock.now(),
             learned: AtomicBool::new(false),
             records: Mutex::new(Records::in_company(QuarantineConfig::default())),
@@ -135,7 +139,7 @@
         metrics::counter!("apricothall_quarantine_crashes_total").increment(1);
         if standing == Standing::Condemned {
             tracing::warn!(fingerprint = %fingerprint.short(), server = %crash.id, born = %crash.boot, ?loss, "request condemned");
-        } else {
+        } else if self.lines.failure(now) {
             tracing::info!(fingerprint = %fingerprint.short(), server = %crash.id, born = %crash.boot, ?loss, "request suspected");
         }
     }
@@ -180,7 +184,9 @@
             records.survived(crash, fingerprint);
         }
         drop(records);
-        tracing::info!(server = %crash.id, born = %crash.boot, count = cleared.len(), "server lives; requests cleared");
+        if self.lines.failure(now) {
+            tracing::info!(server = %crash.id, born = %crash.boot, count = cleared.len(), "server lives; requests cleared");
+        }
         metrics::counter!("apricothall_quarantine_cleared_total").increment(cleared.len() as u64);
         let mut state = self.state();
         for fingerprint in cleared {
