feat(gateway): servers that say they leave or want a pause get no more requests

An entry goes by it for that life of the server from the head of the answer on, whatever the list says; when all servers of a service want a pause, callers are told at once when the first is over.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod routes;
 pub mod routing;
 pub mod servers;
+pub mod signals;
 pub mod timing;
 pub mod transfer;
 pub mod versions;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -53,6 +53,8 @@
     pub server: HeaderName,
     /// A server's word that it did not run the request.
     pub not_run: HeaderName,
+    /// A server's word that it is leaving.
+    pub leaving: HeaderName,
     /// Order of admission at an engine, 0 first.
     pub urgency: HeaderName,
     /// Version of weights that the request must run on.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,7 +5,8 @@
 use apricothall_decide::repeat::End;
 use apricothall_types::Timestamp;
 use bytes::Bytes;
-use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
+use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -15,6 +16,7 @@
 use crate::Context;
 use crate::channels::{Channel, Channels, ConnectError};
 use crate::fleet::{Fleet, InFlight, Placed};
+use crate::forward::millis;
 use crate::quarantine::Loss;
 use crate::request::{Call, may_use_keys};
 
@@ -179,6 +181,7 @@
     };
     let (parts, body) = response.into_parts();
     flight.settle();
+    note_signals(context, call, placed, &parts);
     check(context, call, parts.status, &parts.headers)?;
     flight.answered();
     if let Some(limit) = idle_limit(&parts.headers) {
@@ -273,6 +276,44 @@
         .min(LAST_URGENCY)
 }
 
+/// Notes what the server says of itself beside its answer.
+fn note_signals(context: &Context, call: &Call, placed: &Placed, head: &Parts) {
+    let names = &context.dialect.headers;
+    let foreign = head.headers.get(&names.attempt) != call.attempt.as_ref();
+    // What answers there now is not the server that was chosen.
+    if foreign || head.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let now = context.clock.now();
+    let server = &placed.server;
+    if head.headers.contains_key(&names.leaving) {
+        context.fleet.note_leaving(server, now);
+        if context.lines.failure(now) {
+            tracing::info!(server = %server.id, request = %call.id, "server says that it leaves");
+        }
+    }
+    if head.status == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(after) = retry_after(&head.headers)
+    {
+        context.fleet.note_pause(server, after, now);
+        if context.lines.failure(now) {
+            tracing::info!(server = %server.id, request = %call.id, after_ms = millis(after), "server wants nothing for a while");
+        }
+    }
+}
+
+/// Time that a server asks to be left alone for, if it states seconds.
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds: f64 = headers
+        .get(RETRY_AFTER)?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse()
+        .ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Whether the head is that of an answer to `call` that may be passed on.
 fn check(
     context: &Context,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -13,6 +13,7 @@
 use apricothall_decide::quarantine::Crash;
 use apricothall_decide::retry::{Budget, Failure, Verdict};
 use apricothall_decide::servers::{Server, Servers};
+use apricothall_decide::signals::{Hold, Signals};
 use apricothall_decide::versions::Versions;
 use apricothall_types::{Digest, Interval, MemberId, Outcome, Timestamp};
 use smol_str::SmolStr;
@@ -67,6 +68,7 @@
     /// Most entries heard of at once.
     sharers: u32,
     outlier: Outlier,
+    signals: Signals,
     budgets: HashMap<SmolStr, Budget>,
     repeats: Repeats,
     placement: PlacementConfig,
@@ -174,6 +176,7 @@
                 entries: Entries::ALONE,
                 sharers: Entries::ALONE.all,
                 outlier: Outlier::new(outlier),
+                signals: Signals::default(),
                 budgets: HashMap::new(),
                 repeats: Repeats {
                     ratio: settings.bounds.repeat_ratio,
@@ -249,7 +252,10 @@
                     Placement::Go(Box::new(state.take(&offers[index], ask, now)))
                 }
                 Choice::Refuse(after) => Placement::Refuse(after),
-                Choice::Nobody => Placement::Nobody,
+                Choice::Nobody => match state.shortest_hold(servers, ask.service, now) {
+                    Some(after) => Placement::Refuse(after),
+                    None => Placement::Nobody,
+                },
             }
         })
     }
@@ -300,6 +306,17 @@
         load.pause_until(now + length);
     }
 
+    /// Notes that a server says that it leaves.
+    pub fn note_leaving(&self, server: &Server, now: Timestamp) {
+        self.state().signals.leaves(&server.id, server.born, now);
+    }
+
+    /// Notes that a server wants nothing for `after`.
+    pub fn note_pause(&self, server: &Server, after: Duration, now: Timestamp) {
+        let signals = &mut self.state().signals;
+        signals.pauses(&server.id, server.born, after, now);
+    }
+
     /// Notes the first attempt at a request of `service`.
     pub fn note_request(&self, service: &SmolStr, now: Timestamp) {
         self.state().budget(service, now).note_request(now);
@@ -381,6 +398,9 @@
             if ask.tried.contains(&server.id) {
                 continue;
             }
+            if self.signals.hold(&server.id, server.born, now) != Hold::Free {
+                continue;
+            }
             let Some(version) = self.version(server, ask, now) else {
                 continue;
             };
@@ -418,6 +438,18 @@
         offers
     }
 
+    /// Time until the first server of `service` that wants nothing for now wants requests again.
+    fn shortest_hold(&self, servers: &Servers, service: &str, now: Timestamp) -> Option<Duration> {
+        let holds = servers
+            .ready(service)
+            .map(|s| self.signals.hold(&s.id, s.born, now));
+        let waits = holds.filter_map(|hold| match hold {
+            Hold::For(wait) => Some(wait),
+            Hold::Free | Hold::Leaving => None,
+        });
+        waits.min()
+    }
+
     /// Leaves out servers that have a suspect, if there are others, so that one which ends its
     /// server takes no other suspect with it.
     fn keep_apart(&self, offers: &mut Vec<Offer<'_>>) {
