--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -279,7 +279,7 @@
 /// Notes what the server says of itself beside its answer.
 fn note_signals(context: &Context, call: &Call, placed: &Placed, head: &Parts) {
     let names = &context.dialect.headers;
-    let foreign = head.headers.get(&names.attempt) != call.attempt.as_ref();
+    let foreign = head.headers.get(&names.attempt) != Some(&call.attempt);
     // What answers there now is not the server that was chosen.
     if foreign || head.status == StatusCode::MISDIRECTED_REQUEST {
         return;
@@ -322,7 +322,7 @@
     headers: &HeaderMap,
 ) -> Result<(), AttemptError> {
     let names = &context.dialect.headers;
-    if headers.get(&names.attempt) != call.attempt.as_ref() {
+    if headers.get(&names.attempt) != Some(&call.attempt) {
         return Err(AttemptError::Foreign("another request's id".into()));
     }
     if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -60,7 +60,7 @@
     /// Id of the caller's attempt, for logs.
     pub id: SmolStr,
     /// Id of the caller's attempt, as sent.
-    pub attempt: Option<HeaderValue>,
+    pub attempt: HeaderValue,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -144,8 +144,12 @@
     }
     let (parts, body) = request.into_parts();
     let (route, account) = find(context, &in_force, &parts, arrival)?;
-    let body = read(&in_force, body).await?;
     let names = &context.dialect.headers;
+    let Some(attempt) = parts.headers.get(&names.attempt).cloned() else {
+        let reason = "the request names no attempt";
+        return Err(Box::new(own(StatusCode::BAD_REQUEST, Fate::NotRun, reason)));
+    };
+    let body = read(&in_force, body).await?;
     let draw = rand::rng().random::<f64>();
     let service = route.service(draw).cloned();
     let Some(service) = service else {
@@ -158,11 +162,7 @@
     let wait = stated.unwrap_or(route.timeout).min(route.timeout);
     let returning = stated.is_some_and(|s| budgets.note(&route.name, s));
     let engines = in_force.configuration.engines(&service).cloned();
-    let attempt = parts.headers.get(&names.attempt).cloned();
-    let id = attempt
-        .as_ref()
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or_default();
+    let id = attempt.to_str().unwrap_or_default();
     let usage = parts
         .headers
         .get(&names.usage)
