--- a/crates/gateway/src/channels.rs
+++ b/crates/gateway/src/channels.rs
@@ -16,6 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::head_limit::{Allowance, HeadLimit};
+
 /// Longest wait for a connection.
 const CONNECT_WAIT: Duration = Duration::from_millis(350);
 
@@ -43,6 +45,7 @@
 pub struct Channel {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    allowance: Allowance,
     address: SocketAddr,
     used: Timestamp,
     limit: Duration,
@@ -60,6 +63,12 @@
         &mut self.sender
     }
 
+    /// What may be read of it.
+    #[must_use]
+    pub const fn allowance(&self) -> &Allowance {
+        &self.allowance
+    }
+
     /// Bounds the idle time by what the server says of it.
     pub fn limit_idle(&mut self, limit: Duration) {
         self.limit = self.limit.min(limit / 2);
@@ -117,9 +126,11 @@
         // has not gone out yet.
         let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         reset.map_err(|e| fail(&e))?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| fail(&e))?;
+        let allowance = Allowance::default();
+        let (sender, connection) =
+            handshake(TokioIo::new(HeadLimit::new(stream, allowance.clone())))
+                .await
+                .map_err(|e| fail(&e))?;
         metrics::counter!("apricothall_server_connections_total").increment(1);
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -129,6 +140,7 @@
         Ok(Channel {
             sender,
             task: task.abort_handle(),
+            allowance,
             address,
             used: now,
             limit: IDLE,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -162,6 +162,7 @@
     }
     let request = build(context, call, placed, resume, left);
     let flight = Fleet::begin(context, &placed.server, call.fingerprint, now);
+    channel.allowance().await_head();
     let sending = channel.sender().try_send_request(request);
     let begin = begin_limit(context, call, placed).map_or(Duration::MAX, |by| by.since(now));
     let wait = patience.min(left);
@@ -179,6 +180,7 @@
         }
         Ok(Ok(response)) => response,
     };
+    channel.allowance().head_came();
     let (parts, body) = response.into_parts();
     flight.settle();
     note_signals(context, call, placed, &parts);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod forward;
 pub mod gossip;
+pub mod head_limit;
 pub mod lines;
 pub mod model;
 pub mod peers;
