refactor(gateway): a file each for feeds, flights, repeats and resuming

Requests in flight, the share of repeats, a server's stream, what all sends have in common and resuming are modules of their own now; forward knows stream, not the reverse. No behaviour is changed; the tests of the package and crash_loop.rs pass.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -22,7 +22,7 @@
 use crate::Context;
 use crate::answers::{Body, Broken, refuse};
 use crate::channels::{Channels, set_options};
-use crate::forward::Forwarder;
+use crate::forwarder::Forwarder;
 use crate::model::CallerLimits;
 use crate::request::{Budgets, admit};
 
@@ -152,7 +152,7 @@
             Err(answer) => {
                 let status = answer.status().as_u16();
                 if context.lines.failure(arrival) {
-                    tracing::info!(request = ?id, status, config_age_ms = context.published.age(arrival).map(crate::forward::millis), "request not admitted");
+                    tracing::info!(request = ?id, status, config_age_ms = context.published.age(arrival).map(crate::lines::millis), "request not admitted");
                 }
                 metrics::counter!("apricothall_not_admitted_total").increment(1);
                 *answer
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,8 +15,9 @@
 
 use crate::Context;
 use crate::channels::{Channel, Channels, ConnectError};
-use crate::fleet::{Fleet, InFlight, Placed};
-use crate::forward::millis;
+use crate::fleet::Placed;
+use crate::flight::InFlight;
+use crate::lines::millis;
 use crate::quarantine::Loss;
 use crate::request::{Call, may_use_keys};
 
@@ -161,7 +162,7 @@
         return Err(AttemptError::Closed);
     }
     let request = build(context, call, placed, resume, left);
-    let flight = Fleet::begin(context, &placed.server, call.fingerprint, now);
+    let flight = InFlight::begin(context, &placed.server, call.fingerprint, now);
     channel.allowance().await_head();
     let sending = channel.sender().try_send_request(request);
     let begin = begin_limit(context, call, placed).map_or(Duration::MAX, |by| by.since(now));
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,22 +6,20 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use apricothall_decide::configs::{OutlierConfig, RetryConfig};
+use apricothall_decide::configs::OutlierConfig;
 use apricothall_decide::load::{Entries, Forecast, Load, Standing};
 use apricothall_decide::outlier::{Attempt, Outlier, Permit};
 use apricothall_decide::placement::{self, Candidate, Choice, Distance, Need, PlacementConfig};
-use apricothall_decide::quarantine::Crash;
-use apricothall_decide::retry::{Budget, Failure, Verdict};
 use apricothall_decide::servers::{Server, Servers};
 use apricothall_decide::signals::{Hold, Signals};
 use apricothall_decide::versions::Versions;
-use apricothall_types::{Digest, Interval, MemberId, Outcome, Timestamp};
+use apricothall_types::{Interval, MemberId, Timestamp};
 use smol_str::SmolStr;
 
 use crate::Context;
 use crate::model::EngineService;
 use crate::peers::EngineNote;
-use crate::quarantine::{Loss, end_of};
+use crate::repeats::Repeats;
 use crate::settings::Settings;
 
 /// Age up to which an agent's note tells the state of its engine.
@@ -39,17 +37,6 @@
 /// Time kept between the predicted start of a request on an old version and that version's end.
 const VERSION_MARGIN: Duration = Duration::from_millis(900);
 
-/// Least number of entries that the budget of repeats is shared by, since some are not known yet.
-const LEAST_SHARERS: u32 = 8;
-
-/// Entries that an entry which hears of no other shares the budget of repeats with.
-const UNKNOWN_SHARERS: u32 = 100;
-
-/// Part of the budget of repeats that is used, so that the whole stays below its bound.
-const BUDGET_PART: f64 = 0.7;
-
-const PERCENT: f64 = 100.0;
-
 /// Pace in a note of an engine that is as fast as published.
 const WHOLE_PACE: f64 = 100.0;
 
@@ -65,22 +52,12 @@
     suspects: HashMap<SocketAddr, u32>,
     notes: HashMap<SocketAddr, Noted>,
     entries: Entries,
-    /// Most entries heard of at once.
-    sharers: u32,
     outlier: Outlier,
     signals: Signals,
-    budgets: HashMap<SmolStr, Budget>,
     repeats: Repeats,
     placement: PlacementConfig,
 }
 
-/// Bound on repeats over all entries.
-#[derive(Clone, Copy, Debug)]
-struct Repeats {
-    ratio: f64,
-    extra: f64,
-}
-
 /// Load and health of all servers.
 pub struct Fleet {
     state: Mutex<State>,
@@ -174,14 +151,9 @@
                 suspects: HashMap::new(),
                 notes: HashMap::new(),
                 entries: Entries::ALONE,
-                sharers: Entries::ALONE.all,
                 outlier: Outlier::new(outlier),
                 signals: Signals::default(),
-                budgets: HashMap::new(),
-                repeats: Repeats {
-                    ratio: settings.bounds.repeat_ratio,
-                    extra: settings.bounds.repeat_extra,
-                },
+                repeats: Repeats::new(&settings.bounds),
                 placement: PlacementConfig::default(),
             }),
             own: Mutex::default(),
@@ -231,8 +203,7 @@
     pub fn set_entries(&self, entries: Entries) {
         let mut state = self.state();
         state.entries = entries;
-        // Entries that are cut off from each other still share.
-        state.sharers = state.sharers.max(entries.all);
+        state.repeats.share(entries.all);
     }
 
     /// Chooses a server for a request.
@@ -260,28 +231,23 @@
         })
     }
 
-    /// Counts a request as in flight at `server` until the guard is dropped.
-    #[must_use]
-    pub fn begin(
-        context: &Context,
-        server: &Server,
-        fingerprint: Digest,
-        now: Timestamp,
-    ) -> InFlight {
-        let suspect = !context.quarantine.is_clear(&fingerprint);
-        let mut state = context.fleet.state();
-        state.loads.entry(server.address).or_default().begin(now);
+    /// Counts a request as in flight at `address`.
+    pub fn enter(&self, address: SocketAddr, suspect: bool, now: Timestamp) {
+        let mut state = self.state();
+        state.loads.entry(address).or_default().begin(now);
         if suspect {
-            *state.suspects.entry(server.address).or_default() += 1;
+            *state.suspects.entry(address).or_default() += 1;
         }
-        InFlight {
-            context: context.clone(),
-            address: server.address,
-            fingerprint,
-            crash: end_of(server),
-            sent: now,
-            suspect,
-            settled: AtomicBool::new(false),
+    }
+
+    /// Counts a request as ended that [`Fleet::enter`] has counted.
+    pub fn leave(&self, address: SocketAddr, suspect: bool) {
+        let mut state = self.state();
+        if let Some(load) = state.loads.get_mut(&address) {
+            load.end();
+        }
+        if suspect {
+            state.end_suspect(address);
         }
     }
 
@@ -319,22 +285,12 @@
 
     /// Notes the first attempt at a request of `service`.
     pub fn note_request(&self, service: &SmolStr, now: Timestamp) {
-        self.state().budget(service, now).note_request(now);
+        self.state().repeats.note_request(service, now);
     }
 
     /// Whether a request of `service` may be sent once more.
     pub fn may_repeat(&self, service: &SmolStr, deadline: Timestamp, now: Timestamp) -> bool {
-        let failure = Failure {
-            outcome: Outcome::NotRun,
-            repeatable: true,
-            answered: false,
-            suspect: false,
-            attempts: 1,
-        };
-        let mut state = self.state();
-        let budget = state.budget(service, now);
-        let verdict = budget.decide(failure, deadline, now, &mut rand::rng());
-        matches!(verdict, Verdict::Retry(_))
+        self.state().repeats.take(service, deadline, now)
     }
 
     /// Drops what is known of servers that are gone.
@@ -362,27 +318,6 @@
 }
 
 impl State {
-    fn budget(&mut self, service: &SmolStr, now: Timestamp) -> &mut Budget {
-        let sharers = match self.sharers {
-            1 => UNKNOWN_SHARERS,
-            known => known.max(LEAST_SHARERS),
-        };
-        let saved = whole(self.repeats.extra * BUDGET_PART / f64::from(sharers)).max(1);
-        let retry = RetryConfig {
-            ratio: whole(self.repeats.ratio * BUDGET_PART * PERCENT),
-            minimum: 0,
-            saved,
-            attempts: u32::MAX,
-            base: Interval::default(),
-            longest: Interval::default(),
-            ..RetryConfig::default()
-        };
-        let held = self.budgets.entry(service.clone());
-        let budget = held.or_insert_with(|| Budget::of_one(retry, now));
-        budget.limit(saved);
-        budget
-    }
-
     /// Servers that could take a request, with what is expected of it there.
     fn offers<'a>(
         &self,
@@ -512,72 +447,3 @@
         Some(Some(version))
     }
 }
-
-fn whole(value: f64) -> u32 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "settings keep it small and positive"
-    )]
-    let number = value.max(0.0) as u32;
-    number
-}
-
-/// Counts a request as in flight until dropped. The server counts as crashed with it, unless the
-/// request is settled before or the server is seen later in the same life.
-pub struct InFlight {
-    context: Context,
-    address: SocketAddr,
-    fingerprint: Digest,
-    crash: Crash,
-    sent: Timestamp,
-    suspect: bool,
-    settled: AtomicBool,
-}
-
-impl InFlight {
-    /// Notes that the server answered, or never got the request.
-    pub fn settle(&self) {
-        self.settled.store(true, Ordering::Relaxed);
-    }
-
-    /// Notes that the server began to answer.
-    pub fn answered(&self) {
-        self.settle();
-        let now = self.context.clock.now();
-        let quarantine = &self.context.quarantine;
-        if quarantine.has_doubts() {
-            quarantine.answered(&self.crash, self.sent, now);
-        }
-    }
-
-    /// Notes that the request was answered whole.
-    pub fn completed(&self) {
-        self.answered();
-        let now = self.context.clock.now();
-        self.context.quarantine.completed(self.fingerprint, now);
-    }
-
-    /// Notes that the answer was lost.
-    pub fn lost(&self, loss: Loss) {
-        self.settle();
-        let now = self.context.clock.now();
-        let quarantine = &self.context.quarantine;
-        quarantine.lost(self.fingerprint, &self.crash, loss, now);
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        if !self.settled.load(Ordering::Relaxed) {
-            self.lost(Loss::Silent);
-        }
-        let mut state = self.context.fleet.state();
-        if let Some(load) = state.loads.get_mut(&self.address) {
-            load.end();
-        }
-        if self.suspect {
-            state.end_suspect(self.address);
-        }
-    }
-}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,10 +1,8 @@
 //! Brings a call to servers until one answers, within its time, attempts and budget.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use apricothall_decide::outlier::Attempt;
-use apricothall_decide::placement::Need;
 use apricothall_decide::repeat::{End, History, Next};
 use apricothall_types::{MemberId, Timestamp};
 use http::{HeaderMap, Response, StatusCode};
@@ -13,12 +11,14 @@
 
 use crate::Context;
 use crate::answers::{Body, Fate, full, own, refuse};
-use crate::channels::Channels;
 use crate::exchange::{Answer, AttemptError, begin_limit, exchange};
-use crate::fleet::{Ask, Place, Placed, Placement};
+use crate::feed::{Feed, FeedError};
+use crate::fleet::{Place, Placed, Placement};
+use crate::forwarder::{Forwarder, note_attempt};
+use crate::lines::millis;
 use crate::quarantine::Loss;
 use crate::request::{Call, end_to_end};
-use crate::stream::{Feed, FeedError, Relay, relay};
+use crate::stream::{Relay, relay};
 
 /// Largest answer that is held whole before it is passed on, in bytes.
 const ANSWER_BYTES: usize = 16 << 20;
@@ -26,9 +26,6 @@
 /// Least wait for the first sign of an answer before a repeatable request goes elsewhere.
 const PATIENCE: Duration = Duration::from_millis(700);
 
-/// Longest predicted wait that still helps a caller that is late already.
-const LATE_PATIENCE: Duration = Duration::from_millis(900);
-
 /// Shortest part of the time left for which a refused caller is told to stay away, so that a
 /// caller that comes back can be told by the time that it states.
 const SHORTEST_SHARE: u32 = 5;
@@ -42,15 +39,6 @@
 /// Time after which a caller may come back when no server is known.
 const NOBODY_PAUSE: Duration = Duration::from_millis(2_500);
 
-/// Sends calls to servers. Cheap to clone.
-#[derive(Clone)]
-pub struct Forwarder {
-    /// What is handed down.
-    pub context: Context,
-    /// Connections to servers.
-    pub channels: Arc<Channels>,
-}
-
 /// What became of a call so far.
 struct Story {
     history: History,
@@ -132,31 +120,6 @@
         self.place_within(call, tried, objective, now)
     }
 
-    fn place_within(
-        &self,
-        call: &Call,
-        tried: &[MemberId],
-        objective: Duration,
-        now: Timestamp,
-    ) -> Placement {
-        let model = call.engines.as_ref().map_or("", |e| e.model.name.as_str());
-        let versions = self.context.published.versions(model);
-        let ask = Ask {
-            service: &call.service,
-            engines: call.engines.as_ref(),
-            versions: &versions,
-            need: Need {
-                objective,
-                patience: LATE_PATIENCE.min(call.deadline.since(now)),
-                gap: call.route.gap,
-            },
-            prompt: call.prompt,
-            tried,
-            suspect: !self.context.quarantine.is_clear(&call.fingerprint),
-        };
-        self.context.fleet.place(&self.context, &ask, now)
-    }
-
     /// One attempt. An error says what it means and what happened.
     async fn attempt(
         &self,
@@ -198,24 +161,6 @@
         Err((End::Failed, error))
     }
 
-    fn note_error(&self, placed: &Placed, error: AttemptError) -> (End, AttemptError) {
-        let now = self.context.clock.now();
-        let place = Place::from(&placed.server);
-        if error.is_fault() {
-            self.context
-                .fleet
-                .record(&place, Attempt::Failed, placed.predicted, now);
-        }
-        if matches!(error, AttemptError::Refused { .. }) {
-            self.context
-                .fleet
-                .pause(place.address, error.is_stale(), now);
-        }
-        metrics::counter!("apricothall_attempt_failures_total", "end" => label(error.end()))
-            .increment(1);
-        (error.end(), error)
-    }
-
     /// Reads an answer whole before any of it is passed on.
     async fn whole(
         &self,
@@ -290,64 +235,6 @@
         };
         Ok(respond(status, &headers, relay(relaying, feed, first)))
     }
-
-    /// Another server's stream after event `last`, if the call, its attempts and the budget
-    /// allow one.
-    pub async fn resume(
-        &self,
-        call: &Call,
-        tried: &mut Vec<MemberId>,
-        last: Option<u64>,
-    ) -> Option<Feed> {
-        let allowed = usize::try_from(call.route.attempts).unwrap_or(usize::MAX);
-        while call.route.resumable && tried.len() < allowed {
-            let now = self.context.clock.now();
-            if now >= call.deadline {
-                return None;
-            }
-            if self.context.quarantine.is_condemned(&call.fingerprint) {
-                tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), "not resumed: servers ended under it");
-                return None;
-            }
-            if !self
-                .context
-                .fleet
-                .may_repeat(&call.service, call.deadline, now)
-            {
-                tracing::info!(request = %call.id, "not resumed: the budget of repeats is used up");
-                return None;
-            }
-            let Placement::Go(placed) = self.place_within(call, tried, Duration::ZERO, now) else {
-                tracing::info!(request = %call.id, "not resumed: no room");
-                return None;
-            };
-            tried.push(placed.server.id.clone());
-            let resume = last.or(call.resume);
-            note_attempt(true);
-            let sent = exchange(
-                &self.context,
-                &self.channels,
-                call,
-                &placed,
-                resume,
-                Duration::MAX,
-            );
-            match sent.await {
-                Ok(answer) if answer.status.is_success() => {
-                    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), server = %placed.server.id, ?last, "stream resumed");
-                    return Some(Feed::new(answer, &placed));
-                }
-                Ok(answer) => {
-                    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), server = %placed.server.id, status = answer.status.as_u16(), "not resumed there");
-                }
-                Err(error) => {
-                    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), server = %placed.server.id, %error, "not resumed there");
-                    self.note_error(&placed, error);
-                }
-            }
-        }
-        None
-    }
 }
 
 /// Refuses a call that has no place, unless it may have run already.
@@ -412,11 +299,6 @@
     }
 }
 
-fn note_attempt(repeat: bool) {
-    let kind = if repeat { "repeat" } else { "first" };
-    metrics::counter!("apricothall_attempts_total", "kind" => kind).increment(1);
-}
-
 fn respond(status: StatusCode, headers: &HeaderMap, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
@@ -424,21 +306,6 @@
     response
 }
 
-/// Milliseconds for a log line.
-#[must_use]
-pub fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn label(end: End) -> &'static str {
-    match end {
-        End::Unsent => "unsent",
-        End::Refused => "refused",
-        End::Lost => "lost",
-        End::Failed => "failed",
-    }
-}
-
 fn class(status: StatusCode) -> &'static str {
     match status.as_u16() / 100 {
         2 => "2xx",
--- /dev/null
+++ b/crates/gateway/src/forwarder.rs
@@ -0,0 +1,91 @@
+//! What all ways of sending a call to a server have in common.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricothall_decide::outlier::Attempt;
+use apricothall_decide::placement::Need;
+use apricothall_decide::repeat::End;
+use apricothall_types::{MemberId, Timestamp};
+
+use crate::Context;
+use crate::channels::Channels;
+use crate::exchange::AttemptError;
+use crate::fleet::{Ask, Place, Placed, Placement};
+use crate::request::Call;
+
+/// Longest predicted wait that still helps a caller that is late already.
+const LATE_PATIENCE: Duration = Duration::from_millis(900);
+
+/// Sends calls to servers. Cheap to clone.
+#[derive(Clone)]
+pub struct Forwarder {
+    /// What is handed down.
+    pub context: Context,
+    /// Connections to servers.
+    pub channels: Arc<Channels>,
+}
+
+impl Forwarder {
+    /// A server for `call` that has not been `tried`, which would begin within `objective`.
+    #[must_use]
+    pub fn place_within(
+        &self,
+        call: &Call,
+        tried: &[MemberId],
+        objective: Duration,
+        now: Timestamp,
+    ) -> Placement {
+        let model = call.engines.as_ref().map_or("", |e| e.model.name.as_str());
+        let versions = self.context.published.versions(model);
+        let ask = Ask {
+            service: &call.service,
+            engines: call.engines.as_ref(),
+            versions: &versions,
+            need: Need {
+                objective,
+                patience: LATE_PATIENCE.min(call.deadline.since(now)),
+                gap: call.route.gap,
+            },
+            prompt: call.prompt,
+            tried,
+            suspect: !self.context.quarantine.is_clear(&call.fingerprint),
+        };
+        self.context.fleet.place(&self.context, &ask, now)
+    }
+
+    /// Notes a failed attempt, and what it means for the request.
+    #[must_use]
+    pub fn note_error(&self, placed: &Placed, error: AttemptError) -> (End, AttemptError) {
+        let now = self.context.clock.now();
+        let place = Place::from(&placed.server);
+        if error.is_fault() {
+            self.context
+                .fleet
+                .record(&place, Attempt::Failed, placed.predicted, now);
+        }
+        if matches!(error, AttemptError::Refused { .. }) {
+            self.context
+                .fleet
+                .pause(place.address, error.is_stale(), now);
+        }
+        metrics::counter!("apricothall_attempt_failures_total", "end" => label(error.end()))
+            .increment(1);
+        (error.end(), error)
+    }
+}
+
+/// Counts an attempt at a server.
+pub fn note_attempt(repeat: bool) {
+    let kind = if repeat { "repeat" } else { "first" };
+    metrics::counter!("apricothall_attempts_total", "kind" => kind).increment(1);
+}
+
+fn label(end: End) -> &'static str {
+    match end {
+        End::Unsent => "unsent",
+        End::Refused => "refused",
+        End::Lost => "lost",
+        End::Failed => "failed",
+    }
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,7 +16,7 @@
 use tokio::net::UdpSocket;
 
 use crate::Context;
-use crate::forward::millis;
+use crate::lines::millis;
 use crate::peers::{EngineNote, Gossip, Hello, Phase, VersionNote};
 use crate::published::Reader;
 use crate::quarantine::{end_of, knows_others};
--- a/crates/gateway/src/lines.rs
+++ b/crates/gateway/src/lines.rs
@@ -2,6 +2,7 @@
 //! successes never crowd out failures.
 
 use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
 use apricothall_decide::log_budget::{LogBudget, Verdict};
 use apricothall_types::Timestamp;
@@ -41,6 +42,12 @@
     }
 }
 
+/// Milliseconds for a log line.
+#[must_use]
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn allow(budget: &Mutex<LogBudget>, kind: &'static str, now: Timestamp) -> bool {
     let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
     match budget.decide(now) {
--- /dev/null
+++ b/crates/gateway/src/repeats.rs
@@ -0,0 +1,98 @@
+//! This entry's share of the repeats that all entries may make together.
+
+use std::collections::HashMap;
+
+use apricothall_decide::configs::RetryConfig;
+use apricothall_decide::retry::{Budget, Failure, Verdict};
+use apricothall_types::{Interval, Outcome, Timestamp};
+use smol_str::SmolStr;
+
+use crate::settings::Bounds;
+
+/// Least number of entries that share, since some are not known yet.
+const LEAST_SHARERS: u32 = 8;
+
+/// Entries that an entry which hears of no other shares with.
+const UNKNOWN_SHARERS: u32 = 100;
+
+/// Part of the bound that is used, so that the whole stays below it.
+const BUDGET_PART: f64 = 0.7;
+
+const PERCENT: f64 = 100.0;
+
+/// Budgets of repeats by service.
+pub struct Repeats {
+    ratio: f64,
+    extra: f64,
+    /// Most entries heard of at once: those that are cut off from each other still share.
+    sharers: u32,
+    budgets: HashMap<SmolStr, Budget>,
+}
+
+impl Repeats {
+    /// The share of an entry that has heard of no other.
+    #[must_use]
+    pub fn new(bounds: &Bounds) -> Self {
+        Self {
+            ratio: bounds.repeat_ratio,
+            extra: bounds.repeat_extra,
+            sharers: 1,
+            budgets: HashMap::new(),
+        }
+    }
+
+    /// Notes how many entries are heard of, this one included.
+    pub fn share(&mut self, entries: u32) {
+        self.sharers = self.sharers.max(entries);
+    }
+
+    /// Notes the first attempt at a request of `service`.
+    pub fn note_request(&mut self, service: &SmolStr, now: Timestamp) {
+        self.budget(service, now).note_request(now);
+    }
+
+    /// Takes a repeat for a request of `service`, if there is one.
+    pub fn take(&mut self, service: &SmolStr, deadline: Timestamp, now: Timestamp) -> bool {
+        let failure = Failure {
+            outcome: Outcome::NotRun,
+            repeatable: true,
+            answered: false,
+            suspect: false,
+            attempts: 1,
+        };
+        let budget = self.budget(service, now);
+        let verdict = budget.decide(failure, deadline, now, &mut rand::rng());
+        matches!(verdict, Verdict::Retry(_))
+    }
+
+    fn budget(&mut self, service: &SmolStr, now: Timestamp) -> &mut Budget {
+        let sharers = match self.sharers {
+            1 => UNKNOWN_SHARERS,
+            known => known.max(LEAST_SHARERS),
+        };
+        let saved = whole(self.extra * BUDGET_PART / f64::from(sharers)).max(1);
+        let retry = RetryConfig {
+            ratio: whole(self.ratio * BUDGET_PART * PERCENT),
+            minimum: 0,
+            saved,
+            attempts: u32::MAX,
+            base: Interval::default(),
+            longest: Interval::default(),
+            ..RetryConfig::default()
+        };
+        let held = self.budgets.entry(service.clone());
+        let budget = held.or_insert_with(|| Budget::of_one(retry, now));
+        budget.limit(saved);
+        budget
+    }
+}
+
+fn whole(value: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "settings keep it small and positive"
+    )]
+    let number = value.max(0.0) as u32;
+    number
+}
--- /dev/null
+++ b/crates/gateway/src/resume.rs
@@ -0,0 +1,82 @@
+//! Streams that go on at another server.
+
+use std::time::Duration;
+
+use apricothall_types::MemberId;
+
+use crate::exchange::exchange;
+use crate::feed::Feed;
+use crate::fleet::{Placed, Placement};
+use crate::forwarder::{Forwarder, note_attempt};
+use crate::request::Call;
+
+impl Forwarder {
+    /// Another server's stream of `call` after event `last`, if its attempts and the budget allow
+    /// one.
+    pub async fn resume(
+        &self,
+        call: &Call,
+        tried: &mut Vec<MemberId>,
+        last: Option<u64>,
+    ) -> Option<Feed> {
+        let allowed = usize::try_from(call.route.attempts).unwrap_or(usize::MAX);
+        while call.route.resumable && tried.len() < allowed {
+            let placed = match self.next_server(call, tried) {
+                Ok(placed) => placed?,
+                Err(reason) => {
+                    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), reason, "not resumed");
+                    return None;
+                }
+            };
+            tried.push(placed.server.id.clone());
+            let resume = last.or(call.resume);
+            note_attempt(true);
+            let sent = exchange(
+                &self.context,
+                &self.channels,
+                call,
+                &placed,
+                resume,
+                Duration::MAX,
+            );
+            match sent.await {
+                Ok(answer) if answer.status.is_success() => {
+                    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), server = %placed.server.id, ?last, "stream resumed");
+                    return Some(Feed::new(answer, &placed));
+                }
+                Ok(answer) => {
+                    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), server = %placed.server.id, status = answer.status.as_u16(), "not resumed there");
+                }
+                Err(error) => {
+                    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), server = %placed.server.id, %error, "not resumed there");
+                    let _ = self.note_error(&placed, error);
+                }
+            }
+        }
+        None
+    }
+
+    /// The next server for a stream; none when its time is over. An error is the reason why it may
+    /// not go on.
+    fn next_server(
+        &self,
+        call: &Call,
+        tried: &[MemberId],
+    ) -> Result<Option<Box<Placed>>, &'static str> {
+        let now = self.context.clock.now();
+        if now >= call.deadline {
+            return Ok(None);
+        }
+        if self.context.quarantine.is_condemned(&call.fingerprint) {
+            return Err("servers ended under it");
+        }
+        let fleet = &self.context.fleet;
+        if !fleet.may_repeat(&call.service, call.deadline, now) {
+            return Err("the budget of repeats is used up");
+        }
+        match self.place_within(call, tried, Duration::ZERO, now) {
+            Placement::Go(placed) => Ok(Some(placed)),
+            Placement::Refuse(_) | Placement::Nobody => Err("no room"),
+        }
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,24 +1,20 @@
 //! Streams of events: passed on as they come, and continued at another server when one fails.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
-use apricothall_clients::sse::{RawEvent, RawEvents};
+use apricothall_clients::sse::RawEvent;
 use apricothall_decide::outlier::Attempt;
-use apricothall_types::{MemberId, Timestamp};
+use apricothall_types::MemberId;
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
-use smol_str::{SmolStr, ToSmolStr};
-use thiserror::Error;
+use hyper::body::Frame;
+use smol_str::ToSmolStr;
 use tokio::sync::mpsc;
 
 use crate::answers::{Body, Broken};
-use crate::channels::Channel;
-use crate::exchange::Answer;
-use crate::fleet::{InFlight, Place, Placed};
-use crate::forward::{Forwarder, millis};
-use crate::quarantine::Loss;
+use crate::feed::{Feed, FeedError};
+use crate::forwarder::Forwarder;
+use crate::lines::millis;
 use crate::request::Call;
 
 /// Events that wait for a slow caller.
@@ -27,134 +23,6 @@
 /// Silence in the middle of a stream after which it goes on elsewhere.
 const STALL: Duration = Duration::from_millis(900);
 
-/// Why a server's stream does not go on.
-#[derive(Debug, Error)]
-pub enum FeedError {
-    /// The connection ended before the stream did.
-    #[error("connection lost: {0}")]
-    Lost(SmolStr),
-    /// Nothing came in time.
-    #[error("no event in time")]
-    Stalled,
-    /// The bytes are no events.
-    #[error("malformed: {0}")]
-    Malformed(SmolStr),
-    /// An event is missing.
-    #[error("event {found} follows {last}")]
-    Gap {
-        /// Last event passed on.
-        last: u64,
-        /// Event that came.
-        found: u64,
-    },
-}
-
-/// A server's stream.
-pub struct Feed {
-    body: Incoming,
-    events: RawEvents,
-    ready: VecDeque<RawEvent>,
-    framed: bool,
-    ended: bool,
-    channel: Channel,
-    flight: InFlight,
-    server: Place,
-    sent: Timestamp,
-    predicted: Duration,
-    load: u32,
-    first: Duration,
-}
-
-impl Feed {
-    /// The stream in `answer`.
-    #[must_use]
-    pub fn new(answer: Answer, placed: &Placed) -> Self {
-        Self {
-            framed: answer.is_framed(),
-            body: answer.body,
-            events: RawEvents::default(),
-            ready: VecDeque::new(),
-            ended: false,
-            channel: answer.channel,
-            flight: answer.flight,
-            server: Place::from(&placed.server),
-            sent: answer.sent,
-            predicted: placed.predicted,
-            load: placed.load,
-            first: Duration::ZERO,
-        }
-    }
-
-    /// The server that it comes from.
-    #[must_use]
-    pub fn server(&self) -> &Place {
-        &self.server
-    }
-
-    /// Notes that the stream was lost.
-    pub fn note_lost(&self, error: &FeedError) {
-        match error {
-            FeedError::Lost(_) => self.flight.lost(Loss::Broken),
-            FeedError::Stalled => self.flight.lost(Loss::Silent),
-            FeedError::Malformed(_) | FeedError::Gap { .. } => {}
-        }
-    }
-
-    /// The next event; none at the end.
-    ///
-    /// # Errors
-    /// When the stream has not ended and does not go on.
-    pub async fn next(&mut self, patience: Duration) -> Result<Option<RawEvent>, FeedError> {
-        let read = tokio::time::timeout(patience, self.read());
-        read.await.map_err(|_| FeedError::Stalled)?
-    }
-
-    async fn read(&mut self) -> Result<Option<RawEvent>, FeedError> {
-        loop {
-            if let Some(event) = self.ready.pop_front() {
-                return Ok(Some(event));
-            }
-            if self.ended {
-                return Ok(None);
-            }
-            match self.body.frame().await {
-                None => self.finish()?,
-                Some(Err(error)) => return Err(FeedError::Lost(error.to_smolstr())),
-                Some(Ok(frame)) => self.take(frame)?,
-            }
-        }
-    }
-
-    fn take(&mut self, frame: Frame<Bytes>) -> Result<(), FeedError> {
-        let Ok(data) = frame.into_data() else {
-            return Ok(());
-        };
-        self.events.push(&data);
-        let fail = |e: apricothall_clients::sse::EventTooLong| FeedError::Malformed(e.to_smolstr());
-        while let Some(event) = self.events.next_event().map_err(fail)? {
-            self.ready.push_back(event);
-        }
-        Ok(())
-    }
-
-    /// Without framing the end of the connection is the end, unless it cuts an event.
-    fn finish(&mut self) -> Result<(), FeedError> {
-        self.ended = true;
-        let rest = self.events.rest();
-        if rest.is_empty() {
-            return Ok(());
-        }
-        if !self.framed {
-            return Err(FeedError::Lost("it ends inside an event".into()));
-        }
-        self.ready.push_back(RawEvent {
-            bytes: rest,
-            id: None,
-        });
-        Ok(())
-    }
-}
-
 /// What a relay of one stream needs.
 pub struct Relay {
     /// Sends calls to servers.
