fix(gateway): others hear sooner of a request whose server is known to be gone

A loss by silence waited 2 s before others were told, so with servers that end without a word the third crash could be news only after 3 s. It waits 1.2 s now, and not at all once the server's agent says that its engine is gone or another one.

--- a/crates/decide/src/quarantine/doubts.rs
+++ b/crates/decide/src/quarantine/doubts.rs
@@ -48,6 +48,11 @@
         cleared.into_iter().map(|(f, _)| f).collect()
     }
 
+    /// Fingerprints that the crash is in doubt for.
+    pub fn of(&self, crash: &Crash) -> impl Iterator<Item = &Digest> {
+        self.crashes.get(crash).into_iter().flat_map(Since::keys)
+    }
+
     /// Whether nothing is in doubt.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/decide/src/quarantine/news.rs
+++ b/crates/decide/src/quarantine/news.rs
@@ -26,6 +26,13 @@
         *at = due.min(*at);
     }
 
+    /// Lets a record that waits be told at `now`.
+    pub fn hasten(&mut self, fingerprint: &Digest, now: Timestamp) {
+        if let Some(at) = self.waiting.get_mut(fingerprint) {
+            *at = now.min(*at);
+        }
+    }
+
     /// Notes that a record is cleared again. Others need not hear of one that was not told.
     pub fn cleared(&mut self, fingerprint: Digest, now: Timestamp) {
         if self.waiting.remove(&fingerprint).is_none() {
--- a/crates/decide/tests/crash_loop.rs
+++ b/crates/decide/tests/crash_loop.rs
@@ -121,6 +121,20 @@
     assert_eq!(news.told(at(3_000)).count(), 0);
 }
 
+#[test]
+fn certain_news_is_told_at_once() {
+    let mut doubts = Doubts::default();
+    let mut news = News::default();
+    doubts.note(&crash(0, 1), print(0), at(0));
+    news.note(print(0), at(2_000));
+    for fingerprint in doubts.of(&crash(0, 1)) {
+        news.hasten(fingerprint, at(100));
+    }
+    assert!(news.take_due(8, at(100)));
+    news.hasten(&print(0), at(200));
+    assert!(!news.take_due(8, at(200)), "not twice");
+}
+
 #[test]
 fn what_was_never_told_is_not_taken_back() {
     let mut news = News::default();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,7 +9,6 @@
 
 use apricothall_decide::cadence::{ROUND, fetch_sample, period};
 use apricothall_decide::placement::Distance;
-use apricothall_decide::servers::Server;
 use apricothall_types::{Role, Timestamp};
 use apricothall_wire::codec::{decode, encode};
 use rand::seq::IndexedRandom;
@@ -121,18 +120,22 @@
     }
 }
 
-/// Clears requests that were thought to have ended an engine which still lives.
+/// Clears requests that were thought to have ended an engine which still lives, and lets others
+/// know of those whose engine does not.
 fn note_life(context: &Context, note: &EngineNote, now: Timestamp) {
     if !context.quarantine.has_doubts() {
         return;
     }
-    let server = context.published.servers(|servers| {
-        let mut all = servers.iter();
-        let is_same = |s: &&Server| s.address == note.address && s.born.0 == note.born;
-        all.find(is_same).cloned()
+    let lives: Vec<_> = context.published.servers(|servers| {
+        let there = servers.iter().filter(|s| s.address == note.address);
+        there.map(|s| (end_of(s), s.born.0)).collect()
     });
-    if let Some(server) = server {
-        context.quarantine.heard(&end_of(&server), now);
+    for (crash, born) in lives {
+        if born == note.born {
+            context.quarantine.heard(&crash, now);
+        } else {
+            context.quarantine.ended(&crash, now);
+        }
     }
 }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -17,7 +17,7 @@
 use crate::lines::Lines;
 
 /// Time for which others are not told of a loss by silence, which seldom means a crash.
-const SILENT_WAIT: Duration = Duration::from_secs(2);
+const SILENT_WAIT: Duration = Duration::from_millis(1_200);
 
 /// Time for which what is heard of a server may lag behind.
 const LIFE_LAG: Duration = Duration::from_millis(600);
@@ -174,6 +174,15 @@
         self.alive(crash, now - LIFE_LAG, now);
     }
 
+    /// Notes that a server is no longer in the life that `crash` ends: others are told at once.
+    pub fn ended(&self, crash: &Crash, now: Timestamp) {
+        let mut state = self.state();
+        let fingerprints: Vec<_> = state.doubts.of(crash).copied().collect();
+        for fingerprint in fingerprints {
+            state.news.hasten(&fingerprint, now);
+        }
+    }
+
     fn alive(&self, crash: &Crash, seen: Timestamp, now: Timestamp) {
         let cleared = self.state().doubts.seen(crash, seen);
         if cleared.is_empty() {
