fix(gateway): what a message tells of requests fits its datagram

Eight records of many crashes or long ids would have made a message longer than what receivers read: it would not have been understood, and its sender would have seemed silent for 1.5 s. Found by reading; no run showed it. a_message_with_long_records_fits_a_datagram (platform/tests/quarantine.rs) has the longest ids that there are.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -10,6 +10,7 @@
 use apricothall_decide::cadence::{ROUND, fetch_sample, period};
 use apricothall_decide::placement::Distance;
 use apricothall_types::{Role, Timestamp};
+use apricothall_wire::WireError;
 use apricothall_wire::codec::{decode, encode};
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
@@ -240,7 +241,7 @@
     if gossip.hello.address == address {
         return;
     }
-    match encode(&gossip) {
+    match datagram(gossip) {
         Ok(bytes) => {
             if let Err(error) = socket.send_to(&bytes, address).await {
                 tracing::debug!(%address, %error, "gossip not sent");
@@ -250,6 +251,19 @@
     }
 }
 
+/// A message as it goes out. What it tells of requests that end servers is cut to what fits.
+///
+/// # Errors
+/// When it has no form.
+pub fn datagram(mut gossip: Gossip) -> Result<Vec<u8>, WireError> {
+    loop {
+        let bytes = encode(&gossip)?;
+        if bytes.len() <= DATAGRAM_BYTES || gossip.suspects.pop().is_none() {
+            return Ok(bytes);
+        }
+    }
+}
+
 fn message(context: &Context, to: &SocketAddr) -> Gossip {
     let now = context.clock.now();
     let age = context.published.age(now);
