fix(gateway): pulls of quarantine records hold up no news of servers

Cause, by reading: relay::follow asked one peer at a time for whatever it lacked, and since that may be records of requests which end servers, from any daemon. One that does not answer holds the loop for 0.8 s, and news of servers and configurations waits.

Change: such pulls have a loop of their own. No test forces the wait.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -63,7 +63,6 @@
 struct Lack {
     configuration: bool,
     servers: bool,
-    suspects: bool,
 }
 
 #[derive(Debug, Error)]
@@ -97,6 +96,10 @@
     context
         .lifecycle
         .spawn(async move { follow(&asking).await });
+    let learning = context.clone();
+    context
+        .lifecycle
+        .spawn(async move { learn(&learning).await });
     Ok(())
 }
 
@@ -170,13 +173,12 @@
         if away && context.settings().role == Role::Entry && now.since(asked) >= SERVERS_EVERY {
             lack.servers = true;
         }
-        lack.suspects &= now.since(asked) >= SUSPECTS_EVERY;
-        if !lack.configuration && !lack.servers && !lack.suspects {
+        if !lack.configuration && !lack.servers {
             behind = None;
             continue;
         }
         let since = *behind.get_or_insert(now);
-        if reads && !away && !lack.suspects && now.since(since) < PATIENCE {
+        if reads && !away && now.since(since) < PATIENCE {
             continue;
         }
         asked = now;
@@ -190,19 +192,59 @@
     }
 }
 
+/// Asks peers that know other requests which end servers. Apart from [`follow`], so that a peer
+/// which does not answer holds up no news of configurations and servers.
+async fn learn(context: &Context) {
+    let connector = connector(context);
+    loop {
+        let now = context.clock.now();
+        if let Some(peer) = choose_teacher(context, now) {
+            if let Err(error) = ask(context, &connector, peer, now).await {
+                tracing::debug!(%peer, %error, "peer does not tell of suspects");
+                connector.forget(peer, Lane::Control).await;
+            }
+            tokio::time::sleep(SUSPECTS_EVERY).await;
+        }
+        tokio::time::sleep(STEP).await;
+    }
+}
+
+/// A daemon that knows other requests which end servers, of the own zone if there is one.
+fn choose_teacher(context: &Context, now: Timestamp) -> Option<SocketAddr> {
+    let summary = context.quarantine.summary();
+    let zone = context.settings().zone.clone();
+    let (mut near, mut all) = (Vec::new(), Vec::new());
+    context.peers.each(now, |peer| {
+        if !knows_others(peer.quarantine, summary) {
+            return;
+        }
+        all.push(peer.hello.address);
+        if peer.hello.zone == zone {
+            near.push(peer.hello.address);
+        }
+    });
+    pick(&near, &all)
+}
+
+/// Any of `near`, or of `all` if there is none.
+fn pick(near: &[SocketAddr], all: &[SocketAddr]) -> Option<SocketAddr> {
+    let mut rng = rand::rng();
+    near.choose(&mut rng)
+        .or_else(|| all.choose(&mut rng))
+        .copied()
+}
+
 /// What peers know that this daemon does not. Only `learner`s take servers from peers.
 fn lack(context: &Context, learner: bool, now: Timestamp) -> Lack {
     let held = context.published.revision();
     let seen = context.published.servers_seen();
     let settings = context.settings();
     let learner = learner && settings.role == Role::Entry;
-    let summary = context.quarantine.summary();
     let mut lack = Lack::default();
     context.peers.each(now, |peer| {
         let near = peer.hello.zone == settings.zone;
         lack.configuration |= peer.revision > held;
         lack.servers |= learner && near && peer.is_sound(now) && peer.servers > seen;
-        lack.suspects |= knows_others(peer.quarantine, summary);
     });
     lack
 }
@@ -212,13 +254,10 @@
     let zone = context.settings().zone.clone();
     let held = context.published.revision();
     let seen = context.published.servers_seen();
-    let summary = context.quarantine.summary();
     let (mut near, mut all) = (Vec::new(), Vec::new());
     context.peers.each(now, |peer| {
-        let suspects = lack.suspects && knows_others(peer.quarantine, summary);
         let servers = peer.hello.role == Role::Entry && !peer.away && peer.servers >= seen;
-        let newer = lack.configuration && peer.revision > held;
-        if !(newer || lack.servers && servers || suspects) {
+        if !(lack.configuration && peer.revision > held || lack.servers && servers) {
             return;
         }
         all.push(peer.hello.address);
@@ -226,10 +265,7 @@
             near.push(peer.hello.address);
         }
     });
-    let mut rng = rand::rng();
-    near.choose(&mut rng)
-        .or_else(|| all.choose(&mut rng))
-        .copied()
+    pick(&near, &all)
 }
 
 async fn ask(
