fix(gateway): the most urgent requests of a service have a reserve at full engines

Cause: an entry predicted its wait behind all that wait at the engine. But engines take the more urgent first (Request-Urgency was sent already), so that it would have waited for the next place only.

Ruled out: a fixed number of places held free for the first rank. It would idle in all deployments at hand, where the drafts of a service share one rank, and it would not say when it is used up.

Change: routes know the ranks of a service; a request of the first of several ranks is predicted to wait for the next place and for urgent ones sent before it. So the reserve is what engines begin within the objective, and it ends by itself when urgent requests alone ask for more. Services with one rank decide as before.

--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -99,6 +99,15 @@
     pub free: bool,
 }
 
+/// The prompt of a request for an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prompt {
+    /// Its tokens.
+    pub tokens: f64,
+    /// Whether the engine takes it before all that wait there.
+    pub urgent: bool,
+}
+
 /// A note on an engine's load.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Noted {
@@ -115,6 +124,7 @@
     recent: VecDeque<Timestamp>,
     noted: Option<Noted>,
     backlog: Backlog,
+    urgent: Backlog,
     latency: Option<Duration>,
     drift: Option<f64>,
     paused: Timestamp,
@@ -175,36 +185,52 @@
         self.latency = Some(mixed);
     }
 
-    /// Counts a prompt of `tokens` that is about to be sent, and those that others send alike.
-    pub fn add_prompt(&mut self, timing: &Timing, tokens: f64, at: Standing, now: Timestamp) {
+    /// Counts a prompt that is about to be sent, and those that others send alike.
+    pub fn add_prompt(&mut self, timing: &Timing, prompt: Prompt, at: Standing, now: Timestamp) {
         let part = match at.distance {
             Distance::Zone if at.own => UNSEEN_OWN,
             Distance::Zone => UNSEEN_SHARED,
             Distance::Region | Distance::Far => UNSEEN_FAR,
         };
         let factor = 1.0 + f64::from(at.alike.saturating_sub(1)) * part;
-        self.backlog.add(timing.read_ms(tokens) * factor, now);
+        let reading = timing.read_ms(prompt.tokens);
+        self.backlog.add(reading * factor, now);
+        if prompt.urgent {
+            let turn = timing.turn_ms();
+            self.urgent.add((reading + turn) * factor, now);
+        }
     }
 
-    /// What is expected of a request with a prompt of `tokens` at an engine.
+    /// What is expected of a request with `prompt` at an engine.
     #[must_use]
-    pub fn engine(&self, timing: &Timing, tokens: f64, at: Standing, now: Timestamp) -> Forecast {
+    pub fn engine(
+        &self,
+        timing: &Timing,
+        prompt: Prompt,
+        at: Standing,
+        now: Timestamp,
+    ) -> Forecast {
         let noted = self.noted.filter(|n| now < n.until);
         let taken = match noted {
             Some(noted) => self.taken(at.alike, noted.heard - NOTE_LAG),
             None => self.own * at.alike.max(1),
         };
         let running = taken.min(timing.slots);
-        let work = Work {
+        let mut work = Work {
             running,
             waiting: taken - running,
             unread: self.backlog.left(now),
             pace: noted.map_or(1.0, |n| n.pace),
         };
-        let first = timing.first_event(work, tokens);
+        if prompt.urgent && taken >= timing.slots {
+            // Of those that wait, only other urgent ones go before it.
+            work.waiting = 0;
+            work.unread = work.unread.min(self.urgent.left(now));
+        }
+        let first = timing.first_event(work, prompt.tokens);
         Forecast {
             latency: first.mul_f64(self.drift.unwrap_or(1.0)),
-            pause: timing.pause(work, tokens),
+            pause: timing.pause(work, prompt.tokens),
             taken,
             free: taken < timing.slots,
         }
--- a/crates/decide/src/routes.rs
+++ b/crates/decide/src/routes.rs
@@ -81,10 +81,20 @@
     }
 }
 
+/// Ranks of the routes that lead to a service; 0 goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ranks {
+    /// The most urgent one.
+    pub first: u8,
+    /// The least urgent one.
+    pub last: u8,
+}
+
 /// Routes by host, the longest prefix first.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     hosts: HashMap<SmolStr, Vec<Arc<Route>>>,
+    ranks: HashMap<SmolStr, Ranks>,
 }
 
 impl RouteTable {
@@ -92,14 +102,23 @@
     #[must_use]
     pub fn new(routes: Vec<Route>) -> Self {
         let mut hosts: HashMap<SmolStr, Vec<Arc<Route>>> = HashMap::new();
+        let mut ranks: HashMap<SmolStr, Ranks> = HashMap::new();
         for route in routes {
+            let rank = route.priority;
+            for target in &route.targets {
+                let (first, last) = (rank, rank);
+                let known = ranks.entry(target.service.clone());
+                let known = known.or_insert(Ranks { first, last });
+                known.first = known.first.min(rank);
+                known.last = known.last.max(rank);
+            }
             let list = hosts.entry(route.host.clone()).or_default();
             list.push(Arc::new(route));
         }
         for list in hosts.values_mut() {
             list.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        Self { hosts }
+        Self { hosts, ranks }
     }
 
     /// The route of `path` at `host`, whose port and case do not matter.
@@ -110,6 +129,12 @@
         list.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// Ranks of the routes that lead to `service`.
+    #[must_use]
+    pub fn ranks(&self, service: &str) -> Option<Ranks> {
+        self.ranks.get(service).copied()
+    }
+
     /// All routes.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flatten()
@@ -129,6 +154,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Accounts {
     keys: Option<HashMap<SmolStr, Arc<Account>>>,
+    first: Option<u8>,
+}
+
+/// Whether a request of `rank` goes before all others of its service, of which some have a lesser
+/// rank. Where all have the same rank nobody goes first.
+#[must_use]
+pub fn is_most_urgent(rank: u8, routes: Ranks, accounts: Option<u8>) -> bool {
+    let first = accounts.map_or(routes.first, |a| a.min(routes.first));
+    rank == first && first < routes.last
 }
 
 /// Who sent a request.
@@ -147,11 +181,22 @@
     #[must_use]
     pub fn new(accounts: impl IntoIterator<Item = (Account, Vec<SmolStr>)>) -> Self {
         let mut keys = HashMap::new();
+        let mut first = None;
         for (account, held) in accounts {
+            first = first.into_iter().chain(account.priority).min();
             let account = Arc::new(account);
             keys.extend(held.into_iter().map(|key| (key, account.clone())));
         }
-        Self { keys: Some(keys) }
+        Self {
+            keys: Some(keys),
+            first,
+        }
+    }
+
+    /// The most urgent rank that an account gives its requests, if one does.
+    #[must_use]
+    pub const fn first_rank(&self) -> Option<u8> {
+        self.first
     }
 
     /// Who calls `route` with `key`.
--- a/crates/decide/src/timing.rs
+++ b/crates/decide/src/timing.rs
@@ -93,10 +93,16 @@
         let taken = work.running + work.waiting;
         if taken >= self.slots {
             let behind = f64::from(taken - self.slots) + 0.5;
-            ms += behind / self.throughput().max(f64::EPSILON) * MS_PER_SECOND;
+            ms += behind * self.turn_ms();
         }
         Duration::from_secs_f64((ms * work.pace.max(1.0) / MS_PER_SECOND).max(0.0))
     }
+
+    /// Time between two ends of requests at a full engine, in ms.
+    #[must_use]
+    pub fn turn_ms(&self) -> f64 {
+        MS_PER_SECOND / self.throughput().max(f64::EPSILON)
+    }
 }
 
 /// Part of its time that an engine with unread prompts spends on reading them.
--- a/crates/decide/tests/load.rs
+++ b/crates/decide/tests/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use apricothall_decide::load::{Entries, Load, Standing};
+use apricothall_decide::load::{Entries, Load, Prompt, Standing};
 use apricothall_decide::placement::Distance;
 use apricothall_decide::timing::Timing;
 use apricothall_types::Timestamp;
@@ -19,6 +19,16 @@
     answer: 119.0,
 };
 
+const USUAL: Prompt = Prompt {
+    tokens: 964.0,
+    urgent: false,
+};
+
+const URGENT: Prompt = Prompt {
+    urgent: true,
+    ..USUAL
+};
+
 /// Time for which a note of another zone holds.
 const HOLDS: Duration = Duration::from_millis(2_600);
 
@@ -45,7 +55,7 @@
     let mut load = Load::default();
     load.note(0, 1.0, at(1_000), at(1_000) + HOLDS);
     let mut sent = 0;
-    while load.engine(&TIMING, 964.0, FAR, at(1_100)).free {
+    while load.engine(&TIMING, USUAL, FAR, at(1_100)).free {
         load.begin(at(1_100));
         sent += 1;
     }
@@ -63,7 +73,7 @@
         load.begin(at(900 + ms));
     }
     load.note(4, 1.0, at(1_000), at(2_000));
-    assert_eq!(load.engine(&TIMING, 964.0, OWN, at(1_100)).taken, 4);
+    assert_eq!(load.engine(&TIMING, USUAL, OWN, at(1_100)).taken, 4);
 }
 
 /// Own requests that end later do not turn into requests of others.
@@ -73,7 +83,7 @@
     load.note(10, 1.0, at(1_000), at(2_000));
     load.begin(at(1_500));
     load.end();
-    assert_eq!(load.engine(&TIMING, 964.0, OWN, at(1_950)).taken, 11);
+    assert_eq!(load.engine(&TIMING, USUAL, OWN, at(1_950)).taken, 11);
 }
 
 /// Ten prompts within a tenth of a second hold up all that are being written: the eleventh is
@@ -83,11 +93,11 @@
     let mut load = Load::default();
     load.note(0, 1.0, at(1_000), at(2_000));
     for ms in 0..10 {
-        load.add_prompt(&TIMING, 964.0, OWN, at(1_000 + ms * 10));
+        load.add_prompt(&TIMING, USUAL, OWN, at(1_000 + ms * 10));
         load.begin(at(1_000 + ms * 10));
     }
-    let now = load.engine(&TIMING, 964.0, OWN, at(1_100));
-    let later = load.engine(&TIMING, 964.0, OWN, at(1_600));
+    let now = load.engine(&TIMING, USUAL, OWN, at(1_100));
+    let later = load.engine(&TIMING, USUAL, OWN, at(1_600));
     assert!(now.pause > Duration::from_millis(300), "{:?}", now.pause);
     assert!(
         later.pause < Duration::from_millis(120),
@@ -101,12 +111,12 @@
 fn a_slow_engine_is_learned_from_its_answers() {
     let mut load = Load::default();
     load.note(0, 1.0, at(0), at(60_000));
-    let before = load.engine(&TIMING, 964.0, OWN, at(1)).latency;
+    let before = load.engine(&TIMING, USUAL, OWN, at(1)).latency;
     for _ in 0..30 {
-        let predicted = load.engine(&TIMING, 964.0, OWN, at(1)).latency;
+        let predicted = load.engine(&TIMING, USUAL, OWN, at(1)).latency;
         load.answered(before * 3, predicted);
     }
-    let after = load.engine(&TIMING, 964.0, OWN, at(1)).latency;
+    let after = load.engine(&TIMING, USUAL, OWN, at(1)).latency;
     assert!(after > before * 2, "{before:?} became {after:?}");
 }
 
@@ -117,7 +127,7 @@
     load.note(3, 1.0, at(0), at(500));
     load.begin(at(600));
     load.begin(at(601));
-    assert_eq!(load.engine(&TIMING, 964.0, OWN, at(700)).taken, 4);
+    assert_eq!(load.engine(&TIMING, USUAL, OWN, at(700)).taken, 4);
 }
 
 #[test]
@@ -134,3 +144,24 @@
         assert_eq!(owners.count(), 1, "server {at}");
     }
 }
+
+/// An engine with a long queue: a short summary of a hazard is taken before all that wait, and as
+/// more of them come each waits for the urgent ones before it.
+#[test]
+fn the_most_urgent_wait_only_for_each_other_at_a_full_engine() {
+    let mut load = Load::default();
+    load.note(46, 1.0, at(1_000), at(1_000) + HOLDS);
+    for _ in 0..20 {
+        load.add_prompt(&TIMING, USUAL, OWN, at(1_000));
+    }
+    let aim = Duration::from_millis(300);
+    assert!(load.engine(&TIMING, USUAL, OWN, at(1_000)).latency > aim * 5);
+    let alone = load.engine(&TIMING, URGENT, OWN, at(1_000)).latency;
+    assert!(alone < aim, "{alone:?}");
+    let mut taken = 0;
+    while load.engine(&TIMING, URGENT, OWN, at(1_000)).latency < aim {
+        load.add_prompt(&TIMING, URGENT, OWN, at(1_000));
+        taken += 1;
+    }
+    assert!((1..6).contains(&taken), "{taken} urgent ones in one aim");
+}
--- a/crates/decide/tests/routes.rs
+++ b/crates/decide/tests/routes.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use apricothall_decide::routes::{Account, Accounts, CallKind, Caller, Route, RouteTable, Target};
+use apricothall_decide::routes::{
+    Account, Accounts, CallKind, Caller, Ranks, Route, RouteTable, Target, is_most_urgent,
+};
 use smol_str::SmolStr;
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -101,3 +103,39 @@
     let caller = Accounts::default().caller(&route("r", "h", "/"), None);
     assert_eq!(caller, Caller::Anyone);
 }
+
+#[test]
+fn a_service_knows_the_ranks_of_the_routes_that_lead_to_it() {
+    let ranked = |name: &str, service: &str, priority| Route {
+        priority,
+        targets: vec![target(service, 1)],
+        ..route(name, "a.example", "/")
+    };
+    let table = RouteTable::new(vec![
+        ranked("draft", "drafts", 3),
+        ranked("hazard", "drafts", 1),
+        ranked("booking", "bookings", 2),
+    ]);
+    assert_eq!(table.ranks("drafts"), Some(Ranks { first: 1, last: 3 }));
+    assert_eq!(table.ranks("bookings"), Some(Ranks { first: 2, last: 2 }));
+    assert_eq!(table.ranks("none"), None);
+    assert_eq!(accounts().first_rank(), Some(0));
+}
+
+macro_rules! urgent {
+    ($($case:ident: rank $rank:literal among $first:literal to $last:literal, accounts $accounts:expr => $urgent:literal;)*) => {
+        $(#[test] fn $case() {
+            let ranks = Ranks { first: $first, last: $last };
+            assert_eq!(is_most_urgent($rank, ranks, $accounts), $urgent);
+        })*
+    };
+}
+
+urgent! {
+    the_first_of_several_ranks_is_the_most_urgent: rank 1 among 1 to 3, accounts None => true;
+    a_lesser_rank_is_not: rank 3 among 1 to 3, accounts None => false;
+    where_all_are_alike_nobody_is: rank 1 among 1 to 1, accounts None => false;
+    an_account_may_go_before_all_routes: rank 0 among 1 to 1, accounts Some(0) => true;
+    routes_follow_such_an_account: rank 1 among 1 to 3, accounts Some(0) => false;
+    an_account_of_a_lesser_rank_changes_nothing: rank 1 among 1 to 3, accounts Some(2) => true;
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use apricothall_decide::configs::OutlierConfig;
-use apricothall_decide::load::{Entries, Forecast, Load, Standing};
+use apricothall_decide::load::{Entries, Forecast, Load, Prompt, Standing};
 use apricothall_decide::outlier::{Attempt, Outlier, Permit};
 use apricothall_decide::placement::{self, Candidate, Choice, Distance, Need, PlacementConfig};
 use apricothall_decide::servers::{Server, Servers};
@@ -94,8 +94,8 @@
     pub versions: &'a Versions,
     /// What the caller needs.
     pub need: Need,
-    /// Tokens of the prompt.
-    pub prompt: f64,
+    /// The prompt, for engines.
+    pub prompt: Prompt,
     /// Servers that have had the request.
     pub tried: &'a [MemberId],
     /// Whether servers may have ended under the request.
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricothall_decide::load::Prompt;
 use apricothall_decide::outlier::Attempt;
 use apricothall_decide::placement::Need;
 use apricothall_decide::repeat::End;
@@ -47,7 +48,10 @@
                 patience: LATE_PATIENCE.min(call.deadline.since(now)),
                 gap: call.route.gap,
             },
-            prompt: call.prompt,
+            prompt: Prompt {
+                tokens: call.prompt,
+                urgent: call.urgent,
+            },
             tried,
             suspect: !self.context.quarantine.is_clear(&call.fingerprint),
         };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use apricothall_decide::routes::{Account, CallKind, Caller, Route};
+use apricothall_decide::routes::{Account, CallKind, Caller, Route, is_most_urgent};
 use apricothall_types::{Digest, Timestamp};
 use bytes::Bytes;
 use http::header::{
@@ -85,6 +85,8 @@
     pub returning: bool,
     /// Tokens of its prompt.
     pub prompt: f64,
+    /// Whether servers take it before all others that wait there.
+    pub urgent: bool,
     /// What every attempt at the same request has in common.
     pub fingerprint: Digest,
     /// Id of the last event that the caller has.
@@ -95,8 +97,7 @@
     /// Rank of the request; 0 goes first.
     #[must_use]
     pub fn priority(&self) -> u8 {
-        let account = self.account.as_ref().and_then(|a| a.priority);
-        account.unwrap_or(self.route.priority)
+        rank(&self.route, self.account.as_deref())
     }
 
     /// Whether a server's answer is a stream of events that may go on elsewhere.
@@ -162,6 +163,7 @@
     let wait = stated.unwrap_or(route.timeout).min(route.timeout);
     let returning = stated.is_some_and(|s| budgets.note(&route.name, s));
     let engines = in_force.configuration.engines(&service).cloned();
+    let urgent = is_urgent(&in_force, &route, account.as_deref(), &service);
     let id = attempt.to_str().unwrap_or_default();
     let usage = parts
         .headers
@@ -186,10 +188,24 @@
         deadline: arrival + wait,
         returning,
         prompt: stated_prompt.unwrap_or(usual),
+        urgent,
         route,
     })
 }
 
+/// Rank of a request; 0 goes first.
+fn rank(route: &Route, account: Option<&Account>) -> u8 {
+    account.and_then(|a| a.priority).unwrap_or(route.priority)
+}
+
+/// Whether a request goes before all others of `service`.
+fn is_urgent(in_force: &InForce, route: &Route, account: Option<&Account>, service: &str) -> bool {
+    let configuration = &in_force.configuration;
+    let accounts = configuration.accounts.first_rank();
+    let ranks = configuration.routes.ranks(service);
+    ranks.is_some_and(|ranks| is_most_urgent(rank(route, account), ranks, accounts))
+}
+
 /// The route of a request, and its client account if a key is needed.
 type Admitted = (Arc<Route>, Option<Arc<Account>>);
 
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -7,7 +7,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use apricothall_decide::load::{Load, Standing};
+use apricothall_decide::load::{Load, Prompt, Standing};
 use apricothall_decide::outlier::Permit;
 use apricothall_decide::placement::{Candidate, Choice, Distance, Need, PlacementConfig, choose};
 use apricothall_decide::timing::Timing;
@@ -326,11 +326,15 @@
             alike,
         };
         let timing = &self.experiment.timing;
+        let prompt = Prompt {
+            tokens: job.prompt,
+            urgent: false,
+        };
         let candidates: Vec<_> = there
             .iter()
             .map(|index| {
                 let standing = standing(*index);
-                let forecast = self.entries[entry][*index].engine(timing, job.prompt, standing, at);
+                let forecast = self.entries[entry][*index].engine(timing, prompt, standing, at);
                 Candidate {
                     distance: Distance::Zone,
                     own: standing.own,
@@ -357,7 +361,7 @@
                 let standing = standing(index);
                 let load = &mut self.entries[entry][index];
                 load.begin(at);
-                load.add_prompt(timing, job.prompt, standing, at);
+                load.add_prompt(timing, prompt, standing, at);
                 let request = &mut self.requests[id];
                 request.engine = index;
                 request.sent = at;
