fix(decide): callers that come back get the room that others leave

Cause: a caller that had been refused was admitted up to a predicted wait of 900 ms, one that asks for the first time up to 85 in 100 of its objective (255 to 510 ms).

Ruled out: a Retry-After beyond the caller's time, so that nobody is called back to be refused again.

Change: they get a server within 40 in 100 of the objective, or one with under half of its places taken. What a server has had already moves on as before.

Tests: three load patterns in standin/tests/experiment.rs (0.8 of what is served is in time, the aim of the issue), red on the old rule; cases of placement.rs.

--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -97,6 +97,8 @@
     pub taken: u32,
     /// Whether there is a free place.
     pub free: bool,
+    /// Whether under half of the places are taken.
+    pub idle: bool,
 }
 
 /// The prompt of a request for an engine.
@@ -233,6 +235,7 @@
             pause: timing.pause(work, prompt.tokens),
             taken,
             free: taken < timing.slots,
+            idle: taken * 2 < timing.slots,
         }
     }
 
@@ -246,6 +249,7 @@
             pause: Duration::ZERO,
             taken: self.own,
             free: self.own < slots,
+            idle: self.own * 2 < slots,
         }
     }
 
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -32,13 +32,18 @@
     pub pause: Duration,
     /// Whether it has a free place, so that a refusal would waste it.
     pub free: bool,
+    /// Whether under half of its places are taken.
+    pub idle: bool,
 }
 
 /// What the request needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Need {
-    /// Time left of its latency objective; zero for a caller that comes back late.
+    /// Time left of its latency objective; zero once it is over.
     pub objective: Duration,
+    /// Whether its caller was refused before, so that the objective is over for the caller and
+    /// room goes to those first who can still be served within it.
+    pub returning: bool,
     /// Longest wait after which an answer still helps.
     pub patience: Duration,
     /// Longest pause that streams may have, if there is a bound.
@@ -70,6 +75,22 @@
     pub slack: Duration,
     /// Part of the objective that a prediction may take, in percent.
     pub margin: u32,
+    /// The same for a caller that was refused before. It is less, so that those who come back
+    /// fill no server beyond what others can still be served behind.
+    pub return_margin: u32,
+}
+
+impl PlacementConfig {
+    /// Longest predicted wait of a request.
+    fn limit(&self, need: Need) -> Duration {
+        if need.returning {
+            return need.objective * self.return_margin / 100;
+        }
+        if need.objective.is_zero() {
+            return need.patience;
+        }
+        need.objective * self.margin / 100
+    }
 }
 
 impl Default for PlacementConfig {
@@ -80,6 +101,7 @@
             shared_cost: Duration::from_millis(15),
             slack: Duration::from_millis(6),
             margin: 85,
+            return_margin: 40,
         }
     }
 }
@@ -124,13 +146,14 @@
         .filter(|(_, c)| cost(c) <= best + config.slack)
         .collect();
     let (index, chosen) = near[rng.random_range(0..near.len())];
-    let wanted = need.objective * config.margin / 100;
-    let limit = if need.objective.is_zero() {
-        need.patience
+    let limit = config.limit(need);
+    // A free place is soon wanted by someone who can still be served in time.
+    let spare = if need.returning {
+        chosen.idle
     } else {
-        wanted
+        chosen.free
     };
-    if chosen.latency <= limit && calm || chosen.free && chosen.pause <= gap {
+    if chosen.latency <= limit && calm || spare && chosen.pause <= gap {
         return Choice::Send(index);
     }
     let over = chosen.latency.saturating_sub(limit);
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -19,12 +19,14 @@
         latency: ms(latency),
         pause: ms(60),
         free: true,
+        idle: true,
     }
 }
 
 fn full(latency: u64) -> Candidate {
     Candidate {
         free: false,
+        idle: false,
         ..candidate(latency)
     }
 }
@@ -32,12 +34,21 @@
 fn fresh() -> Need {
     Need {
         objective: ms(400),
+        returning: false,
         patience: ms(900),
         gap: Some(ms(300)),
     }
 }
 
 fn back() -> Need {
+    Need {
+        returning: true,
+        ..fresh()
+    }
+}
+
+/// A stream that goes on at another server.
+fn moved() -> Need {
     Need {
         objective: Duration::ZERO,
         ..fresh()
@@ -60,8 +71,13 @@
     all_full_and_too_late: fresh(), [full(500), full(450)] => Choice::Refuse(ms(110));
     full_but_in_time: fresh(), [full(300)] => Choice::Send(0);
     a_free_place_is_used_though_late: fresh(), [candidate(500)] => Choice::Send(0);
-    one_that_comes_back_may_wait: back(), [full(800)] => Choice::Send(0);
-    one_that_comes_back_may_not_wait_for_ever: back(), [full(1_000)] => Choice::Refuse(ms(100));
+    one_that_moves_may_wait: moved(), [full(800)] => Choice::Send(0);
+    one_that_moves_may_not_wait_for_ever: moved(), [full(1_000)] => Choice::Refuse(ms(100));
+    one_that_comes_back_gets_room_that_is_left: back(), [full(150)] => Choice::Send(0);
+    one_that_comes_back_takes_no_room_of_others: back(), [full(300)] => Choice::Refuse(ms(140));
+    one_that_comes_back_gets_an_idle_server: back(), [candidate(300)] => Choice::Send(0);
+    one_that_comes_back_leaves_the_last_places_to_others: back(),
+        [Candidate { idle: false, ..candidate(300) }] => Choice::Refuse(ms(140));
     a_burst_at_a_freed_engine_goes_elsewhere: fresh(),
         [Candidate { pause: ms(400), ..candidate(90) }, candidate(150)] => Choice::Send(1);
     a_burst_everywhere_is_refused: fresh(),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -313,6 +313,7 @@
             latency: self.forecast.latency,
             pause: self.forecast.pause,
             free: self.forecast.free,
+            idle: self.forecast.idle,
         }
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -111,13 +111,15 @@
     }
 
     fn place(&self, call: &Call, tried: &[MemberId], now: Timestamp) -> Placement {
-        let spent = now.since(call.arrival);
-        let objective = if call.returning {
+        // One that a server has had already moves on as if it were new.
+        let returning = call.returning && tried.is_empty();
+        let spent = if returning {
             Duration::ZERO
         } else {
-            call.route.target.saturating_sub(spent)
+            now.since(call.arrival)
         };
-        self.place_within(call, tried, objective, now)
+        let objective = call.route.target.saturating_sub(spent);
+        self.place_within(call, tried, objective, returning, now)
     }
 
     /// One attempt. An error says what it means and what happened.
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -29,12 +29,14 @@
 
 impl Forwarder {
     /// A server for `call` that has not been `tried`, which would begin within `objective`.
+    /// `returning` says whether the caller was refused before.
     #[must_use]
     pub fn place_within(
         &self,
         call: &Call,
         tried: &[MemberId],
         objective: Duration,
+        returning: bool,
         now: Timestamp,
     ) -> Placement {
         let model = call.engines.as_ref().map_or("", |e| e.model.name.as_str());
@@ -45,6 +47,7 @@
             versions: &versions,
             need: Need {
                 objective,
+                returning,
                 patience: LATE_PATIENCE.min(call.deadline.since(now)),
                 gap: call.route.gap,
             },
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -74,7 +74,7 @@
         if !fleet.may_repeat(&call.service, call.deadline, now) {
             return Err("the budget of repeats is used up");
         }
-        match self.place_within(call, tried, Duration::ZERO, now) {
+        match self.place_within(call, tried, Duration::ZERO, false, now) {
             Placement::Go(placed) => Ok(Some(placed)),
             Placement::Refuse(_) | Placement::Nobody => Err("no room"),
         }
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -67,6 +67,10 @@
     Calm,
     /// Twice the load for three seconds.
     Burst,
+    /// Twice the load from the eighth second on.
+    Overload,
+    /// The same, with a fifth of the engines lost.
+    Shortage,
     /// A third of the engines is three times slower for ten seconds.
     Slow,
     /// A third of the engines crashes and stays away for six seconds.
@@ -198,12 +202,12 @@
     }
 
     fn surge(&self, now: u64) -> f64 {
-        let burst = self.experiment.pattern == Pattern::Burst;
-        if burst && (10_000..13_000).contains(&now) {
-            2.0
-        } else {
-            1.0
-        }
+        let doubled = match self.experiment.pattern {
+            Pattern::Burst => (10_000..13_000).contains(&now),
+            Pattern::Overload | Pattern::Shortage => now >= 8_000,
+            Pattern::Calm | Pattern::Slow | Pattern::Lost | Pattern::Arriving => false,
+        };
+        if doubled { 2.0 } else { 1.0 }
     }
 
     /// Whether the pattern takes engine `index` away.
@@ -211,7 +215,8 @@
         match self.experiment.pattern {
             Pattern::Lost => index.is_multiple_of(3) && (10_000..16_000).contains(&now),
             Pattern::Arriving => index.is_multiple_of(2) && now < 8_000,
-            Pattern::Calm | Pattern::Burst | Pattern::Slow => false,
+            Pattern::Shortage => index.is_multiple_of(5) && now >= 8_000,
+            Pattern::Calm | Pattern::Burst | Pattern::Overload | Pattern::Slow => false,
         }
     }
 
@@ -342,16 +347,13 @@
                     latency: forecast.latency,
                     pause: forecast.pause,
                     free: forecast.free,
+                    idle: forecast.idle,
                 }
             })
             .collect();
-        let objective = if returning {
-            Duration::ZERO
-        } else {
-            self.experiment.kinds[kind].aim
-        };
         let need = Need {
-            objective,
+            objective: self.experiment.kinds[kind].aim,
+            returning,
             patience: PATIENCE,
             gap: Some(PAUSE),
         };
--- a/crates/standin/tests/experiment.rs
+++ b/crates/standin/tests/experiment.rs
@@ -104,3 +104,22 @@
         "{long:.2} {short:.2}"
     );
 }
+
+macro_rules! overloads {
+    ($($case:ident: $pattern:ident at $rate:literal;)*) => {
+        $(#[test] fn $case() {
+            let outcomes = play(&experiment(Pattern::$pattern, $rate));
+            let timely = f64::from(sum(&outcomes, |o| o.timely));
+            let served = timely + f64::from(sum(&outcomes, |o| o.late));
+            assert!(timely >= served * 0.8, "{timely} of {served} in time: {outcomes:?}");
+        })*
+    };
+}
+
+// Engines that are full serve whom they still can in time. Callers who come back are late already;
+// when they filled the engines, nearly all answers were late for as long as the load lasted.
+overloads! {
+    twice_the_load_for_long: Overload at 75.0;
+    twice_the_load_for_long_with_a_fifth_of_the_engines_lost: Shortage at 75.0;
+    twice_the_load_for_three_seconds: Burst at 75.0;
+}
--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -32,6 +32,9 @@
     /// Part of the objective that a prediction may take, in percent.
     #[arg(long)]
     margin: Option<u32>,
+    /// The same for callers that were refused before.
+    #[arg(long)]
+    return_margin: Option<u32>,
     /// What a server costs that another entry goes before at, in ms.
     #[arg(long)]
     shared_cost: Option<u64>,
@@ -41,6 +44,8 @@
 enum PatternName {
     Calm,
     Burst,
+    Overload,
+    Shortage,
     Slow,
     Lost,
     Arriving,
@@ -51,6 +56,8 @@
         match name {
             PatternName::Calm => Self::Calm,
             PatternName::Burst => Self::Burst,
+            PatternName::Overload => Self::Overload,
+            PatternName::Shortage => Self::Shortage,
             PatternName::Slow => Self::Slow,
             PatternName::Lost => Self::Lost,
             PatternName::Arriving => Self::Arriving,
@@ -136,6 +143,7 @@
         length: LENGTH,
         placement: PlacementConfig {
             margin: arguments.margin.unwrap_or(default.margin),
+            return_margin: arguments.return_margin.unwrap_or(default.return_margin),
             shared_cost: shared_cost.unwrap_or(default.shared_cost),
             ..default
         },
