fix(gateway): messages between daemons no longer grow with the square of their number

Cause, read from the logs: at 17.0 answers are lost at 110 servers. Each entry told each loss to 64 others in the next round and put it into all of its messages for 1.5 s, and daemons whose sets differed pulled all records from any region every 0.6 s. From 20.3 on all daemons of cusco fail to connect to the store in lima (the store is not disturbed), 3 s later the configuration is too old for keys and they refuse, and each tries the store by itself. The digest of all records was worked out anew for each message sent and received, and each message copied all known peers to draw six addresses. Messages to far daemons fell due all in one round, of which 64 went out: of 119 half did not, so that living daemons counted as gone (20,770 lines 'peer heard' of some 30 daemons in 30 s).

Change: - decide::cadence: the period of a pair grows with the number of receivers of its kind, the receivers are spread over the rounds, and a message says when the next one comes, which dates the silence. - decide::quarantine::audience: a loss is told to 8 entries of the region and 12 others at once, then to 3 others in each round; regular messages carry it within the region only. - Pulls go to other zones only from the zone's readers of the store, and more seldom while they bring no news. The digest is kept until records change; six addresses are drawn without copies. - Lines about peers are bounded like others.

--- a/crates/decide/src/cadence.rs
+++ b/crates/decide/src/cadence.rs
@@ -22,29 +22,59 @@
 /// Rounds between two messages to an agent of another region, which needs them least.
 const FAR_AGENT: u32 = 48;
 
+/// Messages to receivers of one kind that a daemon sends in a round on average, at most. With more
+/// receivers each gets its message more seldom, so that the bytes do not grow with their number.
+const A_ROUND: u32 = 10;
+
+/// The same for receivers in other regions, as bytes between regions are dear.
+const FAR_A_ROUND: u32 = 2;
+
 /// Messages of a pair that may be lost before its sender counts as gone.
 const LOST: u32 = 2;
 
 /// Rounds between two samples of other regions' agents while weights are fetched.
 const FAR_SAMPLES: u64 = 2;
 
-/// Rounds between two messages of a daemon with the role `own` to one with the role `to`.
+/// Daemons that get messages alike: those of one role at one distance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Receivers {
+    /// Their role.
+    pub role: Role,
+    /// How far they are.
+    pub distance: Distance,
+}
+
+/// Rounds between two messages of a daemon with the role `own` to each of `count` receivers.
 #[must_use]
-pub fn period(own: Role, to: Role, distance: Distance) -> u32 {
-    match (own, to, distance) {
+pub fn period(own: Role, to: Receivers, count: u32) -> u32 {
+    let base = match (own, to.role, to.distance) {
         // Entries of the zone hear of each change of an engine's load.
         (Role::Agent, Role::Entry, Distance::Zone) => 1,
         (_, _, Distance::Zone | Distance::Region) => NEAR,
         (_, Role::Entry, Distance::Far) => FAR_ENTRY,
         (_, Role::Agent, Distance::Far) => FAR_AGENT,
-    }
+    };
+    let most = match to.distance {
+        Distance::Zone | Distance::Region => A_ROUND,
+        Distance::Far => FAR_A_ROUND,
+    };
+    base.max(count.div_ceil(most))
+}
+
+/// Whether a receiver is due in `round`. `offset` differs from receiver to receiver, so that their
+/// messages spread over the rounds.
+#[must_use]
+pub fn is_due(round: u64, offset: u64, period: u32) -> bool {
+    round
+        .wrapping_add(offset)
+        .is_multiple_of(u64::from(period.max(1)))
 }
 
-/// Silence after which a daemon with the role `from` counts as gone at one with the role `own`.
+/// Silence after which a daemon counts as gone that sends a message `every` so many rounds.
 #[must_use]
-pub fn silence(from: Role, own: Role, distance: Distance) -> Duration {
-    let rounds = period(from, own, distance).max(NEAR) * (LOST + 1) + NEAR;
-    ROUND * rounds
+pub fn silence(every: u32) -> Duration {
+    let rounds = every.max(NEAR).saturating_mul(LOST + 1);
+    ROUND * rounds.saturating_add(NEAR)
 }
 
 /// Agents that one which fetches weights tells in a round, beside its other messages.
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -19,5 +19,5 @@
 
 pub use doubts::Doubts;
 pub use flights::{Arrival, Send, arrive, pair, send, spare};
-pub use news::News;
+pub use news::{Audience, News, audience};
 pub use records::{Crash, Record, Records, Standing};
--- a/crates/decide/src/quarantine/news.rs
+++ b/crates/decide/src/quarantine/news.rs
@@ -11,6 +11,28 @@
 /// Time for which a record that was told goes into later messages too.
 const REPEATED: Duration = Duration::from_millis(1_500);
 
+/// How many other daemons are told in a round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Audience {
+    /// Of the own region.
+    pub near: usize,
+    /// Of other regions.
+    pub far: usize,
+}
+
+/// Those told in the round in which a record is due. A small deployment hears of it whole.
+const FIRST: Audience = Audience { near: 8, far: 12 };
+
+/// Those told in each later round while it is news, drawn anew each time.
+const LATER: Audience = Audience { near: 0, far: 3 };
+
+/// Those who are told in a round; `due` says whether it has a new record. The rest of the own
+/// region hear of it with their usual messages, and those of other regions from their neighbours.
+#[must_use]
+pub const fn audience(due: bool) -> Audience {
+    if due { FIRST } else { LATER }
+}
+
 /// Fingerprints whose records are told.
 #[derive(Clone, Debug, Default)]
 pub struct News {
--- a/crates/decide/src/quarantine/records.rs
+++ b/crates/decide/src/quarantine/records.rs
@@ -71,7 +71,9 @@
         open.map(|(crash, _)| crash)
     }
 
-    fn merge(&mut self, other: &Self) {
+    /// Takes in what another daemon knows. True when any of it was news.
+    fn merge(&mut self, other: &Self) -> bool {
+        let before = self.clone();
         for (crash, cleared) in &other.crashes {
             *self.crashes.entry(crash.clone()).or_default() |= cleared;
         }
@@ -82,6 +84,8 @@
             self.crashes.pop_first();
             self.saturated = true;
         }
+        let known = |r: &Self| (r.saturated, r.alone);
+        known(self) != known(&before) || self.crashes != before.crashes
     }
 }
 
@@ -156,7 +160,7 @@
             (*fingerprint, record)
         });
         let changes: Vec<_> = changes.collect();
-        self.merge(&changes, wall);
+        let _ = self.merge(&changes, wall);
         changes
     }
 
@@ -210,14 +214,16 @@
         digest.0.first_chunk().map_or(0, |b| u64::from_be_bytes(*b))
     }
 
-    /// Takes in records of another daemon.
-    pub fn merge(&mut self, others: &[(Digest, Record)], wall: WallTime) {
+    /// Takes in records of another daemon. True when any of it was news.
+    pub fn merge(&mut self, others: &[(Digest, Record)], wall: WallTime) -> bool {
+        let mut changed = false;
         for (fingerprint, other) in others {
             if other.until >= wall {
-                self.known.entry(*fingerprint).or_default().merge(other);
+                changed |= self.known.entry(*fingerprint).or_default().merge(other);
             }
         }
         self.expire(wall);
+        changed
     }
 
     /// All records, for gossip.
--- a/crates/decide/tests/crash_loop.rs
+++ b/crates/decide/tests/crash_loop.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use apricothall_decide::configs::QuarantineConfig;
-use apricothall_decide::quarantine::{Crash, Doubts, News, Records, Standing};
+use apricothall_decide::quarantine::{Crash, Doubts, News, Records, Standing, audience};
 use apricothall_types::{Digest, Incarnation, MemberId, Timestamp, WallTime};
+use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -163,6 +164,15 @@
     assert_eq!(one.summary(), other.summary());
 }
 
+/// Rounds between two usual messages of entries of a zone.
+const USUAL: u64 = 4;
+
+/// Rounds between two reads of what a peer knows.
+const READS: u64 = 6;
+
+/// Entries of a zone that read from other zones.
+const READERS: usize = 2;
+
 /// One entry: what it knows, and what it is about to tell.
 struct Entry {
     records: Records,
@@ -173,6 +183,8 @@
 /// Entries that lose messages, restart and are cut off, under a request that comes again.
 struct Play {
     entries: Vec<Entry>,
+    zones: usize,
+    round: u64,
     lives: BTreeMap<usize, u64>,
     crashes: Vec<Duration>,
     /// Arrivals at servers later than all in touch had to know, from entries in touch.
@@ -181,7 +193,7 @@
 }
 
 impl Play {
-    fn new(entries: usize) -> Self {
+    fn new(entries: usize, zones: usize) -> Self {
         let entry = || Entry {
             records: company(),
             news: News::default(),
@@ -189,6 +201,8 @@
         };
         Self {
             started: vec![Duration::ZERO; entries],
+            zones,
+            round: 0,
             entries: std::iter::repeat_with(entry).take(entries).collect(),
             lives: BTreeMap::new(),
             crashes: Vec::new(),
@@ -220,36 +234,71 @@
         }
     }
 
-    /// A round of messages: news at once, and all records from a peer that knows others.
+    /// A round of messages: news to a few at once and to the zone with its usual messages, and all
+    /// records from a peer that knows others.
     fn talk(&mut self, now: Duration, lost: f64, rng: &mut ChaCha8Rng) {
+        self.round += 1;
+        let stamp = Timestamp::default() + now;
         for from in 0..self.entries.len() {
-            let stamp = Timestamp::default() + now;
             let entry = &mut self.entries[from];
             let due = entry.news.take_due(8, stamp);
             let told: Vec<_> = entry.news.told(stamp).copied().collect();
             let record = |f: &Digest| Some((*f, entry.records.get(f)?.clone()));
             let told: Vec<_> = told.iter().filter_map(record).collect();
-            let all: Vec<_> = entry
-                .records
-                .shared()
-                .map(|(f, r)| (*f, r.clone()))
-                .collect();
-            let summary = entry.records.summary();
-            for to in 0..self.entries.len() {
-                let cut = self.entries[from].cut || self.entries[to].cut;
-                if to == from || cut || rng.random_bool(lost) {
-                    continue;
-                }
-                let other = &mut self.entries[to];
-                if due {
-                    other.records.merge(&told, NOW);
-                }
-                // A pull is as rare as messages to other regions.
-                if summary != 0 && other.records.summary() != summary && rng.random_bool(0.08) {
-                    other.records.merge(&all, NOW);
+            for to in self.hearers(from, due, rng) {
+                if self.is_reached(from, to, lost, rng) {
+                    self.entries[to].records.merge(&told, NOW);
                 }
             }
         }
+        for reader in 0..self.entries.len() {
+            if (self.round + reader as u64).is_multiple_of(READS) {
+                self.read(reader, lost, rng);
+            }
+        }
+    }
+
+    fn zone(&self, entry: usize) -> usize {
+        entry % self.zones
+    }
+
+    fn is_reached(&self, from: usize, to: usize, lost: f64, rng: &mut ChaCha8Rng) -> bool {
+        !self.entries[from].cut && !self.entries[to].cut && !rng.random_bool(lost)
+    }
+
+    /// Who gets a message with news from an entry in this round.
+    fn hearers(&self, from: usize, due: bool, rng: &mut ChaCha8Rng) -> Vec<usize> {
+        let others = (0..self.entries.len()).filter(|to| *to != from);
+        let (near, far): (Vec<_>, Vec<_>) =
+            others.partition(|to| self.zone(*to) == self.zone(from));
+        let audience = audience(due);
+        let mut hearers = near.iter().copied().choose_multiple(rng, audience.near);
+        hearers.extend(far.iter().copied().choose_multiple(rng, audience.far));
+        let usual = |to: &&usize| (self.round + **to as u64).is_multiple_of(USUAL);
+        hearers.extend(near.iter().filter(usual));
+        hearers
+    }
+
+    /// One entry asks another that knows other records, of its own zone if there is one.
+    fn read(&mut self, reader: usize, lost: f64, rng: &mut ChaCha8Rng) {
+        let own = self.entries[reader].records.summary();
+        let knows = |to: &usize| {
+            let theirs = self.entries[*to].records.summary();
+            theirs != 0 && theirs != own
+        };
+        let mates = (0..self.entries.len()).filter(|to| self.zone(*to) == self.zone(reader));
+        let mut teacher = mates.filter(knows).choose(rng);
+        if teacher.is_none() && reader / self.zones < READERS {
+            teacher = (0..self.entries.len()).filter(knows).choose(rng);
+        }
+        let Some(teacher) = teacher else {
+            return;
+        };
+        if self.is_reached(teacher, reader, lost, rng) {
+            let shared = self.entries[teacher].records.shared();
+            let all: Vec<_> = shared.map(|(f, r)| (*f, r.clone())).collect();
+            self.entries[reader].records.merge(&all, NOW);
+        }
     }
 
     fn restart(&mut self, at: usize, now: Duration) {
@@ -260,9 +309,15 @@
 }
 
 /// Plays 20 s; returns late arrivals and all crashes.
-fn play(seed: u64, entries: usize, lost: f64, restarts: f64, cuts: f64) -> (usize, usize) {
+fn play(
+    seed: u64,
+    (entries, zones): (usize, usize),
+    lost: f64,
+    restarts: f64,
+    cuts: f64,
+) -> (usize, usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut play = Play::new(entries);
+    let mut play = Play::new(entries, zones);
     let mut now = Duration::ZERO;
     let mut comes = Duration::ZERO;
     while now < Duration::from_secs(20) {
@@ -289,10 +344,10 @@
 }
 
 macro_rules! storms {
-    ($($case:ident: $seeds:literal seeds, $entries:literal entries, lost $lost:literal, restarts $restarts:literal, cuts $cuts:literal;)*) => {
+    ($($case:ident: $seeds:literal seeds, $entries:literal entries in $zones:literal zones, lost $lost:literal, restarts $restarts:literal, cuts $cuts:literal;)*) => {
         $(#[test] fn $case() {
             for seed in 0..$seeds {
-                let (late, _) = play(seed, $entries, $lost, $restarts, $cuts);
+                let (late, _) = play(seed, ($entries, $zones), $lost, $restarts, $cuts);
                 assert!(late <= LATE_ARRIVALS, "seed {seed}: {late} late arrivals");
             }
         })*
@@ -301,18 +356,19 @@
 
 // Guards against a request that goes on to reach servers after it has ended three of them.
 storms! {
-    many_entries: 40 seeds, 36 entries, lost 0.05, restarts 0.0, cuts 0.0;
-    lost_messages: 200 seeds, 8 entries, lost 0.3, restarts 0.0, cuts 0.0;
-    restarted_entries: 200 seeds, 8 entries, lost 0.1, restarts 0.02, cuts 0.0;
-    entries_cut_off: 200 seeds, 8 entries, lost 0.1, restarts 0.0, cuts 0.02;
-    restarts_and_cuts: 200 seeds, 8 entries, lost 0.1, restarts 0.02, cuts 0.02;
+    many_entries: 40 seeds, 36 entries in 3 zones, lost 0.05, restarts 0.0, cuts 0.0;
+    hundreds_of_daemons: 20 seeds, 99 entries in 5 zones, lost 0.05, restarts 0.0, cuts 0.0;
+    lost_messages: 200 seeds, 8 entries in 3 zones, lost 0.3, restarts 0.0, cuts 0.0;
+    restarted_entries: 200 seeds, 8 entries in 3 zones, lost 0.1, restarts 0.02, cuts 0.0;
+    entries_cut_off: 200 seeds, 8 entries in 3 zones, lost 0.1, restarts 0.0, cuts 0.02;
+    restarts_and_cuts: 200 seeds, 8 entries in 3 zones, lost 0.1, restarts 0.02, cuts 0.02;
 }
 
 /// With news in time, the third crash is the last.
 #[test]
 fn third_crash_is_the_last() {
     for seed in 0..200 {
-        let (_, crashes) = play(seed, 8, 0.0, 0.0, 0.0);
+        let (_, crashes) = play(seed, (8, 3), 0.0, 0.0, 0.0);
         assert_eq!(crashes, CRASHES, "seed {seed}");
     }
 }
--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -255,13 +255,8 @@
 
     /// Agents that fetch or hold `wanted`.
     fn agents(&self, wanted: &VersionId) -> Vec<Peer> {
-        let mut agents = self.context.peers.alive(self.context.clock.now());
-        agents.retain(|p| {
-            let note = p.engine.as_ref();
-            let has = |n: &EngineNote| n.version == wanted.version || n.whole == wanted.version;
-            p.hello.role == Role::Agent && note.is_some_and(has)
-        });
-        agents
+        let has = |n: &EngineNote| n.version == wanted.version || n.whole == wanted.version;
+        self.context.peers.agents(self.context.clock.now(), has)
     }
 
     /// Other agents of this region, whether or not they have begun.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,23 +3,26 @@
 //! Each message echoes the receiver's last stamp, so the age of a confirmation that it carries
 //! can be dated by the receiver's own clock.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use apricothall_decide::cadence::{ROUND, fetch_sample, period};
+use apricothall_decide::cadence::{ROUND, Receivers, fetch_sample, is_due, period};
 use apricothall_decide::placement::Distance;
+use apricothall_decide::quarantine::{Audience, audience};
 use apricothall_types::{Role, Timestamp};
 use apricothall_wire::WireError;
 use apricothall_wire::codec::{decode, encode};
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use tokio::net::UdpSocket;
 
 use crate::Context;
 use crate::lines::millis;
-use crate::peers::{EngineNote, Gossip, Hello, Phase, VersionNote};
+use crate::peers::{Counts, EngineNote, Gossip, Hello, Phase, Taken, VersionNote};
 use crate::published::Reader;
 use crate::quarantine::{end_of, knows_others};
+use crate::settings::Settings;
 
 /// Rounds between two tries to reach daemons that are silent.
 const SEEK_ROUNDS: u64 = 4;
@@ -82,9 +85,11 @@
 
 async fn take(context: &Context, socket: &UdpSocket, gossip: &Gossip) {
     let now = context.clock.now();
-    let known = context.peers.get(&gossip.hello.address, now).is_some();
-    if !context.peers.take(gossip, &context.settings(), now) {
-        return;
+    let known = context.peers.is_alive(&gossip.hello.address, now);
+    match context.peers.take(gossip, &context.settings(), now) {
+        Taken::Older => return,
+        Taken::Same => {}
+        Taken::Changed => note_peer(context, &gossip.hello, now),
     }
     for note in &gossip.versions {
         let since = note.age.map(|age| now - Duration::from_millis(age));
@@ -113,14 +118,21 @@
         return;
     }
     // An answer makes both sides known at once, and tells a new daemon of the others.
-    send_to(context, socket, gossip.hello.address).await;
+    send_to(context, socket, gossip.hello.address, Reason::Period).await;
     for address in &gossip.known {
-        if context.peers.get(address, now).is_none() {
-            send_to(context, socket, *address).await;
+        if !context.peers.is_alive(address, now) {
+            send_to(context, socket, *address, Reason::Period).await;
         }
     }
 }
 
+/// Tells of a daemon that is new or in another phase. Where many change at once not all are told.
+fn note_peer(context: &Context, hello: &Hello, now: Timestamp) {
+    if context.lines.success(now) {
+        tracing::info!(peer = %hello.id, address = %hello.address, phase = ?hello.phase, incarnation = %hello.incarnation, "peer heard");
+    }
+}
+
 /// Clears requests that were thought to have ended an engine which still lives, and lets others
 /// know of those whose engine does not.
 fn note_life(context: &Context, note: &EngineNote, now: Timestamp) {
@@ -140,36 +152,44 @@
     }
 }
 
-/// Tells all entries of requests that end servers, as soon as that is due.
+/// Tells some entries of requests that end servers, as soon as that is due. Those of other regions
+/// are drawn anew in each round, so that most hear of them within a few.
 async fn warn(context: &Context, socket: &UdpSocket) {
     loop {
         tokio::time::sleep(ROUND).await;
         let now = context.clock.now();
-        if !context.quarantine.take_due(now) {
+        let due = context.quarantine.take_due(now);
+        if !context.quarantine.has_news(now) {
             continue;
         }
-        let mut entries = Vec::new();
-        context.peers.each(now, |peer| {
-            if peer.hello.role == Role::Entry {
-                entries.push(peer.hello.address);
-            }
-        });
-        let chosen: Vec<_> = entries
-            .choose_multiple(&mut rand::rng(), FANOUT)
-            .copied()
-            .collect();
-        for address in chosen {
-            send_to(context, socket, address).await;
+        for address in warned(context, audience(due), now) {
+            send_to(context, socket, address, Reason::Suspects).await;
         }
     }
 }
 
+/// Entries drawn for an audience.
+fn warned(context: &Context, audience: Audience, now: Timestamp) -> Vec<SocketAddr> {
+    let (mut own, mut far) = (Vec::new(), Vec::new());
+    context.peers.each(now, |peer| {
+        if peer.hello.role != Role::Entry {
+            return;
+        }
+        let side = if peer.far { &mut far } else { &mut own };
+        side.push(peer.hello.address);
+    });
+    let mut rng = rand::rng();
+    let mut chosen = own.into_iter().choose_multiple(&mut rng, audience.near);
+    chosen.extend(far.choose_multiple(&mut rng, audience.far));
+    chosen
+}
+
 async fn send(context: &Context, socket: &UdpSocket) {
     let mut round = 0_u64;
     let mut news = context.published.changes();
     loop {
         for address in receivers(context, round) {
-            send_to(context, socket, address).await;
+            send_to(context, socket, address, Reason::Period).await;
         }
         round += 1;
         let waited = tokio::time::timeout(ROUND, news.changed()).await;
@@ -194,7 +214,7 @@
         }
     });
     for address in near {
-        send_to(context, socket, address).await;
+        send_to(context, socket, address, Reason::Period).await;
     }
 }
 
@@ -203,11 +223,11 @@
     let settings = context.settings();
     let now = context.clock.now();
     let (mut due, mut near, mut far) = (Vec::new(), Vec::new(), Vec::new());
+    let counts = context.peers.counts(now);
     context.peers.each(now, |peer| {
-        let distance = settings.distance(&peer.hello.zone);
-        let period = period(settings.role, peer.hello.role, distance);
-        let address = peer.hello.address;
-        if round.is_multiple_of(u64::from(period)) {
+        let period = every(settings.role, peer.kind, &counts);
+        let (address, distance) = (peer.hello.address, peer.kind.distance);
+        if is_due(round, offset(&settings, &address), period) {
             due.push(address);
         } else if peer.hello.role == Role::Agent && distance == Distance::Far {
             far.push(address);
@@ -229,15 +249,36 @@
             .iter()
             .copied()
             .chain(context.peers.addresses())
-            .filter(|a| *a != own && context.peers.get(a, now).is_none())
+            .filter(|a| *a != own && !context.peers.is_alive(a, now))
             .collect();
         chosen.extend(silent.choose_multiple(&mut rng, KNOWN));
     }
     chosen
 }
 
-async fn send_to(context: &Context, socket: &UdpSocket, address: SocketAddr) {
-    let gossip = message(context, &address);
+/// Rounds between two messages to each receiver of a kind.
+fn every(own: Role, kind: Receivers, counts: &Counts) -> u32 {
+    period(own, kind, counts.get(&kind).copied().unwrap_or(1))
+}
+
+/// Spreads the messages of a pair over the rounds.
+fn offset(settings: &Settings, to: &SocketAddr) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (settings.ip, to).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Why a message is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reason {
+    /// It is due, or tells of other news.
+    Period,
+    /// There is news of requests that end servers, which goes to other regions in no other message.
+    Suspects,
+}
+
+async fn send_to(context: &Context, socket: &UdpSocket, address: SocketAddr, reason: Reason) {
+    let gossip = message(context, &address, reason);
     if gossip.hello.address == address {
         return;
     }
@@ -264,12 +305,15 @@
     }
 }
 
-fn message(context: &Context, to: &SocketAddr) -> Gossip {
+fn message(context: &Context, to: &SocketAddr, reason: Reason) -> Gossip {
     let now = context.clock.now();
     let age = context.published.age(now);
-    let alive = context.peers.alive(now);
-    let mut rng = rand::rng();
-    let known = alive.choose_multiple(&mut rng, KNOWN);
+    let kind = context.peers.kind(to);
+    let counts = context.peers.counts(now);
+    let role = context.settings().role;
+    let every = kind.map_or(1, |kind| every(role, kind, &counts));
+    let is_far = kind.is_some_and(|kind| kind.distance == Distance::Far);
+    let told = reason == Reason::Suspects || !is_far;
     Gossip {
         hello: hello(context),
         stamp: now,
@@ -285,10 +329,15 @@
             .published
             .servers(apricothall_decide::servers::Servers::is_away),
         versions: versions(context, now),
-        suspects: context.quarantine.told(now),
+        suspects: if told {
+            context.quarantine.told(now)
+        } else {
+            Vec::new()
+        },
         quarantine: context.quarantine.summary(),
         engine: context.fleet.own_note(),
-        known: known.map(|p| p.hello.address).collect(),
+        known: context.peers.sample(KNOWN, &mut rand::rng(), now),
+        every,
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,16 +2,18 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use apricothall_decide::cadence::silence;
+use apricothall_decide::cadence::{ROUND, Receivers, silence};
 use apricothall_decide::placement::Distance;
 use apricothall_decide::quarantine::Record;
 use apricothall_decide::readers::{Sound, Turn, turn};
 use apricothall_decide::reload::Progress;
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{Digest, Incarnation, MemberId, Region, Revision, Role, Timestamp, Zone};
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -20,6 +22,9 @@
 /// Silence after which a daemon of this zone no longer counts as one that reads the store.
 const READER_SILENCE: Duration = Duration::from_secs(1);
 
+/// Half times between two of its messages after which it does not either.
+const READER_MESSAGES: u32 = 5;
+
 /// Shortest silence between two processes of one daemon.
 const RESTART: Duration = Duration::from_millis(400);
 
@@ -132,6 +137,8 @@
     pub engine: Option<EngineNote>,
     /// Addresses of other daemons.
     pub known: Vec<SocketAddr>,
+    /// Rounds between two messages to the receiver.
+    pub every: u32,
 }
 
 /// A daemon as last heard.
@@ -153,8 +160,12 @@
     pub quarantine: u64,
     /// The engine beside it.
     pub engine: Option<EngineNote>,
+    /// Its role, and how far it is.
+    pub kind: Receivers,
     /// Whether it is in another region.
     pub far: bool,
+    /// Time between two of its messages.
+    pub between: Duration,
     /// Silence after which it counts as gone.
     pub silence: Duration,
 }
@@ -172,7 +183,7 @@
         let limit = if self.far {
             self.silence
         } else {
-            READER_SILENCE
+            READER_SILENCE.max(self.between * READER_MESSAGES / 2)
         };
         self.hello.phase == Phase::Serving && !self.away && now.since(self.heard) < limit
     }
@@ -188,10 +199,28 @@
     new < old && now.since(before.heard) < RESTART
 }
 
+/// What a message says of its sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// Less than one taken before.
+    Older,
+    /// That it is as before.
+    Same,
+    /// That it is new, or in another phase.
+    Changed,
+}
+
+/// Daemons of each kind that were heard lately.
+pub type Counts = BTreeMap<Receivers, u32>;
+
+/// Counts and when they were taken.
+type Counted = (Timestamp, Arc<Counts>);
+
 /// All daemons heard of.
 #[derive(Default)]
 pub struct Peers {
     known: Mutex<BTreeMap<SocketAddr, Peer>>,
+    counted: Mutex<Option<Counted>>,
 }
 
 impl Peers {
@@ -199,15 +228,15 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes a message. False when it is older than one taken before.
-    pub fn take(&self, gossip: &Gossip, settings: &Settings, now: Timestamp) -> bool {
+    /// Takes a message, unless it is older than one taken before.
+    pub fn take(&self, gossip: &Gossip, settings: &Settings, now: Timestamp) -> Taken {
         let mut known = self.known();
         let address = gossip.hello.address;
         if known
             .get(&address)
             .is_some_and(|before| is_older(gossip, before, now))
         {
-            return false;
+            return Taken::Older;
         }
         let distance = settings.distance(&gossip.hello.zone);
         let peer = Peer {
@@ -219,27 +248,56 @@
             away: gossip.away,
             quarantine: gossip.quarantine,
             engine: gossip.engine.clone(),
+            kind: Receivers {
+                role: gossip.hello.role,
+                distance,
+            },
             far: distance == Distance::Far,
-            silence: silence(gossip.hello.role, settings.role, distance),
+            between: ROUND * gossip.every,
+            silence: silence(gossip.every),
         };
         let before = known.insert(address, peer);
-        let phase = before.map(|p| (p.hello.phase, p.hello.incarnation));
-        if phase != Some((gossip.hello.phase, gossip.hello.incarnation)) {
-            tracing::info!(peer = %gossip.hello.id, %address, phase = ?gossip.hello.phase, incarnation = %gossip.hello.incarnation, "peer heard");
+        if before.is_none() {
+            known.retain(|_, p| now.since(p.heard) < FORGET);
+        }
+        let state = |hello: &Hello| (hello.phase, hello.incarnation);
+        if before.is_some_and(|p| state(&p.hello) == state(&gossip.hello)) {
+            return Taken::Same;
         }
-        known.retain(|_, p| now.since(p.heard) < FORGET);
-        true
+        Taken::Changed
     }
 
-    /// All daemons heard lately.
+    /// The agents heard lately whose engine's note is `wanted`.
     #[must_use]
-    pub fn alive(&self, now: Timestamp) -> Vec<Peer> {
+    pub fn agents(&self, now: Timestamp, wanted: impl Fn(&EngineNote) -> bool) -> Vec<Peer> {
         let known = self.known();
-        known
-            .values()
-            .filter(|p| p.is_alive(now))
-            .cloned()
-            .collect()
+        let alive = known.values().filter(|p| p.is_alive(now));
+        let found = alive.filter(|p| p.hello.role == Role::Agent);
+        let found = found.filter(|p| p.engine.as_ref().is_some_and(&wanted));
+        found.cloned().collect()
+    }
+
+    /// Addresses of at most `most` daemons heard lately, drawn anew each time.
+    #[must_use]
+    pub fn sample(&self, most: usize, rng: &mut impl Rng, now: Timestamp) -> Vec<SocketAddr> {
+        let known = self.known();
+        let alive = known.values().filter(|p| p.is_alive(now));
+        let addresses = alive.map(|p| p.hello.address);
+        addresses.choose_multiple(rng, most)
+    }
+
+    /// How many daemons of each kind were heard lately, at most a round ago.
+    #[must_use]
+    pub fn counts(&self, now: Timestamp) -> Arc<Counts> {
+        let mut counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, counts)) = counted.as_ref().filter(|(at, _)| now.since(*at) < ROUND) {
+            return counts.clone();
+        }
+        let mut counts = Counts::default();
+        self.each(now, |peer| *counts.entry(peer.kind).or_default() += 1);
+        let counts = Arc::new(counts);
+        *counted = Some((now, counts.clone()));
+        counts
     }
 
     /// Runs `read` on each daemon heard lately.
@@ -262,6 +320,19 @@
         turn(&settings.id, settings.role, others)
     }
 
+    /// Entries of the zone that come before the daemon of `settings` and that the store does not
+    /// answer either.
+    #[must_use]
+    pub fn away_before(&self, settings: &Settings, now: Timestamp) -> u32 {
+        let mut before = 0;
+        self.each(now, |peer| {
+            let near = peer.hello.zone == settings.zone && peer.hello.role == Role::Entry;
+            let ahead = settings.role == Role::Agent || peer.hello.id < settings.id;
+            before += u32::from(near && peer.away && ahead);
+        });
+        before
+    }
+
     /// Whether the store does not answer some daemon heard lately.
     #[must_use]
     pub fn any_away(&self, now: Timestamp) -> bool {
@@ -284,10 +355,16 @@
         })
     }
 
-    /// The daemon at `address`, if it was heard lately.
+    /// Whether the daemon at `address` was heard lately.
     #[must_use]
-    pub fn get(&self, address: &SocketAddr, now: Timestamp) -> Option<Peer> {
+    pub fn is_alive(&self, address: &SocketAddr, now: Timestamp) -> bool {
         let known = self.known();
-        known.get(address).filter(|p| p.is_alive(now)).cloned()
+        known.get(address).is_some_and(|p| p.is_alive(now))
+    }
+
+    /// The kind of the daemon at `address`, if it was ever heard.
+    #[must_use]
+    pub fn kind(&self, address: &SocketAddr) -> Option<Receivers> {
+        self.known().get(address).map(|p| p.kind)
     }
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -50,6 +50,8 @@
     started: Timestamp,
     learned: AtomicBool,
     records: Mutex<Records>,
+    /// The digest of the records, until they change.
+    summary: Mutex<Option<u64>>,
     state: Mutex<State>,
 }
 
@@ -79,6 +81,7 @@
             started: clock.now(),
             learned: AtomicBool::new(false),
             records: Mutex::new(Records::in_company(QuarantineConfig::default())),
+            summary: Mutex::default(),
             state: Mutex::default(),
         }
     }
@@ -98,6 +101,17 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The records, to change them.
+    fn change(&self) -> MutexGuard<'_, Records> {
+        let records = self.records();
+        *self.kept_summary() = None;
+        records
+    }
+
+    fn kept_summary(&self) -> MutexGuard<'_, Option<u64>> {
+        self.summary.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -122,7 +136,7 @@
     /// again.
     pub fn lost(&self, fingerprint: Digest, crash: &Crash, loss: Loss, now: Timestamp) {
         let wall = self.clock.wall();
-        let mut records = self.records();
+        let mut records = self.change();
         let running = [fingerprint].into();
         let _ = records.crashed(crash, &running, false, wall);
         let standing = records.standing(&fingerprint);
@@ -146,7 +160,7 @@
 
     /// Notes that a request has completed, so that it ends no server.
     pub fn completed(&self, fingerprint: Digest, now: Timestamp) {
-        let mut records = self.records();
+        let mut records = self.change();
         if records.standing(&fingerprint) == Standing::Clear {
             return;
         }
@@ -188,7 +202,7 @@
         if cleared.is_empty() {
             return;
         }
-        let mut records = self.records();
+        let mut records = self.change();
         for fingerprint in &cleared {
             records.survived(crash, fingerprint);
         }
@@ -203,14 +217,14 @@
         }
     }
 
-    /// Takes what another daemon knows.
-    pub fn merge(&self, told: &[(Digest, Record)], now: Timestamp) {
+    /// Takes what another daemon knows. True when any of it was news.
+    pub fn merge(&self, told: &[(Digest, Record)], now: Timestamp) -> bool {
         if told.is_empty() {
-            return;
+            return false;
         }
-        let mut records = self.records();
+        let mut records = self.change();
         let before: Vec<_> = told.iter().map(|(f, _)| records.standing(f)).collect();
-        records.merge(told, self.clock.wall());
+        let changed = records.merge(told, self.clock.wall());
         let mut open = Vec::new();
         for ((fingerprint, _), before) in told.iter().zip(before) {
             let after = records.standing(fingerprint);
@@ -226,6 +240,13 @@
         for (crash, fingerprint) in open {
             state.doubts.note(&crash, fingerprint, now);
         }
+        changed
+    }
+
+    /// Whether there are records for messages.
+    #[must_use]
+    pub fn has_news(&self, now: Timestamp) -> bool {
+        self.state().news.told(now).next().is_some()
     }
 
     /// Takes the next records to tell. True when there are any.
@@ -250,7 +271,8 @@
     /// A digest of the records that all daemons should have alike; zero for none.
     #[must_use]
     pub fn summary(&self) -> u64 {
-        self.records().summary()
+        let records = self.records();
+        *self.kept_summary().get_or_insert_with(|| records.summary())
     }
 
     /// The records that all daemons should have alike.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,6 +36,9 @@
 /// Least time between two reads of what a peer knows of requests that end servers.
 const SUSPECTS_EVERY: Duration = Duration::from_millis(500);
 
+/// Longest time between two such reads, while what peers tell is no news.
+const SUSPECTS_LONGEST: Duration = Duration::from_secs(4);
+
 /// Longest wait for a peer.
 const PEER_WAIT: Duration = Duration::from_millis(800);
 
@@ -196,20 +199,29 @@
 /// which does not answer holds up no news of configurations and servers.
 async fn learn(context: &Context) {
     let connector = connector(context);
+    let mut pause = SUSPECTS_EVERY;
     loop {
         let now = context.clock.now();
         if let Some(peer) = choose_teacher(context, now) {
-            if let Err(error) = ask(context, &connector, peer, now).await {
-                tracing::debug!(%peer, %error, "peer does not tell of suspects");
-                connector.forget(peer, Lane::Control).await;
-            }
-            tokio::time::sleep(SUSPECTS_EVERY).await;
+            let told = ask(context, &connector, peer, now).await;
+            pause = match told {
+                Ok(true) => SUSPECTS_EVERY,
+                // Sets that differ though neither side lacks anything may do so for long.
+                Ok(false) => (pause * 2).min(SUSPECTS_LONGEST),
+                Err(error) => {
+                    tracing::debug!(%peer, %error, "peer does not tell of suspects");
+                    connector.forget(peer, Lane::Control).await;
+                    SUSPECTS_EVERY
+                }
+            };
+            tokio::time::sleep(pause).await;
         }
         tokio::time::sleep(STEP).await;
     }
 }
 
-/// A daemon that knows other requests which end servers, of the own zone if there is one.
+/// A daemon that knows other requests which end servers, of the own zone if there is one. Only the
+/// zone's readers of the store ask other zones; the others of the zone have it from them.
 fn choose_teacher(context: &Context, now: Timestamp) -> Option<SocketAddr> {
     let summary = context.quarantine.summary();
     let zone = context.settings().zone.clone();
@@ -223,6 +235,9 @@
             near.push(peer.hello.address);
         }
     });
+    if !context.reads_store(now) {
+        all.clear();
+    }
     pick(&near, &all)
 }
 
@@ -268,12 +283,13 @@
     pick(&near, &all)
 }
 
+/// Asks a peer. True when it told of requests that end servers which were not known.
 async fn ask(
     context: &Context,
     connector: &Connector,
     peer: SocketAddr,
     sent: Timestamp,
-) -> Result<(), RelayError> {
+) -> Result<bool, RelayError> {
     let exchange = async {
         let opened = connector.open::<Told, Ask>(peer, Lane::Control, PUBLISHED_PATH, None);
         let mut channel = opened.await?;
@@ -313,7 +329,7 @@
         context.published.confirm(told.revision, since);
     }
     let now = context.clock.now();
-    context.quarantine.merge(&told.suspects, now);
+    let news = context.quarantine.merge(&told.suspects, now);
     context.quarantine.set_learned();
     let learner = context.published.servers(Servers::is_away) || !context.reads_store(now);
     if let Some((revision, listing)) = told.servers
@@ -322,5 +338,5 @@
     {
         context.published.adopt_servers(listing, revision, now);
     }
-    Ok(())
+    Ok(news)
 }
