fix(gateway): entries that the store does not answer ask it again in turn

Ruled out: one longer pause for all. The first in turn must find a store that is back within half a second.

Change: an entry's pause grows with the number of entries of its zone before it that the store does not answer either (decide::readers::retry_pause), 4 s at most. One that alone is turned away waits as before.

Tests: outages at 30, 100, 300 and 2,400 daemons stay within half of the store's reads; the third in turn asks within a second.

--- a/crates/decide/src/readers.rs
+++ b/crates/decide/src/readers.rs
@@ -5,6 +5,8 @@
 //! while there may be more readers than needed, which harms nothing, and with nobody heard each
 //! daemon reads. Two of a zone do, so that the silence of one delays nothing.
 
+use std::time::Duration;
+
 use apricothall_types::{MemberId, Role};
 
 /// Another daemon heard lately that serves and that the store answers.
@@ -56,3 +58,18 @@
         _ => Turn::Learns,
     }
 }
+
+/// Pause of a daemon after the store did not answer it, if nobody is before it.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+
+/// Pause after which a daemon asks a store again that did not answer. `before` are the daemons of
+/// its zone that come before it and are not answered either: while the store is away for all, they
+/// try in turn, so that the calls hardly grow with the daemons. `draw` is uniform in 0..1.
+#[must_use]
+pub fn retry_pause(before: u32, draw: f64) -> Duration {
+    let pause = RETRY_PAUSE * before.max(1);
+    pause.min(LONGEST_PAUSE).mul_f64(1.0 + draw)
+}
--- a/crates/decide/tests/readers.rs
+++ b/crates/decide/tests/readers.rs
@@ -1,6 +1,8 @@
 //! Who reads the store, as daemons come, go and lose it.
 
-use apricothall_decide::readers::{Sound, Turn, turn};
+use std::time::Duration;
+
+use apricothall_decide::readers::{Sound, Turn, retry_pause, turn};
 use apricothall_types::{MemberId, Role};
 
 fn id(name: &str) -> MemberId {
@@ -62,3 +64,37 @@
         assert_eq!(count, alive.len().min(2), "{alive:?}");
     }
 }
+
+/// Reads a second that the store gives to all daemons.
+const READS: f64 = 2_000.0;
+
+/// Tasks of an entry that read the store: two subjects and the confirmation.
+const TASKS: f64 = 3.0;
+
+macro_rules! outages {
+    ($($case:ident: $zones:literal zones of $entries:literal entries;)*) => {
+        $(#[test] fn $case() {
+            let a_second = |before| 1.0 / retry_pause(before, 0.5).as_secs_f64();
+            let calls: f64 = (0..$entries).map(a_second).sum();
+            let all = calls * f64::from($zones) * TASKS;
+            assert!(all <= READS / 2.0, "{all:.0} calls a second");
+        })*
+    };
+}
+
+// Without turns 7 zones of 171 entries made 9,576 calls a second while the store was away.
+outages! {
+    an_outage_at_thirty_daemons: 3 zones of 5 entries;
+    an_outage_at_a_hundred_daemons: 3 zones of 17 entries;
+    an_outage_at_three_hundred_daemons: 5 zones of 30 entries;
+    an_outage_at_the_target: 7 zones of 171 entries;
+}
+
+/// The store turns away the first ones only: the next in turn finds it within a second.
+#[test]
+fn the_next_in_turn_takes_over_soon() {
+    for before in [0, 1, 2] {
+        let pause = retry_pause(before, 1.0);
+        assert!(pause <= Duration::from_secs(1), "{pause:?}");
+    }
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -6,7 +6,7 @@
 
 use apricothall_clients::PlatformError;
 use apricothall_clients::http_client::{HttpClient, get};
-use apricothall_decide::readers::Turn;
+use apricothall_decide::readers::{Turn, retry_pause};
 use apricothall_decide::servers::{Server, Servers};
 use apricothall_types::{Revision, Role, Timestamp};
 use http::StatusCode;
@@ -30,9 +30,6 @@
 /// Pause between two watches, which gathers changes that come in quick succession.
 const GATHER: Duration = Duration::from_millis(300);
 
-/// Shortest pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
-
 /// Time between two looks at whether the configuration needs a new confirmation.
 const CONFIRM_STEP: Duration = Duration::from_millis(150);
 
@@ -98,8 +95,7 @@
             await_turn(&watching, subject).await;
             let error = follow(&watching, &client, subject).await;
             note_end(&watching, subject, &error);
-            let pause = RETRY_PAUSE.mul_f64(1.0 + rand::rng().random::<f64>());
-            tokio::time::sleep(pause).await;
+            rest(&watching).await;
         }
     });
 }
@@ -271,11 +267,19 @@
         }
         if let Err(error) = list(context, &client, Subject::Operators).await {
             note_end(context, Subject::Operators, &error);
-            tokio::time::sleep(RETRY_PAUSE).await;
+            rest(context).await;
         }
     }
 }
 
+/// Leaves the store alone for a while after a failed call.
+async fn rest(context: &Context) {
+    let now = context.clock.now();
+    let before = context.peers.away_before(&context.settings(), now);
+    let pause = retry_pause(before, rand::rng().random());
+    tokio::time::sleep(pause).await;
+}
+
 fn note_end(context: &Context, subject: Subject, error: &ReadError) {
     if matches!(error, ReadError::OtherReaders) {
         tracing::info!(?subject, "others read the store from now on");
