fix(decide): pieces cut off at the origin are asked for again at once, by few agents

Cause: a first failure of the origin made an agent rest. Besides, each of the 37 agents of the origin's region drew at once, though the bound is 24 for all (it was divided among them and rounded up), so that each piece took a second on the shared link; agents that leave had pieces of their own to draw.

Change: only a second failure in a row makes an agent rest; the first 24 agents share the draws, the others follow when these have had their time; agents that leave are left out.

Tests: origin_rests in pieces.rs; draws at once of regions of 1 to 340 agents (by the rule before, 37 for 37 agents).

--- a/crates/decide/src/pieces.rs
+++ b/crates/decide/src/pieces.rs
@@ -196,7 +196,7 @@
         }
         waited = waited.saturating_sub(config.courtesy);
     }
-    is_turn(config.draw_takeover, me, piece.chunk, waited)
+    is_turn(config.draw_takeover, DRAWERS, me, piece.chunk, waited)
 }
 
 /// The peer that this agent is to fetch the piece from.
@@ -218,7 +218,7 @@
         return None;
     }
     let held = now.since(piece.held.unwrap_or(now));
-    if !is_turn(config.takeover, me, piece.chunk, held) {
+    if !is_turn(config.takeover, u32::MAX, me, piece.chunk, held) {
         return None;
     }
     take(config, me, piece.chunk, peers, used, holders.into_iter())
@@ -242,26 +242,65 @@
     Some(Source::Peer(peers[best].id.clone()))
 }
 
-/// Whether the agents before this one have had their time. In the order of their ids each has
-/// every n-th piece, so that all have equally many, and the next in order follows.
-fn is_turn(takeover: Duration, me: Fetcher<'_>, chunk: ChunkIndex, waited: Duration) -> bool {
+/// Whether the agents before this one have had their time. In the order of their ids each of the
+/// first `most` has every n-th piece, so that they have equally many, and the next in order follows.
+/// Those beyond come after all of them.
+fn is_turn(
+    takeover: Duration,
+    most: u32,
+    me: Fetcher<'_>,
+    chunk: ChunkIndex,
+    waited: Duration,
+) -> bool {
     let mut before = 0;
     let mut all = 1;
     for mate in me.mates {
         all += 1;
         before += u32::from(mate < me.id);
     }
-    let turn = (before + all - chunk.0 % all) % all;
+    let sharing = all.min(most);
+    let turn = if before < sharing {
+        (before + sharing - chunk.0 % sharing) % sharing
+    } else {
+        before
+    };
     waited >= takeover.saturating_mul(turn)
 }
 
-/// Connections to the origin at once, over all agents of its region: enough to fill its link, and
-/// fewer than it accepts.
-const DRAWS: usize = 24;
+/// Agents of the origin's region that draw from it at first, and connections that they make at
+/// once: enough to fill its link, and fewer than it accepts. With more of them each piece takes
+/// longer, so that one which is cut off costs more time.
+const DRAWERS: u32 = 24;
+
+/// The same as a count.
+const MOST_DRAWS: usize = DRAWERS as usize;
 
 /// Pieces that each of the `agents` of the origin's region draws at once.
 #[must_use]
 pub fn draws(agents: usize) -> usize {
     let most = PiecesConfig::default().draws;
-    (DRAWS / agents.max(1)).clamp(1, most)
+    (MOST_DRAWS / agents.max(1)).clamp(1, most)
+}
+
+/// Of the `agents` of the origin's region, those that draw from it at first.
+#[must_use]
+pub fn drawers(agents: usize) -> usize {
+    agents.min(MOST_DRAWS)
+}
+
+/// Shortest pause after the origin gave nothing twice.
+const ORIGIN_REST: Duration = Duration::from_millis(150);
+
+/// Longest pause after the origin gave nothing several times.
+const LONGEST_ORIGIN_REST: Duration = Duration::from_millis(1_200);
+
+/// Pause after `failures` in a row of the origin. A single one is mostly an answer that was cut off,
+/// and the origin may go away soon, so the piece is asked for again at once.
+#[must_use]
+pub fn origin_rest(failures: u32) -> Duration {
+    let Some(doublings) = failures.checked_sub(2) else {
+        return Duration::ZERO;
+    };
+    let longer = ORIGIN_REST.saturating_mul(1_u32.checked_shl(doublings).unwrap_or(u32::MAX));
+    longer.min(LONGEST_ORIGIN_REST)
 }
--- a/crates/decide/tests/pieces.rs
+++ b/crates/decide/tests/pieces.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use std::time::Duration;
+
 use apricothall_decide::pieces::{
-    Fetcher, Flying, Holder, PiecesConfig, Source, Wanted, draws, plan,
+    Fetcher, Flying, Holder, PiecesConfig, Source, Wanted, drawers, draws, origin_rest, plan,
 };
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{ChunkIndex, MemberId, Region, Timestamp};
@@ -317,3 +319,29 @@
     assert!(spread.ended < END_MS, "not all are complete");
     assert!(spread.drawn <= 2_300, "{} ms", spread.drawn);
 }
+
+macro_rules! origin_rests {
+    ($($case:ident: after $failures:literal failures => $ms:literal ms;)*) => {
+        $(#[test] fn $case() {
+            assert_eq!(origin_rest($failures), Duration::from_millis($ms));
+        })*
+    };
+}
+
+// Two pieces of a version were cut off on their way, the agents waited, and the origin was away.
+origin_rests! {
+    a_piece_that_was_cut_off_is_asked_for_again_at_once: after 1 failures => 0 ms;
+    an_origin_that_fails_twice_rests: after 2 failures => 150 ms;
+    it_rests_longer_each_time: after 4 failures => 600 ms;
+    it_is_never_left_alone_for_long: after 40 failures => 1200 ms;
+}
+
+/// However many agents the origin's region has, they make no more connections than the origin
+/// accepts, and share its link among a few.
+#[test]
+fn draws_at_once_do_not_grow_with_the_deployment() {
+    for agents in [1, 8, 13, 22, 37, 100, 340] {
+        let at_once = drawers(agents) * draws(agents);
+        assert!(at_once <= 24, "{at_once} of {agents} agents");
+    }
+}
--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -6,7 +6,7 @@
 
 use apricothall_clients::http_client::{Answer, HttpClient, get};
 use apricothall_decide::pieces::{
-    Fetcher, Flying, Holder, PiecesConfig, Source, Wanted, draws, plan,
+    Fetcher, Flying, Holder, PiecesConfig, Source, Wanted, draws, origin_rest, plan,
 };
 use apricothall_decide::rank;
 use apricothall_decide::reload::loads_before;
@@ -20,7 +20,7 @@
 use crate::Context;
 use crate::agent::pieces::{self, PeerError, Rank};
 use crate::agent::shelf::{Shelf, VersionId};
-use crate::peers::{EngineNote, Peer};
+use crate::peers::{EngineNote, Peer, Phase};
 use crate::relay::connector;
 
 /// Longest wait for a piece from the origin.
@@ -48,12 +48,6 @@
 /// tell them soon.
 const FAR_ASKERS: u32 = 15;
 
-/// Shortest pause after the origin gave nothing.
-const ORIGIN_REST: Duration = Duration::from_millis(150);
-
-/// Longest pause after the origin gave nothing several times.
-const LONGEST_ORIGIN_REST: Duration = Duration::from_millis(1_200);
-
 /// Peers that are asked for digests before the origin.
 const DIGEST_PEERS: usize = 2;
 
@@ -122,8 +116,8 @@
     wanted_id: Option<VersionId>,
     wanted_since: Timestamp,
     digests_at: Timestamp,
-    /// Pause after the last failure of the origin, and its end.
-    origin_rest: Duration,
+    /// Times in a row that the origin gave nothing, and when it is asked again.
+    origin_failures: u32,
     origin_again: Timestamp,
 }
 
@@ -147,7 +141,7 @@
             wanted_id: None,
             wanted_since: now,
             digests_at: Timestamp::default(),
-            origin_rest: Duration::ZERO,
+            origin_failures: 0,
             origin_again: Timestamp::default(),
         }
     }
@@ -264,7 +258,8 @@
         let region = &self.context.settings().region;
         let mut mates = Vec::new();
         self.context.peers.each(now, |p| {
-            if p.hello.role == Role::Agent && p.hello.region == *region {
+            let stays = p.hello.phase != Phase::Leaving;
+            if p.hello.role == Role::Agent && p.hello.region == *region && stays {
                 mates.push(p.hello.id.clone());
             }
         });
@@ -491,7 +486,7 @@
             Ok(bytes) => {
                 let size = bytes.len() as u64;
                 if fetched.source == Source::Origin {
-                    self.origin_rest = Duration::ZERO;
+                    self.origin_failures = 0;
                 }
                 if self.shelf.put(&fetched.id, fetched.index, bytes) {
                     metrics::counter!("apricothall_piece_bytes_total", "source" => from)
@@ -519,9 +514,8 @@
 
     /// Leaves the origin alone for a while, longer each time that it fails in a row.
     fn rest_origin(&mut self) {
-        let longer = (self.origin_rest * 2).max(ORIGIN_REST);
-        self.origin_rest = longer.min(LONGEST_ORIGIN_REST);
-        self.origin_again = self.context.clock.now() + self.origin_rest;
+        self.origin_failures = self.origin_failures.saturating_add(1);
+        self.origin_again = self.context.clock.now() + origin_rest(self.origin_failures);
     }
 }
 
