--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -8,13 +8,12 @@
 use apricothall_decide::pieces::{
     Fetcher, Flying, Holder, PiecesConfig, Source, Wanted, draws, origin_rest, plan,
 };
-use apricothall_decide::rank;
 use apricothall_decide::reload::loads_before;
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{ChunkIndex, MemberId, Region, Role, Timestamp};
 use apricothall_wire::Connector;
 use bytes::Bytes;
-use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use smol_str::{SmolStr, ToSmolStr};
 use tokio::task::JoinSet;
 
 use crate::Context;
@@ -23,12 +22,13 @@
 use crate::peers::{EngineNote, Peer, Phase};
 use crate::relay::connector;
 
+mod digests;
+
+use digests::DigestsError;
+
 /// Longest wait for a piece from the origin.
 const ORIGIN_WAIT: Duration = Duration::from_secs(3);
 
-/// Longest wait for digests from the origin, during which the agent does nothing else.
-const DIGESTS_WAIT: Duration = Duration::from_millis(700);
-
 /// Time for which a peer that gave nothing is left alone.
 const PEER_REST: Duration = Duration::from_millis(1_500);
 
@@ -38,19 +38,6 @@
 /// Pause before a failed fetch of the digests is repeated.
 const DIGESTS_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time by which each agent waits for the one before it to ask the origin for digests.
-const DIGEST_STEP: Duration = Duration::from_millis(40);
-
-/// Agents that ask the origin for digests at once, so that the silence of one delays nothing.
-const FIRST_ASKERS: u32 = 3;
-
-/// Agents of other regions wait for as many more before them, since those of the origin's region
-/// tell them soon.
-const FAR_ASKERS: u32 = 15;
-
-/// Peers that are asked for digests before the origin.
-const DIGEST_PEERS: usize = 2;
-
 /// Time of a fetch from which on pieces are fetched one by one.
 const SLOW: Duration = Duration::from_millis(900);
 
@@ -80,26 +67,6 @@
     Digest,
 }
 
-/// Why there are no digests yet.
-#[derive(Debug, thiserror::Error)]
-enum DigestsError {
-    /// Other agents ask first.
-    #[error("other agents ask the origin first")]
-    OthersFirst,
-    /// The origin gave nothing lately.
-    #[error("the origin failed lately")]
-    Resting,
-    /// The origin gave none.
-    #[error("origin: {0}")]
-    Origin(SmolStr),
-}
-
-impl From<SmolStr> for DigestsError {
-    fn from(error: SmolStr) -> Self {
-        Self::Origin(error)
-    }
-}
-
 /// The fetch of the wanted version.
 pub struct Fetch {
     context: Context,
@@ -186,67 +153,6 @@
         }
     }
 
-    async fn digests(&self, wanted: &VersionId) -> Result<Vec<[u8; 32]>, DigestsError> {
-        let mut agents = self.agents(wanted);
-        let region = &self.context.settings().region;
-        agents.sort_by_key(|p| p.hello.region != *region);
-        for peer in agents.iter().take(DIGEST_PEERS) {
-            let asked = pieces::digests(&self.connector, peer.hello.address, wanted).await;
-            match asked {
-                Ok(digests) => return Ok(digests),
-                Err(error) => tracing::debug!(peer = %peer.hello.id, %error, "no digests there"),
-            }
-        }
-        if !self.is_turn(wanted) {
-            return Err(DigestsError::OthersFirst);
-        }
-        if self.context.clock.now() < self.origin_again {
-            return Err(DigestsError::Resting);
-        }
-        let calls = &self.context.dialect.origin;
-        let path = (calls.manifest)(&wanted.model, wanted.version);
-        let body = self.ask_origin(&path).await?;
-        let told = (calls.read_manifest)(&body).map_err(|e| e.to_smolstr())?;
-        if told.version != wanted.version {
-            return Err(format_smolstr!("it tells of version {}", told.version).into());
-        }
-        Ok(told.digests)
-    }
-
-    /// Agents ask the origin one after the other, by hash, so that most have it from a peer. Those
-    /// of the origin's region go first.
-    fn is_turn(&self, wanted: &VersionId) -> bool {
-        let now = self.context.clock.now();
-        let subject = format!("{}/{}/digests", wanted.model, wanted.version);
-        let settings = self.context.settings();
-        let home = self.home();
-        let is_home = |region: &Region| home.as_ref().is_none_or(|home| home == region);
-        let own = rank::weight(subject.as_bytes(), &settings.id);
-        let here = is_home(&settings.region);
-        let (mut before, mut any_home) = (0, false);
-        self.context.peers.each(now, |p| {
-            if p.hello.role != Role::Agent {
-                return;
-            }
-            let theirs = is_home(&p.hello.region);
-            any_home |= theirs;
-            let ahead = rank::weight(subject.as_bytes(), &p.hello.id) > own;
-            before += u32::from(theirs == here && ahead);
-        });
-        if !here && any_home {
-            before += FAR_ASKERS;
-        }
-        let before = (before + 1).saturating_sub(FIRST_ASKERS);
-        now.since(self.wanted_since) >= DIGEST_STEP * before
-    }
-
-    async fn ask_origin(&self, path: &str) -> Result<Bytes, SmolStr> {
-        let in_force = self.context.published.in_force();
-        let origin = in_force.as_ref().and_then(|f| f.configuration.origin());
-        let origin = origin.ok_or_else(|| SmolStr::new("no origin is published"))?;
-        read_origin(&self.origin, origin.address, path, DIGESTS_WAIT).await
-    }
-
     /// Agents that fetch or hold `wanted`.
     fn agents(&self, wanted: &VersionId) -> Vec<Peer> {
         let has = |n: &EngineNote| n.version == wanted.version || n.whole == wanted.version;
