--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -69,6 +69,29 @@
     pub restoring: Duration,
 }
 
+impl Listing {
+    /// Servers whose entries have lapsed and may still come back.
+    #[must_use]
+    pub fn missing(&self) -> Vec<MemberId> {
+        let missing = self.servers.iter().filter(|l| l.missing);
+        missing.map(|l| l.server.id.clone()).collect()
+    }
+}
+
+/// What became of a server whose entry was removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Removal {
+    /// Nothing that was not known: it was gone or held before.
+    Known,
+    /// It is gone.
+    Final,
+    /// It keeps its place, as its entry may come back within `left`.
+    Held {
+        /// Time left, counted from the store's return.
+        left: Duration,
+    },
+}
+
 /// Settings of [`Servers`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServersConfig {
@@ -153,14 +176,20 @@
     }
 
     /// Takes the removal of an entry.
-    pub fn remove(&mut self, id: &MemberId, now: Timestamp) {
-        if !self.is_restoring(now) {
-            self.forget(id);
-            return;
+    pub fn remove(&mut self, id: &MemberId, now: Timestamp) -> Removal {
+        let restoring = self.is_restoring(now);
+        let left = self.restoring_left(now);
+        let Some(known) = self.known.get_mut(id) else {
+            return Removal::Known;
+        };
+        if restoring && std::mem::replace(&mut known.missing, true) {
+            return Removal::Known;
         }
-        if let Some(known) = self.known.get_mut(id) {
-            known.missing = true;
+        if restoring {
+            return Removal::Held { left };
         }
+        self.forget(id);
+        Removal::Final
     }
 
     /// Drops an entry whose present value names no server.
@@ -170,21 +199,24 @@
         }
     }
 
-    /// Takes the whole list: servers that it lacks are removed.
-    pub fn replace(&mut self, list: Vec<Server>, now: Timestamp) {
+    /// Takes the whole list: servers that it lacks are removed. Returns what became of them.
+    pub fn replace(&mut self, list: Vec<Server>, now: Timestamp) -> Vec<(MemberId, Removal)> {
         let absent: Vec<_> = self
             .known
             .keys()
             .filter(|id| !list.iter().any(|s| s.id == **id))
             .cloned()
             .collect();
+        let mut removed = Vec::new();
         for id in absent {
-            self.remove(&id, now);
+            let removal = self.remove(&id, now);
+            removed.push((id, removal));
         }
         for server in list {
             self.insert(server, false);
         }
         self.index();
+        removed
     }
 
     /// All that is known here, for a daemon that does not read the store.
@@ -194,10 +226,9 @@
             server: k.server.clone(),
             missing: k.missing,
         });
-        let left = |at: Timestamp| self.config.restore.saturating_sub(now.since(at));
         Listing {
             servers: listed.collect(),
-            restoring: self.returned.map(left).unwrap_or_default(),
+            restoring: self.restoring_left(now),
         }
     }
 
@@ -217,13 +248,23 @@
         self.away = false;
     }
 
-    /// Drops servers that are still missing once entries would have come back.
-    pub fn expire(&mut self, now: Timestamp) {
-        if self.is_restoring(now) || !self.known.values().any(|k| k.missing) {
-            return;
+    /// Drops servers that are still missing once entries would have come back, and returns them.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<MemberId> {
+        if self.is_restoring(now) {
+            return Vec::new();
         }
-        self.known.retain(|_, k| !k.missing);
-        self.index();
+        let missing = self.known.iter().filter(|(_, k)| k.missing);
+        let gone: Vec<_> = missing.map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            self.forget(id);
+        }
+        gone
+    }
+
+    /// Ids of all servers known.
+    #[must_use]
+    pub fn ids(&self) -> Vec<MemberId> {
+        self.known.keys().cloned().collect()
     }
 
     /// All servers known, draining ones included.
@@ -248,6 +289,12 @@
         self.latest.get(&server.address) == Some(&server.born)
     }
 
+    /// Time left in which entries that lapsed come back, from the store's return on.
+    fn restoring_left(&self, now: Timestamp) -> Duration {
+        let left = |at: Timestamp| self.config.restore.saturating_sub(now.since(at));
+        self.returned.map(left).unwrap_or_default()
+    }
+
     /// Whether the store is away, or came back a moment ago.
     #[must_use]
     pub fn is_restoring(&self, now: Timestamp) -> bool {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -16,6 +16,7 @@
 use crate::fleet::{Place, Placed};
 use crate::flight::InFlight;
 use crate::quarantine::Loss;
+use crate::servers::News;
 
 /// Why a server's stream does not go on.
 #[derive(Debug, Error)]
@@ -58,6 +59,8 @@
     pub predicted: Duration,
     /// Requests that were thought to be at the server.
     pub load: u32,
+    /// How old what was known of the servers was when it was chosen.
+    pub news: Option<News>,
     /// Time from the request's arrival to the first event.
     pub first: Duration,
 }
@@ -78,6 +81,7 @@
             sent: answer.sent,
             predicted: placed.predicted,
             load: placed.load,
+            news: placed.news,
             first: Duration::ZERO,
         }
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::model::EngineService;
 use crate::peers::EngineNote;
 use crate::repeats::Repeats;
+use crate::servers::News;
 use crate::settings::Settings;
 
 /// Age up to which an agent's note tells the state of its engine.
@@ -113,6 +114,8 @@
     pub predicted: Duration,
     /// Requests that were thought to be there.
     pub load: u32,
+    /// How old what was known of the servers was.
+    pub news: Option<News>,
 }
 
 /// Where a request goes.
@@ -209,6 +212,7 @@
     /// Chooses a server for a request.
     pub fn place(&self, context: &Context, ask: &Ask<'_>, now: Timestamp) -> Placement {
         let settings = context.settings();
+        let news = context.published.servers_news(now);
         let mut state = self.state();
         context.published.servers(|servers| {
             let offers = state.offers(&settings, servers, ask, now);
@@ -220,7 +224,8 @@
                 placement::choose(&state.placement, &candidates, ask.need, &mut rand::rng());
             match choice {
                 Choice::Send(index) => {
-                    Placement::Go(Box::new(state.take(&offers[index], ask, now)))
+                    let placed = state.take(&offers[index], ask, now);
+                    Placement::Go(Box::new(Placed { news, ..placed }))
                 }
                 Choice::Refuse(after) => Placement::Refuse(after),
                 Choice::Nobody => match state.shortest_hold(servers, ask.service, now) {
@@ -418,6 +423,7 @@
             version: offer.version,
             predicted: offer.forecast.latency,
             load: offer.forecast.taken,
+            news: None,
         }
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -84,7 +84,7 @@
             let now = self.context.clock.now();
             let next = story.history.note(end);
             if self.context.lines.failure(now) {
-                tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), service = %call.service, server = %placed.server.id, version = placed.version, load = placed.load, predicted_ms = millis(placed.predicted), waited_ms = millis(now.since(call.arrival)), %error, ?next, "attempt failed");
+                tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), service = %call.service, server = %placed.server.id, version = placed.version, load = placed.load, news = placed.news.map(display), predicted_ms = millis(placed.predicted), waited_ms = millis(now.since(call.arrival)), %error, ?next, "attempt failed");
             }
             match next {
                 Next::Again { budgeted } => {
@@ -197,7 +197,7 @@
             .record(&place, attempt, placed.predicted, now);
         self.channels.keep(answer.channel, now);
         if self.context.lines.success(now) {
-            tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, server = %place.id, load = placed.load, status = answer.status.as_u16(), predicted_ms = millis(placed.predicted), latency_ms = millis(latency), total_ms = millis(now.since(call.arrival)), config_age_ms = self.context.published.age(now).map(millis), "answered");
+            tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, server = %place.id, load = placed.load, news = placed.news.map(display), status = answer.status.as_u16(), predicted_ms = millis(placed.predicted), latency_ms = millis(latency), total_ms = millis(now.since(call.arrival)), config_age_ms = self.context.published.age(now).map(millis), "answered");
         }
         metrics::counter!("apricothall_answers_total", "status" => class(answer.status))
             .increment(1);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod request;
 pub mod resume;
 pub mod run;
+pub mod servers;
 pub mod settings;
 pub mod store;
 pub mod stream;
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -14,6 +14,7 @@
 use crate::dialect::{Change, Changes, Fact, Item, StoreCalls, Subject};
 use crate::fleet::Place;
 use crate::model::Configuration;
+use crate::servers::{KnownServers, News};
 
 /// A configuration in force.
 #[derive(Debug)]
@@ -31,8 +32,7 @@
     in_force: Option<Arc<InForce>>,
     lease: Lease,
     versions: BTreeMap<SmolStr, Versions>,
-    servers: Servers,
-    servers_seen: Revision,
+    servers: KnownServers,
     /// Whether this process has listed what operators wrote.
     listed: bool,
 }
@@ -193,34 +193,40 @@
 
     /// Runs `act` on the servers.
     pub fn with_servers<T>(&self, act: impl FnOnce(&mut Servers) -> T) -> T {
-        act(&mut self.state().servers)
+        act(&mut self.state().servers.servers)
     }
 
     /// Reads the servers.
     pub fn servers<T>(&self, read: impl FnOnce(&Servers) -> T) -> T {
-        read(&self.state().servers)
+        read(&self.state().servers.servers)
     }
 
     /// Revision up to which the servers are known.
     #[must_use]
     pub fn servers_seen(&self) -> Revision {
-        self.state().servers_seen
+        self.state().servers.seen
+    }
+
+    /// How old what is known of the servers is; none before the first news.
+    #[must_use]
+    pub fn servers_news(&self, now: Timestamp) -> Option<News> {
+        self.state().servers.news(now)
     }
 
     /// Takes the whole list of servers as of `revision`.
     pub fn replace_servers(&self, list: Vec<Server>, revision: Revision, now: Timestamp) {
-        let count = list.len();
-        self.with_servers(|servers| servers.replace(list, now));
-        self.state().servers_seen = revision;
+        self.state().servers.replace(list, revision, now);
         self.notify();
-        tracing::debug!(count, %revision, "servers listed");
     }
 
     /// Takes the servers as a peer knows them, in place of what is known here.
     pub fn adopt_servers(&self, listing: Listing, revision: Revision, now: Timestamp) {
-        self.with_servers(|servers| servers.adopt(listing, now));
-        self.state().servers_seen = revision;
-        tracing::debug!(%revision, "servers taken from a peer");
+        self.state().servers.adopt(listing, revision, now);
+    }
+
+    /// Drops servers whose entries did not come back after an outage.
+    pub fn expire_servers(&self, now: Timestamp) {
+        self.state().servers.expire(now);
     }
 
     /// Takes the whole list of what operators have written, asked for at `sent` and read at `now`.
@@ -250,57 +256,28 @@
         changes: &Changes,
         now: Timestamp,
     ) {
-        for change in &changes.changes {
-            match (subject, change) {
-                (Subject::Operators, Change::Written(item)) => {
-                    self.take_item(calls, item, Reader::Store, Some(now));
-                }
-                (Subject::Operators, Change::Removed { key, .. }) => {
-                    tracing::warn!(%key, "an operator's item was removed; what it said stays");
-                }
-                (Subject::Servers, Change::Written(item)) => self.take_server(calls, item),
-                (Subject::Servers, Change::Removed { key, .. }) => {
-                    self.remove_server(calls, key, now);
+        match subject {
+            Subject::Operators => self.take_operator_changes(calls, changes, now),
+            Subject::Servers => {
+                let any = self.state().servers.take(calls, changes, now);
+                if any {
+                    self.notify();
                 }
             }
         }
-        // The store's revision rises with each heartbeat; peers need to hear of changes only.
-        if subject == Subject::Servers && !changes.changes.is_empty() {
-            self.state().servers_seen = changes.revision;
-            self.notify();
-        }
     }
 
-    fn take_server(&self, calls: &StoreCalls, item: &Item) {
-        match (calls.read_item)(item) {
-            Ok(Fact::Server(server)) => {
-                tracing::info!(server = %server.id, address = %server.address, state = ?server.state, loaded = ?server.loaded, revision = %item.revision, "server changed");
-                self.with_servers(|servers| servers.put(server));
-            }
-            Ok(_) => {}
-            Err(error) => {
-                tracing::warn!(key = %item.key, %error, "server's entry not understood");
-                metrics::counter!("apricothall_items_unusable_total").increment(1);
-                self.forget_server(calls, &item.key);
+    fn take_operator_changes(&self, calls: &StoreCalls, changes: &Changes, now: Timestamp) {
+        for change in &changes.changes {
+            match change {
+                Change::Written(item) => self.take_item(calls, item, Reader::Store, Some(now)),
+                Change::Removed { key, .. } => {
+                    tracing::warn!(%key, "an operator's item was removed; what it said stays");
+                }
             }
         }
     }
 
-    /// An entry that names no server to use replaces what its key said before.
-    fn forget_server(&self, calls: &StoreCalls, key: &str) {
-        if let Some(id) = (calls.server_of)(key) {
-            self.with_servers(|servers| servers.forget(&id));
-        }
-    }
-
-    fn remove_server(&self, calls: &StoreCalls, key: &str, now: Timestamp) {
-        let Some(id) = (calls.server_of)(key) else {
-            return;
-        };
-        self.with_servers(|servers| servers.remove(&id, now));
-        tracing::info!(server = %id, "server's entry removed");
-    }
-
     /// The servers known.
     #[must_use]
     pub fn places(&self) -> Vec<Place> {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -157,7 +157,7 @@
         loop {
             tokio::time::sleep(KEEP_HOUSE).await;
             let now = keeping.clock.now();
-            keeping.published.with_servers(|s| s.expire(now));
+            keeping.published.expire_servers(now);
             keeping.fleet.retain(keeping.published.places());
             keeping.fleet.set_entries(count_entries(&keeping));
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -174,7 +174,7 @@
         return;
     }
     let call = &relay.call;
-    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, server = %feed.server.id, load = feed.load, returning = call.returning, prompt = call.prompt, predicted_ms = millis(feed.predicted), first_ms = millis(feed.first), total_ms = millis(now.since(call.arrival)), servers = relay.tried.len(), passed, config_age_ms = context.published.age(now).map(millis), "stream passed on");
+    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, server = %feed.server.id, load = feed.load, returning = call.returning, prompt = call.prompt, predicted_ms = millis(feed.predicted), first_ms = millis(feed.first), total_ms = millis(now.since(call.arrival)), servers = relay.tried.len(), news = feed.news.map(display), passed, config_age_ms = context.published.age(now).map(millis), "stream passed on");
 }
 
 fn note_left(relay: &Relay, feed: &Feed, passed: u32) {
