--- a/crates/apricotd/tests/machines/entries.rs
+++ b/crates/apricotd/tests/machines/entries.rs
@@ -22,6 +22,7 @@
 
 struct Entry {
     name: String,
+    zone: &'static str,
     ip: IpAddr,
     process: Option<Process>,
     frozen: bool,
@@ -36,12 +37,18 @@
 }
 
 impl Entries {
-    /// Starts `count` entries that read the store at `store`.
+    /// Starts `count` entries of one zone that read the store at `store`.
     pub fn start(count: usize, store: SocketAddr, folder: PathBuf) -> Self {
+        Self::start_in(&vec!["a"; count], store, folder)
+    }
+
+    /// Starts an entry in each of `zones` (`a` or `b`, in other regions).
+    pub fn start_in(zones: &[&'static str], store: SocketAddr, folder: PathBuf) -> Self {
         let mut addresses = Addresses::reserve().expect("addresses");
         std::fs::create_dir_all(&folder).expect("a folder");
-        let entries = (0..count).map(|index| Entry {
+        let entries = zones.iter().enumerate().map(|(index, zone)| Entry {
             name: format!("entry-{index}"),
+            zone,
             ip: addresses.take().expect("an address"),
             process: None,
             frozen: false,
@@ -52,7 +59,7 @@
             folder,
             _addresses: addresses,
         };
-        for index in 0..count {
+        for index in 0..zones.len() {
             started.run(index);
         }
         started
@@ -62,7 +69,7 @@
         let seed = self.all[usize::from(index == 0)].ip;
         let entry = &mut self.all[index];
         let file = self.folder.join(format!("{}.toml", entry.name));
-        let settings = boot_file(&entry.name, entry.ip, PORT, seed, self.store);
+        let settings = boot_file(&entry.name, entry.zone, entry.ip, PORT, seed, self.store);
         std::fs::write(&file, settings).expect("written");
         let program = Path::new(env!("CARGO_BIN_EXE_apricotd"));
         let args = ["entry", "--machine"];
