fix(decide): an outage of the store is a time in which it answered no daemon

Callers' requests reached servers that had left for up to 2.4 s after the store acked it, bound 2 s (DRAIN).

Cause: a server that vanishes within 2 s of an outage keeps its place, as entries of living servers lapse while the store is away. Outage was what one daemon met, or heard that another met: an entry that takes over from readers which the store turns away took its own first answer for the store's return, and held a server that had left in peace for 2 s from then. Its list carried the hold to all that learn from it, and put the server back where it was gone already.

Change: daemons tell each other when the store answered, as ages of the first and last answer of an unbroken time; an outage is a gap of more than two heartbeats in which it answered none of them. What a peer tells later can dissolve an outage, and the held server goes at once. Own failed calls say only that this daemon learns from others. A server that is gone here is not taken back because a peer waits for it.

Why it works: a removal in peace has an answer to somebody close by, and that is told in each message.

--- a/crates/decide/src/readers.rs
+++ b/crates/decide/src/readers.rs
@@ -59,6 +59,30 @@
     }
 }
 
+/// Whether the store answers a daemon that reads it. Says nothing of what it does with others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reach {
+    lost: bool,
+}
+
+impl Reach {
+    /// Notes that a call failed. True when the one before had not.
+    pub fn failed(&mut self) -> bool {
+        !std::mem::replace(&mut self.lost, true)
+    }
+
+    /// Notes an answer. True when the call before had failed.
+    pub fn answered(&mut self) -> bool {
+        std::mem::take(&mut self.lost)
+    }
+
+    /// Whether the last call failed.
+    #[must_use]
+    pub const fn is_lost(self) -> bool {
+        self.lost
+    }
+}
+
 /// Pause of a daemon after the store did not answer it, if nobody is before it.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -2,7 +2,7 @@
 //!
 //! While the platform's store is away, entries of living servers lapse. They come back once it
 //! answers again, so a server that is missing shortly after an outage keeps its place until
-//! [`ServersConfig::restore`] has passed.
+//! [`OutageConfig::restore`] has passed. Whether there was one, [`Outages`] says.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::outage::{AnsweredAge, OutageConfig, Outages};
+
 /// Whether a server takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
@@ -65,8 +67,8 @@
 pub struct Listing {
     /// The servers.
     pub servers: Vec<Listed>,
-    /// Time for which entries that have lapsed may still come back.
-    pub restoring: Duration,
+    /// When the store answered any daemon.
+    pub answered: Vec<AnsweredAge>,
 }
 
 impl Listing {
@@ -92,69 +94,33 @@
     },
 }
 
-/// Settings of [`Servers`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ServersConfig {
-    /// Time after an outage of the store in which entries that lapsed come back.
-    pub restore: Duration,
-}
-
-impl Default for ServersConfig {
-    fn default() -> Self {
-        Self {
-            restore: Duration::from_secs(2),
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Known {
     server: Server,
     missing: bool,
 }
 
-/// The servers known, with the outages of the store that listed them.
+/// The servers known, with the outages of the store that lists them.
 #[derive(Clone, Debug, Default)]
 pub struct Servers {
-    config: ServersConfig,
     known: BTreeMap<MemberId, Known>,
     /// The latest start at each address. The entry of a server that has died stays for a while,
     /// beside that of the server which has its address now.
     latest: BTreeMap<SocketAddr, WallTime>,
-    away: bool,
-    returned: Option<Timestamp>,
+    /// When the store was away.
+    pub outages: Outages,
 }
 
 impl Servers {
     /// No server.
     #[must_use]
-    pub fn new(config: ServersConfig) -> Self {
+    pub fn new(config: OutageConfig) -> Self {
         Self {
-            config,
+            outages: Outages::new(config),
             ..Self::default()
         }
     }
 
-    /// Notes that the store did not answer. True when it had answered before.
-    pub fn store_failed(&mut self) -> bool {
-        !std::mem::replace(&mut self.away, true)
-    }
-
-    /// Notes that the store answered. True when it had been away.
-    pub fn store_answered(&mut self, now: Timestamp) -> bool {
-        let was_away = std::mem::take(&mut self.away);
-        if was_away {
-            self.returned = Some(now);
-        }
-        was_away
-    }
-
-    /// Whether the store is away.
-    #[must_use]
-    pub const fn is_away(&self) -> bool {
-        self.away
-    }
-
     /// Takes one entry as written.
     pub fn put(&mut self, server: Server) {
         self.insert(server, false);
@@ -177,8 +143,8 @@
 
     /// Takes the removal of an entry.
     pub fn remove(&mut self, id: &MemberId, now: Timestamp) -> Removal {
-        let restoring = self.is_restoring(now);
-        let left = self.restoring_left(now);
+        let restoring = self.outages.is_restoring(now);
+        let left = self.outages.left(now);
         let Some(known) = self.known.get_mut(id) else {
             return Removal::Known;
         };
@@ -228,29 +194,26 @@
         });
         Listing {
             servers: listed.collect(),
-            restoring: self.restoring_left(now),
+            answered: self.outages.told(now),
         }
     }
 
-    /// Takes what a peer knows that reads the store: just these servers are known from now on.
-    pub fn adopt(&mut self, listing: Listing, now: Timestamp) {
-        self.known.clear();
+    /// Takes what a peer knew that was asked at `asked`: just these servers are known from now on. One
+    /// that is gone here comes back by an entry only, not because the peer waits for that.
+    pub fn adopt(&mut self, listing: Listing, asked: Timestamp, now: Timestamp) {
+        self.outages.learn(&listing.answered, asked, now);
+        let before = std::mem::take(&mut self.known);
         for Listed { server, missing } in listing.servers {
-            self.insert(server, missing);
+            if !missing || before.is_empty() || before.contains_key(&server.id) {
+                self.insert(server, missing);
+            }
         }
         self.index();
-        let since = self.config.restore.saturating_sub(listing.restoring);
-        self.returned = Some(now - since);
-    }
-
-    /// Notes that others read the store from now on.
-    pub const fn leave_reading(&mut self) {
-        self.away = false;
     }
 
     /// Drops servers that are still missing once entries would have come back, and returns them.
     pub fn expire(&mut self, now: Timestamp) -> Vec<MemberId> {
-        if self.is_restoring(now) {
+        if self.outages.is_restoring(now) {
             return Vec::new();
         }
         let missing = self.known.iter().filter(|(_, k)| k.missing);
@@ -289,16 +252,9 @@
         self.latest.get(&server.address) == Some(&server.born)
     }
 
-    /// Time left in which entries that lapsed come back, from the store's return on.
-    fn restoring_left(&self, now: Timestamp) -> Duration {
-        let left = |at: Timestamp| self.config.restore.saturating_sub(now.since(at));
-        self.returned.map(left).unwrap_or_default()
-    }
-
-    /// Whether the store is away, or came back a moment ago.
+    /// Whether the store came back a moment ago, so that entries may still be missing.
     #[must_use]
     pub fn is_restoring(&self, now: Timestamp) -> bool {
-        let recent = |at: Timestamp| now.since(at) < self.config.restore;
-        self.away || self.returned.is_some_and(recent)
+        self.outages.is_restoring(now)
     }
 }
--- a/crates/decide/tests/readers.rs
+++ b/crates/decide/tests/readers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use apricothall_decide::readers::{Sound, Turn, retry_pause, turn};
+use apricothall_decide::readers::{Reach, Sound, Turn, retry_pause, turn};
 use apricothall_types::{MemberId, Role};
 
 fn id(name: &str) -> MemberId {
@@ -98,3 +98,14 @@
         assert!(pause <= Duration::from_secs(1), "{pause:?}");
     }
 }
+
+#[test]
+fn only_the_first_failure_and_the_first_answer_are_news() {
+    let mut reach = Reach::default();
+    assert!(reach.failed());
+    assert!(!reach.failed());
+    assert!(reach.is_lost());
+    assert!(reach.answered());
+    assert!(!reach.answered());
+    assert!(!reach.is_lost());
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -62,12 +62,12 @@
         let lines = Arc::new(Lines::default());
         Self(Arc::new(Parts {
             fleet: Fleet::new(&settings),
+            published: Published::new(settings.bounds.heartbeat),
             settings: RwLock::new(Arc::new(settings)),
             dialect,
             clock,
             incarnation: clock.incarnation(),
             lifecycle,
-            published: Published::default(),
             peers: Peers::default(),
             quarantine: Quarantine::new(clock, lines.clone()),
             shelf: Shelf::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -107,13 +107,7 @@
         let far = gossip.hello.region != context.settings().region;
         context.fleet.take_note(note, far, now);
     }
-    // An echo of an earlier process on this VM is of another clock.
-    if let (Some(age), Some(echo)) = (gossip.confirmed, gossip.echo)
-        && echo.incarnation == context.incarnation
-    {
-        let sent = echo.stamp - Duration::from_millis(age);
-        context.published.confirm(gossip.revision, sent);
-    }
+    note_ages(context, gossip, now);
     if known {
         return;
     }
@@ -126,6 +120,19 @@
     }
 }
 
+/// Takes what a message dates by its age. The echo in it bounds when it was sent; one of an earlier
+/// process on this VM is of another clock.
+fn note_ages(context: &Context, gossip: &Gossip, now: Timestamp) {
+    let Some(echo) = gossip.echo.filter(|e| e.incarnation == context.incarnation) else {
+        return;
+    };
+    let published = &context.published;
+    published.learn_answers(&gossip.answered, echo.stamp, now);
+    if let Some(age) = gossip.confirmed {
+        published.confirm(gossip.revision, echo.stamp - Duration::from_millis(age));
+    }
+}
+
 /// Tells of a daemon that is new or in another phase. Where many change at once not all are told.
 fn note_peer(context: &Context, hello: &Hello, now: Timestamp) {
     if context.lines.success(now) {
@@ -325,9 +332,8 @@
                 .saturating_add(1)
         }),
         servers: context.published.servers_seen(),
-        away: context
-            .published
-            .servers(apricothall_decide::servers::Servers::is_away),
+        away: context.published.is_away(),
+        answered: context.published.servers(|s| s.outages.told(now)),
         versions: versions(context, now),
         suspects: if told {
             context.quarantine.told(now)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use apricothall_decide::cadence::{ROUND, Receivers, silence};
+use apricothall_decide::outage::AnsweredAge;
 use apricothall_decide::placement::Distance;
 use apricothall_decide::quarantine::Record;
 use apricothall_decide::readers::{Sound, Turn, turn};
@@ -127,6 +128,8 @@
     pub servers: Revision,
     /// Whether the store does not answer it.
     pub away: bool,
+    /// When the store answered any daemon.
+    pub answered: Vec<AnsweredAge>,
     /// Versions of models.
     pub versions: Vec<VersionNote>,
     /// Requests that end servers, as far as there is news of them.
@@ -333,13 +336,6 @@
         before
     }
 
-    /// Whether the store does not answer some daemon heard lately.
-    #[must_use]
-    pub fn any_away(&self, now: Timestamp) -> bool {
-        let known = self.known();
-        known.values().any(|p| p.away && p.is_alive(now))
-    }
-
     /// Addresses of all daemons known, silent ones included.
     #[must_use]
     pub fn addresses(&self) -> Vec<SocketAddr> {
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use apricothall_decide::lease::Lease;
+use apricothall_decide::outage::{AnsweredAge, OutageConfig};
+use apricothall_decide::readers::Reach;
 use apricothall_decide::servers::{Listing, Server, Servers};
 use apricothall_decide::versions::Versions;
 use apricothall_types::{Revision, Timestamp};
@@ -33,6 +35,7 @@
     lease: Lease,
     versions: BTreeMap<SmolStr, Versions>,
     servers: KnownServers,
+    reach: Reach,
     /// Whether this process has listed what operators wrote.
     listed: bool,
 }
@@ -43,15 +46,6 @@
     changed: watch::Sender<u64>,
 }
 
-impl Default for Published {
-    fn default() -> Self {
-        Self {
-            state: Mutex::default(),
-            changed: watch::Sender::new(0),
-        }
-    }
-}
-
 /// Where a fact was read, for logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reader {
@@ -62,6 +56,19 @@
 }
 
 impl Published {
+    /// Nothing known. Servers write their entries every `heartbeat`.
+    #[must_use]
+    pub fn new(heartbeat: Duration) -> Self {
+        let state = State {
+            servers: KnownServers::new(OutageConfig::for_heartbeat(heartbeat)),
+            ..State::default()
+        };
+        Self {
+            state: Mutex::new(state),
+            changed: watch::Sender::new(0),
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -191,6 +198,34 @@
         self.notify();
     }
 
+    /// Notes that a read of the store failed. True when the one before had not.
+    pub fn store_failed(&self) -> bool {
+        self.state().reach.failed()
+    }
+
+    /// Notes that the store answered. True when the read before had failed.
+    pub fn store_answered(&self, now: Timestamp) -> bool {
+        let mut state = self.state();
+        state.servers.answered(now);
+        state.reach.answered()
+    }
+
+    /// Notes that this daemon does not read the store, so that it does not wait for an answer.
+    pub fn leave_reading(&self) {
+        self.state().reach = Reach::default();
+    }
+
+    /// Whether the store does not answer this daemon.
+    #[must_use]
+    pub fn is_away(&self) -> bool {
+        self.state().reach.is_lost()
+    }
+
+    /// Takes when the store answered peers, from one that said so at `asked` at the earliest.
+    pub fn learn_answers(&self, told: &[AnsweredAge], asked: Timestamp, now: Timestamp) {
+        self.state().servers.learn(told, asked, now);
+    }
+
     /// Runs `act` on the servers.
     pub fn with_servers<T>(&self, act: impl FnOnce(&mut Servers) -> T) -> T {
         act(&mut self.state().servers.servers)
@@ -219,14 +254,25 @@
         self.notify();
     }
 
-    /// Takes the servers as a peer knows them, in place of what is known here.
-    pub fn adopt_servers(&self, listing: Listing, revision: Revision, now: Timestamp) {
-        self.state().servers.adopt(listing, revision, now);
+    /// Takes the servers as a peer knew them that was asked at `asked`, in place of what is known
+    /// here.
+    pub fn adopt_servers(
+        &self,
+        listing: Listing,
+        revision: Revision,
+        asked: Timestamp,
+        now: Timestamp,
+    ) {
+        self.state().servers.adopt(listing, revision, asked, now);
     }
 
-    /// Drops servers whose entries did not come back after an outage.
+    /// Drops servers whose entries did not come back after an outage. A daemon that the store does
+    /// not answer goes by what others list.
     pub fn expire_servers(&self, now: Timestamp) {
-        self.state().servers.expire(now);
+        let mut state = self.state();
+        if !state.reach.is_lost() {
+            state.servers.expire(now);
+        }
     }
 
     /// Takes the whole list of what operators have written, asked for at `sent` and read at `now`.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use apricothall_decide::quarantine::Record;
-use apricothall_decide::servers::{Listing, Servers};
+use apricothall_decide::servers::Listing;
 use apricothall_types::{Digest, Revision, Role, Timestamp};
 use apricothall_wire::{Connector, ConnectorConfig, Incoming, Lane, Payload, WireError};
 use futures::{SinkExt, StreamExt};
@@ -139,7 +139,7 @@
     let newer = in_force.filter(|f| f.revision > ask.held);
     let age = context.published.age(now);
     let seen = context.published.servers_seen();
-    let away = context.published.servers(Servers::is_away);
+    let away = context.published.is_away();
     let newer_servers = !away && seen > ask.servers;
     let list = || context.published.servers(|s| s.listing(now));
     let suspects = if ask.quarantine == context.quarantine.summary() {
@@ -170,7 +170,7 @@
     loop {
         tokio::time::sleep(STEP).await;
         let now = context.clock.now();
-        let away = context.published.servers(Servers::is_away);
+        let away = context.published.is_away();
         let reads = context.reads_store(now);
         let mut lack = lack(context, away || !reads, now);
         if away && context.settings().role == Role::Entry && now.since(asked) >= SERVERS_EVERY {
@@ -294,7 +294,7 @@
         let opened = connector.open::<Told, Ask>(peer, Lane::Control, PUBLISHED_PATH, None);
         let mut channel = opened.await?;
         let held = context.published.revision();
-        let servers = if context.published.servers(Servers::is_away) {
+        let servers = if context.published.is_away() {
             Revision::default()
         } else {
             context.published.servers_seen()
@@ -331,12 +331,14 @@
     let now = context.clock.now();
     let news = context.quarantine.merge(&told.suspects, now);
     context.quarantine.set_learned();
-    let learner = context.published.servers(Servers::is_away) || !context.reads_store(now);
+    let learner = context.published.is_away() || !context.reads_store(now);
     if let Some((revision, listing)) = told.servers
         && learner
         && revision >= context.published.servers_seen()
     {
-        context.published.adopt_servers(listing, revision, now);
+        context
+            .published
+            .adopt_servers(listing, revision, sent, now);
     }
     Ok(news)
 }
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use apricothall_decide::outage::{AnsweredAge, OutageConfig, Outages};
 use apricothall_decide::servers::{Listing, Removal, Server, Servers};
 use apricothall_types::{MemberId, Revision, Timestamp};
 use smol_str::SmolStr;
@@ -45,6 +46,38 @@
 }
 
 impl KnownServers {
+    /// No server.
+    #[must_use]
+    pub fn new(config: OutageConfig) -> Self {
+        Self {
+            servers: Servers::new(config),
+            ..Self::default()
+        }
+    }
+
+    /// Notes that the store answered this daemon.
+    pub fn answered(&mut self, now: Timestamp) {
+        self.note_answers(|outages| outages.answered(now));
+    }
+
+    /// Takes when the store answered peers, from one that said so at `asked` at the earliest.
+    pub fn learn(&mut self, told: &[AnsweredAge], asked: Timestamp, now: Timestamp) {
+        self.note_answers(|outages| outages.learn(told, asked, now));
+    }
+
+    fn note_answers(&mut self, note: impl FnOnce(&mut Outages)) {
+        let outages = &mut self.servers.outages;
+        let before = outages.latest().is_some();
+        note(outages);
+        match outages.latest() {
+            Some((length, _)) if !before => {
+                tracing::warn!(length_ms = millis(length), "the store was away for all");
+            }
+            None if before => tracing::info!("the store was not away, as peers tell"),
+            _ => {}
+        }
+    }
+
     /// How old what is known is; none before the first news.
     #[must_use]
     pub fn news(&self, now: Timestamp) -> Option<News> {
@@ -67,11 +100,19 @@
         tracing::debug!(count, %revision, "servers listed");
     }
 
-    /// Takes the servers as a peer knows them, in place of what is known here.
-    pub fn adopt(&mut self, listing: Listing, revision: Revision, now: Timestamp) {
+    /// Takes the servers as a peer knew them that was asked at `asked`, in place of what is known
+    /// here.
+    pub fn adopt(
+        &mut self,
+        listing: Listing,
+        revision: Revision,
+        asked: Timestamp,
+        now: Timestamp,
+    ) {
         let before = self.servers.ids();
         let missing = listing.missing();
-        self.servers.adopt(listing, now);
+        self.learn(&listing.answered, asked, now);
+        self.servers.adopt(listing, asked, now);
         let gone: Vec<_> = before
             .into_iter()
             .filter(|id| self.servers.get(id).is_none())
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -86,6 +86,8 @@
     pub grace: Duration,
     /// From a version's ack until no request begins on an older one.
     pub version: Duration,
+    /// Between two writes of a living server's entry.
+    pub heartbeat: Duration,
     /// Longest time that callers keep addresses.
     pub keep: Duration,
     /// Repeats allowed in a window, as a share of its requests.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -7,7 +7,7 @@
 use apricothall_clients::PlatformError;
 use apricothall_clients::http_client::{HttpClient, get};
 use apricothall_decide::readers::{Turn, retry_pause};
-use apricothall_decide::servers::{Server, Servers};
+use apricothall_decide::servers::Server;
 use apricothall_types::{Revision, Role, Timestamp};
 use http::StatusCode;
 use rand::Rng;
@@ -105,16 +105,11 @@
     if context.reads_store(context.clock.now()) {
         return;
     }
-    context.published.with_servers(Servers::leave_reading);
+    context.published.leave_reading();
     while !context.reads_store(context.clock.now()) {
         tokio::time::sleep(TURN_STEP).await;
     }
-    // Entries of servers may have lapsed in an outage that other readers have seen.
-    let outage = context.peers.any_away(context.clock.now());
-    if outage {
-        context.published.with_servers(Servers::store_failed);
-    }
-    tracing::info!(?subject, outage, "reads the store from now on");
+    tracing::info!(?subject, "reads the store from now on");
 }
 
 /// Lists and follows changes until a call fails.
@@ -295,14 +290,14 @@
         tracing::info!(?subject, "the store has dropped its history: listing anew");
         return;
     }
-    if context.published.with_servers(Servers::store_failed) {
+    if context.published.store_failed() {
         tracing::warn!(?subject, %error, "store lost");
     }
 }
 
 fn note_answer(context: &Context) {
     let now = context.clock.now();
-    if context.published.with_servers(|s| s.store_answered(now)) {
+    if context.published.store_answered(now) {
         tracing::info!("store regained");
     }
 }
