fix(gateway): news of servers come from other zones where a zone's readers hear nothing

Callers' requests reached a server more than 2 s after other zones knew that it had left: an entry learned of servers from its own zone only, and a reader from its own watch only, which counts as lost after 4.7 s of silence. Ruled out: a held server (no such line for it).

Change: decide::news says whom an entry asks that hears of higher revisions: its zone at once if it learns, another zone once the readers had time to, and a reader too, once its watch had time to bring it. As two sources may now tell of one change, what is known of servers has one revision and goes only forward: a list or a change that is older than what a peer told is not taken (before, a list set the revision to whatever it said, also to less, and a watch that had hung could put a server back). The revision counts changes of servers only, so that other writes cause no questions between zones.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod load;
 pub mod log_budget;
 pub mod membership;
+pub mod news;
 pub mod outage;
 pub mod outlier;
 pub mod pieces;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, PoisonError, RwLock};
 
+use apricothall_decide::readers::Turn;
 use apricothall_kernel::telemetry::Telemetry;
 use apricothall_kernel::{Clock, Lifecycle};
 use apricothall_types::{Incarnation, Timestamp};
@@ -84,10 +85,16 @@
         held.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// What this daemon does about the store.
+    #[must_use]
+    pub fn turn(&self, now: Timestamp) -> Turn {
+        self.peers.turn(&self.settings(), now)
+    }
+
     /// Whether this daemon reads the store, for itself and for others.
     #[must_use]
     pub fn reads_store(&self, now: Timestamp) -> bool {
-        self.peers.turn(&self.settings(), now).reads()
+        self.turn(now).reads()
     }
 
     /// Puts changed settings in force. True when they differ from those before.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -110,6 +110,17 @@
     },
 }
 
+impl Change {
+    /// Its revision.
+    #[must_use]
+    pub const fn revision(&self) -> Revision {
+        match self {
+            Self::Written(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// Changes since a revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -255,7 +255,7 @@
     }
 
     /// Takes the servers as a peer knew them that was asked at `asked`, in place of what is known
-    /// here.
+    /// here, unless that is newer.
     pub fn adopt_servers(
         &self,
         listing: Listing,
@@ -263,7 +263,10 @@
         asked: Timestamp,
         now: Timestamp,
     ) {
-        self.state().servers.adopt(listing, revision, asked, now);
+        let news = self.state().servers.adopt(listing, revision, asked, now);
+        if news {
+            self.notify();
+        }
     }
 
     /// Drops servers whose entries did not come back after an outage. A daemon that the store does
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use apricothall_decide::news::{Ahead, Source, source};
 use apricothall_decide::quarantine::Record;
+use apricothall_decide::readers::Turn;
 use apricothall_decide::servers::Listing;
 use apricothall_types::{Digest, Revision, Role, Timestamp};
 use apricothall_wire::{Connector, ConnectorConfig, Incoming, Lane, Payload, WireError};
@@ -61,11 +63,25 @@
     suspects: Vec<(Digest, Record)>,
 }
 
-/// What peers know and this daemon does not.
-#[derive(Clone, Copy, Debug, Default)]
+/// What is asked of a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Lack {
     configuration: bool,
-    servers: bool,
+    servers: Source,
+}
+
+impl Lack {
+    const NOTHING: Self = Self {
+        configuration: false,
+        servers: Source::Nobody,
+    };
+}
+
+/// Since when peers have known what this daemon does not.
+#[derive(Default)]
+struct Behind {
+    configuration: Option<Timestamp>,
+    servers: Option<(Revision, Timestamp)>,
 }
 
 #[derive(Debug, Error)]
@@ -165,23 +181,17 @@
 /// Asks peers for newer configurations and servers.
 async fn follow(context: &Context) {
     let connector = connector(context);
-    let mut behind: Option<Timestamp> = None;
+    let mut behind = Behind::default();
     let mut asked = Timestamp::default();
     loop {
         tokio::time::sleep(STEP).await;
         let now = context.clock.now();
-        let away = context.published.is_away();
-        let reads = context.reads_store(now);
-        let mut lack = lack(context, away || !reads, now);
-        if away && context.settings().role == Role::Entry && now.since(asked) >= SERVERS_EVERY {
-            lack.servers = true;
-        }
-        if !lack.configuration && !lack.servers {
-            behind = None;
-            continue;
+        let mut lack = behind.lack(context, now);
+        let is_entry = context.settings().role == Role::Entry;
+        if is_entry && context.published.is_away() && now.since(asked) >= SERVERS_EVERY {
+            lack.servers = Source::Anywhere;
         }
-        let since = *behind.get_or_insert(now);
-        if reads && !away && now.since(since) < PATIENCE {
+        if lack == Lack::NOTHING {
             continue;
         }
         asked = now;
@@ -249,38 +259,76 @@
         .copied()
 }
 
-/// What peers know that this daemon does not. Only `learner`s take servers from peers.
-fn lack(context: &Context, learner: bool, now: Timestamp) -> Lack {
-    let held = context.published.revision();
-    let seen = context.published.servers_seen();
-    let settings = context.settings();
-    let learner = learner && settings.role == Role::Entry;
-    let mut lack = Lack::default();
-    context.peers.each(now, |peer| {
-        let near = peer.hello.zone == settings.zone;
-        lack.configuration |= peer.revision > held;
-        lack.servers |= learner && near && peer.is_sound(now) && peer.servers > seen;
-    });
-    lack
+impl Behind {
+    /// What peers know that this daemon does not, once nobody closer is expected to bring it.
+    fn lack(&mut self, context: &Context, now: Timestamp) -> Lack {
+        let turn = context.turn(now);
+        let lost = context.published.is_away();
+        let held = context.published.revision();
+        let mut newer = false;
+        context
+            .peers
+            .each(now, |peer| newer |= peer.revision > held);
+        let since = self.configuration.filter(|_| newer).unwrap_or(now);
+        self.configuration = newer.then_some(since);
+        let waits = turn.reads() && !lost && now.since(since) < PATIENCE;
+        Lack {
+            configuration: newer && !waits,
+            servers: self.servers(context, turn, lost, now),
+        }
+    }
+
+    /// Whom to ask for servers; agents need none.
+    fn servers(&mut self, context: &Context, turn: Turn, lost: bool, now: Timestamp) -> Source {
+        let settings = context.settings();
+        if settings.role == Role::Agent {
+            return Source::Nobody;
+        }
+        let seen = context.published.servers_seen();
+        let (mut near, mut far) = (false, false);
+        context.peers.each(now, |peer| {
+            if peer.hello.role != Role::Entry || !peer.is_sound(now) || peer.servers <= seen {
+                return;
+            }
+            let own_zone = peer.hello.zone == settings.zone;
+            near |= own_zone;
+            far |= !own_zone;
+        });
+        // News that comes meanwhile shows that somebody closer brings them.
+        let same = self.servers.filter(|(at, _)| *at == seen && (near || far));
+        let (_, since) = same.unwrap_or((seen, now));
+        self.servers = (near || far).then_some((seen, since));
+        let since = now.since(since);
+        source(turn, lost, Ahead { near, far, since })
+    }
 }
 
-/// A daemon that knows what is lacking, of the own zone if there is one.
+/// A daemon that knows what is lacking, of the own zone if there is one. Without one, a daemon that
+/// the store does not answer asks others that know as much.
 fn choose(context: &Context, lack: Lack, now: Timestamp) -> Option<SocketAddr> {
     let zone = context.settings().zone.clone();
     let held = context.published.revision();
     let seen = context.published.servers_seen();
-    let (mut near, mut all) = (Vec::new(), Vec::new());
+    let lost = context.published.is_away();
+    let (mut near, mut all, mut equal) = (Vec::new(), Vec::new(), Vec::new());
     context.peers.each(now, |peer| {
-        let servers = peer.hello.role == Role::Entry && !peer.away && peer.servers >= seen;
-        if !(lack.configuration && peer.revision > held || lack.servers && servers) {
-            return;
-        }
-        all.push(peer.hello.address);
-        if peer.hello.zone == zone {
+        let own_zone = peer.hello.zone == zone;
+        let asked = match lack.servers {
+            Source::Nobody => false,
+            Source::Zone => own_zone,
+            Source::Anywhere => true,
+        };
+        let tells = asked && peer.hello.role == Role::Entry && !peer.away;
+        let ahead = tells && peer.servers > seen || lack.configuration && peer.revision > held;
+        if ahead && own_zone {
             near.push(peer.hello.address);
+        } else if ahead {
+            all.push(peer.hello.address);
+        } else if tells && lost && peer.servers == seen {
+            equal.push(peer.hello.address);
         }
     });
-    pick(&near, &all)
+    pick(&near, &all).or_else(|| pick(&equal, &[]))
 }
 
 /// Asks a peer. True when it told of requests that end servers which were not known.
@@ -331,11 +379,7 @@
     let now = context.clock.now();
     let news = context.quarantine.merge(&told.suspects, now);
     context.quarantine.set_learned();
-    let learner = context.published.is_away() || !context.reads_store(now);
-    if let Some((revision, listing)) = told.servers
-        && learner
-        && revision >= context.published.servers_seen()
-    {
+    if let Some((revision, listing)) = told.servers {
         context
             .published
             .adopt_servers(listing, revision, sent, now);
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -89,8 +89,12 @@
         })
     }
 
-    /// Takes the whole list as of `revision`.
+    /// Takes the whole list as of `revision`. A list that is older than what peers told is not taken.
     pub fn replace(&mut self, list: Vec<Server>, revision: Revision, now: Timestamp) {
+        if revision < self.seen {
+            tracing::info!(%revision, known = %self.seen, "older list of servers not taken");
+            return;
+        }
         let count = list.len();
         for (id, removal) in self.servers.replace(list, now) {
             log_removal(&id, removal, "absent from a list", revision);
@@ -101,14 +105,17 @@
     }
 
     /// Takes the servers as a peer knew them that was asked at `asked`, in place of what is known
-    /// here.
+    /// here, unless that is newer. True when it is news.
     pub fn adopt(
         &mut self,
         listing: Listing,
         revision: Revision,
         asked: Timestamp,
         now: Timestamp,
-    ) {
+    ) -> bool {
+        if revision < self.seen {
+            return false;
+        }
         let before = self.servers.ids();
         let missing = listing.missing();
         self.learn(&listing.answered, asked, now);
@@ -122,25 +129,28 @@
         } else {
             tracing::info!(%revision, before = %self.seen, ?gone, ?missing, "servers taken from a peer");
         }
+        let news = revision > self.seen;
         self.seen = revision;
         self.told = Some((Reader::Peer, now));
+        news
     }
 
-    /// Takes changes that the store told of. True when there are any.
+    /// Takes changes that the store told of, unless peers told of them before. True when there are
+    /// any.
     pub fn take(&mut self, calls: &StoreCalls, changes: &Changes, now: Timestamp) -> bool {
+        let before = self.seen;
         for change in &changes.changes {
+            if change.revision() <= before {
+                continue;
+            }
             match change {
                 Change::Written(item) => self.write(calls, item),
                 Change::Removed { key, revision } => self.remove(calls, key, *revision, now),
             }
-        }
-        // The store's revision rises with what others write; peers need to hear of changes only.
-        let any = !changes.changes.is_empty();
-        if any {
-            self.seen = changes.revision;
+            self.seen = self.seen.max(change.revision());
         }
         self.told = Some((Reader::Store, now));
-        any
+        self.seen > before
     }
 
     fn write(&mut self, calls: &StoreCalls, item: &Item) {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -254,7 +254,7 @@
         let step = CONFIRM_STEP.mul_f64(0.5 + rand::rng().random::<f64>());
         tokio::time::sleep(step).await;
         let now = context.clock.now();
-        let part = confirm_part(context.peers.turn(&context.settings(), now));
+        let part = confirm_part(context.turn(now));
         let allowed = context.settings().bounds.revoke.unwrap_or(ANY_AGE);
         let due = allowed * part / 100;
         if context.published.age(now).is_some_and(|age| age < due) {
