fix(gateway): the first reader of a zone notices within 1.6 s that the store is silent

Callers' requests reached a server that had left more than 2 s before, at an entry in touch whose zone's readers heard nothing from the store and did not know it. So the entry that would take over was not asked to. A zone without others to hear from had no other way to the news.

Change: the first reader reads the store each second whoever confirmed, and says that it does not answer after 0.4 s of waiting, in a message of its own; the call goes on and may still be answered. The second one leaves the check to the first: with that one lost it is the first. Where the store is slow for all, one or two more of a zone read (the learner that takes over is not checked by others).

--- a/crates/decide/src/readers.rs
+++ b/crates/decide/src/readers.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use apricothall_types::{MemberId, Role};
+use apricothall_types::{MemberId, Role, Timestamp};
 
 /// Another daemon heard lately that serves and that the store answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,10 +59,14 @@
     }
 }
 
+/// Time without an answer after which the first reader of a zone asks again.
+const CHECK_EVERY: Duration = Duration::from_secs(1);
+
 /// Whether the store answers a daemon that reads it. Says nothing of what it does with others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Reach {
     lost: bool,
+    answered: Option<Timestamp>,
 }
 
 impl Reach {
@@ -72,10 +76,19 @@
     }
 
     /// Notes an answer. True when the call before had failed.
-    pub fn answered(&mut self) -> bool {
+    pub fn answered(&mut self, now: Timestamp) -> bool {
+        self.answered = Some(now);
         std::mem::take(&mut self.lost)
     }
 
+    /// Whether the first reader of a zone asks again, to notice early that it hears nothing: others
+    /// learn from it.
+    #[must_use]
+    pub fn is_due(self, turn: Turn, now: Timestamp) -> bool {
+        let recent = |at| now.since(at) < CHECK_EVERY;
+        turn == Turn::First && !self.lost && !self.answered.is_some_and(recent)
+    }
+
     /// Whether the last call failed.
     #[must_use]
     pub const fn is_lost(self) -> bool {
--- a/crates/decide/tests/outage.rs
+++ b/crates/decide/tests/outage.rs
@@ -266,7 +266,7 @@
 
 fn read(daemon: &mut Daemon, schedule: &Schedule, now: u64) {
     daemon.due = now + READ_EVERY;
-    daemon.reach.answered();
+    daemon.reach.answered(at(now));
     daemon.servers.outages.answered(at(now));
     let listed = (0..SERVERS).filter(|s| schedule.lists(*s, now));
     daemon.servers.replace(listed.map(entry).collect(), at(now));
--- a/crates/decide/tests/readers.rs
+++ b/crates/decide/tests/readers.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 use apricothall_decide::readers::{Reach, Sound, Turn, retry_pause, turn};
-use apricothall_types::{MemberId, Role};
+use apricothall_types::{MemberId, Role, Timestamp};
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
 
 fn id(name: &str) -> MemberId {
     name.parse().expect("valid")
@@ -105,7 +109,31 @@
     assert!(reach.failed());
     assert!(!reach.failed());
     assert!(reach.is_lost());
-    assert!(reach.answered());
-    assert!(!reach.answered());
+    assert!(reach.answered(at(1)));
+    assert!(!reach.answered(at(2)));
     assert!(!reach.is_lost());
 }
+
+macro_rules! checks {
+    ($($case:ident: $turn:ident, lost $lost:literal, answered $answered:expr, at $now:literal => $due:literal;)*) => {
+        $(#[test] fn $case() {
+            let mut reach = Reach::default();
+            if let Some(answered) = $answered {
+                reach.answered(at(answered));
+            }
+            if $lost {
+                reach.failed();
+            }
+            assert_eq!(reach.is_due(Turn::$turn, at($now)), $due);
+        })*
+    };
+}
+
+checks! {
+    a_first_reader_asks_again_each_second: First, lost false, answered Some(5_000), at 6_000 => true;
+    not_sooner: First, lost false, answered Some(5_000), at 5_900 => false;
+    a_first_reader_that_had_no_answer_yet: First, lost false, answered None, at 10 => true;
+    a_second_reader_leaves_it_to_the_first: Second, lost false, answered Some(5_000), at 9_000 => false;
+    those_that_learn_do_not_ask: Learns, lost false, answered None, at 9_000 => false;
+    a_reader_that_knows_it_is_lost_tries_in_its_turn: First, lost true, answered Some(5_000), at 9_000 => false;
+}
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -73,7 +73,8 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Tells of each change of the configuration, of a version or of the servers.
+    /// Tells of each change of the configuration, of a version or of the servers, and of the loss of
+    /// the store.
     #[must_use]
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
@@ -200,14 +201,18 @@
 
     /// Notes that a read of the store failed. True when the one before had not.
     pub fn store_failed(&self) -> bool {
-        self.state().reach.failed()
+        let news = self.state().reach.failed();
+        if news {
+            self.notify();
+        }
+        news
     }
 
     /// Notes that the store answered. True when the read before had failed.
     pub fn store_answered(&self, now: Timestamp) -> bool {
         let mut state = self.state();
         state.servers.answered(now);
-        state.reach.answered()
+        state.reach.answered(now)
     }
 
     /// Notes that this daemon does not read the store, so that it does not wait for an answer.
@@ -221,6 +226,12 @@
         self.state().reach.is_lost()
     }
 
+    /// Whether the store answers this daemon.
+    #[must_use]
+    pub fn reach(&self) -> Reach {
+        self.state().reach
+    }
+
     /// Takes when the store answered peers, from one that said so at `asked` at the earliest.
     pub fn learn_answers(&self, told: &[AnsweredAge], asked: Timestamp, now: Timestamp) {
         self.state().servers.learn(told, asked, now);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -24,6 +24,9 @@
 /// Time beyond its wait after which a watch counts as lost.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
+/// Wait for an answer after which others are told that the store does not answer.
+const SILENCE: Duration = Duration::from_millis(400);
+
 /// Longest wait for a list.
 const LIST_WAIT: Duration = Duration::from_millis(1_200);
 
@@ -247,26 +250,48 @@
     }
 }
 
-/// Reads the store whenever no reader has confirmed the configuration lately.
+/// Reads the store whenever no reader has confirmed the configuration lately, and as the first
+/// reader of a zone to see that it still answers.
 async fn confirm(context: &Context) {
     let client = HttpClient::new(Some(context.settings().ip), CONNECT_WAIT);
     loop {
         let step = CONFIRM_STEP.mul_f64(0.5 + rand::rng().random::<f64>());
         tokio::time::sleep(step).await;
-        let now = context.clock.now();
-        let part = confirm_part(context.turn(now));
-        let allowed = context.settings().bounds.revoke.unwrap_or(ANY_AGE);
-        let due = allowed * part / 100;
-        if context.published.age(now).is_some_and(|age| age < due) {
+        if !is_due(context, context.clock.now()) {
             continue;
         }
-        if let Err(error) = list(context, &client, Subject::Operators).await {
+        let reading = list(context, &client, Subject::Operators);
+        if let Err(error) = watch_for_silence(context, reading).await {
             note_end(context, Subject::Operators, &error);
             rest(context).await;
         }
     }
 }
 
+fn is_due(context: &Context, now: Timestamp) -> bool {
+    let turn = context.turn(now);
+    let allowed = context.settings().bounds.revoke.unwrap_or(ANY_AGE);
+    let due = allowed * confirm_part(turn) / 100;
+    let fresh = context.published.age(now).is_some_and(|age| age < due);
+    !fresh || context.published.reach().is_due(turn, now)
+}
+
+/// Awaits an answer. If it takes long, others are told before it has failed, so that one of them
+/// takes over in time.
+async fn watch_for_silence<T>(
+    context: &Context,
+    reading: impl Future<Output = Result<T, ReadError>>,
+) -> Result<T, ReadError> {
+    let mut reading = std::pin::pin!(reading);
+    if let Ok(read) = tokio::time::timeout(SILENCE, reading.as_mut()).await {
+        return read;
+    }
+    if context.reads_store(context.clock.now()) && context.published.store_failed() {
+        tracing::warn!("store silent");
+    }
+    reading.await
+}
+
 /// Leaves the store alone for a while after a failed call.
 async fn rest(context: &Context) {
     let now = context.clock.now();
