fix(gateway): requests that moved off one crash at the same moment go to different servers

A suspect counted at a server only once its connection stood, so two that are placed in between see the server as free. At the third crash all living servers had some suspect, and then nothing was kept apart: the lethal one, at two crashes, went to where an innocent one of two crashes ran.

Change: decide::apart counts a request from its placement on, by the crashes that it was at, and places a suspect where others were at the fewest. Why it works: those that were at as many crashes part as long as there are servers with less. It holds inside one entry; between entries only news of crashes parts them, as before.

--- /dev/null
+++ b/crates/decide/src/apart.rs
@@ -0,0 +1,56 @@
+//! Keeps requests apart under which servers may have ended.
+//!
+//! The one that ends servers is among those that were there when they ended. Innocent ones are told
+//! from it by not being with it each time, so each goes to a server where others were at as few
+//! crashes as possible.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// Requests at each server by the crashes that they were present at. Others don't count.
+#[derive(Clone, Debug, Default)]
+pub struct Apart {
+    at: HashMap<SocketAddr, BTreeMap<u32, u32>>,
+}
+
+impl Apart {
+    /// Counts a request that was present at `crashes` as at `address`, or on its way there.
+    pub fn enter(&mut self, address: SocketAddr, crashes: u32) {
+        if crashes > 0 {
+            let counts = self.at.entry(address).or_default();
+            *counts.entry(crashes).or_default() += 1;
+        }
+    }
+
+    /// Counts a request as gone that [`Apart::enter`] has counted.
+    pub fn leave(&mut self, address: SocketAddr, crashes: u32) {
+        let Some(counts) = self.at.get_mut(&address) else {
+            return;
+        };
+        if let Some(count) = counts.get_mut(&crashes) {
+            *count -= 1;
+        }
+        counts.retain(|_, count| *count > 0);
+        if counts.is_empty() {
+            self.at.remove(&address);
+        }
+    }
+
+    /// Crashes that some request at `address` was present at, at most.
+    #[must_use]
+    pub fn most(&self, address: &SocketAddr) -> u32 {
+        let counts = self.at.get(address);
+        counts
+            .and_then(|c| c.keys().next_back().copied())
+            .unwrap_or_default()
+    }
+
+    /// Keeps those of `offers` where others were present at the fewest crashes, for a request that
+    /// was present at some.
+    pub fn keep<T>(&self, offers: &mut Vec<T>, address: impl Fn(&T) -> SocketAddr) {
+        let most = |offer: &T| self.most(&address(offer));
+        if let Some(least) = offers.iter().map(most).min() {
+            offers.retain(|offer| most(offer) == least);
+        }
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod configs;
 
 pub mod admission;
+pub mod apart;
 pub mod cadence;
 pub mod claims;
 pub mod dedupe;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use apricothall_decide::apart::Apart;
 use apricothall_decide::configs::OutlierConfig;
 use apricothall_decide::load::{Entries, Forecast, Load, Prompt, Standing};
 use apricothall_decide::outlier::{Attempt, Outlier, Permit};
@@ -49,8 +50,8 @@
 
 struct State {
     loads: HashMap<SocketAddr, Load>,
-    /// Suspects of this entry that are at each server.
-    suspects: HashMap<SocketAddr, u32>,
+    /// Requests of this entry under which servers may have ended.
+    apart: Apart,
     notes: HashMap<SocketAddr, Noted>,
     entries: Entries,
     outlier: Outlier,
@@ -99,8 +100,8 @@
     pub prompt: Prompt,
     /// Servers that have had the request.
     pub tried: &'a [MemberId],
-    /// Whether servers may have ended under the request.
-    pub suspect: bool,
+    /// Servers that may have ended under the request.
+    pub crashes: u32,
 }
 
 /// A server chosen for a request.
@@ -151,7 +152,7 @@
         Self {
             state: Mutex::new(State {
                 loads: HashMap::new(),
-                suspects: HashMap::new(),
+                apart: Apart::default(),
                 notes: HashMap::new(),
                 entries: Entries::ALONE,
                 outlier: Outlier::new(outlier),
@@ -237,23 +238,25 @@
     }
 
     /// Counts a request as in flight at `address`.
-    pub fn enter(&self, address: SocketAddr, suspect: bool, now: Timestamp) {
-        let mut state = self.state();
-        state.loads.entry(address).or_default().begin(now);
-        if suspect {
-            *state.suspects.entry(address).or_default() += 1;
-        }
+    pub fn enter(&self, address: SocketAddr, now: Timestamp) {
+        self.state().loads.entry(address).or_default().begin(now);
     }
 
     /// Counts a request as ended that [`Fleet::enter`] has counted.
-    pub fn leave(&self, address: SocketAddr, suspect: bool) {
-        let mut state = self.state();
-        if let Some(load) = state.loads.get_mut(&address) {
+    pub fn leave(&self, address: SocketAddr) {
+        if let Some(load) = self.state().loads.get_mut(&address) {
             load.end();
         }
-        if suspect {
-            state.end_suspect(address);
-        }
+    }
+
+    /// Counts a request under which servers may have ended as on its way to `address`, or there.
+    pub fn set_apart(&self, address: SocketAddr, crashes: u32) {
+        self.state().apart.enter(address, crashes);
+    }
+
+    /// Counts such a request as gone.
+    pub fn end_apart(&self, address: SocketAddr, crashes: u32) {
+        self.state().apart.leave(address, crashes);
     }
 
     /// Notes how an attempt at a server ended.
@@ -373,8 +376,8 @@
                 forecast,
             });
         }
-        if ask.suspect {
-            self.keep_apart(&mut offers);
+        if ask.crashes > 0 {
+            self.apart.keep(&mut offers, |o| o.server.address);
         }
         offers
     }
@@ -391,25 +394,6 @@
         waits.min()
     }
 
-    /// Leaves out servers that have a suspect, if there are others, so that one which ends its
-    /// server takes no other suspect with it.
-    fn keep_apart(&self, offers: &mut Vec<Offer<'_>>) {
-        let has_suspect = |o: &Offer<'_>| self.suspects.contains_key(&o.server.address);
-        if !offers.iter().all(has_suspect) {
-            offers.retain(|o| !has_suspect(o));
-        }
-    }
-
-    fn end_suspect(&mut self, address: SocketAddr) {
-        let Some(count) = self.suspects.get_mut(&address) else {
-            return;
-        };
-        *count -= 1;
-        if *count == 0 {
-            self.suspects.remove(&address);
-        }
-    }
-
     /// Counts the prompt of a request that is about to be sent.
     fn take(&mut self, offer: &Offer<'_>, ask: &Ask<'_>, now: Timestamp) -> Placed {
         let server = offer.server;
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -10,6 +10,34 @@
 use crate::Context;
 use crate::quarantine::{Loss, end_of};
 
+/// Counts a request under which servers may have ended as at a server, or on its way there, until
+/// dropped.
+pub struct SetApart {
+    context: Context,
+    address: SocketAddr,
+    crashes: u32,
+}
+
+impl SetApart {
+    /// Counts a request with `fingerprint` that was given a place at `address`.
+    #[must_use]
+    pub fn begin(context: &Context, address: SocketAddr, fingerprint: &Digest) -> Self {
+        let crashes = context.quarantine.crashes(fingerprint);
+        context.fleet.set_apart(address, crashes);
+        Self {
+            context: context.clone(),
+            address,
+            crashes,
+        }
+    }
+}
+
+impl Drop for SetApart {
+    fn drop(&mut self) {
+        self.context.fleet.end_apart(self.address, self.crashes);
+    }
+}
+
 /// Counts a request as in flight until dropped. The server counts as crashed with it, unless the
 /// request is settled before or the server is seen later in the same life.
 pub struct InFlight {
@@ -18,7 +46,7 @@
     fingerprint: Digest,
     crash: Crash,
     sent: Timestamp,
-    suspect: bool,
+    _apart: SetApart,
     settled: AtomicBool,
 }
 
@@ -26,15 +54,14 @@
     /// Counts a request with `fingerprint` as in flight at `server`.
     #[must_use]
     pub fn begin(context: &Context, server: &Server, fingerprint: Digest, now: Timestamp) -> Self {
-        let suspect = !context.quarantine.is_clear(&fingerprint);
-        context.fleet.enter(server.address, suspect, now);
+        context.fleet.enter(server.address, now);
         Self {
             context: context.clone(),
             address: server.address,
             fingerprint,
             crash: end_of(server),
             sent: now,
-            suspect,
+            _apart: SetApart::begin(context, server.address, &fingerprint),
             settled: AtomicBool::new(false),
         }
     }
@@ -75,6 +102,6 @@
         if !self.settled.load(Ordering::Relaxed) {
             self.lost(Loss::Silent);
         }
-        self.context.fleet.leave(self.address, self.suspect);
+        self.context.fleet.leave(self.address);
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -14,6 +14,7 @@
 use crate::exchange::{Answer, AttemptError, begin_limit, exchange};
 use crate::feed::{Feed, FeedError};
 use crate::fleet::{Place, Placed, Placement};
+use crate::flight::SetApart;
 use crate::forwarder::{Forwarder, note_attempt};
 use crate::lines::millis;
 use crate::quarantine::Loss;
@@ -77,6 +78,8 @@
                 }
             };
             story.tried.push(placed.server.id.clone());
+            let address = placed.server.address;
+            let _apart = SetApart::begin(&self.context, address, &call.fingerprint);
             let (end, error) = match self.attempt(&call, &placed, &mut story).await {
                 Ok(response) => return response,
                 Err(failed) => failed,
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -56,7 +56,7 @@
                 urgent: call.urgent,
             },
             tried,
-            suspect: !self.context.quarantine.is_clear(&call.fingerprint),
+            crashes: self.context.quarantine.crashes(&call.fingerprint),
         };
         self.context.fleet.place(&self.context, &ask, now)
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -120,10 +120,12 @@
         self.records().standing(fingerprint)
     }
 
-    /// Whether no server is known to have ended under a request.
+    /// Servers that may have ended under a request.
     #[must_use]
-    pub fn is_clear(&self, fingerprint: &Digest) -> bool {
-        self.standing(fingerprint) == Standing::Clear
+    pub fn crashes(&self, fingerprint: &Digest) -> u32 {
+        let records = self.records();
+        let open = records.get(fingerprint).map_or(0, |r| r.open().count());
+        u32::try_from(open).unwrap_or(u32::MAX)
     }
 
     /// Whether a request is not run again.
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -7,6 +7,7 @@
 use crate::exchange::exchange;
 use crate::feed::Feed;
 use crate::fleet::{Placed, Placement};
+use crate::flight::SetApart;
 use crate::forwarder::{Forwarder, note_attempt};
 use crate::request::Call;
 
@@ -29,6 +30,8 @@
                 }
             };
             tried.push(placed.server.id.clone());
+            let address = placed.server.address;
+            let _apart = SetApart::begin(&self.context, address, &call.fingerprint);
             let resume = last.or(call.resume);
             note_attempt(true);
             let sent = exchange(
