--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod forwarder;
 pub mod gossip;
 pub mod head_limit;
+pub mod lack;
 pub mod lines;
 pub mod model;
 pub mod peers;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,14 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use apricothall_decide::news::{Ahead, Source, source};
+use apricothall_decide::news::Source;
 use apricothall_decide::quarantine::Record;
-use apricothall_decide::readers::Turn;
 use apricothall_decide::servers::Listing;
 use apricothall_types::{Digest, Revision, Role, Timestamp};
 use apricothall_wire::{Connector, ConnectorConfig, Incoming, Lane, Payload, WireError};
 use futures::{SinkExt, StreamExt};
-use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use thiserror::Error;
@@ -20,6 +18,7 @@
 use crate::Context;
 use crate::agent::pieces;
 use crate::dialect::Item;
+use crate::lack::{Behind, Lack, choose, pick};
 use crate::published::Reader;
 use crate::quarantine::knows_others;
 
@@ -29,9 +28,6 @@
 /// Time between two looks at whether a peer knows more.
 const STEP: Duration = Duration::from_millis(100);
 
-/// Time for which a reader's own watch may still bring a revision that peers have.
-const PATIENCE: Duration = Duration::from_millis(200);
-
 /// Time between two reads of a peer's servers while the store is away.
 const SERVERS_EVERY: Duration = Duration::from_millis(400);
 
@@ -63,27 +59,6 @@
     suspects: Vec<(Digest, Record)>,
 }
 
-/// What is asked of a peer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Lack {
-    configuration: bool,
-    servers: Source,
-}
-
-impl Lack {
-    const NOTHING: Self = Self {
-        configuration: false,
-        servers: Source::Nobody,
-    };
-}
-
-/// Since when peers have known what this daemon does not.
-#[derive(Default)]
-struct Behind {
-    configuration: Option<Timestamp>,
-    servers: Option<(Revision, Timestamp)>,
-}
-
 #[derive(Debug, Error)]
 enum RelayError {
     #[error(transparent)]
@@ -251,86 +226,6 @@
     pick(&near, &all)
 }
 
-/// Any of `near`, or of `all` if there is none.
-fn pick(near: &[SocketAddr], all: &[SocketAddr]) -> Option<SocketAddr> {
-    let mut rng = rand::rng();
-    near.choose(&mut rng)
-        .or_else(|| all.choose(&mut rng))
-        .copied()
-}
-
-impl Behind {
-    /// What peers know that this daemon does not, once nobody closer is expected to bring it.
-    fn lack(&mut self, context: &Context, now: Timestamp) -> Lack {
-        let turn = context.turn(now);
-        let lost = context.published.is_away();
-        let held = context.published.revision();
-        let mut newer = false;
-        context
-            .peers
-            .each(now, |peer| newer |= peer.revision > held);
-        let since = self.configuration.filter(|_| newer).unwrap_or(now);
-        self.configuration = newer.then_some(since);
-        let waits = turn.reads() && !lost && now.since(since) < PATIENCE;
-        Lack {
-            configuration: newer && !waits,
-            servers: self.servers(context, turn, lost, now),
-        }
-    }
-
-    /// Whom to ask for servers; agents need none.
-    fn servers(&mut self, context: &Context, turn: Turn, lost: bool, now: Timestamp) -> Source {
-        let settings = context.settings();
-        if settings.role == Role::Agent {
-            return Source::Nobody;
-        }
-        let seen = context.published.servers_seen();
-        let (mut near, mut far) = (false, false);
-        context.peers.each(now, |peer| {
-            if peer.hello.role != Role::Entry || !peer.is_sound(now) || peer.servers <= seen {
-                return;
-            }
-            let own_zone = peer.hello.zone == settings.zone;
-            near |= own_zone;
-            far |= !own_zone;
-        });
-        // News that comes meanwhile shows that somebody closer brings them.
-        let same = self.servers.filter(|(at, _)| *at == seen && (near || far));
-        let (_, since) = same.unwrap_or((seen, now));
-        self.servers = (near || far).then_some((seen, since));
-        let since = now.since(since);
-        source(turn, lost, Ahead { near, far, since })
-    }
-}
-
-/// A daemon that knows what is lacking, of the own zone if there is one. Without one, a daemon that
-/// the store does not answer asks others that know as much.
-fn choose(context: &Context, lack: Lack, now: Timestamp) -> Option<SocketAddr> {
-    let zone = context.settings().zone.clone();
-    let held = context.published.revision();
-    let seen = context.published.servers_seen();
-    let lost = context.published.is_away();
-    let (mut near, mut all, mut equal) = (Vec::new(), Vec::new(), Vec::new());
-    context.peers.each(now, |peer| {
-        let own_zone = peer.hello.zone == zone;
-        let asked = match lack.servers {
-            Source::Nobody => false,
-            Source::Zone => own_zone,
-            Source::Anywhere => true,
-        };
-        let tells = asked && peer.hello.role == Role::Entry && !peer.away;
-        let ahead = tells && peer.servers > seen || lack.configuration && peer.revision > held;
-        if ahead && own_zone {
-            near.push(peer.hello.address);
-        } else if ahead {
-            all.push(peer.hello.address);
-        } else if tells && lost && peer.servers == seen {
-            equal.push(peer.hello.address);
-        }
-    });
-    pick(&near, &all).or_else(|| pick(&equal, &[]))
-}
-
 /// Asks a peer. True when it told of requests that end servers which were not known.
 async fn ask(
     context: &Context,
