test: the lethal request is bounded from the first news on, not only after three seconds

Now an attempt made more than half a second after it, at an entry that was not disturbed, must reach no server.

--- a/crates/apricotd/tests/crash_loop.rs
+++ b/crates/apricotd/tests/crash_loop.rs
@@ -55,6 +55,10 @@
 /// Times that the request may reach a server after that.
 const LATE_ARRIVALS: usize = 3;
 
+/// Time in which news of the third crash is at all entries that run undisturbed: a few rounds of
+/// messages. What they are asked later reaches no server.
+const FRESH_NEWS: Duration = Duration::from_millis(500);
+
 /// Longest wait of a caller.
 const CALLER_WAIT: Duration = Duration::from_secs(6);
 
@@ -73,19 +77,25 @@
 #[derive(Default)]
 struct Ledger {
     disturbed: Vec<(SocketAddr, Instant)>,
-    asked: HashMap<String, SocketAddr>,
+    asked: HashMap<String, (SocketAddr, Instant)>,
 }
 
 impl Ledger {
     /// Whether the entry that sent it was disturbed in the time in which it hears of news.
     fn excuses(&self, arrival: &Arrival) -> bool {
-        let Some(entry) = self.asked.get(&arrival.attempt) else {
+        let Some((entry, _)) = self.asked.get(&arrival.attempt) else {
             return false;
         };
         let recent = |at: Instant| at <= arrival.at && arrival.at < at + NEWS;
         let mut all = self.disturbed.iter();
         all.any(|(other, at)| other == entry && recent(*at))
     }
+
+    /// Whether it is of an attempt that was made after `at`.
+    fn is_after(&self, arrival: &Arrival, at: Instant) -> bool {
+        let asked = self.asked.get(&arrival.attempt);
+        asked.is_some_and(|(_, asked)| *asked > at)
+    }
 }
 
 struct World {
@@ -170,7 +180,7 @@
             for number in 0.. {
                 let id = format!("lethal-{number}");
                 let at = *callers.choose(&mut rand::rng()).expect("some");
-                let asked = (id.clone(), at);
+                let asked = (id.clone(), (at, Instant::now()));
                 ledger.lock().expect("no panic").asked.extend([asked]);
                 let client = client.clone();
                 tokio::spawn(async move { Self::ask(&client, at, &id, LETHAL).await });
@@ -263,9 +273,15 @@
         .iter()
         .filter(|a| third.is_some_and(|third| a.at > third + NEWS))
         .collect();
-    let excused = {
+    let (excused, fresh) = {
         let ledger = world.ledger.lock().expect("no panic");
-        late.iter().filter(|a| ledger.excuses(a)).count()
+        let known = third.map(|third| third + FRESH_NEWS);
+        let fresh = arrivals.iter().filter(|a| {
+            let after = known.is_some_and(|known| ledger.is_after(a, known));
+            after && !ledger.excuses(a)
+        });
+        let excused = late.iter().filter(|a| ledger.excuses(a)).count();
+        (excused, fresh.count())
     };
     let late = late.len() - excused;
     let never = served.never.lock().expect("no panic").clone();
@@ -275,7 +291,7 @@
         arrivals.len(),
         crashes.len(),
     );
-    let failed = late > LATE_ARRIVALS || !never.is_empty();
+    let failed = late > LATE_ARRIVALS || fresh > 0 || !never.is_empty();
     if failed {
         eprintln!("{case}: logs in {}", world.entries.keep_logs().display());
     }
@@ -284,6 +300,10 @@
         late <= LATE_ARRIVALS,
         "{late} times to servers after all had to know of it"
     );
+    assert!(
+        fresh == 0,
+        "{fresh} times by attempts that came after the news"
+    );
     assert!(never.is_empty(), "others were never served: {never:?}");
 }
 
