test: seeded departures while the store refuses, is silent or away, with entries killed and stopped

Real entries in two zones, eight servers of which six leave at drawn times, a store whose conduct toward each entry changes, short outages for all, kills and planned stops; no request may reach a server 2 s after it left from an entry that was in touch for 3 s.

--- a/crates/apricotd/tests/departures.rs
+++ b/crates/apricotd/tests/departures.rs
@@ -1,36 +1,30 @@
 //! Servers that leave, or lapse, while the store does not answer some entries, or none.
 //!
-//! Entries are real processes, the store and the servers stand-ins.
+//! Entries are real processes, the store and the servers stand-ins. `cargo test -p apricotd --test
+//! departures` plays set cases and the seeds that are kept; more seeds with
+//! `SOAK_FIRST=100 SOAK_SEEDS=50 cargo test -p apricotd --test departures -- --ignored --nocapture`.
 
 #[allow(dead_code, reason = "no test uses all of it")]
 #[path = "machines/entries.rs"]
 mod entries;
+#[path = "departures/schedule.rs"]
+mod schedule;
 #[allow(dead_code, unused_imports, reason = "no test uses all of it")]
 #[path = "../../../platform/tests/standin/mod.rs"]
 mod standin;
+#[path = "departures/world.rs"]
+mod world;
 
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use apricothall_clients::http_client::HttpClient;
-use entries::Entries;
-use http::StatusCode;
-use standin::{Act, Conduct, KEY, Script, Seen, Store, answer, caller_request, listen, serve};
-use tokio::task::JoinHandle;
+use standin::Conduct;
+use world::World;
 
 /// Servers.
 const SERVERS: usize = 3;
 
-/// Time between two requests of a caller.
-const PACE: Duration = Duration::from_millis(20);
-
-/// Longest wait of a caller.
-const CALLER_WAIT: Duration = Duration::from_secs(4);
-
-/// Largest answer, in bytes.
-const ANSWER_BYTES: usize = 1 << 20;
+/// Callers at each entry that is asked, enough to keep all servers busy.
+const CALLERS: usize = 16;
 
 /// Time in which all entries in touch with the store stop sending to a server that has left, as the
 /// platform states it.
@@ -39,119 +33,6 @@
 /// Time for which callers go on after that.
 const AFTER: Duration = Duration::from_millis(1_500);
 
-/// Time for which all is well before anything happens. Entries have found their turns by then.
-const BEFORE: Duration = Duration::from_secs(3);
-
-/// Callers at each entry that is asked, enough to keep all servers busy.
-const CALLERS: usize = 16;
-
-/// Time that a server takes.
-const WORK: Duration = Duration::from_millis(60);
-
-const WORKS: Script = |request, _| Act::Slowly(vec![(WORK, answer(request, "200 OK", "fine"))]);
-
-/// Requests of callers.
-#[derive(Default)]
-struct Asked {
-    served: AtomicU32,
-    failed: Mutex<Vec<(Instant, String)>>,
-}
-
-struct World {
-    store: Store,
-    entries: Entries,
-    servers: Vec<(Seen, SocketAddr)>,
-    asked: Arc<Asked>,
-    callers: Vec<JoinHandle<()>>,
-}
-
-impl World {
-    async fn start(case: &str, zones: &[&'static str]) -> Self {
-        let store = Store::default();
-        store.configure(&format!("\"{KEY}\""), 1);
-        let (listener, address) = listen().await;
-        tokio::spawn(store.clone().serve(listener));
-        let mut servers = Vec::new();
-        for _ in 0..SERVERS {
-            let (listener, address) = listen().await;
-            let seen = Seen::default();
-            tokio::spawn(serve(listener, WORKS, seen.clone()));
-            servers.push((seen, address));
-        }
-        let folder = std::env::temp_dir().join(format!("{case}-{}", std::process::id()));
-        let entries = Entries::start_in(zones, address, folder);
-        let world = Self {
-            store,
-            entries,
-            servers,
-            asked: Arc::default(),
-            callers: Vec::new(),
-        };
-        for index in 0..SERVERS {
-            world.list(index);
-        }
-        world.entries.ready().await;
-        tokio::time::sleep(BEFORE).await;
-        world
-    }
-
-    /// Writes the entry of a server.
-    fn list(&self, index: usize) {
-        let (_, address) = self.servers[index];
-        self.store
-            .put_server(&format!("i-{index}"), address, "ready");
-    }
-
-    /// Removes the entry of a server.
-    fn unlist(&self, index: usize) {
-        self.store.remove_server(&format!("i-{index}"));
-    }
-
-    /// Lets callers ask the entry `index` again and again.
-    fn ask(&mut self, index: usize) {
-        for caller in 0..CALLERS {
-            self.call(index, caller);
-        }
-    }
-
-    fn call(&mut self, index: usize, caller: usize) {
-        let at = self.entries.callers()[index];
-        let asked = self.asked.clone();
-        let client = HttpClient::without_pool(None, Duration::from_secs(1));
-        self.callers.push(tokio::spawn(async move {
-            for number in 0.. {
-                let path = format!("/read/{caller}-{number}");
-                let request =
-                    caller_request(at, &format!("q{index}-{caller}-{number}"), &path, KEY);
-                let answer = client.call(request, CALLER_WAIT, ANSWER_BYTES).await;
-                match answer {
-                    Ok(answer) if answer.status == StatusCode::OK => {
-                        asked.served.fetch_add(1, Ordering::Relaxed);
-                    }
-                    other => {
-                        let what = format!("entry {index}: {:?}", other.map(|a| a.status));
-                        let mut failed = asked.failed.lock().expect("no panic");
-                        failed.push((Instant::now(), what));
-                    }
-                }
-                tokio::time::sleep(PACE).await;
-            }
-        }));
-    }
-
-    /// Ends all; keeps the logs if there is something to explain.
-    async fn close(mut self, faults: &[String]) {
-        for caller in &self.callers {
-            caller.abort();
-        }
-        let served = self.asked.served.load(Ordering::Relaxed);
-        let kept = (!faults.is_empty()).then(|| self.entries.keep_logs());
-        self.entries.close().await;
-        assert!(faults.is_empty(), "{faults:?}; logs in {kept:?}");
-        assert!(served > 100, "served {served}");
-    }
-}
-
 /// A server leaves in peace just as the store turns to `conduct` toward the entries `away`. Those
 /// in `asked` send it nothing later than [`DRAIN`] after the store acked that.
 async fn play(
@@ -161,9 +42,9 @@
     conduct: Conduct,
     asked: &[usize],
 ) {
-    let mut world = World::start(case, zones).await;
+    let mut world = World::start(case, zones, SERVERS).await;
     for entry in asked {
-        world.ask(*entry);
+        world.ask(*entry, CALLERS);
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
     for entry in away {
@@ -222,9 +103,9 @@
     const OUTAGE: Duration = Duration::from_secs(3);
     /// Time after the outage at which living servers have written their entries again.
     const BACK: Duration = Duration::from_millis(1_600);
-    let mut world = World::start("servers_that_lapse", &["a", "a", "a"]).await;
+    let mut world = World::start("servers_that_lapse", &["a", "a", "a"], SERVERS).await;
     for entry in 0..3 {
-        world.ask(entry);
+        world.ask(entry, CALLERS);
     }
     let begun = Instant::now();
     world.store.conduct(Conduct::Refuses);
@@ -249,3 +130,35 @@
     let faults: Vec<_> = fault.into_iter().collect();
     world.close(&faults).await;
 }
+
+macro_rules! kept_seeds {
+    ($($case:ident: $seed:literal;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            let faults = schedule::play($seed).await;
+            assert!(faults.is_empty(), "seed {}: {faults:#?}", $seed);
+        })*
+    };
+}
+
+// Guard against DRAIN whatever the store does with which entries, restarts among it.
+kept_seeds! {
+    random_departures_1: 1;
+    random_departures_2: 2;
+}
+
+/// Many seeds by hand; the first and their number come from the environment.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes minutes; see the head of this file"]
+async fn fresh_seeds() {
+    let number = |name: &str, other| std::env::var(name).map_or(other, |t| t.parse().expect(name));
+    let first: u64 = number("SOAK_FIRST", 1_000);
+    let mut failed = Vec::new();
+    for seed in first..first + number("SOAK_SEEDS", 10) {
+        let faults = schedule::play(seed).await;
+        if !faults.is_empty() {
+            failed.push((seed, faults));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
