--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -83,8 +83,8 @@
 /// What became of a server whose entry was removed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Removal {
-    /// Nothing that was not known: it was gone or held before.
-    Known,
+    /// Nothing: it was gone or held before.
+    Unchanged,
     /// It is gone.
     Final,
     /// It keeps its place, as its entry may come back within `left`.
@@ -146,10 +146,10 @@
         let restoring = self.outages.is_restoring(now);
         let left = self.outages.left(now);
         let Some(known) = self.known.get_mut(id) else {
-            return Removal::Known;
+            return Removal::Unchanged;
         };
         if restoring && std::mem::replace(&mut known.missing, true) {
-            return Removal::Known;
+            return Removal::Unchanged;
         }
         if restoring {
             return Removal::Held { left };
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -199,6 +199,6 @@
             metrics::counter!("apricothall_servers_held_total").increment(1);
             tracing::info!(server = %id, how, %revision, left_ms, "server held, as its entry may come back");
         }
-        Removal::Known => {}
+        Removal::Unchanged => {}
     }
 }
