feat(gateway): log and count the limits that servers name

Changed: the header's name stands in the platform's dialect, its value is a request rate with a text form, each naming is one line of an entry's log and one count. No decision reads it yet.

--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -6,11 +6,14 @@
 //! the lender's term starts later, two entries never use the same share at the same time, whatever
 //! messages are delayed or lost and whichever entries are partitioned or frozen.
 
+use std::fmt;
+use std::str::FromStr;
 use std::time::Duration;
 
 use apricothall_types::{CallerId, Class, EntryName};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use thiserror::Error;
 
 use crate::configs::LimitsConfig;
 
@@ -118,6 +121,44 @@
     }
 }
 
+impl fmt::Display for Quota {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (whole, rest) = (self.0 / MILLI, self.0 % MILLI);
+        if rest == 0 {
+            return write!(f, "{whole}");
+        }
+        let digits = format!("{rest:03}");
+        write!(f, "{whole}.{}", digits.trim_end_matches('0'))
+    }
+}
+
+/// A text is not a request rate.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("{found:?} is not a number of requests per second")]
+pub struct QuotaError {
+    /// The text found.
+    pub found: SmolStr,
+}
+
+impl FromStr for Quota {
+    type Err = QuotaError;
+
+    /// Parses a decimal number of requests per second. Rates above the largest one are cut off.
+    fn from_str(text: &str) -> Result<Self, QuotaError> {
+        let error = || QuotaError { found: text.into() };
+        let rate: f64 = text.trim().parse().map_err(|_| error())?;
+        if !rate.is_finite() || rate < 0.0 {
+            return Err(error());
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "it is not negative, and larger values saturate"
+        )]
+        Ok(Self((rate * 1_000.0).floor() as u64))
+    }
+}
+
 /// Nanoseconds in a second.
 const NANOS: u128 = 1_000_000_000;
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -55,6 +55,8 @@
     pub not_run: HeaderName,
     /// Set by a server that is shutting down.
     pub leaving: HeaderName,
+    /// Requests per second that a server accepts from all entries together.
+    pub limit: HeaderName,
     /// Admission order at an engine; 0 is admitted first.
     pub urgency: HeaderName,
     /// Version of weights that the request must run on.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use apricothall_decide::limits::Quota;
 use apricothall_decide::repeat::End;
 use apricothall_types::Timestamp;
 use bytes::Bytes;
@@ -305,6 +306,12 @@
             tracing::info!(server = %server.id, request = %call.id, "server announced its shutdown");
         }
     }
+    if let Some(limit) = named_limit(context, &head.headers) {
+        metrics::counter!("apricothall_server_limits_named_total").increment(1);
+        if context.log_budgets.allow_failure(now) {
+            tracing::info!(server = %server.id, request = %call.id, %limit, "server named its limit");
+        }
+    }
     if head.status == StatusCode::SERVICE_UNAVAILABLE
         && let Some(after) = retry_after(&head.headers)
     {
@@ -315,6 +322,13 @@
     }
 }
 
+/// Lowest limit that a server names in its response. Values that are no rates are ignored.
+fn named_limit(context: &Context, headers: &HeaderMap) -> Option<Quota> {
+    let values = headers.get_all(&context.dialect.headers.limit);
+    let limits = values.iter().filter_map(|v| v.to_str().ok()?.parse().ok());
+    limits.min()
+}
+
 /// Back-off time requested by the server, if given in seconds.
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     let seconds: f64 = headers
