fix(gateway): all entries together keep to the limit that a server names

Cause: no entry read the limit, and what one entry hears of a server stayed with that entry. Change: decide::server_limits. Each entry tells the others by gossip what a server named; records are ordered by a version that grows with each answer. A few entries, chosen alike by all (nearest to the server first, then by rendezvous hash), use 80% of the limit in even parts; all others pass the server over. Where there is no other server the request is refused at once with the time until the next one is taken. All ways to a server (first attempts, attempts after a failure, resumed streams, probes) ask the same function, and once more right before the send. The queue of gossiped changes, until now of suspects only, serves both. Why it works: the senders' parts and bursts sum to what the server tolerates even while two more entries send because their views differ; a new sender starts without tokens, a new process sends nothing for 5 s.

--- a/crates/apricotd/tests/server_limits/world.rs
+++ b/crates/apricotd/tests/server_limits/world.rs
@@ -28,8 +28,6 @@
 
 /// Processes, stand-ins and callers of one run.
 pub struct World {
-    /// The store.
-    pub store: Store,
     /// The entries.
     pub entries: Entries,
     /// Servers that name limits.
@@ -56,7 +54,6 @@
         entries.wait_ready().await;
         tokio::time::sleep(WARM_UP).await;
         Self {
-            store,
             entries,
             limited: servers,
             served: Arc::default(),
@@ -101,7 +98,11 @@
         for caller in &self.callers {
             caller.abort();
         }
-        let violations: Vec<_> = self.limited.iter().flat_map(|s| s.violations()).collect();
+        let violations: Vec<_> = self
+            .limited
+            .iter()
+            .flat_map(LimitedServer::violations)
+            .collect();
         let served = self.served.load(Ordering::Relaxed);
         let log_dir = (!violations.is_empty()).then(|| self.entries.keep_logs());
         self.entries.close().await;
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -7,7 +7,7 @@
 //! An entry that sends requests directly to servers can neither make a suspect run alone nor
 //! observe a crash. It treats a lost answer as a crash until the server is seen again with the same
 //! start ([`InferredCrashes`]), lets suspects share batches, and distributes records through an
-//! [`UpdateQueue`].
+//! [`UpdateQueue`](crate::update_queue::UpdateQueue).
 //!
 //! [`Records`] is a grow-only set that can be merged in any order, so entries and agents share it
 //! by gossip. [`place`] maps equal fingerprints to the same two servers, and [`check_arrival`] is
@@ -16,9 +16,7 @@
 mod inferred_crashes;
 mod placement;
 mod records;
-mod update_queue;
 
 pub use inferred_crashes::InferredCrashes;
 pub use placement::{ArrivalDecision, Placement, check_arrival, pair, place, place_fallback};
 pub use records::{Crash, Record, Records, Standing};
-pub use update_queue::{Fanout, UpdateQueue, fanout};
--- /dev/null
+++ b/crates/decide/src/server_limits.rs
@@ -0,0 +1,435 @@
+//! Limits that servers name for the requests of all entries together.
+//!
+//! A server in need names in its answers how many requests a second it takes. Each entry tells the
+//! others what it heard, so that all know the limit of each server, and a few of them, chosen alike
+//! by all, use it. The limit ends after a few answers without it, or with the server process.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use apricothall_types::{MemberId, Region, Timestamp, WallTime, Zone};
+
+use crate::limits::{Quota, TokenBucket};
+use crate::update_queue::UpdateQueue;
+
+mod record;
+mod share;
+
+pub use record::{LimitChange, LimitRecord, PassedOver, ServerLife, Source};
+pub use share::{Place, Sender, WINDOW};
+
+use record::Knowledge;
+use share::{Share, share_of, used_rate};
+
+/// Consecutive answers without the limit after which it has ended.
+const CLEAN_ANSWERS: u8 = 3;
+
+/// Time after the start of an entry during which it sends nothing to limited servers, as it does
+/// not know all entries yet and they do not know it.
+const JOIN_TIME: Duration = Duration::from_secs(5);
+
+/// Minimum time between two immediate messages about the same server.
+const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which a limit, or its end, is remembered without further answers.
+const RETENTION: Duration = Duration::from_mins(10);
+
+/// Maximum number of servers whose changes are sent at once.
+const MAX_UPDATES: usize = 8;
+
+/// Whether a request may be sent to a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The server has no limit.
+    Unlimited,
+    /// The limit has room for a request of this entry.
+    Allowed,
+    /// Another request of this entry would exceed its share.
+    PassedOver(PassedOver),
+}
+
+/// State of one server.
+#[derive(Clone, Debug)]
+struct Limited {
+    born: WallTime,
+    place: Place,
+    known: Knowledge,
+    /// Time of the latest answer with the limit.
+    named: Timestamp,
+    /// Time of the latest such answer to this entry.
+    named_here: Option<Timestamp>,
+    /// Time of the latest immediate message.
+    updated: Option<Timestamp>,
+    share: Option<Share>,
+    bucket: TokenBucket,
+    sent: VecDeque<Timestamp>,
+}
+
+impl Limited {
+    fn new(server: &ServerLife, known: Knowledge, now: Timestamp) -> Self {
+        Self {
+            born: server.born,
+            place: server.place.clone(),
+            named: known.observed,
+            named_here: None,
+            known,
+            updated: None,
+            share: None,
+            bucket: TokenBucket::new(0, now),
+            sent: VecDeque::new(),
+        }
+    }
+
+    fn refill(&mut self, now: Timestamp) {
+        if let Some(share) = self.share {
+            self.bucket.refill(share.rate, share.burst, now);
+        }
+    }
+
+    /// Sets the share. A new sender starts without tokens, as the one that it replaces may still
+    /// use its share.
+    fn set_share(&mut self, share: Option<Share>, now: Timestamp) {
+        if self.share.is_none() {
+            self.bucket = TokenBucket::new(0, now);
+        }
+        self.refill(now);
+        self.share = share;
+    }
+
+    fn record_sent(&mut self, now: Timestamp) {
+        self.sent.retain(|at| now.since(*at) < WINDOW);
+        self.sent.push_back(now);
+    }
+}
+
+/// Limits of all servers, as known to one entry.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
+    own: MemberId,
+    started: Timestamp,
+    entries: Vec<Sender>,
+    regions: BTreeMap<Zone, Region>,
+    has_joined: bool,
+    servers: BTreeMap<MemberId, Limited>,
+    updates: UpdateQueue<MemberId>,
+    cursor: usize,
+}
+
+impl ServerLimits {
+    /// Creates the state of the entry `own`, which was started at `started`.
+    #[must_use]
+    pub fn new(own: MemberId, started: Timestamp) -> Self {
+        Self {
+            own,
+            started,
+            entries: Vec::new(),
+            regions: BTreeMap::new(),
+            has_joined: false,
+            servers: BTreeMap::new(),
+            updates: UpdateQueue::default(),
+            cursor: 0,
+        }
+    }
+
+    /// Creates the state of the only sender to its servers.
+    #[must_use]
+    pub fn for_single_sender(own: Sender) -> Self {
+        Self {
+            entries: vec![own.clone()],
+            has_joined: true,
+            ..Self::new(own.id, Timestamp::default())
+        }
+    }
+
+    /// Sets the region of each zone.
+    pub fn set_regions(&mut self, regions: BTreeMap<Zone, Region>) {
+        self.regions = regions;
+    }
+
+    /// Sets the entries that accept requests, including this one if it does.
+    pub fn set_entries(&mut self, entries: Vec<Sender>, now: Timestamp) {
+        let has_joined = now.since(self.started) >= JOIN_TIME;
+        if entries == self.entries && has_joined == self.has_joined {
+            return;
+        }
+        self.entries = entries;
+        self.has_joined = has_joined;
+        let ids: Vec<_> = self.servers.keys().cloned().collect();
+        for id in ids {
+            self.update_share(&id, now);
+        }
+    }
+
+    /// Takes an answer of `server` into account, which named the limit `named` or none. The request
+    /// was sent at `sent`.
+    pub fn observe(
+        &mut self,
+        server: &ServerLife,
+        named: Option<Quota>,
+        sent: Timestamp,
+        now: Timestamp,
+    ) -> Option<LimitChange> {
+        let known = self.servers.get(&server.id);
+        let known = known.filter(|k| k.born == server.born);
+        match named {
+            Some(limit) => self.observe_limit(server, limit, now),
+            None if known.is_some_and(|k| k.known.limit.is_some() && sent > k.named) => {
+                self.observe_clean(&server.id, now)
+            }
+            None => None,
+        }
+    }
+
+    fn observe_limit(
+        &mut self,
+        server: &ServerLife,
+        limit: Quota,
+        now: Timestamp,
+    ) -> Option<LimitChange> {
+        let current = self.servers.get(&server.id);
+        let current = current.filter(|k| k.born == server.born);
+        let version = current.map(|k| k.known.version).unwrap_or_default();
+        let known = Knowledge {
+            version: version.next(),
+            limit: Some(limit),
+            clean: 0,
+            observed: now,
+            source: Source::Answer,
+        };
+        let change = self.apply(server, known, now);
+        if let Some(state) = self.servers.get_mut(&server.id) {
+            state.named_here = Some(now);
+        }
+        change
+    }
+
+    fn observe_clean(&mut self, id: &MemberId, now: Timestamp) -> Option<LimitChange> {
+        let state = self.servers.get(id)?;
+        let clean = state.known.clean.saturating_add(1);
+        let known = Knowledge {
+            version: state.known.version.next(),
+            limit: state.known.limit.filter(|_| clean < CLEAN_ANSWERS),
+            clean,
+            observed: now,
+            source: Source::Answer,
+        };
+        let server = ServerLife {
+            id: id.clone(),
+            born: state.born,
+            place: state.place.clone(),
+        };
+        self.apply(&server, known, now)
+    }
+
+    /// Merges what another entry told.
+    pub fn merge(&mut self, record: &LimitRecord, now: Timestamp) -> Option<LimitChange> {
+        let observed = now - Duration::from_millis(record.age);
+        let told = Knowledge {
+            version: record.version,
+            limit: record.limit,
+            clean: record.clean,
+            observed,
+            source: Source::Peer,
+        };
+        if let Some(state) = self.servers.get_mut(&record.server) {
+            if record.born < state.born {
+                return None;
+            }
+            let same_life = record.born == state.born;
+            if same_life && !told.supersedes(&state.known) {
+                return None;
+            }
+            // What this entry has heard itself since then is newer.
+            let heard_since = state.named_here.is_some_and(|at| at > observed);
+            if same_life && heard_since && state.known.limit.is_some() {
+                let differs = state.known.limit != record.limit;
+                state.known.version = record.version.next();
+                if differs {
+                    self.schedule_update(&record.server, now);
+                }
+                return None;
+            }
+        }
+        let region = self.regions.get(&record.zone).cloned();
+        let server = ServerLife {
+            id: record.server.clone(),
+            born: record.born,
+            place: Place {
+                zone: record.zone.clone(),
+                region,
+            },
+        };
+        self.apply(&server, told, now)
+    }
+
+    /// Replaces what is known of a server.
+    fn apply(
+        &mut self,
+        server: &ServerLife,
+        known: Knowledge,
+        now: Timestamp,
+    ) -> Option<LimitChange> {
+        let new = || Limited::new(server, known, now);
+        let is_known = |k: &Limited| k.born == server.born;
+        let before = self.servers.get(&server.id).filter(|k| is_known(k));
+        let before = before.and_then(|k| k.known.limit);
+        let state = self.servers.entry(server.id.clone()).or_insert_with(new);
+        if state.born != server.born {
+            *state = new();
+        }
+        state.known = known;
+        if known.clean == 0 {
+            state.named = known.observed;
+        }
+        if before == known.limit {
+            return None;
+        }
+        self.update_share(&server.id, now);
+        self.schedule_update(&server.id, now);
+        Some(LimitChange {
+            server: server.id.clone(),
+            before,
+            limit: known.limit,
+            source: known.source,
+            age: now.since(known.observed),
+        })
+    }
+
+    fn update_share(&mut self, id: &MemberId, now: Timestamp) {
+        let Some(state) = self.servers.get_mut(id) else {
+            return;
+        };
+        let limit = state.known.limit.filter(|_| self.has_joined);
+        let share =
+            limit.and_then(|limit| share_of(&self.own, id, &state.place, limit, &self.entries));
+        state.set_share(share, now);
+    }
+
+    fn schedule_update(&mut self, id: &MemberId, now: Timestamp) {
+        let Some(state) = self.servers.get_mut(id) else {
+            return;
+        };
+        let earliest = state.updated.map(|at| at + UPDATE_INTERVAL);
+        let due = earliest.map_or(now, |earliest| earliest.max(now));
+        state.updated = Some(due);
+        self.updates.schedule(id.clone(), due);
+    }
+
+    /// Whether a request may be sent to the server `id`, started at `born`.
+    pub fn verdict(&mut self, id: &MemberId, born: WallTime, now: Timestamp) -> Verdict {
+        let Some((state, limit)) = limited(&mut self.servers, id, born) else {
+            return Verdict::Unlimited;
+        };
+        state.refill(now);
+        if state.share.is_some() && state.bucket.has_one() {
+            return Verdict::Allowed;
+        }
+        let wait = match state.share {
+            Some(share) => state.bucket.wait(share.rate),
+            None => TokenBucket::new(0, now).wait(used_rate(limit)),
+        };
+        state.sent.retain(|at| now.since(*at) < WINDOW);
+        Verdict::PassedOver(PassedOver {
+            server: id.clone(),
+            limit,
+            share: state.share.map(|share| share.rate),
+            taken: state.sent.len(),
+            source: state.known.source,
+            age: now.since(state.known.observed),
+            wait,
+        })
+    }
+
+    /// Takes the room of one request in the limit of a server. Returns whether the request may be
+    /// sent.
+    pub fn take(&mut self, id: &MemberId, born: WallTime, now: Timestamp) -> bool {
+        let Some((state, _)) = limited(&mut self.servers, id, born) else {
+            return true;
+        };
+        state.refill(now);
+        if state.share.is_none() || !state.bucket.take() {
+            return false;
+        }
+        state.record_sent(now);
+        true
+    }
+
+    /// Whether the server `id`, started at `born`, has a limit.
+    #[must_use]
+    pub fn is_limited(&self, id: &MemberId, born: WallTime) -> bool {
+        let state = self.servers.get(id).filter(|k| k.born == born);
+        state.is_some_and(|k| k.known.limit.is_some())
+    }
+
+    /// Number of servers with a limit, and of those to which this entry sends.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        let limited = || self.servers.values().filter(|k| k.known.limit.is_some());
+        let sending = limited().filter(|k| k.share.is_some());
+        (limited().count(), sending.count())
+    }
+
+    /// Moves changes that are due into the messages of the next rounds. Returns whether there were
+    /// any.
+    pub fn take_due(&mut self, now: Timestamp) -> bool {
+        self.updates.take_due(MAX_UPDATES, now)
+    }
+
+    /// Whether there are changes to be sent in addition to regular messages.
+    #[must_use]
+    pub fn has_updates(&self, now: Timestamp) -> bool {
+        self.updates.recent(now).next().is_some()
+    }
+
+    /// At most `most` records for a message: recent changes first, then the others in turn.
+    pub fn records(&mut self, most: usize, now: Timestamp) -> Vec<LimitRecord> {
+        let mut ids: Vec<_> = self.updates.recent(now).take(most).cloned().collect();
+        let rest = most - ids.len();
+        let others = self.servers.keys().filter(|id| !ids.contains(id));
+        let others: Vec<_> = others.cloned().collect();
+        if !others.is_empty() {
+            let turn = self.cursor % others.len();
+            ids.extend(
+                others
+                    .iter()
+                    .cycle()
+                    .skip(turn)
+                    .take(rest.min(others.len()))
+                    .cloned(),
+            );
+            self.cursor = self.cursor.wrapping_add(rest.max(1));
+        }
+        ids.iter().filter_map(|id| self.record(id, now)).collect()
+    }
+
+    fn record(&self, id: &MemberId, now: Timestamp) -> Option<LimitRecord> {
+        let state = self.servers.get(id)?;
+        let age = now.since(state.known.observed).as_millis();
+        Some(LimitRecord {
+            server: id.clone(),
+            born: state.born,
+            zone: state.place.zone.clone(),
+            limit: state.known.limit,
+            version: state.known.version,
+            clean: state.known.clean,
+            age: u64::try_from(age).unwrap_or(u64::MAX),
+        })
+    }
+
+    /// Forgets servers of which nothing was heard for a long time.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.servers
+            .retain(|_, k| now.since(k.known.observed) < RETENTION);
+    }
+}
+
+/// State of a server with a limit.
+fn limited<'a>(
+    servers: &'a mut BTreeMap<MemberId, Limited>,
+    id: &MemberId,
+    born: WallTime,
+) -> Option<(&'a mut Limited, Quota)> {
+    let state = servers.get_mut(id).filter(|k| k.born == born)?;
+    let limit = state.known.limit?;
+    Some((state, limit))
+}
--- /dev/null
+++ b/crates/decide/src/server_limits/record.rs
@@ -0,0 +1,132 @@
+//! What entries tell each other of the limit of a server.
+
+use std::cmp::Reverse;
+use std::fmt;
+use std::time::Duration;
+
+use apricothall_types::{MemberId, Sequence, Timestamp, WallTime, Zone};
+use serde::{Deserialize, Serialize};
+
+use super::share::Place;
+use crate::limits::Quota;
+
+/// The limit of a server, as one entry tells it to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitRecord {
+    /// Id of the server.
+    pub server: MemberId,
+    /// Start of the server process.
+    pub born: WallTime,
+    /// Availability zone of the server's VM.
+    pub zone: Zone,
+    /// Requests per second from all entries together; `None` once the limit has ended.
+    pub limit: Option<Quota>,
+    /// Grows with each answer that an entry has taken into account.
+    pub version: Sequence,
+    /// Number of latest answers without the limit.
+    pub clean: u8,
+    /// Time since the latest of these answers, in ms.
+    pub age: u64,
+}
+
+/// How an entry learned of a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// From an answer of the server.
+    Answer,
+    /// From another entry.
+    Peer,
+}
+
+/// A server process, in terms of limits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerLife {
+    /// Id of the server.
+    pub id: MemberId,
+    /// Start of the server process.
+    pub born: WallTime,
+    /// Location of its VM.
+    pub place: Place,
+}
+
+/// A limit that became known, changed or ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitChange {
+    /// Id of the server.
+    pub server: MemberId,
+    /// Limit before, if there was one.
+    pub before: Option<Quota>,
+    /// Limit from now on; `None` if it has ended.
+    pub limit: Option<Quota>,
+    /// Who told it.
+    pub source: Source,
+    /// Age of the answer that told it.
+    pub age: Duration,
+}
+
+/// Why a server was passed over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PassedOver {
+    /// Id of the server.
+    pub server: MemberId,
+    /// Its limit.
+    pub limit: Quota,
+    /// Rate that this entry uses of it; `None` if other entries send to the server.
+    pub share: Option<Quota>,
+    /// Requests that this entry has sent to the server in the last window.
+    pub taken: usize,
+    /// Who told the limit.
+    pub source: Source,
+    /// Age of the answer that told it.
+    pub age: Duration,
+    /// Time until the server takes another request, from this entry or another one.
+    pub wait: Duration,
+}
+
+impl fmt::Display for PassedOver {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            server,
+            limit,
+            share,
+            taken,
+            source,
+            age,
+            wait: _,
+        } = self;
+        let age = age.as_millis();
+        let share = share.unwrap_or_default();
+        write!(
+            f,
+            "{server}: limit {limit}, share {share}, taken {taken}, {source:?} {age} ms ago"
+        )
+    }
+}
+
+/// What is known of the limit of a server, in an order that is the same at all entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Knowledge {
+    /// See [`LimitRecord::version`].
+    pub version: Sequence,
+    /// See [`LimitRecord::limit`].
+    pub limit: Option<Quota>,
+    /// See [`LimitRecord::clean`].
+    pub clean: u8,
+    /// Time of the latest answer that counted, by the clock of this entry.
+    pub observed: Timestamp,
+    /// Who told it.
+    pub source: Source,
+}
+
+impl Knowledge {
+    /// Whether this takes precedence over `other`: the larger version, and of equal ones the
+    /// stricter.
+    #[must_use]
+    pub fn supersedes(&self, other: &Self) -> bool {
+        let key = |k: &Self| {
+            let limit = k.limit.map_or(u64::MAX, |limit| limit.0);
+            (k.version, Reverse(limit), Reverse(k.clean))
+        };
+        key(self) > key(other)
+    }
+}
--- a/crates/decide/src/quarantine/update_queue.rs
+++ b/crates/decide/src/update_queue.rs
@@ -1,13 +1,13 @@
 //! Queue of record changes to be gossiped to other daemons.
 //!
-//! Most lost answers are not caused by a crash, which becomes clear soon, so a record is held back
-//! for a while. It is then sent immediately and repeated in later messages, as any message may be
-//! lost.
+//! A change may be held back for a while, for instance as most lost answers are not caused by a
+//! crash, which becomes clear soon. It is then sent immediately and repeated in later messages, as
+//! any message may be lost.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use apricothall_types::{Digest, Timestamp};
+use apricothall_types::Timestamp;
 
 /// Time for which a sent record is repeated in later messages.
 const REPEAT_FOR: Duration = Duration::from_millis(1_500);
@@ -34,32 +34,41 @@
     if due { INITIAL_FANOUT } else { REPEAT_FANOUT }
 }
 
-/// Fingerprints whose records are to be sent or repeated.
-#[derive(Clone, Debug, Default)]
-pub struct UpdateQueue {
-    waiting: BTreeMap<Digest, Timestamp>,
-    recent: VecDeque<(Digest, Timestamp)>,
+/// Keys of records that are to be sent or repeated.
+#[derive(Clone, Debug)]
+pub struct UpdateQueue<K> {
+    waiting: BTreeMap<K, Timestamp>,
+    recent: VecDeque<(K, Timestamp)>,
 }
 
-impl UpdateQueue {
-    /// Schedules the changed record of `fingerprint` to be sent at `due`, or at the earlier time at
+impl<K> Default for UpdateQueue<K> {
+    fn default() -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+            recent: VecDeque::new(),
+        }
+    }
+}
+
+impl<K: Clone + Ord> UpdateQueue<K> {
+    /// Schedules the changed record of `key` to be sent at `due`, or at the earlier time at
     /// which it is already scheduled.
-    pub fn schedule(&mut self, fingerprint: Digest, due: Timestamp) {
-        let at = self.waiting.entry(fingerprint).or_insert(due);
+    pub fn schedule(&mut self, key: K, due: Timestamp) {
+        let at = self.waiting.entry(key).or_insert(due);
         *at = due.min(*at);
     }
 
     /// Moves a scheduled record forward to `now`.
-    pub fn expedite(&mut self, fingerprint: &Digest, now: Timestamp) {
-        if let Some(at) = self.waiting.get_mut(fingerprint) {
+    pub fn expedite(&mut self, key: &K, now: Timestamp) {
+        if let Some(at) = self.waiting.get_mut(key) {
             *at = now.min(*at);
         }
     }
 
     /// Handles a cleared record. If it was not sent yet, it is only removed from the queue.
-    pub fn schedule_clearance(&mut self, fingerprint: Digest, now: Timestamp) {
-        if self.waiting.remove(&fingerprint).is_none() {
-            self.schedule(fingerprint, now);
+    pub fn schedule_clearance(&mut self, key: K, now: Timestamp) {
+        if self.waiting.remove(&key).is_none() {
+            self.schedule(key, now);
         }
     }
 
@@ -67,17 +76,18 @@
     pub fn take_due(&mut self, most: usize, now: Timestamp) -> bool {
         self.recent.retain(|(_, at)| now.since(*at) < REPEAT_FOR);
         let due = self.waiting.iter().filter(|(_, at)| **at <= now);
-        let due: Vec<_> = due.take(most).map(|(f, _)| *f).collect();
-        for fingerprint in &due {
-            self.waiting.remove(fingerprint);
-            self.recent.push_front((*fingerprint, now));
+        let due: Vec<_> = due.take(most).map(|(k, _)| k.clone()).collect();
+        let any = !due.is_empty();
+        for key in due {
+            self.waiting.remove(&key);
+            self.recent.push_front((key, now));
         }
-        !due.is_empty()
+        any
     }
 
-    /// Fingerprints whose records go into a message, latest first.
-    pub fn recent(&self, now: Timestamp) -> impl Iterator<Item = &Digest> {
-        let lately = move |(_, at): &&(Digest, Timestamp)| now.since(*at) < REPEAT_FOR;
-        self.recent.iter().filter(lately).map(|(f, _)| f)
+    /// Keys whose records go into a message, latest first.
+    pub fn recent(&self, now: Timestamp) -> impl Iterator<Item = &K> {
+        let lately = move |(_, at): &&(K, Timestamp)| now.since(*at) < REPEAT_FOR;
+        self.recent.iter().filter(lately).map(|(k, _)| k)
     }
 }
--- a/crates/decide/tests/crash_loop.rs
+++ b/crates/decide/tests/crash_loop.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use apricothall_decide::configs::QuarantineConfig;
-use apricothall_decide::quarantine::{
-    Crash, InferredCrashes, Records, Standing, UpdateQueue, fanout,
-};
+use apricothall_decide::quarantine::{Crash, InferredCrashes, Records, Standing};
+use apricothall_decide::update_queue::{UpdateQueue, fanout};
 use apricothall_types::{Digest, Incarnation, MemberId, Timestamp, WallTime};
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
@@ -187,7 +186,7 @@
 /// Records and pending updates of one entry.
 struct Entry {
     records: Records,
-    updates: UpdateQueue,
+    updates: UpdateQueue<Digest>,
     isolated: bool,
 }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -15,6 +15,7 @@
 use crate::peers::Peers;
 use crate::published::Published;
 use crate::quarantine::Quarantine;
+use crate::server_limits::SharedLimits;
 use crate::settings::Settings;
 
 /// Handle to the shared state of one process. Cheap to clone.
@@ -40,6 +41,8 @@
     pub fleet: Fleet,
     /// Records of requests that crash servers.
     pub quarantine: Quarantine,
+    /// Limits that servers name for all entries together.
+    pub server_limits: SharedLimits,
     /// Pieces of weights that this agent holds.
     pub piece_store: PieceStore,
     /// Slots for sending pieces to other agents.
@@ -63,6 +66,7 @@
         let log_budgets = Arc::new(LogBudgets::default());
         Self(Arc::new(Parts {
             fleet: Fleet::new(&settings),
+            server_limits: SharedLimits::new(&settings, clock.now()),
             published: Published::new(settings.bounds.heartbeat),
             settings: RwLock::new(Arc::new(settings)),
             dialect,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use apricothall_decide::limits::Quota;
 use apricothall_decide::repeat::End;
+use apricothall_decide::servers::Server;
 use apricothall_types::Timestamp;
 use bytes::Bytes;
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
@@ -21,6 +21,7 @@
 use crate::log_budgets::millis;
 use crate::quarantine::Loss;
 use crate::request::{Call, may_use_keys};
+use crate::server_limits::named_limit;
 
 /// Maximum admission order that is sent.
 const MAX_URGENCY: u8 = 9;
@@ -52,6 +53,9 @@
     /// The version that the request is bound to was retired before the request was sent.
     #[error("the version was retired")]
     VersionRetired,
+    /// The server named a limit after it was selected, which has no room for the request.
+    #[error("the server's limit is reached")]
+    LimitReached,
     /// The request was condemned before it was sent, because servers crashed while they ran it.
     #[error("request condemned because servers crashed while they ran it")]
     Condemned,
@@ -84,6 +88,7 @@
             | Self::Closed
             | Self::Stale
             | Self::VersionRetired
+            | Self::LimitReached
             | Self::Condemned => End::Unsent,
             Self::Refused { .. } => End::Refused,
             Self::Lost(_) | Self::TimedOut | Self::NotBegun | Self::Mismatched(_) => End::Lost,
@@ -108,6 +113,7 @@
             Self::Refused { .. }
                 | Self::Stale
                 | Self::VersionRetired
+                | Self::LimitReached
                 | Self::Condemned
                 | Self::NotBegun
                 | Self::Closed
@@ -167,6 +173,10 @@
     if left.is_zero() {
         return Err(AttemptError::Closed);
     }
+    let limits = &context.server_limits;
+    if !placed.took_limit && !limits.take(&placed.server, now) {
+        return Err(AttemptError::LimitReached);
+    }
     let request = build(context, call, placed, resume, left);
     let in_flight = InFlight::begin(context, &placed.server, call.fingerprint, now);
     connection.allowance().await_head();
@@ -190,7 +200,7 @@
     connection.allowance().head_received();
     let (parts, body) = response.into_parts();
     in_flight.settle();
-    record_signals(context, call, placed, &parts);
+    record_signals(context, call, placed, &parts, now);
     check_head(context, call, parts.status, &parts.headers)?;
     in_flight.answered();
     if let Some(limit) = idle_limit(&parts.headers) {
@@ -290,8 +300,9 @@
         .min(MAX_URGENCY)
 }
 
-/// Records the shutdown and back-off signals in the head of a response.
-fn record_signals(context: &Context, call: &Call, placed: &Placed, head: &Parts) {
+/// Records the limit, shutdown and back-off signals in the head of a response to a request that was
+/// sent at `sent`.
+fn record_signals(context: &Context, call: &Call, placed: &Placed, head: &Parts, sent: Timestamp) {
     let names = &context.dialect.headers;
     let mismatched = head.headers.get(&names.attempt) != Some(&call.attempt);
     // Another server now uses the address of the selected one.
@@ -300,18 +311,13 @@
     }
     let now = context.clock.now();
     let server = &placed.server;
+    record_limit(context, server, head, sent, now);
     if head.headers.contains_key(&names.leaving) {
         context.fleet.record_shutdown(server, now);
         if context.log_budgets.allow_failure(now) {
             tracing::info!(server = %server.id, request = %call.id, "server announced its shutdown");
         }
     }
-    if let Some(limit) = named_limit(context, &head.headers) {
-        metrics::counter!("apricothall_server_limits_named_total").increment(1);
-        if context.log_budgets.allow_failure(now) {
-            tracing::info!(server = %server.id, request = %call.id, %limit, "server named its limit");
-        }
-    }
     if head.status == StatusCode::SERVICE_UNAVAILABLE
         && let Some(after) = retry_after(&head.headers)
     {
@@ -322,11 +328,19 @@
     }
 }
 
-/// Lowest limit that a server names in its response. Values that are no rates are ignored.
-fn named_limit(context: &Context, headers: &HeaderMap) -> Option<Quota> {
-    let values = headers.get_all(&context.dialect.headers.limit);
-    let limits = values.iter().filter_map(|v| v.to_str().ok()?.parse().ok());
-    limits.min()
+/// Records the limit that a server names, or that it names none. Only an answer that the server
+/// signed tells that there is none.
+fn record_limit(context: &Context, server: &Server, head: &Parts, sent: Timestamp, now: Timestamp) {
+    let names = &context.dialect.headers;
+    let limit = named_limit(&names.limit, &head.headers);
+    if limit.is_some() {
+        metrics::counter!("apricothall_server_limits_named_total").increment(1);
+    } else if head.headers.contains_key(&names.limit) || !head.headers.contains_key(&names.seal) {
+        return;
+    }
+    let settings = context.settings();
+    let limits = &context.server_limits;
+    limits.record_answer(&settings, server, limit, sent, now);
 }
 
 /// Back-off time requested by the server, if given in seconds.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -13,6 +13,7 @@
 use apricothall_decide::placement::{
     self, Candidate, Choice, Distance, PlacementConfig, Requirements,
 };
+use apricothall_decide::server_limits::{PassedOver, Verdict};
 use apricothall_decide::servers::{Server, Servers};
 use apricothall_decide::signals::{Availability, Signals};
 use apricothall_decide::versions::Versions;
@@ -23,6 +24,7 @@
 use crate::model::EngineService;
 use crate::peers::EngineStatus;
 use crate::retry_budgets::RetryBudgets;
+use crate::server_limits::SharedLimits;
 use crate::servers::ServerListAge;
 use crate::settings::Settings;
 
@@ -120,6 +122,10 @@
     pub load: u32,
     /// Age of the server list.
     pub list_age: Option<ServerListAge>,
+    /// Whether the request was counted against a limit of the server.
+    pub took_limit: bool,
+    /// A server that was passed over because of its limit.
+    pub passed_over: Option<PassedOver>,
 }
 
 /// Decision on where to send a request.
@@ -129,6 +135,8 @@
     Selected(Box<Placed>),
     /// Refuse it for now; there may be capacity after this time.
     Refused(Duration),
+    /// Refuse it for now, as the limits of all servers that could run it are reached.
+    Limited(Box<PassedOver>),
     /// The server list contains no server of the service that accepts requests.
     NoServer,
 }
@@ -234,7 +242,11 @@
         let list_age = context.published.server_list_age(now);
         let mut state = self.state();
         context.published.servers(|servers| {
-            let eligible = state.eligible(&settings, servers, request, now);
+            let limits = &context.server_limits;
+            let (eligible, passed_over) = state.eligible(&settings, servers, limits, request, now);
+            if passed_over.is_some() {
+                metrics::counter!("apricothall_limit_passed_over_total").increment(1);
+            }
             let candidates: Vec<_> = eligible
                 .iter()
                 .map(|e| e.candidate(state.outlier.permit(&e.server.id, now)))
@@ -247,14 +259,26 @@
             );
             match choice {
                 Choice::Send(index) => {
-                    let placed = state.start_request(&eligible[index], request, now);
-                    Placement::Selected(Box::new(Placed { list_age, ..placed }))
+                    let selected = &eligible[index];
+                    let took_limit =
+                        limits.is_limited(selected.server) && limits.take(selected.server, now);
+                    let placed = state.start_request(selected, request, now);
+                    Placement::Selected(Box::new(Placed {
+                        list_age,
+                        took_limit,
+                        passed_over,
+                        ..placed
+                    }))
                 }
                 Choice::Refuse(after) => Placement::Refused(after),
-                Choice::NoServer => match state.shortest_pause(servers, request.service, now) {
-                    Some(after) => Placement::Refused(after),
-                    None => Placement::NoServer,
-                },
+                Choice::NoServer => {
+                    let pause = state.shortest_pause(servers, request.service, now);
+                    match (passed_over, pause) {
+                        (Some(passed), _) => Placement::Limited(Box::new(passed)),
+                        (None, Some(after)) => Placement::Refused(after),
+                        (None, None) => Placement::NoServer,
+                    }
+                }
             }
         })
     }
@@ -367,16 +391,19 @@
 }
 
 impl State {
-    /// Servers that are able to run a request, with the forecast for each.
+    /// Servers that are able to run a request, with the forecast for each, and of those whose limit
+    /// is reached the one that takes another request first.
     fn eligible<'a>(
         &self,
         settings: &Settings,
         servers: &'a Servers,
+        limits: &SharedLimits,
         request: &PlacementRequest<'_>,
         now: Timestamp,
-    ) -> Vec<EligibleServer<'a>> {
+    ) -> (Vec<EligibleServer<'a>>, Option<PassedOver>) {
         let unknown = Load::default();
         let mut eligible = Vec::new();
+        let mut passed_over: Option<PassedOver> = None;
         let mut same_zone_index = 0;
         for server in servers.ready(request.service) {
             if request.tried.contains(&server.id) {
@@ -411,6 +438,13 @@
             if version.is_some_and(|v| !request.versions.is_usable(v, allowed, margin, now)) {
                 continue;
             }
+            if let Verdict::PassedOver(passed) = limits.verdict(server, now) {
+                let wait = passed_over.as_ref().map_or(Duration::MAX, |p| p.wait);
+                if passed.wait < wait {
+                    passed_over = Some(passed);
+                }
+                continue;
+            }
             eligible.push(EligibleServer {
                 server,
                 version,
@@ -422,7 +456,7 @@
             self.anti_affinity
                 .retain_least_exposed(&mut eligible, |e| e.server.address);
         }
-        eligible
+        (eligible, passed_over)
     }
 
     /// Time until the first paused server of `service` accepts requests again.
@@ -457,6 +491,8 @@
             predicted: selected.forecast.latency,
             load: selected.forecast.occupied,
             list_age: None,
+            took_limit: false,
+            passed_over: None,
         }
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,6 +4,7 @@
 
 use apricothall_decide::outlier::Attempt;
 use apricothall_decide::repeat::{End, History, Next};
+use apricothall_decide::server_limits::PassedOver;
 use apricothall_types::{MemberId, Timestamp};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -82,6 +83,9 @@
                         now,
                     );
                 }
+                Placement::Limited(passed) => {
+                    return refuse_limited(&self.context, &call, progress, &passed, now);
+                }
                 Placement::NoServer => {
                     return refuse_call(
                         &self.context,
@@ -104,7 +108,7 @@
             let now = self.context.clock.now();
             let next = progress.history.record_end(end);
             if self.context.log_budgets.allow_failure(now) {
-                tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), service = %call.service, server = %placed.server.id, version = placed.version, load = placed.load, news = placed.list_age.map(display), predicted_ms = millis(placed.predicted), waited_ms = millis(now.since(call.arrival)), %error, ?next, "attempt failed");
+                tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), service = %call.service, server = %placed.server.id, version = placed.version, load = placed.load, news = placed.list_age.map(display), passed_over = placed.passed_over.as_ref().map(display), predicted_ms = millis(placed.predicted), waited_ms = millis(now.since(call.arrival)), %error, ?next, "attempt failed");
             }
             match next {
                 Next::Again { budgeted } => {
@@ -217,7 +221,7 @@
             .record(&server, attempt, placed.predicted, now);
         self.pool.release(answer.connection, now);
         if self.context.log_budgets.allow_success(now) {
-            tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, server = %server.id, load = placed.load, news = placed.list_age.map(display), status = answer.status.as_u16(), predicted_ms = millis(placed.predicted), latency_ms = millis(latency), total_ms = millis(now.since(call.arrival)), config_age_ms = self.context.published.age(now).map(millis), "answered");
+            tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, server = %server.id, load = placed.load, news = placed.list_age.map(display), passed_over = placed.passed_over.as_ref().map(display), status = answer.status.as_u16(), predicted_ms = millis(placed.predicted), latency_ms = millis(latency), total_ms = millis(now.since(call.arrival)), config_age_ms = self.context.published.age(now).map(millis), "answered");
         }
         metrics::counter!("apricothall_answers_total", "status" => class(answer.status))
             .increment(1);
@@ -286,6 +290,27 @@
     retry_later_response(after, reason)
 }
 
+/// Refuses a call because the limits of all servers that could run it are reached.
+fn refuse_limited(
+    context: &Context,
+    call: &Call,
+    progress: CallProgress,
+    passed: &PassedOver,
+    now: Timestamp,
+) -> Response<Body> {
+    if context.log_budgets.allow_failure(now) {
+        tracing::info!(request = %call.id, service = %call.service, passed_over = %passed, wait_ms = millis(passed.wait), "limits of all servers reached");
+    }
+    refuse_call(
+        context,
+        call,
+        progress,
+        passed.wait,
+        "the limits of servers are reached",
+        now,
+    )
+}
+
 /// Final response to a request that was present at too many server crashes. It has no
 /// `retry-after`, as the request will not be run again.
 fn refuse_condemned(
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -10,7 +10,7 @@
 
 use apricothall_decide::cadence::{ROUND, Receivers, fetch_sample, is_due, period};
 use apricothall_decide::placement::Distance;
-use apricothall_decide::quarantine::{Fanout, fanout};
+use apricothall_decide::update_queue::{Fanout, fanout};
 use apricothall_types::{Role, Timestamp};
 use apricothall_wire::WireError;
 use apricothall_wire::codec::{decode, encode};
@@ -51,10 +51,10 @@
     context
         .lifecycle
         .spawn(async move { receive(&receiving, &from).await });
-    let (suspects_context, to) = (context.clone(), socket.clone());
+    let (updates_context, to) = (context.clone(), socket.clone());
     context
         .lifecycle
-        .spawn(async move { send_suspects(&suspects_context, &to).await });
+        .spawn(async move { send_updates(&updates_context, &to).await });
     let sending = context.clone();
     context
         .lifecycle
@@ -102,6 +102,7 @@
             .publish_version(&version.model, version.version, since, Reader::Peer);
     }
     context.quarantine.merge(&gossip.suspects, now);
+    context.server_limits.merge(&gossip.limits, now);
     let differs = has_other_records(gossip.quarantine, context.quarantine.summary());
     if gossip.hello.phase == Phase::Serving && !differs {
         context.quarantine.set_synced();
@@ -166,24 +167,26 @@
     }
 }
 
-/// Sends records of requests that crash servers to some entries as soon as they are due. Entries of
-/// other regions are drawn anew each round, so that most receive the records within a few rounds.
-async fn send_suspects(context: &Context, socket: &UdpSocket) {
+/// Sends changed limits of servers, and records of requests that crash servers, to some entries as
+/// soon as they are due. Entries of other regions are drawn anew each round, so that most receive
+/// the changes within a few rounds.
+async fn send_updates(context: &Context, socket: &UdpSocket) {
     loop {
         tokio::time::sleep(ROUND).await;
         let now = context.clock.now();
-        let due = context.quarantine.take_due(now);
-        if !context.quarantine.has_updates(now) {
+        let suspects_due = context.quarantine.take_due(now);
+        let limits_due = context.server_limits.take_due(now);
+        if !context.quarantine.has_updates(now) && !context.server_limits.has_updates(now) {
             continue;
         }
-        for address in suspect_receivers(context, fanout(due), now) {
-            send_to(context, socket, address, Reason::Suspects).await;
+        for address in update_receivers(context, fanout(suspects_due || limits_due), now) {
+            send_to(context, socket, address, Reason::Update).await;
         }
     }
 }
 
 /// Draws the entries for a fanout.
-fn suspect_receivers(context: &Context, fanout: Fanout, now: Timestamp) -> Vec<SocketAddr> {
+fn update_receivers(context: &Context, fanout: Fanout, now: Timestamp) -> Vec<SocketAddr> {
     let (mut own, mut far) = (Vec::new(), Vec::new());
     context.peers.each(now, |peer| {
         if peer.hello.role != Role::Entry {
@@ -287,9 +290,9 @@
 enum Reason {
     /// It is due, or other state has changed.
     Period,
-    /// Records of requests that crash servers have changed. Only these messages carry such records
-    /// to other regions.
-    Suspects,
+    /// Limits of servers, or records of requests that crash servers, have changed. Only these
+    /// messages carry such records to other regions.
+    Update,
 }
 
 async fn send_to(context: &Context, socket: &UdpSocket, address: SocketAddr, reason: Reason) {
@@ -307,14 +310,18 @@
     }
 }
 
-/// Encodes a message. Records of requests that crash servers are dropped until it fits a datagram.
+/// Encodes a message. Records of requests that crash servers, then limits of servers, are dropped
+/// until it fits a datagram.
 ///
 /// # Errors
 /// If it cannot be encoded.
 pub fn datagram(mut gossip: Gossip) -> Result<Vec<u8>, WireError> {
     loop {
         let bytes = encode(&gossip)?;
-        if bytes.len() <= DATAGRAM_BYTES || gossip.suspects.pop().is_none() {
+        if bytes.len() <= DATAGRAM_BYTES {
+            return Ok(bytes);
+        }
+        if gossip.suspects.pop().is_none() && gossip.limits.pop().is_none() {
             return Ok(bytes);
         }
     }
@@ -328,7 +335,8 @@
     let role = context.settings().role;
     let every = kind.map_or(1, |kind| send_period(role, kind, &counts));
     let is_far = kind.is_some_and(|kind| kind.distance == Distance::Far);
-    let include_suspects = reason == Reason::Suspects || !is_far;
+    let is_for_agent = kind.is_some_and(|kind| kind.role == Role::Agent);
+    let include_suspects = reason == Reason::Update || !is_far;
     Gossip {
         hello: daemon_info(context),
         stamp: now,
@@ -349,6 +357,11 @@
             Vec::new()
         },
         quarantine: context.quarantine.summary(),
+        limits: if is_for_agent {
+            Vec::new()
+        } else {
+            context.server_limits.records(now)
+        },
         engine: context.fleet.engine_status(),
         known: context
             .peers
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod resume;
 pub mod retry_budgets;
 pub mod run;
+pub mod server_limits;
 pub mod server_stream;
 pub mod servers;
 pub mod settings;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
 use apricothall_decide::quarantine::Record;
 use apricothall_decide::readers::{HealthyPeer, ReaderRole, reader_role};
 use apricothall_decide::reload::Progress;
+use apricothall_decide::server_limits::LimitRecord;
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{Digest, Incarnation, MemberId, Region, Revision, Role, Timestamp, Zone};
 use rand::Rng;
@@ -139,6 +140,8 @@
     pub suspects: Vec<(Digest, Record)>,
     /// Digest of all such records that daemons share; zero if there are none.
     pub quarantine: u64,
+    /// Limits of servers, to entries only.
+    pub limits: Vec<LimitRecord>,
     /// Status of the sender's engine; agents only.
     pub engine: Option<EngineStatus>,
     /// Addresses of other daemons.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -8,10 +8,9 @@
 use std::time::Duration;
 
 use apricothall_decide::configs::QuarantineConfig;
-use apricothall_decide::quarantine::{
-    Crash, InferredCrashes, Record, Records, Standing, UpdateQueue,
-};
+use apricothall_decide::quarantine::{Crash, InferredCrashes, Record, Records, Standing};
 use apricothall_decide::servers::Server;
+use apricothall_decide::update_queue::UpdateQueue;
 use apricothall_kernel::Clock;
 use apricothall_types::{Digest, Incarnation, Timestamp};
 use smol_str::ToSmolStr;
@@ -42,7 +41,7 @@
 #[derive(Default)]
 struct State {
     inferred: InferredCrashes,
-    updates: UpdateQueue,
+    updates: UpdateQueue<Digest>,
 }
 
 /// Records of requests that crash servers.
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -80,6 +80,7 @@
         }
         match self.place_within(call, tried, Duration::ZERO, false, now) {
             Placement::Selected(placed) => Ok(Some(placed)),
+            Placement::Limited(_) => Err("the limits of servers are reached"),
             Placement::Refused(_) | Placement::NoServer => Err("no room"),
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -162,6 +162,7 @@
             keeping.published.expire_servers(now);
             keeping.fleet.retain(keeping.published.server_refs());
             keeping.fleet.set_entries(count_entries(&keeping));
+            keeping.server_limits.maintain(&keeping);
         }
     });
 }
--- a/crates/gateway/src/server_stream.rs
+++ b/crates/gateway/src/server_stream.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use apricothall_clients::sse::{RawEvent, RawEventSplitter};
+use apricothall_decide::server_limits::PassedOver;
 use apricothall_types::Timestamp;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -61,6 +62,8 @@
     pub load: u32,
     /// Age of the server list when the server was selected.
     pub list_age: Option<ServerListAge>,
+    /// A server that was passed over because of its limit.
+    pub passed_over: Option<PassedOver>,
     /// Time from the arrival of the request to the first event.
     pub first: Duration,
 }
@@ -82,6 +85,7 @@
             predicted: placed.predicted,
             load: placed.load,
             list_age: placed.list_age,
+            passed_over: placed.passed_over.clone(),
             first: Duration::ZERO,
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -185,7 +185,7 @@
         return;
     }
     let call = &relay.call;
-    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, server = %stream.server.id, load = stream.load, returning = call.returning, prompt = call.prompt, predicted_ms = millis(stream.predicted), first_ms = millis(stream.first), total_ms = millis(now.since(call.arrival)), servers = relay.tried.len(), news = stream.list_age.map(display), passed = forwarded, config_age_ms = context.published.age(now).map(millis), "stream passed on");
+    tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, server = %stream.server.id, load = stream.load, returning = call.returning, prompt = call.prompt, predicted_ms = millis(stream.predicted), first_ms = millis(stream.first), total_ms = millis(now.since(call.arrival)), servers = relay.tried.len(), news = stream.list_age.map(display), passed_over = stream.passed_over.as_ref().map(display), passed = forwarded, config_age_ms = context.published.age(now).map(millis), "stream passed on");
 }
 
 fn record_caller_left(relay: &StreamRelay, stream: &ServerStream, forwarded: u32) {
