fix(agent): an agent keeps to the limit that its server names

The promise holds on both paths: with entry + agent, the agent is the only sender to the servers of its VM, so it asks decide::server_limits as their one sender, before a request queues and again before it is sent, and refuses what is over the limit at once. The product's own interface names it in x-request-limit (docs/INTERFACES.md). The rate that was a type of the catalogue's limits is now apricothall_types::Quota, and reading it from headers is in clients. Before, no agent read the header.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -5,11 +5,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use apricothall_decide::admission::{Admission, QueueUpdate, SlotRequest, Verdict};
+use apricothall_clients::NamedLimit;
+use apricothall_decide::admission::{Admission, QueueUpdate, SlotRequest, Verdict as SlotVerdict};
 use apricothall_decide::configs::AdmissionConfig;
 use apricothall_decide::limits::{Reason, Refusal};
+use apricothall_decide::server_limits::{Place, Sender, ServerLife, ServerLimits, Verdict};
 use apricothall_kernel::Clock;
-use apricothall_types::{Class, Outcome, RequestId, Timestamp};
+use apricothall_types::{Class, Outcome, Quota, RequestId, Timestamp, WallTime};
 use apricothall_wire as wire;
 use serde_json::{Value, json};
 use smol_str::format_smolstr;
@@ -22,6 +24,7 @@
 
 struct State {
     admission: Admission,
+    limits: ServerLimits,
     waiting: HashMap<RequestId, oneshot::Sender<Decision>>,
     last_id: u128,
 }
@@ -43,6 +46,7 @@
 /// Admission gate of one backend server.
 pub struct Gate {
     clock: Clock,
+    server: ServerLife,
     state: Mutex<State>,
 }
 
@@ -66,20 +70,68 @@
 }
 
 impl Gate {
-    /// Creates a gate with `slots` free slots.
+    /// Creates a gate with `slots` free slots, for the requests of the agent `own`.
     #[must_use]
-    pub fn new(config: AdmissionConfig, slots: u32, clock: Clock) -> Self {
+    pub fn new(config: AdmissionConfig, slots: u32, own: &Sender, clock: Clock) -> Self {
         let state = State {
             admission: Admission::new(config, slots),
+            limits: ServerLimits::for_single_sender(own.clone()),
             waiting: HashMap::new(),
             last_id: 0,
         };
+        let server = ServerLife {
+            id: own.id.clone(),
+            born: WallTime::default(),
+            place: Place {
+                zone: own.zone.clone(),
+                region: Some(own.region.clone()),
+            },
+        };
         Self {
             clock,
+            server,
             state: Mutex::new(state),
         }
     }
 
+    /// The current time by the clock of the gate.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Takes an answer of the server into account. The request was sent at `sent`.
+    pub fn record_limit(&self, named: NamedLimit, sent: Timestamp) {
+        let Some(limit) = named.told() else {
+            return;
+        };
+        let now = self.clock.now();
+        let limits = &mut self.lock().limits;
+        if let Some(change) = limits.observe(&self.server, limit, sent, now) {
+            let text = |limit: Option<Quota>| limit.map(tracing::field::display);
+            tracing::info!(
+                before = text(change.before),
+                limit = text(change.limit),
+                "server's limit changed"
+            );
+        }
+    }
+
+    /// Refuses a request that would exceed the limit of the server. Takes its room in the limit if
+    /// `takes` is set.
+    fn check_limit(&self, takes: bool) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        let (id, born) = (&self.server.id, self.server.born);
+        let limits = &mut self.lock().limits;
+        if let Verdict::PassedOver(passed) = limits.verdict(id, born, now) {
+            return Err(Refusal::new(Reason::ServerLimit, passed.wait));
+        }
+        if takes {
+            limits.take(id, born, now);
+        }
+        Ok(())
+    }
+
     /// Waits for a slot. Dropping the future frees the place in the queue.
     ///
     /// # Errors
@@ -89,16 +141,18 @@
         class: Class,
         deadline: Timestamp,
     ) -> Result<Permit, Refusal> {
+        self.check_limit(false)?;
         let (permit, verdict, decision_receiver) = self.request_slot(class, deadline);
         match verdict {
-            Verdict::Run => return Ok(permit),
-            Verdict::Refuse(refusal) => return Err(refusal),
-            Verdict::Wait => self.wait_for_decision(decision_receiver, deadline).await?,
+            SlotVerdict::Run => {}
+            SlotVerdict::Refuse(refusal) => return Err(refusal),
+            SlotVerdict::Wait => self.wait_for_decision(decision_receiver, deadline).await?,
         }
         // The slot may have been granted before the process was paused.
         if self.clock.now() >= deadline {
             return Err(Refusal::new(Reason::Deadline, Duration::ZERO));
         }
+        self.check_limit(true)?;
         Ok(permit)
     }
 
@@ -135,7 +189,7 @@
         self: &Arc<Self>,
         class: Class,
         deadline: Timestamp,
-    ) -> (Permit, Verdict, oneshot::Receiver<Decision>) {
+    ) -> (Permit, SlotVerdict, oneshot::Receiver<Decision>) {
         let (sender, decision_receiver) = oneshot::channel();
         let mut state = self.lock();
         // Callers choose request ids, so two orders may share one. The gate therefore uses ids of
@@ -148,7 +202,7 @@
             deadline,
         };
         let (verdict, update) = state.admission.request_slot(request, self.clock.now());
-        if verdict == Verdict::Wait {
+        if verdict == SlotVerdict::Wait {
             state.waiting.insert(id, sender);
         }
         state.apply(update);
--- a/crates/agent/src/completion.rs
+++ b/crates/agent/src/completion.rs
@@ -150,7 +150,16 @@
     let version = call.version;
     let trace = call.trace.to_string();
     let client = &engine.client;
-    let started = client.complete(order.request, order.class, version, call.body, &trace);
+    let sent = runner.clock.now();
+    let record = |named| engine.gate.record_limit(named, sent);
+    let started = client.complete(
+        order.request,
+        order.class,
+        version,
+        call.body,
+        &trace,
+        record,
+    );
     let started = with_heartbeats(runner, reply, started).await?;
     let mut stream = started.map_err(|e| RelayError::Engine(start_refusal(&e)))?;
     let head = Answer::Head {
--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -199,10 +199,7 @@
         return Ok(CallEnd::Unsent);
     }
     let running = service.begin();
-    let answered = service
-        .client
-        .call(recorded.service_call, RUN_TIMEOUT)
-        .await;
+    let answered = service.call(recorded.service_call, RUN_TIMEOUT).await;
     drop(running);
     drop(permit);
     Ok(match answered {
--- a/crates/agent/src/servers.rs
+++ b/crates/agent/src/servers.rs
@@ -5,7 +5,12 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-use apricothall_clients::{EngineClient, EngineState, HttpClient, ServiceClient, Serving};
+use apricothall_clients::limit::LIMIT_HEADER;
+use apricothall_clients::{
+    EngineClient, EngineState, HttpClient, NamedLimit, PlatformError, ServiceAnswer, ServiceCall,
+    ServiceClient, Serving,
+};
+use apricothall_decide::server_limits::Sender;
 use apricothall_fleet::{CatalogueState, MembershipView, StatusBoard};
 use apricothall_kernel::configs::{ServerConfig, ServerKind};
 use apricothall_kernel::{Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture};
@@ -201,6 +206,22 @@
 }
 
 impl Service {
+    /// Makes the call and records the limit that the service names.
+    ///
+    /// # Errors
+    /// When there is no complete answer within `wait`.
+    pub async fn call(
+        &self,
+        call: ServiceCall,
+        wait: Duration,
+    ) -> Result<ServiceAnswer, PlatformError> {
+        let sent = self.gate.now();
+        let answer = self.client.call(call, wait).await?;
+        let named = NamedLimit::read(&answer.headers, &LIMIT_HEADER);
+        self.gate.record_limit(named, sent);
+        Ok(answer)
+    }
+
     /// Counts a request as running.
     #[must_use]
     pub fn begin(&self) -> RunningGuard<'_> {
@@ -221,9 +242,15 @@
 impl Servers {
     fn new(context: &Context, http: &HttpClient) -> Self {
         let configs = &context.settings.servers;
+        let own = Sender {
+            id: context.settings.daemon.id.clone(),
+            zone: context.settings.daemon.zone.clone(),
+            region: context.settings.daemon.region.clone(),
+        };
         let gate = |config: &ServerConfig| {
             let admission = context.settings.admission.clone();
-            Arc::new(Gate::new(admission, config.slots.get(), context.clock))
+            let slots = config.slots.get();
+            Arc::new(Gate::new(admission, slots, &own, context.clock))
         };
         let engines = configs.iter().filter(|c| c.kind == ServerKind::Engine);
         let engines = engines.map(|config| {
--- a/crates/agent/src/service_call.rs
+++ b/crates/agent/src/service_call.rs
@@ -53,7 +53,7 @@
         Err(refusal) => return Ok(refused(refusal, runner.servers.load())),
     };
     let running = service.begin();
-    let answered = service.client.call(call, calls.left(deadline)).await;
+    let answered = service.call(call, calls.left(deadline)).await;
     drop(running);
     drop(permit);
     let load = runner.servers.load();
--- a/crates/apricotd/tests/services.rs
+++ b/crates/apricotd/tests/services.rs
@@ -5,14 +5,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use apricothall_standin::caller::{CallOptions, Caller};
 use apricothall_standin::client::Answer;
 use apricothall_standin::fleet::{Fleet, until};
 use apricothall_standin::service::PlainService;
 use fixture::{MODEL, SERVICE, caller, catalogue, plan, start_fleet, wait_serving};
-use http::Method;
+use http::{HeaderValue, Method};
 use serde_json::Value;
 
 /// Agent with the service.
@@ -155,6 +155,75 @@
     limit_on_calls_by_key: check_limit(CallKind::Key, "unknown");
 }
 
+// Guard against a service that gets more requests than the limit that it named (docs/incidents/limit.md).
+rows! {
+    limit_named_by_a_service_with_plain_calls: check_named_limit(CallKind::Plain);
+    limit_named_by_a_service_with_calls_by_ticket: check_named_limit(CallKind::Ticket);
+}
+
+/// Limit that the service names, in requests per second.
+const NAMED_LIMIT: &str = "2";
+
+/// Requests that the service tolerates in each [`WINDOW`] with that limit: 1.5 times what it allows
+/// and 5 more.
+const TOLERATED: usize = 17;
+
+/// Window over which the service counts requests.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Time after the first naming from which the limit is checked.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// The service names a limit, and callers send many more requests.
+async fn check_named_limit(kind: CallKind) {
+    const CALLERS: usize = 4;
+    const PAUSE: Duration = Duration::from_millis(25);
+    let limits = "limits = { rate = 10000, burst = 1000, caller = 10000 }";
+    let harness = Arc::new(ServiceFleet::start(kind, limits).await);
+    harness
+        .service()
+        .set_limit(Some(HeaderValue::from_static(NAMED_LIMIT)));
+    let ends = Instant::now() + CONTACT + WINDOW + WINDOW;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let harness = harness.clone();
+            tokio::spawn(async move {
+                let mut refused = 0;
+                for n in 0.. {
+                    if Instant::now() >= ends {
+                        break;
+                    }
+                    let name = format!("call-{caller}-{n}");
+                    let options = harness.options(&name).await;
+                    let answer = harness.call(&name, &options).await;
+                    if !answer.status.is_success() {
+                        refused += 1;
+                        assert_eq!(harness.executions_of(&name), 0, "{name} was executed");
+                    }
+                    tokio::time::sleep(PAUSE).await;
+                }
+                refused
+            })
+        })
+        .collect();
+    tokio::time::sleep(CONTACT).await;
+    let mut counts = vec![harness.service().executions().len()];
+    for _ in 0..2 {
+        tokio::time::sleep(WINDOW).await;
+        counts.push(harness.service().executions().len());
+    }
+    let mut refused = 0;
+    for caller in callers {
+        refused += caller.await.expect("ends");
+    }
+    for window in counts.windows(2) {
+        let count = window[1] - window[0];
+        assert!(count > 0, "the service got nothing below its limit");
+        assert!(count <= TOLERATED, "{count} requests in 4 s");
+    }
+    assert!(refused > 0, "no call was refused");
+}
+
 /// The service holds its answers back, so that no slot is released: refusals that arrive meanwhile
 /// did not wait for a slot.
 async fn check_full_queue(kind: CallKind) {
--- a/crates/clients/src/engine.rs
+++ b/crates/clients/src/engine.rs
@@ -13,6 +13,7 @@
 
 use crate::PlatformError;
 use crate::http_client::{HttpClient, error_from_response, get};
+use crate::limit::{LIMIT_HEADER, NamedLimit};
 use crate::sse::{DONE, EventReader};
 
 /// Maximum size in bytes of an answer that is not a stream.
@@ -134,7 +135,8 @@
         parse(&answer.body)
     }
 
-    /// Starts a completion on `version`.
+    /// Starts a completion on `version`. Calls `record` with the limit that the engine names in any
+    /// answer.
     ///
     /// # Errors
     /// When the engine does not accept the request.
@@ -145,6 +147,7 @@
         version: &Version,
         body: Bytes,
         trace: &str,
+        record: impl FnOnce(NamedLimit),
     ) -> Result<Completion, PlatformError> {
         let call = Request::post(format!("http://{}/v1/completions", self.address))
             .header("x-request-id", request.to_string())
@@ -155,6 +158,7 @@
             .body(Full::from(body))
             .map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
         let (parts, body) = self.http.send(call).await?.into_parts();
+        record(NamedLimit::read(&parts.headers, &LIMIT_HEADER));
         if parts.status != StatusCode::OK {
             let start = body
                 .collect()
--- a/crates/decide/src/server_limits.rs
+++ b/crates/decide/src/server_limits.rs
@@ -7,9 +7,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use apricothall_types::{MemberId, Region, Timestamp, WallTime, Zone};
+use apricothall_types::{MemberId, Quota, Region, Timestamp, WallTime, Zone};
 
-use crate::limits::{Quota, TokenBucket};
+use crate::limits::TokenBucket;
 use crate::update_queue::UpdateQueue;
 
 mod record;
--- a/crates/decide/src/server_limits/record.rs
+++ b/crates/decide/src/server_limits/record.rs
@@ -4,11 +4,10 @@
 use std::fmt;
 use std::time::Duration;
 
-use apricothall_types::{MemberId, Sequence, Timestamp, WallTime, Zone};
+use apricothall_types::{MemberId, Quota, Sequence, Timestamp, WallTime, Zone};
 use serde::{Deserialize, Serialize};
 
 use super::share::Place;
-use crate::limits::Quota;
 
 /// The limit of a server, as one entry tells it to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/decide/src/server_limits/share.rs
+++ b/crates/decide/src/server_limits/share.rs
@@ -7,9 +7,8 @@
 
 use std::time::Duration;
 
-use apricothall_types::{MemberId, Region, Zone};
+use apricothall_types::{MemberId, Quota, Region, Zone};
 
-use crate::limits::Quota;
 use crate::placement::Distance;
 use crate::rank;
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use apricothall_clients::NamedLimit;
 use apricothall_decide::repeat::End;
 use apricothall_decide::servers::Server;
 use apricothall_types::Timestamp;
@@ -21,7 +22,6 @@
 use crate::log_budgets::millis;
 use crate::quarantine::Loss;
 use crate::request::{Call, may_use_keys};
-use crate::server_limits::named_limit;
 
 /// Maximum admission order that is sent.
 const MAX_URGENCY: u8 = 9;
@@ -331,13 +331,16 @@
 /// Records the limit that a server names, or that it names none. Only an answer that the server
 /// signed tells that there is none.
 fn record_limit(context: &Context, server: &Server, head: &Parts, sent: Timestamp, now: Timestamp) {
-    let names = &context.dialect.headers;
-    let limit = named_limit(&names.limit, &head.headers);
-    if limit.is_some() {
+    let headers = &context.dialect.headers;
+    let named = NamedLimit::read(&head.headers, &headers.limit);
+    if matches!(named, NamedLimit::Limit(_)) {
         metrics::counter!("apricothall_server_limits_named_total").increment(1);
-    } else if head.headers.contains_key(&names.limit) || !head.headers.contains_key(&names.seal) {
+    } else if !head.headers.contains_key(&headers.seal) {
         return;
     }
+    let Some(limit) = named.told() else {
+        return;
+    };
     let settings = context.settings();
     let limits = &context.server_limits;
     limits.record_answer(&settings, server, limit, sent, now);
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -2,14 +2,11 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use apricothall_decide::limits::Quota;
 use apricothall_decide::server_limits::{
     LimitChange, LimitRecord, Place, Sender, ServerLife, ServerLimits, Verdict,
 };
 use apricothall_decide::servers::Server;
-use apricothall_types::{Role, Timestamp};
-use http::HeaderMap;
-use http::header::HeaderName;
+use apricothall_types::{Quota, Role, Timestamp};
 
 use crate::Context;
 use crate::gossip::phase;
@@ -123,14 +120,6 @@
     metrics::gauge!("apricothall_limited_servers", "kind" => kind).set(f64::from(count));
 }
 
-/// Lowest limit that a server names in a response. Values that are no rates are ignored.
-#[must_use]
-pub fn named_limit(name: &HeaderName, headers: &HeaderMap) -> Option<Quota> {
-    let values = headers.get_all(name);
-    let limits = values.iter().filter_map(|v| v.to_str().ok()?.parse().ok());
-    limits.min()
-}
-
 /// Entries that serve, including this one if it does.
 fn serving_entries(context: &Context) -> Vec<Sender> {
     let mut senders = Vec::new();
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -49,6 +49,7 @@
     crashes: u32,
     restart: Duration,
     status: Option<StatusCode>,
+    limit: Option<HeaderValue>,
 }
 
 struct Core {
@@ -129,6 +130,11 @@
         self.core.lock().status = status;
     }
 
+    /// Names this limit in each response.
+    pub fn set_limit(&self, limit: Option<HeaderValue>) {
+        self.core.lock().limit = limit;
+    }
+
     /// Makes the service crash after each execution of a call whose body contains `marker`. It
     /// accepts connections again after `restart`.
     pub fn set_poison(&self, marker: Option<&str>, restart: Duration) {
@@ -179,6 +185,9 @@
     if let Some(id) = call.request.headers().get("x-request-id") {
         reply.headers_mut().insert("x-request-id", id.clone());
     }
+    if let Some(limit) = core.lock().limit.clone() {
+        reply.headers_mut().insert("x-request-limit", limit);
+    }
     reply
 }
 
