fix(gateway): a request that is taken back is no suspect of a crash

Cause: a take-back dropped the request in flight unsettled, as if nothing had come in time. It says only that the server had not begun, or not said so. Changed: it is settled as nothing known, before the head and between head and first event. Tests: platform/tests/versions.rs, a_request_withdrawn_*: both failed before, pass now.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -185,7 +185,10 @@
     let wait = max_wait.min(left);
     let answered = tokio::time::timeout(wait.min(begin_wait), sending).await;
     let response = match answered {
-        Err(_) if begin_wait < wait => return Err(AttemptError::NotBegun),
+        Err(_) if begin_wait < wait => {
+            in_flight.settle();
+            return Err(AttemptError::NotBegun);
+        }
         Err(_) => return Err(AttemptError::TimedOut),
         Ok(Err(mut error)) => {
             if error.take_message().is_some() {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -247,12 +247,11 @@
             begin_limit(&self.context, call, placed).map_or(Duration::MAX, |by| by.since(now));
         let first = stream.next(wait.min(begin_wait)).await;
         let first = first.map_err(|error| {
+            if matches!(error, StreamError::Stalled) && begin_wait < wait {
+                return self.record_error(placed, AttemptError::NotBegun);
+            }
             stream.record_loss(&error);
-            let error = match error {
-                StreamError::Stalled if begin_wait < wait => AttemptError::NotBegun,
-                error => AttemptError::Lost(error.to_smolstr()),
-            };
-            self.record_error(placed, error)
+            self.record_error(placed, AttemptError::Lost(error.to_smolstr()))
         })?;
         let stream_relay = StreamRelay {
             forwarder: self.clone(),
