fix(gateway): a version counts from the earliest time that it can have been named

Cause: a reader of the store pauses for 0.3 s after each answer, and dated what it then found by its own hearing; a peer's message was dated as if it had taken no time. Changed: decide::versions. What the store has ready counts from the answer before; what ended a wait counts from now; after a gap of a second the store was away and servers get the full time, as before. The order of answers, not clocks, bounds the time.

--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -9,6 +9,35 @@
 
 use apricothall_types::Timestamp;
 
+/// Time within which the store answers a watch for changes that it already has.
+const PROMPT_ANSWER: Duration = Duration::from_millis(60);
+
+/// Longest time between two answers of the store after which a change still counts from the first.
+/// After a longer one the store was away, and servers get the full time to load a version.
+const MAX_GAP: Duration = Duration::from_secs(1);
+
+/// Maximum delay of a message that is subtracted from the age of a version in it.
+const MAX_MESSAGE_DELAY: Duration = Duration::from_millis(300);
+
+/// Earliest time of a change in an answer of the store that was received at `now`. The request was
+/// sent at `asked`, and `previous` is when the previous answer, without the change, was received. A
+/// request that the store held open was answered as soon as the change was made.
+#[must_use]
+pub fn earliest_change(previous: Option<Timestamp>, asked: Timestamp, now: Timestamp) -> Timestamp {
+    let was_held_open = now.since(asked) >= PROMPT_ANSWER;
+    match previous.filter(|at| now.since(*at) < MAX_GAP) {
+        Some(previous) if !was_held_open => previous.min(now),
+        _ => now,
+    }
+}
+
+/// Earliest time of publication of a version that was `age` old when a peer sent the message that
+/// was received at `now`. `round_trip` is the measured time of a message to that peer and back.
+#[must_use]
+pub fn published_before(age: Duration, round_trip: Option<Duration>, now: Timestamp) -> Timestamp {
+    now - age - round_trip.unwrap_or_default().min(MAX_MESSAGE_DELAY)
+}
+
 /// Versions of one model, each with its publication time if that is known.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Versions {
--- a/crates/decide/tests/versions.rs
+++ b/crates/decide/tests/versions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use apricothall_decide::versions::Versions;
+use apricothall_decide::versions::{Versions, earliest_change, published_before};
 use apricothall_types::Timestamp;
 
 const ALLOWED: Duration = Duration::from_secs(8);
@@ -48,3 +48,35 @@
     assert!(versions.is_usable(1, ALLOWED, MARGIN, at(6_999)));
     assert!(!versions.is_usable(1, ALLOWED, MARGIN, at(7_000)));
 }
+
+macro_rules! dated {
+    ($($case:ident: previous $previous:expr, asked $asked:literal => $made:literal;)*) => {
+        $(#[test] fn $case() {
+            let previous: Option<u64> = $previous;
+            let made = earliest_change(previous.map(at), at($asked), at(10_000));
+            assert_eq!(made, at($made));
+        })*
+    };
+}
+
+// Guard against a change that counts from its late hearing.
+dated! {
+    a_change_found_at_once_may_be_as_old_as_the_previous_answer: previous Some(9_680), asked 9_990 => 9_680;
+    a_change_that_ended_a_wait_is_new: previous Some(9_200), asked 9_500 => 10_000;
+    a_change_found_after_an_outage_counts_from_its_hearing: previous Some(7_000), asked 9_990 => 10_000;
+    a_change_in_the_first_answer_counts_from_its_hearing: previous None, asked 9_990 => 10_000;
+}
+
+#[test]
+fn the_delay_of_a_message_counts_toward_the_age_of_a_version() {
+    let ms = Duration::from_millis;
+    assert_eq!(
+        published_before(ms(500), Some(ms(80)), at(10_000)),
+        at(9_420)
+    );
+    assert_eq!(published_before(ms(500), None, at(10_000)), at(9_500));
+    assert_eq!(
+        published_before(ms(500), Some(ms(5_000)), at(10_000)),
+        at(9_200)
+    );
+}
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -9,7 +9,7 @@
 use apricothall_decide::outage::{AnsweredAge, OutageConfig};
 use apricothall_decide::readers::StoreReachability;
 use apricothall_decide::servers::{Listing, Server, Servers};
-use apricothall_decide::versions::Versions;
+use apricothall_decide::versions::{Versions, earliest_change};
 use apricothall_types::{Revision, Timestamp};
 use smol_str::SmolStr;
 use tokio::sync::watch;
@@ -37,8 +37,8 @@
     versions: BTreeMap<SmolStr, Versions>,
     servers: KnownServers,
     reachability: StoreReachability,
-    /// Whether this process has already listed the items of operators.
-    listed: bool,
+    /// When the last answer of the store about the items of operators was received.
+    operators_read: Option<Timestamp>,
 }
 
 /// Published state with its revisions.
@@ -304,8 +304,8 @@
         // A version found at the start of the process may have been published long before. If a
         // later list is the first to contain a version, the store was unreachable meanwhile; a peer
         // that has an earlier time of publication reports it.
-        let listed = std::mem::replace(&mut self.state().listed, true);
-        let published_at = listed.then_some(now);
+        let previous = self.state().operators_read.replace(now);
+        let published_at = previous.map(|_| earliest_change(previous, now, now));
         for item in items {
             self.take_item(calls, item, Reader::Store, published_at);
         }
@@ -313,16 +313,21 @@
         self.confirm(self.revision(), sent);
     }
 
-    /// Applies changes of one subject.
+    /// Applies changes of one subject, in an answer that was requested at `asked`.
     pub fn take_changes(
         &self,
         calls: &StoreCalls,
         subject: Subject,
         changes: &Changes,
+        asked: Timestamp,
         now: Timestamp,
     ) {
         match subject {
-            Subject::Operators => self.take_operator_changes(calls, changes, now),
+            Subject::Operators => {
+                let previous = self.state().operators_read.replace(now);
+                let made = earliest_change(previous, asked, now);
+                self.take_operator_changes(calls, changes, made);
+            }
             Subject::Servers => {
                 let applied = self.state().servers.apply_changes(calls, changes, now);
                 if applied {
@@ -332,10 +337,10 @@
         }
     }
 
-    fn take_operator_changes(&self, calls: &StoreCalls, changes: &Changes, now: Timestamp) {
+    fn take_operator_changes(&self, calls: &StoreCalls, changes: &Changes, made: Timestamp) {
         for change in &changes.changes {
             match change {
-                Change::Written(item) => self.take_item(calls, item, Reader::Store, Some(now)),
+                Change::Written(item) => self.take_item(calls, item, Reader::Store, Some(made)),
                 Change::Removed { key, .. } => {
                     tracing::warn!(%key, "operator's item removed from the store; its last value stays in effect");
                 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -123,6 +123,7 @@
         Err(error) => return error,
     };
     loop {
+        let asked = context.clock.now();
         let changes = match fetch_changes(context, client, subject, revision).await {
             Ok(changes) => changes,
             Err(error) => return error,
@@ -132,7 +133,7 @@
         let calls = &context.dialect.store;
         context
             .published
-            .take_changes(calls, subject, &changes, now);
+            .take_changes(calls, subject, &changes, asked, now);
         if subject == Subject::Servers {
             clear_live_servers(context, &changes, now);
         }
