fix(gateway): a request is taken back early enough for the slowest way to its server

Cause: a flat 120 ms, although the link of a server's VM also carries pieces of weights. Changed: decide::path_delay. The time that connections to a server take is measured, and the slowest of the last 5 s is added to the margin of a take-back (120 ms, 900 ms at most) and to the predicted arrival that decides whether a request may be bound to a version that ends. The line "request withdrawn" has the margin and the round trip. Why it works: the end of a connection queues behind the same bytes as its start. Not covered: a queue that grows after the last connection was made. Test: decide/tests/path_delay.rs; no test runs a process behind a slow link.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod outage;
 pub mod outlier;
+pub mod path_delay;
 pub mod pieces;
 pub mod placement;
 pub mod quarantine;
--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -8,6 +8,7 @@
 
 use apricothall_types::Timestamp;
 
+use crate::path_delay::PathDelay;
 use crate::placement::Distance;
 use crate::timing::{Backlog, Timing, Work};
 
@@ -132,6 +133,8 @@
     latency: Option<Duration>,
     correction: Option<f64>,
     backoff_until: Timestamp,
+    /// Delay of the path to the server.
+    pub path: PathDelay,
 }
 
 impl Load {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use apricothall_clients::NamedLimit;
+use apricothall_decide::path_delay::{arrival_margin, withdrawal_margin};
 use apricothall_decide::repeat::End;
 use apricothall_decide::servers::Server;
 use apricothall_types::Timestamp;
@@ -30,10 +31,6 @@
 /// that version, checked again immediately before the request is sent.
 const VERSION_MARGIN: Duration = Duration::from_millis(700);
 
-/// Time before the retirement of a version at which a request that has not begun on it is
-/// cancelled.
-const BEGIN_MARGIN: Duration = Duration::from_millis(120);
-
 /// Offset of the admission order for retried requests, so that they queue behind others of the same
 /// priority.
 const RETRY_URGENCY_OFFSET: u8 = 4;
@@ -181,12 +178,14 @@
     let in_flight = InFlight::begin(context, &placed.server, call.fingerprint, now);
     connection.allowance().await_head();
     let sending = connection.sender().try_send_request(request);
-    let begin_wait = begin_limit(context, call, placed).map_or(Duration::MAX, |by| by.since(now));
+    let begin_wait =
+        begin_limit(context, call, placed, now).map_or(Duration::MAX, |by| by.since(now));
     let wait = max_wait.min(left);
     let answered = tokio::time::timeout(wait.min(begin_wait), sending).await;
     let response = match answered {
         Err(_) if begin_wait < wait => {
             in_flight.settle();
+            log_withdrawal(context, call, placed, begin_wait);
             return Err(AttemptError::NotBegun);
         }
         Err(_) => return Err(AttemptError::TimedOut),
@@ -219,14 +218,31 @@
     })
 }
 
+/// Logs a request that is withdrawn as it had not begun `waited` after it was sent.
+pub fn log_withdrawal(context: &Context, call: &Call, placed: &Placed, waited: Duration) {
+    let now = context.clock.now();
+    if !context.log_budgets.allow_failure(now) {
+        return;
+    }
+    let round_trip = context.fleet.round_trip(placed.server.address, now);
+    let margin = withdrawal_margin(round_trip);
+    tracing::info!(request = %call.id, server = %placed.server.id, version = placed.version, waited_ms = millis(waited), margin_ms = millis(margin), round_trip_ms = millis(round_trip), "request withdrawn");
+}
+
 /// Time by which `call` must have begun at the server in `placed`, if its version is being retired.
 #[must_use]
-pub fn begin_limit(context: &Context, call: &Call, placed: &Placed) -> Option<Timestamp> {
+pub fn begin_limit(
+    context: &Context,
+    call: &Call,
+    placed: &Placed,
+    now: Timestamp,
+) -> Option<Timestamp> {
     let engines = call.engines.as_ref()?;
     let versions = context.published.versions(&engines.model.name);
     let allowed = context.settings().bounds.version;
     let due = versions.retirement_due(placed.version?, allowed)?;
-    Some(due - BEGIN_MARGIN)
+    let round_trip = context.fleet.round_trip(placed.server.address, now);
+    Some(due - withdrawal_margin(round_trip))
 }
 
 /// Whether the version that was selected before connecting may still be used.
@@ -236,7 +252,8 @@
     };
     let versions = context.published.versions(&engines.model.name);
     let allowed = context.settings().bounds.version;
-    let margin = VERSION_MARGIN + placed.predicted;
+    let round_trip = context.fleet.round_trip(placed.server.address, now);
+    let margin = VERSION_MARGIN + placed.predicted + arrival_margin(round_trip);
     versions.is_usable(version, allowed, margin, now)
 }
 
@@ -254,7 +271,11 @@
     {
         return Ok(connection);
     }
-    Ok(ConnectionPool::connect(address, now).await?)
+    let connected = ConnectionPool::connect(address, now).await;
+    let after = context.clock.now();
+    let took = after.since(now);
+    context.fleet.record_round_trip(address, took, after);
+    Ok(connected?)
 }
 
 fn build(
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -10,6 +10,7 @@
 use apricothall_decide::configs::OutlierConfig;
 use apricothall_decide::load::{Entries, Forecast, Load, Prompt, ServerRelation};
 use apricothall_decide::outlier::{Attempt, OutlierDetector, Permit};
+use apricothall_decide::path_delay::arrival_margin;
 use apricothall_decide::placement::{
     self, Candidate, Choice, Distance, PlacementConfig, Requirements,
 };
@@ -283,6 +284,25 @@
         })
     }
 
+    /// Records the time that it took to establish a connection to `address`, or to give it up.
+    pub fn record_round_trip(&self, address: SocketAddr, took: Duration, now: Timestamp) {
+        let mut state = self.state();
+        state
+            .loads
+            .entry(address)
+            .or_default()
+            .path
+            .record(took, now);
+    }
+
+    /// The slowest recent round trip to `address`.
+    #[must_use]
+    pub fn round_trip(&self, address: SocketAddr, now: Timestamp) -> Duration {
+        let state = self.state();
+        let load = state.loads.get(&address);
+        load.map_or(Duration::ZERO, |load| load.path.slowest(now))
+    }
+
     /// Adds a request in flight at `address`.
     pub fn request_started(&self, address: SocketAddr, now: Timestamp) {
         self.state()
@@ -434,7 +454,7 @@
                 None => load.forecast_plain(server.slots),
             };
             let allowed = settings.bounds.version;
-            let margin = VERSION_MARGIN + forecast.latency;
+            let margin = VERSION_MARGIN + forecast.latency + arrival_margin(load.path.slowest(now));
             if version.is_some_and(|v| !request.versions.is_usable(v, allowed, margin, now)) {
                 continue;
             }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -12,7 +12,7 @@
 
 use crate::Context;
 use crate::answers::{Body, RequestOutcome, error_response, full, retry_later_response};
-use crate::exchange::{Answer, AttemptError, begin_limit, exchange};
+use crate::exchange::{Answer, AttemptError, begin_limit, exchange, log_withdrawal};
 use crate::fleet::{Placed, Placement, ServerRef};
 use crate::forwarder::{Forwarder, count_attempt};
 use crate::in_flight::AntiAffinityGuard;
@@ -244,10 +244,11 @@
         let now = self.context.clock.now();
         let wait = max_wait.min(call.deadline.since(now));
         let begin_wait =
-            begin_limit(&self.context, call, placed).map_or(Duration::MAX, |by| by.since(now));
+            begin_limit(&self.context, call, placed, now).map_or(Duration::MAX, |by| by.since(now));
         let first = stream.next(wait.min(begin_wait)).await;
         let first = first.map_err(|error| {
             if matches!(error, StreamError::Stalled) && begin_wait < wait {
+                log_withdrawal(&self.context, call, placed, begin_wait);
                 return self.record_error(placed, AttemptError::NotBegun);
             }
             stream.record_loss(&error);
