--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -20,6 +20,8 @@
 mod rates;
 mod record;
 
+use apricothall_types::quota::{MILLI, NANOS};
+
 pub use apricothall_types::Quota;
 pub use bucket::{FairBucket, TokenBucket};
 pub use ledger::Ledger;
@@ -91,12 +93,6 @@
     pub caller: Option<CallerId>,
 }
 
-/// Thousandths in one request.
-const MILLI: u64 = 1_000;
-
-/// Nanoseconds in a second.
-const NANOS: u128 = 1_000_000_000;
-
 /// Returns the effective class of a request. Class critical requires a critical catalogue entry and
 /// a short request, so that callers cannot use it to bypass the limits.
 #[must_use]
--- a/crates/decide/src/server_limits/share.rs
+++ b/crates/decide/src/server_limits/share.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use apricothall_types::quota::MILLI;
 use apricothall_types::{MemberId, Quota, Region, Zone};
 
 use crate::placement::Distance;
@@ -36,9 +37,6 @@
 /// Time for which a sender accumulates its rate, in addition to one request.
 const BURST_TIME: Duration = Duration::from_secs(1);
 
-/// Thousandths in one request.
-const MILLI: u64 = 1_000;
-
 /// An entry that accepts requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Sender {
--- a/crates/decide/tests/server_limits/main.rs
+++ b/crates/decide/tests/server_limits/main.rs
@@ -1,12 +1,13 @@
 //! Limits that servers name for all entries together, checked on a model of many entries.
 
+mod delivery;
+mod server;
 mod world;
 
 use std::time::Duration;
 
-use apricothall_decide::limits::Quota;
 use apricothall_decide::server_limits::{Place, Sender, ServerLife, ServerLimits, Verdict};
-use apricothall_types::{Timestamp, WallTime};
+use apricothall_types::{Quota, Timestamp, WallTime};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use world::{Conditions, START, World};
--- a/crates/decide/tests/server_limits/world.rs
+++ b/crates/decide/tests/server_limits/world.rs
@@ -3,20 +3,19 @@
 //! Entries learn of joins, restarts and ends of other entries with delays that differ, gossip
 //! arrives late or not at all, and servers check their arrivals as the platform does.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use apricothall_decide::limits::Quota;
-use apricothall_decide::server_limits::{
-    LimitRecord, Place, Sender, ServerLife, ServerLimits, Verdict, WINDOW,
-};
+use apricothall_decide::server_limits::{Sender, ServerLimits, Verdict};
 use apricothall_decide::update_queue::fanout;
-use apricothall_types::{MemberId, Timestamp, WallTime};
+use apricothall_types::{Quota, Timestamp};
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::delivery::{Delivery, Pending};
+use crate::server::{CONTACT, Server};
+
 /// Step of the virtual clock.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -32,12 +31,6 @@
 /// Maximum number of records in a message.
 const RECORDS: usize = 8;
 
-/// Time within which an entry that was told a limit must observe it.
-const REACTION: Duration = Duration::from_millis(500);
-
-/// Time after which a limit, and a restarted or frozen entry, is checked.
-const CONTACT: Duration = Duration::from_secs(3);
-
 /// Start of a run; an entry's process may have been started before.
 pub const START: Timestamp = Timestamp::from_millis(100_000);
 
@@ -58,52 +51,6 @@
     pub view_delay: Duration,
 }
 
-/// What an entry is told at some time.
-enum Delivery {
-    Gossip {
-        to: usize,
-        records: Vec<LimitRecord>,
-    },
-    Answer {
-        to: usize,
-        life: u32,
-        server: usize,
-        sent: Timestamp,
-        named: Option<Quota>,
-    },
-    View {
-        to: usize,
-        about: usize,
-        serving: bool,
-    },
-}
-
-struct Pending {
-    at: Timestamp,
-    number: u64,
-    delivery: Delivery,
-}
-
-impl PartialEq for Pending {
-    fn eq(&self, other: &Self) -> bool {
-        self.number == other.number
-    }
-}
-
-impl Eq for Pending {}
-
-impl PartialOrd for Pending {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Pending {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        Reverse((self.at, self.number)).cmp(&Reverse((other.at, other.number)))
-    }
-}
-
 struct Entry {
     limits: ServerLimits,
     view: Vec<bool>,
@@ -114,19 +61,6 @@
     started: Timestamp,
 }
 
-/// A server and what it has received.
-struct Server {
-    life: ServerLife,
-    limit: Option<Quota>,
-    /// When the limit was named first, or changed.
-    since: Timestamp,
-    /// Highest limit that still applies to some entries.
-    applies: VecDeque<(Timestamp, Option<Quota>)>,
-    told: BTreeMap<usize, Timestamp>,
-    counted: VecDeque<Timestamp>,
-    arrivals: Vec<Timestamp>,
-}
-
 /// One run of the model.
 pub struct World {
     conditions: Conditions,
@@ -176,7 +110,8 @@
             world.entries.push(entry);
         }
         for index in 0..servers {
-            world.servers.push(world.new_server(index));
+            let place = &world.senders[index % count];
+            world.servers.push(Server::new(index, place));
         }
         for index in 0..count {
             world.update_view(index);
@@ -204,39 +139,9 @@
         }
     }
 
-    fn new_server(&self, index: usize) -> Server {
-        let place = &self.senders[index % self.senders.len()];
-        Server {
-            life: ServerLife {
-                id: format!("server-{index}")
-                    .parse::<MemberId>()
-                    .expect("valid"),
-                born: WallTime(1),
-                place: Place {
-                    zone: place.zone.clone(),
-                    region: Some(place.region.clone()),
-                },
-            },
-            limit: None,
-            since: START,
-            applies: VecDeque::new(),
-            told: BTreeMap::new(),
-            counted: VecDeque::new(),
-            arrivals: Vec::new(),
-        }
-    }
-
     /// Lets a server name a limit, or none.
     pub fn set_limit(&mut self, server: usize, limit: Option<Quota>) {
-        let now = self.now;
-        let server = &mut self.servers[server];
-        if server.limit.is_none() || limit.is_none() {
-            server.since = now;
-            server.told.clear();
-            server.counted.clear();
-        }
-        server.applies.push_back((now, server.limit));
-        server.limit = limit;
+        self.servers[server].set_limit(limit, self.now);
     }
 
     /// Restarts the process of an entry, which then knows nothing.
@@ -245,7 +150,7 @@
         self.entries[index] = self.new_entry(index, life, self.now);
         self.entries[index].excused_until = self.now + CONTACT;
         for server in &mut self.servers {
-            server.told.remove(&index);
+            server.forget(index);
         }
         self.tell_views(index, false);
         self.tell_views(index, true);
@@ -304,8 +209,7 @@
 
     /// Requests that arrived at a server since `from`.
     pub fn arrived_since(&self, server: usize, from: Timestamp) -> usize {
-        let arrivals = self.servers[server].arrivals.iter();
-        arrivals.filter(|at| **at >= from).count()
+        self.servers[server].arrived_since(from)
     }
 
     /// Number of running entries to which a limit of the server is known.
@@ -400,8 +304,8 @@
         if entry.life != life {
             return;
         }
-        if named.is_some() && server.limit.is_some() {
-            server.told.entry(to).or_insert(now);
+        if named.is_some() {
+            server.record_told(to, now);
         }
         entry.limits.observe(&server.life, named, sent, now);
     }
@@ -450,52 +354,15 @@
         let now = self.now;
         let excused = self.entries[from].excused_until > now;
         let state = &mut self.servers[server];
-        state.arrivals.push(now);
-        let told = state.told.get(&from);
-        let counts = told.is_some_and(|told| now.since(*told) >= REACTION) && !excused;
-        if counts {
-            state.counted.push_back(now);
-        }
-        let named = state.limit;
-        self.check(server);
-        let delay = Duration::from_millis(self.rng.random_range(30..300));
-        let life = self.entries[from].life;
-        self.deliver(
-            delay,
-            Delivery::Answer {
-                to: from,
-                life,
-                server,
-                sent: now,
-                named,
-            },
-        );
-    }
-
-    /// Checks the window that ends now.
-    fn check(&mut self, server: usize) {
-        let now = self.now;
-        let state = &mut self.servers[server];
-        state.counted.retain(|at| now.since(*at) < WINDOW);
-        state
-            .applies
-            .retain(|(until, _)| now.since(*until) < WINDOW + CONTACT);
-        let Some(limit) = state.limit else {
-            return;
+        self.violations.extend(state.arrive(from, excused, now));
+        let answer = Delivery::Answer {
+            to: from,
+            life: self.entries[from].life,
+            server,
+            sent: now,
+            named: state.limit,
         };
-        if now.since(state.since) < CONTACT + WINDOW {
-            return;
-        }
-        let earlier = state.applies.iter().filter_map(|(_, limit)| *limit);
-        let limit = earlier.chain([limit]).max().unwrap_or(limit);
-        let allowed = limit.over(WINDOW) * 3 / 2 + 5_000;
-        let count = state.counted.len();
-        if u64::try_from(count).expect("few") * 1_000 > allowed {
-            let at = now.since(START).as_millis();
-            let id = &state.life.id;
-            self.violations.push(format!(
-                "{at} ms: {count} requests in 4 s at {id} with a limit of {limit}"
-            ));
-        }
+        let delay = Duration::from_millis(self.rng.random_range(30..300));
+        self.deliver(delay, answer);
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -8,15 +8,12 @@
 
 use apricothall_decide::anti_affinity::AntiAffinity;
 use apricothall_decide::configs::OutlierConfig;
-use apricothall_decide::load::{Entries, Forecast, Load, Prompt, ServerRelation};
-use apricothall_decide::outlier::{Attempt, OutlierDetector, Permit};
-use apricothall_decide::path_delay::arrival_margin;
-use apricothall_decide::placement::{
-    self, Candidate, Choice, Distance, PlacementConfig, Requirements,
-};
-use apricothall_decide::server_limits::{PassedOver, Verdict};
-use apricothall_decide::servers::{Server, Servers};
-use apricothall_decide::signals::{Availability, Signals};
+use apricothall_decide::load::{Entries, Load, Prompt};
+use apricothall_decide::outlier::{Attempt, OutlierDetector};
+use apricothall_decide::placement::{self, Choice, PlacementConfig, Requirements};
+use apricothall_decide::server_limits::PassedOver;
+use apricothall_decide::servers::Server;
+use apricothall_decide::signals::Signals;
 use apricothall_decide::versions::Versions;
 use apricothall_types::{Interval, MemberId, Timestamp};
 use smol_str::SmolStr;
@@ -25,10 +22,11 @@
 use crate::model::EngineService;
 use crate::peers::EngineStatus;
 use crate::retry_budgets::RetryBudgets;
-use crate::server_limits::SharedLimits;
 use crate::servers::ServerListAge;
 use crate::settings::Settings;
 
+mod eligible;
+
 /// Maximum age of an engine status that is used.
 const STATUS_MAX_AGE: Duration = Duration::from_millis(900);
 
@@ -41,10 +39,6 @@
 /// Back-off for a server that is not the expected one.
 const MISDIRECTED_BACKOFF: Duration = Duration::from_millis(250);
 
-/// Minimum time between the predicted start of a request on an old version and the retirement of
-/// that version.
-const VERSION_MARGIN: Duration = Duration::from_millis(900);
-
 /// Pace in an engine status that equals the published timing, in percent.
 const PUBLISHED_PACE: f64 = 100.0;
 
@@ -142,14 +136,6 @@
     NoServer,
 }
 
-/// A server that is able to run a request.
-struct EligibleServer<'a> {
-    server: &'a Server,
-    version: Option<u64>,
-    relation: ServerRelation,
-    forecast: Forecast,
-}
-
 impl Fleet {
     /// Creates the state without servers.
     #[must_use]
@@ -395,156 +381,3 @@
         state.outlier.retain(servers.into_iter().map(|s| s.id));
     }
 }
-
-impl EligibleServer<'_> {
-    fn candidate(&self, permit: Permit) -> Candidate {
-        Candidate {
-            distance: self.relation.distance,
-            is_primary: self.relation.is_primary,
-            permit,
-            latency: self.forecast.latency,
-            pause: self.forecast.pause,
-            has_free_slot: self.forecast.has_free_slot,
-            under_half_full: self.forecast.under_half_full,
-        }
-    }
-}
-
-impl State {
-    /// Servers that are able to run a request, with the forecast for each, and of those whose limit
-    /// is reached the one that takes another request first.
-    fn eligible<'a>(
-        &self,
-        settings: &Settings,
-        servers: &'a Servers,
-        limits: &SharedLimits,
-        request: &PlacementRequest<'_>,
-        now: Timestamp,
-    ) -> (Vec<EligibleServer<'a>>, Option<PassedOver>) {
-        let unknown = Load::default();
-        let mut eligible = Vec::new();
-        let mut passed_over: Option<PassedOver> = None;
-        let mut same_zone_index = 0;
-        for server in servers.ready(request.service) {
-            if request.tried.contains(&server.id) {
-                continue;
-            }
-            if self.signals.availability(&server.id, server.born, now) != Availability::Available {
-                continue;
-            }
-            let Some(version) = self.version(server, request, now) else {
-                continue;
-            };
-            let distance = settings.distance(&server.zone);
-            let near = distance == Distance::Zone;
-            let relation = ServerRelation {
-                distance,
-                is_primary: near && self.entries.is_primary_for(same_zone_index),
-                sender_count: self.entries.sender_count(distance),
-            };
-            same_zone_index += u32::from(near);
-            let load = self.loads.get(&server.address).unwrap_or(&unknown);
-            if load.is_backing_off(now) {
-                continue;
-            }
-            let forecast = match request.engines {
-                Some(engines) => {
-                    load.forecast_engine(&engines.timing, request.prompt, relation, now)
-                }
-                None => load.forecast_plain(server.slots),
-            };
-            let allowed = settings.bounds.version;
-            let margin = VERSION_MARGIN + forecast.latency + arrival_margin(load.path.slowest(now));
-            if version.is_some_and(|v| !request.versions.is_usable(v, allowed, margin, now)) {
-                continue;
-            }
-            if let Verdict::PassedOver(passed) = limits.verdict(server, now) {
-                let wait = passed_over.as_ref().map_or(Duration::MAX, |p| p.wait);
-                if passed.wait < wait {
-                    passed_over = Some(passed);
-                }
-                continue;
-            }
-            eligible.push(EligibleServer {
-                server,
-                version,
-                relation,
-                forecast,
-            });
-        }
-        if request.crashes > 0 {
-            self.anti_affinity
-                .retain_least_exposed(&mut eligible, |e| e.server.address);
-        }
-        (eligible, passed_over)
-    }
-
-    /// Time until the first paused server of `service` accepts requests again.
-    fn shortest_pause(&self, servers: &Servers, service: &str, now: Timestamp) -> Option<Duration> {
-        let availabilities = servers
-            .ready(service)
-            .map(|s| self.signals.availability(&s.id, s.born, now));
-        let waits = availabilities.filter_map(|availability| match availability {
-            Availability::PausedFor(wait) => Some(wait),
-            Availability::Available | Availability::Leaving => None,
-        });
-        waits.min()
-    }
-
-    /// Records that a request is about to be sent to a server, and adds its prompt to the load
-    /// there.
-    fn start_request(
-        &mut self,
-        selected: &EligibleServer<'_>,
-        request: &PlacementRequest<'_>,
-        now: Timestamp,
-    ) -> Placed {
-        let server = selected.server;
-        self.outlier.note_start(&server.id, now);
-        if let Some(engines) = request.engines {
-            let load = self.loads.entry(server.address).or_default();
-            load.add_prompt(&engines.timing, request.prompt, selected.relation, now);
-        }
-        Placed {
-            server: server.clone(),
-            version: selected.version,
-            predicted: selected.forecast.latency,
-            load: selected.forecast.occupied,
-            list_age: None,
-            took_limit: false,
-            passed_over: None,
-        }
-    }
-
-    /// Version that a request would be bound to at `server`: `Some(None)` for a service without
-    /// engines, `None` if the server cannot run the request.
-    #[expect(
-        clippy::option_option,
-        reason = "the outer option tells whether the server can run the request"
-    )]
-    fn version(
-        &self,
-        server: &Server,
-        request: &PlacementRequest<'_>,
-        now: Timestamp,
-    ) -> Option<Option<u64>> {
-        let Some(engines) = request.engines else {
-            return Some(None);
-        };
-        let model = &engines.model.name;
-        let status = self.statuses.get(&server.address).filter(|s| now < s.until);
-        let status = status.map(|s| &s.status);
-        // The entry of an engine that stopped or restarted remains in the store for a while.
-        if status.is_some_and(|s| s.born != server.born.0 && server.born.0 != 0) {
-            return None;
-        }
-        let version = match status {
-            Some(status) => {
-                let (name, version) = status.serving.as_ref()?;
-                (name == model).then_some(*version)?
-            }
-            None => server.loaded.iter().find(|l| l.model == *model)?.version,
-        };
-        Some(Some(version))
-    }
-}
--- a/crates/types/src/quota.rs
+++ b/crates/types/src/quota.rs
@@ -16,7 +16,7 @@
 pub struct Quota(pub u64);
 
 /// Thousandths in one request.
-const MILLI: u64 = 1_000;
+pub const MILLI: u64 = 1_000;
 
 impl Quota {
     /// A rate of `count` requests per second.
@@ -78,4 +78,4 @@
 }
 
 /// Nanoseconds in a second.
-const NANOS: u128 = 1_000_000_000;
+pub const NANOS: u128 = 1_000_000_000;
--- a/crates/decide/tests/quota.rs
+++ b/crates/types/tests/quota.rs
@@ -1,6 +1,6 @@
 //! Text form of request rates.
 
-use apricothall_decide::limits::Quota;
+use apricothall_types::Quota;
 
 macro_rules! parsed {
     ($($case:ident: $text:literal => $milli:expr;)*) => {
