fix(gateway): senders use a server's limit

Servers saw: with eight real entries and callers enough, a server with a limit of 1.6 got 14 requests in 24 s (0.36 of it), one with a limit of 1 got 5 (0.2); with sixteen 10 for a limit of 1 and 50 for 3. Asked for are 0.7. Cause: an entry prefers servers of which it is the primary sender, and reckons with what all other entries send. Neither holds for a limited server: a few entries send to it, little each. The share was hardly ever the cheapest choice. Changed: a server with a limit counts as the entry's own while it has room there. A record told late by a peer no longer sets the time of the last naming back, and a message has each server once.

--- a/crates/apricotd/tests/server_limits.rs
+++ b/crates/apricotd/tests/server_limits.rs
@@ -15,12 +15,15 @@
 #[path = "server_limits/world.rs"]
 mod world;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use world::World;
 
-/// Time for which callers send after the servers have named their limits.
-const LOAD_TIME: Duration = Duration::from_secs(12);
+/// Time after the naming of limits until their use is measured.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
+
+/// Time for which the use of limits is measured.
+const LOAD_TIME: Duration = Duration::from_secs(24);
 
 macro_rules! limits {
     ($($(#[$doc:meta])* $case:ident: $zones:expr, $limits:expr;)*) => {
@@ -28,8 +31,12 @@
             let mut world = World::start(stringify!($case), &$zones, $limits.len(), 3).await;
             world.start_callers();
             world.name_limits(&$limits);
+            tokio::time::sleep(SETTLE_TIME).await;
+            let from = Instant::now();
             tokio::time::sleep(LOAD_TIME).await;
+            let unused = world.unused_limits(&$limits, from);
             let violations = world.close().await;
+            assert!(unused.is_empty(), "{unused:#?}");
             assert!(violations.is_empty(), "{violations:#?}");
         })*
     };
--- a/crates/apricotd/tests/server_limits/world.rs
+++ b/crates/apricotd/tests/server_limits/world.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use apricothall_clients::http_client::HttpClient;
 use http::StatusCode;
@@ -28,6 +28,9 @@
 /// Fault-free time at the start, within which entries discover each other.
 const WARM_UP: Duration = Duration::from_secs(6);
 
+/// Part of a limit that must be used while there is demand.
+const MIN_USE: f64 = 0.7;
+
 /// Minimum number of served requests of a run.
 const MIN_SERVED: u32 = 100;
 
@@ -85,6 +88,23 @@
         }
     }
 
+    /// Servers that got much less than their limit since `from`. A limit below one request a second
+    /// allows too few to tell.
+    pub fn unused_limits(&self, limits: &[&str], from: Instant) -> Vec<String> {
+        let seconds = from.elapsed().as_secs_f64();
+        let mut unused = Vec::new();
+        for (server, text) in self.limited.iter().zip(limits) {
+            let limit: f64 = text.parse().expect("a rate");
+            let arrived = u32::try_from(server.arrived_since(from)).expect("few");
+            if limit >= 1.0 && f64::from(arrived) < MIN_USE * limit * seconds {
+                unused.push(format!(
+                    "{arrived} requests in {seconds} s with a limit of {limit}"
+                ));
+            }
+        }
+        unused
+    }
+
     /// Starts callers that send requests to each entry in a loop.
     pub fn start_callers(&mut self) {
         for entry in 0..self.entries.caller_addresses().len() {
--- a/crates/decide/src/server_limits.rs
+++ b/crates/decide/src/server_limits.rs
@@ -279,7 +279,7 @@
         }
         state.known = known;
         if known.clean == 0 {
-            state.named = known.observed;
+            state.named = state.named.max(known.observed);
         }
         if before == known.limit {
             return None;
@@ -383,7 +383,12 @@
 
     /// At most `most` records for a message: recent changes first, then the others in turn.
     pub fn records(&mut self, most: usize, now: Timestamp) -> Vec<LimitRecord> {
-        let mut ids: Vec<_> = self.updates.recent(now).take(most).cloned().collect();
+        let mut ids: Vec<MemberId> = Vec::new();
+        for id in self.updates.recent(now) {
+            if ids.len() < most && !ids.contains(id) {
+                ids.push(id.clone());
+            }
+        }
         let rest = most - ids.len();
         let others = self.servers.keys().filter(|id| !ids.contains(id));
         let others: Vec<_> = others.cloned().collect();
--- a/crates/gateway/src/fleet/eligible.rs
+++ b/crates/gateway/src/fleet/eligible.rs
@@ -68,11 +68,8 @@
             };
             let distance = settings.distance(&server.zone);
             let near = distance == Distance::Zone;
-            let relation = ServerRelation {
-                distance,
-                is_primary: near && self.entries.is_primary_for(same_zone_index),
-                sender_count: self.entries.sender_count(distance),
-            };
+            let verdict = limits.verdict(server, now);
+            let relation = self.relation(distance, same_zone_index, &verdict);
             same_zone_index += u32::from(near);
             let load = self.loads.get(&server.address).unwrap_or(&unknown);
             if load.is_backing_off(now) {
@@ -89,7 +86,7 @@
             if version.is_some_and(|v| !request.versions.is_usable(v, allowed, margin, now)) {
                 continue;
             }
-            if let Verdict::PassedOver(passed) = limits.verdict(server, now) {
+            if let Verdict::PassedOver(passed) = verdict {
                 let wait = passed_over.as_ref().map_or(Duration::MAX, |p| p.wait);
                 if passed.wait < wait {
                     passed_over = Some(passed);
@@ -110,6 +107,24 @@
         (eligible, passed_over)
     }
 
+    /// Relation to a server at `distance`, the one with index `at` if it is in this zone. A server
+    /// with a limit gets little from the other entries, so this one uses its share as a primary
+    /// sender does.
+    fn relation(&self, distance: Distance, at: u32, verdict: &Verdict) -> ServerRelation {
+        let near = distance == Distance::Zone;
+        let is_limited = *verdict != Verdict::Unlimited;
+        let sender_count = if is_limited {
+            1
+        } else {
+            self.entries.sender_count(distance)
+        };
+        ServerRelation {
+            distance,
+            is_primary: near && (is_limited || self.entries.is_primary_for(at)),
+            sender_count,
+        }
+    }
+
     /// Time until the first paused server of `service` accepts requests again.
     pub(super) fn shortest_pause(
         &self,
