fix(gateway): ages of versions that daemons tell each other do not drift

Cause: subtracted the delay of each message from the time of publication that it tells. Each daemon keeps the earliest time that it hears and tells it on, so every exchange moved it back once more, and versions ended too early. Test: exchanged_ages_do_not_move_a_publication states it for two processes and 200 messages.

--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -16,9 +16,6 @@
 /// After a longer one the store was away, and servers get the full time to load a version.
 const MAX_GAP: Duration = Duration::from_secs(1);
 
-/// Maximum delay of a message that is subtracted from the age of a version in it.
-const MAX_MESSAGE_DELAY: Duration = Duration::from_millis(300);
-
 /// Earliest time of a change in an answer of the store that was received at `now`. The request was
 /// sent at `asked`, and `previous` is when the previous answer, without the change, was received. A
 /// request that the store held open was answered as soon as the change was made.
@@ -31,13 +28,6 @@
     }
 }
 
-/// Earliest time of publication of a version that was `age` old when a peer sent the message that
-/// was received at `now`. `round_trip` is the measured time of a message to that peer and back.
-#[must_use]
-pub fn published_before(age: Duration, round_trip: Option<Duration>, now: Timestamp) -> Timestamp {
-    now - age - round_trip.unwrap_or_default().min(MAX_MESSAGE_DELAY)
-}
-
 /// Versions of one model, each with its publication time if that is known.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Versions {
--- a/crates/decide/tests/versions.rs
+++ b/crates/decide/tests/versions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use apricothall_decide::versions::{Versions, earliest_change, published_before};
+use apricothall_decide::versions::{Versions, earliest_change};
 use apricothall_types::Timestamp;
 
 const ALLOWED: Duration = Duration::from_secs(8);
@@ -67,16 +67,22 @@
     a_change_in_the_first_answer_counts_from_its_hearing: previous None, asked 9_990 => 10_000;
 }
 
+/// Guards against a time of publication that moves back each time that two processes tell each other
+/// the age of a version, by the delay of their messages.
 #[test]
-fn the_delay_of_a_message_counts_toward_the_age_of_a_version() {
-    let ms = Duration::from_millis;
-    assert_eq!(
-        published_before(ms(500), Some(ms(80)), at(10_000)),
-        at(9_420)
-    );
-    assert_eq!(published_before(ms(500), None, at(10_000)), at(9_500));
-    assert_eq!(
-        published_before(ms(500), Some(ms(5_000)), at(10_000)),
-        at(9_200)
-    );
+fn exchanged_ages_do_not_move_a_publication() {
+    let delay = Duration::from_millis(20);
+    let mut known = [Versions::default(), Versions::default()];
+    known[0].publish(2, Some(at(10_000)));
+    let mut now = at(10_000);
+    for turn in 0..200 {
+        let (from, to) = (turn % 2, (turn + 1) % 2);
+        let told = known[from].iter().find_map(|(_, since)| since);
+        let age = now.since(told.expect("known"));
+        now = now + delay;
+        known[to].publish(2, Some(now - age));
+    }
+    let due = |versions: &Versions| versions.retirement_due(1, ALLOWED);
+    assert_eq!(due(&known[0]), Some(at(18_000)));
+    assert_eq!(due(&known[1]), Some(at(18_020)));
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,7 +11,6 @@
 use apricothall_decide::cadence::{ROUND, Receivers, fetch_sample, is_due, period};
 use apricothall_decide::placement::Distance;
 use apricothall_decide::update_queue::{Fanout, fanout};
-use apricothall_decide::versions::published_before;
 use apricothall_types::{Role, Timestamp};
 use apricothall_wire::WireError;
 use apricothall_wire::codec::{decode, encode};
@@ -96,10 +95,8 @@
         GossipEffect::Unchanged => {}
         GossipEffect::Changed => log_peer(context, &gossip.hello, now),
     }
-    let round_trip = round_trip(context, gossip, now);
     for version in &gossip.versions {
-        let age = version.age.map(Duration::from_millis);
-        let since = age.map(|age| published_before(age, round_trip, now));
+        let since = version.age.map(|age| now - Duration::from_millis(age));
         context
             .published
             .publish_version(&version.model, version.version, since, Reader::Peer);
@@ -129,16 +126,6 @@
     }
 }
 
-/// Time of the last message to the sender of `gossip` and of its answer, without the time between
-/// them.
-fn round_trip(context: &Context, gossip: &Gossip, now: Timestamp) -> Option<Duration> {
-    let echo = gossip
-        .echo
-        .filter(|e| e.incarnation == context.incarnation)?;
-    let held = Duration::from_millis(echo.held);
-    Some(now.since(echo.stamp).saturating_sub(held))
-}
-
 /// Merges the fields of a message that are stated as ages. The echoed timestamp is a lower bound on
 /// the time of sending. An echo of a timestamp of an earlier process on this VM is ignored, as it
 /// refers to another clock.
@@ -353,7 +340,7 @@
     Gossip {
         hello: daemon_info(context),
         stamp: now,
-        echo: context.peers.echo(to, now),
+        echo: context.peers.echo(to),
         revision: context.published.revision(),
         confirmed: age.map(|a| {
             u64::try_from(a.as_millis())
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,7 +19,6 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::log_budgets::millis;
 use crate::settings::Settings;
 
 /// Minimum silence after which a daemon of the same region no longer counts as a reader of the
@@ -114,8 +113,6 @@
     pub incarnation: Incarnation,
     /// Time of sending, by the sender's clock.
     pub stamp: Timestamp,
-    /// Time from its receipt until it was echoed, in ms.
-    pub held: u64,
 }
 
 /// A gossip message.
@@ -365,11 +362,10 @@
 
     /// Reference to the last message from `address`.
     #[must_use]
-    pub fn echo(&self, address: &SocketAddr, now: Timestamp) -> Option<Echo> {
+    pub fn echo(&self, address: &SocketAddr) -> Option<Echo> {
         self.known().get(address).map(|p| Echo {
             incarnation: p.hello.incarnation,
             stamp: p.stamp,
-            held: millis(now.since(p.last_heard)),
         })
     }
 
