fix(gateway): a version of unknown time stays old until a peer tells its time

Cause: a process that finds a version in its first read of the store does not know when it was named and counts it as long past; its next read, a second later, dated it by that read, so that the version before counted as usable for 8 s more. What no one knows was taken as time gained. Changed: only the first read that has a version dates it; later ones do not tell when it was published. Test: a_version_found_at_the_start_counts_as_old_after_later_reads failed before, passes; versions.rs 9 passed.

--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -48,6 +48,12 @@
         is_new
     }
 
+    /// Whether `version` is known.
+    #[must_use]
+    pub fn contains(&self, version: u64) -> bool {
+        self.published.contains_key(&version)
+    }
+
     /// The highest published version.
     #[must_use]
     pub fn newest(&self) -> Option<u64> {
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -145,6 +145,10 @@
     ) {
         let mut state = self.state();
         let versions = state.versions.entry(model.clone()).or_default();
+        // A later read of the store does not tell when a version was published.
+        if reader == Reader::Store && versions.contains(version) {
+            return;
+        }
         let before = versions.newest();
         if !versions.publish(version, since) {
             return;
