--- a/crates/decide/tests/server_limits/main.rs
+++ b/crates/decide/tests/server_limits/main.rs
@@ -163,6 +163,32 @@
     assert_eq!(limits.verdict(&id, WallTime(2), START), Verdict::Unlimited);
 }
 
+/// Guards against a limit far above any demand that holds requests back.
+#[test]
+fn a_huge_limit_never_binds() {
+    let mut limits = only_sender();
+    limits.observe(&life(1), Some(Quota(u64::MAX)), START, START);
+    let id = life(1).id;
+    for ms in 1..10_000 {
+        let now = START + Duration::from_millis(ms);
+        assert!(limits.take(&id, WallTime(1), now), "{ms} ms");
+    }
+}
+
+/// Guards against a server without room that is never asked again, and against a flood to it.
+#[test]
+fn a_limit_of_nought_lets_few_requests_through() {
+    let mut limits = only_sender();
+    limits.observe(&life(1), Some(Quota(0)), START, START);
+    let id = life(1).id;
+    let taken = (0..60_000).filter(|ms| {
+        let now = START + Duration::from_millis(*ms);
+        limits.take(&id, WallTime(1), now)
+    });
+    let taken = taken.count();
+    assert!((4..=14).contains(&taken), "{taken} in a minute");
+}
+
 /// Guards against answers to earlier requests that are taken for the end of a limit.
 #[test]
 fn answers_to_requests_from_before_a_naming_do_not_end_a_limit() {
