feat(gateway): log bytes by kind of message and slow reads of the store

A line 'control traffic' each 2 s has the bytes of the store's answers, and of configurations, lists of servers, crash records, gossip and pieces sent. 'slow read of the store' has call, subject, duration, bytes and reads in flight; 'store silent' the reads in flight and the bytes received so far, which grow while the store answers. Metrics of the same.

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -1,6 +1,8 @@
 //! HTTP client shared by all other clients.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,10 +35,27 @@
     pub body: Bytes,
 }
 
+/// Number of bytes of answers' bodies, counted as they arrive. Clones share the count.
+#[derive(Clone, Debug, Default)]
+pub struct ReceivedBytes(Arc<AtomicU64>);
+
+impl ReceivedBytes {
+    /// Number of bytes received so far.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn add(&self, count: usize) {
+        self.0.fetch_add(count as u64, Ordering::Relaxed);
+    }
+}
+
 /// HTTP client whose connections start at the address of this VM.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    received: ReceivedBytes,
 }
 
 impl HttpClient {
@@ -56,7 +75,16 @@
             .retry_canceled_requests(false)
             .pool_max_idle_per_host(idle)
             .build(connector);
-        Self { client }
+        Self {
+            client,
+            received: ReceivedBytes::default(),
+        }
+    }
+
+    /// Counts the bytes that [`Self::call`] receives in `received`.
+    #[must_use]
+    pub fn counting(self, received: ReceivedBytes) -> Self {
+        Self { received, ..self }
     }
 
     /// A client that closes each connection after its call, for servers that accept only a few
@@ -96,6 +124,10 @@
     ) -> Result<Answer, PlatformError> {
         let answer = async {
             let (parts, body) = self.send(request).await?.into_parts();
+            let body = body.map_frame(|frame| {
+                self.received.add(frame.data_ref().map_or(0, Bytes::len));
+                frame
+            });
             let read = Limited::new(body, limit).collect().await;
             let body = read
                 .map_err(|e| PlatformError::Lost(e.to_smolstr()))?
--- a/crates/gateway/src/agent/pieces.rs
+++ b/crates/gateway/src/agent/pieces.rs
@@ -18,6 +18,7 @@
 
 use crate::Context;
 use crate::agent::piece_store::VersionId;
+use crate::traffic::Kind;
 
 /// Path of streams that request a piece or the digests.
 pub const PATH: &str = "/piece";
@@ -216,6 +217,7 @@
     let size = Size(u64::try_from(piece.len()).unwrap_or(u64::MAX));
     let transmission_time = context.settings().link.time_for(size);
     context.uploads.wait_for_turn(rank).await;
+    context.traffic.record(Kind::Pieces, piece.len());
     let sent = channel.send(PieceResponse::Piece(Payload(piece))).await;
     tokio::time::sleep(transmission_time * 100 / LINK_SHARE_PERCENT).await;
     context.uploads.release_link();
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -17,6 +17,8 @@
 use crate::quarantine::Quarantine;
 use crate::server_limits::SharedLimits;
 use crate::settings::Settings;
+use crate::store_reads::StoreReads;
+use crate::traffic::Traffic;
 
 /// Handle to the shared state of one process. Cheap to clone.
 #[derive(Clone)]
@@ -47,6 +49,10 @@
     pub piece_store: PieceStore,
     /// Slots for sending pieces to other agents.
     pub uploads: UploadQueue,
+    /// Reads of the store in progress.
+    pub store_reads: StoreReads,
+    /// Bytes of control traffic by kind.
+    pub traffic: Traffic,
     /// Rate limits of log lines about requests.
     pub log_budgets: Arc<LogBudgets>,
     /// Recorded metrics.
@@ -78,6 +84,8 @@
             piece_store: PieceStore::default(),
             log_budgets,
             uploads: UploadQueue::default(),
+            store_reads: StoreReads::default(),
+            traffic: Traffic::default(),
             telemetry,
         }))
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -23,6 +23,7 @@
 use crate::published::Reader;
 use crate::quarantine::{CrashRecords, crash_of, has_other_records};
 use crate::settings::Settings;
+use crate::traffic::Kind;
 
 /// Number of rounds between attempts to reach silent daemons.
 const PROBE_ROUNDS: u64 = 4;
@@ -306,6 +307,7 @@
     }
     match datagram(gossip) {
         Ok(bytes) => {
+            context.traffic.record(Kind::Gossip, bytes.len());
             if let Err(error) = socket.send_to(&bytes, address).await {
                 tracing::debug!(%address, %error, "cannot send gossip message");
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,8 @@
 pub mod servers;
 pub mod settings;
 pub mod store;
+pub mod store_reads;
 pub mod stream;
+pub mod traffic;
 
 pub use context::Context;
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -9,6 +9,7 @@
 use apricothall_decide::servers::Listing;
 use apricothall_decide::update_source::Source;
 use apricothall_types::{Digest, Revision, Role, Timestamp};
+use apricothall_wire::codec::encode;
 use apricothall_wire::{Connector, ConnectorConfig, Incoming, Payload, TrafficClass, WireError};
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
@@ -22,6 +23,7 @@
 use crate::missing_updates::{MissingUpdates, UpdateLag, choose_peer, pick_peer};
 use crate::published::Reader;
 use crate::quarantine::{CrashRecords, has_other_records};
+use crate::traffic::Kind;
 
 /// Path of streams that request published state.
 const PUBLISHED_PATH: &str = "/published";
@@ -152,10 +154,26 @@
         suspects: records.requests,
         parts: records.parts,
     };
+    record_traffic(context, &response);
     channel.send(response).await?;
     channel.close().await
 }
 
+fn record_traffic(context: &Context, response: &PublishedResponse) {
+    let size = |encoded: Result<Vec<u8>, WireError>| encoded.map_or(0, |bytes| bytes.len());
+    let configuration = response.configuration.as_ref();
+    let traffic = &context.traffic;
+    traffic.record(
+        Kind::Configuration,
+        configuration.map_or(0, |(_, value)| value.len()),
+    );
+    if response.servers.is_some() {
+        traffic.record(Kind::Servers, size(encode(&response.servers)));
+    }
+    let records = size(encode(&response.suspects)) + size(encode(&response.parts));
+    traffic.record(Kind::CrashRecords, records);
+}
+
 /// Requests newer configurations and servers from peers.
 async fn follow_peers(context: &Context) {
     let connector = connector(context);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -15,7 +15,7 @@
 use crate::dialect::{Dialect, DialectError};
 
 use crate::settings::Settings;
-use crate::{Context, agent, callers, directory, gossip, peer_sync, store};
+use crate::{Context, agent, callers, directory, gossip, peer_sync, store, traffic};
 
 /// Time for which a draining entry still forwards requests, so that callers can discover other
 /// entries.
@@ -91,6 +91,7 @@
     directory::start(context).await?;
     callers::start(context).await?;
     maintain_servers(context);
+    traffic::start(context);
     Ok(())
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use apricothall_clients::PlatformError;
-use apricothall_clients::http_client::{HttpClient, get};
+use apricothall_clients::http_client::{Answer, HttpClient, get};
 use apricothall_decide::readers::{ReaderRole, retry_pause};
 use apricothall_decide::servers::Server;
 use apricothall_types::{Revision, Role, Timestamp};
@@ -19,6 +19,8 @@
 use crate::Context;
 use crate::dialect::{Change, Changes, Fact, Item, Page, Subject};
 use crate::quarantine::crash_of;
+use crate::store_reads::StoreRead;
+use crate::traffic::Kind;
 
 /// Maximum wait of a watch request.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
@@ -88,9 +90,14 @@
     }
 }
 
+fn store_client(context: &Context) -> HttpClient {
+    let client = HttpClient::new(Some(context.settings().ip), CONNECT_TIMEOUT);
+    client.counting(context.store_reads.received.clone())
+}
+
 fn watch(context: &Context, subject: Subject) {
     let watching = context.clone();
-    let client = HttpClient::new(Some(context.settings().ip), CONNECT_TIMEOUT);
+    let client = store_client(context);
     context.lifecycle.spawn(async move {
         if watching.settings().role == Role::Agent {
             tokio::time::sleep(AGENT_START_DELAY).await;
@@ -171,13 +178,16 @@
 ) -> Result<Changes, ReadError> {
     let settings = context.settings();
     let path = (context.dialect.store.watch)(subject, after, WATCH_TIMEOUT);
-    count_call("watch");
+    let now = context.clock.now();
+    let read = context
+        .store_reads
+        .begin("watch", subject, WATCH_TIMEOUT, now);
     let call = client.call(
         get(settings.store, &path)?,
         WATCH_TIMEOUT + WATCH_MARGIN,
         ANSWER_BYTES,
     );
-    let answer = call.await?;
+    let answer = finish(context, read, call.await)?;
     if answer.status == StatusCode::GONE {
         return Err(ReadError::Compacted);
     }
@@ -220,9 +230,13 @@
     after: Option<&str>,
 ) -> Result<Page, ReadError> {
     let path = (context.dialect.store.list)(subject, after);
-    count_call("list");
+    let now = context.clock.now();
+    let read = context
+        .store_reads
+        .begin("list", subject, Duration::ZERO, now);
     let request = get(context.settings().store, &path)?;
-    let answer = client.call(request, LIST_TIMEOUT, ANSWER_BYTES).await?;
+    let answer = client.call(request, LIST_TIMEOUT, ANSWER_BYTES).await;
+    let answer = finish(context, read, answer)?;
     let answer = answer.error_for_status()?;
     (context.dialect.store.read_list)(&answer.body)
         .map_err(|e| ReadError::Malformed(e.to_smolstr()))
@@ -261,7 +275,7 @@
 /// Reads the store whenever no reader has confirmed the configuration recently. The first reader of
 /// a zone also does so to check that the store still answers.
 async fn confirm(context: &Context) {
-    let client = HttpClient::new(Some(context.settings().ip), CONNECT_TIMEOUT);
+    let client = store_client(context);
     loop {
         let step = CONFIRM_CHECK_INTERVAL.mul_f64(0.5 + rand::rng().random::<f64>());
         tokio::time::sleep(step).await;
@@ -295,7 +309,12 @@
         return read;
     }
     if context.reads_store(context.clock.now()) && context.published.store_failed() {
-        tracing::warn!("store silent");
+        let reads = &context.store_reads;
+        tracing::warn!(
+            in_flight = reads.in_flight(),
+            received = reads.received.total(),
+            "store silent"
+        );
     }
     reading.await
 }
@@ -340,6 +359,14 @@
     }
 }
 
-fn count_call(call: &'static str) {
-    metrics::counter!("apricothall_store_calls_total", "call" => call).increment(1);
+/// Ends the record of a call.
+fn finish(
+    context: &Context,
+    read: StoreRead,
+    answer: Result<Answer, PlatformError>,
+) -> Result<Answer, PlatformError> {
+    let bytes = answer.as_ref().ok().map(|a| a.body.len());
+    context.traffic.record(Kind::Store, bytes.unwrap_or(0));
+    read.end(context, bytes);
+    answer
 }
