--- a/crates/apricotd/tests/machines/entries.rs
+++ b/crates/apricotd/tests/machines/entries.rs
@@ -97,6 +97,12 @@
         self.all[index].ip
     }
 
+    /// Log of an entry and of its predecessors.
+    pub fn log(&self, index: usize) -> String {
+        let file = format!("{}.log", self.all[index].name);
+        std::fs::read_to_string(self.log_dir.join(file)).expect("readable")
+    }
+
     /// Waits until all entries are ready.
     pub async fn wait_ready(&self) {
         for entry in &self.all {
