fix(gateway): confirming the configuration costs the same whatever its size

Cause: whether the configuration is still the latest was found out by listing all of it, by the first reader of a zone each second, by followers and by each new reader.

Change: a daemon knows the revision up to which its configuration is the latest, by its own reads or by peers that hold the same one. It follows from there without a list, and an answer of the store to a watch from there, with its revision, is the confirmation, dated by the call. The primary reader's watch waits 0.5 s. Only the first reader of a zone follows a configuration above 128 KiB; at most two followers confirm, one after the other. A read is waited for while bytes arrive; the store counts as unreachable when nothing arrives, and a slow read loses only its own subject. A process that starts gets its first configuration from peers if they have one. An answer that left out a configuration is logged and counted (apricothall_store_omissions_total).

--- a/crates/clients/src/error.rs
+++ b/crates/clients/src/error.rs
@@ -17,6 +17,9 @@
     /// No answer in time. The server may have received the call.
     #[error("no answer in time")]
     Timeout,
+    /// The answer was not complete in time, although bytes were received.
+    #[error("answer not complete in time")]
+    Slow,
     /// The server is over its limit.
     #[error("over its limit")]
     Busy {
--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -51,6 +51,15 @@
     }
 }
 
+/// How long to wait for a complete answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// Maximum time without a received byte.
+    pub idle: Duration,
+    /// Maximum time in all.
+    pub total: Duration,
+}
+
 /// HTTP client whose connections start at the address of this VM.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -81,7 +90,7 @@
         }
     }
 
-    /// Counts the bytes that [`Self::call`] receives in `received`.
+    /// Counts the bytes that it receives in `received`.
     #[must_use]
     pub fn counting(self, received: ReceivedBytes) -> Self {
         Self { received, ..self }
@@ -122,26 +131,60 @@
         wait: Duration,
         limit: usize,
     ) -> Result<Answer, PlatformError> {
-        let answer = async {
-            let (parts, body) = self.send(request).await?.into_parts();
-            let body = body.map_frame(|frame| {
-                self.received.add(frame.data_ref().map_or(0, Bytes::len));
-                frame
-            });
-            let read = Limited::new(body, limit).collect().await;
-            let body = read
-                .map_err(|e| PlatformError::Lost(e.to_smolstr()))?
-                .to_bytes();
-            Ok(Answer {
-                status: parts.status,
-                headers: parts.headers,
-                body,
-            })
-        };
-        timeout(wait, answer)
+        timeout(wait, self.read_answer(request, limit))
             .await
             .map_err(|_| PlatformError::Timeout)?
     }
+
+    /// Sends `request` and reads the complete answer, of at most `limit` bytes. Waits for as long as
+    /// bytes of any answer to this client or a clone of it arrive, and at most `patience.total`.
+    ///
+    /// # Errors
+    /// When there is no complete answer in time: [`PlatformError::Timeout`] if nothing was received
+    /// for `patience.idle`, [`PlatformError::Slow`] otherwise.
+    pub async fn call_patiently(
+        &self,
+        request: Request<Full<Bytes>>,
+        patience: Patience,
+        limit: usize,
+    ) -> Result<Answer, PlatformError> {
+        let mut answer = std::pin::pin!(self.read_answer(request, limit));
+        let waiting = async {
+            loop {
+                let before = self.received.total();
+                if let Ok(answer) = timeout(patience.idle, answer.as_mut()).await {
+                    return answer;
+                }
+                if self.received.total() == before {
+                    return Err(PlatformError::Timeout);
+                }
+            }
+        };
+        timeout(patience.total, waiting)
+            .await
+            .map_err(|_| PlatformError::Slow)?
+    }
+
+    async fn read_answer(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: usize,
+    ) -> Result<Answer, PlatformError> {
+        let (parts, body) = self.send(request).await?.into_parts();
+        let body = body.map_frame(|frame| {
+            self.received.add(frame.data_ref().map_or(0, Bytes::len));
+            frame
+        });
+        let read = Limited::new(body, limit).collect().await;
+        let body = read
+            .map_err(|e| PlatformError::Lost(e.to_smolstr()))?
+            .to_bytes();
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
 }
 
 /// Builds a GET request to `address`.
--- a/crates/decide/src/readers.rs
+++ b/crates/decide/src/readers.rs
@@ -8,7 +8,8 @@
 
 use std::time::Duration;
 
-use apricothall_types::{MemberId, Role, Timestamp};
+use apricothall_types::{MemberId, Role};
+use serde::{Deserialize, Serialize};
 
 /// A peer that sent a message recently, is serving and gets answers from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +39,71 @@
     pub fn reads(self) -> bool {
         self != Self::Follower
     }
+
+    /// Whether a daemon with this role follows an item of `bytes`. Only one daemon of a zone follows
+    /// a large item, as each copy fills the link to the store for a while.
+    #[must_use]
+    pub fn follows_item(self, bytes: usize) -> bool {
+        match self {
+            Self::Primary => true,
+            Self::Secondary => bytes < LARGE_ITEM,
+            Self::Follower => false,
+        }
+    }
+}
+
+/// Size from which an item is large, in bytes.
+const LARGE_ITEM: usize = 128 << 10;
+
+/// Time for a process without a configuration to hear from peers whether they have one.
+const DISCOVERY_TIME: Duration = Duration::from_millis(250);
+
+/// Time for peers to provide a configuration.
+const PEER_ANSWER_TIME: Duration = Duration::from_millis(1_500);
+
+/// Whether a reader leaves the store alone for now, as peers will provide its first configuration.
+/// `waited` is the time since it began to wait.
+#[must_use]
+pub fn awaits_peers(has_one: bool, peers_have_one: bool, waited: Duration) -> bool {
+    let limit = if peers_have_one {
+        PEER_ANSWER_TIME
+    } else {
+        DISCOVERY_TIME
+    };
+    !has_one && waited < limit
+}
+
+/// Time for which a watch request of the operators' items may be held back. Each answer of the
+/// primary reader also confirms the configuration, and shows the other daemons of its zone, which
+/// depend on it, that the store answers.
+#[must_use]
+pub const fn watch_wait(role: ReaderRole, subject: Subject) -> Duration {
+    match (role, subject) {
+        (ReaderRole::Primary, Subject::Operators) => Duration::from_millis(500),
+        _ => Duration::from_secs(4),
+    }
+}
+
+/// Whether a daemon that does not follow the operators' items should confirm the configuration.
+/// `age` is the time since the last confirmation, `limit` the age up to which callers' keys are
+/// accepted, and `before` the number of healthy entries of the zone that rank before it. Of the
+/// followers only the first ones confirm, so that a late confirmation does not make all of them
+/// read the store at once.
+#[must_use]
+pub fn is_confirmation_due(
+    role: ReaderRole,
+    before: u32,
+    age: Option<Duration>,
+    limit: Duration,
+) -> bool {
+    let percent = match (role, before) {
+        (ReaderRole::Primary, _) => 20,
+        (ReaderRole::Secondary, _) => 40,
+        (ReaderRole::Follower, 0..=2) => 60,
+        (ReaderRole::Follower, 3) => 68,
+        (ReaderRole::Follower, _) => return false,
+    };
+    age.is_none_or(|age| age >= limit * percent / 100)
 }
 
 /// Determines the reader role of the daemon `own` from the healthy peers in `others`.
@@ -64,40 +130,107 @@
     }
 }
 
-/// Time without an answer after which the primary reader of a zone calls the store again.
-const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Part of the store that is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Subject {
+    /// Items written by operators: configuration and versions.
+    Operators,
+    /// Entries of backend servers.
+    Servers,
+}
+
+/// What a failed read says of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadFailure {
+    /// The store refuses this daemon, or nothing is received from it.
+    Unreachable,
+    /// The store answers, but the answer did not arrive completely in time.
+    Slow,
+}
+
+/// Subjects that a daemon cannot read from the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostSubjects {
+    /// Items written by operators.
+    pub operators: bool,
+    /// Entries of backend servers.
+    pub servers: bool,
+}
+
+impl LostSubjects {
+    const ALL: Self = Self {
+        operators: true,
+        servers: true,
+    };
+
+    /// Whether `subject` is lost.
+    #[must_use]
+    pub const fn contains(self, subject: Subject) -> bool {
+        match subject {
+            Subject::Operators => self.operators,
+            Subject::Servers => self.servers,
+        }
+    }
+
+    /// Whether any subject is lost.
+    #[must_use]
+    pub const fn any(self) -> bool {
+        self.operators || self.servers
+    }
+
+    fn set(&mut self, subject: Subject, lost: bool) {
+        match subject {
+            Subject::Operators => self.operators = lost,
+            Subject::Servers => self.servers = lost,
+        }
+    }
+}
 
 /// Whether the store answers this daemon. It may still answer others; see [`crate::outage`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreReachability {
-    lost: bool,
-    answered: Option<Timestamp>,
+    unreachable: bool,
+    slow: LostSubjects,
 }
 
 impl StoreReachability {
-    /// Records a failed call. Returns true if the previous call had not failed.
-    pub fn failed(&mut self) -> bool {
-        !std::mem::replace(&mut self.lost, true)
+    /// Records a failed read of `subject`. Returns true if the subject was not lost before.
+    pub fn failed(&mut self, subject: Subject, failure: ReadFailure) -> bool {
+        let before = self.is_lost(subject);
+        match failure {
+            ReadFailure::Unreachable => self.unreachable = true,
+            ReadFailure::Slow => self.slow.set(subject, true),
+        }
+        !before
+    }
+
+    /// Records a complete answer about `subject`. Returns true if the subject was lost.
+    pub fn answered(&mut self, subject: Subject) -> bool {
+        let before = self.is_lost(subject);
+        self.unreachable = false;
+        self.slow.set(subject, false);
+        before
     }
 
-    /// Records an answer. Returns true if the previous call had failed.
-    pub fn answered(&mut self, now: Timestamp) -> bool {
-        self.answered = Some(now);
-        std::mem::take(&mut self.lost)
+    /// Resets what is known about `subject`, which this daemon does not read.
+    pub fn reset(&mut self, subject: Subject) {
+        self.unreachable = false;
+        self.slow.set(subject, false);
     }
 
-    /// Whether the primary reader of a zone should call the store again. The other daemons of the
-    /// zone depend on it, so it has to notice a lost connection early.
+    /// Whether `subject` cannot be read.
     #[must_use]
-    pub fn is_due(self, role: ReaderRole, now: Timestamp) -> bool {
-        let recent = |at| now.since(at) < CHECK_INTERVAL;
-        role == ReaderRole::Primary && !self.lost && !self.answered.is_some_and(recent)
+    pub const fn is_lost(self, subject: Subject) -> bool {
+        self.unreachable || self.slow.contains(subject)
     }
 
-    /// Whether the last call failed.
+    /// Subjects that cannot be read.
     #[must_use]
-    pub const fn is_lost(self) -> bool {
-        self.lost
+    pub const fn lost(self) -> LostSubjects {
+        if self.unreachable {
+            return LostSubjects::ALL;
+        }
+        self.slow
     }
 }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -9,7 +9,7 @@
 
 use crate::agent::piece_store::PieceStore;
 use crate::agent::pieces::UploadQueue;
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, Subject};
 use crate::fleet::Fleet;
 use crate::log_budgets::LogBudgets;
 use crate::peers::Peers;
@@ -97,16 +97,20 @@
         lock.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// Role of this daemon in reading the store.
+    /// Role of this daemon in reading `subject` from the store.
     #[must_use]
-    pub fn reader_role(&self, now: Timestamp) -> ReaderRole {
-        self.peers.reader_role(&self.settings(), now)
+    pub fn reader_role(&self, subject: Subject, now: Timestamp) -> ReaderRole {
+        self.peers.reader_role(&self.settings(), subject, now)
     }
 
-    /// Whether this daemon reads the store, for itself and for other daemons.
+    /// Whether this daemon reads `subject` from the store, for itself and for other daemons.
     #[must_use]
-    pub fn reads_store(&self, now: Timestamp) -> bool {
-        self.reader_role(now).reads()
+    pub fn reads_store(&self, subject: Subject, now: Timestamp) -> bool {
+        let role = self.reader_role(subject, now);
+        match subject {
+            Subject::Operators => role.follows_item(self.published.configuration_size()),
+            Subject::Servers => role.reads(),
+        }
     }
 
     /// Replaces the settings. Returns whether they changed.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use apricothall_decide::readers::Subject;
 use apricothall_decide::servers::Server;
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{MemberId, PartId, Revision};
@@ -69,15 +70,6 @@
     pub usage: HeaderName,
 }
 
-/// Part of the store that is read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Subject {
-    /// Items written by operators: configuration and versions.
-    Operators,
-    /// Entries of backend servers.
-    Servers,
-}
-
 /// An item of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -18,6 +18,7 @@
 use tokio::net::UdpSocket;
 
 use crate::Context;
+use crate::dialect::Subject;
 use crate::log_budgets::millis;
 use crate::peers::{Counts, DaemonInfo, EngineStatus, Gossip, GossipEffect, Phase, VersionStatus};
 use crate::published::Reader;
@@ -118,6 +119,8 @@
         context.fleet.record_engine_status(status, far, now);
     }
     merge_ages(context, gossip, now);
+    let published = &context.published;
+    published.merge_checked(gossip.revision, gossip.checked);
     if was_alive {
         return;
     }
@@ -225,7 +228,7 @@
 /// Sends an update from the store to all daemons of the zone immediately.
 async fn notify_zone(context: &Context, socket: &UdpSocket) {
     let now = context.clock.now();
-    if !context.reads_store(now) {
+    if !context.reads_store(Subject::Servers, now) {
         return;
     }
     let zone = context.settings().zone.clone();
@@ -362,7 +365,8 @@
                 .saturating_add(1)
         }),
         servers: context.published.servers_revision(),
-        away: context.published.is_store_lost(),
+        checked: context.published.checked_revision(),
+        lost: context.published.lost_subjects(),
         answered: context.published.servers(|s| s.outages.answer_ages(now)),
         versions: versions(context, now),
         suspects: records.requests,
--- a/crates/gateway/src/missing_updates.rs
+++ b/crates/gateway/src/missing_updates.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use apricothall_decide::readers::ReaderRole;
+use apricothall_decide::readers::Subject;
 use apricothall_decide::update_source::{PeersAhead, Source, select_source};
 use apricothall_types::{Revision, Role, Timestamp};
 use rand::seq::IndexedRandom;
@@ -51,8 +51,6 @@
     /// them.
     #[must_use]
     pub fn missing(&mut self, context: &Context, now: Timestamp) -> MissingUpdates {
-        let role = context.reader_role(now);
-        let store_lost = context.published.is_store_lost();
         let held = context.published.revision();
         let mut newer = false;
         context
@@ -60,21 +58,20 @@
             .each(now, |peer| newer |= peer.revision > held);
         let since = self.configuration.filter(|_| newer).unwrap_or(now);
         self.configuration = newer.then_some(since);
-        let watch_may_deliver = role.reads() && !store_lost && now.since(since) < WATCH_GRACE;
+        let reads = context.reads_store(Subject::Operators, now)
+            && !context.published.is_store_lost(Subject::Operators)
+            && held > Revision::default();
+        let watch_may_deliver = reads && now.since(since) < WATCH_GRACE;
         MissingUpdates {
             configuration: newer && !watch_may_deliver,
-            servers: self.servers(context, role, store_lost, now),
+            servers: self.servers(context, now),
         }
     }
 
     /// Peers from which to request the server list; none for agents, which do not need it.
-    fn servers(
-        &mut self,
-        context: &Context,
-        role: ReaderRole,
-        store_lost: bool,
-        now: Timestamp,
-    ) -> Source {
+    fn servers(&mut self, context: &Context, now: Timestamp) -> Source {
+        let role = context.reader_role(Subject::Servers, now);
+        let store_lost = context.published.is_store_lost(Subject::Servers);
         let settings = context.settings();
         if settings.role == Role::Agent {
             return Source::Nobody;
@@ -82,7 +79,10 @@
         let revision = context.published.servers_revision();
         let (mut same_zone, mut other_zones) = (false, false);
         context.peers.each(now, |peer| {
-            if peer.hello.role != Role::Entry || !peer.is_healthy(now) || peer.servers <= revision {
+            if peer.hello.role != Role::Entry
+                || !peer.is_healthy(Subject::Servers, now)
+                || peer.servers <= revision
+            {
                 return;
             }
             let own_zone = peer.hello.zone == settings.zone;
@@ -118,7 +118,7 @@
     let zone = context.settings().zone.clone();
     let held = context.published.revision();
     let revision = context.published.servers_revision();
-    let store_lost = context.published.is_store_lost();
+    let store_lost = context.published.is_store_lost(Subject::Servers);
     let (mut same_zone, mut all, mut equal) = (Vec::new(), Vec::new(), Vec::new());
     context.peers.each(now, |peer| {
         let own_zone = peer.hello.zone == zone;
@@ -127,7 +127,7 @@
             Source::Zone => own_zone,
             Source::Anywhere => true,
         };
-        let may_request = in_scope && peer.hello.role == Role::Entry && !peer.away;
+        let may_request = in_scope && peer.hello.role == Role::Entry && !peer.lost.servers;
         let ahead =
             may_request && peer.servers > revision || missing.configuration && peer.revision > held;
         if ahead && own_zone {
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -19,7 +19,7 @@
 
 use crate::Context;
 use crate::agent::pieces;
-use crate::dialect::Item;
+use crate::dialect::{Item, Subject};
 use crate::missing_updates::{MissingUpdates, UpdateLag, choose_peer, pick_peer};
 use crate::published::Reader;
 use crate::quarantine::{CrashRecords, has_other_records};
@@ -134,7 +134,7 @@
     let newer = in_force.filter(|f| f.revision > request.held);
     let age = context.published.age(now);
     let revision = context.published.servers_revision();
-    let store_lost = context.published.is_store_lost();
+    let store_lost = context.published.is_store_lost(Subject::Servers);
     let newer_servers = !store_lost && revision > request.servers;
     let list = || context.published.servers(|s| s.listing(now));
     let records = if request.quarantine == context.quarantine.summary() {
@@ -185,7 +185,7 @@
         let mut missing = update_lag.missing(context, now);
         let is_entry = context.settings().role == Role::Entry;
         if is_entry
-            && context.published.is_store_lost()
+            && context.published.is_store_lost(Subject::Servers)
             && now.since(last_request) >= SERVERS_INTERVAL
         {
             missing.servers = Source::Anywhere;
@@ -246,7 +246,7 @@
             near.push(peer.hello.address);
         }
     });
-    if !context.reads_store(now) {
+    if !context.reads_store(Subject::Servers, now) {
         all.clear();
     }
     pick_peer(&near, &all)
@@ -269,7 +269,7 @@
         );
         let mut channel = opened.await?;
         let held = context.published.revision();
-        let servers = if context.published.is_store_lost() {
+        let servers = if context.published.is_store_lost(Subject::Servers) {
             Revision::default()
         } else {
             context.published.servers_revision()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,7 +10,7 @@
 use apricothall_decide::placement::Distance;
 use apricothall_decide::prompt_parts::PartReport;
 use apricothall_decide::quarantine::Record;
-use apricothall_decide::readers::{HealthyPeer, ReaderRole, reader_role};
+use apricothall_decide::readers::{HealthyPeer, LostSubjects, ReaderRole, Subject, reader_role};
 use apricothall_decide::reload::Progress;
 use apricothall_decide::server_limits::LimitRecord;
 use apricothall_decide::transfer::ChunkSet;
@@ -131,8 +131,10 @@
     pub confirmed: Option<u64>,
     /// Revision of the sender's server list.
     pub servers: Revision,
-    /// Whether the sender cannot reach the store.
-    pub away: bool,
+    /// Revision of the store up to which the configuration is known to be the latest.
+    pub checked: Option<Revision>,
+    /// Subjects that the sender cannot read from the store.
+    pub lost: LostSubjects,
     /// Periods in which the store answered any daemon.
     pub answered: Vec<AnsweredAge>,
     /// Versions of models.
@@ -166,8 +168,8 @@
     pub revision: Revision,
     /// Revision of its server list.
     pub servers: Revision,
-    /// Whether it cannot reach the store.
-    pub away: bool,
+    /// Subjects that it cannot read from the store.
+    pub lost: LostSubjects,
     /// Digest of its shared records of requests that crash servers; zero if there are none.
     pub quarantine: u64,
     /// Status of its engine.
@@ -189,15 +191,17 @@
         now.since(self.last_heard) < self.timeout
     }
 
-    /// Whether it serves and can reach the store, so that other daemons may fetch updates from it.
+    /// Whether it serves and can read `subject` from the store, so that other daemons may fetch
+    /// updates from it.
     #[must_use]
-    pub fn is_healthy(&self, now: Timestamp) -> bool {
+    pub fn is_healthy(&self, subject: Subject, now: Timestamp) -> bool {
         let limit = if self.far {
             self.timeout
         } else {
             READER_TIMEOUT.max(self.message_interval * READER_HALF_INTERVALS / 2)
         };
-        self.hello.phase == Phase::Serving && !self.away && now.since(self.last_heard) < limit
+        let is_serving = self.hello.phase == Phase::Serving;
+        is_serving && !self.lost.contains(subject) && now.since(self.last_heard) < limit
     }
 }
 
@@ -263,7 +267,7 @@
             stamp: gossip.stamp,
             revision: gossip.revision,
             servers: gossip.servers,
-            away: gossip.away,
+            lost: gossip.lost,
             quarantine: gossip.quarantine,
             engine: gossip.engine.clone(),
             kind: Receivers {
@@ -331,11 +335,11 @@
         }
     }
 
-    /// Role of the daemon with `settings` in reading the store.
+    /// Role of the daemon with `settings` in reading `subject` from the store.
     #[must_use]
-    pub fn reader_role(&self, settings: &Settings, now: Timestamp) -> ReaderRole {
+    pub fn reader_role(&self, settings: &Settings, subject: Subject, now: Timestamp) -> ReaderRole {
         let known = self.known();
-        let healthy = known.values().filter(|p| p.is_healthy(now));
+        let healthy = known.values().filter(|p| p.is_healthy(subject, now));
         let others = healthy.map(|p| HealthyPeer {
             id: &p.hello.id,
             role: p.hello.role,
@@ -344,15 +348,19 @@
         reader_role(&settings.id, settings.role, others)
     }
 
-    /// Number of entries in the zone that precede the daemon with `settings` and cannot reach the
-    /// store either.
+    /// Number of entries in the zone that precede the daemon with `settings` and satisfy `wanted`.
     #[must_use]
-    pub fn preceding_without_store(&self, settings: &Settings, now: Timestamp) -> u32 {
+    pub fn preceding_entries(
+        &self,
+        settings: &Settings,
+        now: Timestamp,
+        wanted: impl Fn(&Peer) -> bool,
+    ) -> u32 {
         let mut before = 0;
         self.each(now, |peer| {
             let near = peer.hello.zone == settings.zone && peer.hello.role == Role::Entry;
             let ahead = settings.role == Role::Agent || peer.hello.id < settings.id;
-            before += u32::from(near && peer.away && ahead);
+            before += u32::from(near && ahead && wanted(peer));
         });
         before
     }
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -7,7 +7,7 @@
 
 use apricothall_decide::lease::Lease;
 use apricothall_decide::outage::{AnsweredAge, OutageConfig};
-use apricothall_decide::readers::StoreReachability;
+use apricothall_decide::readers::{LostSubjects, ReadFailure, StoreReachability};
 use apricothall_decide::servers::{Listing, Server, Servers};
 use apricothall_decide::versions::{Versions, earliest_change};
 use apricothall_types::{Revision, Timestamp};
@@ -39,6 +39,8 @@
     reachability: StoreReachability,
     /// When the last answer of the store about the items of operators was received.
     operators_read: Option<Timestamp>,
+    /// Revision of the store up to which the current configuration is known to be the latest.
+    checked: Option<Revision>,
 }
 
 /// Published state with its revisions.
@@ -100,6 +102,15 @@
             .map_or(Revision::default(), |f| f.revision)
     }
 
+    /// Size of the current configuration in bytes; zero if there is none.
+    #[must_use]
+    pub fn configuration_size(&self) -> usize {
+        self.state()
+            .in_force
+            .as_ref()
+            .map_or(0, |f| f.item.value.len())
+    }
+
     /// Whether the configuration was confirmed to be the latest less than `limit` ago.
     #[must_use]
     pub fn is_fresh(&self, limit: Duration, now: Timestamp) -> bool {
@@ -192,10 +203,18 @@
         for name in &configuration.unusable {
             tracing::warn!(item = %name, "cannot parse item of the configuration; ignoring it");
         }
+        if state
+            .checked
+            .is_some_and(|checked| item.revision <= checked)
+        {
+            tracing::error!(revision = %item.revision, checked = ?state.checked, ?reader, "an answer of the store left out a configuration");
+            metrics::counter!("apricothall_store_omissions_total").increment(1);
+        }
         tracing::info!(version = configuration.version, revision = %item.revision, %before, ?reader, "configuration in force");
         metrics::gauge!("apricothall_configuration_version").set(f64::from(
             u32::try_from(configuration.version).unwrap_or(u32::MAX),
         ));
+        state.checked = state.checked.max(Some(item.revision));
         state.in_force = Some(Arc::new(InForce {
             revision: item.revision,
             item: item.clone(),
@@ -205,38 +224,54 @@
         self.notify();
     }
 
-    /// Records a failed read of the store. Returns whether the previous read had succeeded.
-    pub fn store_failed(&self) -> bool {
-        let changed = self.state().reachability.failed();
+    /// Records a failed read of the store. Returns whether the subject was not lost before.
+    pub fn store_failed(&self, subject: Subject, failure: ReadFailure) -> bool {
+        let changed = self.state().reachability.failed(subject, failure);
         if changed {
             self.notify();
         }
         changed
     }
 
-    /// Records an answer of the store. Returns whether the previous read had failed.
-    pub fn store_answered(&self, now: Timestamp) -> bool {
+    /// Records an answer of the store. Returns whether the subject was lost.
+    pub fn store_answered(&self, subject: Subject, now: Timestamp) -> bool {
         let mut state = self.state();
         state.servers.record_answer(now);
-        state.reachability.answered(now)
+        state.reachability.answered(subject)
     }
 
-    /// Resets the reachability of the store for a daemon that does not read it and thus expects no
-    /// answer.
-    pub fn reset_store_reachability(&self) {
-        self.state().reachability = StoreReachability::default();
+    /// Resets the reachability of the store for a daemon that does not read `subject` and thus
+    /// expects no answer.
+    pub fn reset_store_reachability(&self, subject: Subject) {
+        self.state().reachability.reset(subject);
+    }
+
+    /// Whether this daemon cannot read `subject` from the store.
+    #[must_use]
+    pub fn is_store_lost(&self, subject: Subject) -> bool {
+        self.state().reachability.is_lost(subject)
     }
 
-    /// Whether this daemon cannot reach the store.
+    /// Subjects that this daemon cannot read from the store.
     #[must_use]
-    pub fn is_store_lost(&self) -> bool {
-        self.state().reachability.is_lost()
+    pub fn lost_subjects(&self) -> LostSubjects {
+        self.state().reachability.lost()
     }
 
-    /// Reachability of the store from this daemon.
+    /// Revision of the store up to which the current configuration is known to be the latest.
     #[must_use]
-    pub fn store_reachability(&self) -> StoreReachability {
-        self.state().reachability
+    pub fn checked_revision(&self) -> Option<Revision> {
+        self.state().checked
+    }
+
+    /// Records that a daemon with the configuration `held` knows it to be the latest up to
+    /// `checked`.
+    pub fn merge_checked(&self, held: Revision, checked: Option<Revision>) {
+        let mut state = self.state();
+        let same = state.in_force.as_ref().is_some_and(|f| f.revision == held);
+        if same {
+            state.checked = state.checked.max(checked);
+        }
     }
 
     /// Merges the times at which the store answered peers. The peer's report was created at `asked`
@@ -292,16 +327,18 @@
     /// reach the store relies on the lists of others instead.
     pub fn expire_servers(&self, now: Timestamp) {
         let mut state = self.state();
-        if !state.reachability.is_lost() {
+        if !state.reachability.is_lost(Subject::Servers) {
             state.servers.expire(now);
         }
     }
 
-    /// Applies the complete list of operator items, requested at `sent` and received at `now`.
+    /// Applies the complete list of operator items as of `revision`, requested at `sent` and received
+    /// at `now`.
     pub fn take_operators(
         &self,
         calls: &StoreCalls,
         items: &[Item],
+        revision: Revision,
         sent: Timestamp,
         now: Timestamp,
     ) {
@@ -313,7 +350,16 @@
         for item in items {
             self.take_item(calls, item, Reader::Store, published_at);
         }
-        // `items` includes the last write, so the configuration held now was the latest at `sent`.
+        self.record_checked(revision, sent);
+    }
+
+    /// Records that all items of operators up to `revision` have been applied, from an answer that
+    /// was requested at `sent`.
+    fn record_checked(&self, revision: Revision, sent: Timestamp) {
+        let mut state = self.state();
+        state.checked = state.checked.max(Some(revision));
+        drop(state);
+        // The answer includes the last write, so the configuration held now was the latest at `sent`.
         self.confirm(self.revision(), sent);
     }
 
@@ -331,6 +377,7 @@
                 let previous = self.state().operators_read.replace(now);
                 let made = earliest_change(previous, asked, now);
                 self.take_operator_changes(calls, changes, made);
+                self.record_checked(changes.revision, asked);
             }
             Subject::Servers => {
                 let applied = self.state().servers.apply_changes(calls, changes, now);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use apricothall_clients::PlatformError;
-use apricothall_clients::http_client::{Answer, HttpClient, get};
-use apricothall_decide::readers::{ReaderRole, retry_pause};
+use apricothall_clients::http_client::{Answer, HttpClient, Patience, get};
+use apricothall_decide::readers::{
+    ReadFailure, awaits_peers, is_confirmation_due, retry_pause, watch_wait,
+};
 use apricothall_decide::servers::Server;
 use apricothall_types::{Revision, Role, Timestamp};
 use http::StatusCode;
@@ -18,21 +20,25 @@
 
 use crate::Context;
 use crate::dialect::{Change, Changes, Fact, Item, Page, Subject};
+use crate::peers::Peer;
 use crate::quarantine::crash_of;
-use crate::store_reads::StoreRead;
 use crate::traffic::Kind;
 
-/// Maximum wait of a watch request.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
+/// Minimum wait of a watch request, which the store answers at once.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 
-/// Additional time after which a watch request is considered lost.
+/// Additional time without a received byte after which a watch request is considered lost.
 const WATCH_MARGIN: Duration = Duration::from_millis(700);
 
-/// Duration of a read after which the store is reported to other daemons as unreachable.
-const SLOW_READ_THRESHOLD: Duration = Duration::from_millis(400);
+/// Time without a received byte after which the store is reported to other daemons as unreachable.
+const SILENCE_THRESHOLD: Duration = Duration::from_millis(400);
 
-/// Timeout of a list request.
-const LIST_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time without a received byte after which a request for data that the store has is considered
+/// lost.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Maximum time for receiving an answer.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Pause between two watch requests, to coalesce rapid changes.
 const COALESCE_DELAY: Duration = Duration::from_millis(300);
@@ -40,21 +46,15 @@
 /// Interval of checks whether the configuration must be confirmed.
 const CONFIRM_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Age at which the configuration is confirmed, in percent of the maximum age for accepting keys.
-const fn confirm_age_percent(role: ReaderRole) -> u32 {
-    match role {
-        ReaderRole::Primary => 20,
-        ReaderRole::Secondary => 30,
-        ReaderRole::Follower => 45,
-    }
-}
-
 /// Assumed maximum age of the configuration if keys are accepted at any age.
 const DEFAULT_MAX_AGE: Duration = Duration::from_secs(5);
 
 /// Interval of checks whether this daemon has become a reader.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval of checks whether peers have provided a configuration.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time after the start for an agent to discover entries before it reads the store itself.
 const AGENT_START_DELAY: Duration = Duration::from_millis(800);
 
@@ -102,9 +102,15 @@
         if watching.settings().role == Role::Agent {
             tokio::time::sleep(AGENT_START_DELAY).await;
         }
+        let mut has_history = true;
         loop {
+            if subject == Subject::Operators {
+                await_peers(&watching).await;
+            }
             await_reader_role(&watching, subject).await;
-            let error = follow(&watching, &client, subject).await;
+            let start = start_revision(&watching, subject).filter(|_| has_history);
+            let error = follow(&watching, &client, subject, start).await;
+            has_history = !matches!(error, ReadError::Compacted);
             record_failure(&watching, subject, &error);
             back_off(&watching).await;
         }
@@ -113,34 +119,62 @@
 
 /// Waits until this daemon is a reader of the store.
 async fn await_reader_role(context: &Context, subject: Subject) {
-    if context.reads_store(context.clock.now()) {
+    if context.reads_store(subject, context.clock.now()) {
         return;
     }
-    context.published.reset_store_reachability();
-    while !context.reads_store(context.clock.now()) {
+    context.published.reset_store_reachability(subject);
+    while !context.reads_store(subject, context.clock.now()) {
         tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
     }
     tracing::info!(?subject, "reads the store from now on");
 }
 
-/// Lists the items and follows changes until a call fails.
-async fn follow(context: &Context, client: &HttpClient, subject: Subject) -> ReadError {
-    let mut revision = match list(context, client, subject).await {
+/// Waits until peers have provided a configuration, unless none of them has one. A process that has
+/// just started thus does not read the whole configuration from the store.
+async fn await_peers(context: &Context) {
+    let started = context.clock.now();
+    loop {
+        let now = context.clock.now();
+        let mut peers_have_one = false;
+        context.peers.each(now, |peer| {
+            peers_have_one |= peer.revision > Revision::default();
+        });
+        let has_one = context.published.in_force().is_some();
+        if !awaits_peers(has_one, peers_have_one, now.since(started)) {
+            return;
+        }
+        tokio::time::sleep(PEER_CHECK_INTERVAL).await;
+    }
+}
+
+/// Revision from which a subject may be followed without a list. The servers are always listed: a
+/// list also corrects what peers reported.
+fn start_revision(context: &Context, subject: Subject) -> Option<Revision> {
+    match subject {
+        Subject::Operators => context.published.checked_revision(),
+        Subject::Servers => None,
+    }
+}
+
+/// Follows changes from revision `start` on, or lists the items first, until a call fails.
+async fn follow(
+    context: &Context,
+    client: &HttpClient,
+    subject: Subject,
+    start: Option<Revision>,
+) -> ReadError {
+    let mut revision = match begin(context, client, subject, start).await {
         Ok(revision) => revision,
         Err(error) => return error,
     };
     loop {
-        let asked = context.clock.now();
-        let changes = match fetch_changes(context, client, subject, revision).await {
+        let role = context.reader_role(subject, context.clock.now());
+        let wait = watch_wait(role, subject);
+        let changes = match take_changes(context, client, subject, revision, wait).await {
             Ok(changes) => changes,
             Err(error) => return error,
         };
-        record_answer(context);
         let now = context.clock.now();
-        let calls = &context.dialect.store;
-        context
-            .published
-            .take_changes(calls, subject, &changes, asked, now);
         if subject == Subject::Servers {
             clear_live_servers(context, &changes, now);
         }
@@ -148,12 +182,63 @@
             tokio::time::sleep(COALESCE_DELAY).await;
         }
         revision = revision.max(changes.revision);
-        if !context.reads_store(now) {
+        if !context.reads_store(subject, now) {
             return ReadError::NotReader;
         }
     }
 }
 
+/// Reads the changes after revision `start`, or all items. Returns the revision to follow from.
+async fn begin(
+    context: &Context,
+    client: &HttpClient,
+    subject: Subject,
+    start: Option<Revision>,
+) -> Result<Revision, ReadError> {
+    if subject == Subject::Servers {
+        return list(context, client, subject).await;
+    }
+    match start {
+        Some(start) => catch_up(context, client, start).await,
+        None => report_silence(context, Duration::ZERO, list(context, client, subject)).await,
+    }
+}
+
+/// Applies the changes to the items of operators after `revision`. Returns the revision up to which
+/// all have been applied.
+async fn catch_up(
+    context: &Context,
+    client: &HttpClient,
+    revision: Revision,
+) -> Result<Revision, ReadError> {
+    let subject = Subject::Operators;
+    let changes = take_changes(context, client, subject, revision, SHORTEST_WAIT).await?;
+    Ok(changes.revision)
+}
+
+/// Requests the changes after `revision` and applies them.
+async fn take_changes(
+    context: &Context,
+    client: &HttpClient,
+    subject: Subject,
+    revision: Revision,
+    wait: Duration,
+) -> Result<Changes, ReadError> {
+    let asked = context.clock.now();
+    let fetching = fetch_changes(context, client, subject, revision, wait);
+    let changes = match subject {
+        Subject::Operators => report_silence(context, wait, fetching).await?,
+        Subject::Servers => fetching.await?,
+    };
+    record_answer(context, subject);
+    let now = context.clock.now();
+    let calls = &context.dialect.store;
+    context
+        .published
+        .take_changes(calls, subject, &changes, asked, now);
+    Ok(changes)
+}
+
 /// Clears the requests recorded for an inferred crash of a server that has since written its entry.
 /// Writes are ignored after an outage, as the store may then report old ones.
 fn clear_live_servers(context: &Context, changes: &Changes, now: Timestamp) {
@@ -175,25 +260,24 @@
     client: &HttpClient,
     subject: Subject,
     after: Revision,
+    wait: Duration,
 ) -> Result<Changes, ReadError> {
-    let settings = context.settings();
-    let path = (context.dialect.store.watch)(subject, after, WATCH_TIMEOUT);
-    let now = context.clock.now();
-    let read = context
-        .store_reads
-        .begin("watch", subject, WATCH_TIMEOUT, now);
-    let call = client.call(
-        get(settings.store, &path)?,
-        WATCH_TIMEOUT + WATCH_MARGIN,
-        ANSWER_BYTES,
-    );
-    let answer = finish(context, read, call.await)?;
+    let path = (context.dialect.store.watch)(subject, after, wait);
+    let patience = Patience {
+        idle: wait + WATCH_MARGIN,
+        total: wait + TRANSFER_TIMEOUT,
+    };
+    let answer = call(context, client, ("watch", subject), &path, wait, patience).await?;
     if answer.status == StatusCode::GONE {
         return Err(ReadError::Compacted);
     }
     let answer = answer.error_for_status()?;
-    (context.dialect.store.read_changes)(&answer.body)
-        .map_err(|e| ReadError::Malformed(e.to_smolstr()))
+    let changes = (context.dialect.store.read_changes)(&answer.body)
+        .map_err(|e| ReadError::Malformed(e.to_smolstr()))?;
+    if changes.revision < after {
+        return Err(ReadError::Compacted);
+    }
+    Ok(changes)
 }
 
 /// Lists all items of a subject and applies them.
@@ -216,7 +300,7 @@
         let revision = *first.get_or_insert(page.revision);
         items.extend(page.items);
         if !page.more {
-            record_answer(context);
+            record_answer(context, subject);
             apply_list(context, subject, &items, revision, sent);
             return Ok(revision);
         }
@@ -230,18 +314,36 @@
     after: Option<&str>,
 ) -> Result<Page, ReadError> {
     let path = (context.dialect.store.list)(subject, after);
-    let now = context.clock.now();
-    let read = context
-        .store_reads
-        .begin("list", subject, Duration::ZERO, now);
-    let request = get(context.settings().store, &path)?;
-    let answer = client.call(request, LIST_TIMEOUT, ANSWER_BYTES).await;
-    let answer = finish(context, read, answer)?;
+    let patience = Patience {
+        idle: IDLE_TIMEOUT,
+        total: TRANSFER_TIMEOUT,
+    };
+    let wait = Duration::ZERO;
+    let answer = call(context, client, ("list", subject), &path, wait, patience).await?;
     let answer = answer.error_for_status()?;
     (context.dialect.store.read_list)(&answer.body)
         .map_err(|e| ReadError::Malformed(e.to_smolstr()))
 }
 
+/// Calls the store, which may hold its answer back for `wait`.
+async fn call(
+    context: &Context,
+    client: &HttpClient,
+    (call, subject): (&'static str, Subject),
+    path: &str,
+    wait: Duration,
+    patience: Patience,
+) -> Result<Answer, PlatformError> {
+    let request = get(context.settings().store, path)?;
+    let now = context.clock.now();
+    let read = context.store_reads.begin(call, subject, wait, now);
+    let answer = client.call_patiently(request, patience, ANSWER_BYTES).await;
+    let bytes = answer.as_ref().ok().map(|a| a.body.len());
+    context.traffic.record(Kind::Store, bytes.unwrap_or(0));
+    read.end(context, bytes);
+    answer
+}
+
 fn apply_list(
     context: &Context,
     subject: Subject,
@@ -258,7 +360,9 @@
             .replace_servers(servers.collect(), revision, now);
         return;
     }
-    context.published.take_operators(calls, items, sent, now);
+    context
+        .published
+        .take_operators(calls, items, revision, sent, now);
 }
 
 fn parse_server(context: &Context, item: &Item) -> Option<Server> {
@@ -272,8 +376,7 @@
     }
 }
 
-/// Reads the store whenever no reader has confirmed the configuration recently. The first reader of
-/// a zone also does so to check that the store still answers.
+/// Confirms the configuration if the daemons that follow it have not done so recently.
 async fn confirm(context: &Context) {
     let client = store_client(context);
     loop {
@@ -282,39 +385,68 @@
         if !is_due(context, context.clock.now()) {
             continue;
         }
-        let reading = list(context, &client, Subject::Operators);
-        if let Err(error) = report_slow_store(context, reading).await {
+        if let Err(error) = confirm_configuration(context, &client).await {
             record_failure(context, Subject::Operators, &error);
             back_off(context).await;
         }
     }
 }
 
+/// Confirms that the configuration in force is the latest, or applies a later one.
+async fn confirm_configuration(
+    context: &Context,
+    client: &HttpClient,
+) -> Result<Revision, ReadError> {
+    if let Some(revision) = context.published.checked_revision() {
+        let checked = catch_up(context, client, revision).await;
+        if !matches!(checked, Err(ReadError::Compacted)) {
+            return checked;
+        }
+    }
+    list(context, client, Subject::Operators).await
+}
+
 fn is_due(context: &Context, now: Timestamp) -> bool {
-    let role = context.reader_role(now);
-    let allowed = context.settings().bounds.revoke.unwrap_or(DEFAULT_MAX_AGE);
-    let due = allowed * confirm_age_percent(role) / 100;
-    let fresh = context.published.age(now).is_some_and(|age| age < due);
-    !fresh || context.published.store_reachability().is_due(role, now)
+    let subject = Subject::Operators;
+    let published = &context.published;
+    if published.in_force().is_none() || context.reads_store(subject, now) {
+        return false;
+    }
+    let role = context.reader_role(subject, now);
+    let settings = context.settings();
+    let healthy = |peer: &Peer| peer.is_healthy(subject, now);
+    let before = context.peers.preceding_entries(&settings, now, healthy);
+    let limit = settings.bounds.revoke.unwrap_or(DEFAULT_MAX_AGE);
+    is_confirmation_due(role, before, published.age(now), limit)
 }
 
-/// Awaits a read. If it is slow, the store is reported as unreachable before the read has failed,
-/// so that another daemon takes over in time.
-async fn report_slow_store<T>(
+/// Awaits a read whose answer may be held back for `wait`. If nothing at all is received from the
+/// store for too long after that, it is reported as unreachable before the read has failed, so that
+/// another daemon takes over in time.
+async fn report_silence<T>(
     context: &Context,
+    wait: Duration,
     reading: impl Future<Output = Result<T, ReadError>>,
 ) -> Result<T, ReadError> {
     let mut reading = std::pin::pin!(reading);
-    if let Ok(read) = tokio::time::timeout(SLOW_READ_THRESHOLD, reading.as_mut()).await {
-        return read;
+    let reads = &context.store_reads;
+    let mut patience = wait + SILENCE_THRESHOLD;
+    loop {
+        let before = reads.received.total();
+        if let Ok(read) = tokio::time::timeout(patience, reading.as_mut()).await {
+            return read;
+        }
+        if reads.received.total() == before {
+            break;
+        }
+        patience = SILENCE_THRESHOLD;
     }
-    if context.reads_store(context.clock.now()) && context.published.store_failed() {
-        let reads = &context.store_reads;
-        tracing::warn!(
-            in_flight = reads.in_flight(),
-            received = reads.received.total(),
-            "store silent"
-        );
+    let subject = Subject::Operators;
+    let failure = ReadFailure::Unreachable;
+    let reads_store = context.reads_store(subject, context.clock.now());
+    if reads_store && context.published.store_failed(subject, failure) {
+        let (in_flight, received) = (reads.in_flight(), reads.received.total());
+        tracing::warn!(in_flight, received, "store silent");
     }
     reading.await
 }
@@ -322,9 +454,10 @@
 /// Waits before the next call to the store after a failed one.
 async fn back_off(context: &Context) {
     let now = context.clock.now();
+    let settings = context.settings();
     let before = context
         .peers
-        .preceding_without_store(&context.settings(), now);
+        .preceding_entries(&settings, now, |peer| peer.lost.any());
     let pause = retry_pause(before, rand::rng().random());
     tokio::time::sleep(pause).await;
 }
@@ -335,7 +468,7 @@
         return;
     }
     metrics::counter!("apricothall_store_failures_total").increment(1);
-    if !context.reads_store(context.clock.now()) {
+    if !context.reads_store(subject, context.clock.now()) {
         // Other daemons read the store, so it is not reported as unreachable.
         tracing::info!(?subject, %error, "read of the store failed; other daemons read it");
         return;
@@ -347,26 +480,24 @@
         );
         return;
     }
-    if context.published.store_failed() {
+    if context.published.store_failed(subject, read_failure(error)) {
         tracing::warn!(?subject, %error, "store lost");
     }
 }
 
-fn record_answer(context: &Context) {
-    let now = context.clock.now();
-    if context.published.store_answered(now) {
-        tracing::info!("store regained");
+fn read_failure(error: &ReadError) -> ReadFailure {
+    match error {
+        ReadError::Call(PlatformError::Slow) => ReadFailure::Slow,
+        ReadError::Call(_)
+        | ReadError::NotReader
+        | ReadError::Malformed(_)
+        | ReadError::Compacted => ReadFailure::Unreachable,
     }
 }
 
-/// Ends the record of a call.
-fn finish(
-    context: &Context,
-    read: StoreRead,
-    answer: Result<Answer, PlatformError>,
-) -> Result<Answer, PlatformError> {
-    let bytes = answer.as_ref().ok().map(|a| a.body.len());
-    context.traffic.record(Kind::Store, bytes.unwrap_or(0));
-    read.end(context, bytes);
-    answer
+fn record_answer(context: &Context, subject: Subject) {
+    let now = context.clock.now();
+    if context.published.store_answered(subject, now) {
+        tracing::info!(?subject, "store regained");
+    }
 }
