fix(gateway): a changed configuration is sent to other daemons as a patch, apart from the servers

What callers saw: DRAIN, late answers, refusals while a large configuration changed.

Cause: each version of the configuration went whole to each daemon, agents too, in one answer with the list of servers and with one timeout of 0.8 s for both. What was small and urgent waited behind it, or was thrown away with it and asked for again.

Change: the configuration has a stream, a connection and a task of its own. It is sent as a patch of the text that the other daemon holds (decide::delta, as between daemons of the product's own deployments), else whole, and compressed either way; a copy is packed once for all who ask. Its timeout starts at 1 s and doubles while it is too short (decide::transfer_timeout). Entries are asked before agents. A patch that does not apply is followed by a whole copy. The history of texts, shared with the product's own deployments, keeps the text before the newest whatever its size; above 2 MB there were no patches.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod signals;
 pub mod timing;
 pub mod transfer;
+pub mod transfer_timeout;
 pub mod update_queue;
 pub mod update_source;
 pub mod versions;
--- a/crates/fleet/src/history.rs
+++ b/crates/fleet/src/history.rs
@@ -9,9 +9,12 @@
 /// Maximum number of texts kept.
 const MAX_TEXTS: usize = 8;
 
-/// Maximum total size of the texts kept, in bytes. The newest text is kept even if it is larger.
+/// Maximum total size of the texts kept, in bytes. [`MIN_TEXTS`] are kept even if they are larger.
 const MAX_BYTES: usize = 4 << 20;
 
+/// Minimum number of texts kept: the newest one and the one that most daemons still hold.
+const MIN_TEXTS: usize = 2;
+
 /// The last texts in force, oldest first.
 #[derive(Debug, Default)]
 pub struct History {
@@ -22,7 +25,9 @@
     /// Adds a text that came into force, and drops the oldest ones beyond the limits.
     pub fn push(&mut self, digest: Digest, text: SmolStr) {
         self.texts.push_back((digest, text));
-        while self.texts.len() > MAX_TEXTS || (self.texts.len() > 1 && self.bytes() > MAX_BYTES) {
+        while self.texts.len() > MAX_TEXTS
+            || (self.texts.len() > MIN_TEXTS && self.bytes() > MAX_BYTES)
+        {
             self.texts.pop_front();
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod agent;
 pub mod answers;
 pub mod callers;
+pub mod configuration_copies;
+pub mod configuration_sync;
 pub mod connections;
 pub mod context;
 pub mod dialect;
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -10,18 +10,17 @@
 use apricothall_decide::update_source::Source;
 use apricothall_types::{Digest, Revision, Role, Timestamp};
 use apricothall_wire::codec::encode;
-use apricothall_wire::{Connector, ConnectorConfig, Incoming, Payload, TrafficClass, WireError};
+use apricothall_wire::{Connector, ConnectorConfig, Incoming, TrafficClass, WireError};
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
 use thiserror::Error;
 use tokio::net::TcpListener;
 
 use crate::Context;
 use crate::agent::pieces;
-use crate::dialect::{Item, Subject};
-use crate::missing_updates::{MissingUpdates, UpdateLag, choose_peer, pick_peer};
-use crate::published::Reader;
+use crate::configuration_sync;
+use crate::dialect::Subject;
+use crate::missing_updates::{ServerListLag, choose_servers_peer, pick_peer};
 use crate::quarantine::{CrashRecords, has_other_records};
 use crate::traffic::Kind;
 
@@ -45,8 +44,6 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 struct PublishedRequest {
-    /// Revision of the configuration held by the sender.
-    held: Revision,
     /// Revision of the sender's server list; zero requests the list in any case.
     servers: Revision,
     /// Digest of the sender's records of requests that crash servers.
@@ -56,7 +53,6 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct PublishedResponse {
     revision: Revision,
-    configuration: Option<(SmolStr, Payload)>,
     confirmed: Option<u64>,
     servers: Option<(Revision, Listing)>,
     suspects: Vec<(Digest, Record)>,
@@ -91,9 +87,15 @@
         .lifecycle
         .spawn(apricothall_wire::serve(listener, handle, log_event));
     let sync_context = context.clone();
+    if settings.role == Role::Entry {
+        context
+            .lifecycle
+            .spawn(async move { follow_peers(&sync_context).await });
+    }
+    let configuration_context = context.clone();
     context
         .lifecycle
-        .spawn(async move { follow_peers(&sync_context).await });
+        .spawn(async move { configuration_sync::follow(&configuration_context).await });
     let quarantine_context = context.clone();
     context
         .lifecycle
@@ -113,6 +115,7 @@
 async fn answer(context: &Context, incoming: Incoming) {
     let result = match incoming.path.as_str() {
         PUBLISHED_PATH => serve_published(context, incoming).await,
+        configuration_sync::PATH => configuration_sync::serve(context, incoming).await,
         pieces::PATH => pieces::serve(context, incoming).await,
         _ => {
             incoming.refuse(http::StatusCode::NOT_FOUND, "no such path");
@@ -130,8 +133,6 @@
         return Ok(());
     };
     let now = context.clock.now();
-    let in_force = context.published.in_force();
-    let newer = in_force.filter(|f| f.revision > request.held);
     let age = context.published.age(now);
     let revision = context.published.servers_revision();
     let store_lost = context.published.is_store_lost(Subject::Servers);
@@ -144,7 +145,6 @@
     };
     let response = PublishedResponse {
         revision: context.published.revision(),
-        configuration: newer.map(|f| (f.item.key.clone(), Payload(f.item.value.clone()))),
         confirmed: age.map(|a| {
             u64::try_from(a.as_millis())
                 .unwrap_or(u64::MAX)
@@ -161,12 +161,7 @@
 
 fn record_traffic(context: &Context, response: &PublishedResponse) {
     let size = |encoded: Result<Vec<u8>, WireError>| encoded.map_or(0, |bytes| bytes.len());
-    let configuration = response.configuration.as_ref();
     let traffic = &context.traffic;
-    traffic.record(
-        Kind::Configuration,
-        configuration.map_or(0, |(_, value)| value.len()),
-    );
     if response.servers.is_some() {
         traffic.record(Kind::Servers, size(encode(&response.servers)));
     }
@@ -174,27 +169,25 @@
     traffic.record(Kind::CrashRecords, records);
 }
 
-/// Requests newer configurations and servers from peers.
+/// Requests newer server lists from peers.
 async fn follow_peers(context: &Context) {
     let connector = connector(context);
-    let mut update_lag = UpdateLag::default();
+    let mut lag = ServerListLag::default();
     let mut last_request = Timestamp::default();
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
         let now = context.clock.now();
-        let mut missing = update_lag.missing(context, now);
-        let is_entry = context.settings().role == Role::Entry;
-        if is_entry
-            && context.published.is_store_lost(Subject::Servers)
+        let mut source = lag.source(context, now);
+        if context.published.is_store_lost(Subject::Servers)
             && now.since(last_request) >= SERVERS_INTERVAL
         {
-            missing.servers = Source::Anywhere;
+            source = Source::Anywhere;
         }
-        if missing == MissingUpdates::NONE {
+        if source == Source::Nobody {
             continue;
         }
         last_request = now;
-        let Some(peer) = choose_peer(context, missing, now) else {
+        let Some(peer) = choose_servers_peer(context, source, now) else {
             continue;
         };
         if let Err(error) = request_state(context, &connector, peer, now).await {
@@ -268,7 +261,6 @@
             None,
         );
         let mut channel = opened.await?;
-        let held = context.published.revision();
         let servers = if context.published.is_store_lost(Subject::Servers) {
             Revision::default()
         } else {
@@ -276,7 +268,6 @@
         };
         let quarantine = context.quarantine.summary();
         let request = PublishedRequest {
-            held,
             servers,
             quarantine,
         };
@@ -289,16 +280,6 @@
     };
     let answered = tokio::time::timeout(PEER_TIMEOUT, exchange).await;
     let response = answered.map_err(|_| PeerSyncError::Timeout)??;
-    if let Some((key, value)) = response.configuration {
-        let item = Item {
-            key,
-            value: value.0,
-            revision: response.revision,
-        };
-        context
-            .published
-            .take_item(&context.dialect.store, &item, Reader::Peer, None);
-    }
     if let Some(age) = response.confirmed {
         let since = sent - Duration::from_millis(age);
         context.published.confirm(response.revision, since);
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -10,10 +10,11 @@
 use apricothall_decide::readers::{LostSubjects, ReadFailure, StoreReachability};
 use apricothall_decide::servers::{Listing, Server, Servers};
 use apricothall_decide::versions::{Versions, earliest_change};
-use apricothall_types::{Revision, Timestamp};
+use apricothall_types::{Digest, Revision, Timestamp};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
+use crate::configuration_copies::ConfigurationCopies;
 use crate::dialect::{Change, Changes, Fact, Item, StoreCalls, Subject};
 use crate::fleet::ServerRef;
 use crate::model::Configuration;
@@ -26,10 +27,20 @@
     pub revision: Revision,
     /// The raw item, to be sent to peers.
     pub item: Item,
+    /// Digest of its text.
+    pub digest: Digest,
     /// The parsed configuration.
     pub configuration: Configuration,
 }
 
+impl InForce {
+    /// The raw text; empty if it is not valid UTF-8, which no configuration in force is.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.item.value).unwrap_or_default()
+    }
+}
+
 #[derive(Default)]
 struct State {
     in_force: Option<Arc<InForce>>,
@@ -47,6 +58,8 @@
 pub struct Published {
     state: Mutex<State>,
     changed: watch::Sender<u64>,
+    /// Copies of the configuration for other daemons.
+    pub copies: ConfigurationCopies,
 }
 
 /// Source of an update, for logs.
@@ -69,6 +82,7 @@
         Self {
             state: Mutex::new(state),
             changed: watch::Sender::new(0),
+            copies: ConfigurationCopies::default(),
         }
     }
 
@@ -215,12 +229,15 @@
             u32::try_from(configuration.version).unwrap_or(u32::MAX),
         ));
         state.checked = state.checked.max(Some(item.revision));
-        state.in_force = Some(Arc::new(InForce {
+        let in_force = Arc::new(InForce {
             revision: item.revision,
             item: item.clone(),
+            digest: Digest::of(&item.value),
             configuration,
-        }));
+        });
+        state.in_force = Some(in_force.clone());
         drop(state);
+        self.copies.push(in_force.digest, in_force.text().into());
         self.notify();
     }
 
