fix(gateway): a request that may outlast a leaving entry is refused at once

An entry forwards for 2.5 s after SIGTERM and ends 7.6 s after it; routes have timeouts of 6 s, so a request taken after 1.6 s may last longer than the process. Nothing compared the two. A body that came slowly made it later still, as the decision was made when the head had come.

Change: once a request has been read, one whose time may end after the process does is refused with 503 and Retry-After 0.1 s (Drain::may_outlast, now an argument of time only): nothing was sent, and its caller goes to another entry. One that ends in time is forwarded as before. Logged, and counted by apricothall_leaving_refused_total.

--- a/crates/decide/src/drain.rs
+++ b/crates/decide/src/drain.rs
@@ -124,6 +124,13 @@
         Intake::Refuse
     }
 
+    /// Whether a request with `deadline` may still be running when the process ends.
+    #[must_use]
+    pub fn may_outlast(&self, deadline: Timestamp) -> bool {
+        let end = self.first.map(|(_, since)| since + self.config.limit.0);
+        end.is_some_and(|end| deadline > end)
+    }
+
     /// Returns the action of the process at `now` with `work` remaining.
     #[must_use]
     pub fn step(&self, work: Work, now: Timestamp) -> Step {
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -149,6 +149,11 @@
         retry_later_response(DRAIN_RETRY_AFTER, "this entry is leaving")
     } else {
         match admit(context, &service.stated_timeouts, request, arrival).await {
+            Ok(call) if context.lifecycle.may_outlast(call.deadline) => {
+                tracing::info!(request = %call.id, "request refused: it may outlast this entry, which is leaving");
+                metrics::counter!("apricothall_leaving_refused_total").increment(1);
+                retry_later_response(DRAIN_RETRY_AFTER, "this entry ends too soon")
+            }
             Ok(call) => service.forwarder.forward(call).await,
             Err(answer) => {
                 let status = answer.status().as_u16();
--- a/crates/kernel/src/lifecycle.rs
+++ b/crates/kernel/src/lifecycle.rs
@@ -5,7 +5,7 @@
 
 use apricothall_decide::configs::DrainConfig;
 use apricothall_decide::drain::{self, Drain, DrainTrigger, Intake, Step};
-use apricothall_types::Role;
+use apricothall_types::{Role, Timestamp};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -99,6 +99,12 @@
         self.drain().intake(self.clock.now())
     }
 
+    /// Whether a request with `deadline` may still be running when this daemon ends.
+    #[must_use]
+    pub fn may_outlast(&self, deadline: Timestamp) -> bool {
+        self.drain().may_outlast(deadline)
+    }
+
     /// Waits until the daemon may end. [`Step::Abort`] means that work is aborted at the limit.
     pub async fn drained(&self) -> Step {
         loop {
