--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod servers;
 pub mod settings;
 pub mod store;
+pub mod store_calls;
 pub mod store_reads;
 pub mod stream;
 pub mod traffic;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -7,39 +7,26 @@
 use std::time::Duration;
 
 use apricothall_clients::PlatformError;
-use apricothall_clients::http_client::{Answer, HttpClient, Patience, get};
+use apricothall_clients::http_client::HttpClient;
 use apricothall_decide::readers::{
     ReadFailure, awaits_peers, is_confirmation_due, retry_pause, watch_wait,
 };
 use apricothall_decide::servers::Server;
 use apricothall_types::{Revision, Role, Timestamp};
-use http::StatusCode;
 use rand::Rng;
-use smol_str::{SmolStr, ToSmolStr};
-use thiserror::Error;
 
 use crate::Context;
-use crate::dialect::{Change, Changes, Fact, Item, Page, Subject};
+use crate::dialect::{Change, Changes, Fact, Item, Subject};
 use crate::peers::Peer;
 use crate::quarantine::crash_of;
-use crate::traffic::Kind;
+use crate::store_calls::{ReadError, fetch_changes, fetch_page, store_client};
 
 /// Minimum wait of a watch request, which the store answers at once.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 
-/// Additional time without a received byte after which a watch request is considered lost.
-const WATCH_MARGIN: Duration = Duration::from_millis(700);
-
 /// Time without a received byte after which the store is reported to other daemons as unreachable.
 const SILENCE_THRESHOLD: Duration = Duration::from_millis(400);
 
-/// Time without a received byte after which a request for data that the store has is considered
-/// lost.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
-
-/// Maximum time for receiving an answer.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(8);
-
 /// Pause between two watch requests, to coalesce rapid changes.
 const COALESCE_DELAY: Duration = Duration::from_millis(300);
 
@@ -58,25 +45,6 @@
 /// Time after the start for an agent to discover entries before it reads the store itself.
 const AGENT_START_DELAY: Duration = Duration::from_millis(800);
 
-/// Maximum size of a response from the store, in bytes.
-const ANSWER_BYTES: usize = 8 << 20;
-
-/// Timeout for connecting to the store.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Reason why a subject is no longer followed.
-#[derive(Debug, Error)]
-enum ReadError {
-    #[error("no longer a reader of the store")]
-    NotReader,
-    #[error(transparent)]
-    Call(#[from] PlatformError),
-    #[error("cannot parse the response of the store: {0}")]
-    Malformed(SmolStr),
-    #[error("revision is no longer available: history compacted")]
-    Compacted,
-}
-
 /// Starts the tasks that read the store for this role, until the process ends.
 pub fn start(context: &Context) {
     let settings = context.settings();
@@ -90,11 +58,6 @@
     }
 }
 
-fn store_client(context: &Context) -> HttpClient {
-    let client = HttpClient::new(Some(context.settings().ip), CONNECT_TIMEOUT);
-    client.counting(context.store_reads.received.clone())
-}
-
 fn watch(context: &Context, subject: Subject) {
     let watching = context.clone();
     let client = store_client(context);
@@ -255,31 +218,6 @@
     }
 }
 
-async fn fetch_changes(
-    context: &Context,
-    client: &HttpClient,
-    subject: Subject,
-    after: Revision,
-    wait: Duration,
-) -> Result<Changes, ReadError> {
-    let path = (context.dialect.store.watch)(subject, after, wait);
-    let patience = Patience {
-        idle: wait + WATCH_MARGIN,
-        total: wait + TRANSFER_TIMEOUT,
-    };
-    let answer = call(context, client, ("watch", subject), &path, wait, patience).await?;
-    if answer.status == StatusCode::GONE {
-        return Err(ReadError::Compacted);
-    }
-    let answer = answer.error_for_status()?;
-    let changes = (context.dialect.store.read_changes)(&answer.body)
-        .map_err(|e| ReadError::Malformed(e.to_smolstr()))?;
-    if changes.revision < after {
-        return Err(ReadError::Compacted);
-    }
-    Ok(changes)
-}
-
 /// Lists all items of a subject and applies them.
 async fn list(
     context: &Context,
@@ -307,43 +245,6 @@
     }
 }
 
-async fn fetch_page(
-    context: &Context,
-    client: &HttpClient,
-    subject: Subject,
-    after: Option<&str>,
-) -> Result<Page, ReadError> {
-    let path = (context.dialect.store.list)(subject, after);
-    let patience = Patience {
-        idle: IDLE_TIMEOUT,
-        total: TRANSFER_TIMEOUT,
-    };
-    let wait = Duration::ZERO;
-    let answer = call(context, client, ("list", subject), &path, wait, patience).await?;
-    let answer = answer.error_for_status()?;
-    (context.dialect.store.read_list)(&answer.body)
-        .map_err(|e| ReadError::Malformed(e.to_smolstr()))
-}
-
-/// Calls the store, which may hold its answer back for `wait`.
-async fn call(
-    context: &Context,
-    client: &HttpClient,
-    (call, subject): (&'static str, Subject),
-    path: &str,
-    wait: Duration,
-    patience: Patience,
-) -> Result<Answer, PlatformError> {
-    let request = get(context.settings().store, path)?;
-    let now = context.clock.now();
-    let read = context.store_reads.begin(call, subject, wait, now);
-    let answer = client.call_patiently(request, patience, ANSWER_BYTES).await;
-    let bytes = answer.as_ref().ok().map(|a| a.body.len());
-    context.traffic.record(Kind::Store, bytes.unwrap_or(0));
-    read.end(context, bytes);
-    answer
-}
-
 fn apply_list(
     context: &Context,
     subject: Subject,
--- /dev/null
+++ b/crates/gateway/src/store_calls.rs
@@ -0,0 +1,148 @@
+//! Calls to the platform's store.
+
+use std::time::Duration;
+
+use apricothall_clients::PlatformError;
+use apricothall_clients::http_client::{Answer, HttpClient, Patience, get};
+use apricothall_types::Revision;
+use http::StatusCode;
+use smol_str::{SmolStr, ToSmolStr};
+use thiserror::Error;
+
+use crate::Context;
+use crate::dialect::{Changes, Page, Subject};
+use crate::traffic::Kind;
+
+/// Additional time without a received byte after which a watch request is considered lost.
+const WATCH_MARGIN: Duration = Duration::from_millis(700);
+
+/// Time without a received byte after which a request for data that the store has is considered
+/// lost.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Maximum time for receiving an answer.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Maximum size of a response from the store, in bytes.
+const ANSWER_BYTES: usize = 8 << 20;
+
+/// Timeout for connecting to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Reason why a subject is no longer followed.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// This daemon is no longer a reader.
+    #[error("no longer a reader of the store")]
+    NotReader,
+    /// A call failed.
+    #[error(transparent)]
+    Call(#[from] PlatformError),
+    /// A response cannot be parsed.
+    #[error("cannot parse the response of the store: {0}")]
+    Malformed(SmolStr),
+    /// The history after the requested revision is gone.
+    #[error("revision is no longer available: history compacted")]
+    Compacted,
+}
+
+/// A client of the store whose received bytes are counted.
+#[must_use]
+pub fn store_client(context: &Context) -> HttpClient {
+    let client = HttpClient::new(Some(context.settings().ip), CONNECT_TIMEOUT);
+    client.counting(context.store_reads.received.clone())
+}
+
+/// Requests the changes of `subject` after revision `after`. The store may hold its answer back for
+/// `wait`.
+///
+/// # Errors
+/// If there is no answer in time, or the history is gone.
+pub async fn fetch_changes(
+    context: &Context,
+    client: &HttpClient,
+    subject: Subject,
+    after: Revision,
+    wait: Duration,
+) -> Result<Changes, ReadError> {
+    let path = (context.dialect.store.watch)(subject, after, wait);
+    let watch = Call {
+        name: "watch",
+        subject,
+        path: &path,
+        wait,
+        patience: Patience {
+            idle: WATCH_MARGIN,
+            total: TRANSFER_TIMEOUT,
+        },
+    };
+    let answer = call(context, client, watch).await?;
+    if answer.status == StatusCode::GONE {
+        return Err(ReadError::Compacted);
+    }
+    let answer = answer.error_for_status()?;
+    let changes = (context.dialect.store.read_changes)(&answer.body)
+        .map_err(|e| ReadError::Malformed(e.to_smolstr()))?;
+    if changes.revision < after {
+        return Err(ReadError::Compacted);
+    }
+    Ok(changes)
+}
+
+/// Requests one page of the list of `subject`, starting after the key `after`.
+///
+/// # Errors
+/// If there is no answer in time.
+pub async fn fetch_page(
+    context: &Context,
+    client: &HttpClient,
+    subject: Subject,
+    after: Option<&str>,
+) -> Result<Page, ReadError> {
+    let path = (context.dialect.store.list)(subject, after);
+    let list = Call {
+        name: "list",
+        subject,
+        path: &path,
+        wait: Duration::ZERO,
+        patience: Patience {
+            idle: IDLE_TIMEOUT,
+            total: TRANSFER_TIMEOUT,
+        },
+    };
+    let answer = call(context, client, list).await?;
+    let answer = answer.error_for_status()?;
+    (context.dialect.store.read_list)(&answer.body)
+        .map_err(|e| ReadError::Malformed(e.to_smolstr()))
+}
+
+/// A call to the store.
+struct Call<'a> {
+    /// Name in logs and metrics.
+    name: &'static str,
+    subject: Subject,
+    path: &'a str,
+    /// Time for which the store may hold its answer back.
+    wait: Duration,
+    /// Time for the answer to arrive after that.
+    patience: Patience,
+}
+
+async fn call(
+    context: &Context,
+    client: &HttpClient,
+    call: Call<'_>,
+) -> Result<Answer, PlatformError> {
+    let request = get(context.settings().store, call.path)?;
+    let patience = Patience {
+        idle: call.wait + call.patience.idle,
+        total: call.wait + call.patience.total,
+    };
+    let reads = &context.store_reads;
+    let read = reads.begin(call.name, call.subject, call.wait, context.clock.now());
+    let answer = client.call_patiently(request, patience, ANSWER_BYTES).await;
+    let bytes = answer.as_ref().ok().map(|a| a.body.len());
+    context.traffic.record(Kind::Store, bytes.unwrap_or(0));
+    read.end(context, bytes);
+    answer
+}
