refactor(decide): reachability of the store in a module of its own, named constants for confirmations

readers.rs had both who reads and what a daemon knows of the store, and bare percentages. Moved without a change of logic; the module's page no longer says that more readers than needed are harmless, which the incident showed to be wrong.

--- a/crates/decide/src/readers.rs
+++ b/crates/decide/src/readers.rs
@@ -2,14 +2,15 @@
 //!
 //! Calls to the store are expensive and rate-limited, so two entries of each availability zone read
 //! it and the other daemons follow them. There is no election: each daemon decides from the peers
-//! whose messages it receives. There may temporarily be more readers than needed, which is
-//! harmless, and a daemon that receives no messages becomes a reader. Each zone has two readers, so
-//! that the failure of one causes no delay.
+//! whose messages it receives. There may temporarily be more readers than needed, and a daemon that
+//! receives no messages becomes a reader. Each zone has two readers, so that the failure of one
+//! causes no delay. A large configuration has only one, as each copy fills the link to the store.
 
 use std::time::Duration;
 
 use apricothall_types::{MemberId, Role};
-use serde::{Deserialize, Serialize};
+
+use crate::store_reachability::Subject;
 
 /// A peer that sent a message recently, is serving and gets answers from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,17 +74,35 @@
     !has_one && waited < limit
 }
 
-/// Time for which a watch request of the operators' items may be held back. Each answer of the
+/// Maximum wait of a watch request.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
+
+/// Maximum wait of a watch request by which the primary reader confirms the configuration.
+const CONFIRMING_WATCH_WAIT: Duration = Duration::from_millis(500);
+
+/// Time for which a watch request may be held back. Each answer of the
 /// primary reader also confirms the configuration, and shows the other daemons of its zone, which
 /// depend on it, that the store answers.
 #[must_use]
 pub const fn watch_wait(role: ReaderRole, subject: Subject) -> Duration {
     match (role, subject) {
-        (ReaderRole::Primary, Subject::Operators) => Duration::from_millis(500),
-        _ => Duration::from_secs(4),
+        (ReaderRole::Primary, Subject::Operators) => CONFIRMING_WATCH_WAIT,
+        _ => WATCH_WAIT,
     }
 }
 
+/// Age at which the primary reader confirms the configuration, in percent of the limit.
+const PRIMARY_CONFIRM_PERCENT: u32 = 20;
+
+/// Age at which the secondary reader does.
+const SECONDARY_CONFIRM_PERCENT: u32 = 40;
+
+/// Age at which the first follower does.
+const FIRST_FOLLOWER_CONFIRM_PERCENT: u32 = 60;
+
+/// Age at which the second follower does.
+const SECOND_FOLLOWER_CONFIRM_PERCENT: u32 = 68;
+
 /// Whether a daemon that does not follow the operators' items should confirm the configuration.
 /// `age` is the time since the last confirmation, `limit` the age up to which callers' keys are
 /// accepted, and `before` the number of healthy entries of the zone that rank before it. Of the
@@ -97,10 +116,10 @@
     limit: Duration,
 ) -> bool {
     let percent = match (role, before) {
-        (ReaderRole::Primary, _) => 20,
-        (ReaderRole::Secondary, _) => 40,
-        (ReaderRole::Follower, 0..=2) => 60,
-        (ReaderRole::Follower, 3) => 68,
+        (ReaderRole::Primary, _) => PRIMARY_CONFIRM_PERCENT,
+        (ReaderRole::Secondary, _) => SECONDARY_CONFIRM_PERCENT,
+        (ReaderRole::Follower, 0..=2) => FIRST_FOLLOWER_CONFIRM_PERCENT,
+        (ReaderRole::Follower, 3) => SECOND_FOLLOWER_CONFIRM_PERCENT,
         (ReaderRole::Follower, _) => return false,
     };
     age.is_none_or(|age| age >= limit * percent / 100)
@@ -130,110 +149,6 @@
     }
 }
 
-/// Part of the store that is read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Subject {
-    /// Items written by operators: configuration and versions.
-    Operators,
-    /// Entries of backend servers.
-    Servers,
-}
-
-/// What a failed read says of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReadFailure {
-    /// The store refuses this daemon, or nothing is received from it.
-    Unreachable,
-    /// The store answers, but the answer did not arrive completely in time.
-    Slow,
-}
-
-/// Subjects that a daemon cannot read from the store.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LostSubjects {
-    /// Items written by operators.
-    pub operators: bool,
-    /// Entries of backend servers.
-    pub servers: bool,
-}
-
-impl LostSubjects {
-    const ALL: Self = Self {
-        operators: true,
-        servers: true,
-    };
-
-    /// Whether `subject` is lost.
-    #[must_use]
-    pub const fn contains(self, subject: Subject) -> bool {
-        match subject {
-            Subject::Operators => self.operators,
-            Subject::Servers => self.servers,
-        }
-    }
-
-    /// Whether any subject is lost.
-    #[must_use]
-    pub const fn any(self) -> bool {
-        self.operators || self.servers
-    }
-
-    fn set(&mut self, subject: Subject, lost: bool) {
-        match subject {
-            Subject::Operators => self.operators = lost,
-            Subject::Servers => self.servers = lost,
-        }
-    }
-}
-
-/// Whether the store answers this daemon. It may still answer others; see [`crate::outage`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct StoreReachability {
-    unreachable: bool,
-    slow: LostSubjects,
-}
-
-impl StoreReachability {
-    /// Records a failed read of `subject`. Returns true if the subject was not lost before.
-    pub fn failed(&mut self, subject: Subject, failure: ReadFailure) -> bool {
-        let before = self.is_lost(subject);
-        match failure {
-            ReadFailure::Unreachable => self.unreachable = true,
-            ReadFailure::Slow => self.slow.set(subject, true),
-        }
-        !before
-    }
-
-    /// Records a complete answer about `subject`. Returns true if the subject was lost.
-    pub fn answered(&mut self, subject: Subject) -> bool {
-        let before = self.is_lost(subject);
-        self.unreachable = false;
-        self.slow.set(subject, false);
-        before
-    }
-
-    /// Resets what is known about `subject`, which this daemon does not read.
-    pub fn reset(&mut self, subject: Subject) {
-        self.unreachable = false;
-        self.slow.set(subject, false);
-    }
-
-    /// Whether `subject` cannot be read.
-    #[must_use]
-    pub const fn is_lost(self, subject: Subject) -> bool {
-        self.unreachable || self.slow.contains(subject)
-    }
-
-    /// Subjects that cannot be read.
-    #[must_use]
-    pub const fn lost(self) -> LostSubjects {
-        if self.unreachable {
-            return LostSubjects::ALL;
-        }
-        self.slow
-    }
-}
-
 /// Minimum pause before a daemon retries a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
--- a/crates/decide/tests/outage.rs
+++ b/crates/decide/tests/outage.rs
@@ -1,8 +1,8 @@
 //! Detection of store outages by daemons, some of which get no answers while others do.
 
 use apricothall_decide::outage::{AnsweredAge, OutageConfig, Outages};
-use apricothall_decide::readers::{ReadFailure, StoreReachability, Subject};
 use apricothall_decide::servers::{Listing, Server, ServerState, Servers};
+use apricothall_decide::store_reachability::{ReadFailure, StoreReachability, Subject};
 use apricothall_types::{MemberId, Timestamp, WallTime};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
--- a/crates/decide/tests/readers.rs
+++ b/crates/decide/tests/readers.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use apricothall_decide::readers::{
-    HealthyPeer, ReadFailure, ReaderRole, StoreReachability, Subject, awaits_peers,
-    is_confirmation_due, reader_role, retry_pause, watch_wait,
+    HealthyPeer, ReaderRole, awaits_peers, is_confirmation_due, reader_role, retry_pause,
+    watch_wait,
 };
+use apricothall_decide::store_reachability::{ReadFailure, StoreReachability, Subject};
 use apricothall_types::{MemberId, Role};
 
 fn id(name: &str) -> MemberId {
--- a/crates/decide/tests/store_link.rs
+++ b/crates/decide/tests/store_link.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use apricothall_decide::readers::{
-    HealthyPeer, ReaderRole, Subject, awaits_peers, is_confirmation_due, reader_role, watch_wait,
+    HealthyPeer, ReaderRole, awaits_peers, is_confirmation_due, reader_role, watch_wait,
 };
+use apricothall_decide::store_reachability::Subject;
 use apricothall_types::{MemberId, Role};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-pub use apricothall_decide::readers::Subject;
 use apricothall_decide::servers::Server;
+pub use apricothall_decide::store_reachability::Subject;
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{MemberId, PartId, Revision};
 use bytes::Bytes;
--- a/crates/gateway/src/missing_updates.rs
+++ b/crates/gateway/src/missing_updates.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use apricothall_decide::readers::Subject;
+use apricothall_decide::store_reachability::Subject;
 use apricothall_decide::update_source::{PeersAhead, Source, select_source};
 use apricothall_types::{Revision, Role, Timestamp};
 use rand::seq::IndexedRandom;
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -7,8 +7,8 @@
 
 use apricothall_decide::lease::Lease;
 use apricothall_decide::outage::{AnsweredAge, OutageConfig};
-use apricothall_decide::readers::{LostSubjects, ReadFailure, StoreReachability};
 use apricothall_decide::servers::{Listing, Server, Servers};
+use apricothall_decide::store_reachability::{LostSubjects, ReadFailure, StoreReachability};
 use apricothall_decide::versions::{Versions, earliest_change};
 use apricothall_types::{Digest, Revision, Timestamp};
 use smol_str::SmolStr;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,10 +8,9 @@
 
 use apricothall_clients::PlatformError;
 use apricothall_clients::http_client::HttpClient;
-use apricothall_decide::readers::{
-    ReadFailure, awaits_peers, is_confirmation_due, retry_pause, watch_wait,
-};
+use apricothall_decide::readers::{awaits_peers, is_confirmation_due, retry_pause, watch_wait};
 use apricothall_decide::servers::Server;
+use apricothall_decide::store_reachability::ReadFailure;
 use apricothall_types::{Revision, Role, Timestamp};
 use rand::Rng;
 
