fix(gateway): a copy of the configuration has the text of the revision that is told with it

With a runtime of several threads a newer text could be sent under the older revision; the daemons run on one thread, with no pause between the two, so callers saw nothing.

--- a/crates/gateway/src/configuration_copies.rs
+++ b/crates/gateway/src/configuration_copies.rs
@@ -31,6 +31,9 @@
     /// The patch does not apply to the text held here.
     #[error(transparent)]
     Patch(#[from] DeltaError),
+    /// Another configuration has come into force meanwhile.
+    #[error("another configuration has come into force")]
+    Superseded,
 }
 
 /// The latest configurations, and the copies that were made of the newest one.
@@ -42,7 +45,8 @@
 #[derive(Default)]
 struct State {
     history: History,
-    newest: SmolStr,
+    /// The newest text, with its digest.
+    newest: Option<(Digest, SmolStr)>,
     /// Packed copies by the digest of the text that they are a patch of; `None` for the full text.
     packed: HashMap<Option<Digest>, Bytes>,
 }
@@ -56,17 +60,19 @@
     pub fn push(&self, digest: Digest, text: SmolStr) {
         let mut state = self.state();
         state.packed.clear();
-        state.newest = text.clone();
+        state.newest = Some((digest, text.clone()));
         state.history.push(digest, text);
     }
 
-    /// A packed copy of the newest configuration for a daemon that holds the text with digest
-    /// `base`.
+    /// A packed copy of the newest configuration, which has the digest `newest`, for a daemon that
+    /// holds the text with digest `base`.
     ///
     /// # Errors
-    /// If it cannot be encoded.
-    pub fn pack(&self, base: Option<Digest>) -> Result<Bytes, CopyError> {
+    /// If it cannot be encoded, or is not the newest.
+    pub fn pack(&self, newest: Digest, base: Option<Digest>) -> Result<Bytes, CopyError> {
         let mut state = self.state();
+        let current = state.newest.clone().filter(|(digest, _)| *digest == newest);
+        let (_, current) = current.ok_or(CopyError::Superseded)?;
         let patch = base.and_then(|base| state.history.patch(base));
         let base = base.filter(|_| patch.is_some());
         if let Some(packed) = state.packed.get(&base) {
@@ -74,7 +80,7 @@
         }
         let text = match patch {
             Some(patch) => PublishedText::Patch(patch),
-            None => PublishedText::Whole(state.newest.clone()),
+            None => PublishedText::Whole(current),
         };
         let packed = Bytes::from(compress(&encode(&text)?)?);
         state.packed.insert(base, packed.clone());
--- a/crates/gateway/src/configuration_sync.rs
+++ b/crates/gateway/src/configuration_sync.rs
@@ -78,9 +78,9 @@
     let in_force = published.in_force();
     let newer = in_force.filter(|f| f.revision > request.held);
     let copy = newer.as_ref().and_then(|in_force| {
-        let packed = published.copies.pack(request.base);
+        let packed = published.copies.pack(in_force.digest, request.base);
         let packed = packed.map_err(|error| {
-            tracing::error!(%error, "cannot pack the configuration");
+            tracing::warn!(%error, "cannot pack the configuration");
         });
         Some(ConfigurationCopy {
             key: in_force.item.key.clone(),
