test(review): a stopped entry cuts answers that clients still read

Cause: a request counts as work until hyper has taken its body, not until the socket has; the process ends 2.5 s after SIGTERM with what hyper still holds.

Change: case 2 of the review. Nothing is mended.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,8 @@
 
 #[path = "../1/case.rs"]
 mod case_1;
+#[path = "../2/case.rs"]
+mod case_2;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -70,6 +72,7 @@
     let world = World::new(PathBuf::from(root), PathBuf::from(work), record.clone())?;
     let verdict = match case {
         "1" => case_1::run(&world, trouble),
+        "2" => case_2::run(&world, trouble),
         other => Err(format!("no case {other}")),
     };
     match &verdict {
