test(review): a prompt of 10^15 tokens ends every entry that it reaches

Cause: the prediction of the first event overflows the range of a duration and panics, and a panic aborts the process.

Change: case 4 of the review. Nothing is mended.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,8 @@
 mod case_1;
 #[path = "../2/case.rs"]
 mod case_2;
+#[path = "../4/case.rs"]
+mod case_4;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -73,6 +75,7 @@
     let verdict = match case {
         "1" => case_1::run(&world, trouble),
         "2" => case_2::run(&world, trouble),
+        "4" => case_4::run(&world, trouble),
         other => Err(format!("no case {other}")),
     };
     match &verdict {
