test(review): one wrong digit among the digests keeps an engine empty

Cause: an agent takes the digests of a version once, and never doubts them.

Change: case 5 of the review. Nothing is mended.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -16,6 +16,8 @@
 mod case_2;
 #[path = "../4/case.rs"]
 mod case_4;
+#[path = "../5/case.rs"]
+mod case_5;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -76,6 +78,7 @@
         "1" => case_1::run(&world, trouble),
         "2" => case_2::run(&world, trouble),
         "4" => case_4::run(&world, trouble),
+        "5" => case_5::run(&world, trouble),
         other => Err(format!("no case {other}")),
     };
     match &verdict {
