--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -28,6 +28,14 @@
     contents: Contents,
     era: u64,
     up: bool,
+    /// Channels that were opened before this time are silent for good.
+    silent_before: Option<Instant>,
+}
+
+impl State {
+    fn is_silent(&self, request: &Request) -> bool {
+        self.silent_before.is_some_and(|at| request.opened < at)
+    }
 }
 
 /// A handle to the store. Cheap to clone.
@@ -45,6 +53,7 @@
             contents,
             era: 1,
             up: true,
+            silent_before: None,
         })));
         let serving = store.clone();
         serve(
@@ -58,6 +67,19 @@
         self.0.lock().expect("no writer panics")
     }
 
+    /// Writes an item if it differs from what the store has. Returns false while the store is away.
+    pub fn keep(&self, key: &str, value: &str) -> bool {
+        let state = self.state();
+        let same = state
+            .contents
+            .items
+            .get(key)
+            .is_some_and(|(_, _, held)| held == value);
+        let (up, same) = (state.up, state.up && same);
+        drop(state);
+        same || up && self.put(key, value).is_some()
+    }
+
     /// Writes an item. Returns the revision of the acknowledgement, or `None` while it is away.
     pub fn put(&self, key: &str, value: &str) -> Option<u64> {
         let mut state = self.state();
@@ -94,6 +116,11 @@
         self.state().up = false;
     }
 
+    /// All channels that are open now go silent for good; new ones work.
+    pub fn silence_channels(&self) {
+        self.state().silent_before = Some(Instant::now());
+    }
+
     /// Comes back with `contents`, in a new era.
     pub fn come_back(&self, contents: Contents) {
         let mut state = self.state();
@@ -112,6 +139,9 @@
             "/api/kv-watch" => self.watch(request),
             _ => Some(("404 Not Found", String::new())),
         };
+        while self.state().is_silent(request) {
+            thread::sleep(Duration::from_secs(1));
+        }
         let Some((status, body)) = found else {
             return false;
         };
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -133,15 +133,17 @@
     }
 
     /// Starts as many plain servers that answer by `run`.
-    pub fn start_plain(&self, count: u8, run: &Run) -> Result<(), String> {
+    pub fn start_plain(&self, count: u8, run: &Run) -> Result<Vec<Identity>, String> {
+        let mut started = Vec::new();
         for number in 0..count {
             let (listener, at) = self.listen(51 + number, 8080)?;
             let zone = ZONES[usize::from(number) % ZONES.len()];
             let own = Identity::new(&format!("i-7f3a91c{number}"), BOOKINGS, at, zone);
             own.register(&self.store, String::new);
+            started.push(own.clone());
             serve_plain(listener, own, self.record.clone(), run.clone());
         }
-        Ok(())
+        Ok(started)
     }
 
     /// The operator writes a configuration with these keys of the client account.
