--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,8 @@
 mod case_1;
 #[path = "../2/case.rs"]
 mod case_2;
+#[path = "../3/case.rs"]
+mod case_3;
 #[path = "../4/case.rs"]
 mod case_4;
 #[path = "../5/case.rs"]
@@ -77,6 +79,7 @@
     let verdict = match case {
         "1" => case_1::run(&world, trouble),
         "2" => case_2::run(&world, trouble),
+        "3" => case_3::run(&world, trouble),
         "4" => case_4::run(&world, trouble),
         "5" => case_5::run(&world, trouble),
         other => Err(format!("no case {other}")),
