--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -49,6 +49,8 @@
     pub born: u128,
     /// Whether it has reported that it leaves.
     leaving: Arc<AtomicBool>,
+    /// Whether it has ended.
+    ended: Arc<AtomicBool>,
 }
 
 impl Identity {
@@ -65,6 +67,7 @@
             slots: 16,
             born,
             leaving: Arc::default(),
+            ended: Arc::default(),
         }
     }
 
@@ -98,7 +101,7 @@
     pub fn register(&self, store: &Store, more: impl Fn() -> String + Send + 'static) {
         let (own, store) = (self.clone(), store.clone());
         thread::spawn(move || {
-            loop {
+            while !own.ended.load(Ordering::Relaxed) {
                 while !store.keep(&own.key(), &own.entry(&more())) {
                     thread::sleep(WRITE_AGAIN);
                 }
@@ -135,6 +138,17 @@
         self.leaving.store(true, Ordering::Relaxed);
         store.put(&self.key(), &self.entry(""))
     }
+
+    /// Ends: it drops its entry and closes connections from now on.
+    pub fn end(&self, store: &Store) -> Option<u64> {
+        self.ended.store(true, Ordering::Relaxed);
+        store.remove(&self.key())
+    }
+
+    /// Removes the entry, as the store does after three intervals of silence.
+    pub fn expire(&self, store: &Store) -> Option<u64> {
+        store.remove(&self.key())
+    }
 }
 
 /// Answers a request that a plain server runs.
@@ -149,6 +163,9 @@
 /// Serves as a plain server, which records each run.
 pub fn serve_plain(listener: TcpListener, own: Identity, record: Record, run: Run) {
     let handler = move |request: &Request, stream: &mut TcpStream| {
+        if own.ended.load(Ordering::Relaxed) {
+            return false;
+        }
         if let Some(open) = own.decline(request, stream) {
             return open;
         }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -20,8 +20,8 @@
 pub struct Contents {
     pub revision: u64,
     items: BTreeMap<String, (u64, u64, String)>,
-    /// All writes in their order.
-    history: Vec<(u64, String, String)>,
+    /// All writes in their order; the value is `None` for a removal.
+    history: Vec<(u64, String, Option<String>)>,
 }
 
 struct State {
@@ -82,6 +82,15 @@
 
     /// Writes an item. Returns the revision of the acknowledgement, or `None` while it is away.
     pub fn put(&self, key: &str, value: &str) -> Option<u64> {
+        self.write(key, Some(value))
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) -> Option<u64> {
+        self.write(key, None)
+    }
+
+    fn write(&self, key: &str, value: Option<&str>) -> Option<u64> {
         let mut state = self.state();
         if !state.up {
             return None;
@@ -89,16 +98,14 @@
         let contents = &mut state.contents;
         contents.revision += 1;
         let revision = contents.revision;
-        let created = contents
-            .items
-            .get(key)
-            .map_or(revision, |(created, _, _)| *created);
-        contents
-            .items
-            .insert(key.to_owned(), (created, revision, value.to_owned()));
-        contents
-            .history
-            .push((revision, key.to_owned(), value.to_owned()));
+        let before = contents.items.remove(key);
+        let created = before.map_or(revision, |(created, _, _)| created);
+        let value = value.map(str::to_owned);
+        if let Some(value) = value.clone() {
+            let item = (created, revision, value);
+            contents.items.insert(key.to_owned(), item);
+        }
+        contents.history.push((revision, key.to_owned(), value));
         Some(revision)
     }
 
@@ -208,7 +215,10 @@
                 .take_while(|(at, _, _)| *at > after);
             let mut events: Vec<_> = newer
                 .filter(|(_, key, _)| key.starts_with(&prefix))
-                .map(|(at, key, value)| item(key, *at, *at, value))
+                .map(|(at, key, value)| match value {
+                    Some(value) => item(key, *at, *at, value),
+                    None => format!(r#"{{"key":"{key}","revision":{at},"tombstone":true}}"#),
+                })
                 .collect();
             events.reverse();
             if !events.is_empty() || Instant::now() >= until {
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -134,16 +134,19 @@
 
     /// Starts as many plain servers that answer by `run`.
     pub fn start_plain(&self, count: u8, run: &Run) -> Result<Vec<Identity>, String> {
-        let mut started = Vec::new();
-        for number in 0..count {
-            let (listener, at) = self.listen(51 + number, 8080)?;
-            let zone = ZONES[usize::from(number) % ZONES.len()];
-            let own = Identity::new(&format!("i-7f3a91c{number}"), BOOKINGS, at, zone);
-            own.register(&self.store, String::new);
-            started.push(own.clone());
-            serve_plain(listener, own, self.record.clone(), run.clone());
-        }
-        Ok(started)
+        (0..count)
+            .map(|number| self.start_server(number, run))
+            .collect()
+    }
+
+    /// Starts the plain server with this number.
+    pub fn start_server(&self, number: u8, run: &Run) -> Result<Identity, String> {
+        let (listener, at) = self.listen(51 + number, 8080)?;
+        let zone = ZONES[usize::from(number) % ZONES.len()];
+        let own = Identity::new(&format!("i-7f3a91c{number}"), BOOKINGS, at, zone);
+        own.register(&self.store, String::new);
+        serve_plain(listener, own.clone(), self.record.clone(), run.clone());
+        Ok(own)
     }
 
     /// The operator writes a configuration with these keys of the client account.
