fix(agent): staged pieces are checked again if they may have turned bad before the order

Callers got whole streams made with a spoilt layer (WHOLE), until the next version: an agent that stood still while it staged a version ordered the load without a look at what lay at the engine.

Cause: a piece was taken to be good from its put until the order, however long that took. The engine takes what lies there when it accepts the order, and a piece may turn bad at any time. The new tests show that no freeze is needed: with an engine that takes 120 ms a piece, staging lasts 7.7 s and a piece that turns bad at its start is loaded.

Change: decide/staging keeps for each piece when the call was sent that wrote it or read it back. The order goes out only while that is 2 s or less ago for all of them (3 s are excused, 1 s is left for the engine to accept it); older pieces are read back, compared with the bytes held, and written again if they differ. Calls run concurrently as far as needed to get through all pieces in a second. The time travels with the order: it has a connection of its own that refuses to write after it, so that a pause between the check and the write sends nothing and the pieces are checked again. After a write without an answer, which the engine may yet take, all pieces are read back before an order. Without a pause nothing is read back and calls go one at a time as before.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod server_limits;
 pub mod servers;
 pub mod signals;
+pub mod staging;
 pub mod store_reachability;
 pub mod timing;
 pub mod transfer;
--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -4,14 +4,17 @@
 use std::time::Duration;
 
 use apricothall_clients::PlatformError;
-use apricothall_clients::http_client::{Answer, HttpClient, get};
+use apricothall_clients::http_client::{Answer, HttpClient, error_from_response, get};
 use apricothall_decide::transfer::ChunkSet;
+use apricothall_types::Timestamp;
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::header::HOST;
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use smol_str::ToSmolStr;
 
 use crate::Context;
+use crate::agent::order::{self, OrderError};
 use crate::dialect::{EngineCalls, EngineReport};
 
 /// Time limit of a call over loopback.
@@ -93,27 +96,35 @@
         Ok(())
     }
 
-    /// Orders the engine to load `version` from the staging area.
+    /// Orders the engine to load `version` from the staging area, by `by` at the latest.
     ///
     /// `orders_seen` is the order count of the engine's last report. Returns `true` if the order
     /// was accepted or is already in effect, and `false` if the engine reports a conflict, such as
     /// another order accepted meanwhile.
     ///
     /// # Errors
-    /// When it is unknown whether the engine accepted the order.
+    /// [`OrderError::Expired`] when it was not sent; otherwise it is unknown whether the engine
+    /// accepted the order, or it rejected it.
     pub async fn load(
         &self,
         model: &str,
         version: u64,
         orders_seen: u64,
-    ) -> Result<bool, PlatformError> {
+        by: Timestamp,
+    ) -> Result<bool, OrderError> {
         let body = (self.calls.load_order)(model, version, orders_seen);
-        let request = self.request(Method::POST, self.calls.order, body)?;
-        let answer = self.call(request).await?;
-        if answer.status == StatusCode::CONFLICT {
+        let mut request = self.request(Method::POST, self.calls.order, body)?;
+        // The connection sends the request as it is, without the host in its target.
+        *request.uri_mut() = Uri::from_static(self.calls.order);
+        let host = HeaderValue::from_str(&self.address.to_string());
+        request.headers_mut().extend(host.ok().map(|h| (HOST, h)));
+        let status = order::send(self.address, request, by, CALL_TIMEOUT).await?;
+        if status == StatusCode::CONFLICT {
             return Ok(false);
         }
-        answer.error_for_status()?;
+        if !status.is_success() {
+            return Err(error_from_response(status, &HeaderMap::new(), &[]).into());
+        }
         Ok(true)
     }
 
--- a/crates/gateway/src/agent/mod.rs
+++ b/crates/gateway/src/agent/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod engine;
 pub mod fetch;
+pub mod loading;
+pub mod order;
 pub mod piece_store;
 pub mod pieces;
 pub mod updater;
--- a/crates/gateway/src/agent/updater.rs
+++ b/crates/gateway/src/agent/updater.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use apricothall_clients::PlatformError;
 use apricothall_decide::reload::{
     MIN_SERVICE_TIME, Neighbour, PartialFetch, Progress, ReloadConfig, may_load,
     should_finish_older,
@@ -15,6 +14,7 @@
 use crate::Context;
 use crate::agent::engine::Engine;
 use crate::agent::fetch::Fetcher;
+use crate::agent::loading::{Load, LoadError};
 use crate::agent::piece_store::{PieceStore, VersionId};
 use crate::dialect::EngineReport;
 use crate::peers::EngineStatus;
@@ -48,6 +48,8 @@
     last_order: Timestamp,
     /// Whether a load is being prepared or ordered.
     loading: bool,
+    /// Whether the engine may yet take a piece that it was sent.
+    write_pending: bool,
 }
 
 /// Runs the update task until the process exits.
@@ -63,6 +65,7 @@
         staged_checked: None,
         last_order: Timestamp::default(),
         loading: false,
+        write_pending: false,
     };
     updater.run().await;
 }
@@ -191,7 +194,7 @@
             return;
         }
         if let Some(pieces) = self.piece_store.all_pieces(&version) {
-            self.load(newest, &version, pieces).await;
+            self.load(newest, &version, &pieces).await;
         }
     }
 
@@ -306,9 +309,8 @@
         )
     }
 
-    /// Stages all pieces and orders the load. Staged pieces may become corrupt, so they are written
-    /// right before the order.
-    async fn load(&mut self, newest: &VersionId, version: &VersionId, pieces: Vec<Bytes>) {
+    /// Announces the load, then stages all pieces and orders it.
+    async fn load(&mut self, newest: &VersionId, version: &VersionId, pieces: &[Bytes]) {
         let Some(report) = self.report.clone() else {
             return;
         };
@@ -319,8 +321,16 @@
         if !empty {
             tokio::time::sleep(LOAD_NOTICE).await;
         }
-        let result = self.stage_and_order(version, pieces, report.orders).await;
+        let load = Load {
+            engine: &self.engine,
+            version,
+            pieces,
+            orders: report.orders,
+            read_back: self.write_pending,
+        };
+        let result = load.run(self.context.clock).await;
         self.loading = false;
+        self.write_pending = matches!(result, Err(LoadError::Staging(_)));
         self.last_order = self.context.clock.now();
         match result {
             Ok(true) => {
@@ -338,20 +348,6 @@
         }
     }
 
-    async fn stage_and_order(
-        &self,
-        wanted: &VersionId,
-        pieces: Vec<Bytes>,
-        orders: u64,
-    ) -> Result<bool, PlatformError> {
-        for (index, bytes) in (0..).zip(pieces) {
-            self.engine.put_piece(&wanted.model, index, bytes).await?;
-        }
-        self.engine
-            .load(&wanted.model, wanted.version, orders)
-            .await
-    }
-
     /// Updates the engine status that this agent sends by gossip.
     fn publish_status(&self, wanted: Option<&VersionId>) {
         let report = self.report.clone().unwrap_or_default();
