fix(gateway): a read of the store without an answer is repeated on another connection

Requests reached a server for up to 6.2 s after the store had acked that it leaves (DRAIN), after the open channels to the store had gone silent for good while new ones worked.

Cause: a read was waited for while bytes of any answer of the store arrived, up to 12 s. The answers to the watch of operators' items, each half a second on a channel that had been opened anew, so kept the silent watch of servers alive; and that watch alone could last 4 s before its silence meant anything. All readers were in the same state, so no peer had newer news.

Change: decide/call_repeats. A read without a byte of its own for 0.5 s beyond its wait (1.2 s for a list) is sent again on another connection, with the shortest wait, beside the first one, which may still be answered. It fails once nothing at all is received. Bytes of the call itself hold back a repetition, so that no second copy of a large answer is fetched. The watch of servers lasts 1 s in place of 4, as it bounds the time to find out: 1.5 s after the silence, with the 3 s after which daemons count as in touch in mind. One log line and one counter (apricothall_store_calls_repeated_total) tell of a repetition.

Price: two readers a zone now watch the servers each second in place of each fourth, 1.5 calls a second and zone more.

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -51,20 +51,10 @@
     }
 }
 
-/// How long to wait for a complete answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Patience {
-    /// Maximum time without a received byte.
-    pub idle: Duration,
-    /// Maximum time in all.
-    pub total: Duration,
-}
-
 /// HTTP client whose connections start at the address of this VM.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
-    received: ReceivedBytes,
 }
 
 impl HttpClient {
@@ -84,16 +74,7 @@
             .retry_canceled_requests(false)
             .pool_max_idle_per_host(idle)
             .build(connector);
-        Self {
-            client,
-            received: ReceivedBytes::default(),
-        }
-    }
-
-    /// Counts the bytes that it receives in `received`.
-    #[must_use]
-    pub fn counting(self, received: ReceivedBytes) -> Self {
-        Self { received, ..self }
+        Self { client }
     }
 
     /// A client that closes each connection after its call, for servers that accept only a few
@@ -131,48 +112,26 @@
         wait: Duration,
         limit: usize,
     ) -> Result<Answer, PlatformError> {
-        timeout(wait, self.read_answer(request, limit))
+        timeout(wait, self.read_counted(request, limit, []))
             .await
             .map_err(|_| PlatformError::Timeout)?
     }
 
-    /// Sends `request` and reads the complete answer, of at most `limit` bytes. Waits for as long as
-    /// bytes of any answer to this client or a clone of it arrive, and at most `patience.total`.
+    /// Sends `request` and reads the complete answer, of at most `limit` bytes. Adds the bytes of its
+    /// body to `counters` as they arrive.
     ///
     /// # Errors
-    /// When there is no complete answer in time: [`PlatformError::Timeout`] if nothing was received
-    /// for `patience.idle`, [`PlatformError::Slow`] otherwise.
-    pub async fn call_patiently(
-        &self,
-        request: Request<Full<Bytes>>,
-        patience: Patience,
-        limit: usize,
-    ) -> Result<Answer, PlatformError> {
-        let mut answer = std::pin::pin!(self.read_answer(request, limit));
-        let waiting = async {
-            loop {
-                let before = self.received.total();
-                if let Ok(answer) = timeout(patience.idle, answer.as_mut()).await {
-                    return answer;
-                }
-                if self.received.total() == before {
-                    return Err(PlatformError::Timeout);
-                }
-            }
-        };
-        timeout(patience.total, waiting)
-            .await
-            .map_err(|_| PlatformError::Slow)?
-    }
-
-    async fn read_answer(
+    /// When there is no complete answer.
+    pub async fn read_counted<const N: usize>(
         &self,
         request: Request<Full<Bytes>>,
         limit: usize,
+        counters: [&ReceivedBytes; N],
     ) -> Result<Answer, PlatformError> {
         let (parts, body) = self.send(request).await?.into_parts();
         let body = body.map_frame(|frame| {
-            self.received.add(frame.data_ref().map_or(0, Bytes::len));
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            counters.iter().for_each(|counter| counter.add(bytes));
             frame
         });
         let read = Limited::new(body, limit).collect().await;
--- /dev/null
+++ b/crates/decide/src/call_repeats.rs
@@ -0,0 +1,93 @@
+//! Decides when a call without an answer is sent again on another connection.
+//!
+//! A connection may fall silent for good while others work. Bytes on other connections then say
+//! nothing about this one; but on a busy link they are the reason for which its answer is late. So a
+//! call is repeated beside the first one, which may still be answered, and counts as failed only
+//! once nothing at all is received.
+
+use std::time::Duration;
+
+/// How long to wait for an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// Time for which the server may hold the answer to the first call back.
+    pub hold: Duration,
+    /// Time beyond that without a byte of an answer, after which the call is repeated.
+    pub idle: Duration,
+    /// Maximum time for the complete answer, beyond `hold`.
+    pub total: Duration,
+    /// Maximum number of repetitions.
+    pub repeats: u32,
+}
+
+/// Numbers of bytes received so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Received {
+    /// In answers to this call and its repetitions.
+    pub own: u64,
+    /// In answers to all calls to the same server.
+    pub all: u64,
+}
+
+/// What to do when a call has waited for [`CallRepeats::wait`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Continue to wait.
+    Wait,
+    /// Send the call again on another connection, and wait for both.
+    Repeat,
+    /// Give the call up: the server is silent.
+    GiveUp,
+}
+
+/// State of one call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallRepeats {
+    patience: Patience,
+    sent: u32,
+    before: Received,
+}
+
+impl CallRepeats {
+    /// State of a call that is about to be sent.
+    #[must_use]
+    pub const fn new(patience: Patience, received: Received) -> Self {
+        Self {
+            patience,
+            sent: 1,
+            before: received,
+        }
+    }
+
+    /// How long to wait for an answer before the next decision.
+    #[must_use]
+    pub fn wait(&self) -> Duration {
+        if self.sent == 1 {
+            return self.patience.hold + self.patience.idle;
+        }
+        self.patience.idle
+    }
+
+    /// Maximum time in all.
+    #[must_use]
+    pub fn limit(&self) -> Duration {
+        self.patience.hold + self.patience.total
+    }
+
+    /// Decides what to do after [`Self::wait`] without a complete answer.
+    pub fn next(&mut self, received: Received) -> Next {
+        let before = std::mem::replace(&mut self.before, received);
+        if received.own > before.own {
+            return Next::Wait;
+        }
+        let is_silent = received.all == before.all;
+        if is_silent && self.sent > 1 {
+            return Next::GiveUp;
+        }
+        if self.sent > self.patience.repeats {
+            return if is_silent { Next::GiveUp } else { Next::Wait };
+        }
+        self.sent += 1;
+        Next::Repeat
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod anti_affinity;
 pub mod cadence;
+pub mod call_repeats;
 pub mod claims;
 pub mod dedupe;
 pub mod delta;
--- a/crates/decide/src/readers.rs
+++ b/crates/decide/src/readers.rs
@@ -77,6 +77,10 @@
 /// Maximum wait of a watch request.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 
+/// Maximum wait of a watch request for the servers. It bounds the time for which a watch on a
+/// connection that fell silent is waited for; servers that leave must be known soon after that.
+const SERVERS_WATCH_WAIT: Duration = Duration::from_secs(1);
+
 /// Maximum wait of a watch request by which the primary reader confirms the configuration.
 const CONFIRMING_WATCH_WAIT: Duration = Duration::from_millis(500);
 
@@ -87,6 +91,7 @@
 pub const fn watch_wait(role: ReaderRole, subject: Subject) -> Duration {
     match (role, subject) {
         (ReaderRole::Primary, Subject::Operators) => CONFIRMING_WATCH_WAIT,
+        (_, Subject::Servers) => SERVERS_WATCH_WAIT,
         _ => WATCH_WAIT,
     }
 }
--- /dev/null
+++ b/crates/decide/tests/call_repeats.rs
@@ -0,0 +1,57 @@
+//! Tests when a call is repeated on another connection, and when it is given up.
+
+use std::time::Duration;
+
+use apricothall_decide::call_repeats::{CallRepeats, Next, Patience, Received};
+
+const PATIENCE: Patience = Patience {
+    hold: Duration::from_secs(1),
+    idle: Duration::from_millis(500),
+    total: Duration::from_secs(8),
+    repeats: 2,
+};
+
+/// What is received in a wait: bytes of this call and of others.
+const NOTHING: (u64, u64) = (0, 0);
+const OTHERS: (u64, u64) = (0, 100);
+const OWN: (u64, u64) = (100, 0);
+
+macro_rules! calls {
+    ($($(#[doc = $guards:literal])* $case:ident: [$($received:ident),*] => [$($next:ident),*];)*) => {
+        $($(#[doc = $guards])* #[test] fn $case() {
+            let mut seen = Received { own: 0, all: 7 };
+            let mut call = CallRepeats::new(PATIENCE, seen);
+            let mut found = Vec::new();
+            for (own, others) in [$($received),*] {
+                seen.own += own;
+                seen.all += own + others;
+                found.push(call.next(seen));
+            }
+            assert_eq!(found, [$(Next::$next),*]);
+        })*
+    };
+}
+
+calls! {
+    /// Guards against a silent connection that is waited for while others are answered.
+    a_silent_connection_beside_others_is_replaced: [OTHERS] => [Repeat];
+    /// Guards against two connections that fall silent one after the other.
+    two_silent_connections_are_replaced: [OTHERS, OTHERS, OTHERS] => [Repeat, Repeat, Wait];
+    /// Guards against a busy link on which each late answer is given up and read anew.
+    a_call_behind_others_is_waited_for: [OTHERS, OTHERS, OTHERS, OTHERS, OTHERS] => [Repeat, Repeat, Wait, Wait, Wait];
+    /// Guards against a second copy of a large answer.
+    an_answer_that_arrives_is_not_requested_again: [OWN, OWN, OWN] => [Wait, Wait, Wait];
+    /// Guards against a silent server that is waited for until the total time has passed.
+    a_silent_server_is_given_up: [NOTHING, NOTHING] => [Repeat, GiveUp];
+    a_server_that_falls_silent_amid_an_answer_is_given_up: [OWN, NOTHING, NOTHING] => [Wait, Repeat, GiveUp];
+    a_server_that_falls_silent_after_the_last_repetition_is_given_up: [OTHERS, OTHERS, OTHERS, NOTHING] => [Repeat, Repeat, Wait, GiveUp];
+}
+
+#[test]
+fn only_the_first_call_may_be_held_back() {
+    let mut call = CallRepeats::new(PATIENCE, Received::default());
+    assert_eq!(call.wait(), Duration::from_millis(1_500));
+    assert_eq!(call.next(Received::default()), Next::Repeat);
+    assert_eq!(call.wait(), Duration::from_millis(500));
+    assert_eq!(call.limit(), Duration::from_secs(9));
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod peers;
 pub mod published;
 pub mod quarantine;
+pub mod repeated_call;
 pub mod request;
 pub mod resume;
 pub mod retry_budgets;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -18,10 +18,7 @@
 use crate::dialect::{Change, Changes, Fact, Item, Subject};
 use crate::peers::Peer;
 use crate::quarantine::crash_of;
-use crate::store_calls::{ReadError, fetch_changes, fetch_page, store_client};
-
-/// Minimum wait of a watch request, which the store answers at once.
-const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+use crate::store_calls::{ReadError, SHORTEST_WAIT, fetch_changes, fetch_page, store_client};
 
 /// Time without a received byte after which the store is reported to other daemons as unreachable.
 const SILENCE_THRESHOLD: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use apricothall_clients::PlatformError;
-use apricothall_clients::http_client::{Answer, HttpClient, Patience, get};
+use apricothall_clients::http_client::{Answer, HttpClient, get};
+use apricothall_decide::call_repeats::Patience;
 use apricothall_types::Revision;
 use http::StatusCode;
 use smol_str::{SmolStr, ToSmolStr};
@@ -11,14 +12,23 @@
 
 use crate::Context;
 use crate::dialect::{Changes, Page, Subject};
+use crate::repeated_call::RepeatedCall;
 use crate::traffic::Kind;
 
-/// Additional time without a received byte after which a watch request is considered lost.
-const WATCH_MARGIN: Duration = Duration::from_millis(700);
+/// Time without an answer, beyond the wait that was requested, after which a watch is repeated.
+const WATCH_IDLE: Duration = Duration::from_millis(500);
 
-/// Time without a received byte after which a request for data that the store has is considered
-/// lost.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time without an answer after which a list is repeated.
+const LIST_IDLE: Duration = Duration::from_millis(1_200);
+
+/// Maximum number of repetitions of a watch, whose answers are mostly small.
+const WATCH_REPEATS: u32 = 2;
+
+/// Maximum number of repetitions of a list, which returns all items.
+const LIST_REPEATS: u32 = 1;
+
+/// Minimum wait of a watch request, which the store answers at once.
+pub const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 
 /// Maximum time for receiving an answer.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(8);
@@ -46,11 +56,10 @@
     Compacted,
 }
 
-/// A client of the store whose received bytes are counted.
+/// A client of the store.
 #[must_use]
 pub fn store_client(context: &Context) -> HttpClient {
-    let client = HttpClient::new(Some(context.settings().ip), CONNECT_TIMEOUT);
-    client.counting(context.store_reads.received.clone())
+    HttpClient::new(Some(context.settings().ip), CONNECT_TIMEOUT)
 }
 
 /// Requests the changes of `subject` after revision `after`. The store may hold its answer back for
@@ -65,15 +74,17 @@
     after: Revision,
     wait: Duration,
 ) -> Result<Changes, ReadError> {
-    let path = (context.dialect.store.watch)(subject, after, wait);
+    let path = context.dialect.store.watch;
     let watch = Call {
         name: "watch",
         subject,
-        path: &path,
-        wait,
+        path: &path(subject, after, wait),
+        again: &path(subject, after, wait.min(SHORTEST_WAIT)),
         patience: Patience {
-            idle: WATCH_MARGIN,
+            hold: wait,
+            idle: WATCH_IDLE,
             total: TRANSFER_TIMEOUT,
+            repeats: WATCH_REPEATS,
         },
     };
     let answer = call(context, client, watch).await?;
@@ -104,10 +115,12 @@
         name: "list",
         subject,
         path: &path,
-        wait: Duration::ZERO,
+        again: &path,
         patience: Patience {
-            idle: IDLE_TIMEOUT,
+            hold: Duration::ZERO,
+            idle: LIST_IDLE,
             total: TRANSFER_TIMEOUT,
+            repeats: LIST_REPEATS,
         },
     };
     let answer = call(context, client, list).await?;
@@ -122,9 +135,8 @@
     name: &'static str,
     subject: Subject,
     path: &'a str,
-    /// Time for which the store may hold its answer back.
-    wait: Duration,
-    /// Time for the answer to arrive after that.
+    /// Path of a repetition.
+    again: &'a str,
     patience: Patience,
 }
 
@@ -133,14 +145,19 @@
     client: &HttpClient,
     call: Call<'_>,
 ) -> Result<Answer, PlatformError> {
-    let request = get(context.settings().store, call.path)?;
-    let patience = Patience {
-        idle: call.wait + call.patience.idle,
-        total: call.wait + call.patience.total,
+    let store = context.settings().store;
+    let Call { name, subject, .. } = call;
+    let hold = call.patience.hold;
+    let repeated = RepeatedCall {
+        first: get(store, call.path)?,
+        again: get(store, call.again)?,
+        patience: call.patience,
+        limit: ANSWER_BYTES,
     };
     let reads = &context.store_reads;
-    let read = reads.begin(call.name, call.subject, call.wait, context.clock.now());
-    let answer = client.call_patiently(request, patience, ANSWER_BYTES).await;
+    let read = reads.begin(name, subject, hold, context.clock.now());
+    let record = || reads.record_repeat(name, subject);
+    let answer = repeated.send(client, &reads.received, record).await;
     let bytes = answer.as_ref().ok().map(|a| a.body.len());
     context.traffic.record(Kind::Store, bytes.unwrap_or(0));
     read.end(context, bytes);
--- a/crates/gateway/src/store_reads.rs
+++ b/crates/gateway/src/store_reads.rs
@@ -59,6 +59,20 @@
         }
     }
 
+    /// Records that a call has no answer and is repeated on another connection.
+    pub fn record_repeat(&self, call: &'static str, subject: Subject) {
+        metrics::counter!("apricothall_store_calls_total", "call" => call).increment(1);
+        metrics::counter!("apricothall_store_calls_repeated_total", "call" => call).increment(1);
+        let received = self.received.total();
+        tracing::info!(
+            call,
+            ?subject,
+            in_flight = self.in_flight(),
+            received,
+            "read of the store has no answer; repeated on another connection"
+        );
+    }
+
     /// Number of calls in progress.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
