fix(gateway): numbers from outside neither end a process nor stay in its state

A request that stated a prompt of 10^15 tokens ended each entry that it reached (Fault), with the bookings of others that ran there; so did `inf`, 1e300 and whatever exceeded some 2.4e14 tokens.

Cause: the term with the square of the tokens gave a time beyond the range of `Duration`, and `from_secs_f64` panics on it; with `panic = "abort"` the process ends.

Class: a number from outside reaches arithmetic that panics, wraps or poisons a state. Found and mended beside it, each with a test that failed before: a time limit of u64::MAX made all later requests of its route count as repeated ones; a server's version of u64::MAX counted as retired; an index of 2^32 - 1 in an engine's list of pieces took 512 MB of an agent; sums and products of the requests at an engine could overflow; a number of tokens that is negative or NaN went into forecasts.

Change: the header is read in platform/ into `TokenCount`, decimal digits only, 400 otherwise; a number beyond u64 counts as the largest. A prompt that exceeds an engine's memory, or that an engine without other work could not read within the caller's time at its published rate, is refused with 503 once its head has come ("a request that is larger than an engine's memory is rejected as if it were full"), with the longest Retry-After that callers heed. Predictions are bounded by an hour and the backlog of an engine by a minute; what is no number counts as the longest time.

--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -238,7 +238,7 @@
             Some(report) => {
                 self.estimated_requests(at.sender_count, report.received_at - REPORT_LAG)
             }
-            None => self.own * at.sender_count.max(1),
+            None => self.own.saturating_mul(at.sender_count.max(1)),
         };
         let running = taken.min(timing.slots);
         let mut work = Work {
@@ -258,7 +258,7 @@
             pause: timing.pause(work, prompt.tokens),
             occupied: taken,
             has_free_slot: taken < timing.slots,
-            under_half_full: taken * 2 < timing.slots,
+            under_half_full: taken < timing.slots.div_ceil(2),
         }
     }
 
@@ -280,7 +280,8 @@
     /// one since `measured`, the time of the last load report.
     fn estimated_requests(&self, sender_count: u32, measured: Timestamp) -> u32 {
         let unreported = self.sent_since(measured);
-        self.own + self.others + unreported * sender_count.saturating_sub(1)
+        let others = unreported.saturating_mul(sender_count.saturating_sub(1));
+        self.own.saturating_add(self.others).saturating_add(others)
     }
 
     /// Number of requests that this entry sent after `since`.
--- a/crates/decide/src/timing.rs
+++ b/crates/decide/src/timing.rs
@@ -11,6 +11,12 @@
 const TOKENS_PER_K: f64 = 1_000.0;
 const PAIRS_PER_M: f64 = 1e6;
 
+/// Upper bound of predictions. Sums and multiples of them fit into a `Duration`.
+const MAX_PREDICTION: Duration = Duration::from_hours(1);
+
+/// Upper bound of the prefill time that is expected at an engine. No caller waits longer.
+const MAX_BACKLOG_MS: f64 = 60_000.0;
+
 /// Published timing parameters of an engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Timing {
@@ -79,23 +85,31 @@
     #[must_use]
     pub fn pause(&self, work: Work, tokens: f64) -> Duration {
         let batch = work.running.min(self.slots);
-        let ms = self.decode_ms(batch + 1) + work.prefill_backlog_ms + self.prefill_ms(tokens);
-        Duration::from_secs_f64((ms * work.slowdown.max(1.0) / MS_PER_SECOND).max(0.0))
+        let ms = self.decode_ms(batch.saturating_add(1))
+            + work.prefill_backlog_ms
+            + self.prefill_ms(tokens);
+        prediction(ms * work.slowdown.max(1.0))
     }
 
     /// Time until the first event of a request with a prompt of `tokens` tokens.
     #[must_use]
     pub fn first_event(&self, work: Work, tokens: f64) -> Duration {
         let batch = work.running.min(self.slots);
-        let pass = self.decode_ms(batch + 1);
+        let pass = self.decode_ms(batch.saturating_add(1));
         let own = self.prefill_ms(tokens);
         let mut ms = pass * 1.5 + own + work.prefill_backlog_ms;
-        let taken = work.running + work.waiting;
+        let taken = work.running.saturating_add(work.waiting);
         if taken >= self.slots {
             let behind = f64::from(taken - self.slots) + 0.5;
             ms += behind * self.completion_interval_ms();
         }
-        Duration::from_secs_f64((ms * work.slowdown.max(1.0) / MS_PER_SECOND).max(0.0))
+        prediction(ms * work.slowdown.max(1.0))
+    }
+
+    /// Whether an engine without other work reads a prompt of `tokens` tokens within `limit`.
+    #[must_use]
+    pub fn can_read_within(&self, tokens: f64, limit: Duration) -> bool {
+        prediction(self.prefill_ms(tokens)) <= limit
     }
 
     /// Mean time between two completions at a fully loaded engine, in ms.
@@ -105,6 +119,15 @@
     }
 }
 
+/// A predicted time of `ms` milliseconds. What is not a number counts as the longest time.
+fn prediction(ms: f64) -> Duration {
+    if ms <= 0.0 {
+        return Duration::ZERO;
+    }
+    let time = Duration::try_from_secs_f64(ms / MS_PER_SECOND);
+    time.map_or(MAX_PREDICTION, |time| time.min(MAX_PREDICTION))
+}
+
 /// Share of its time that an engine with pending prompts spends on prefill.
 const PREFILL_SHARE: f64 = 0.85;
 
@@ -118,7 +141,12 @@
 impl Backlog {
     /// Adds a prompt with a prefill time of `ms` milliseconds.
     pub fn add(&mut self, ms: f64, now: Timestamp) {
-        self.ms = self.remaining_ms(now) + ms;
+        let sum = self.remaining_ms(now) + ms;
+        self.ms = if sum < MAX_BACKLOG_MS {
+            sum
+        } else {
+            MAX_BACKLOG_MS
+        };
         self.at = now;
     }
 
--- a/crates/decide/src/transfer/chunks.rs
+++ b/crates/decide/src/transfer/chunks.rs
@@ -5,6 +5,9 @@
 
 const WORD_BITS: u32 = u64::BITS;
 
+/// Maximum number of chunks of a version.
+const MAX_CHUNKS: u32 = 1 << 20;
+
 /// Set of chunks of one version, stored as a bitmap.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChunkSet {
@@ -12,8 +15,12 @@
 }
 
 impl ChunkSet {
-    /// Adds a chunk and returns whether it is new.
+    /// Adds a chunk and returns whether it is new. Chunks beyond [`MAX_CHUNKS`], which no version
+    /// has, are left out.
     pub fn insert(&mut self, chunk: ChunkIndex) -> bool {
+        if chunk.0 >= MAX_CHUNKS {
+            return false;
+        }
         let word = (chunk.0 / WORD_BITS) as usize;
         if self.words.len() <= word {
             self.words.resize(word + 1, 0);
--- a/crates/decide/src/versions.rs
+++ b/crates/decide/src/versions.rs
@@ -5,6 +5,7 @@
 //! them.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::time::Duration;
 
 use apricothall_types::Timestamp;
@@ -64,7 +65,9 @@
     /// published. `None` while it is the newest.
     #[must_use]
     pub fn retirement_due(&self, version: u64, allowed: Duration) -> Option<Timestamp> {
-        let newer = self.published.range(version + 1..);
+        let newer = self
+            .published
+            .range((Bound::Excluded(version), Bound::Unbounded));
         let dues = newer.map(|(_, since)| since.map_or(Timestamp::default(), |s| s + allowed));
         dues.min()
     }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -9,7 +9,7 @@
 use apricothall_decide::servers::Server;
 pub use apricothall_decide::store_reachability::Subject;
 use apricothall_decide::transfer::ChunkSet;
-use apricothall_types::{MemberId, PartId, Revision};
+use apricothall_types::{MemberId, PartId, Revision, TokenCount};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName};
 use smol_str::SmolStr;
@@ -29,6 +29,8 @@
     pub headers: Headers,
     /// Parts of a prompt that a request may share with others.
     pub read_parts: fn(&HeaderMap) -> Vec<PartId>,
+    /// Number of prompt tokens, if a request states it.
+    pub read_usage: fn(&HeaderMap) -> Result<Option<TokenCount>, DialectError>,
     /// Calls to the platform's store.
     pub store: StoreCalls,
     /// Calls to model engines.
@@ -66,8 +68,6 @@
     pub version: HeaderName,
     /// API key of the client account.
     pub key: HeaderName,
-    /// Number of prompt tokens and maximum number of response tokens.
-    pub usage: HeaderName,
 }
 
 /// An item of the store.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -211,7 +211,8 @@
         let mut state = self.state();
         let load = state.loads.entry(status.address).or_default();
         let pace = f64::from(status.pace) / PUBLISHED_PACE;
-        load.record_report(status.running + status.queued, pace, now, until);
+        let total = status.running.saturating_add(status.queued);
+        load.record_report(total, pace, now, until);
         let status = status.clone();
         state
             .statuses
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -6,7 +6,7 @@
 
 use apricothall_decide::routes::{Accounts, RouteTable};
 use apricothall_decide::timing::Timing;
-use apricothall_types::Zone;
+use apricothall_types::{TokenCount, Zone};
 use smol_str::SmolStr;
 
 /// A complete configuration.
@@ -65,6 +65,8 @@
     pub timing: Timing,
     /// The model served by the engines.
     pub model: ModelSpec,
+    /// Number of tokens that the memory of an engine holds, if it is published.
+    pub capacity: Option<TokenCount>,
 }
 
 /// A model.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -55,6 +55,10 @@
 /// considered a retry.
 const RETRY_PERCENT: u32 = 84;
 
+/// Divisor of the caller's time that gives the `retry-after` of a prompt that no engine can run: the
+/// longest one that callers heed.
+const TOO_LARGE_RETRY_DIVISOR: u32 = 3;
+
 /// An admitted request.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -128,7 +132,8 @@
 }
 
 impl StatedTimeouts {
-    /// Records the time that a caller states. Returns whether the request is considered a retry.
+    /// Records the time that a caller states, of which no more than that of the route may count: all
+    /// later requests are compared with it. Returns whether the request is considered a retry.
     pub fn record(&self, route: &SmolStr, stated: Duration) -> bool {
         let mut longest = self.longest.lock().unwrap_or_else(PoisonError::into_inner);
         let known = longest.entry(route.clone()).or_default();
@@ -168,7 +173,6 @@
             reason,
         )));
     };
-    let body = read_body(&in_force, body).await?;
     let draw = rand::rng().random::<f64>();
     let service = route.service(draw).cloned();
     let Some(service) = service else {
@@ -179,16 +183,12 @@
     };
     let stated = header_number(&parts.headers, &names.deadline).map(Duration::from_millis);
     let wait = stated.unwrap_or(route.timeout).min(route.timeout);
-    let returning = stated.is_some_and(|s| stated_timeouts.record(&route.name, s));
     let engines = in_force.configuration.engines(&service).cloned();
+    let prompt = prompt_tokens(context, &parts.headers, engines.as_ref(), wait)?;
+    let body = read_body(&in_force, body).await?;
+    let returning = stated.is_some() && stated_timeouts.record(&route.name, wait);
     let urgent = is_urgent(&in_force, &route, account.as_deref(), &service);
     let id = attempt.to_str().unwrap_or_default();
-    let usage = parts
-        .headers
-        .get(&names.usage)
-        .and_then(|v| v.to_str().ok());
-    let stated_prompt = usage.and_then(|u| u.split(',').next()?.trim().parse::<f64>().ok());
-    let usual = engines.as_ref().map_or(0.0, |e| e.timing.prompt);
     let uri = path_and_query(&parts.uri);
     let prompt_parts = prompt_parts(context, &parts.headers, engines.as_ref());
     Ok(Call {
@@ -207,12 +207,46 @@
         arrival,
         deadline: arrival + wait,
         returning,
-        prompt: stated_prompt.unwrap_or(usual),
+        prompt,
         urgent,
         route,
     })
 }
 
+/// Number of prompt tokens of a request to `engines`, or the mean number if it states none. Requests
+/// that no engine can run are rejected: they need not wait for their body, nor for their deadline.
+fn prompt_tokens(
+    context: &Context,
+    headers: &HeaderMap,
+    engines: Option<&EngineService>,
+    wait: Duration,
+) -> Result<f64, Box<Response<Body>>> {
+    let Some(engines) = engines else {
+        return Ok(0.0);
+    };
+    let stated = (context.dialect.read_usage)(headers).map_err(|error| {
+        tracing::info!(%error, "number of prompt tokens not understood");
+        let reason = "the stated number of tokens is not a number";
+        Box::new(error_response(
+            StatusCode::BAD_REQUEST,
+            RequestOutcome::NotRun,
+            reason,
+        ))
+    })?;
+    let Some(tokens) = stated else {
+        return Ok(engines.timing.prompt);
+    };
+    let fits = engines.capacity.is_none_or(|capacity| tokens <= capacity);
+    if !fits || !engines.timing.can_read_within(tokens.as_f64(), wait) {
+        metrics::counter!("apricothall_prompts_too_large_total").increment(1);
+        return Err(Box::new(retry_later_response(
+            wait / TOO_LARGE_RETRY_DIVISOR,
+            "no engine can read a prompt of this size in time",
+        )));
+    }
+    Ok(tokens.as_f64())
+}
+
 /// Parts of the prompt that a request to `engines` may share with others.
 fn prompt_parts(
     context: &Context,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -135,7 +135,7 @@
         if found <= last {
             return Ok(Step::Skip);
         }
-        if found > last + 1 {
+        if found > last.saturating_add(1) {
             return Err(StreamError::Gap { last, found });
         }
     }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod quota;
 pub mod size;
 pub mod time;
+pub mod tokens;
 pub mod vms;
 
 pub use catalogue::{
@@ -31,4 +32,5 @@
 pub use quota::{Quota, QuotaError};
 pub use size::{Bytes, Rate};
 pub use time::{Interval, Timestamp, WallTime};
+pub use tokens::{TokenCount, TokenCountError};
 pub use vms::{Vm, VmList, VmState};
