fix(gateway): bodies in progress share a part of the VM's memory

Other operators' report: a faulty engine sent bytes without end, the machine that had called it kept them all and ran out of memory, and the requests of other clients ended with it. It could happen here: what one answer may take was bounded (16 MiB, 1 MiB an event), what the process may take was not.

An answer over its part is lost, which is told as not known whether it ran; a stream is resumed elsewhere; a request over its part gets 503 before it is sent anywhere. Memory stays reserved until the bytes have left. Whole answers are kept in blocks that are not joined; the read buffer of a connection is 128 KiB. An agent reads no more of a staged piece than the piece has, and 1 MiB of a report.

--- a/crates/apricotd/tests/machines/entries.rs
+++ b/crates/apricotd/tests/machines/entries.rs
@@ -92,6 +92,12 @@
         self.all.iter().map(at).collect()
     }
 
+    /// Process id of an entry.
+    pub fn process_id(&self, index: usize) -> u32 {
+        let process = self.all[index].process.as_ref();
+        process.and_then(Process::id).expect("a running process")
+    }
+
     /// IP address of the VM of an entry.
     pub fn ip(&self, index: usize) -> IpAddr {
         self.all[index].ip
--- a/crates/apricotd/tests/silent_connections.rs
+++ b/crates/apricotd/tests/silent_connections.rs
@@ -93,7 +93,9 @@
     }
     let bound = (Instant::now() + DRAIN_LIMIT).max(silent + CONTACT);
     tokio::time::sleep(OBSERVATION_TIME).await;
-    changing.inspect(|task| task.abort());
+    if let Some(changing) = changing {
+        changing.abort();
+    }
     let times = log.times();
     assert!(!times.is_empty(), "the server received no requests");
     let late: Vec<_> = times.iter().filter(|at| **at > bound).collect();
--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -131,7 +131,9 @@
         let (parts, body) = self.send(request).await?.into_parts();
         let body = body.map_frame(|frame| {
             let bytes = frame.data_ref().map_or(0, Bytes::len);
-            counters.iter().for_each(|counter| counter.add(bytes));
+            for counter in counters {
+                counter.add(bytes);
+            }
             frame
         });
         let read = Limited::new(body, limit).collect().await;
--- a/crates/clients/src/sse.rs
+++ b/crates/clients/src/sse.rs
@@ -106,6 +106,18 @@
         Ok(Some(RawEvent { bytes, id }))
     }
 
+    /// Number of bytes of the incomplete event.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Whether there is no incomplete event.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// Removes and returns the bytes of an incomplete event.
     #[must_use]
     pub fn take_remainder(&mut self) -> Bytes {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod anti_affinity;
+pub mod body_budget;
 pub mod cadence;
 pub mod call_repeats;
 pub mod claims;
--- a/crates/decide/src/staging.rs
+++ b/crates/decide/src/staging.rs
@@ -83,7 +83,7 @@
         let oldest = self.pieces.iter().map(|p| p.checked).min();
         let by = match oldest {
             None => Some(now),
-            Some(checked) => checked.map(|at| at + (MAX_PIECE_AGE - ACCEPTANCE_TIME)),
+            Some(checked) => checked.map(|at| at + MAX_PIECE_AGE - ACCEPTANCE_TIME),
         };
         if let Some(by) = by.filter(|by| now <= *by) {
             return Step::Order { by };
--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -20,8 +20,11 @@
 /// Time limit of a call over loopback.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Maximum size of a response from the engine, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Maximum size of a report, of a list of pieces and of an answer to a write, in bytes.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// Maximum size of a piece of unknown size, in bytes.
+pub const MAX_PIECE_BYTES: usize = 16 << 20;
 
 /// Client of the engine on this VM.
 #[derive(Clone)]
@@ -67,17 +70,20 @@
         (self.calls.read_pieces)(&answer.body).map_err(|e| PlatformError::Malformed(e.to_smolstr()))
     }
 
-    /// Reads a piece from the staging area without verifying it.
+    /// Reads a piece of at most `limit` bytes from the staging area without verifying it.
     ///
     /// # Errors
     /// When the engine does not return the piece.
-    pub async fn get_piece(&self, model: &str, index: u32) -> Result<Bytes, PlatformError> {
+    pub async fn get_piece(
+        &self,
+        model: &str,
+        index: u32,
+        limit: usize,
+    ) -> Result<Bytes, PlatformError> {
         let path = (self.calls.get_piece)(model, index);
-        Ok(self
-            .call(get(self.address, &path)?)
-            .await?
-            .error_for_status()?
-            .body)
+        let request = get(self.address, &path)?;
+        let answer = self.client.call(request, CALL_TIMEOUT, limit).await?;
+        Ok(answer.error_for_status()?.body)
     }
 
     /// Writes a piece to the staging area.
@@ -146,7 +152,7 @@
 
     async fn call(&self, request: Request<Full<Bytes>>) -> Result<Answer, PlatformError> {
         self.client
-            .call(request, CALL_TIMEOUT, MAX_RESPONSE_BYTES)
+            .call(request, CALL_TIMEOUT, MAX_ANSWER_BYTES)
             .await
     }
 }
--- a/crates/gateway/src/agent/loading.rs
+++ b/crates/gateway/src/agent/loading.rs
@@ -12,6 +12,9 @@
 use crate::agent::order::OrderError;
 use crate::agent::piece_store::VersionId;
 
+/// Minimum of the bytes that are read of an answer in place of a piece, for the text of an error.
+const MIN_READ_BYTES: usize = 4 << 10;
+
 /// Why a version was not ordered.
 #[derive(Debug, Error)]
 pub enum LoadError {
@@ -104,9 +107,11 @@
         let expected = &self.pieces[index.0 as usize];
         let sent = clock.now();
         if check == Check::Read {
-            match self.engine.get_piece(model, index.0).await {
+            // An answer that is longer is not the piece, so no more of it is read.
+            let limit = expected.len().max(MIN_READ_BYTES);
+            match self.engine.get_piece(model, index.0, limit).await {
                 Ok(bytes) if bytes == *expected => return Ok((index, Check::Read, sent)),
-                Ok(_) | Err(PlatformError::Status { .. }) => {
+                Ok(_) | Err(PlatformError::Status { .. } | PlatformError::Lost(_)) => {
                     tracing::warn!(%index, version, "staged piece is not correct; writing it again");
                     metrics::counter!("apricothall_staged_pieces_wrong_total").increment(1);
                 }
--- a/crates/gateway/src/agent/updater.rs
+++ b/crates/gateway/src/agent/updater.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 
 use crate::Context;
-use crate::agent::engine::Engine;
+use crate::agent::engine::{Engine, MAX_PIECE_BYTES};
 use crate::agent::fetch::Fetcher;
 use crate::agent::loading::{Load, LoadError};
 use crate::agent::piece_store::{PieceStore, VersionId};
@@ -230,7 +230,11 @@
         let mut taken = 0_u32;
         let mut wrong = 0_u32;
         for index in missing.into_iter().filter(|i| staged.contains(*i)) {
-            match self.engine.get_piece(&wanted.model, index.0).await {
+            match self
+                .engine
+                .get_piece(&wanted.model, index.0, MAX_PIECE_BYTES)
+                .await
+            {
                 Ok(bytes) => {
                     let matches = self.piece_store.put(wanted, index, bytes);
                     taken += u32::from(matches);
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -8,7 +8,7 @@
 use apricothall_types::Timestamp;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use smol_str::{SmolStr, ToSmolStr};
 use socket2::{SockRef, TcpKeepalive};
@@ -33,6 +33,9 @@
 /// Maximum idle time of a connection that is reused.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Maximum size of the read buffer of a connection, and of the head of a response, in bytes.
+const READ_BUFFER: usize = 128 << 10;
+
 /// Maximum number of idle connections per server.
 const MAX_IDLE: usize = 16;
 
@@ -130,10 +133,11 @@
         let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         linger.map_err(|e| fail(&e))?;
         let allowance = Allowance::default();
-        let (sender, connection) =
-            handshake(TokioIo::new(HeadLimit::new(stream, allowance.clone())))
-                .await
-                .map_err(|e| fail(&e))?;
+        let (sender, connection) = Builder::new()
+            .max_buf_size(READ_BUFFER)
+            .handshake(TokioIo::new(HeadLimit::new(stream, allowance.clone())))
+            .await
+            .map_err(|e| fail(&e))?;
         metrics::counter!("apricothall_server_connections_total").increment(1);
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -9,6 +9,7 @@
 
 use crate::agent::piece_store::PieceStore;
 use crate::agent::pieces::UploadQueue;
+use crate::body_budget::BodyBudget;
 use crate::dialect::{Dialect, Subject};
 use crate::fleet::Fleet;
 use crate::log_budgets::LogBudgets;
@@ -55,6 +56,8 @@
     pub traffic: Traffic,
     /// Rate limits of log lines about requests.
     pub log_budgets: Arc<LogBudgets>,
+    /// Memory for bodies of requests and answers.
+    pub body_budget: BodyBudget,
     /// Recorded metrics.
     pub telemetry: Telemetry,
 }
@@ -72,6 +75,7 @@
         let log_budgets = Arc::new(LogBudgets::default());
         Self(Arc::new(Parts {
             fleet: Fleet::new(&settings),
+            body_budget: BodyBudget::for_memory(settings.memory),
             server_limits: SharedLimits::new(&settings, clock.now()),
             published: Published::new(settings.bounds.heartbeat),
             settings: RwLock::new(Arc::new(settings)),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,11 +8,11 @@
 use apricothall_types::{MemberId, Timestamp};
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use smol_str::ToSmolStr;
 
 use crate::Context;
-use crate::answers::{Body, RequestOutcome, error_response, full, retry_later_response};
+use crate::answers::{Body, RequestOutcome, error_response, retry_later_response};
 use crate::exchange::{Answer, AttemptError, begin_limit, exchange, log_withdrawal};
 use crate::fleet::{Placed, Placement, ServerRef};
 use crate::forwarder::{Forwarder, count_attempt};
@@ -22,6 +22,7 @@
 use crate::request::{Call, end_to_end, logged_parts};
 use crate::server_stream::{ServerStream, StreamError};
 use crate::stream::{StreamRelay, relay};
+use crate::whole_body::{BodyError, WholeBody};
 
 /// Maximum size of a response that is buffered before forwarding, in bytes.
 const ANSWER_BYTES: usize = 16 << 20;
@@ -179,15 +180,16 @@
     ) -> Result<Response<Body>, AttemptError> {
         let now = self.context.clock.now();
         let left = call.deadline.since(now);
-        let reading = Limited::new(answer.body, ANSWER_BYTES).collect();
+        let budget = &self.context.body_budget;
+        let reading = WholeBody::read(answer.body, ANSWER_BYTES, budget);
         let read = tokio::time::timeout(left, reading).await;
         let read = read.map_err(|_| AttemptError::TimedOut)?;
-        let body = read
-            .map_err(|e| {
+        let body = read.map_err(|error| {
+            if matches!(error, BodyError::Lost(_)) {
                 answer.in_flight.lost(Loss::Broken);
-                AttemptError::Lost(e.to_smolstr())
-            })?
-            .to_bytes();
+            }
+            AttemptError::Lost(error.to_smolstr())
+        })?;
         if answer.status.is_success() {
             answer.in_flight.completed();
         }
@@ -210,7 +212,8 @@
             .increment(1);
         metrics::histogram!("apricothall_answer_seconds")
             .record(now.since(call.arrival).as_secs_f64());
-        Ok(respond(answer.status, &answer.headers, full(body)))
+        let body = BodyExt::boxed(body.map_err(|never| match never {}));
+        Ok(respond(answer.status, &answer.headers, body))
     }
 
     /// Forwards a stream, starting with its first event.
@@ -223,7 +226,7 @@
         tried: &[MemberId],
     ) -> Result<Response<Body>, (End, AttemptError)> {
         let (status, headers) = (answer.status, answer.headers.clone());
-        let mut stream = ServerStream::new(answer, placed);
+        let mut stream = ServerStream::new(answer, placed, &self.context.body_budget);
         let now = self.context.clock.now();
         let wait = max_wait.min(call.deadline.since(now));
         let begin_wait =
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod agent;
 pub mod answers;
+pub mod body_budget;
 pub mod callers;
 pub mod configuration_copies;
 pub mod configuration_sync;
@@ -41,5 +42,6 @@
 pub mod store_reads;
 pub mod stream;
 pub mod traffic;
+pub mod whole_body;
 
 pub use context::Context;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -13,7 +13,6 @@
 };
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use rand::Rng;
 use smol_str::{SmolStr, ToSmolStr};
@@ -22,6 +21,7 @@
 use crate::answers::{Body, RequestOutcome, error_response, retry_later_response};
 use crate::model::EngineService;
 use crate::published::InForce;
+use crate::whole_body::{BodyError, WholeBody};
 
 /// Hop-by-hop headers, which are not forwarded.
 const HOP_BY_HOP: [HeaderName; 8] = [
@@ -48,6 +48,9 @@
 /// "unauthorized".
 const MAX_DENY_AGE: Duration = Duration::from_millis(1_800);
 
+/// `retry-after` when there is no memory for a body.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Timeout for reading a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -185,7 +188,7 @@
     let wait = stated.unwrap_or(route.timeout).min(route.timeout);
     let engines = in_force.configuration.engines(&service).cloned();
     let prompt = prompt_tokens(context, &parts.headers, engines.as_ref(), wait)?;
-    let body = read_body(&in_force, body).await?;
+    let body = read_body(context, &in_force, body).await?;
     let returning = stated.is_some() && stated_timeouts.record(&route.name, wait);
     let urgent = is_urgent(&in_force, &route, account.as_deref(), &service);
     let id = attempt.to_str().unwrap_or_default();
@@ -346,7 +349,12 @@
     )
 }
 
-async fn read_body(in_force: &InForce, body: Incoming) -> Result<Bytes, Box<Response<Body>>> {
+/// Reads the body of a request. There may be no memory for a large one now, but for smaller ones.
+async fn read_body(
+    context: &Context,
+    in_force: &InForce,
+    body: Incoming,
+) -> Result<Bytes, Box<Response<Body>>> {
     let limit = in_force.configuration.limits.body;
     let too_large = || {
         Box::new(error_response(
@@ -358,11 +366,22 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(too_large());
     }
-    let reading = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect());
-    match reading.await {
-        Ok(Ok(read)) => Ok(read.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(error)) => {
+    let budget = &context.body_budget;
+    let reading = async {
+        let read = WholeBody::read(body, limit, budget).await?;
+        Ok(read.into_bytes(budget)?)
+    };
+    match tokio::time::timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok(read)) => Ok(read),
+        Ok(Err(BodyError::TooLarge)) => Err(too_large()),
+        Ok(Err(BodyError::NoMemory(error))) => {
+            tracing::info!(%error, used = budget.used(), "body not read");
+            Err(Box::new(retry_later_response(
+                MEMORY_RETRY_AFTER,
+                "no memory for the body",
+            )))
+        }
+        Ok(Err(error @ BodyError::Lost(_))) => {
             tracing::info!(%error, "body not read");
             Err(Box::new(error_response(
                 StatusCode::BAD_REQUEST,
@@ -393,7 +412,7 @@
 fn fingerprint(uri: &Uri, account: Option<&Account>, body: &[u8]) -> Digest {
     let path = uri.to_string();
     let account = account.map_or("", |a| a.name.as_str());
-    Digest::of(&[path.as_bytes(), &[0], account.as_bytes(), &[0], body].concat())
+    Digest::of_parts(&[path.as_bytes(), &[0], account.as_bytes(), &[0], body])
 }
 
 /// Headers to forward: those of the caller without hop-by-hop headers and those that only this
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -51,7 +51,7 @@
                     if answer.status.is_success() && answer.headers.get(CONTENT_TYPE) == kind =>
                 {
                     tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), server = %placed.server.id, ?last, "stream resumed");
-                    let mut stream = ServerStream::new(answer, &placed);
+                    let mut stream = ServerStream::new(answer, &placed, &self.context.body_budget);
                     stream.resuming = last.is_some();
                     return Some(stream);
                 }
--- a/crates/gateway/src/server_stream.rs
+++ b/crates/gateway/src/server_stream.rs
@@ -12,6 +12,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 use thiserror::Error;
 
+use crate::body_budget::{BodyBudget, BudgetExceeded, Reservation};
 use crate::connections::ServerConnection;
 use crate::exchange::Answer;
 use crate::fleet::{Placed, ServerRef};
@@ -49,6 +50,9 @@
     body: Incoming,
     events: RawEventSplitter,
     ready: VecDeque<RawEvent>,
+    budget: BodyBudget,
+    /// Memory of the incomplete event.
+    incomplete: Option<Reservation>,
     ended: bool,
     /// Whether events are awaited that go on where another server's stream broke off.
     pub resuming: bool,
@@ -75,11 +79,13 @@
 impl ServerStream {
     /// Creates the stream of `answer`.
     #[must_use]
-    pub fn new(answer: Answer, placed: &Placed) -> Self {
+    pub fn new(answer: Answer, placed: &Placed, budget: &BodyBudget) -> Self {
         Self {
             body: answer.body,
             events: RawEventSplitter::default(),
             ready: VecDeque::new(),
+            budget: budget.clone(),
+            incomplete: None,
             ended: false,
             resuming: false,
             connection: answer.connection,
@@ -142,8 +148,17 @@
         self.events.push(&data);
         let fail =
             |e: apricothall_clients::sse::EventTooLong| StreamError::Malformed(e.to_smolstr());
+        let too_large = |e: BudgetExceeded| StreamError::Malformed(e.to_smolstr());
+        self.incomplete = None;
         while let Some(event) = self.events.next_event().map_err(fail)? {
-            self.ready.push_back(event);
+            let size = event.bytes.len();
+            let reserved = self.budget.reserve(0, size).map_err(too_large)?;
+            let bytes = reserved.hold(event.bytes);
+            self.ready.push_back(RawEvent { bytes, ..event });
+        }
+        let left = self.events.len();
+        if left > 0 {
+            self.incomplete = Some(self.budget.reserve(0, left).map_err(too_large)?);
         }
         Ok(())
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use apricothall_decide::placement::Distance;
-use apricothall_types::{MemberId, Rate, Region, Role, Zone};
+use apricothall_types::{Bytes, MemberId, Rate, Region, Role, Zone};
 use smol_str::SmolStr;
 
 /// Settings of one process, converted from the platform's format.
@@ -33,6 +33,8 @@
     pub engine: Option<LocalEngine>,
     /// Bandwidth of the VM's network link.
     pub link: Rate,
+    /// Memory of the process; the platform ends one that takes more.
+    pub memory: Bytes,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Time limits and retry limits to be kept.
--- a/crates/types/src/digest.rs
+++ b/crates/types/src/digest.rs
@@ -25,6 +25,16 @@
         Self(*blake3::hash(data).as_bytes())
     }
 
+    /// Digest of `parts` in a row.
+    #[must_use]
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(part);
+        }
+        Self(*hasher.finalize().as_bytes())
+    }
+
     /// The first 16 hexadecimal digits, for log lines.
     #[must_use]
     pub fn short(&self) -> SmolStr {
