fix(gateway): a list without an answer is repeated as long as later calls are answered

Change: `Received` tells when the latest of the answered calls was sent. If that is after the last attempt of a call, the link is not what holds the call back, and it is repeated beyond its usual number. Behind a busy link answers come in their turn, so that a large list is still not fetched time and again.

--- a/crates/apricotd/tests/departures.rs
+++ b/crates/apricotd/tests/departures.rs
@@ -138,11 +138,13 @@
     world.finish(&violations).await;
 }
 
-// Guard against the incident DRAIN under random store faults and restarts of entries.
+// Guard against the incident DRAIN under random store faults and restarts of entries; 91208 against a
+// list of servers that is waited for on a silent connection.
 kept_seeds! {
     schedule::run;
     random_departures_1: 1;
     random_departures_2: 2;
+    random_departures_91208: 91_208;
 }
 
 /// Runs further seeds; the first seed and their number are read from the environment.
--- a/crates/decide/src/call_repeats.rs
+++ b/crates/decide/src/call_repeats.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use apricothall_types::Timestamp;
+
 /// How long to wait for an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Patience {
@@ -16,17 +18,19 @@
     pub idle: Duration,
     /// Maximum time for the complete answer, beyond `hold`.
     pub total: Duration,
-    /// Maximum number of repetitions.
+    /// Maximum number of repetitions, unless calls that were sent later are answered.
     pub repeats: u32,
 }
 
-/// Numbers of bytes received so far.
+/// What has been received so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Received {
-    /// In answers to this call and its repetitions.
+    /// Bytes of answers to this call and its repetitions.
     pub own: u64,
-    /// In answers to all calls to the same server.
+    /// Bytes of answers to all calls to the same server.
     pub all: u64,
+    /// When the last of the calls that are answered was sent.
+    pub answered: Timestamp,
 }
 
 /// What to do when a call has waited for [`CallRepeats::wait`].
@@ -45,16 +49,18 @@
 pub struct CallRepeats {
     patience: Patience,
     sent: u32,
+    last_sent: Timestamp,
     before: Received,
 }
 
 impl CallRepeats {
     /// State of a call that is about to be sent.
     #[must_use]
-    pub const fn new(patience: Patience, received: Received) -> Self {
+    pub const fn new(patience: Patience, received: Received, now: Timestamp) -> Self {
         Self {
             patience,
             sent: 1,
+            last_sent: now,
             before: received,
         }
     }
@@ -75,7 +81,7 @@
     }
 
     /// Decides what to do after [`Self::wait`] without a complete answer.
-    pub fn next(&mut self, received: Received) -> Next {
+    pub fn next(&mut self, received: Received, now: Timestamp) -> Next {
         let before = std::mem::replace(&mut self.before, received);
         if received.own > before.own {
             return Next::Wait;
@@ -84,10 +90,13 @@
         if is_silent && self.sent > 1 {
             return Next::GiveUp;
         }
-        if self.sent > self.patience.repeats {
+        // A later call has been answered, so it is not the link that holds this one back.
+        let is_overtaken = received.answered > self.last_sent;
+        if self.sent > self.patience.repeats && !is_overtaken {
             return if is_silent { Next::GiveUp } else { Next::Wait };
         }
         self.sent += 1;
+        self.last_sent = now;
         Next::Repeat
     }
 }
--- a/crates/decide/tests/call_repeats.rs
+++ b/crates/decide/tests/call_repeats.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use apricothall_decide::call_repeats::{CallRepeats, Next, Patience, Received};
+use apricothall_types::Timestamp;
 
 const PATIENCE: Patience = Patience {
     hold: Duration::from_secs(1),
@@ -11,21 +12,27 @@
     repeats: 2,
 };
 
-/// What is received in a wait: bytes of this call and of others.
-const NOTHING: (u64, u64) = (0, 0);
-const OTHERS: (u64, u64) = (0, 100);
-const OWN: (u64, u64) = (100, 0);
+/// What is received in a wait: bytes of this call and of others, and whether a call that was sent
+/// later is answered.
+const NOTHING: (u64, u64, bool) = (0, 0, false);
+const OTHERS: (u64, u64, bool) = (0, 100, false);
+const LATER: (u64, u64, bool) = (0, 100, true);
+const OWN: (u64, u64, bool) = (100, 0, false);
 
 macro_rules! calls {
     ($($(#[doc = $guards:literal])* $case:ident: [$($received:ident),*] => [$($next:ident),*];)*) => {
         $($(#[doc = $guards])* #[test] fn $case() {
-            let mut seen = Received { own: 0, all: 7 };
-            let mut call = CallRepeats::new(PATIENCE, seen);
+            let mut now = Timestamp::from_millis(1_000);
+            let mut seen = Received { own: 0, all: 7, answered: now };
+            let mut call = CallRepeats::new(PATIENCE, seen, now);
             let mut found = Vec::new();
-            for (own, others) in [$($received),*] {
+            for (own, others, later) in [$($received),*] {
+                now = now + Duration::from_millis(1);
                 seen.own += own;
                 seen.all += own + others;
-                found.push(call.next(seen));
+                seen.answered = if later { now } else { seen.answered };
+                now = now + call.wait();
+                found.push(call.next(seen, now));
             }
             assert_eq!(found, [$(Next::$next),*]);
         })*
@@ -39,6 +46,8 @@
     two_silent_connections_are_replaced: [OTHERS, OTHERS, OTHERS] => [Repeat, Repeat, Wait];
     /// Guards against a busy link on which each late answer is given up and read anew.
     a_call_behind_others_is_waited_for: [OTHERS, OTHERS, OTHERS, OTHERS, OTHERS] => [Repeat, Repeat, Wait, Wait, Wait];
+    /// Guards against repetitions that fall silent in turn, while calls that were sent later are answered.
+    a_call_that_others_overtake_is_repeated_on: [LATER, LATER, LATER, LATER] => [Repeat, Repeat, Repeat, Repeat];
     /// Guards against a second copy of a large answer.
     an_answer_that_arrives_is_not_requested_again: [OWN, OWN, OWN] => [Wait, Wait, Wait];
     /// Guards against a silent server that is waited for until the total time has passed.
@@ -49,9 +58,10 @@
 
 #[test]
 fn only_the_first_call_may_be_held_back() {
-    let mut call = CallRepeats::new(PATIENCE, Received::default());
+    let now = Timestamp::from_millis(1_000);
+    let mut call = CallRepeats::new(PATIENCE, Received::default(), now);
     assert_eq!(call.wait(), Duration::from_millis(1_500));
-    assert_eq!(call.next(Received::default()), Next::Repeat);
+    assert_eq!(call.next(Received::default(), now), Next::Repeat);
     assert_eq!(call.wait(), Duration::from_millis(500));
     assert_eq!(call.limit(), Duration::from_secs(9));
 }
--- a/crates/gateway/src/repeated_call.rs
+++ b/crates/gateway/src/repeated_call.rs
@@ -3,6 +3,7 @@
 use apricothall_clients::PlatformError;
 use apricothall_clients::http_client::{Answer, HttpClient, ReceivedBytes};
 use apricothall_decide::call_repeats::{CallRepeats, Next, Patience, Received};
+use apricothall_kernel::Clock;
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -10,6 +11,8 @@
 use http_body_util::Full;
 use tokio::time::timeout;
 
+use crate::store_reads::StoreReads;
+
 /// A call and its form when it is repeated.
 pub struct RepeatedCall {
     /// The first call.
@@ -23,8 +26,8 @@
 }
 
 impl RepeatedCall {
-    /// Returns the first complete answer to the call or a repetition. `all` counts the bytes of the
-    /// answers to all calls to this server; `record` is called for each repetition.
+    /// Returns the first complete answer to the call or a repetition. `reads` are all calls to this
+    /// server; `record` is called for each repetition.
     ///
     /// # Errors
     /// [`PlatformError::Timeout`] if nothing at all is received, [`PlatformError::Slow`] if there is
@@ -33,16 +36,18 @@
     pub async fn send(
         self,
         client: &HttpClient,
-        all: &ReceivedBytes,
+        reads: &StoreReads,
+        clock: Clock,
         record: impl Fn(),
     ) -> Result<Answer, PlatformError> {
         let own = ReceivedBytes::default();
         let received = || Received {
             own: own.total(),
-            all: all.total(),
+            all: reads.received.total(),
+            answered: reads.latest_answered(),
         };
-        let call = |request| client.read_counted(request, self.limit, [&own, all]);
-        let mut repeats = CallRepeats::new(self.patience, received());
+        let call = |request| client.read_counted(request, self.limit, [&own, &reads.received]);
+        let mut repeats = CallRepeats::new(self.patience, received(), clock.now());
         let limit = repeats.limit();
         let mut calls = FuturesUnordered::from_iter([call(self.first)]);
         let waiting = async {
@@ -52,7 +57,7 @@
                     Ok(Some(answered)) => return answered,
                     Ok(None) | Err(_) => {}
                 }
-                match repeats.next(received()) {
+                match repeats.next(received(), clock.now()) {
                     Next::Wait => {}
                     Next::Repeat => {
                         record();
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -157,7 +157,7 @@
     let reads = &context.store_reads;
     let read = reads.begin(name, subject, hold, context.clock.now());
     let record = || reads.record_repeat(name, subject);
-    let answer = repeated.send(client, &reads.received, record).await;
+    let answer = repeated.send(client, reads, context.clock, record).await;
     let bytes = answer.as_ref().ok().map(|a| a.body.len());
     context.traffic.record(Kind::Store, bytes.unwrap_or(0));
     read.end(context, bytes);
--- a/crates/gateway/src/store_reads.rs
+++ b/crates/gateway/src/store_reads.rs
@@ -1,7 +1,7 @@
 //! Reads of the store in progress, and how long they take.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use apricothall_clients::http_client::ReceivedBytes;
@@ -20,6 +20,8 @@
     /// Bytes of answers, including incomplete ones.
     pub received: ReceivedBytes,
     in_flight: Arc<AtomicU32>,
+    /// When the last of the answered calls was sent, in ns.
+    answered: AtomicU64,
 }
 
 /// A call in progress; it ends when dropped.
@@ -73,6 +75,12 @@
         );
     }
 
+    /// When the last of the calls that have been answered was sent.
+    #[must_use]
+    pub fn latest_answered(&self) -> Timestamp {
+        Timestamp(self.answered.load(Ordering::Relaxed))
+    }
+
     /// Number of calls in progress.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -83,6 +91,10 @@
 impl StoreRead {
     /// Ends the call with an answer of `bytes`, or `None` without an answer.
     pub fn end(self, context: &Context, bytes: Option<usize>) {
+        if bytes.is_some() {
+            let answered = &context.store_reads.answered;
+            answered.fetch_max(self.started.0, Ordering::Relaxed);
+        }
         let took = context.clock.now().since(self.started);
         metrics::histogram!("apricothall_store_call_seconds", "call" => self.call)
             .record(took.as_secs_f64());
