--- a/crates/decide/src/transfer/chunks.rs
+++ b/crates/decide/src/transfer/chunks.rs
@@ -15,7 +15,7 @@
 }
 
 impl ChunkSet {
-    /// Adds a chunk and returns whether it is new. Chunks beyond [`MAX_CHUNKS`], which no version
+    /// Adds a chunk and returns whether it is new. Chunks beyond `MAX_CHUNKS`, which no version
     /// has, are left out.
     pub fn insert(&mut self, chunk: ChunkIndex) -> bool {
         if chunk.0 >= MAX_CHUNKS {
