fix(gateway): a late read of the store is repeated only if nothing or a later call is answered

Change: a call is repeated if nothing at all is received, or if calls that were sent later have been answered; otherwise it is waited for. After a repetition 1.2 s pass before the next decision, so that a store that is slow by less is not taken for silent. The number of repetitions needs no bound of its own.

Tests: decide/tests/call_repeats; silent_connections and large_configuration pass.

--- a/crates/decide/src/call_repeats.rs
+++ b/crates/decide/src/call_repeats.rs
@@ -1,9 +1,10 @@
 //! Decides when a call without an answer is sent again on another connection.
 //!
 //! A connection may fall silent for good while others work. Bytes on other connections then say
-//! nothing about this one; but on a busy link they are the reason for which its answer is late. So a
-//! call is repeated beside the first one, which may still be answered, and counts as failed only
-//! once nothing at all is received.
+//! nothing about this one; but on a busy link they are the reason for which its answer is late, and
+//! a second copy would make all later. So a call is repeated if nothing at all is received, or if
+//! calls that were sent after it have been answered: on a busy link answers come in turn. The first
+//! call may still be answered.
 
 use std::time::Duration;
 
@@ -14,12 +15,12 @@
 pub struct Patience {
     /// Time for which the server may hold the answer to the first call back.
     pub hold: Duration,
-    /// Time beyond that without a byte of an answer, after which the call is repeated.
+    /// Time beyond that without a byte of an answer, after which the call may be repeated.
     pub idle: Duration,
+    /// Time without a byte after a repetition, before the next decision.
+    pub again: Duration,
     /// Maximum time for the complete answer, beyond `hold`.
     pub total: Duration,
-    /// Maximum number of repetitions, unless calls that were sent later are answered.
-    pub repeats: u32,
 }
 
 /// What has been received so far.
@@ -71,7 +72,7 @@
         if self.sent == 1 {
             return self.patience.hold + self.patience.idle;
         }
-        self.patience.idle
+        self.patience.again
     }
 
     /// Maximum time in all.
@@ -92,8 +93,8 @@
         }
         // A later call has been answered, so it is not the link that holds this one back.
         let is_overtaken = received.answered > self.last_sent;
-        if self.sent > self.patience.repeats && !is_overtaken {
-            return if is_silent { Next::GiveUp } else { Next::Wait };
+        if !is_silent && !is_overtaken {
+            return Next::Wait;
         }
         self.sent += 1;
         self.last_sent = now;
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -15,17 +15,11 @@
 use crate::repeated_call::RepeatedCall;
 use crate::traffic::Kind;
 
-/// Time without an answer, beyond the wait that was requested, after which a watch is repeated.
+/// Time without an answer, beyond the wait that was requested, after which a watch may be repeated.
 const WATCH_IDLE: Duration = Duration::from_millis(500);
 
-/// Time without an answer after which a list is repeated.
-const LIST_IDLE: Duration = Duration::from_millis(1_200);
-
-/// Maximum number of repetitions of a watch, whose answers are mostly small.
-const WATCH_REPEATS: u32 = 2;
-
-/// Maximum number of repetitions of a list, which returns all items.
-const LIST_REPEATS: u32 = 1;
+/// Time without an answer after which a list, or a call that was repeated, may be repeated.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Minimum wait of a watch request, which the store answers at once.
 pub const SHORTEST_WAIT: Duration = Duration::from_millis(1);
@@ -83,8 +77,8 @@
         patience: Patience {
             hold: wait,
             idle: WATCH_IDLE,
+            again: IDLE_TIMEOUT,
             total: TRANSFER_TIMEOUT,
-            repeats: WATCH_REPEATS,
         },
     };
     let answer = call(context, client, watch).await?;
@@ -118,9 +112,9 @@
         again: &path,
         patience: Patience {
             hold: Duration::ZERO,
-            idle: LIST_IDLE,
+            idle: IDLE_TIMEOUT,
+            again: IDLE_TIMEOUT,
             total: TRANSFER_TIMEOUT,
-            repeats: LIST_REPEATS,
         },
     };
     let answer = call(context, client, list).await?;
