fix(decide): the first four requests of a caller are granted beside a heavy one

Cause: a new caller of a fair bucket begins with an empty level, and only its first request was granted as debt. If requests come at once (a pause of the machine, of an entry or of the caller), the second finds no tokens, as the large caller has taken the shared ones meanwhile.

Now the first four requests of a caller, as many as its full level holds, may be granted as debt.

--- a/crates/apricotd/tests/overload.rs
+++ b/crates/apricotd/tests/overload.rs
@@ -149,29 +149,50 @@
     limit_holds_while_an_entry_is_killed: 30, true, |fleet| fleet.node_mut("entry-1").kill().await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn small_callers_are_served_beside_a_large_one() {
-    let _guard = ONE_FLEET.lock().await;
-    let fleet = small_fleet("rate = 100, burst = 100, caller = 100").await;
-    let large = start_load(&fleet, "large", 300.0, Class::Interactive);
-    let small = (0..9).map(|n| start_load(&fleet, &format!("small-{n}"), 4.0, Class::Interactive));
-    let small: Vec<_> = small.collect();
-    wait_answers(&large, 900).await;
-    let large = large.close().await;
-    assert_served_or_refused(&large, false);
-    let (mut ended, mut whole) = (0, 0);
-    for load in small {
-        let report = load.close().await;
-        assert_served_or_refused(&report, false);
-        ended += report.ended;
-        whole += report.whole();
+/// Stops all entries for `span`, after which the requests of that time arrive at once.
+async fn freeze_entries(fleet: &Fleet, span: Duration) {
+    let entries = ["entry-0", "entry-1"].map(|id| fleet.node(id).process.as_ref().expect("runs"));
+    for entry in entries {
+        entry.freeze();
     }
-    assert!(
-        whole * 100 >= ended * 95,
-        "{whole} of {ended} served; large: {:?}",
-        large.verdicts
-    );
-    fleet.close().await;
+    tokio::time::sleep(span).await;
+    for entry in entries {
+        entry.thaw();
+    }
+}
+
+/// Nine callers far below an equal share of the limit, and one far above it, while entries pause.
+macro_rules! small_callers {
+    ($($case:ident: $pause:expr;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            let _guard = ONE_FLEET.lock().await;
+            let fleet = small_fleet("rate = 100, burst = 100, caller = 100").await;
+            let large = start_load(&fleet, "large", 300.0, Class::Interactive);
+            let small = (0..9).map(|n| start_load(&fleet, &format!("small-{n}"), 4.0, Class::Interactive));
+            let small: Vec<_> = small.collect();
+            freeze_entries(&fleet, $pause).await;
+            wait_answers(&large, 900).await;
+            let large = large.close().await;
+            assert_served_or_refused(&large, false);
+            let (mut ended, mut whole) = (0, 0);
+            for load in small {
+                let report = load.close().await;
+                assert_served_or_refused(&report, false);
+                ended += report.ended;
+                whole += report.whole();
+            }
+            assert!(whole * 100 >= ended * 95, "{whole} of {ended} served; large: {:?}", large.verdicts);
+            fleet.close().await;
+        })*
+    };
+}
+
+small_callers! {
+    small_callers_are_served_beside_a_large_one: Duration::ZERO;
+    // Guard against refusals of small callers whose first requests come at once.
+    small_callers_are_served_after_a_short_pause_of_entries: Duration::from_millis(300);
+    small_callers_are_served_after_a_pause_of_entries: Duration::from_millis(700);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/decide/src/limits/bucket.rs
+++ b/crates/decide/src/limits/bucket.rs
@@ -87,16 +87,29 @@
 #[derive(Clone, Copy, Debug)]
 struct CallerLevel {
     level: u64,
+    /// Thousandths of a request that the caller may still take as debt.
+    credit: u64,
     used: Timestamp,
 }
 
+impl CallerLevel {
+    /// Level of a caller before its first request.
+    fn new(now: Timestamp) -> Self {
+        Self {
+            level: 0,
+            credit: CALLER_BURST * MILLI,
+            used: now,
+        }
+    }
+}
+
 /// A token bucket that is shared max-min fairly among its callers.
 ///
 /// Each caller has a small level of its own. Accrued tokens are divided equally among the callers
 /// whose level is not full, and the remainder goes to a shared level that all callers may use. A
 /// caller that uses less than an equal part therefore always finds tokens, whatever the others send.
-/// The first request of a caller without a level is granted as debt, up to half the burst, so that
-/// heavy callers do not cause refusals for occasional ones. In any window the bucket grants at most
+/// The first [`CALLER_BURST`] requests of a new caller are granted as debt, up to half the burst, so
+/// that heavy callers do not cause refusals for occasional ones. In any window the bucket grants at most
 /// `rate * window + burst + CALLER_BURST * callers` requests, and not more than half the burst for
 /// the callers where that is larger.
 #[derive(Clone, Debug)]
@@ -138,31 +151,44 @@
 
     /// Takes the tokens of one request of `caller`. Returns false if none are available.
     pub fn take(&mut self, caller: &CallerId, now: Timestamp) -> bool {
-        let full = self.callers.len() >= self.max_callers;
-        let known = self.callers.contains_key(caller);
-        if !full || known {
-            let new = CallerLevel {
-                level: 0,
-                used: now,
-            };
-            let caller_level = self.callers.entry(caller.clone()).or_insert(new);
-            caller_level.used = now;
-            if caller_level.level >= MILLI {
-                caller_level.level -= MILLI;
-                return true;
-            }
+        if self.take_own(caller, now) {
+            return true;
         }
         if self.shared >= MILLI {
             self.shared -= MILLI;
             return true;
         }
-        let first = !full && !known;
+        self.take_as_debt(caller)
+    }
+
+    /// Takes the tokens of one request from the level of `caller`, and tracks a new caller while
+    /// there is room for it.
+    fn take_own(&mut self, caller: &CallerId, now: Timestamp) -> bool {
+        if self.callers.len() >= self.max_callers && !self.callers.contains_key(caller) {
+            return false;
+        }
+        let new = CallerLevel::new(now);
+        let own = self.callers.entry(caller.clone()).or_insert(new);
+        own.used = now;
+        if own.level < MILLI {
+            return false;
+        }
+        own.level -= MILLI;
+        true
+    }
+
+    /// Takes the tokens of one request from the credit of `caller`; later refills pay for it.
+    fn take_as_debt(&mut self, caller: &CallerId) -> bool {
         let fits = self.debt + MILLI <= self.burst / 2;
-        if first && fits {
-            self.debt += MILLI;
-            return true;
+        let Some(own) = self.callers.get_mut(caller) else {
+            return false;
+        };
+        if !fits || own.credit < MILLI {
+            return false;
         }
-        false
+        own.credit -= MILLI;
+        self.debt += MILLI;
+        true
     }
 
     /// Takes the tokens of one request that is never refused. Missing tokens become debt, up to
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -366,6 +366,18 @@
     );
 }
 
+// Guards against refusals of a small caller whose first requests come at once, as after a pause of
+// the entry, when a large caller has used the burst.
+#[test]
+fn first_requests_of_a_small_caller_are_granted_at_once_beside_a_large_one() {
+    let mut fleet = run_without_faults(1, &[40], SETTLE_STEPS);
+    for _ in 0..4 {
+        assert_eq!(fleet.request(0, 1, Class::Interactive), Ok(()));
+    }
+    let more = fleet.request(0, 1, Class::Interactive);
+    assert_eq!(more, Err(Reason::EntryLimit));
+}
+
 #[test]
 fn critical_is_granted_under_overload_at_the_expense_of_others() {
     let mut fleet = run_without_faults(1, &[], SETTLE_STEPS);
