test: loads report the details of refusals

stop_of_two_agents fails with 'refused as not run' on a quiet machine, and no log named the reason: the daemon logs none for a refusal before any attempt. The load of the stand-in now counts the details that entries give, and the assertions print them.

--- a/crates/apricotd/tests/leaving.rs
+++ b/crates/apricotd/tests/leaving.rs
@@ -65,8 +65,9 @@
     let (ended, whole) = (report.ended, report.whole());
     assert!(
         ended > 0 && whole == ended,
-        "{:?} {:?}",
+        "{:?} {:?} {:?}",
         report.verdicts,
+        report.refusals,
         report.samples
     );
 }
--- a/crates/apricotd/tests/overload.rs
+++ b/crates/apricotd/tests/overload.rs
@@ -61,8 +61,8 @@
     let sum = report.whole() + refused;
     assert_eq!(
         sum, report.ended,
-        "{:?} {:?}",
-        report.verdicts, report.samples
+        "{:?} {:?} {:?}",
+        report.verdicts, report.refusals, report.samples
     );
 }
 
@@ -175,14 +175,15 @@
             wait_answers(&large, 900).await;
             let large = large.close().await;
             assert_served_or_refused(&large, false);
-            let (mut ended, mut whole) = (0, 0);
+            let (mut ended, mut whole, mut refusals) = (0, 0, Vec::new());
             for load in small {
                 let report = load.close().await;
                 assert_served_or_refused(&report, false);
                 ended += report.ended;
                 whole += report.whole();
+                refusals.push(report.refusals);
             }
-            assert!(whole * 100 >= ended * 95, "{whole} of {ended} served; large: {:?}", large.verdicts);
+            assert!(whole * 100 >= ended * 95, "{whole} of {ended} served, {refusals:?}; large: {:?}", large.verdicts);
             fleet.close().await;
         })*
     };
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -1,7 +1,7 @@
 //! Open-loop load generator: requests start at seeded times, regardless of how long earlier ones
 //! take.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -70,6 +70,8 @@
     pub first: Histogram<u64>,
     /// Times between tokens, in microseconds.
     pub gaps: Histogram<u64>,
+    /// Number of refused requests, by the detail that the entry gave.
+    pub refusals: BTreeMap<String, u64>,
     /// Descriptions of some of the responses that were neither complete nor refused.
     pub samples: Vec<String>,
 }
@@ -84,6 +86,7 @@
             verdicts: HashMap::new(),
             first: histogram(),
             gaps: histogram(),
+            refusals: BTreeMap::new(),
             samples: Vec::new(),
         }
     }
@@ -117,6 +120,9 @@
         for gap in &answer.gaps {
             record(&mut self.gaps, *gap);
         }
+        if let StreamEnd::Problem(problem) = &answer.ended {
+            *self.refusals.entry(problem.detail.clone()).or_default() += 1;
+        }
         let expected = matches!(verdict, Verdict::Whole | Verdict::Refused(_));
         if !expected && self.samples.len() < SAMPLES {
             let tokens = answer.events.len();
