fix(entry): an agent that left is not counted for pairs once it is gone

Cause: the entry forms the pair of servers of a request from agents that serve its model or did so in the last 15 s. It left out members that announce their departure, but took a member that is gone for a serving one, as its last record says so, and counted it anew at each look. Requests whose pair were the departed agents were refused for as long as the view kept them, and 15 s more.

The rule is now pure and stands in decide::quarantine::ServingHistory: agents that are alive are recorded, those that leave are dropped, and for those that are gone the time runs out. A crashed agent counts for 15 s after it was last seen alive, as the comment on the constant said.

--- a/crates/apricotd/tests/leaving.rs
+++ b/crates/apricotd/tests/leaving.rs
@@ -14,6 +14,7 @@
 use apricothall_standin::server::Mode;
 use apricothall_types::Outcome;
 use fixture::{MODEL, caller, catalogue, expected_digests, plan_with, start_serving};
+use serde_json::Value;
 use tokio::time::Instant;
 
 /// Maximum time from the leave signal to the start of the last run.
@@ -198,6 +199,32 @@
     stop_of_two_agents: "engine-0" "engine-1";
 }
 
+// Guards against refusals of requests whose two servers have left and ended, while another serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_served_after_two_agents_have_left() {
+    let mut fleet = fleet(2, 3).await;
+    let load = start_load(&fleet, (5, 15));
+    wait_answers(&load, 20).await;
+    for id in ["engine-0", "engine-1"] {
+        process(fleet.node(id)).terminate();
+    }
+    for id in ["engine-0", "engine-1"] {
+        let process = fleet.node_mut(id).process.as_mut().expect("runs");
+        let status = process.wait(EXIT_TIMEOUT).await.expect("ends");
+        assert!(status.success(), "{status}: {}", process.tail());
+        let is_gone = |status: &Value| {
+            let mut members = status["members"].as_array().into_iter().flatten();
+            members.any(|m| m["id"] == id && m["state"] == "gone")
+        };
+        let seen = fleet.status_until("entry-0", "the end", is_gone).await;
+        seen.expect("is seen");
+    }
+    let _ = load.take();
+    wait_answers(&load, 100).await;
+    assert_all_whole(&load.close().await);
+    fleet.close().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_entry_is_not_listed_and_refuses_after_the_grace() {
     let mut fleet = fleet(2, 1).await;
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -16,9 +16,11 @@
 mod inferred_crashes;
 mod placement;
 mod records;
+mod serving_history;
 mod shared_records;
 
 pub use inferred_crashes::InferredCrashes;
 pub use placement::{ArrivalDecision, Placement, check_arrival, pair, place, place_fallback};
 pub use records::{Crash, Record, Records, Standing};
+pub use serving_history::ServingHistory;
 pub use shared_records::SharedRecords;
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -1,19 +1,21 @@
 //! Decides which agents a completion may be sent to, given the records of requests that crash
 //! servers.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use apricothall_decide::prompt_parts::{PartStanding, Trial, trial_server};
-use apricothall_decide::quarantine::{Crash, Placement, Record, pair, place, place_fallback};
+use apricothall_decide::quarantine::{
+    Crash, Placement, Record, ServingHistory, pair, place, place_fallback,
+};
 use apricothall_fleet::MembershipView;
 use apricothall_fleet::prompt_texts::{PromptTexts, SHARED_TEXT, shared_parts};
 use apricothall_fleet::quarantine::{Quarantine, SAME_REQUEST, fingerprint};
 use apricothall_kernel::Clock;
 use apricothall_types::{
-    Class, Digest, EntryName, Holding, HoldingState, Member, MemberId, MemberState, Outcome,
-    PromptPart, Role, Timestamp,
+    Class, Digest, EntryName, HoldingState, Member, MemberId, MemberState, Outcome, PromptPart,
+    Role,
 };
 use http::StatusCode;
 use serde_json::Value;
@@ -21,9 +23,6 @@
 
 use crate::problem::Problem;
 
-/// How long an agent whose engine has stopped serving is still counted when pairs are formed.
-const RETENTION: Duration = Duration::from_secs(15);
-
 /// Longest and shortest time between two updates of what the agents serve.
 const MAX_POLL_PERIOD: Duration = Duration::from_secs(1);
 const MIN_POLL_PERIOD: Duration = Duration::from_millis(100);
@@ -39,7 +38,7 @@
     quarantine: Arc<Quarantine>,
     prompt_texts: Arc<PromptTexts>,
     view: Arc<MembershipView>,
-    last_seen: Mutex<HashMap<EntryName, BTreeMap<MemberId, Timestamp>>>,
+    history: Mutex<ServingHistory>,
 }
 
 impl RecentServers {
@@ -54,7 +53,7 @@
             quarantine,
             prompt_texts,
             view,
-            last_seen: Mutex::default(),
+            history: Mutex::default(),
         }
     }
 
@@ -79,7 +78,7 @@
     pub async fn follow(self: Arc<Self>) {
         let mut changes = self.view.changes();
         loop {
-            self.record_serving(&self.view.members());
+            self.history().record(&self.view.members(), Clock.now());
             tokio::time::sleep(MIN_POLL_PERIOD).await;
             // Without a change the times are refreshed and expired agents removed.
             let _ = tokio::time::timeout(MAX_POLL_PERIOD, changes.changed()).await;
@@ -89,63 +88,24 @@
     /// Returns the number of agents by catalogue entry, for the status page.
     #[must_use]
     pub fn status(&self) -> Value {
-        let last_seen = self
-            .last_seen
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let counts = last_seen
-            .iter()
-            .map(|(name, agents)| (name.to_string(), Value::from(agents.len())));
+        let history = self.history();
+        let counts = history
+            .counts()
+            .map(|(name, agents)| (name.to_string(), Value::from(agents)));
         Value::Object(counts.collect())
     }
 
-    fn record_serving(&self, members: &[Member]) {
-        let now = Clock.now();
-        let mut last_seen = self
-            .last_seen
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        for member in members.iter().filter(|m| m.role == Role::Agent) {
-            let serving = |h: &&Holding| h.state == HoldingState::Serving;
-            for holding in member.holdings.iter().filter(serving) {
-                let agents = last_seen.entry(holding.name.clone()).or_default();
-                agents.insert(member.id.clone(), now);
-            }
-        }
-        for agents in last_seen.values_mut() {
-            agents.retain(|_, at| now.since(*at) < RETENTION);
-        }
-        last_seen.retain(|_, agents| !agents.is_empty());
-    }
-
     /// Returns the agents that serve the model, and those that stopped recently without serving
     /// another model, as after a crash.
     fn current_and_recent(&self, name: &EntryName, members: &[Member]) -> Vec<MemberId> {
-        self.record_serving(members);
-        let mut last_seen = self
-            .last_seen
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let Some(agents) = last_seen.get_mut(name) else {
-            return Vec::new();
-        };
-        for member in members {
-            if member.state == MemberState::Leaving || serves_only_others(member, name) {
-                agents.remove(&member.id);
-            }
-        }
-        agents.keys().cloned().collect()
+        let mut history = self.history();
+        history.record(members, Clock.now());
+        history.agents(name)
     }
-}
 
-/// Returns whether the agent's engines serve only other models.
-fn serves_only_others(member: &Member, name: &EntryName) -> bool {
-    let serving = member
-        .holdings
-        .iter()
-        .filter(|h| h.state == HoldingState::Serving);
-    let names: Vec<_> = serving.map(|h| &h.name).collect();
-    !names.is_empty() && !names.contains(&name)
+    fn history(&self) -> MutexGuard<'_, ServingHistory> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Returns whether an engine of the agent serves any version of the model. All versions share one
