refactor(agent): an engine and a service stand in modules of their own

servers.rs had 465 lines: the plug-in, the engine with the version that it may be offered for, the service and the set of all. Engine and Service moved to servers/engine.rs and servers/service.rs with constructors; servers.rs has 271 lines now. Code moved only, but for the constructors and running(), which replace fields that were read from outside.

--- a/crates/agent/src/servers.rs
+++ b/crates/agent/src/servers.rs
@@ -1,20 +1,16 @@
 //! Plug-in that tracks the backend servers of this VM and what they serve.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-use apricothall_clients::limit::LIMIT_HEADER;
-use apricothall_clients::{
-    EngineClient, EngineState, HttpClient, NamedLimit, PlatformError, ServiceAnswer, ServiceCall,
-    ServiceClient, Serving,
-};
+use apricothall_clients::{EngineClient, HttpClient, ServiceClient, Serving};
 use apricothall_decide::server_limits::Sender;
 use apricothall_fleet::{CatalogueState, MembershipView, StatusBoard};
 use apricothall_kernel::configs::{ServerConfig, ServerKind};
 use apricothall_kernel::{Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture};
-use apricothall_types::{Catalogue, EntryName, Holding, HoldingState, Load, Role, Version};
+use apricothall_types::{EntryName, Holding, HoldingState, Load, Role, Version};
 use linkme::distributed_slice;
 use serde_json::json;
 use smol_str::SmolStr;
@@ -22,6 +18,12 @@
 use crate::admission::Gate;
 use crate::transfers::WantedVersions;
 
+mod engine;
+mod service;
+
+pub use engine::Engine;
+pub use service::Service;
+
 #[distributed_slice(PLUGINS)]
 static SERVERS: Plugin = Plugin {
     name: "backend servers",
@@ -39,46 +41,6 @@
 /// Version under which plain services are announced.
 pub const SERVICE_VERSION: &str = "service";
 
-/// A model engine of this VM.
-pub struct Engine {
-    /// Settings of the server.
-    pub config: ServerConfig,
-    /// Client for the server.
-    pub client: EngineClient,
-    /// Admission gate of the server.
-    pub gate: Arc<Gate>,
-    state: RwLock<Option<EngineState>>,
-    confirmed: RwLock<Confirmed>,
-    withdrawn: AtomicBool,
-    reloading: RwLock<Option<Serving>>,
-    running: AtomicU32,
-}
-
-/// What an engine serves according to the result of its last load, regardless of later reports.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-enum Confirmed {
-    /// No load was ordered since this daemon started.
-    #[default]
-    NoOrder,
-    /// The last load has not succeeded.
-    Unconfirmed,
-    /// The last load succeeded in this boot of the engine.
-    Serving { boot: SmolStr, serving: Serving },
-}
-
-/// A plain service of this VM.
-pub struct Service {
-    /// Name of its catalogue entry.
-    pub name: EntryName,
-    /// Settings of the server.
-    pub config: ServerConfig,
-    /// Client for the server.
-    pub client: ServiceClient,
-    /// Admission gate of the server.
-    pub gate: Arc<Gate>,
-    running: AtomicU32,
-}
-
 /// Counts a request at a server as running until dropped.
 pub struct RunningGuard<'a>(&'a AtomicU32);
 
@@ -88,148 +50,6 @@
     }
 }
 
-impl Engine {
-    /// Returns the state that the engine last reported; `None` while it does not answer.
-    #[must_use]
-    pub fn state(&self) -> Option<EngineState> {
-        self.state
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
-    }
-
-    /// Returns the version that the engine is offered for. It reports that it serves what it was
-    /// last ordered to load, has not restarted since, and is not withdrawn.
-    #[must_use]
-    pub fn serving(&self) -> Option<Serving> {
-        if self.withdrawn.load(Ordering::Acquire) {
-            return None;
-        }
-        let state = self.state()?;
-        let reported = state.serving.filter(|_| !state.loading)?;
-        let confirmed = self
-            .confirmed
-            .read()
-            .unwrap_or_else(PoisonError::into_inner);
-        match &*confirmed {
-            Confirmed::Serving { boot, serving } => {
-                (*boot == state.boot && *serving == reported).then_some(reported)
-            }
-            Confirmed::NoOrder | Confirmed::Unconfirmed => None,
-        }
-    }
-
-    /// Accepts a version that was loaded by an earlier daemon process of this VM, if the catalogue
-    /// contains it.
-    pub fn adopt(&self, catalogue: &Catalogue) {
-        let Some(state) = self.state().filter(|s| !s.loading) else {
-            return;
-        };
-        let Some(serving) = state.serving else {
-            return;
-        };
-        let entry = catalogue.entry(&serving.name);
-        let mut versions = entry.into_iter().flat_map(|e| &e.versions);
-        let is_known =
-            versions.any(|v| v.version == serving.version && v.manifest == serving.manifest);
-        let mut confirmed = self.write_confirmed();
-        if is_known && *confirmed == Confirmed::NoOrder {
-            let boot = state.boot;
-            *confirmed = Confirmed::Serving { boot, serving };
-        }
-    }
-
-    /// Records that a load was ordered and its result is pending.
-    pub fn unconfirm(&self) {
-        *self.write_confirmed() = Confirmed::Unconfirmed;
-    }
-
-    /// Records what the engine serves after a load.
-    pub fn confirm(&self, state: EngineState) {
-        if let Some(serving) = state.serving.clone() {
-            let boot = state.boot.clone();
-            *self.write_confirmed() = Confirmed::Serving { boot, serving };
-        }
-        self.observe(Some(state));
-    }
-
-    /// Sets the target of a planned reload of an engine that served until now; `None` ends it.
-    pub fn set_reloading(&self, target: Option<Serving>) {
-        *self
-            .reloading
-            .write()
-            .unwrap_or_else(PoisonError::into_inner) = target;
-    }
-
-    /// Returns the target of a planned reload.
-    fn reloading(&self) -> Option<Serving> {
-        self.reloading
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
-    }
-
-    /// Withdraws the engine from service or returns it to service; returns whether that is a
-    /// change.
-    pub fn set_withdrawn(&self, withdrawn: bool) -> bool {
-        self.withdrawn.swap(withdrawn, Ordering::AcqRel) != withdrawn
-    }
-
-    /// Returns whether no request is running.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.running.load(Ordering::Acquire) == 0
-    }
-
-    fn write_confirmed(&self) -> std::sync::RwLockWriteGuard<'_, Confirmed> {
-        self.confirmed
-            .write()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Records the state that the engine reports.
-    pub fn observe(&self, state: Option<EngineState>) {
-        *self.state.write().unwrap_or_else(PoisonError::into_inner) = state;
-    }
-
-    /// Counts a request as running.
-    #[must_use]
-    pub fn begin(&self) -> RunningGuard<'_> {
-        self.running.fetch_add(1, Ordering::Relaxed);
-        RunningGuard(&self.running)
-    }
-
-    fn serves(&self, name: &EntryName, version: &Version) -> bool {
-        self.serving()
-            .is_some_and(|s| s.name == *name && s.version == *version)
-    }
-}
-
-impl Service {
-    /// Makes the call and records the limit that the service names.
-    ///
-    /// # Errors
-    /// When there is no complete answer within `wait`.
-    pub async fn call(
-        &self,
-        call: ServiceCall,
-        wait: Duration,
-    ) -> Result<ServiceAnswer, PlatformError> {
-        let sent = self.gate.now();
-        let answer = self.client.call(call, wait).await?;
-        let named = NamedLimit::read(&answer.headers, &LIMIT_HEADER);
-        self.gate.record_limit(named, sent);
-        Ok(answer)
-    }
-
-    /// Counts a request as running.
-    #[must_use]
-    pub fn begin(&self) -> RunningGuard<'_> {
-        self.running.fetch_add(1, Ordering::Relaxed);
-        RunningGuard(&self.running)
-    }
-}
-
 /// All backend servers of this VM.
 pub struct Servers {
     /// Model engines.
@@ -254,28 +74,14 @@
         };
         let engines = configs.iter().filter(|c| c.kind == ServerKind::Engine);
         let engines = engines.map(|config| {
-            Arc::new(Engine {
-                config: config.clone(),
-                client: EngineClient::new(http.clone(), config.address),
-                gate: gate(config),
-                state: RwLock::default(),
-                confirmed: RwLock::default(),
-                withdrawn: AtomicBool::new(false),
-                reloading: RwLock::default(),
-                running: AtomicU32::new(0),
-            })
+            let client = EngineClient::new(http.clone(), config.address);
+            Arc::new(Engine::new(config.clone(), client, gate(config)))
         });
         let services = configs.iter().filter_map(|config| {
             let name = config.name.clone()?;
             let client = ServiceClient::new(http.clone(), config.address);
-            let running = AtomicU32::new(0);
-            Some(Arc::new(Service {
-                name,
-                config: config.clone(),
-                client,
-                gate: gate(config),
-                running,
-            }))
+            let service = Service::new(name, config.clone(), client, gate(config));
+            Some(Arc::new(service))
         });
         Self {
             engines: engines.collect(),
@@ -325,7 +131,7 @@
     pub fn engine(&self, name: &EntryName, version: &Version) -> Option<Arc<Engine>> {
         let candidates = self.engines.iter().filter(|e| e.serves(name, version));
         candidates
-            .min_by_key(|e| e.running.load(Ordering::Relaxed) + e.gate.queued())
+            .min_by_key(|e| e.running() + e.gate.queued())
             .cloned()
     }
 
@@ -334,7 +140,7 @@
     pub fn service(&self, name: &EntryName) -> Option<Arc<Service>> {
         let candidates = self.services.iter().filter(|s| s.name == *name);
         candidates
-            .min_by_key(|s| s.running.load(Ordering::Relaxed) + s.gate.queued())
+            .min_by_key(|s| s.running() + s.gate.queued())
             .cloned()
     }
 
@@ -344,13 +150,13 @@
         let engines = self
             .engines
             .iter()
-            .map(|e| (&e.running, &e.gate, &e.config));
+            .map(|e| (e.running(), &e.gate, &e.config));
         let services = self.services.iter();
-        let services = services.map(|s| (&s.running, &s.gate, &s.config));
+        let services = services.map(|s| (s.running(), &s.gate, &s.config));
         engines
             .chain(services)
             .fold(Load::default(), |sum, (running, gate, config)| Load {
-                running: sum.running + running.load(Ordering::Relaxed),
+                running: sum.running + running,
                 queued: sum.queued + gate.queued(),
                 slots: sum.slots + config.slots.get(),
             })
