fix(decide): the servers are watched for 2 s at a time, not 1

Nothing that callers saw: the price of calls.

Cause: the wait must be short enough that a watch on a silent connection is repeated within the contact time (3 s), and was shorter than that asks. 2 s and the 0.5 s until it is repeated are within it.

The new test in decide/tests/readers.rs holds the wait between 2 and 2.5 s.

--- a/crates/decide/src/limits/bucket.rs
+++ b/crates/decide/src/limits/bucket.rs
@@ -109,9 +109,9 @@
 /// whose level is not full, and the remainder goes to a shared level that all callers may use. A
 /// caller that uses less than an equal part therefore always finds tokens, whatever the others send.
 /// The first `CALLER_BURST` requests of a new caller are granted as debt, up to half the burst, so
-/// that heavy callers do not cause refusals for occasional ones. In any window the bucket grants at most
-/// `rate * window + burst + CALLER_BURST * callers` requests, and not more than half the burst for
-/// the callers where that is larger.
+/// that heavy callers do not cause refusals for occasional ones. In any window the bucket grants at
+/// most `rate * window + burst + CALLER_BURST * callers` requests, and not more than half the burst
+/// for the callers where that is larger.
 #[derive(Clone, Debug)]
 pub struct FairBucket {
     refill_clock: TokenBucket,
--- a/crates/decide/src/readers.rs
+++ b/crates/decide/src/readers.rs
@@ -78,8 +78,9 @@
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 
 /// Maximum wait of a watch request for the servers. It bounds the time for which a watch on a
-/// connection that fell silent is waited for; servers that leave must be known soon after that.
-const SERVERS_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// connection that fell silent is waited for; with the time after which it is repeated it stays
+/// within the contact time of the platform.
+const SERVERS_WATCH_WAIT: Duration = Duration::from_secs(2);
 
 /// Maximum wait of a watch request by which the primary reader confirms the configuration.
 const CONFIRMING_WATCH_WAIT: Duration = Duration::from_millis(500);
--- a/crates/decide/tests/readers.rs
+++ b/crates/decide/tests/readers.rs
@@ -153,6 +153,17 @@
     assert!(wait >= Duration::from_secs(4), "{wait:?}");
 }
 
+// Guards against the price of watching the servers each second, where calls to the store are dear,
+// and against a silent watch that is waited for beyond the contact time of 3 s.
+#[test]
+fn the_servers_are_watched_for_most_of_the_contact_time() {
+    for role in [ReaderRole::Primary, ReaderRole::Secondary] {
+        let wait = watch_wait(role, Subject::Servers);
+        let allowed = Duration::from_secs(2)..=Duration::from_millis(2_500);
+        assert!(allowed.contains(&wait), "{wait:?}");
+    }
+}
+
 macro_rules! items {
     ($($case:ident: $role:ident, $bytes:expr => $follows:literal;)*) => {
         $(#[test] fn $case() { assert_eq!(ReaderRole::$role.follows_item($bytes), $follows); })*
