feat(agent): the age of checks and the answers of load orders in logs and metrics

Each load order now has a line with the age of the oldest check when it was sent, the time to its answer and the answer; the same as histograms, and a counter of orders without an answer. A count of orders that rises between two reports has a line too. Nothing is decided by any of it.

--- a/crates/decide/src/staging.rs
+++ b/crates/decide/src/staging.rs
@@ -97,6 +97,13 @@
         Step::Check(calls.map(|(index, piece)| (index, piece.check())).collect())
     }
 
+    /// Returns when the oldest of the last checks was sent; `None` while a piece has none.
+    #[must_use]
+    pub fn oldest_check(&self) -> Option<Timestamp> {
+        let checks = self.pieces.iter().map(|p| p.checked);
+        checks.min().flatten()
+    }
+
     /// Records that a piece was written or found correct by a call that was sent at `sent` and
     /// ended at `now`.
     pub fn record(&mut self, index: ChunkIndex, done: Check, sent: Timestamp, now: Timestamp) {
--- a/crates/gateway/src/agent/loading.rs
+++ b/crates/gateway/src/agent/loading.rs
@@ -1,5 +1,7 @@
 //! Stages the pieces of a version at the engine and orders it to load them.
 
+use std::time::Duration;
+
 use apricothall_clients::PlatformError;
 use apricothall_decide::staging::{Check, Staging, Step};
 use apricothall_kernel::Clock;
@@ -11,6 +13,7 @@
 use crate::agent::engine::Engine;
 use crate::agent::order::OrderError;
 use crate::agent::piece_store::VersionId;
+use crate::log_budgets::millis;
 
 /// Minimum of the bytes that are read of an answer in place of a piece, for the text of an error.
 const MIN_READ_BYTES: usize = 4 << 10;
@@ -58,7 +61,7 @@
             match staging.next(clock.now()) {
                 Step::Check(pieces) => self.check_all(&mut staging, pieces, clock).await?,
                 Step::Order { by } => {
-                    if let Some(accepted) = self.order(by).await? {
+                    if let Some(accepted) = self.order(&staging, by, clock).await? {
                         return Ok(accepted);
                     }
                 }
@@ -68,9 +71,24 @@
     }
 
     /// Sends the order by `by` at the latest. Returns `None` if that time has passed.
-    async fn order(&self, by: Timestamp) -> Result<Option<bool>, LoadError> {
+    async fn order(
+        &self,
+        staging: &Staging,
+        by: Timestamp,
+        clock: Clock,
+    ) -> Result<Option<bool>, LoadError> {
         let VersionId { model, version } = self.version;
-        match self.engine.load(model, *version, self.orders, by).await {
+        let sent = clock.now();
+        let answer = self.engine.load(model, *version, self.orders, by).await;
+        let check_age = staging.oldest_check().map(|checked| sent.since(checked));
+        log_order(
+            *version,
+            self.orders,
+            check_age,
+            clock.now().since(sent),
+            &answer,
+        );
+        match answer {
             Ok(accepted) => Ok(Some(accepted)),
             Err(OrderError::Expired) => {
                 tracing::info!(version, "staged pieces are checked again before the order");
@@ -124,3 +142,29 @@
         Ok((index, Check::Write, sent))
     }
 }
+
+/// Logs how old the oldest check of a piece was when the order was sent, and how long its answer
+/// took. An engine may also accept an order that it does not answer in time.
+fn log_order(
+    version: u64,
+    orders: u64,
+    check_age: Option<Duration>,
+    took: Duration,
+    answer: &Result<bool, OrderError>,
+) {
+    let check_age = check_age.unwrap_or_default();
+    metrics::histogram!("apricothall_order_check_age_seconds").record(check_age.as_secs_f64());
+    metrics::histogram!("apricothall_order_answer_seconds").record(took.as_secs_f64());
+    if matches!(answer, Err(OrderError::Call(_))) {
+        metrics::counter!("apricothall_orders_unanswered_total").increment(1);
+    }
+    let (check_age_ms, took_ms) = (millis(check_age), millis(took));
+    tracing::info!(
+        version,
+        orders,
+        check_age_ms,
+        took_ms,
+        ?answer,
+        "load order sent"
+    );
+}
--- a/crates/gateway/src/agent/updater.rs
+++ b/crates/gateway/src/agent/updater.rs
@@ -109,6 +109,10 @@
                     tracing::info!(born = report.born, before, loaded = ?report.loaded, "engine started or restarted");
                     self.staged_checked = None;
                     self.last_order = Timestamp::default();
+                } else if let Some(known) = &self.report
+                    && report.orders > known.orders
+                {
+                    tracing::info!(orders = report.orders, known = known.orders, busy = report.busy, loaded = ?report.loaded, "engine accepted an order");
                 }
                 self.report = Some(report);
             }
