fix(agent): weights are used once they are known to have been correct when the order was accepted

Cause: the agent took an order that it sent in time for one that was accepted in time, and an accepted order for correct weights. The engine decides when it accepts; closing the connection does not take an order back.

Change: decide::loaded follows the orders of an engine by its reports. The time of an acceptance lies between two observations (answers, counts of orders, another start of the engine). Weights are verified if all pieces were checked at most 3 s before the later of these, or if they are read back after it and nothing was written since the earlier one; a second attempt therefore reads before it writes. Otherwise the engine counts as empty and loads the version anew: as an order for what it holds is already in effect, it gives up all layers but one and loads the others, twice. Agents tell what is verified with the status of the engine; entries keep the last word for each life of an engine and use it also when they go by the server list or an agent is gone. An agent that finds a load of an earlier process knows nothing of it, says so, and reads the pieces back.

Without trouble an order costs one report more; nothing is read back.

--- /dev/null
+++ b/crates/decide/src/loaded.rs
@@ -0,0 +1,360 @@
+//! Decides whether the weights that an engine has loaded are known to be correct.
+//!
+//! An engine loads what is staged when it accepts an order. It may do so long after the order was
+//! sent, even after its sender closed the connection, so no check before the order is enough.
+//! Therefore an engine counts as serving only once it is known that the pieces were correct when
+//! the order was accepted. Otherwise the version is loaded anew.
+
+use apricothall_types::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use crate::layers::LayerRange;
+use crate::staging::MAX_PIECE_AGE;
+
+/// What is known of the weights that an engine has loaded.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Weights {
+    /// They were loaded before this agent process first reached the engine.
+    #[default]
+    Unknown,
+    /// Nothing is loaded, a piece may have been bad for too long when it was loaded, or an order may
+    /// yet be accepted.
+    Unverified,
+    /// This version was loaded from correct pieces, and no order may yet be accepted.
+    Verified(u64),
+}
+
+impl Weights {
+    /// Whether an engine that reports `version` may be used with it.
+    #[must_use]
+    pub const fn permits(self, version: u64) -> bool {
+        match self {
+            Self::Unknown => true,
+            Self::Unverified => false,
+            Self::Verified(verified) => verified == version,
+        }
+    }
+}
+
+/// What an engine reports of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Observation {
+    /// Start of the engine, in ms since the Unix epoch.
+    pub born: u64,
+    /// Number of orders accepted since then.
+    pub orders: u64,
+    /// Loaded version.
+    pub version: Option<u64>,
+    /// Layers that it holds, if it tells.
+    pub layers: Option<LayerRange>,
+    /// Whether it is executing an order.
+    pub busy: bool,
+}
+
+/// Period in which an engine accepted an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Acceptance {
+    /// It had not accepted the order yet.
+    pub after: Timestamp,
+    /// It had accepted the order.
+    pub by: Timestamp,
+}
+
+/// What the agent knows of the pieces that it staged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PieceHistory {
+    /// Their version.
+    pub version: u64,
+    /// When the oldest of the last checks was sent; `None` while a piece has none.
+    pub checked: Option<Timestamp>,
+    /// When the last write was answered.
+    pub written: Timestamp,
+    /// Whether a write without an answer may yet take effect.
+    pub write_pending: bool,
+}
+
+/// How the pieces are known to have been correct when an order was accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// They were checked shortly before.
+    Correct,
+    /// They are, if they are still correct when they are read back now.
+    ReadBack,
+    /// It cannot be known any more.
+    Impossible,
+}
+
+impl PieceHistory {
+    /// Returns how the pieces are known to have been correct when an order was accepted.
+    ///
+    /// A piece that turns bad stays so until it is written. Hence a piece that was not written since
+    /// the acceptance and is correct later was correct then.
+    #[must_use]
+    pub fn proof(&self, accepted: Acceptance) -> Proof {
+        if self.written > accepted.after {
+            return Proof::Impossible;
+        }
+        let is_recent = |checked| accepted.by.since(checked) <= MAX_PIECE_AGE;
+        match (self.checked.is_some_and(is_recent), self.write_pending) {
+            (true, false) => Proof::Correct,
+            // The late write may be of another version, which shows when the pieces are read back.
+            (true, true) | (false, false) => Proof::ReadBack,
+            (false, true) => Proof::Impossible,
+        }
+    }
+}
+
+/// What an engine does on an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// It loads the layers of a version that it does not hold.
+    Load,
+    /// It gives up all but these layers.
+    Keep(LayerRange),
+}
+
+/// What became of an order that was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// The engine accepted it in this period.
+    Accepted(Acceptance),
+    /// The engine refused it, or it was already in effect.
+    Refused,
+    /// There is no answer; the engine may accept it at any time after it was sent.
+    Unanswered {
+        /// When it was sent.
+        sent: Timestamp,
+    },
+}
+
+/// The engine as last observed.
+#[derive(Clone, Copy, Debug)]
+struct Last {
+    seen: Observation,
+    /// When the report was requested.
+    asked: Timestamp,
+}
+
+/// A version that is loaded anew.
+#[derive(Clone, Copy, Debug)]
+struct Reload {
+    version: u64,
+    /// All layers of the model.
+    whole: LayerRange,
+}
+
+/// Follows the orders of one engine, and what is known of its weights.
+#[derive(Clone, Debug, Default)]
+pub struct LoadTracker {
+    last: Option<Last>,
+    weights: Weights,
+    /// When the first order was sent that may yet be accepted.
+    outstanding: Option<Timestamp>,
+    /// Accepted order that a report has yet to confirm.
+    answered: Option<(Operation, Acceptance)>,
+    /// Acceptance for which the pieces have to be read back.
+    unproven: Option<Acceptance>,
+    /// Layers of the loaded version that may have been taken from bad pieces.
+    stale: Option<LayerRange>,
+    /// The version that is loaded anew.
+    reload: Option<Reload>,
+    /// Layers that the engine kept when it gave up the others, until these are loaded again.
+    kept: Option<LayerRange>,
+}
+
+impl LoadTracker {
+    /// What is known of the loaded weights.
+    #[must_use]
+    pub const fn weights(&self) -> Weights {
+        self.weights
+    }
+
+    /// Start of the engine, if it was observed.
+    #[must_use]
+    pub fn born(&self) -> Option<u64> {
+        self.last.map(|last| last.seen.born)
+    }
+
+    /// Whether the staged pieces have to be read back, to know whether what was loaded from them is
+    /// correct.
+    #[must_use]
+    pub const fn awaits_read_back(&self) -> bool {
+        self.unproven.is_some()
+    }
+
+    /// Whether an accepted order has yet to show in a report.
+    #[must_use]
+    pub const fn awaits_report(&self) -> bool {
+        self.answered.is_some()
+    }
+
+    /// Records what became of an order.
+    pub fn record_order(&mut self, operation: Operation, outcome: OrderOutcome) {
+        match outcome {
+            OrderOutcome::Accepted(accepted) => {
+                self.weights = Weights::Unverified;
+                self.answered = Some((operation, accepted));
+            }
+            OrderOutcome::Unanswered { sent } => {
+                self.weights = Weights::Unverified;
+                self.outstanding.get_or_insert(sent);
+            }
+            OrderOutcome::Refused => {}
+        }
+    }
+
+    /// Records a report that was requested at `asked` and received at `now`. `pieces` tells what was
+    /// staged before.
+    pub fn observe(
+        &mut self,
+        seen: Observation,
+        pieces: &PieceHistory,
+        asked: Timestamp,
+        now: Timestamp,
+    ) {
+        let Some(before) = self.last.replace(Last { seen, asked }) else {
+            self.start(seen, asked, now);
+            return;
+        };
+        let is_new_life = seen.born != before.seen.born;
+        if is_new_life {
+            *self = Self {
+                last: self.last,
+                outstanding: self.outstanding,
+                weights: at_start(seen),
+                ..Self::default()
+            };
+        }
+        let known = if is_new_life { 0 } else { before.seen.orders };
+        if seen.orders <= known {
+            return;
+        }
+        self.weights = Weights::Unverified;
+        self.unproven = None;
+        let sent = self.outstanding.take().unwrap_or_default();
+        let (after, by) = (before.asked.max(sent), now);
+        // Staged pieces may be lost when the engine starts again.
+        let pieces = &PieceHistory {
+            checked: pieces.checked.filter(|_| !is_new_life),
+            ..*pieces
+        };
+        match self.answered.take().filter(|_| seen.orders == known + 1) {
+            Some((Operation::Keep(part), _)) => {
+                self.stale = self.stale.and_then(|stale| stale.intersection(part));
+                self.kept = Some(part);
+            }
+            Some((Operation::Load, accepted)) => self.judge(accepted, pieces),
+            None => self.judge(Acceptance { after, by }, pieces),
+        }
+    }
+
+    /// Records the first report. An order of an earlier process may have been accepted before.
+    fn start(&mut self, seen: Observation, asked: Timestamp, now: Timestamp) {
+        self.weights = at_start(seen);
+        if seen.orders > 0 {
+            self.weights = Weights::Unknown;
+            let (after, by) = (asked, now);
+            self.unproven = Some(Acceptance { after, by });
+        }
+    }
+
+    fn judge(&mut self, accepted: Acceptance, pieces: &PieceHistory) {
+        match pieces.proof(accepted) {
+            Proof::Correct => self.conclude(true, pieces.version),
+            Proof::ReadBack => self.unproven = Some(accepted),
+            Proof::Impossible => self.conclude(false, pieces.version),
+        }
+    }
+
+    /// Records whether all pieces of the loaded version were correct when they were read back.
+    pub fn record_read_back(&mut self, are_correct: bool, pieces: &PieceHistory) {
+        let Some(accepted) = self.unproven.take() else {
+            return;
+        };
+        let is_correct = are_correct && pieces.written <= accepted.after;
+        if is_correct || self.weights != Weights::Unknown {
+            self.conclude(is_correct, pieces.version);
+        }
+    }
+
+    /// Concludes whether the layers that an order loaded are correct. Those that the engine had kept
+    /// were not loaded.
+    fn conclude(&mut self, is_correct: bool, version: u64) {
+        // Without an answer it is not known which layers were kept.
+        let kept = self.kept.take().unwrap_or(LayerRange::ALL);
+        let is_reload = self.reload.is_some_and(|r| r.version == version);
+        self.stale = match self.stale {
+            _ if !is_correct => Some(LayerRange::ALL),
+            Some(stale) if is_reload => stale.intersection(kept),
+            _ => None,
+        };
+        if self.stale.is_none() {
+            self.reload = None;
+            self.weights = Weights::Verified(version);
+        }
+    }
+
+    /// Whether the loaded version may be bad.
+    #[must_use]
+    pub const fn is_stale(&self) -> bool {
+        self.stale.is_some()
+    }
+
+    /// Returns the next order of an engine that must load its version anew, if it is not busy.
+    ///
+    /// An engine does not load what it holds. It gives up layers and loads them again, in two rounds,
+    /// as it has to keep one.
+    pub fn reload_step(&mut self) -> Option<Operation> {
+        let stale = self.stale?;
+        let seen = self.last?.seen;
+        let held = seen.layers.filter(|_| !seen.busy)?;
+        let version = seen.version?;
+        let whole = match self.reload {
+            Some(reload) if reload.version == version => reload.whole,
+            _ => held,
+        };
+        self.reload = Some(Reload { version, whole });
+        if held != whole {
+            return Some(Operation::Load);
+        }
+        let mut layers = whole.layers();
+        let sound = layers.clone().find(|layer| !stale.contains(*layer));
+        let keep = sound.or_else(|| layers.next())?;
+        (whole.len() > 1).then_some(Operation::Keep(LayerRange::single(keep)))
+    }
+}
+
+/// What is known of the weights of an engine that has accepted no order: it may have been started
+/// with a version.
+const fn at_start(seen: Observation) -> Weights {
+    match seen.version {
+        Some(version) if seen.orders == 0 => Weights::Verified(version),
+        _ => Weights::Unverified,
+    }
+}
+
+/// What a daemon has heard of the weights of an engine on another VM.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HeardWeights {
+    born: u64,
+    weights: Weights,
+}
+
+impl HeardWeights {
+    /// Records what the agent says of an engine that started at `born`, 0 if it does not respond. What
+    /// was known stays if the agent does not know.
+    pub fn record(&mut self, born: u64, weights: Weights) {
+        let is_unreachable = born == 0 && self.born != 0;
+        let is_news = born != self.born || weights != Weights::Unknown;
+        if is_news && !is_unreachable {
+            *self = Self { born, weights };
+        }
+    }
+
+    /// Whether an engine that started at `born`, 0 if that is unknown, may be used with `version`.
+    #[must_use]
+    pub fn permits(&self, born: u64, version: u64) -> bool {
+        let is_other_life = born != 0 && born != self.born;
+        is_other_life || self.weights.permits(version)
+    }
+}
--- a/crates/decide/src/staging.rs
+++ b/crates/decide/src/staging.rs
@@ -9,6 +9,8 @@
 
 use apricothall_types::{ChunkIndex, Timestamp};
 
+use crate::loaded::PieceHistory;
+
 /// Time for which a bad piece may have been staged when the engine accepts the order.
 pub const MAX_PIECE_AGE: Duration = Duration::from_secs(3);
 
@@ -56,6 +58,10 @@
     read_back: bool,
     /// Duration of the last call.
     call_time: Duration,
+    /// When the last write was answered.
+    written: Timestamp,
+    /// Whether a write has no answer, so that it may yet take effect.
+    write_pending: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -74,6 +80,27 @@
             started: now,
             read_back,
             call_time: Duration::ZERO,
+            written: Timestamp::default(),
+            write_pending: read_back,
+        }
+    }
+
+    /// Starts to stage `count` pieces of another version at the same engine.
+    #[must_use]
+    pub fn replace(&self, count: usize, now: Timestamp) -> Self {
+        Self {
+            written: self.written,
+            ..Self::new(count, self.write_pending, now)
+        }
+    }
+
+    /// Starts another attempt. Pieces that were written are read back first: writing them would hide
+    /// whether they were correct when the engine accepted an earlier order.
+    pub fn retry(&mut self, now: Timestamp) {
+        self.started = now;
+        self.read_back = self.write_pending;
+        for piece in &mut self.pieces {
+            piece.checked = None;
         }
     }
 
@@ -108,6 +135,9 @@
     /// ended at `now`.
     pub fn record(&mut self, index: ChunkIndex, done: Check, sent: Timestamp, now: Timestamp) {
         self.call_time = now.since(sent);
+        if done == Check::Write {
+            self.written = now;
+        }
         let Some(piece) = self.pieces.get_mut(index.0 as usize) else {
             return;
         };
@@ -116,6 +146,22 @@
         piece.checked = is_check.then_some(sent);
     }
 
+    /// Records that a write has no answer.
+    pub const fn record_lost_write(&mut self) {
+        self.write_pending = true;
+    }
+
+    /// What is known of the pieces, which are of `version`.
+    #[must_use]
+    pub fn history(&self, version: u64) -> PieceHistory {
+        PieceHistory {
+            version,
+            checked: self.oldest_check(),
+            written: self.written,
+            write_pending: self.write_pending,
+        }
+    }
+
     /// Number of concurrent calls with which all pieces are checked within [`PASS_TIME`].
     fn call_count(&self) -> usize {
         let millis = self.call_time.as_millis() * self.pieces.len() as u128;
--- a/crates/decide/tests/staging.rs
+++ b/crates/decide/tests/staging.rs
@@ -121,6 +121,23 @@
         let mut run = Run::new(64, false, 250);
         assert!(run.finish(no_pause).is_some());
     };
+    /// Guards against writes that hide whether a piece was correct when an earlier order was accepted.
+    a_second_attempt_reads_what_was_written: {
+        let mut run = Run::new(64, false, 1);
+        assert!(run.finish(no_pause).is_some());
+        run.staging.retry(run.now);
+        assert!(run.finish(no_pause).is_some());
+        assert_eq!((run.writes, run.reads), (64, 64));
+    };
+    /// Guards against a late write of a version that was staged before.
+    a_write_without_an_answer_counts_for_the_next_version: {
+        let mut run = Run::new(64, false, 1);
+        run.staging.record_lost_write();
+        run.staging = run.staging.replace(64, run.now);
+        assert!(run.finish(no_pause).is_some());
+        assert_eq!((run.writes, run.reads), (64, 64));
+        assert!(run.staging.history(2).write_pending);
+    };
     a_version_without_pieces_is_ordered_at_once: {
         assert!(matches!(Staging::new(0, false, at(5)).next(at(5)), Step::Order { .. }));
     };
--- a/crates/gateway/src/agent/engine.rs
+++ b/crates/gateway/src/agent/engine.rs
@@ -15,7 +15,7 @@
 
 use crate::Context;
 use crate::agent::order::{self, OrderError};
-use crate::dialect::{EngineCalls, EngineReport};
+use crate::dialect::{EngineCalls, EngineReport, LoadOrder};
 
 /// Time limit of a call over loopback.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -26,6 +26,17 @@
 /// Maximum size of a piece of unknown size, in bytes.
 pub const MAX_PIECE_BYTES: usize = 16 << 20;
 
+/// Answer of an engine to a load order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// The engine begins to execute it.
+    Accepted,
+    /// It was already in effect.
+    InEffect,
+    /// It does not fit the state of the engine, such as another order accepted meanwhile.
+    Conflict,
+}
+
 /// Client of the engine on this VM.
 #[derive(Clone)]
 pub struct Engine {
@@ -102,36 +113,28 @@
         Ok(())
     }
 
-    /// Orders the engine to load `version` from the staging area, by `by` at the latest.
-    ///
-    /// `orders_seen` is the order count of the engine's last report. Returns `true` if the order
-    /// was accepted or is already in effect, and `false` if the engine reports a conflict, such as
-    /// another order accepted meanwhile.
+    /// Sends a load order, by `by` at the latest.
     ///
     /// # Errors
     /// [`OrderError::Expired`] when it was not sent; otherwise it is unknown whether the engine
     /// accepted the order, or it rejected it.
-    pub async fn load(
+    pub async fn order(
         &self,
-        model: &str,
-        version: u64,
-        orders_seen: u64,
+        order: &LoadOrder<'_>,
         by: Timestamp,
-    ) -> Result<bool, OrderError> {
-        let body = (self.calls.load_order)(model, version, orders_seen);
+    ) -> Result<OrderAnswer, OrderError> {
+        let body = (self.calls.load_order)(order);
         let mut request = self.request(Method::POST, self.calls.order, body)?;
         // The connection sends the request as it is, without the host in its target.
         *request.uri_mut() = Uri::from_static(self.calls.order);
         let host = HeaderValue::from_str(&self.address.to_string());
         request.headers_mut().extend(host.ok().map(|h| (HOST, h)));
-        let status = order::send(self.address, request, by, CALL_TIMEOUT).await?;
-        if status == StatusCode::CONFLICT {
-            return Ok(false);
-        }
-        if !status.is_success() {
-            return Err(error_from_response(status, &HeaderMap::new(), &[]).into());
+        match order::send(self.address, request, by, CALL_TIMEOUT).await? {
+            StatusCode::CONFLICT => Ok(OrderAnswer::Conflict),
+            StatusCode::OK => Ok(OrderAnswer::InEffect),
+            status if status.is_success() => Ok(OrderAnswer::Accepted),
+            status => Err(error_from_response(status, &HeaderMap::new(), &[]).into()),
         }
-        Ok(true)
     }
 
     fn request(
--- a/crates/gateway/src/agent/loading.rs
+++ b/crates/gateway/src/agent/loading.rs
@@ -1,32 +1,39 @@
-//! Stages the pieces of a version at the engine and orders it to load them.
+//! Stages the pieces of a version at the engine, orders it to load them, and reads them back.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use apricothall_clients::PlatformError;
-use apricothall_decide::staging::{Check, Staging, Step};
+use apricothall_decide::loaded::{Acceptance, OrderOutcome};
+use apricothall_decide::staging::{Check, MAX_PIECE_AGE, Staging, Step};
 use apricothall_kernel::Clock;
 use apricothall_types::{ChunkIndex, Timestamp};
 use bytes::Bytes;
 use futures::future::join_all;
+use futures::{StreamExt, stream};
 use thiserror::Error;
 
-use crate::agent::engine::Engine;
+use crate::agent::engine::{Engine, OrderAnswer};
 use crate::agent::order::OrderError;
 use crate::agent::piece_store::VersionId;
+use crate::dialect::LoadOrder;
 use crate::log_budgets::millis;
 
 /// Minimum of the bytes that are read of an answer in place of a piece, for the text of an error.
 const MIN_READ_BYTES: usize = 4 << 10;
 
+/// Maximum number of pieces that are read back at once.
+const MAX_READS: usize = 8;
+
+/// Statuses by which an engine refuses an order.
+const CLIENT_ERRORS: RangeInclusive<u16> = 400..=499;
+
 /// Why a version was not ordered.
 #[derive(Debug, Error)]
 pub enum LoadError {
     /// A piece was not written or read back. The engine may yet take a piece that was sent to it.
     #[error("staging: {0}")]
     Staging(#[source] PlatformError),
-    /// It is unknown whether the engine accepted the order.
-    #[error("order: {0}")]
-    Order(#[source] PlatformError),
     /// Reading the pieces back takes longer than they may be staged unchecked.
     #[error("the engine is too slow to check its staged pieces")]
     TooSlow,
@@ -42,27 +49,39 @@
     pub pieces: &'a [Bytes],
     /// Number of orders that the engine has accepted.
     pub orders: u64,
-    /// Whether a write of an earlier version may still take effect.
-    pub read_back: bool,
 }
 
 /// A piece that was checked: its index, how, and when the call was sent.
 type Checked = (ChunkIndex, Check, Timestamp);
 
+/// A call that failed.
+struct FailedCheck {
+    check: Check,
+    error: PlatformError,
+}
+
+impl FailedCheck {
+    const fn new(check: Check) -> impl Fn(PlatformError) -> Self {
+        move |error| Self { check, error }
+    }
+}
+
 impl Load<'_> {
-    /// Stages all pieces and orders the load. Returns whether the order was accepted or is already
-    /// in effect; otherwise the engine reports a conflict.
+    /// Stages all pieces and orders the load.
     ///
     /// # Errors
-    /// If a call to the engine fails, or the engine is too slow.
-    pub async fn run(self, clock: Clock) -> Result<bool, LoadError> {
-        let mut staging = Staging::new(self.pieces.len(), self.read_back, clock.now());
+    /// If the order was not sent, as a call before it failed or the engine is too slow.
+    pub async fn run(
+        &self,
+        staging: &mut Staging,
+        clock: Clock,
+    ) -> Result<OrderOutcome, LoadError> {
         loop {
             match staging.next(clock.now()) {
-                Step::Check(pieces) => self.check_all(&mut staging, pieces, clock).await?,
+                Step::Check(pieces) => self.check_all(staging, pieces, clock).await?,
                 Step::Order { by } => {
-                    if let Some(accepted) = self.order(&staging, by, clock).await? {
-                        return Ok(accepted);
+                    if let Some(outcome) = self.order(staging, by, clock).await {
+                        return Ok(outcome);
                     }
                 }
                 Step::GiveUp => return Err(LoadError::TooSlow),
@@ -71,31 +90,15 @@
     }
 
     /// Sends the order by `by` at the latest. Returns `None` if that time has passed.
-    async fn order(
-        &self,
-        staging: &Staging,
-        by: Timestamp,
-        clock: Clock,
-    ) -> Result<Option<bool>, LoadError> {
+    async fn order(&self, staging: &Staging, by: Timestamp, clock: Clock) -> Option<OrderOutcome> {
         let VersionId { model, version } = self.version;
-        let sent = clock.now();
-        let answer = self.engine.load(model, *version, self.orders, by).await;
-        let check_age = staging.oldest_check().map(|checked| sent.since(checked));
-        log_order(
-            *version,
-            self.orders,
-            check_age,
-            clock.now().since(sent),
-            &answer,
-        );
-        match answer {
-            Ok(accepted) => Ok(Some(accepted)),
-            Err(OrderError::Expired) => {
-                tracing::info!(version, "staged pieces are checked again before the order");
-                Ok(None)
-            }
-            Err(OrderError::Call(error)) => Err(LoadError::Order(error)),
-        }
+        let order = LoadOrder {
+            model,
+            version: *version,
+            orders: self.orders,
+            layers: None,
+        };
+        send_order(self.engine, &order, staging.oldest_check(), by, clock).await
     }
 
     async fn check_all(
@@ -108,11 +111,19 @@
             let checked = self.check(index, check, clock).await;
             (checked, clock.now())
         });
+        let mut result = Ok(());
         for (checked, ended) in join_all(calls).await {
-            let (index, done, sent) = checked.map_err(LoadError::Staging)?;
-            staging.record(index, done, sent, ended);
+            match checked {
+                Ok((index, done, sent)) => staging.record(index, done, sent, ended),
+                Err(failed) => {
+                    if failed.check == Check::Write {
+                        staging.record_lost_write();
+                    }
+                    result = Err(LoadError::Staging(failed.error));
+                }
+            }
         }
-        Ok(())
+        result
     }
 
     async fn check(
@@ -120,48 +131,124 @@
         index: ChunkIndex,
         check: Check,
         clock: Clock,
-    ) -> Result<Checked, PlatformError> {
+    ) -> Result<Checked, FailedCheck> {
         let VersionId { model, version } = self.version;
         let expected = &self.pieces[index.0 as usize];
         let sent = clock.now();
         if check == Check::Read {
-            // An answer that is longer is not the piece, so no more of it is read.
-            let limit = expected.len().max(MIN_READ_BYTES);
-            match self.engine.get_piece(model, index.0, limit).await {
-                Ok(bytes) if bytes == *expected => return Ok((index, Check::Read, sent)),
-                Ok(_) | Err(PlatformError::Status { .. } | PlatformError::Lost(_)) => {
-                    tracing::warn!(%index, version, "staged piece is not correct; writing it again");
-                    metrics::counter!("apricothall_staged_pieces_wrong_total").increment(1);
-                }
-                Err(error) => return Err(error),
+            let is_correct = self.is_correct(index).await;
+            if is_correct.map_err(FailedCheck::new(Check::Read))? {
+                return Ok((index, Check::Read, sent));
             }
+            tracing::warn!(%index, version, "staged piece is not correct; writing it again");
+            metrics::counter!("apricothall_staged_pieces_wrong_total").increment(1);
         }
         let sent = clock.now();
         let bytes = expected.clone();
-        self.engine.put_piece(model, index.0, bytes).await?;
+        let written = self.engine.put_piece(model, index.0, bytes).await;
+        written.map_err(FailedCheck::new(Check::Write))?;
         Ok((index, Check::Write, sent))
     }
+
+    /// Whether the piece that is staged at the engine is correct.
+    async fn is_correct(&self, index: ChunkIndex) -> Result<bool, PlatformError> {
+        let expected = &self.pieces[index.0 as usize];
+        // An answer that is longer is not the piece, so no more of it is read.
+        let limit = expected.len().max(MIN_READ_BYTES);
+        let model = &self.version.model;
+        match self.engine.get_piece(model, index.0, limit).await {
+            Ok(bytes) => Ok(bytes == *expected),
+            Err(PlatformError::Status { .. } | PlatformError::Lost(_)) => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Whether all staged pieces are correct.
+    ///
+    /// # Errors
+    /// If the engine does not answer.
+    pub async fn read_back(&self) -> Result<bool, PlatformError> {
+        let indices = (0..).map(ChunkIndex).take(self.pieces.len());
+        let mut reads = stream::iter(indices)
+            .map(|index| self.is_correct(index))
+            .buffer_unordered(MAX_READS);
+        while let Some(is_correct) = reads.next().await {
+            if !is_correct? {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+}
+
+/// Sends an order by which an engine gives up layers, which needs no staged pieces.
+pub async fn give_up_layers(engine: &Engine, order: &LoadOrder<'_>, clock: Clock) -> OrderOutcome {
+    let now = clock.now();
+    let sent = send_order(engine, order, None, now + MAX_PIECE_AGE, clock).await;
+    sent.unwrap_or(OrderOutcome::Refused)
+}
+
+/// Sends an order by `by` at the latest. Returns `None` if that time has passed.
+async fn send_order(
+    engine: &Engine,
+    order: &LoadOrder<'_>,
+    checked: Option<Timestamp>,
+    by: Timestamp,
+    clock: Clock,
+) -> Option<OrderOutcome> {
+    let sent = clock.now();
+    let answer = engine.order(order, by).await;
+    let answered = clock.now();
+    log_order(
+        order,
+        checked.map(|c| sent.since(c)),
+        answered.since(sent),
+        &answer,
+    );
+    match answer {
+        Ok(OrderAnswer::Accepted) => Some(OrderOutcome::Accepted(Acceptance {
+            after: sent,
+            by: answered,
+        })),
+        Ok(OrderAnswer::InEffect | OrderAnswer::Conflict) => Some(OrderOutcome::Refused),
+        Err(OrderError::Expired) => None,
+        Err(OrderError::Call(error)) if is_refusal(&error) => Some(OrderOutcome::Refused),
+        Err(OrderError::Call(_)) => Some(OrderOutcome::Unanswered { sent }),
+    }
+}
+
+/// Whether the engine did not accept an order, and will not.
+fn is_refusal(error: &PlatformError) -> bool {
+    match error {
+        PlatformError::Status { status, .. } => CLIENT_ERRORS.contains(status),
+        other => other.is_unsent(),
+    }
 }
 
 /// Logs how old the oldest check of a piece was when the order was sent, and how long its answer
 /// took. An engine may also accept an order that it does not answer in time.
 fn log_order(
-    version: u64,
-    orders: u64,
+    order: &LoadOrder<'_>,
     check_age: Option<Duration>,
     took: Duration,
-    answer: &Result<bool, OrderError>,
+    answer: &Result<OrderAnswer, OrderError>,
 ) {
-    let check_age = check_age.unwrap_or_default();
-    metrics::histogram!("apricothall_order_check_age_seconds").record(check_age.as_secs_f64());
+    if let Some(age) = check_age {
+        metrics::histogram!("apricothall_order_check_age_seconds").record(age.as_secs_f64());
+    }
     metrics::histogram!("apricothall_order_answer_seconds").record(took.as_secs_f64());
     if matches!(answer, Err(OrderError::Call(_))) {
         metrics::counter!("apricothall_orders_unanswered_total").increment(1);
     }
-    let (check_age_ms, took_ms) = (millis(check_age), millis(took));
+    let LoadOrder {
+        version, orders, ..
+    } = order;
+    let layers = order.layers.map(tracing::field::display);
+    let (check_age_ms, took_ms) = (check_age.map(millis), millis(took));
     tracing::info!(
         version,
         orders,
+        layers,
         check_age_ms,
         took_ms,
         ?answer,
--- a/crates/gateway/src/agent/updater.rs
+++ b/crates/gateway/src/agent/updater.rs
@@ -3,10 +3,12 @@
 
 use std::time::Duration;
 
+use apricothall_decide::loaded::{LoadTracker, OrderOutcome, Weights};
 use apricothall_decide::reload::{
     MIN_SERVICE_TIME, Neighbour, PartialFetch, Progress, ReloadConfig, may_load,
     should_finish_older,
 };
+use apricothall_decide::staging::Staging;
 use apricothall_types::{Role, Timestamp};
 use bytes::Bytes;
 use smol_str::SmolStr;
@@ -14,12 +16,13 @@
 use crate::Context;
 use crate::agent::engine::{Engine, MAX_PIECE_BYTES};
 use crate::agent::fetch::Fetcher;
-use crate::agent::loading::{Load, LoadError};
 use crate::agent::piece_store::{PieceStore, VersionId};
 use crate::dialect::EngineReport;
 use crate::peers::EngineStatus;
 use crate::settings::LocalEngine;
 
+mod weights;
+
 /// Interval between two reads of the engine's report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -29,6 +32,9 @@
 /// Maximum time until an order shows in the engine's report. No further order is sent before.
 const ORDER_REPORT_LAG: Duration = Duration::from_millis(600);
 
+/// Pause after an engine with bad weights refused to load the version anew.
+const REFUSED_RELOAD_PAUSE: Duration = Duration::from_secs(5);
+
 /// Delay between the announcement of a load and its order, so that entries stop using the engine.
 const LOAD_NOTICE: Duration = Duration::from_millis(120);
 
@@ -46,10 +52,14 @@
     staged_checked: Option<VersionId>,
     /// Time of the last load order.
     last_order: Timestamp,
+    /// Minimum time from the last load order to the next.
+    order_pause: Duration,
     /// Whether a load is being prepared or ordered.
     loading: bool,
-    /// Whether the engine may yet take a piece that it was sent.
-    write_pending: bool,
+    /// What was staged in this life of the engine.
+    staged: Option<(VersionId, Staging)>,
+    /// What is known of the loaded weights.
+    tracker: LoadTracker,
 }
 
 /// Runs the update task until the process exits.
@@ -64,8 +74,10 @@
         ready: None,
         staged_checked: None,
         last_order: Timestamp::default(),
+        order_pause: ORDER_REPORT_LAG,
         loading: false,
-        write_pending: false,
+        staged: None,
+        tracker: LoadTracker::default(),
     };
     updater.run().await;
 }
@@ -83,6 +95,7 @@
             if let Some(wanted) = &wanted {
                 let target = self.fetch_target(wanted, now);
                 self.advance_fetch(&target).await;
+                self.verify_weights().await;
                 self.load_if_due(wanted).await;
             }
             let fetching = !self.piece_store.missing().is_empty();
@@ -102,18 +115,10 @@
 
     /// Reads the engine's report. A changed start time means that the engine was restarted.
     async fn refresh_report(&mut self) {
+        let asked = self.context.clock.now();
         match self.engine.report().await {
             Ok(report) => {
-                let before = self.report.as_ref().map_or(0, |r| r.born);
-                if report.born != before {
-                    tracing::info!(born = report.born, before, loaded = ?report.loaded, "engine started or restarted");
-                    self.staged_checked = None;
-                    self.last_order = Timestamp::default();
-                } else if let Some(known) = &self.report
-                    && report.orders > known.orders
-                {
-                    tracing::info!(orders = report.orders, known = known.orders, busy = report.busy, loaded = ?report.loaded, "engine accepted an order");
-                }
+                self.observe(&report, asked);
                 self.report = Some(report);
             }
             Err(error) => {
@@ -275,15 +280,21 @@
         }
     }
 
-    /// Returns the version of `model` that the engine has loaded.
+    /// Returns the version of `model` that the engine has loaded, unless it may have been loaded
+    /// from bad pieces.
     fn serving(&self, model: &SmolStr) -> Option<u64> {
         let loaded = &self.report.as_ref()?.loaded;
-        loaded.iter().find(|(m, _)| m == model).map(|(_, v)| *v)
+        let (_, version) = loaded.iter().find(|(m, _)| m == model)?;
+        self.tracker.weights().permits(*version).then_some(*version)
     }
 
     /// Returns whether the rollout order permits the engine to load now.
     fn may_load(&self, newest: &VersionId, now: Timestamp) -> bool {
-        if self.report.is_none() || now.since(self.last_order) < ORDER_REPORT_LAG {
+        if self.report.is_none() || now.since(self.last_order) < self.order_pause {
+            return false;
+        }
+        let is_judged = !self.tracker.awaits_report() && !self.tracker.awaits_read_back();
+        if self.tracker.weights() == Weights::Unverified && !is_judged {
             return false;
         }
         let zone = self.context.settings().zone.clone();
@@ -329,31 +340,29 @@
         if !empty {
             tokio::time::sleep(LOAD_NOTICE).await;
         }
-        let load = Load {
-            engine: &self.engine,
-            version,
-            pieces,
-            orders: report.orders,
-            read_back: self.write_pending,
-        };
-        let result = load.run(self.context.clock).await;
+        let result = self.order(version, pieces, &report).await;
         self.loading = false;
-        self.write_pending = matches!(result, Err(LoadError::Staging(_)));
+        let weights = self.tracker.weights();
         self.last_order = self.context.clock.now();
+        self.order_pause = ORDER_REPORT_LAG;
         match result {
-            Ok(true) => {
-                tracing::info!(model = %version.model, version = version.version, before = ?report.loaded, "load ordered");
-                metrics::counter!("apricothall_loads_ordered_total").increment(1);
-                if let Some(report) = &mut self.report {
-                    report.busy = true;
+            Ok((operation, outcome)) => {
+                self.tracker.record_order(operation, outcome);
+                if outcome == OrderOutcome::Refused && self.tracker.is_stale() {
+                    self.order_pause = REFUSED_RELOAD_PAUSE;
+                }
+                if matches!(outcome, OrderOutcome::Accepted(_)) {
+                    tracing::info!(model = %version.model, version = version.version, before = ?report.loaded, ?operation, "load ordered");
+                    metrics::counter!("apricothall_loads_ordered_total").increment(1);
+                    if let Some(report) = &mut self.report {
+                        report.busy = true;
+                    }
+                    self.refresh_report().await;
                 }
             }
-            Ok(false) => tracing::info!(
-                version = version.version,
-                "load order rejected by the engine because of a conflict"
-            ),
-            Err(error) => tracing::warn!(version = version.version, %error, "load order failed"),
+            Err(error) => tracing::warn!(version = version.version, %error, "load not ordered"),
         }
+        self.log_weights(weights);
     }
 
     /// Updates the engine status that this agent sends by gossip.
@@ -361,12 +370,19 @@
         let report = self.report.clone().unwrap_or_default();
         let progress = wanted.map_or(Progress::Empty, |w| self.progress(w));
         let is_model = |m: &SmolStr| wanted.is_none_or(|w| w.model == *m);
-        let serving = report.loaded.into_iter().find(|(m, _)| is_model(m));
+        let weights = if self.loading {
+            Weights::Unverified
+        } else {
+            self.tracker.weights()
+        };
+        let mut loaded = report.loaded.into_iter();
+        let serving = loaded.find(|(m, v)| is_model(m) && weights.permits(*v));
         let held = self.piece_store.current();
         self.context.fleet.set_engine_status(EngineStatus {
             address: self.local.address,
             born: report.born,
             serving: serving.filter(|_| progress != Progress::Loading),
+            weights,
             running: report.running,
             queued: report.queued,
             pace: to_percent(report.pace),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use apricothall_decide::layers::LayerRange;
 use apricothall_decide::servers::Server;
 pub use apricothall_decide::store_reachability::Subject;
 use apricothall_decide::transfer::ChunkSet;
@@ -166,6 +167,8 @@
 pub struct EngineReport {
     /// Model versions whose layers are all loaded.
     pub loaded: Vec<(SmolStr, u64)>,
+    /// Layers that it holds, if it tells.
+    pub layers: Option<LayerRange>,
     /// Whether a load order is in progress.
     pub busy: bool,
     /// Number of load orders accepted since the engine started.
@@ -180,6 +183,19 @@
     pub born: u64,
 }
 
+/// An order to load a version of a model after running requests have ended.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadOrder<'a> {
+    /// Name of the model.
+    pub model: &'a str,
+    /// The version.
+    pub version: u64,
+    /// It takes effect only if the engine has accepted exactly this number of orders before.
+    pub orders: u64,
+    /// Layers to hold; all if `None`. Others are given up.
+    pub layers: Option<LayerRange>,
+}
+
 /// Calls to model engines.
 #[derive(Clone, Debug)]
 pub struct EngineCalls {
@@ -189,9 +205,8 @@
     pub read_report: fn(&[u8]) -> Result<EngineReport, DialectError>,
     /// Path of a load order, which is a `POST` of [`EngineCalls::load_order`].
     pub order: &'static str,
-    /// Body of an order to load a version of a model after running requests have ended. It takes
-    /// effect only if the engine has accepted exactly the given number of orders before.
-    pub load_order: fn(&str, u64, u64) -> Bytes,
+    /// Body of a load order.
+    pub load_order: fn(&LoadOrder<'_>) -> Bytes,
     /// Path for uploading one staged piece of a model.
     pub put_piece: fn(&str, u32) -> String,
     /// Path for downloading one staged piece of a model.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,6 +9,7 @@
 use apricothall_decide::anti_affinity::AntiAffinity;
 use apricothall_decide::configs::OutlierConfig;
 use apricothall_decide::load::{Entries, Load, Prompt};
+use apricothall_decide::loaded::HeardWeights;
 use apricothall_decide::outlier::{Attempt, OutlierDetector};
 use apricothall_decide::placement::{self, Choice, PlacementConfig, Requirements};
 use apricothall_decide::prompt_parts::Trial;
@@ -54,6 +55,8 @@
     /// Requests from this entry that may have crashed servers.
     anti_affinity: AntiAffinity,
     statuses: HashMap<SocketAddr, RecordedStatus>,
+    /// Kept after a status has expired: an agent that is gone says nothing more.
+    weights: HashMap<SocketAddr, HeardWeights>,
     entries: Entries,
     outlier: OutlierDetector,
     signals: Signals,
@@ -159,6 +162,7 @@
                 loads: HashMap::new(),
                 anti_affinity: AntiAffinity::default(),
                 statuses: HashMap::new(),
+                weights: HashMap::new(),
                 entries: Entries::ALONE,
                 outlier: OutlierDetector::new(outlier),
                 signals: Signals::default(),
@@ -213,6 +217,8 @@
         let pace = f64::from(status.pace) / PUBLISHED_PACE;
         let total = status.running.saturating_add(status.queued);
         load.record_report(total, pace, now, until);
+        let weights = state.weights.entry(status.address).or_default();
+        weights.record(status.born, status.weights);
         let status = status.clone();
         state
             .statuses
@@ -386,6 +392,7 @@
         state
             .loads
             .retain(|address, load| !load.is_idle() || known(address));
+        state.weights.retain(|address, _| known(address));
         state.outlier.retain(servers.into_iter().map(|s| s.id));
     }
 }
--- a/crates/gateway/src/fleet/eligible.rs
+++ b/crates/gateway/src/fleet/eligible.rs
@@ -222,6 +222,11 @@
             }
             None => server.loaded.iter().find(|l| l.model == *model)?.version,
         };
+        // The list and expired statuses do not tell from which pieces a version was loaded.
+        let heard = self.weights.get(&server.address);
+        if heard.is_some_and(|w| !w.permits(server.born.0, version)) {
+            return None;
+        }
         Some(Some(version))
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use apricothall_decide::cadence::{ROUND, Receivers, silence_timeout};
+use apricothall_decide::loaded::Weights;
 use apricothall_decide::outage::AnsweredAge;
 use apricothall_decide::placement::Distance;
 use apricothall_decide::prompt_parts::PartReport;
@@ -79,6 +80,8 @@
     pub born: u64,
     /// Model and version that it serves.
     pub serving: Option<(SmolStr, u64)>,
+    /// What is known of the weights that it has loaded.
+    pub weights: Weights,
     /// Number of running requests.
     pub running: u32,
     /// Number of queued requests.
