fix(gateway): an entry ends after its callers have received their answers

Cause: a request counted as in progress until hyper had taken its body; what hyper and the kernel's send queue still held for the connection (up to 4 MB) was counted by nobody. A connection that had a request now counts as a delivery until it is closed, which the drain waits for up to its limit; the close waits until the peer has closed or acknowledged all data, so that idle connections don't hold a stop up.

Ruled out: the write time-out and TCP_USER_TIMEOUT, for callers that go on reading.

--- a/crates/apricotd/src/main.rs
+++ b/crates/apricotd/src/main.rs
@@ -81,6 +81,8 @@
         .build()?;
     let running =
         apricothall_gateway::run::run(apricothall_platform::read, apricothall_platform::dialect());
-    runtime.block_on(running)?;
-    Ok(())
+    let ended = runtime.block_on(running);
+    // A connection that still waits for its peer must not delay the end beyond the drain limit.
+    runtime.shutdown_background();
+    Ok(ended?)
 }
--- a/crates/apricotd/tests/machines/entries.rs
+++ b/crates/apricotd/tests/machines/entries.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use apricothall_clients::http_client::{HttpClient, get};
 use apricothall_standin::addresses::Addresses;
@@ -148,6 +148,21 @@
         format!("entry {index} stopped and restarted")
     }
 
+    /// Stops an entry as an operator does. Returns the time of its end, at most `limit` from now.
+    pub fn stop(&mut self, index: usize, limit: Duration) -> impl Future<Output = Instant> + use<> {
+        let process = self.all[index].process.take();
+        let mut process = process.expect("a running process");
+        process.terminate();
+        async move {
+            let stopped = process.wait(limit).await;
+            let end = Instant::now();
+            if stopped.is_err() {
+                process.close().await;
+            }
+            end
+        }
+    }
+
     /// Suspends the process of an entry.
     pub fn freeze(&mut self, index: usize) -> String {
         let entry = &mut self.all[index];
--- a/crates/decide/src/drain.rs
+++ b/crates/decide/src/drain.rs
@@ -27,6 +27,8 @@
 pub struct Work {
     /// Requests that are running or queued, or whose answer is not yet forwarded.
     pub running: u32,
+    /// Connections whose peer may not have received its last answer completely.
+    pub deliveries: u32,
     /// Transfers to peers.
     pub transfers: u32,
 }
@@ -138,7 +140,7 @@
             return Step::Serve;
         };
         let spent = now.since(since);
-        let has_requests = work.running > 0;
+        let has_requests = work.running > 0 || work.deliveries > 0;
         if spent >= self.config.limit.0 {
             return if has_requests { Step::Abort } else { Step::End };
         }
--- a/crates/decide/tests/traffic.rs
+++ b/crates/decide/tests/traffic.rs
@@ -154,15 +154,17 @@
 
 const IDLE: Work = Work {
     running: 0,
+    deliveries: 0,
     transfers: 0,
 };
-const BUSY: Work = Work {
-    running: 1,
-    transfers: 0,
+const BUSY: Work = Work { running: 1, ..IDLE };
+const DELIVERING: Work = Work {
+    deliveries: 1,
+    ..IDLE
 };
 const SERVING: Work = Work {
-    running: 0,
     transfers: 1,
+    ..IDLE
 };
 
 macro_rules! drains {
@@ -193,6 +195,9 @@
     entry_answers_during_the_keep_time: Entry Signal, IDLE, 29_000 => Refuse Drain;
     entry_ends_after_the_keep_time: Entry Signal, IDLE, 30_000 => Refuse End;
     entry_finishes_running_requests: Entry Signal, BUSY, 600_000 => Refuse Drain;
+    // Guards against a stop that cuts answers which callers still receive (review/2).
+    entry_waits_for_answers_to_be_received: Entry Signal, DELIVERING, 600_000 => Refuse Drain;
+    limit_aborts_deliveries: Entry Signal, DELIVERING, 3_600_000 => Refuse Abort;
     limit_aborts_remaining_work: Entry Signal, BUSY, 3_600_000 => Refuse Abort;
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod history;
 pub mod http_server;
 pub mod in_force;
+pub mod lingering;
 pub mod membership;
 pub mod operators;
 pub mod peers;
--- a/crates/fleet/src/write_timeout.rs
+++ b/crates/fleet/src/write_timeout.rs
@@ -28,6 +28,12 @@
         }
     }
 
+    /// The stream itself.
+    #[must_use]
+    pub fn into_inner(self) -> TcpStream {
+        self.stream
+    }
+
     /// Returns `result`, or an error if writes have been pending for the length of the time-out.
     fn with_timeout<T>(
         &mut self,
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -2,10 +2,11 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::Poll;
 use std::time::Duration;
 
+use apricothall_fleet::lingering::Lingering;
 use apricothall_fleet::wake_timer::WakeTimer;
 use apricothall_fleet::write_timeout::WriteTimeout;
 use apricothall_kernel::lifecycle::WorkGuard;
@@ -53,6 +54,7 @@
 struct CallerService {
     forwarder: Forwarder,
     stated_timeouts: Arc<StatedTimeouts>,
+    lingering: Lingering,
 }
 
 /// Serves callers until the process ends.
@@ -70,6 +72,7 @@
             pool: Arc::new(ConnectionPool::default()),
         },
         stated_timeouts: Arc::default(),
+        lingering: Lingering::new(context.lifecycle.clone(), WRITE_TIMEOUT),
     };
     context.lifecycle.spawn(accept(listener, service));
     Ok(())
@@ -107,32 +110,43 @@
     let context = service.forwarder.context.clone();
     let in_force = context.published.in_force();
     let limits = in_force.map_or_else(CallerLimits::default, |f| f.configuration.limits);
+    let lingering = service.lingering.clone();
+    let delivery = Arc::new(OnceLock::new());
+    let held = delivery.clone();
     let handler = service_fn(move |request| {
         let service = service.clone();
+        let lifecycle = &service.forwarder.context.lifecycle;
+        held.get_or_init(|| lifecycle.begin_delivery());
         async move { Ok::<_, Infallible>(handle_request(&service, request).await) }
     });
     let io = TokioIo::new(WriteTimeout::new(stream, WRITE_TIMEOUT));
-    let serving = http1::Builder::new()
+    let mut serving = http1::Builder::new()
         .timer(WakeTimer)
         .header_read_timeout(limits.idle + IDLE_MARGIN)
         .max_buf_size(limits.head.max(MIN_HEAD_BUFFER))
         .serve_connection(io, handler);
-    let mut serving = std::pin::pin!(serving);
     let leaving = async {
         context.lifecycle.drain_started().await;
         tokio::time::sleep(DRAIN_CLOSE_DELAY).await;
     };
     let ended = tokio::select! {
-        ended = serving.as_mut() => ended,
+        ended = &mut serving => ended,
         () = leaving => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+            Pin::new(&mut serving).graceful_shutdown();
+            (&mut serving).await
         }
     };
-    if let Err(error) = ended {
-        metrics::counter!("apricothall_caller_connections_broken_total").increment(1);
-        tracing::debug!(%error, "connection of a caller ended");
+    match ended {
+        Ok(()) => {
+            let stream = serving.into_parts().io.into_inner();
+            lingering.close(stream.into_inner()).await;
+        }
+        Err(error) => {
+            metrics::counter!("apricothall_caller_connections_broken_total").increment(1);
+            tracing::debug!(%error, "connection of a caller ended");
+        }
     }
+    drop(delivery);
 }
 
 async fn handle_request(service: &CallerService, request: Request<Incoming>) -> Response<Body> {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -69,6 +69,7 @@
     if context.lifecycle.drained().await == Step::Abort {
         tracing::error!(
             left = context.lifecycle.in_progress(),
+            undelivered = context.lifecycle.deliveries(),
             "drain limit reached; aborting requests in progress"
         );
     }
--- a/crates/kernel/src/lifecycle.rs
+++ b/crates/kernel/src/lifecycle.rs
@@ -27,6 +27,7 @@
     stopping: CancellationToken,
     tasks: TaskTracker,
     work: WorkCounter,
+    deliveries: WorkCounter,
     transfers: WorkCounter,
 }
 
@@ -78,6 +79,7 @@
             stopping: CancellationToken::default(),
             tasks: TaskTracker::default(),
             work: WorkCounter::default(),
+            deliveries: WorkCounter::default(),
             transfers: WorkCounter::default(),
         }
     }
@@ -110,6 +112,7 @@
         loop {
             let work = drain::Work {
                 running: count(self.work.count()),
+                deliveries: count(self.deliveries.count()),
                 transfers: count(self.transfers.count()),
             };
             let step = self.drain().step(work, self.clock.now());
@@ -181,6 +184,19 @@
         self.transfers.begin()
     }
 
+    /// Counts a connection whose peer may not have received its last answer, until the guard is
+    /// dropped. A leaving daemon waits for it as for a request.
+    #[must_use]
+    pub fn begin_delivery(&self) -> WorkGuard {
+        self.deliveries.begin()
+    }
+
+    /// Number of connections whose peer may not have received its last answer.
+    #[must_use]
+    pub fn deliveries(&self) -> usize {
+        self.deliveries.count()
+    }
+
     /// Number of requests in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
--- a/crates/kernel/src/run.rs
+++ b/crates/kernel/src/run.rs
@@ -74,7 +74,12 @@
 async fn finish(context: Context) {
     if context.lifecycle.drained().await == Step::Abort {
         let left = context.lifecycle.in_progress();
-        tracing::error!(left, "drain.limit reached; aborting work in progress");
+        let undelivered = context.lifecycle.deliveries();
+        tracing::error!(
+            left,
+            undelivered,
+            "drain.limit reached; aborting work in progress"
+        );
         metrics::counter!("apricothall_drain_aborted_total").increment(1);
     }
     tracing::info!("stopped");
