--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,6 +13,7 @@
 
 use crate::Context;
 use crate::answers::{Body, RequestOutcome, error_response, retry_later_response};
+use crate::departures::DepartureWatch;
 use crate::exchange::{Answer, AttemptError, begin_limit, exchange, log_withdrawal};
 use crate::fleet::{Placed, Placement, ServerRef};
 use crate::forwarder::{Forwarder, count_attempt};
@@ -55,6 +56,14 @@
 impl Forwarder {
     /// Forwards `call` and returns the response.
     pub async fn forward(&self, call: Call) -> Response<Body> {
+        let mut watch = DepartureWatch::new(&self.context, &call);
+        let response = self.run_attempts(&call, &mut watch).await;
+        watch.answered();
+        response
+    }
+
+    /// Makes attempts until one returns a response or none is left.
+    async fn run_attempts(&self, call: &Call, watch: &mut DepartureWatch<'_>) -> Response<Body> {
         self.context.fleet.note_request(&call.service, call.arrival);
         let mut progress = CallProgress {
             history: History {
@@ -68,24 +77,25 @@
         loop {
             let now = self.context.clock.now();
             if now >= call.deadline {
-                return fail_call(&self.context, &call, progress, now, "the time is over");
+                return fail_call(&self.context, call, progress, now, "the time is over");
             }
             if let Some(verdict) = self
                 .context
                 .quarantine
                 .verdict(&call.fingerprint, &call.parts)
             {
-                return refuse_condemned(&self.context, &call, &progress, &verdict, now);
+                return refuse_condemned(&self.context, call, &progress, &verdict, now);
             }
-            let placed = match self.place(&call, &progress.tried, now) {
+            let placed = match self.place(call, &progress.tried, now) {
                 Placement::Selected(placed) => placed,
-                other => return refuse_placement(&self.context, &call, progress, other, now),
+                other => return refuse_placement(&self.context, call, progress, other, now),
             };
             progress.tried.push(placed.server.id.clone());
+            watch.attempt_started(&placed.server.id, now);
             let address = placed.server.address;
             let _anti_affinity =
                 AntiAffinityGuard::begin(&self.context, address, &call.fingerprint);
-            let (end, error) = match self.attempt(&call, &placed, &mut progress).await {
+            let (end, error) = match self.attempt(call, &placed, &mut progress).await {
                 Ok(response) => return response,
                 Err(failed) => failed,
             };
@@ -104,7 +114,7 @@
                     {
                         return fail_call(
                             &self.context,
-                            &call,
+                            call,
                             progress,
                             now,
                             "the budget of repeats is used up",
@@ -112,7 +122,7 @@
                     }
                 }
                 Next::NotRun | Next::Unknown => {
-                    return fail_call(&self.context, &call, progress, now, "no attempt is left");
+                    return fail_call(&self.context, call, progress, now, "no attempt is left");
                 }
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration_sync;
 pub mod connections;
 pub mod context;
+pub mod departures;
 pub mod dialect;
 pub mod directory;
 pub mod exchange;
