fix(entry): callers of streams are answered before they leave

Callers saw: no answer for 2.4 s after an engine had stood still, then they left, though the entry still had 3.6 s for the request. The engine began the request when it went on, seconds after its caller had left (GONE), and had nobody to answer.

Cause: the last attempt was awaited until the deadline of the request. Callers of streams leave earlier without an event: after 2 s, four objectives or eight longest pauses, whichever is longest. An engine that stands still begins what it had queued before it looks at its connections, so no end of a connection takes a request back; that its caller leaves can be prevented.

Change: decide/patience.rs tells when such a caller leaves, and the answer to a stream without an event is due 150 ms before that; the caller gets its 502 and can come again while it has time.

The tests of the platform crate passed.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod outage;
 pub mod outlier;
 pub mod path_delay;
+pub mod patience;
 pub mod pieces;
 pub mod placement;
 pub mod prompt_parts;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -76,7 +76,7 @@
         };
         loop {
             let now = self.context.clock.now();
-            if now >= call.deadline {
+            if now >= call.first_due() {
                 return fail_call(&self.context, call, progress, now, "the time is over");
             }
             if let Some(verdict) = self
@@ -154,6 +154,7 @@
         } else {
             MIN_FIRST_EVENT_WAIT + placed.predicted * 2
         };
+        let max_wait = max_wait.min(call.first_due().since(self.context.clock.now()));
         count_attempt(progress.history.sent > 0);
         let sent = exchange(
             &self.context,
@@ -238,7 +239,7 @@
         let (status, headers) = (answer.status, answer.headers.clone());
         let mut stream = ServerStream::new(answer, placed, &self.context.body_budget);
         let now = self.context.clock.now();
-        let wait = max_wait.min(call.deadline.since(now));
+        let wait = max_wait.min(call.first_due().since(now));
         let begin_wait =
             begin_limit(&self.context, call, placed, now).map_or(Duration::MAX, |by| by.since(now));
         let first = stream.next(wait.min(begin_wait)).await;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use apricothall_decide::patience::answer_due;
 use apricothall_decide::routes::{Account, CallKind, Caller, Route, is_highest_priority};
 use apricothall_types::{Digest, PromptPart, Timestamp};
 use bytes::Bytes;
@@ -115,6 +116,17 @@
     pub fn is_stream(&self) -> bool {
         self.route.kind == CallKind::Stream
     }
+
+    /// When the response must begin. The caller of a stream leaves earlier than its deadline if no
+    /// event arrives.
+    #[must_use]
+    pub fn first_due(&self) -> Timestamp {
+        if !self.is_stream() {
+            return self.deadline;
+        }
+        let due = answer_due(self.arrival, self.route.target, self.route.gap);
+        self.deadline.min(due)
+    }
 }
 
 /// Maximum number of parts in a log line.
