--- a/crates/types/src/numbers.rs
+++ b/crates/types/src/numbers.rs
@@ -43,6 +43,11 @@
     /// Revision of a value that the platform publishes. Grows with each change.
     Revision(u64)
 );
+counter!(
+    /// Era of the platform's store. Grows with each restoration from an older copy; zero if the
+    /// platform states none.
+    Era(u64)
+);
 counter!(
     /// Identifies a start of a daemon. Larger for each later start on the same VM.
     Incarnation(u64)
