fix(store): lists and versions of a store that came back older are followed

Servers that drained after the drill kept getting requests, new ones none.

Cause: the order by revision of `KnownServers::replace`, `adopt`, `apply_changes`, `Published::adopt` and of what peers announce takes what the new era gives out for old news; answers renewed the lease on the older version all the while. Nothing read `Store-Era`.

Change: each answer is of an era (header, `decide::store_era`); a watch of an earlier era ends and the items are listed. Servers go by (era, revision), the configuration by (version, era, revision), between daemons too. From the first list of an era on servers that it lacks are kept for three heartbeats, those that had left or drain stay so for six, and then readers list again (`decide::servers::hold`). The lease is not renewed while the store lacks the version in force.

--- a/crates/decide/src/lease.rs
+++ b/crates/decide/src/lease.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use apricothall_types::{Revision, Timestamp};
+use apricothall_types::{ConfigurationRevision, Era, Timestamp};
 
 /// When the revision in force was last known to be the newest.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -16,9 +16,23 @@
 
 impl Lease {
     /// Records that a read sent at `sent` returned `seen` as the newest revision, while `held` is
-    /// in force at this process. A revision newer than `held` does not renew the lease.
-    pub fn confirm(&mut self, seen: Revision, held: Revision, sent: Timestamp) {
-        if seen > held {
+    /// in force at this process. A revision newer than `held` does not renew the lease, nor does one
+    /// of a later era: a store that does not have `held` may also lack a newer one.
+    pub fn confirm(
+        &mut self,
+        seen: ConfigurationRevision,
+        held: ConfigurationRevision,
+        sent: Timestamp,
+    ) {
+        if seen <= held {
+            self.confirm_era(seen.written.era, held, sent);
+        }
+    }
+
+    /// Records that a read sent at `sent` in the era `era` returned nothing newer than `held`, which
+    /// is in force at this process.
+    pub fn confirm_era(&mut self, era: Era, held: ConfigurationRevision, sent: Timestamp) {
+        if era > held.written.era {
             return;
         }
         self.confirmed = self.confirmed.max(Some(sent));
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod servers;
 pub mod signals;
 pub mod staging;
+pub mod store_era;
 pub mod store_reachability;
 pub mod timing;
 pub mod transfer;
--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -3,6 +3,11 @@
 //! During an outage of the platform's store, the entries of live servers expire. The servers write
 //! them again once the store is back, so a server that is missing shortly after an outage is kept
 //! until [`OutageConfig::restore`] has passed. [`Outages`] detects the outages.
+//!
+//! A store that comes back from an older copy is trusted again once live servers have had the time
+//! to write their entries again ([`Servers::begin_era`]).
+
+mod hold;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,6 +18,7 @@
 use smol_str::SmolStr;
 
 use crate::outage::{AnsweredAge, OutageConfig, Outages};
+use hold::Hold;
 
 /// Whether a server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,10 +73,26 @@
 pub struct Listing {
     /// The servers.
     pub servers: Vec<Listed>,
+    /// Servers whose entries the store removed after it had come back from an older copy.
+    pub departed: Vec<MemberId>,
     /// Periods in which the store answered any daemon.
     pub answered: Vec<AnsweredAge>,
 }
 
+impl From<Vec<Server>> for Listing {
+    /// Servers whose entries are all present.
+    fn from(servers: Vec<Server>) -> Self {
+        let listed = servers.into_iter().map(|server| Listed {
+            server,
+            missing: false,
+        });
+        Self {
+            servers: listed.collect(),
+            ..Self::default()
+        }
+    }
+}
+
 impl Listing {
     /// Servers whose entries have expired and may still be written again.
     #[must_use]
@@ -92,6 +114,13 @@
         /// Time left of the restore period, which begins when the store is back.
         left: Duration,
     },
+    /// None; the server had been removed before, and is in a list of an older copy.
+    Withheld,
+}
+
+/// Whether a known server is at least as recent as its entry in an older copy.
+fn is_as_recent(known: &Server, listed: &Server) -> bool {
+    known.state == listed.state || known.state == ServerState::Draining
 }
 
 #[derive(Clone, Debug)]
@@ -107,6 +136,7 @@
     /// Latest start time at each address. The entry of a crashed server remains until it expires,
     /// in addition to that of the server that now has its address.
     latest: BTreeMap<SocketAddr, WallTime>,
+    hold: Hold,
     /// Outages of the store.
     pub outages: Outages,
 }
@@ -116,6 +146,7 @@
     #[must_use]
     pub fn new(config: OutageConfig) -> Self {
         Self {
+            hold: Hold::new(&config),
             outages: Outages::new(config),
             ..Self::default()
         }
@@ -129,6 +160,7 @@
 
     fn insert(&mut self, server: Server, missing: bool) {
         let id = server.id.clone();
+        self.hold.record_entry(&id);
         self.known.insert(id, Known { server, missing });
     }
 
@@ -143,19 +175,39 @@
 
     /// Handles the removal of an entry from the store.
     pub fn remove(&mut self, id: &MemberId, now: Timestamp) -> Removal {
-        let restoring = self.outages.is_restoring(now);
-        let left = self.outages.restore_time_left(now);
-        let Some(known) = self.known.get_mut(id) else {
-            return Removal::Unchanged;
-        };
-        if restoring && std::mem::replace(&mut known.missing, true) {
+        if self.outages.is_restoring(now) {
+            return self.keep_missing(id, self.outages.restore_time_left(now));
+        }
+        if !self.known.contains_key(id) {
             return Removal::Unchanged;
         }
-        if restoring {
-            return Removal::Held { left };
+        self.depart(id, now);
+        Removal::Final
+    }
+
+    /// Handles the absence of an entry from a list.
+    fn remove_absent(&mut self, id: &MemberId, now: Timestamp) -> Removal {
+        let left = self.hold.time_left(now);
+        if left.is_zero() {
+            return self.remove(id, now);
+        }
+        self.keep_missing(id, left.max(self.outages.restore_time_left(now)))
+    }
+
+    /// Keeps a server whose entry may be written again within `left`.
+    fn keep_missing(&mut self, id: &MemberId, left: Duration) -> Removal {
+        match self.known.get_mut(id) {
+            Some(known) if !known.missing => {
+                known.missing = true;
+                Removal::Held { left }
+            }
+            _ => Removal::Unchanged,
         }
+    }
+
+    fn depart(&mut self, id: &MemberId, now: Timestamp) {
         self.forget(id);
-        Removal::Final
+        self.hold.record_departure(id.clone(), now);
     }
 
     /// Removes a server at once, for an entry whose current value no longer describes a server.
@@ -165,26 +217,66 @@
         }
     }
 
-    /// Replaces the list of servers and returns the effect on each server that is not in `list`.
+    /// Replaces the list of servers and returns the effect on each server that is not in `list`, or
+    /// is in it but has been removed before.
     pub fn replace(&mut self, list: Vec<Server>, now: Timestamp) -> Vec<(MemberId, Removal)> {
-        let absent: Vec<_> = self
-            .known
-            .keys()
-            .filter(|id| !list.iter().any(|s| s.id == **id))
-            .cloned()
-            .collect();
         let mut removed = Vec::new();
-        for id in absent {
-            let removal = self.remove(&id, now);
+        for id in self.absent(|id| list.iter().any(|s| s.id == *id)) {
+            let removal = self.remove_absent(&id, now);
             removed.push((id, removal));
         }
         for server in list {
-            self.insert(server, false);
+            if self.hold.withholds(&server.id, now) {
+                removed.push((server.id, Removal::Withheld));
+            } else {
+                self.insert_listed(server, false, now);
+            }
         }
         self.rebuild_address_index();
         removed
     }
 
+    /// Ids of known servers that are not `listed`.
+    fn absent(&self, listed: impl Fn(&MemberId) -> bool) -> Vec<MemberId> {
+        let absent = self.known.keys().filter(|id| !listed(id));
+        absent.cloned().collect()
+    }
+
+    /// Inserts a server from a list, which may come from an older copy: a draining server does not
+    /// become ready again.
+    fn insert_listed(&mut self, mut server: Server, missing: bool, now: Timestamp) {
+        let before = self.get(&server.id).map(|s| s.state);
+        if self.hold.is_active(now) && before == Some(ServerState::Draining) {
+            server.state = ServerState::Draining;
+        }
+        self.insert(server, missing);
+    }
+
+    /// Applies the first list after the store came back from an older copy. Known servers stay as
+    /// they are, but for those that the list has draining; those absent from the list are kept
+    /// until live servers have had the time to write their entries again, and those that were
+    /// removed are not added again. Returns the effect on the latter two.
+    pub fn begin_era(&mut self, listing: Listing, now: Timestamp) -> Vec<(MemberId, Removal)> {
+        self.hold.begin(now);
+        let listed = &listing.servers;
+        let mut effects = Vec::new();
+        for id in self.absent(|id| listed.iter().any(|l| l.server.id == *id)) {
+            let removal = self.drop_unlisted(&id, &listing.departed, now);
+            effects.push((id, removal));
+        }
+        for Listed { server, missing } in listing.servers {
+            if self.hold.withholds(&server.id, now) {
+                effects.push((server.id, Removal::Withheld));
+            } else {
+                let known = self.get(&server.id).filter(|s| is_as_recent(s, &server));
+                let latest = known.cloned().unwrap_or(server);
+                self.insert(latest, missing);
+            }
+        }
+        self.rebuild_address_index();
+        effects
+    }
+
     /// All known servers, for a daemon that does not read the store.
     #[must_use]
     pub fn listing(&self, now: Timestamp) -> Listing {
@@ -194,6 +286,7 @@
         });
         Listing {
             servers: listed.collect(),
+            departed: self.hold.departed(now),
             answered: self.outages.answer_ages(now),
         }
     }
@@ -204,24 +297,41 @@
     pub fn adopt(&mut self, listing: Listing, asked: Timestamp, now: Timestamp) {
         self.outages
             .merge_peer_answers(&listing.answered, asked, now);
-        let before = std::mem::take(&mut self.known);
+        let was_empty = self.known.is_empty();
+        let listed = &listing.servers;
+        for id in self.absent(|id| listed.iter().any(|l| l.server.id == *id)) {
+            self.drop_unlisted(&id, &listing.departed, now);
+        }
         for Listed { server, missing } in listing.servers {
-            if !missing || before.is_empty() || before.contains_key(&server.id) {
-                self.insert(server, missing);
+            let is_known = was_empty || self.known.contains_key(&server.id);
+            let is_gone = missing && !is_known;
+            if !is_gone && !self.hold.withholds(&server.id, now) {
+                self.insert_listed(server, missing, now);
             }
         }
         self.rebuild_address_index();
     }
 
+    /// Drops a server that a peer does not list. If the store has come back from an older copy, the
+    /// peer may never have known the server, so that only a departure since then counts.
+    fn drop_unlisted(&mut self, id: &MemberId, departed: &[MemberId], now: Timestamp) -> Removal {
+        let left = self.hold.time_left(now);
+        if !left.is_zero() && !departed.contains(id) {
+            return self.keep_missing(id, left);
+        }
+        self.depart(id, now);
+        Removal::Final
+    }
+
     /// After the restore period, removes the servers that are still missing and returns their ids.
     pub fn expire(&mut self, now: Timestamp) -> Vec<MemberId> {
-        if self.outages.is_restoring(now) {
+        if self.is_restoring(now) {
             return Vec::new();
         }
         let missing = self.known.iter().filter(|(_, k)| k.missing);
         let gone: Vec<_> = missing.map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.forget(id);
+            self.depart(id, now);
         }
         gone
     }
@@ -254,9 +364,17 @@
         self.latest.get(&server.address) == Some(&server.born)
     }
 
-    /// Whether an outage ended so recently that entries of live servers may still be missing.
+    /// Whether an outage ended, or the store came back from an older copy, so recently that entries
+    /// of live servers may still be missing.
     #[must_use]
     pub fn is_restoring(&self, now: Timestamp) -> bool {
-        self.outages.is_restoring(now)
+        self.outages.is_restoring(now) || !self.hold.time_left(now).is_zero()
+    }
+
+    /// Whether the store came back from an older copy so recently that it may still have entries of
+    /// servers that had left.
+    #[must_use]
+    pub fn holds_against_copy(&self, now: Timestamp) -> bool {
+        self.hold.is_active(now)
     }
 }
--- a/crates/gateway/src/configuration_sync.rs
+++ b/crates/gateway/src/configuration_sync.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use apricothall_decide::transfer_timeout::TransferTimeout;
-use apricothall_types::{Digest, Revision, Timestamp};
+use apricothall_types::{ConfigurationRevision, Digest, Timestamp};
 use apricothall_wire::{Connector, Incoming, Payload, TrafficClass, WireError};
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
@@ -30,7 +30,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct ConfigurationRequest {
     /// Revision of the configuration held by the sender.
-    held: Revision,
+    held: ConfigurationRevision,
     /// Digest of its text, if the answer may be a patch of it.
     base: Option<Digest>,
 }
@@ -38,7 +38,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct ConfigurationResponse {
     /// Revision of the configuration.
-    revision: Revision,
+    revision: ConfigurationRevision,
     /// Age of its last confirmation, in ms.
     confirmed: Option<u64>,
     /// The configuration, if it is newer than the one held by the receiver.
@@ -160,7 +160,7 @@
         let item = Item {
             key: copy.key,
             value: text.as_bytes().to_vec().into(),
-            revision: response.revision,
+            revision: response.revision.written,
         };
         let calls = &context.dialect.store;
         context
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -9,7 +9,7 @@
 use apricothall_decide::servers::Server;
 pub use apricothall_decide::store_reachability::Subject;
 use apricothall_decide::transfer::ChunkSet;
-use apricothall_types::{MemberId, PartId, Revision, TokenCount};
+use apricothall_types::{Era, MemberId, PartId, StoreRevision, TokenCount};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName};
 use smol_str::SmolStr;
@@ -68,6 +68,8 @@
     pub version: HeaderName,
     /// API key of the client account.
     pub key: HeaderName,
+    /// Era of the store, set on its answers.
+    pub era: HeaderName,
 }
 
 /// An item of the store.
@@ -78,7 +80,7 @@
     /// Its raw value.
     pub value: Bytes,
     /// Revision of its last change.
-    pub revision: Revision,
+    pub revision: StoreRevision,
 }
 
 /// A page of a list.
@@ -89,7 +91,7 @@
     /// Whether there are more pages.
     pub more: bool,
     /// Revision of the store at the time of the read.
-    pub revision: Revision,
+    pub revision: StoreRevision,
 }
 
 /// A change in the store.
@@ -102,14 +104,14 @@
         /// Key of the item.
         key: SmolStr,
         /// Revision of the removal.
-        revision: Revision,
+        revision: StoreRevision,
     },
 }
 
 impl Change {
     /// Revision of the change.
     #[must_use]
-    pub const fn revision(&self) -> Revision {
+    pub const fn revision(&self) -> StoreRevision {
         match self {
             Self::Written(item) => item.revision,
             Self::Removed { revision, .. } => *revision,
@@ -123,7 +125,7 @@
     /// The changes in order.
     pub changes: Vec<Change>,
     /// Revision from which to continue.
-    pub revision: Revision,
+    pub revision: StoreRevision,
 }
 
 /// Parsed content of a store item.
@@ -150,11 +152,11 @@
     /// Path of a list request, starting after a key.
     pub list: fn(Subject, Option<&str>) -> String,
     /// Path of a long-poll request for changes after a revision.
-    pub watch: fn(Subject, Revision, Duration) -> String,
-    /// Parses a list response.
-    pub read_list: fn(&[u8]) -> Result<Page, DialectError>,
-    /// Parses a changes response.
-    pub read_changes: fn(&[u8]) -> Result<Changes, DialectError>,
+    pub watch: fn(Subject, StoreRevision, Duration) -> String,
+    /// Parses a list response of an era.
+    pub read_list: fn(Era, &[u8]) -> Result<Page, DialectError>,
+    /// Parses a changes response of an era.
+    pub read_changes: fn(Era, &[u8]) -> Result<Changes, DialectError>,
     /// Parses an item.
     pub read_item: fn(&Item) -> Result<Fact, DialectError>,
     /// Id of the server whose entry has this key.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -97,6 +97,10 @@
         GossipEffect::Unchanged => {}
         GossipEffect::Changed => log_peer(context, &gossip.hello, now),
     }
+    let sender = &gossip.hello.id;
+    context
+        .published
+        .observe_era(gossip.store_revision(), sender);
     for version in &gossip.versions {
         let since = version.age.map(|age| now - Duration::from_millis(age));
         context
--- a/crates/gateway/src/missing_updates.rs
+++ b/crates/gateway/src/missing_updates.rs
@@ -6,7 +6,7 @@
 
 use apricothall_decide::store_reachability::Subject;
 use apricothall_decide::update_source::{PeersAhead, Source, select_source};
-use apricothall_types::{Revision, Role, Timestamp};
+use apricothall_types::{ConfigurationRevision, Role, StoreRevision, Timestamp};
 use rand::seq::IndexedRandom;
 
 use crate::Context;
@@ -34,7 +34,7 @@
         self.since = newer.then_some(since);
         let reads = context.reads_store(Subject::Operators, now)
             && !context.published.is_store_lost(Subject::Operators)
-            && held > Revision::default();
+            && held > ConfigurationRevision::default();
         let watch_may_deliver = reads && now.since(since) < WATCH_GRACE;
         newer && !watch_may_deliver
     }
@@ -50,7 +50,7 @@
 #[derive(Clone, Copy)]
 struct Behind {
     /// Revision of the local server list.
-    revision: Revision,
+    revision: StoreRevision,
     since: Timestamp,
 }
 
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -8,7 +8,7 @@
 use apricothall_decide::quarantine::Record;
 use apricothall_decide::servers::Listing;
 use apricothall_decide::update_source::Source;
-use apricothall_types::{Digest, Revision, Role, Timestamp};
+use apricothall_types::{ConfigurationRevision, Digest, Role, StoreRevision, Timestamp};
 use apricothall_wire::codec::encode;
 use apricothall_wire::{Connector, ConnectorConfig, Incoming, TrafficClass, WireError};
 use futures::{SinkExt, StreamExt};
@@ -45,16 +45,16 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct PublishedRequest {
     /// Revision of the sender's server list; zero requests the list in any case.
-    servers: Revision,
+    servers: StoreRevision,
     /// Digest of the sender's records of requests that crash servers.
     quarantine: u64,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 struct PublishedResponse {
-    revision: Revision,
+    revision: ConfigurationRevision,
     confirmed: Option<u64>,
-    servers: Option<(Revision, Listing)>,
+    servers: Option<(StoreRevision, Listing)>,
     suspects: Vec<(Digest, Record)>,
     parts: Vec<PartReport>,
 }
@@ -262,7 +262,7 @@
         );
         let mut channel = opened.await?;
         let servers = if context.published.is_store_lost(Subject::Servers) {
-            Revision::default()
+            StoreRevision::default()
         } else {
             context.published.servers_revision()
         };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,10 @@
 use apricothall_decide::server_limits::LimitRecord;
 use apricothall_decide::store_reachability::{LostSubjects, Subject};
 use apricothall_decide::transfer::ChunkSet;
-use apricothall_types::{Digest, Incarnation, MemberId, Region, Revision, Role, Timestamp, Zone};
+use apricothall_types::{
+    ConfigurationRevision, Digest, Incarnation, MemberId, Region, Role, StoreRevision, Timestamp,
+    Zone,
+};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -127,13 +130,13 @@
     /// Last message that the sender received from the receiver.
     pub echo: Option<Echo>,
     /// Revision of the sender's current configuration.
-    pub revision: Revision,
+    pub revision: ConfigurationRevision,
     /// Age of its last confirmation, in ms.
     pub confirmed: Option<u64>,
     /// Revision of the sender's server list.
-    pub servers: Revision,
+    pub servers: StoreRevision,
     /// Revision of the store up to which the configuration is known to be the latest.
-    pub checked: Option<Revision>,
+    pub checked: Option<StoreRevision>,
     /// Subjects that the sender cannot read from the store.
     pub lost: LostSubjects,
     /// Periods in which the store answered any daemon.
@@ -166,9 +169,9 @@
     /// Timestamp in the last message.
     pub stamp: Timestamp,
     /// Revision of its current configuration.
-    pub revision: Revision,
+    pub revision: ConfigurationRevision,
     /// Revision of its server list.
-    pub servers: Revision,
+    pub servers: StoreRevision,
     /// Subjects that it cannot read from the store.
     pub lost: LostSubjects,
     /// Digest of its shared records of requests that crash servers; zero if there are none.
@@ -185,6 +188,14 @@
     pub timeout: Duration,
 }
 
+impl Gossip {
+    /// Latest revision of the store known to the sender.
+    #[must_use]
+    pub fn store_revision(&self) -> StoreRevision {
+        self.servers.max(self.checked.unwrap_or_default())
+    }
+}
+
 impl Peer {
     /// Whether a message from it was received within its timeout.
     #[must_use]
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -1,7 +1,8 @@
 //! This daemon's copy of the state published by operators and backend servers. It never reverts to
-//! an older revision.
+//! an older revision, not even if the store does.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use apricothall_decide::servers::{Listing, Server, Servers};
 use apricothall_decide::store_reachability::{LostSubjects, ReadFailure, StoreReachability};
 use apricothall_decide::versions::{Versions, earliest_change};
-use apricothall_types::{Digest, Revision, Timestamp};
+use apricothall_types::{ConfigurationRevision, Digest, Era, StoreRevision, Timestamp};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
@@ -23,8 +24,8 @@
 /// The current configuration.
 #[derive(Debug)]
 pub struct InForce {
-    /// Revision at which it was written.
-    pub revision: Revision,
+    /// Its version, and the revision at which it was written.
+    pub revision: ConfigurationRevision,
     /// The raw item, to be sent to peers.
     pub item: Item,
     /// Digest of its text.
@@ -51,7 +52,19 @@
     /// When the last answer of the store about the items of operators was received.
     operators_read: Option<Timestamp>,
     /// Revision of the store up to which the current configuration is known to be the latest.
-    checked: Option<Revision>,
+    checked: Option<StoreRevision>,
+    /// Latest known era of the store.
+    era: Era,
+    /// Last era stated by the store that is not a number.
+    unusable_era: Option<String>,
+}
+
+impl State {
+    /// Revision of the configuration in force; the default value if there is none.
+    fn held(&self) -> ConfigurationRevision {
+        let in_force = self.in_force.as_ref();
+        in_force.map(|f| f.revision).unwrap_or_default()
+    }
 }
 
 /// Published state with its revisions.
@@ -62,6 +75,11 @@
     pub copies: ConfigurationCopies,
 }
 
+/// The value of a gauge.
+fn saturating_gauge(value: u64) -> f64 {
+    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
+}
+
 /// Source of an update, for logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reader {
@@ -109,11 +127,8 @@
 
     /// Revision of the current configuration; the default value if there is none.
     #[must_use]
-    pub fn revision(&self) -> Revision {
-        self.state()
-            .in_force
-            .as_ref()
-            .map_or(Revision::default(), |f| f.revision)
+    pub fn revision(&self) -> ConfigurationRevision {
+        self.state().held()
     }
 
     /// Size of the current configuration in bytes; zero if there is none.
@@ -138,9 +153,41 @@
     }
 
     /// Records that the latest configuration had revision `seen` at `sent` or later.
-    pub fn confirm(&self, seen: Revision, sent: Timestamp) {
-        let held = self.revision();
-        self.state().lease.confirm(seen, held, sent);
+    pub fn confirm(&self, seen: ConfigurationRevision, sent: Timestamp) {
+        let mut state = self.state();
+        let held = state.held();
+        state.lease.confirm(seen, held, sent);
+    }
+
+    /// Latest known era of the store.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        self.state().era
+    }
+
+    /// Records that the store has reached `revision`, as stated by `from`.
+    pub fn observe_era(&self, revision: StoreRevision, from: &impl fmt::Display) {
+        let mut state = self.state();
+        let before = state.era;
+        if revision.era <= before {
+            return;
+        }
+        state.era = revision.era;
+        let (servers, held) = (state.servers.revision, state.held());
+        drop(state);
+        metrics::gauge!("apricothall_store_era").set(saturating_gauge(revision.era.0));
+        tracing::info!(%before, era = %revision.era, %revision, %from, %servers, configuration = %held, "new era of the store");
+    }
+
+    /// Records an era stated by the store that is not a number. Returns whether it is another one
+    /// than the last.
+    pub fn record_unusable_era(&self, stated: &str) -> bool {
+        let unusable = &mut self.state().unusable_era;
+        if unusable.as_deref() == Some(stated) {
+            return false;
+        }
+        *unusable = Some(stated.to_owned());
+        true
     }
 
     /// The versions of `model`.
@@ -206,31 +253,32 @@
     }
 
     fn adopt(&self, item: &Item, configuration: Configuration, reader: Reader) {
+        let revision = ConfigurationRevision {
+            version: configuration.version,
+            written: item.revision,
+        };
         let mut state = self.state();
-        let before = state
-            .in_force
-            .as_ref()
-            .map_or(Revision::default(), |f| f.revision);
-        if item.revision <= before {
+        let before = state.held();
+        if revision <= before {
+            if revision.written > before.written {
+                tracing::warn!(%revision, held = %before, ?reader, "configuration kept, as the published one has a lower version");
+            }
             return;
         }
         for name in &configuration.unusable {
             tracing::warn!(item = %name, "cannot parse item of the configuration; ignoring it");
         }
-        if state
-            .checked
-            .is_some_and(|checked| item.revision <= checked)
-        {
-            tracing::error!(revision = %item.revision, checked = ?state.checked, ?reader, "an answer of the store left out a configuration");
+        let is_checked = |checked| item.revision <= checked && item.revision.era == checked.era;
+        if state.checked.is_some_and(is_checked) {
+            tracing::error!(%revision, checked = ?state.checked, ?reader, "an answer of the store left out a configuration");
             metrics::counter!("apricothall_store_omissions_total").increment(1);
         }
-        tracing::info!(version = configuration.version, revision = %item.revision, %before, ?reader, "configuration in force");
-        metrics::gauge!("apricothall_configuration_version").set(f64::from(
-            u32::try_from(configuration.version).unwrap_or(u32::MAX),
-        ));
+        tracing::info!(version = configuration.version, %revision, %before, ?reader, "configuration in force");
+        metrics::gauge!("apricothall_configuration_version")
+            .set(saturating_gauge(configuration.version));
         state.checked = state.checked.max(Some(item.revision));
         let in_force = Arc::new(InForce {
-            revision: item.revision,
+            revision,
             item: item.clone(),
             digest: Digest::of(&item.value),
             configuration,
@@ -277,13 +325,13 @@
 
     /// Revision of the store up to which the current configuration is known to be the latest.
     #[must_use]
-    pub fn checked_revision(&self) -> Option<Revision> {
+    pub fn checked_revision(&self) -> Option<StoreRevision> {
         self.state().checked
     }
 
     /// Records that a daemon with the configuration `held` knows it to be the latest up to
     /// `checked`.
-    pub fn merge_checked(&self, held: Revision, checked: Option<Revision>) {
+    pub fn merge_checked(&self, held: ConfigurationRevision, checked: Option<StoreRevision>) {
         let mut state = self.state();
         let same = state.in_force.as_ref().is_some_and(|f| f.revision == held);
         if same {
@@ -309,7 +357,7 @@
 
     /// Revision of the server list.
     #[must_use]
-    pub fn servers_revision(&self) -> Revision {
+    pub fn servers_revision(&self) -> StoreRevision {
         self.state().servers.revision
     }
 
@@ -320,7 +368,7 @@
     }
 
     /// Replaces the list of servers with the complete list as of `revision`.
-    pub fn replace_servers(&self, list: Vec<Server>, revision: Revision, now: Timestamp) {
+    pub fn replace_servers(&self, list: Vec<Server>, revision: StoreRevision, now: Timestamp) {
         self.state().servers.replace(list, revision, now);
         self.notify();
     }
@@ -330,7 +378,7 @@
     pub fn adopt_servers(
         &self,
         listing: Listing,
-        revision: Revision,
+        revision: StoreRevision,
         asked: Timestamp,
         now: Timestamp,
     ) {
@@ -355,7 +403,7 @@
         &self,
         calls: &StoreCalls,
         items: &[Item],
-        revision: Revision,
+        revision: StoreRevision,
         sent: Timestamp,
         now: Timestamp,
     ) {
@@ -372,12 +420,17 @@
 
     /// Records that all items of operators up to `revision` have been applied, from an answer that
     /// was requested at `sent`.
-    fn record_checked(&self, revision: Revision, sent: Timestamp) {
+    fn record_checked(&self, revision: StoreRevision, sent: Timestamp) {
         let mut state = self.state();
         state.checked = state.checked.max(Some(revision));
-        drop(state);
-        // The answer includes the last write, so the configuration held now was the latest at `sent`.
-        self.confirm(self.revision(), sent);
+        // The answer includes the last write, so the configuration held now was the latest at `sent`
+        // if the store has it.
+        let held = state.in_force.as_ref().map(|f| f.revision);
+        let held = held.unwrap_or(ConfigurationRevision {
+            version: 0,
+            written: revision,
+        });
+        state.lease.confirm_era(revision.era, held, sent);
     }
 
     /// Applies changes of one subject, in an answer that was requested at `asked`.
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -5,7 +5,7 @@
 
 use apricothall_decide::outage::{AnsweredAge, OutageConfig, Outages};
 use apricothall_decide::servers::{Listing, Removal, Server, Servers};
-use apricothall_types::{MemberId, Revision, Timestamp};
+use apricothall_types::{MemberId, StoreRevision, Timestamp};
 use smol_str::SmolStr;
 
 use crate::dialect::{Change, Changes, Fact, Item, StoreCalls};
@@ -18,7 +18,7 @@
     /// Source of the latest update.
     pub from: Reader,
     /// Revision of the server list.
-    pub revision: Revision,
+    pub revision: StoreRevision,
     /// Time since the latest update.
     pub age: Duration,
 }
@@ -40,7 +40,7 @@
     /// The servers.
     pub servers: Servers,
     /// Revision of the server list.
-    pub revision: Revision,
+    pub revision: StoreRevision,
     /// Source and time of the latest update.
     last_update: Option<(Reader, Timestamp)>,
 }
@@ -97,13 +97,18 @@
 
     /// Replaces the list with the complete list as of `revision`, unless peers provided a newer
     /// one.
-    pub fn replace(&mut self, list: Vec<Server>, revision: Revision, now: Timestamp) {
+    pub fn replace(&mut self, list: Vec<Server>, revision: StoreRevision, now: Timestamp) {
         if revision < self.revision {
             tracing::info!(%revision, known = %self.revision, "ignoring a list of servers that is older than the known one");
             return;
         }
         let count = list.len();
-        for (id, removal) in self.servers.replace(list, now) {
+        let effects = if self.begins_era(revision) {
+            self.servers.begin_era(Listing::from(list), now)
+        } else {
+            self.servers.replace(list, now)
+        };
+        for (id, removal) in effects {
             log_removal(&id, removal, "absent from a list", revision);
         }
         self.revision = revision;
@@ -111,12 +116,17 @@
         tracing::debug!(count, %revision, "servers listed");
     }
 
+    /// Whether a list as of `revision` is the first one since the store came back from an older copy.
+    fn begins_era(&self, revision: StoreRevision) -> bool {
+        self.last_update.is_some() && revision.era > self.revision.era
+    }
+
     /// Replaces the list with one requested from a peer at `asked`, unless the current list is
     /// newer. Returns whether the revision changed.
     pub fn adopt(
         &mut self,
         listing: Listing,
-        revision: Revision,
+        revision: StoreRevision,
         asked: Timestamp,
         now: Timestamp,
     ) -> bool {
@@ -126,7 +136,13 @@
         let before = self.servers.ids();
         let missing = listing.missing();
         self.merge_peer_answers(&listing.answered, asked, now);
-        self.servers.adopt(listing, asked, now);
+        if self.begins_era(revision) {
+            for (id, removal) in self.servers.begin_era(listing, now) {
+                log_removal(&id, removal, "absent from a peer's list", revision);
+            }
+        } else {
+            self.servers.adopt(listing, asked, now);
+        }
         let gone: Vec<_> = before
             .into_iter()
             .filter(|id| self.servers.get(id).is_none())
@@ -182,7 +198,13 @@
         }
     }
 
-    fn remove(&mut self, calls: &StoreCalls, key: &SmolStr, revision: Revision, now: Timestamp) {
+    fn remove(
+        &mut self,
+        calls: &StoreCalls,
+        key: &SmolStr,
+        revision: StoreRevision,
+        now: Timestamp,
+    ) {
         let Some(id) = (calls.server_of)(key) else {
             return;
         };
@@ -198,7 +220,7 @@
     }
 }
 
-fn log_removal(id: &MemberId, removal: Removal, how: &'static str, revision: Revision) {
+fn log_removal(id: &MemberId, removal: Removal, how: &'static str, revision: StoreRevision) {
     match removal {
         Removal::Final => tracing::info!(server = %id, how, %revision, "server's entry removed"),
         Removal::Held { left } => {
@@ -206,6 +228,9 @@
             metrics::counter!("apricothall_servers_held_total").increment(1);
             tracing::info!(server = %id, how, %revision, left_ms, "server held, as its entry may come back");
         }
+        Removal::Withheld => {
+            tracing::info!(server = %id, %revision, "server not added again, as its entry is from an older copy of the store");
+        }
         Removal::Unchanged => {}
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -11,7 +11,7 @@
 use apricothall_decide::readers::{awaits_peers, is_confirmation_due, retry_pause, watch_wait};
 use apricothall_decide::servers::Server;
 use apricothall_decide::store_reachability::ReadFailure;
-use apricothall_types::{Revision, Role, Timestamp};
+use apricothall_types::{ConfigurationRevision, Role, StoreRevision, Timestamp};
 use rand::Rng;
 
 use crate::Context;
@@ -69,7 +69,7 @@
             await_reader_role(&watching, subject).await;
             let start = start_revision(&watching, subject).filter(|_| has_history);
             let error = follow(&watching, &client, subject, start).await;
-            has_history = !matches!(error, ReadError::Compacted);
+            has_history = !error.needs_list();
             record_failure(&watching, subject, &error);
             back_off(&watching).await;
         }
@@ -96,7 +96,7 @@
         let now = context.clock.now();
         let mut peers_have_one = false;
         context.peers.each(now, |peer| {
-            peers_have_one |= peer.revision > Revision::default();
+            peers_have_one |= peer.revision > ConfigurationRevision::default();
         });
         let has_one = context.published.in_force().is_some();
         if !awaits_peers(has_one, peers_have_one, now.since(started)) {
@@ -108,7 +108,7 @@
 
 /// Revision from which a subject may be followed without a list. The servers are always listed: a
 /// list also corrects what peers reported.
-fn start_revision(context: &Context, subject: Subject) -> Option<Revision> {
+fn start_revision(context: &Context, subject: Subject) -> Option<StoreRevision> {
     match subject {
         Subject::Operators => context.published.checked_revision(),
         Subject::Servers => None,
@@ -120,13 +120,21 @@
     context: &Context,
     client: &HttpClient,
     subject: Subject,
-    start: Option<Revision>,
+    start: Option<StoreRevision>,
 ) -> ReadError {
     let mut revision = match begin(context, client, subject, start).await {
         Ok(revision) => revision,
         Err(error) => return error,
     };
+    let mut held = holds_against_copy(context, subject);
     loop {
+        if std::mem::replace(&mut held, holds_against_copy(context, subject)) && !held {
+            // What was held against the copy is given up, so the list holds from now on.
+            revision = match list(context, client, subject).await {
+                Ok(revision) => revision,
+                Err(error) => return error,
+            };
+        }
         let role = context.reader_role(subject, context.clock.now());
         let wait = watch_wait(role, subject);
         let changes = match take_changes(context, client, subject, revision, wait).await {
@@ -147,13 +155,19 @@
     }
 }
 
+/// Whether the list of servers does not hold yet, as the store came back from an older copy.
+fn holds_against_copy(context: &Context, subject: Subject) -> bool {
+    let now = context.clock.now();
+    subject == Subject::Servers && context.published.servers(|s| s.holds_against_copy(now))
+}
+
 /// Reads the changes after revision `start`, or all items. Returns the revision to follow from.
 async fn begin(
     context: &Context,
     client: &HttpClient,
     subject: Subject,
-    start: Option<Revision>,
-) -> Result<Revision, ReadError> {
+    start: Option<StoreRevision>,
+) -> Result<StoreRevision, ReadError> {
     if subject == Subject::Servers {
         return list(context, client, subject).await;
     }
@@ -168,8 +182,8 @@
 async fn catch_up(
     context: &Context,
     client: &HttpClient,
-    revision: Revision,
-) -> Result<Revision, ReadError> {
+    revision: StoreRevision,
+) -> Result<StoreRevision, ReadError> {
     let subject = Subject::Operators;
     let changes = take_changes(context, client, subject, revision, SHORTEST_WAIT).await?;
     Ok(changes.revision)
@@ -180,7 +194,7 @@
     context: &Context,
     client: &HttpClient,
     subject: Subject,
-    revision: Revision,
+    revision: StoreRevision,
     wait: Duration,
 ) -> Result<Changes, ReadError> {
     let asked = context.clock.now();
@@ -219,7 +233,7 @@
     context: &Context,
     client: &HttpClient,
     subject: Subject,
-) -> Result<Revision, ReadError> {
+) -> Result<StoreRevision, ReadError> {
     let sent = context.clock.now();
     let mut items = Vec::new();
     let mut first = None;
@@ -232,6 +246,9 @@
         }
         // Pages do not form a snapshot, so the watch starts at the revision of the first page.
         let revision = *first.get_or_insert(page.revision);
+        if page.revision.era != revision.era {
+            return Err(ReadError::NewEra);
+        }
         items.extend(page.items);
         if !page.more {
             record_answer(context, subject);
@@ -245,7 +262,7 @@
     context: &Context,
     subject: Subject,
     items: &[Item],
-    revision: Revision,
+    revision: StoreRevision,
     sent: Timestamp,
 ) {
     let now = context.clock.now();
@@ -293,10 +310,10 @@
 async fn confirm_configuration(
     context: &Context,
     client: &HttpClient,
-) -> Result<Revision, ReadError> {
+) -> Result<StoreRevision, ReadError> {
     if let Some(revision) = context.published.checked_revision() {
         let checked = catch_up(context, client, revision).await;
-        if !matches!(checked, Err(ReadError::Compacted)) {
+        if !checked.as_ref().is_err_and(ReadError::needs_list) {
             return checked;
         }
     }
@@ -370,10 +387,11 @@
         tracing::info!(?subject, %error, "read of the store failed; other daemons read it");
         return;
     }
-    if matches!(error, ReadError::Compacted) {
+    if error.needs_list() {
         tracing::info!(
             ?subject,
-            "the store has compacted its history; listing again"
+            %error,
+            "the store has no changes after the revision; listing again"
         );
         return;
     }
@@ -388,7 +406,9 @@
         ReadError::Call(_)
         | ReadError::NotReader
         | ReadError::Malformed(_)
-        | ReadError::Compacted => ReadFailure::Unreachable,
+        | ReadError::Compacted
+        | ReadError::NewEra
+        | ReadError::EndedEra(_) => ReadFailure::Unreachable,
     }
 }
 
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -5,8 +5,9 @@
 use apricothall_clients::PlatformError;
 use apricothall_clients::http_client::{Answer, HttpClient, get};
 use apricothall_decide::call_repeats::Patience;
-use apricothall_types::Revision;
-use http::StatusCode;
+use apricothall_decide::store_era::{EraError, answer_era};
+use apricothall_types::{Era, StoreRevision};
+use http::{HeaderValue, StatusCode};
 use smol_str::{SmolStr, ToSmolStr};
 use thiserror::Error;
 
@@ -48,6 +49,21 @@
     /// The history after the requested revision is gone.
     #[error("revision is no longer available: history compacted")]
     Compacted,
+    /// A response is of a later era than the requested revision.
+    #[error("the store has come back from an older copy")]
+    NewEra,
+    /// A response is of an era that has ended.
+    #[error(transparent)]
+    EndedEra(EraError),
+}
+
+impl ReadError {
+    /// Whether the store does not have the changes after the requested revision, so that its items
+    /// have to be listed.
+    #[must_use]
+    pub const fn needs_list(&self) -> bool {
+        matches!(self, Self::Compacted | Self::NewEra)
+    }
 }
 
 /// A client of the store.
@@ -65,7 +81,7 @@
     context: &Context,
     client: &HttpClient,
     subject: Subject,
-    after: Revision,
+    after: StoreRevision,
     wait: Duration,
 ) -> Result<Changes, ReadError> {
     let path = context.dialect.store.watch;
@@ -86,8 +102,13 @@
         return Err(ReadError::Compacted);
     }
     let answer = answer.error_for_status()?;
-    let changes = (context.dialect.store.read_changes)(&answer.body)
+    let era = era_of(context, &answer)?;
+    let changes = (context.dialect.store.read_changes)(era, &answer.body)
         .map_err(|e| ReadError::Malformed(e.to_smolstr()))?;
+    context.published.observe_era(changes.revision, &"store");
+    if era > after.era {
+        return Err(ReadError::NewEra);
+    }
     if changes.revision < after {
         return Err(ReadError::Compacted);
     }
@@ -119,8 +140,27 @@
     };
     let answer = call(context, client, list).await?;
     let answer = answer.error_for_status()?;
-    (context.dialect.store.read_list)(&answer.body)
-        .map_err(|e| ReadError::Malformed(e.to_smolstr()))
+    let era = era_of(context, &answer)?;
+    let page = (context.dialect.store.read_list)(era, &answer.body)
+        .map_err(|e| ReadError::Malformed(e.to_smolstr()))?;
+    context.published.observe_era(page.revision, &"store");
+    Ok(page)
+}
+
+/// Era of an answer. A header that is not a number is ignored.
+fn era_of(context: &Context, answer: &Answer) -> Result<Era, ReadError> {
+    let published = &context.published;
+    let known = published.era();
+    let header = answer.headers.get(&context.dialect.headers.era);
+    answer_era(header.map(HeaderValue::as_bytes), known).or_else(|error| match &error {
+        EraError::NotNumber(stated) => {
+            if published.record_unusable_era(stated) {
+                tracing::warn!(%error, %known, "ignoring the era of an answer of the store");
+            }
+            Ok(known)
+        }
+        EraError::Ended { .. } => Err(ReadError::EndedEra(error)),
+    })
 }
 
 /// A call to the store.
