--- /dev/null
+++ b/crates/gateway/src/request/call.rs
@@ -0,0 +1,82 @@
+//! An admitted request.
+
+use std::sync::Arc;
+
+use apricothall_decide::routes::{Account, CallKind, Route};
+use apricothall_types::{Digest, PromptPart, Timestamp};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Uri};
+use smol_str::{SmolStr, ToSmolStr};
+
+use crate::model::EngineService;
+
+/// Maximum number of parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// An admitted request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Id of the caller's attempt, for logs.
+    pub id: SmolStr,
+    /// Id of the caller's attempt, as received.
+    pub attempt: HeaderValue,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers to forward.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Matched route.
+    pub route: Arc<Route>,
+    /// Service to which it is forwarded.
+    pub service: SmolStr,
+    /// Engine settings, if it is a service of engines.
+    pub engines: Option<EngineService>,
+    /// Client account.
+    pub account: Option<Arc<Account>>,
+    /// When the request arrived.
+    pub arrival: Timestamp,
+    /// When the final response is due.
+    pub deadline: Timestamp,
+    /// Whether the request is a retry after a refusal or failure.
+    pub returning: bool,
+    /// Number of prompt tokens.
+    pub prompt: f64,
+    /// Whether servers run it before all other queued requests.
+    pub urgent: bool,
+    /// Digest that is equal for all attempts of the same request.
+    pub fingerprint: Digest,
+    /// Parts of the prompt that other requests may share.
+    pub parts: Arc<[PromptPart]>,
+    /// Id of the last event that the caller received.
+    pub resume: Option<u64>,
+}
+
+impl Call {
+    /// Priority of the request; 0 is highest.
+    #[must_use]
+    pub fn priority(&self) -> u8 {
+        request_priority(&self.route, self.account.as_deref())
+    }
+
+    /// Whether the response is a stream of events that may be resumed at another server.
+    #[must_use]
+    pub fn is_stream(&self) -> bool {
+        self.route.kind == CallKind::Stream
+    }
+}
+
+/// Priority of a request; 0 is highest.
+pub(super) fn request_priority(route: &Route, account: Option<&Account>) -> u8 {
+    account.and_then(|a| a.priority).unwrap_or(route.priority)
+}
+
+/// Ids of prompt parts for a log line.
+#[must_use]
+pub fn logged_parts(parts: &[PromptPart]) -> SmolStr {
+    let shown: Vec<_> = parts.iter().take(MAX_LOGGED_PARTS).collect();
+    let ids: Vec<_> = shown.iter().map(|p| p.id.as_str()).collect();
+    ids.join(",").to_smolstr()
+}
