--- a/crates/apricotctl/src/explain.rs
+++ b/crates/apricotctl/src/explain.rs
@@ -2,6 +2,7 @@
 
 use apricothall_types::{CallerId, EntryName};
 use clap::Args;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::Value;
 use smol_str::SmolStr;
 
@@ -9,6 +10,13 @@
 use crate::operator::{Target, read};
 use crate::table::{cell, with_header};
 
+/// Characters that need no escaping in a query.
+const KEY_CHARACTERS: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 /// Arguments of `apricotctl explain`.
 #[derive(Args)]
 #[command(
@@ -36,7 +44,7 @@
     let key = arguments
         .key
         .as_ref()
-        .map(|key| format!("&key={key}"))
+        .map(|key| format!("&key={}", utf8_percent_encode(key, KEY_CHARACTERS)))
         .unwrap_or_default();
     let (name, caller) = (&arguments.entry_name, &arguments.caller);
     let path = format!("/explain?name={name}&caller={caller}{key}");
--- a/crates/apricotctl/tests/commands.rs
+++ b/crates/apricotctl/tests/commands.rs
@@ -1,6 +1,9 @@
 //! Tests the exit codes and messages of the command line.
 
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::process::{Command, Output};
+use std::thread::JoinHandle;
 
 fn run(arguments: &[&str]) -> Output {
     let program = env!("CARGO_BIN_EXE_apricotctl");
@@ -105,3 +108,38 @@
     settings_of_another_format: "nodeName = [" => "line 1";
     settings_with_text_for_a_list: "nodeName = \"a\"\ninternalPorts = \"7000\"" => "line 2";
 }
+
+/// Answers one HTTP request with `answer`. Returns the address, and the head of the request once it
+/// has been answered.
+fn serve(answer: String) -> (String, JoinHandle<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound").to_string();
+    let serving = std::thread::spawn(move || {
+        let (mut connection, _) = listener.accept().expect("connected");
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            connection.read_exact(&mut byte).expect("read");
+            head.push(byte[0]);
+        }
+        connection.write_all(answer.as_bytes()).expect("written");
+        String::from_utf8(head).expect("text")
+    });
+    (address, serving)
+}
+
+fn answer(kind: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\ncontent-type: {kind}\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+// Guards against a key whose characters end the query's value or make the request invalid.
+#[test]
+fn explain_escapes_the_key() {
+    let (address, serving) = serve(answer("application/json", "{}"));
+    let explain = ["explain", "--operator", &address, "--entry-name", "booking"];
+    let output = run(&[&explain[..], &["--key", "a b&name=x#50%"]].concat());
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let head = serving.join().expect("answered");
+    assert!(head.contains("&key=a%20b%26name%3Dx%2350%25 "), "{head}");
+}
