fix(apricotctl): an answer whose text has `event: error` is not a failure

What callers saw: `apricotctl request` printed a complete answer and ended with exit code 1 when the text contained `event: error`. Cause: the whole body was searched for these bytes. Now a line of that content counts, and only in a stream of events; the line is named once, beside the function that writes it.

--- a/crates/apricotctl/src/request.rs
+++ b/crates/apricotctl/src/request.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use apricothall_clients::sse::has_error_event;
 use apricothall_clients::{HttpClient, PlatformError};
 use apricothall_types::{CallerId, EntryName, IdempotencyKey};
 use clap::Args;
-use http::{Method, Request};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, Method, Request};
 use http_body_util::{BodyExt, Full};
 use serde_json::json;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
@@ -20,6 +22,9 @@
   apricotctl request --entry 127.0.0.1:7080 --service booking --path /cuts \\
       --key 0190a0c4-7d5e-7c3a-9b1f-2f6d1c9e4b10 --body '{\"span\":12}'";
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Arguments of `apricotctl request`.
 #[derive(Args)]
 #[command(after_help = EXAMPLES)]
@@ -87,20 +92,27 @@
                 }
             }
         }
-        Ok((parts.status, text))
+        Ok((parts, text))
     };
     let timed = tokio::time::timeout(limit, exchange).await;
-    let (status, text) = timed.unwrap_or(Err(PlatformError::Timeout)).map_err(fail)?;
+    let (head, text) = timed.unwrap_or(Err(PlatformError::Timeout)).map_err(fail)?;
     println!();
-    let text = String::from_utf8_lossy(&text);
-    if status.is_success() && !text.contains("event: error") {
+    let is_incomplete = is_event_stream(&head.headers) && has_error_event(&text);
+    if head.status.is_success() && !is_incomplete {
         return Ok(());
     }
     Err(ControlError::Refused(format_smolstr!(
-        "status {status}: {text}"
+        "status {}: {}",
+        head.status,
+        String::from_utf8_lossy(&text)
     )))
 }
 
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
+}
+
 fn build(arguments: RequestArguments) -> Result<Request<Full<bytes::Bytes>>, PlatformError> {
     let entry = arguments.entry;
     let mut builder = Request::builder()
--- a/crates/apricotctl/tests/commands.rs
+++ b/crates/apricotctl/tests/commands.rs
@@ -143,3 +143,31 @@
     let head = serving.join().expect("answered");
     assert!(head.contains("&key=a%20b%26name%3Dx%2350%25 "), "{head}");
 }
+
+/// An event of an answer whose text is `event: error`, and what ends a complete answer.
+const COMPLETE: &str =
+    "data: {\"text\":\"a line `event: error` ends a stream\"}\n\ndata: [DONE]\n\n";
+
+/// A token, and the event that ends an incomplete answer.
+const INCOMPLETE: &str =
+    "data: {\"text\":\"a\"}\n\nevent: error\ndata: {\"outcome\":\"failed\"}\n\n";
+
+macro_rules! answers {
+    ($($(#[$note:meta])* $case:ident: $target:expr, $kind:expr, $body:expr => $code:expr;)*) => {
+        $($(#[$note])* #[test] fn $case() {
+            let (address, serving) = serve(answer($kind, $body));
+            let output = run(&[&["request", "--entry", &address], &$target[..]].concat());
+            serving.join().expect("answered");
+            assert_eq!(output.status.code(), Some($code), "{output:?}");
+        })*
+    };
+}
+
+answers! {
+    /// Guards against a complete answer that is reported as failed because of its text.
+    answer_about_errors_is_complete: ["--model", "drafter"], "text/event-stream", COMPLETE => 0;
+    /// Guards against an incomplete answer that is reported as complete.
+    answer_with_an_error_event_fails: ["--model", "drafter"], "text/event-stream", INCOMPLETE => 1;
+    /// Guards against an answer of a plain service that is read as a stream of events.
+    text_with_an_error_line_is_complete: ["--service", "booking"], "text/plain", INCOMPLETE => 0;
+}
--- a/crates/clients/src/sse.rs
+++ b/crates/clients/src/sse.rs
@@ -56,14 +56,25 @@
     line.freeze()
 }
 
+/// Line that names the type of an error event.
+const ERROR_LINE: &[u8] = b"event: error";
+
 /// Serializes an error event, which ends an incomplete stream.
 #[must_use]
 pub fn error_event(data: &SmolStr) -> Bytes {
-    let mut line = BytesMut::from(&b"event: error\n"[..]);
+    let mut line = BytesMut::from(ERROR_LINE);
+    line.extend_from_slice(b"\n");
     line.extend_from_slice(&event(data.as_bytes()));
     line.freeze()
 }
 
+/// Whether a stream contains an error event, that is, whether it is incomplete.
+#[must_use]
+pub fn has_error_event(stream: &[u8]) -> bool {
+    let mut lines = stream.split(|b| *b == b'\n');
+    lines.any(|line| line.trim_ascii_end() == ERROR_LINE)
+}
+
 /// Splits a stream into events without changing their bytes.
 #[derive(Debug, Default)]
 pub struct RawEventSplitter {
