refactor(standin): the network and the experiment in one module a job

Each job has a module now, `place` is four short functions, and the factors of a pattern have names.

--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -4,21 +4,23 @@
 //! Entries choose servers with `decide::placement` and `decide::load`, as daemons do; engines are
 //! [`Emulator`]s in one zone. The network, the store and versions are not simulated.
 
+mod arrivals;
+mod dispatch;
+mod pattern;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use apricothall_decide::load::{Load, Prompt, ServerRelation};
-use apricothall_decide::outlier::Permit;
-use apricothall_decide::placement::{
-    Candidate, Choice, Distance, PlacementConfig, Requirements, choose,
-};
+use apricothall_decide::load::Load;
+use apricothall_decide::placement::PlacementConfig;
 use apricothall_decide::timing::Timing;
 use apricothall_types::Timestamp;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
 
+pub use self::pattern::Pattern;
 use crate::emulator::{Emulator, EmulatorEvent, Job};
 
 /// Interval between two load reports of an agent, in ms.
@@ -33,9 +35,6 @@
 /// Network delay between an entry and an engine, in ms.
 const NETWORK_DELAY_MS: f64 = 2.0;
 
-/// Longest predicted wait at which a retried request is still admitted.
-const MAX_RETRY_WAIT: Duration = Duration::from_millis(900);
-
 /// Longest acceptable pause between two events.
 const MAX_PAUSE: Duration = Duration::from_millis(300);
 
@@ -45,9 +44,6 @@
 /// Time before the end of the run without new requests, so that all requests can finish, in ms.
 const COOLDOWN_MS: u64 = 4_000;
 
-/// Shortest and longest time that a refused client waits before it retries, in ms.
-const RETRY_DELAY_MS: (u64, u64) = (1_200, 2_000);
-
 /// A kind of request.
 #[derive(Clone, Debug)]
 pub struct RequestKind {
@@ -63,25 +59,6 @@
     pub objective: Duration,
 }
 
-/// Variation of load and engines during a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Pattern {
-    /// Constant load, no failures.
-    Calm,
-    /// Twice the load for three seconds.
-    Burst,
-    /// Twice the load from the eighth second on.
-    Overload,
-    /// Like `Overload`, with a fifth of the engines down.
-    Shortage,
-    /// A third of the engines is three times slower for ten seconds.
-    Slow,
-    /// A third of the engines crashes and is down for six seconds.
-    Lost,
-    /// Half of the engines is available only from the eighth second on.
-    Arriving,
-}
-
 /// Parameters of a simulation run.
 #[derive(Clone, Debug)]
 pub struct Experiment {
@@ -179,7 +156,7 @@
         while next <= now_ms(now) && now + COOLDOWN_MS < experiment.length {
             simulation.add_request(now);
             let gap = -(1.0 - simulation.rng.random::<f64>()).ln() * 1_000.0;
-            next += gap / (experiment.rate * simulation.load_factor(now)).max(f64::EPSILON);
+            next += gap / (experiment.rate * experiment.pattern.load_factor(now)).max(f64::EPSILON);
         }
         while let Some(id) = simulation.next_retry(now) {
             simulation.place(id, true, now);
@@ -194,41 +171,11 @@
 }
 
 impl Simulation<'_> {
-    /// Returns a refused request whose retry is due.
-    fn next_retry(&mut self, now: u64) -> Option<usize> {
-        let Reverse((at, id)) = *self.retries.peek()?;
-        if at > now {
-            return None;
-        }
-        self.retries.pop();
-        Some(id)
-    }
-
-    fn load_factor(&self, now: u64) -> f64 {
-        let doubled = match self.experiment.pattern {
-            Pattern::Burst => (10_000..13_000).contains(&now),
-            Pattern::Overload | Pattern::Shortage => now >= 8_000,
-            Pattern::Calm | Pattern::Slow | Pattern::Lost | Pattern::Arriving => false,
-        };
-        if doubled { 2.0 } else { 1.0 }
-    }
-
-    /// Whether the pattern has engine `index` down at `now`.
-    fn is_down(&self, index: usize, now: u64) -> bool {
-        match self.experiment.pattern {
-            Pattern::Lost => index.is_multiple_of(3) && (10_000..16_000).contains(&now),
-            Pattern::Arriving => index.is_multiple_of(2) && now < 8_000,
-            Pattern::Shortage => index.is_multiple_of(5) && now >= 8_000,
-            Pattern::Calm | Pattern::Burst | Pattern::Overload | Pattern::Slow => false,
-        }
-    }
-
     fn apply_pattern(&mut self, now: u64) {
-        let slow = self.experiment.pattern == Pattern::Slow;
+        let pattern = self.experiment.pattern;
         for index in 0..self.engines.len() {
-            let affected = index.is_multiple_of(3) && (10_000..20_000).contains(&now);
-            self.engines[index].slowdown = if slow && affected { 3.0 } else { 1.0 };
-            if self.is_down(index, now) {
+            self.engines[index].slowdown = pattern.slowdown(index, now);
+            if pattern.is_down(index, now) {
                 for id in self.engines[index].crash() {
                     let request = &self.requests[id];
                     self.entries[request.entry][index].request_ended();
@@ -286,103 +233,4 @@
             }
         }
     }
-
-    fn add_request(&mut self, now: u64) {
-        let mut draw = self.rng.random::<f64>();
-        let kinds = &self.experiment.kinds;
-        let found = kinds.iter().position(|kind| {
-            draw -= kind.share;
-            draw < 0.0
-        });
-        let kind = found.unwrap_or(kinds.len() - 1);
-        // Shifted exponential distribution with a minimum of a quarter of the mean, which keeps
-        // very long requests rare.
-        let mut size = |mean: f64| {
-            let spread = -(1.0 - self.rng.random::<f64>()).ln();
-            (mean * (0.25 + 0.75 * spread)).max(1.0)
-        };
-        let job = Job {
-            id: self.requests.len(),
-            prompt: size(kinds[kind].prompt),
-            answer: size(kinds[kind].answer),
-        };
-        let entry = self.rng.random_range(0..self.entries.len());
-        self.outcomes[kind].total += 1;
-        self.requests.push(Request {
-            kind,
-            job,
-            arrived: now,
-            entry,
-            engine: 0,
-            sent: Timestamp::default(),
-            predicted: Duration::ZERO,
-            first: None,
-        });
-        self.place(job.id, false, now);
-    }
-
-    fn place(&mut self, id: usize, is_retry: bool, now: u64) {
-        let at = Timestamp::from_millis(now);
-        let (kind, job, entry) = {
-            let request = &self.requests[id];
-            (request.kind, request.job, request.entry)
-        };
-        let available: Vec<_> = (0..self.engines.len())
-            .filter(|index| !self.is_down(*index, now))
-            .collect();
-        let sender_count = self.experiment.entries;
-        let relation = |index: usize| ServerRelation {
-            distance: Distance::Zone,
-            is_primary: index % self.entries.len() == entry,
-            sender_count,
-        };
-        let timing = &self.experiment.timing;
-        let prompt = Prompt {
-            tokens: job.prompt,
-            urgent: false,
-        };
-        let candidates: Vec<_> = available
-            .iter()
-            .map(|index| {
-                let relation = relation(*index);
-                let forecast =
-                    self.entries[entry][*index].forecast_engine(timing, prompt, relation, at);
-                Candidate {
-                    distance: Distance::Zone,
-                    is_primary: relation.is_primary,
-                    permit: Permit::Open,
-                    latency: forecast.latency,
-                    pause: forecast.pause,
-                    has_free_slot: forecast.has_free_slot,
-                    under_half_full: forecast.under_half_full,
-                }
-            })
-            .collect();
-        let need = Requirements {
-            objective: self.experiment.kinds[kind].objective,
-            is_retry,
-            max_wait: MAX_RETRY_WAIT,
-            max_pause: Some(MAX_PAUSE),
-        };
-        match choose(&self.experiment.placement, &candidates, need, &mut self.rng) {
-            Choice::Send(chosen) => {
-                let index = available[chosen];
-                let relation = relation(index);
-                let load = &mut self.entries[entry][index];
-                load.request_started(at);
-                load.add_prompt(timing, prompt, relation, at);
-                let request = &mut self.requests[id];
-                request.engine = index;
-                request.sent = at;
-                request.predicted = candidates[chosen].latency;
-                self.engines[index].push(job);
-            }
-            Choice::Refuse(after) if !is_retry => {
-                let after = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
-                let delay = after.clamp(RETRY_DELAY_MS.0, RETRY_DELAY_MS.1);
-                self.retries.push(Reverse((now + delay, id)));
-            }
-            Choice::Refuse(_) | Choice::NoServer => self.outcomes[kind].refused += 1,
-        }
-    }
 }
--- /dev/null
+++ b/crates/standin/src/experiment/pattern.rs
@@ -0,0 +1,58 @@
+//! Variation of load and engines during a run, as functions of the time since its start in ms.
+
+/// Factor of the load while it is raised.
+const RAISED_LOAD: f64 = 2.0;
+
+/// Factor of the duration of an engine's steps while it is slow.
+const SLOWDOWN: f64 = 3.0;
+
+/// Variation of load and engines during a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pattern {
+    /// Constant load, no failures.
+    Calm,
+    /// Twice the load for three seconds.
+    Burst,
+    /// Twice the load from the eighth second on.
+    Overload,
+    /// Like `Overload`, with a fifth of the engines down.
+    Shortage,
+    /// A third of the engines is three times slower for ten seconds.
+    Slow,
+    /// A third of the engines crashes and is down for six seconds.
+    Lost,
+    /// Half of the engines is available only from the eighth second on.
+    Arriving,
+}
+
+impl Pattern {
+    /// Factor of the number of requests per second at `now`.
+    pub(super) fn load_factor(self, now: u64) -> f64 {
+        let raised = match self {
+            Self::Burst => (10_000..13_000).contains(&now),
+            Self::Overload | Self::Shortage => now >= 8_000,
+            Self::Calm | Self::Slow | Self::Lost | Self::Arriving => false,
+        };
+        if raised { RAISED_LOAD } else { 1.0 }
+    }
+
+    /// Whether engine `index` is down at `now`.
+    pub(super) fn is_down(self, index: usize, now: u64) -> bool {
+        match self {
+            Self::Lost => index.is_multiple_of(3) && (10_000..16_000).contains(&now),
+            Self::Arriving => index.is_multiple_of(2) && now < 8_000,
+            Self::Shortage => index.is_multiple_of(5) && now >= 8_000,
+            Self::Calm | Self::Burst | Self::Overload | Self::Slow => false,
+        }
+    }
+
+    /// Factor of the duration of the steps of engine `index` at `now`.
+    pub(super) fn slowdown(self, index: usize, now: u64) -> f64 {
+        let affected = index.is_multiple_of(3) && (10_000..20_000).contains(&now);
+        if self == Self::Slow && affected {
+            SLOWDOWN
+        } else {
+            1.0
+        }
+    }
+}
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -1,15 +1,21 @@
 //! The network between VMs: hosts, link rates, delays and fault rules that can change at any time.
 
+mod rules;
+mod shaping;
+
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use apricothall_types::{Rate, Region, Zone};
+use apricothall_types::{Region, Zone};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
+pub use self::rules::{Fault, Port, Rule, RuleId, Side};
+pub(crate) use self::rules::{RuleWatch, Rules, effects};
+pub use self::shaping::LinkShaping;
 use crate::bucket::Bucket;
 
 /// Something with an address: a VM, a client or a service of the platform.
@@ -25,158 +31,6 @@
     pub client: bool,
 }
 
-/// Kind of port that a connection goes to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Port {
-    /// The port for other daemons.
-    Peers,
-    /// The port for clients.
-    Callers,
-    /// A service of the platform.
-    Platform,
-}
-
-/// A set of hosts on one side of a rule.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Side {
-    /// All hosts.
-    Any,
-    /// One VM, client or service, by id.
-    Vm(SmolStr),
-    /// All hosts of a zone.
-    Zone(Zone),
-    /// All hosts of a region.
-    Region(Region),
-}
-
-impl Side {
-    /// Selects the VM, client or service with this id.
-    #[must_use]
-    pub fn vm(id: &str) -> Self {
-        Self::Vm(SmolStr::new(id))
-    }
-
-    fn matches(&self, host: &Host) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Vm(id) => *id == host.id,
-            Self::Zone(zone) => *zone == host.zone,
-            Self::Region(region) => *region == host.region,
-        }
-    }
-}
-
-/// What happens to bytes sent from one side to the other.
-#[derive(Clone, Debug)]
-pub enum Fault {
-    /// They are delayed by `base` plus a random part of `jitter`, and stay in order.
-    Delay {
-        /// Minimum delay.
-        base: Duration,
-        /// Largest additional delay, drawn for each segment.
-        jitter: Duration,
-    },
-    /// They share this rate with all other traffic that matches the same rule.
-    Rate(Bucket),
-    /// They are held until the rule is removed, then all arrive.
-    Stall,
-    /// They are dropped while the connection stays open. It is reset once the rule is removed,
-    /// because a TCP connection never delivers bytes that follow a gap.
-    Cut,
-    /// As `Cut`, after this many more bytes have passed over all connections.
-    CutAfter(Arc<AtomicU64>),
-    /// Existing and new connections opened by the first side are reset.
-    Reset,
-    /// As `Reset`, after this many more bytes have passed over all connections.
-    ResetAfter(Arc<AtomicU64>),
-    /// New connections opened by the first side are closed at once; existing ones are not affected.
-    Refuse,
-    /// One bit is flipped in each byte whose offset in the connection is a multiple of this, except
-    /// the first byte.
-    CorruptEvery(u64),
-    /// One bit is flipped in the byte at this offset of each connection.
-    CorruptAt(u64),
-}
-
-impl Fault {
-    /// [`Fault::Cut`] after `count` more bytes.
-    #[must_use]
-    pub fn cut_after(count: u64) -> Self {
-        Self::CutAfter(Arc::new(AtomicU64::new(count)))
-    }
-
-    /// [`Fault::Reset`] after `count` more bytes.
-    #[must_use]
-    pub fn reset_after(count: u64) -> Self {
-        Self::ResetAfter(Arc::new(AtomicU64::new(count)))
-    }
-
-    /// Limits the traffic to `rate`, shared by all connections that match the rule.
-    #[must_use]
-    pub fn rate(rate: Rate) -> Self {
-        Self::Rate(Bucket::new(Some(rate.bytes_per_second())))
-    }
-}
-
-/// A fault that affects the traffic from one side to another.
-#[derive(Clone, Debug)]
-pub struct Rule {
-    /// Sender of the bytes.
-    pub from: Side,
-    /// Receiver of the bytes.
-    pub to: Side,
-    /// Port that the connection was opened to, in both directions of traffic; all ports by default.
-    pub port: Option<Port>,
-    /// The fault.
-    pub fault: Fault,
-}
-
-impl Rule {
-    /// Creates a rule for all ports.
-    #[must_use]
-    pub fn new(from: Side, to: Side, fault: Fault) -> Self {
-        let port = None;
-        Self {
-            from,
-            to,
-            port,
-            fault,
-        }
-    }
-
-    /// Restricts the rule to connections to one kind of port.
-    #[must_use]
-    pub fn on(mut self, port: Port) -> Self {
-        self.port = Some(port);
-        self
-    }
-}
-
-/// Identifies a rule, for its removal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct RuleId(u64);
-
-/// Rates and delays of the network without faults.
-#[derive(Clone, Debug, Default)]
-pub struct LinkShaping {
-    /// One-way delay between zones of a region.
-    pub zones: Duration,
-    /// One-way delay between regions.
-    pub regions: Duration,
-    /// One-way delay between clients and VMs.
-    pub clients: Duration,
-    /// Largest random addition to each of these delays.
-    pub jitter: Duration,
-    /// Rate between two regions in each direction, shared by all traffic.
-    pub between: Option<Rate>,
-    /// Rate of each VM's link, in each direction.
-    pub vm: Option<Rate>,
-    /// Rate of the links of the weight store and of the origin, in each direction.
-    pub store: Option<Rate>,
-}
-
-pub(crate) type Rules = Arc<Vec<(RuleId, Rule)>>;
-pub(crate) type RuleWatch = watch::Receiver<Rules>;
 type Pair = (SmolStr, SmolStr);
 type Counters = HashMap<Pair, Arc<AtomicU64>>;
 
@@ -320,12 +174,12 @@
             (
                 SmolStr::new_static("up"),
                 from.id.clone(),
-                self.link_rate(from),
+                shape.link_rate(from),
             ),
             (
                 SmolStr::new_static("down"),
                 to.id.clone(),
-                self.link_rate(to),
+                shape.link_rate(to),
             ),
         ];
         if from.region != to.region {
@@ -348,42 +202,12 @@
             .collect()
     }
 
-    fn link_rate(&self, host: &Host) -> Option<Rate> {
-        let shape = &self.0.shape;
-        match host.id.as_str() {
-            "store" | "origin" => shape.store,
-            "configuration" | "vms" => None,
-            _ if host.client => None,
-            _ => shape.vm,
-        }
-    }
-
     /// Minimum delay between two hosts, and its jitter.
     pub(crate) fn delay(&self, from: &Host, to: &Host) -> (Duration, Duration) {
-        let shape = &self.0.shape;
-        let mut base = Duration::ZERO;
-        if from.client || to.client {
-            base += shape.clients;
-        }
-        if from.region != to.region {
-            base += shape.regions;
-        } else if from.zone != to.zone {
-            base += shape.zones;
-        }
-        let jitter = if base.is_zero() { base } else { shape.jitter };
-        (base, jitter)
+        self.0.shape.delay(from, to)
     }
 }
 
-/// Faults that apply to one direction of a connection.
-pub(crate) fn effects(rules: &Rules, from: &Host, to: &Host, port: Port) -> Vec<Fault> {
-    let matching = rules.iter().filter(|(_, rule)| {
-        let matches = rule.from.matches(from) && rule.to.matches(to);
-        matches && rule.port.is_none_or(|p| p == port)
-    });
-    matching.map(|(_, rule)| rule.fault.clone()).collect()
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
