fix(clients): the body of an engine's refusal is read within bounds

What callers saw: a request that an engine refused (409, 422, 429, 503) was answered only when the refusal's body had ended. With a body that stops, that is the request's deadline, and the entry was told "failed" in place of "not run"; a body without end was kept in memory until then. Cause: `complete` collected the body without a limit of size or time.

At most 64 KiB are read now, as of other answers, for at most 1 s, and the first 200 bytes that have arrived are the reason, as before. The status alone decides whether the request has run.

What callers saw at their deadline is by reading of agent/src/completion.rs; no run of daemons shows it.

--- a/crates/clients/src/engine.rs
+++ b/crates/clients/src/engine.rs
@@ -12,13 +12,16 @@
 use smol_str::{SmolStr, ToSmolStr};
 
 use crate::PlatformError;
-use crate::http_client::{HttpClient, error_from_response, get};
+use crate::http_client::{HttpClient, get, read_error};
 use crate::limit::{LIMIT_HEADER, NamedLimit};
 use crate::sse::{DONE, EventReader};
 
 /// Maximum size in bytes of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
 
+/// Timeout for reading the body of a refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The version that an engine reports to serve.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Serving {
@@ -157,21 +160,13 @@
             .header("content-type", "application/json")
             .body(Full::from(body))
             .map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
-        let (parts, body) = self.http.send(call).await?.into_parts();
-        record(NamedLimit::read(&parts.headers, &LIMIT_HEADER));
-        if parts.status != StatusCode::OK {
-            let start = body
-                .collect()
-                .await
-                .map(http_body_util::Collected::to_bytes);
-            return Err(error_from_response(
-                parts.status,
-                &parts.headers,
-                &start.unwrap_or_default(),
-            ));
+        let answer = self.http.send(call).await?;
+        record(NamedLimit::read(answer.headers(), &LIMIT_HEADER));
+        if answer.status() != StatusCode::OK {
+            return Err(read_error(answer, REFUSAL_TIMEOUT, MAX_ANSWER_BYTES).await);
         }
         Ok(Completion {
-            body,
+            body: answer.into_body(),
             events: EventReader::default(),
         })
     }
--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -190,6 +190,24 @@
     }
 }
 
+/// Converts an answer with an error status whose body has not been read. At most `limit` bytes of the
+/// body are read, for at most `wait`; what arrives until then is kept as its start.
+pub async fn read_error(answer: Response<Incoming>, wait: Duration, limit: usize) -> PlatformError {
+    let (parts, body) = answer.into_parts();
+    let mut body = Limited::new(body, limit);
+    let mut start = BytesMut::new();
+    let reading = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let data = frame.data_ref().map_or(&[][..], Bytes::as_ref);
+            let missing = DETAIL_BYTES.saturating_sub(start.len());
+            start.extend_from_slice(&data[..data.len().min(missing)]);
+        }
+    };
+    // The status counts also if its reason is incomplete.
+    timeout(wait, reading).await.ok();
+    error_from_response(parts.status, &parts.headers, &start)
+}
+
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
     Some(Duration::from_secs(seconds))
