refactor: a field that nobody reads and a parameter that nobody uses

`last_asked` of a peer (decide/src/transfer/peers.rs) was written and never read; `unready_reason` (agent/src/servers.rs) took the catalogue and did not use it. `HomeStatus::Gone` stays: two cases of decide/tests/dedupe.rs use it.

--- a/crates/agent/src/servers.rs
+++ b/crates/agent/src/servers.rs
@@ -7,7 +7,7 @@
 
 use apricothall_clients::{EngineClient, HttpClient, ServiceClient, Serving};
 use apricothall_decide::server_limits::Sender;
-use apricothall_fleet::{CatalogueState, MembershipView, StatusBoard};
+use apricothall_fleet::{MembershipView, StatusBoard};
 use apricothall_kernel::configs::{ServerConfig, ServerKind};
 use apricothall_kernel::{Context, Lifecycle, PLUGINS, Plugin, Stage, StartError, StartFuture};
 use apricothall_types::{EntryName, Holding, HoldingState, Load, Role, Version};
@@ -204,7 +204,6 @@
 
 fn add_status(context: &Context, servers: Arc<Servers>) -> Result<(), StartError> {
     let board = context.component::<StatusBoard>()?;
-    let catalogue = context.component::<CatalogueState>()?;
     let status_source = servers.clone();
     board.add_section("servers", move || {
         let states = status_source.engines.iter().map(|e| {
@@ -236,11 +235,11 @@
             .collect::<serde_json::Map<_, _>>()
             .into()
     });
-    board.add_condition(move || unready_reason(&servers, &catalogue));
+    board.add_condition(move || unready_reason(&servers));
     Ok(())
 }
 
-fn unready_reason(servers: &Servers, _: &CatalogueState) -> Option<SmolStr> {
+fn unready_reason(servers: &Servers) -> Option<SmolStr> {
     let unresponsive = servers.engines.iter().find(|e| e.state().is_none())?;
     Some(smol_str::format_smolstr!(
         "engine {} does not answer",
--- a/crates/decide/src/transfer/bitmap_requests.rs
+++ b/crates/decide/src/transfer/bitmap_requests.rs
@@ -33,10 +33,8 @@
         targets.extend(random.choose_multiple(rng, self.config.fanout));
         targets.sort_unstable();
         targets.dedup();
-        for at in targets {
-            self.peers[at].last_asked = now;
-            actions.push(Action::RequestBitmap(self.peers[at].peer.id.clone()));
-        }
+        let ids = targets.into_iter().map(|at| self.peers[at].peer.id.clone());
+        actions.extend(ids.map(Action::RequestBitmap));
     }
 
     /// Returns the peers whose bitmaps determine whether this agent must fetch a chunk from
--- a/crates/decide/src/transfer/peers.rs
+++ b/crates/decide/src/transfer/peers.rs
@@ -25,8 +25,6 @@
     pub in_flight: usize,
     /// Earliest time of the next fetch from this peer.
     pub retry_at: Timestamp,
-    /// Time of the last bitmap request.
-    pub last_asked: Timestamp,
     /// Last time that the peer reported a new chunk out of those that it owns.
     pub last_progress: Timestamp,
     /// Number of chunks that the peer owns, that is, fetches from outside the region.
@@ -44,7 +42,6 @@
             held: ChunkSet::default(),
             in_flight: 0,
             retry_at: Timestamp::default(),
-            last_asked: Timestamp::default(),
             last_progress: now,
             owned: 0,
             failures: 0,
