--- a/crates/decide/tests/claims/main.rs
+++ b/crates/decide/tests/claims/main.rs
@@ -1,5 +1,6 @@
 //! Claim protocol: each key starts at most once over all agents, under adversarial schedules.
 
+mod step;
 mod world;
 
 use apricothall_decide::claims::{Verdict, creation_time};
@@ -7,11 +8,11 @@
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
 use proptest::test_runner::TestRunner;
-use world::Step::{
-    Boot, Call, Deliver, Drop, Fetch, Key, Late, List, Live, Opaque, Order, Read, Recent, Settle,
-    Tick, Ticket,
+use step::Step::{
+    self, Boot, Call, Deliver, Drop, Fetch, Key, Late, List, Live, Opaque, Order, Read, Recent,
+    Settle, Tick, Ticket,
 };
-use world::{DEADLINE, HORIZON, LAG, LEASE, OFFSET, RETRIES, Step, World, config};
+use world::{DEADLINE, HORIZON, LAG, LEASE, OFFSET, RETRIES, World, config};
 
 const AGENTS: usize = 4;
 /// Number of agents in random schedules.
--- a/crates/decide/tests/prompt_parts/main.rs
+++ b/crates/decide/tests/prompt_parts/main.rs
@@ -1,5 +1,6 @@
 //! Parts of prompts that crash servers, checked on a model of many entries and engines.
 
+mod conditions;
 mod cost;
 mod engine;
 mod standing;
@@ -7,7 +8,8 @@
 
 use std::time::Duration;
 
-use world::{Conditions, Mutation, World};
+use conditions::{Conditions, Mutation};
+use world::World;
 
 /// Length of a run after the first lethal request.
 const RUN_TIME: Duration = Duration::from_secs(14);
