--- a/crates/apricotd/tests/answers.rs
+++ b/crates/apricotd/tests/answers.rs
@@ -12,7 +12,8 @@
 use apricothall_standin::network::{Fault, Port, Rule, Side};
 use apricothall_types::Outcome;
 use fixture::{
-    MODEL, caller, catalogue, counter_value, expected_digests, plan_with, start_serving,
+    MODEL, assert_whole, caller, catalogue, counter_value, expected_digests, plan_with,
+    start_serving,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpSocket;
@@ -147,21 +148,11 @@
         async move { ask(&caller, &format!("span {n}"), 6).await }
     });
     for answer in futures::future::join_all(requests).await {
-        assert_eq!(
-            answer.verdict(&expected_digests()),
-            Verdict::Whole,
-            "{:?}",
-            answer.ended
-        );
+        assert_whole(&answer);
     }
     frozen.thaw();
     let answer = ask(&caller, "after", 6).await;
-    assert_eq!(
-        answer.verdict(&expected_digests()),
-        Verdict::Whole,
-        "{:?}",
-        answer.ended
-    );
+    assert_whole(&answer);
     fleet.close().await;
 }
 
@@ -177,12 +168,7 @@
     let requests =
         (0..8).map(|n| caller.complete(completion(MODEL, &format!("span {n}"), 10 + n), &options));
     for answer in futures::future::join_all(requests).await {
-        assert_eq!(
-            answer.verdict(&expected_digests()),
-            Verdict::Whole,
-            "{:?}",
-            answer.ended
-        );
+        assert_whole(&answer);
     }
     fleet.close().await;
 }
@@ -222,11 +208,6 @@
     until("its cancellation", idle).await.expect("is cancelled");
     assert!(!fleet.node("engine-0").engines[0].runs()[0].finished);
     let answer = ask(&caller(&fleet, "crew"), "quick", 6).await;
-    assert_eq!(
-        answer.verdict(&expected_digests()),
-        Verdict::Whole,
-        "{:?}",
-        answer.ended
-    );
+    assert_whole(&answer);
     fleet.close().await;
 }
--- a/crates/apricotd/tests/leaving.rs
+++ b/crates/apricotd/tests/leaving.rs
@@ -5,15 +5,17 @@
 use std::time::Duration;
 
 use apricothall_standin::caller::CallOptions;
-use apricothall_standin::completion::{StreamEnd, Verdict, completion};
+use apricothall_standin::completion::{StreamEnd, completion};
 use apricothall_standin::engine::EngineSettings;
 use apricothall_standin::fleet::{Fleet, until};
-use apricothall_standin::load::{Load, LoadPlan, LoadReport, ReferenceWeights};
+use apricothall_standin::load::{Load, LoadPlan, LoadReport};
 use apricothall_standin::node::Node;
 use apricothall_standin::process::Process;
 use apricothall_standin::server::Mode;
 use apricothall_types::Outcome;
-use fixture::{MODEL, caller, catalogue, expected_digests, plan_with, start_serving};
+use fixture::{
+    MODEL, assert_whole, caller, catalogue, plan_with, reference_weights, start_serving,
+};
 use serde_json::Value;
 use tokio::time::Instant;
 
@@ -46,11 +48,7 @@
         options: CallOptions::default(),
         seed: 7,
     };
-    let weights = ReferenceWeights::default();
-    for (version, digest) in expected_digests() {
-        weights.add(version, digest);
-    }
-    Load::start(plan, vec![caller(fleet, "crew")], weights)
+    Load::start(plan, vec![caller(fleet, "crew")], reference_weights())
 }
 
 /// Waits until the load has received `count` answers since the last `take`.
@@ -179,7 +177,7 @@
             }
             for stream in streams {
                 let answer = stream.await.expect("no panic");
-                assert_eq!(answer.verdict(&expected_digests()), Verdict::Whole, "{:?}", answer.ended);
+                assert_whole(&answer);
             }
             $({
                 let process = fleet.node_mut($id).process.as_mut().expect("runs");
@@ -308,12 +306,7 @@
     fleet.agents().for_each(|n| n.engines[0].pause_at(None));
     for answer in asked {
         let answer = answer.await.expect("no panic");
-        assert_eq!(
-            answer.verdict(&expected_digests()),
-            Verdict::Whole,
-            "{:?}",
-            answer.ended
-        );
+        assert_whole(&answer);
     }
     fleet.close().await;
 }
--- a/crates/apricotd/tests/not_run.rs
+++ b/crates/apricotd/tests/not_run.rs
@@ -6,15 +6,11 @@
 use std::time::Duration;
 
 use apricothall_standin::network::{Fault, Port, Rule, Side};
-use fixture::booking::{Booking, BookingHarness, POOL, Response, Routing};
+use fixture::booking::{
+    Booking, BookingHarness, DEADLINE_MS, POOL, Response, Routing, SHORT_DEADLINE_MS, rows,
+};
 use tokio::time::Instant;
 
-/// Deadline of calls that meet no fault, in milliseconds.
-const DEADLINE_MS: u64 = 8_000;
-
-/// Deadline of calls that are expected to fail, in milliseconds.
-const SHORT_DEADLINE_MS: u64 = 1_500;
-
 /// Deadline in ms that is long enough, on a busy machine, to transmit the order and freeze the
 /// entry.
 const FREEZE_DEADLINE_MS: u64 = 4_000;
@@ -32,19 +28,6 @@
 /// starts.
 const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Defines both variants of each row.
-macro_rules! rows {
-    ($($case:ident),* $(,)?) => {
-        $(mod $case {
-            use super::Routing;
-            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-            async fn with_ticket() { super::run::$case(Routing::Ticket).await; }
-            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-            async fn with_key() { super::run::$case(Routing::Key).await; }
-        })*
-    };
-}
-
 rows! {
     cut_before, cut_during, cut_after, home_frozen_past_deadline, entry_frozen_past_deadline,
     leaving_with_copy, leaving_with_new_call, claim_lost, tombstone_lost, service_down,
@@ -74,10 +57,7 @@
         }
         let response = harness.send("entry-0", &booking, SHORT_DEADLINE_MS).await;
         assert!(response.has_outcome("unknown"), "{response:?}");
-        assert_eq!(
-            harness.send("entry-1", &booking, DEADLINE_MS).await,
-            Response::Answered
-        );
+        harness.assert_answered("entry-1", &booking).await;
         harness.close(&[&booking]).await;
     }
 
@@ -113,10 +93,7 @@
         let (response, ()) =
             tokio::join!(harness.send("entry-0", &booking, SHORT_DEADLINE_MS), cut);
         assert!(response.has_outcome("unknown"), "{response:?}");
-        assert_eq!(
-            harness.send("entry-1", &booking, DEADLINE_MS).await,
-            Response::Answered
-        );
+        harness.assert_answered("entry-1", &booking).await;
         harness.close(&[&booking]).await;
     }
 
@@ -251,10 +228,7 @@
         harness.send("entry-0", &booking, SHORT_DEADLINE_MS).await;
         harness.fleet.network.remove_rules(&rules);
         harness.wait_alive("entry-1", &POOL).await;
-        assert_eq!(
-            harness.send("entry-1", &booking, DEADLINE_MS).await,
-            Response::Answered
-        );
+        harness.assert_answered("entry-1", &booking).await;
         harness.close(&[&booking]).await;
     }
 
--- a/crates/apricotd/tests/once.rs
+++ b/crates/apricotd/tests/once.rs
@@ -8,30 +8,13 @@
 use apricothall_standin::network::{Fault, Rule, Side};
 use apricothall_standin::server::Mode;
 use apricothall_types::MemberId;
-use fixture::booking::{Booking, BookingHarness, POOL, Response, Routing, SPARE};
-
-/// Deadline of calls that meet no fault, in milliseconds.
-const DEADLINE_MS: u64 = 8_000;
-
-/// Deadline of calls that are expected to fail, in milliseconds.
-const SHORT_DEADLINE_MS: u64 = 1_500;
+use fixture::booking::{
+    Booking, BookingHarness, DEADLINE_MS, POOL, Response, Routing, SHORT_DEADLINE_MS, SPARE, rows,
+};
 
 /// Delay before a service answers.
 const ANSWER_DELAY: Duration = Duration::from_millis(600);
 
-/// Defines both variants of each row.
-macro_rules! rows {
-    ($($case:ident),* $(,)?) => {
-        $(mod $case {
-            use super::Routing;
-            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-            async fn with_ticket() { super::run::$case(Routing::Ticket).await; }
-            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-            async fn with_key() { super::run::$case(Routing::Key).await; }
-        })*
-    };
-}
-
 rows! {
     no_fault, lost_answer, entry_killed, concurrent_copies, views_differ, home_killed, home_frozen,
     home_restarted, home_replaced, vm_list_drops_living_vm, vm_list_unavailable, entry_cut_from_home,
@@ -76,10 +59,7 @@
         for i in 0..CALLS {
             let booking = harness.new_booking(&format!("price-{i}")).await;
             let start = std::time::Instant::now();
-            assert_eq!(
-                harness.send("entry-0", &booking, DEADLINE_MS).await,
-                Response::Answered
-            );
+            harness.assert_answered("entry-0", &booking).await;
             times.push(start.elapsed());
             bookings.push(booking);
         }
@@ -100,14 +80,8 @@
     pub async fn no_fault(routing: Routing) {
         let harness = BookingHarness::start(routing).await;
         let booking = harness.new_booking("calm").await;
-        assert_eq!(
-            harness.send("entry-0", &booking, DEADLINE_MS).await,
-            Response::Answered
-        );
-        assert_eq!(
-            harness.send("entry-1", &booking, DEADLINE_MS).await,
-            Response::Answered
-        );
+        harness.assert_answered("entry-0", &booking).await;
+        harness.assert_answered("entry-1", &booking).await;
         harness.close(&[&booking]).await;
     }
 
@@ -145,10 +119,7 @@
         let response =
             send_with_fault(&harness, &booking, DEADLINE_MS, async || process.kill()).await;
         assert_eq!(response, Response::ConnectionLost);
-        assert_eq!(
-            harness.send("entry-1", &booking, DEADLINE_MS).await,
-            Response::Answered
-        );
+        harness.assert_answered("entry-1", &booking).await;
         harness.close(&[&booking]).await;
     }
 
@@ -228,10 +199,7 @@
     pub async fn home_restarted(routing: Routing) {
         let mut harness = BookingHarness::start(routing).await;
         let booking = harness.new_booking("restarted").await;
-        assert_eq!(
-            harness.send("entry-0", &booking, DEADLINE_MS).await,
-            Response::Answered
-        );
+        harness.assert_answered("entry-0", &booking).await;
         let home = booking.home.clone();
         let before = harness.fleet.node(&home).status().await.expect("status");
         harness.fleet.node_mut(&home).kill().await;
@@ -252,10 +220,7 @@
     pub async fn home_replaced(routing: Routing) {
         let mut harness = BookingHarness::start(routing).await;
         let booking = harness.new_booking("replaced").await;
-        assert_eq!(
-            harness.send("entry-0", &booking, DEADLINE_MS).await,
-            Response::Answered
-        );
+        harness.assert_answered("entry-0", &booking).await;
         harness.remove(&booking.home).await;
         harness.add(SPARE[0]).await;
         let mut alive = other_agents(&booking.home);
@@ -298,10 +263,7 @@
         }
         harness.fleet.platform.vms.set_mode(Mode::Open);
         harness.wait_settled(&POOL).await;
-        assert_eq!(
-            harness.send("entry-1", &booking, DEADLINE_MS).await,
-            Response::Answered
-        );
+        harness.assert_answered("entry-1", &booking).await;
         harness.close(&[&booking]).await;
     }
 
@@ -314,10 +276,7 @@
         let cut = async || network.inject(Rule::new(entry, home, Fault::Reset));
         let response = send_with_fault(&harness, &booking, SHORT_DEADLINE_MS, cut).await;
         assert_ne!(response, Response::ConnectionLost);
-        assert_eq!(
-            harness.send("entry-1", &booking, DEADLINE_MS).await,
-            Response::Answered
-        );
+        harness.assert_answered("entry-1", &booking).await;
         harness.close(&[&booking]).await;
     }
 
@@ -342,10 +301,7 @@
     pub async fn pool_replaced(routing: Routing) {
         let mut harness = BookingHarness::start(routing).await;
         let old = harness.new_booking("old").await;
-        assert_eq!(
-            harness.send("entry-0", &old, DEADLINE_MS).await,
-            Response::Answered
-        );
+        harness.assert_answered("entry-0", &old).await;
         for (gone, new) in POOL.into_iter().zip(SPARE) {
             harness.remove(gone).await;
             harness.add(new).await;
@@ -366,10 +322,7 @@
                 new.home
             );
         }
-        assert_eq!(
-            harness.send("entry-1", &new, DEADLINE_MS).await,
-            Response::Answered
-        );
+        harness.assert_answered("entry-1", &new).await;
         harness.close(&[&old, &new]).await;
     }
 }
--- a/crates/apricotd/tests/path.rs
+++ b/crates/apricotd/tests/path.rs
@@ -3,8 +3,8 @@
 mod fixture;
 
 use apricothall_standin::caller::CallOptions;
-use apricothall_standin::completion::{Verdict, completion};
-use fixture::{MODEL, caller, catalogue, expected_digests, plan, start_fleet, wait_serving};
+use apricothall_standin::completion::completion;
+use fixture::{MODEL, assert_whole, caller, catalogue, plan, start_fleet, wait_serving};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn draft_is_served_whole_after_the_weights_arrive() {
@@ -19,11 +19,6 @@
     assert_eq!(list.entries.len(), 1);
     let request = completion(MODEL, "span 12: two trees down", 20);
     let answer = caller.complete(request, &CallOptions::default()).await;
-    assert_eq!(
-        answer.verdict(&expected_digests()),
-        Verdict::Whole,
-        "{:?}",
-        answer.ended
-    );
+    assert_whole(&answer);
     fleet.close().await;
 }
--- a/crates/apricotd/tests/rollout.rs
+++ b/crates/apricotd/tests/rollout.rs
@@ -79,6 +79,16 @@
         most.load(Ordering::Relaxed)
     }
 
+    /// Checks that at most one engine is out of service until `event` is over and all agents serve
+    /// version 2.
+    async fn assert_one_out_of_service(&self, event: impl Future<Output = ()>) {
+        let count = self.max_out_of_service(event, &AGENTS).await;
+        assert!(
+            count <= 1,
+            "{count} engines out of service at the same time"
+        );
+    }
+
     /// Number of engines that serve nothing now.
     fn out_of_service(&self) -> usize {
         let engines = self.fleet.agents().flat_map(|n| &n.engines);
@@ -138,11 +148,7 @@
         tokio::time::sleep(RELOAD_TIME).await;
         frozen.thaw();
     };
-    let out_of_service = harness.max_out_of_service(event, &AGENTS).await;
-    assert!(
-        out_of_service <= 1,
-        "{out_of_service} engines out of service at the same time"
-    );
+    harness.assert_one_out_of_service(event).await;
     harness.close().await;
 }
 
@@ -157,11 +163,7 @@
         tokio::time::sleep(RELOAD_TIME).await;
         network.remove_rules(&cuts);
     };
-    let out_of_service = harness.max_out_of_service(event, &AGENTS).await;
-    assert!(
-        out_of_service <= 1,
-        "{out_of_service} engines out of service at the same time"
-    );
+    harness.assert_one_out_of_service(event).await;
     harness.close().await;
 }
 
