refactor: names of fields have two words at most

`has_entry_list`, `interactive_since_batch`, `max_loading_percent`, `uses_tombstone_slot`, `prefill_backlog_ms`, `last_chunk_at` and `answers_to_drop` are `has_list`, `since_batch`, `loading_percent`, `holds_tombstone`, `backlog_ms`, `last_chunk` and `drops_left`; where the name said more, a doc comment says it. None of them leaves the process.

--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -61,7 +61,8 @@
     running: BTreeMap<RequestId, Timestamp>,
     queues: [VecDeque<Waiting>; 3],
     service_time: f64,
-    interactive_since_batch: u32,
+    /// Interactive requests started since the last batch request.
+    since_batch: u32,
 }
 
 fn index(class: Class) -> usize {
@@ -87,7 +88,7 @@
             running: BTreeMap::new(),
             queues: Default::default(),
             service_time,
-            interactive_since_batch: 0,
+            since_batch: 0,
         }
     }
 
@@ -292,9 +293,9 @@
                 continue;
             };
             match class {
-                Class::Batch => self.interactive_since_batch = 0,
+                Class::Batch => self.since_batch = 0,
                 Class::Interactive => {
-                    self.interactive_since_batch = self.interactive_since_batch.saturating_add(1);
+                    self.since_batch = self.since_batch.saturating_add(1);
                 }
                 Class::Critical => {}
             }
@@ -308,7 +309,7 @@
     fn is_aged_batch_due(&self, now: Timestamp) -> bool {
         let front = self.queues[index(Class::Batch)].front();
         let aged = front.is_some_and(|w| now.since(w.since) >= self.config.aging.0);
-        aged && self.interactive_since_batch >= self.config.turns
+        aged && self.since_batch >= self.config.turns
     }
 
     /// Number of queued requests that would start before a new one of `class`.
--- a/crates/decide/src/dedupe/register.rs
+++ b/crates/decide/src/dedupe/register.rs
@@ -98,7 +98,7 @@
     fingerprint: Digest,
     expires: WallTime,
     /// Whether it counts against the limit for tombstones instead of the one for calls.
-    uses_tombstone_slot: bool,
+    holds_tombstone: bool,
     state: State,
 }
 
@@ -257,7 +257,7 @@
 
     fn insert(&mut self, order: &Order, state: State) {
         let call = Call {
-            uses_tombstone_slot: matches!(state, State::Tombstone(_)),
+            holds_tombstone: matches!(state, State::Tombstone(_)),
             fingerprint: order.fingerprint,
             expires: order.expires,
             state,
@@ -285,7 +285,7 @@
             self.expiries.remove(&(at, key));
             self.drop_answer(at, key);
             if let Some(call) = self.calls.remove(&key) {
-                self.tombstones -= usize::from(call.uses_tombstone_slot);
+                self.tombstones -= usize::from(call.holds_tombstone);
             }
         }
     }
--- a/crates/decide/src/limits/ledger.rs
+++ b/crates/decide/src/limits/ledger.rs
@@ -35,7 +35,8 @@
     peers: BTreeMap<MemberId, (DemandRecord, Timestamp)>,
     lent_shares: BTreeMap<Subject, BTreeMap<MemberId, Vec<LentShare>>>,
     started: Timestamp,
-    has_entry_list: bool,
+    /// Whether a list of the entries has been received.
+    has_list: bool,
     owner_from: Option<Timestamp>,
 }
 
@@ -59,7 +60,7 @@
             peers: BTreeMap::new(),
             lent_shares: BTreeMap::new(),
             started: now,
-            has_entry_list: false,
+            has_list: false,
             owner_from: None,
         }
     }
@@ -69,7 +70,7 @@
     pub fn set_entries(&mut self, entries: impl IntoIterator<Item = MemberId>, now: Timestamp) {
         self.entries = entries.into_iter().collect();
         self.entries.insert(self.member.clone());
-        self.has_entry_list = true;
+        self.has_list = true;
         let known = &self.entries;
         self.peers.retain(|id, _| known.contains(id));
         self.update_ownership(now);
@@ -299,7 +300,7 @@
     /// Sets the time from which this entry owns its share: one term after all other entries divide
     /// by the same set, so that earlier loans have expired, or after the maximum join time.
     fn update_ownership(&mut self, now: Timestamp) {
-        if self.owner_from.is_some() || !self.has_entry_list {
+        if self.owner_from.is_some() || !self.has_list {
             return;
         }
         let view = self.entry_set_digest();
--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -244,13 +244,13 @@
         let mut work = Work {
             running,
             waiting: taken - running,
-            prefill_backlog_ms: self.backlog.remaining_ms(now),
+            backlog_ms: self.backlog.remaining_ms(now),
             slowdown: report.map_or(1.0, |n| n.slowdown),
         };
         if prompt.urgent && taken >= timing.slots {
             // Only other urgent requests are ahead of it in the queue.
             work.waiting = 0;
-            work.prefill_backlog_ms = work.prefill_backlog_ms.min(self.urgent.remaining_ms(now));
+            work.backlog_ms = work.backlog_ms.min(self.urgent.remaining_ms(now));
         }
         let first = timing.first_event(work, prompt.tokens);
         Forecast {
--- a/crates/decide/src/reload.rs
+++ b/crates/decide/src/reload.rs
@@ -37,8 +37,8 @@
 /// Settings of [`may_load`].
 #[derive(Clone, Copy, Debug)]
 pub struct ReloadConfig {
-    /// Percentage of a zone's engines that may load at once.
-    pub max_loading_percent: usize,
+    /// Maximum percentage of a zone's engines that may load at once.
+    pub loading_percent: usize,
     /// Time before the deadline from which on all engines may load.
     pub deadline_margin: Duration,
     /// Time to wait after the last piece has arrived, so that reports of the zone's other engines
@@ -49,7 +49,7 @@
 impl Default for ReloadConfig {
     fn default() -> Self {
         Self {
-            max_loading_percent: 40,
+            loading_percent: 40,
             deadline_margin: Duration::from_secs(1),
             settle: Duration::from_millis(250),
         }
@@ -120,7 +120,7 @@
     }
     let in_use = |n: &&Neighbour| n.progress != Progress::Empty;
     let engines = neighbours.iter().filter(in_use).count() + 1;
-    let max_loading = (engines * config.max_loading_percent).div_ceil(FULL_PERCENT);
+    let max_loading = (engines * config.loading_percent).div_ceil(FULL_PERCENT);
     let loading = neighbours
         .iter()
         .filter(|n| n.progress == Progress::Loading)
--- a/crates/decide/src/timing.rs
+++ b/crates/decide/src/timing.rs
@@ -48,7 +48,7 @@
     /// Requests that wait for a slot.
     pub waiting: u32,
     /// Remaining prefill time of the prompts sent before, in ms.
-    pub prefill_backlog_ms: f64,
+    pub backlog_ms: f64,
     /// Ratio of the engine's actual to its published pass time; 1 if it is as fast as published.
     pub slowdown: f64,
 }
@@ -85,9 +85,8 @@
     #[must_use]
     pub fn pause(&self, work: Work, tokens: f64) -> Duration {
         let batch = work.running.min(self.slots);
-        let ms = self.decode_ms(batch.saturating_add(1))
-            + work.prefill_backlog_ms
-            + self.prefill_ms(tokens);
+        let ms =
+            self.decode_ms(batch.saturating_add(1)) + work.backlog_ms + self.prefill_ms(tokens);
         prediction(ms * work.slowdown.max(1.0))
     }
 
@@ -97,7 +96,7 @@
         let batch = work.running.min(self.slots);
         let pass = self.decode_ms(batch.saturating_add(1));
         let own = self.prefill_ms(tokens);
-        let mut ms = pass * 1.5 + own + work.prefill_backlog_ms;
+        let mut ms = pass * 1.5 + own + work.backlog_ms;
         let taken = work.running.saturating_add(work.waiting);
         if taken >= self.slots {
             let behind = f64::from(taken - self.slots) + 0.5;
--- a/crates/decide/src/transfer.rs
+++ b/crates/decide/src/transfer.rs
@@ -61,7 +61,8 @@
     origin: SourceHealth,
     pacer: Pacer,
     owned: u32,
-    last_chunk_at: Timestamp,
+    /// Time at which the last chunk was received.
+    last_chunk: Timestamp,
     last_asked: Timestamp,
     hedged_bytes: Bytes,
     near_nanos: u64,
@@ -95,7 +96,7 @@
             origin: SourceHealth::default(),
             pacer: Pacer::new(now),
             owned: 0,
-            last_chunk_at: now,
+            last_chunk: now,
             last_asked: Timestamp::default(),
             hedged_bytes: Bytes::default(),
             near_nanos: 0,
@@ -191,7 +192,7 @@
         }
         let is_new = self.held.insert(chunk);
         if is_new {
-            self.last_chunk_at = now;
+            self.last_chunk = now;
         }
         is_new
     }
--- a/crates/decide/src/transfer/plan.rs
+++ b/crates/decide/src/transfer/plan.rs
@@ -41,7 +41,7 @@
         let near = self.peers.iter().filter(|p| p.peer.region == *region);
         let ids = near.clone().map(|p| &p.peer.id);
         let rank = gateway(&self.version.0, &self.view.me.id, ids).rank;
-        let is_due = now.since(self.last_chunk_at) >= self.takeover() * rank;
+        let is_due = now.since(self.last_chunk) >= self.takeover() * rank;
         let peer = near.choose(rng).map(|p| p.peer.id.clone());
         let source = match peer {
             Some(id) if !is_due => Source::Peer(id),
--- a/crates/decide/src/transfer/sources.rs
+++ b/crates/decide/src/transfer/sources.rs
@@ -23,7 +23,7 @@
             return true;
         }
         let rank = self.gateways[chunk.0 as usize].rank;
-        if now.since(self.last_chunk_at) > self.takeover() * (STALL_DELAYS + rank) {
+        if now.since(self.last_chunk) > self.takeover() * (STALL_DELAYS + rank) {
             return true;
         }
         let is_overdue = self
@@ -34,7 +34,7 @@
 
     /// Returns whether no new chunk has arrived for so long that peers are no longer relied on.
     pub(super) fn is_stalled(&self, now: Timestamp) -> bool {
-        now.since(self.last_chunk_at) > self.takeover() * STALL_DELAYS
+        now.since(self.last_chunk) > self.takeover() * STALL_DELAYS
     }
 
     /// Returns whether a usable peer of the region is known to hold the chunk.
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -44,7 +44,8 @@
     executions: Vec<Execution>,
     before: Duration,
     after: Duration,
-    answers_to_drop: u32,
+    /// Number of next answers that are dropped.
+    drops_left: u32,
     poison: Option<SmolStr>,
     crashes: u32,
     restart: Duration,
@@ -115,7 +116,7 @@
 
     /// Closes the connection instead of sending the next `count` responses, after the execution.
     pub fn drop_answers(&self, count: u32) {
-        self.core.lock().answers_to_drop = count;
+        self.core.lock().drops_left = count;
     }
 
     /// Waits `before` ahead of each execution and `after` following it. A received call is
@@ -200,8 +201,8 @@
         crash(core, state.restart);
         return None;
     }
-    if state.answers_to_drop > 0 {
-        state.answers_to_drop -= 1;
+    if state.drops_left > 0 {
+        state.drops_left -= 1;
         return None;
     }
     Some((receipt, state.status.unwrap_or(StatusCode::OK)))
