--- a/xtask/src/build.rs
+++ b/xtask/src/build.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::Command;
 
-use crate::burst::TaskError;
+use crate::error::TaskError;
 
 /// Builds `apricotd` in release mode and returns the path of the binary.
 ///
--- a/xtask/src/capacity.rs
+++ b/xtask/src/capacity.rs
@@ -14,7 +14,7 @@
 use clap::Args;
 use smol_str::SmolStr;
 
-use crate::burst::TaskError;
+use crate::error::TaskError;
 use crate::fleet::REGIONS;
 
 /// Size of a memory page in bytes and clock ticks per second, as on all machines that the daemon is
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -9,7 +9,8 @@
 use apricothall_standin::weights::Weights;
 use apricothall_types::{Bytes, Rate};
 
-use crate::burst::{BurstArguments, TaskError};
+use crate::burst::BurstArguments;
+use crate::error::TaskError;
 
 /// Regions with their zones; the weight store is in the first region.
 pub const REGIONS: [(&str, &str); 3] = [
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -9,6 +9,7 @@
 mod build;
 mod burst;
 mod capacity;
+mod error;
 mod faults;
 mod figures;
 mod fleet;
@@ -18,7 +19,7 @@
 mod resources;
 mod table;
 
-use burst::TaskError;
+use error::TaskError;
 
 /// Developer tasks of apricothall.
 #[derive(Parser)]
--- a/xtask/src/progress.rs
+++ b/xtask/src/progress.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 use tokio::time::Instant;
 
-use crate::burst::TaskError;
+use crate::error::TaskError;
 use crate::faults::Schedule;
 use crate::fleet::{REGIONS, agent_id};
 
--- a/xtask/src/report.rs
+++ b/xtask/src/report.rs
@@ -6,7 +6,7 @@
 use clap::Args;
 use plotters::prelude::*;
 
-use crate::burst::TaskError;
+use crate::error::TaskError;
 use crate::figures::Figures;
 
 /// Width and height of a plot, in pixels.
