refactor: logic that stood twice in agent, entry, clients and two tests

The refusal after which callers may retry, with its delay, stood in three modules of the agent; it is in refusal.rs now. Both handlers of the entry parsed the headers and deducted the wait in the socket: `EntryContext::request_meta`. Two calls of the engine's client read the state alike: `call_for_state`. The published timing of an engine stood in two tests of decide: tests/published. No behaviour changes.

Left as they are: the stand-ins' copies of messages and of the timing, which are held against the product's on purpose, and pairs that only look alike.

--- a/crates/agent/src/completion.rs
+++ b/crates/agent/src/completion.rs
@@ -10,13 +10,11 @@
 use bytes::Bytes;
 use smol_str::{SmolStr, ToSmolStr};
 
+use crate::refusal::new_refusal;
 use crate::run::{AnswerSender, HEARTBEAT_PERIOD, Runner, refused};
 use crate::servers::Engine;
 use crate::suspects::Placement;
 
-/// Delay to suggest to the caller after a transient refusal.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Timeout of a cancellation at the engine.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -236,15 +234,6 @@
     new_refusal(Outcome::Failed, 502, detail)
 }
 
-fn new_refusal(outcome: Outcome, status: u16, detail: SmolStr) -> Refusal {
-    Refusal {
-        outcome,
-        status,
-        detail,
-        retry: Some(RETRY_AFTER),
-    }
-}
-
 /// Cancels a request at the engine whose answer is no longer needed.
 async fn cancel(engine: &Engine, order: &Order) {
     if let Err(error) = engine.client.cancel(order.request, CANCEL_TIMEOUT).await {
--- a/crates/agent/src/keyed.rs
+++ b/crates/agent/src/keyed.rs
@@ -16,11 +16,12 @@
 use apricothall_types::{Class, Outcome, Timestamp};
 use apricothall_wire::{Answer, Header, OnceCall, Order, Payload, Refusal, WireError, codec};
 use serde::{Deserialize, Serialize};
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::format_smolstr;
 use tokio::sync::oneshot;
 
 use crate::admission::refusal_of;
 use crate::claims::ClaimService;
+use crate::refusal::new_refusal;
 use crate::register::{CallEnd, CallStep, KeyedCall};
 use crate::run::{AnswerSender, Runner, refused};
 use crate::servers::Service;
@@ -29,9 +30,6 @@
 /// Timeout of a call at the service; it may exceed the caller's deadline.
 const RUN_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// Delay to suggest to the caller after a transient refusal.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// An answer in the form stored in the register.
 #[derive(Serialize, Deserialize)]
 struct StoredAnswer {
@@ -267,13 +265,3 @@
     let detail = format_smolstr!("not started: {why:?}");
     new_refusal(why.outcome(), 503, detail)
 }
-
-fn new_refusal(outcome: Outcome, status: u16, detail: SmolStr) -> Refusal {
-    let retry = Some(RETRY_AFTER);
-    Refusal {
-        outcome,
-        status,
-        detail,
-        retry,
-    }
-}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod keyed;
 pub mod loader;
 pub mod placement;
+pub mod refusal;
 pub mod register;
 pub mod reload;
 pub mod run;
--- a/crates/agent/src/service_call.rs
+++ b/crates/agent/src/service_call.rs
@@ -1,7 +1,5 @@
 //! Runs a call to a plain service.
 
-use std::time::Duration;
-
 use apricothall_clients::{PlatformError, ServiceAnswer, ServiceCall};
 use apricothall_fleet::Trace;
 use apricothall_types::Outcome;
@@ -10,11 +8,9 @@
 use smol_str::{SmolStr, ToSmolStr};
 
 use crate::keyed;
+use crate::refusal::new_refusal;
 use crate::run::{AnswerSender, Runner, refused};
 
-/// Delay to suggest to the caller after a transient refusal.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Response headers that apply to a single connection or are set again by the entry.
 const UNFORWARDED_HEADERS: [&str; 5] = [
     "connection",
@@ -122,12 +118,3 @@
         ..new_refusal(Outcome::Unknown, 502, error.to_smolstr())
     }
 }
-
-fn new_refusal(outcome: Outcome, status: u16, detail: SmolStr) -> Refusal {
-    Refusal {
-        outcome,
-        status,
-        detail,
-        retry: Some(RETRY_AFTER),
-    }
-}
--- a/crates/clients/src/engine.rs
+++ b/crates/clients/src/engine.rs
@@ -109,12 +109,7 @@
     /// When it does not answer in time.
     pub async fn state(&self, wait: Duration) -> Result<EngineState, PlatformError> {
         let request = get(self.address, "/v1/state")?;
-        let answer = self
-            .http
-            .call(request, wait, MAX_ANSWER_BYTES)
-            .await?
-            .error_for_status()?;
-        parse(&answer.body)
+        self.call_for_state(request, wait).await
     }
 
     /// Orders a load and waits until the engine serves the version.
@@ -130,12 +125,7 @@
         let body = serde_json::to_vec(order);
         let body = body.map_err(|e| PlatformError::Malformed(e.to_smolstr()))?;
         let request = self.post("/v1/load", Full::from(body))?;
-        let answer = self
-            .http
-            .call(request, wait, MAX_ANSWER_BYTES)
-            .await?
-            .error_for_status()?;
-        parse(&answer.body)
+        self.call_for_state(request, wait).await
     }
 
     /// Starts a completion on `version`. Calls `record` with the limit that the engine names in any
@@ -181,6 +171,15 @@
         Ok(answer.status.is_success())
     }
 
+    async fn call_for_state(
+        &self,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<EngineState, PlatformError> {
+        let answer = self.http.call(request, wait, MAX_ANSWER_BYTES).await?;
+        parse(&answer.error_for_status()?.body)
+    }
+
     fn post(&self, path: &str, body: Full<Bytes>) -> Result<Request<Full<Bytes>>, PlatformError> {
         let request = Request::post(format!("http://{}{path}", self.address)).body(body);
         request.map_err(|e| PlatformError::Malformed(e.to_smolstr()))
--- a/crates/decide/tests/engine_timing.rs
+++ b/crates/decide/tests/engine_timing.rs
@@ -1,21 +1,12 @@
 //! Engine latency model, compared with results computed by hand from the published timing.
 
+mod published;
+
 use std::time::Duration;
 
-use apricothall_decide::timing::{Backlog, Timing, Work};
+use apricothall_decide::timing::{Backlog, Work};
 use apricothall_types::Timestamp;
-
-const TIMING: Timing = Timing {
-    slots: 16,
-    step: 6.73,
-    per_request: 0.0219,
-    per_context: 0.0068,
-    reading: 30_600.0,
-    per_pairs: 0.647,
-    stride: 6,
-    prompt: 964.0,
-    answer: 119.0,
-};
+use published::TIMING;
 
 fn idle() -> Work {
     Work {
--- a/crates/decide/tests/load.rs
+++ b/crates/decide/tests/load.rs
@@ -1,23 +1,13 @@
 //! Load estimates of an engine under traffic patterns that caused wrong estimates.
 
+mod published;
+
 use std::time::Duration;
 
 use apricothall_decide::load::{Entries, Load, Prompt, ServerRelation};
 use apricothall_decide::placement::Distance;
-use apricothall_decide::timing::Timing;
 use apricothall_types::Timestamp;
-
-const TIMING: Timing = Timing {
-    slots: 16,
-    step: 6.73,
-    per_request: 0.0219,
-    per_context: 0.0068,
-    reading: 30_600.0,
-    per_pairs: 0.647,
-    stride: 6,
-    prompt: 964.0,
-    answer: 119.0,
-};
+use published::TIMING;
 
 const NORMAL: Prompt = Prompt {
     tokens: 964.0,
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -19,7 +19,7 @@
 use apricothall_types::{Outcome, Role, Zone};
 use apricothall_wire::Connector;
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming, SizeHint};
 use linkme::distributed_slice;
@@ -30,6 +30,7 @@
 use crate::limits::Limits;
 use crate::problem::Problem;
 use crate::quarantine::RecentServers;
+use crate::request_meta::RequestMeta;
 use crate::routing::Routing;
 use crate::{completions, entries, request_meta, services};
 
@@ -77,6 +78,18 @@
     pub lifecycle: Lifecycle,
 }
 
+impl EntryContext {
+    /// Parses the headers of a request. The time for which it may have waited in a socket is deducted
+    /// from its budget.
+    ///
+    /// # Errors
+    /// When a header is malformed or the deadline has passed.
+    pub fn request_meta(&self, headers: &HeaderMap, trace: Trace) -> Result<RequestMeta, Problem> {
+        let waited = self.pause_detector.max_wait(self.clock.now());
+        RequestMeta::from_headers(headers, trace, &self.config)?.deduct_wait(waited)
+    }
+}
+
 fn start(context: &Context) -> Result<(), StartError> {
     let settings = &context.settings;
     let missing = StartError::MissingSetting { key: "callers" };
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -66,9 +66,7 @@
     request: Request<Incoming>,
     trace: Trace,
 ) -> Result<Response<Body>, Problem> {
-    let waited = entry.pause_detector.max_wait(entry.clock.now());
-    let meta =
-        RequestMeta::from_headers(request.headers(), trace, &entry.config)?.deduct_wait(waited)?;
+    let meta = entry.request_meta(request.headers(), trace)?;
     let completion = CompletionCall::read(request_meta::read_body(request, &entry.config).await?)?;
     let catalogue = entry.catalogue.current();
     let found = catalogue.value.entry(&completion.model);
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -50,9 +50,7 @@
     request: Request<Incoming>,
     trace: Trace,
 ) -> Result<Response<Body>, Problem> {
-    let waited = entry.pause_detector.max_wait(entry.clock.now());
-    let meta =
-        RequestMeta::from_headers(request.headers(), trace, &entry.config)?.deduct_wait(waited)?;
+    let meta = entry.request_meta(request.headers(), trace)?;
     let (name, path) = split_path(request.uri())?;
     let method = SmolStr::new(request.method().as_str());
     let headers = forwarded_headers(request.headers());
