fix(gateway): digests that a piece contradicts are fetched again

Causes: a piece from the origin reset its back-off before its digest was checked, and digests were fetched once a version. Now only a piece whose digest holds ends the back-off, and after the second mismatch of a piece the digests of missing pieces are fetched from the origin again.

An origin that repeats the wrong digest still keeps the engine without the version; agents are not asked for theirs.

--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -45,6 +45,15 @@
 /// Maximum size of a response from the origin, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Number of times that the digest of a piece must differ before the digests are fetched again.
+const MAX_MISMATCHES: u32 = 2;
+
+/// What a task has fetched.
+enum Fetched {
+    Piece(FetchResult),
+    Digests(VersionId, Result<Vec<[u8; 32]>, SmolStr>),
+}
+
 /// Result of the fetch of a piece.
 struct FetchResult {
     id: VersionId,
@@ -77,7 +86,9 @@
     in_flight: HashMap<ChunkIndex, Source>,
     held_since: HashMap<ChunkIndex, Timestamp>,
     fetching_since: HashMap<ChunkIndex, Timestamp>,
-    tasks: JoinSet<FetchResult>,
+    tasks: JoinSet<Fetched>,
+    /// Number of times that the digest of a missing piece differed.
+    mismatches: HashMap<ChunkIndex, u32>,
     peer_backoff: HashMap<MemberId, Timestamp>,
     mean_fetch_time: Duration,
     started: Timestamp,
@@ -104,6 +115,7 @@
             held_since: HashMap::new(),
             fetching_since: HashMap::new(),
             tasks: JoinSet::new(),
+            mismatches: HashMap::new(),
             peer_backoff: HashMap::new(),
             mean_fetch_time: Duration::ZERO,
             started: now,
@@ -119,7 +131,8 @@
     /// returns while no fetch is in progress.
     pub async fn fetch_completed(&mut self) {
         match self.tasks.join_next().await {
-            Some(Ok(fetched)) => self.complete(fetched),
+            Some(Ok(Fetched::Piece(fetched))) => self.complete(fetched),
+            Some(Ok(Fetched::Digests(id, digests))) => self.correct_digests(&id, digests),
             Some(Err(error)) => tracing::error!(%error, "fetch task panicked or was cancelled"),
             None => std::future::pending().await,
         }
@@ -144,6 +157,7 @@
                 self.held_since.clear();
                 self.fetching_since.clear();
                 self.tasks = JoinSet::new();
+                self.mismatches.clear();
                 self.piece_store.begin(wanted.clone(), digests);
             }
             Err(error @ (DigestsError::Deferred | DigestsError::OriginBackoff)) => {
@@ -360,13 +374,13 @@
                 self.tasks.spawn(async move {
                     let bytes = pieces::fetch(&connector, address, &id, index, rank).await;
                     let bytes = bytes.map_err(FetchError::from);
-                    FetchResult {
+                    Fetched::Piece(FetchResult {
                         id,
                         since,
                         index,
                         source,
                         bytes,
-                    }
+                    })
                 });
             }
             Source::Origin => {
@@ -384,13 +398,13 @@
                         None => Err("the configuration has no origin".into()),
                     };
                     let bytes = bytes.map_err(FetchError::Origin);
-                    FetchResult {
+                    Fetched::Piece(FetchResult {
                         id,
                         since,
                         index,
                         source,
                         bytes,
-                    }
+                    })
                 });
             }
         }
@@ -410,14 +424,16 @@
         let error = match fetched.bytes {
             Ok(bytes) => {
                 let size = bytes.len() as u64;
-                if fetched.source == Source::Origin {
-                    self.origin_failures = 0;
-                }
                 if self.piece_store.put(&fetched.id, fetched.index, bytes) {
+                    if fetched.source == Source::Origin {
+                        self.origin_failures = 0;
+                    }
+                    self.mismatches.remove(&fetched.index);
                     metrics::counter!("apricothall_piece_bytes_total", "source" => from)
                         .increment(size);
                     return;
                 }
+                self.record_mismatch(&fetched.id, fetched.index);
                 FetchError::DigestMismatch
             }
             Err(error) => error,
--- a/crates/gateway/src/agent/fetch/digests.rs
+++ b/crates/gateway/src/agent/fetch/digests.rs
@@ -3,12 +3,13 @@
 
 use std::time::Duration;
 
+use apricothall_clients::http_client::HttpClient;
 use apricothall_decide::rank;
-use apricothall_types::{Region, Role};
-use bytes::Bytes;
+use apricothall_types::{ChunkIndex, Region, Role};
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
-use super::{Fetcher, read_origin};
+use super::{Fetched, Fetcher, MAX_MISMATCHES, read_origin};
+use crate::Context;
 use crate::agent::piece_store::VersionId;
 use crate::agent::pieces;
 
@@ -74,14 +75,43 @@
         if self.context.clock.now() < self.origin_retry_at {
             return Err(DigestsError::OriginBackoff);
         }
-        let calls = &self.context.dialect.origin;
-        let path = (calls.manifest)(&wanted.model, wanted.version);
-        let body = self.request_origin(&path).await?;
-        let manifest = (calls.read_manifest)(&body).map_err(|e| e.to_smolstr())?;
-        if manifest.version != wanted.version {
-            return Err(format_smolstr!("manifest is of version {}", manifest.version).into());
+        Ok(read_digests(self.context.clone(), self.origin.clone(), wanted.clone()).await?)
+    }
+
+    /// Takes note that the digest of a piece differed. If it did so repeatedly, the digest itself may
+    /// be wrong, and the digests are fetched from the origin again.
+    pub(super) fn record_mismatch(&mut self, id: &VersionId, index: ChunkIndex) {
+        if self.piece_store.current().as_ref() != Some(id) {
+            return;
+        }
+        let count = self.mismatches.entry(index).or_default();
+        *count += 1;
+        if *count < MAX_MISMATCHES {
+            return;
+        }
+        *count = 0;
+        tracing::warn!(model = %id.model, version = id.version, %index, "digest differs repeatedly; fetching the digests again");
+        let reading = read_digests(self.context.clone(), self.origin.clone(), id.clone());
+        let id = id.clone();
+        let task = async move { Fetched::Digests(id, reading.await) };
+        self.tasks.spawn(task);
+    }
+
+    /// Takes digests that were fetched again for the pieces that are still missing.
+    pub(super) fn correct_digests(
+        &mut self,
+        id: &VersionId,
+        digests: Result<Vec<[u8; 32]>, SmolStr>,
+    ) {
+        match digests {
+            Ok(digests) => {
+                let corrected = self.piece_store.correct_digests(id, &digests);
+                tracing::info!(model = %id.model, version = id.version, corrected, "digests fetched again");
+            }
+            Err(error) => {
+                tracing::warn!(model = %id.model, version = id.version, %error, "digests not fetched again");
+            }
         }
-        Ok(manifest.digests)
     }
 
     /// Returns whether this agent may request the digests from the origin.
@@ -113,11 +143,26 @@
         let before = (before + 1).saturating_sub(CONCURRENT_ORIGIN_REQUESTS);
         now.since(self.wanted_since) >= ORIGIN_STAGGER * before
     }
+}
 
-    async fn request_origin(&self, path: &str) -> Result<Bytes, SmolStr> {
-        let in_force = self.context.published.in_force();
-        let origin = in_force.as_ref().and_then(|f| f.configuration.origin());
-        let origin = origin.ok_or_else(|| SmolStr::new("the configuration has no origin"))?;
-        read_origin(&self.origin, origin.address, path, DIGESTS_TIMEOUT).await
+/// Reads the digests of `wanted` from the origin.
+async fn read_digests(
+    context: Context,
+    client: HttpClient,
+    wanted: VersionId,
+) -> Result<Vec<[u8; 32]>, SmolStr> {
+    let calls = &context.dialect.origin;
+    let path = (calls.manifest)(&wanted.model, wanted.version);
+    let in_force = context.published.in_force();
+    let origin = in_force.as_ref().and_then(|f| f.configuration.origin());
+    let origin = origin.ok_or_else(|| SmolStr::new("the configuration has no origin"))?;
+    let body = read_origin(&client, origin.address, &path, DIGESTS_TIMEOUT).await?;
+    let manifest = (calls.read_manifest)(&body).map_err(|e| e.to_smolstr())?;
+    if manifest.version != wanted.version {
+        return Err(format_smolstr!(
+            "manifest is of version {}",
+            manifest.version
+        ));
     }
+    Ok(manifest.digests)
 }
--- a/crates/gateway/src/agent/piece_store.rs
+++ b/crates/gateway/src/agent/piece_store.rs
@@ -108,6 +108,24 @@
         true
     }
 
+    /// Replaces the digests of missing pieces of `id` by those in `digests`. Returns how many differ.
+    #[must_use]
+    pub fn correct_digests(&self, id: &VersionId, digests: &[[u8; 32]]) -> usize {
+        let mut contents = self.contents();
+        let stored = contents.current.as_mut().filter(|v| v.id == *id);
+        let Some(stored) = stored.filter(|v| v.digests.len() == digests.len()) else {
+            return 0;
+        };
+        let mut corrected = 0;
+        for (at, digest) in digests.iter().enumerate() {
+            if stored.pieces[at].is_none() && stored.digests[at] != *digest {
+                stored.digests[at] = *digest;
+                corrected += 1;
+            }
+        }
+        corrected
+    }
+
     /// Returns a piece of `id`, if it is held.
     #[must_use]
     pub fn get(&self, id: &VersionId, index: ChunkIndex) -> Option<Bytes> {
