--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -30,9 +30,15 @@
 /// Timeout for the request on an opened stream.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Weight of the past in the moving average of upload times: 7 of 8.
-const SMOOTHING_PAST_WEIGHT: u32 = 7;
-const SMOOTHING_TOTAL_WEIGHT: u32 = 8;
+/// Weight of the previous value in the moving average of upload times, out of [`TOTAL_WEIGHT`].
+const PAST_WEIGHT: u32 = 7;
+
+/// Sum of the weights of that average.
+const TOTAL_WEIGHT: u32 = 8;
+
+/// An upload times out after this multiple of the average upload time, if that is longer than the
+/// configured timeout.
+const TIMEOUT_FACTOR: u32 = 8;
 
 /// Minimum retry delay of a busy reply.
 const MIN_BUSY_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -162,7 +168,7 @@
     /// Returns the timeout of an upload. A peer that has not read the chunk by then has abandoned
     /// it.
     fn send_timeout(&self) -> Duration {
-        let minimum = self.lock().mean_duration * SMOOTHING_TOTAL_WEIGHT;
+        let minimum = self.lock().mean_duration * TIMEOUT_FACTOR;
         self.config.timeout.0.max(minimum)
     }
 
@@ -171,7 +177,7 @@
         state.mean_duration = if state.mean_duration.is_zero() {
             elapsed
         } else {
-            (state.mean_duration * SMOOTHING_PAST_WEIGHT + elapsed) / SMOOTHING_TOTAL_WEIGHT
+            (state.mean_duration * PAST_WEIGHT + elapsed) / TOTAL_WEIGHT
         };
     }
 
--- a/crates/decide/src/transfer/fetch.rs
+++ b/crates/decide/src/transfer/fetch.rs
@@ -6,9 +6,12 @@
 
 use super::Transfer;
 
-/// Weight of the previous value in a moving average, out of [`SMOOTH_WHOLE`].
-const SMOOTH_PAST: u64 = 7;
-const SMOOTH_WHOLE: u64 = 8;
+/// Weight of the previous value in a moving average, out of [`TOTAL_WEIGHT`].
+const PAST_WEIGHT: u64 = 7;
+
+/// Sum of the weights of a moving average.
+const TOTAL_WEIGHT: u64 = 8;
+
 /// A fetch times out after this multiple of the average fetch time, if that is longer than the
 /// configured timeout.
 const TIMEOUT_FACTOR: u64 = 8;
@@ -255,5 +258,5 @@
     if past == 0 {
         return sample;
     }
-    (past / SMOOTH_WHOLE * SMOOTH_PAST).saturating_add(sample / SMOOTH_WHOLE)
+    (past / TOTAL_WEIGHT * PAST_WEIGHT).saturating_add(sample / TOTAL_WEIGHT)
 }
--- a/crates/decide/src/transfer/pace.rs
+++ b/crates/decide/src/transfer/pace.rs
@@ -4,11 +4,18 @@
 
 use apricothall_types::{Bytes, Rate, Timestamp};
 
+/// Highest rate of fetches, in percent of the permitted rate.
 const FULL_PERCENT: u32 = 100;
+
+/// Lowest rate of fetches, in percent of the permitted rate.
 const MIN_PERCENT: u32 = 10;
+
+/// Increase of the rate while live requests are not slow, in percent of the permitted rate.
 const STEP_PERCENT: u32 = 5;
+
 /// Fetches slow down when the latency of live requests exceeds this percentage of its base.
 const SLOW_DOWN_PERCENT: u32 = 120;
+
 /// Minimum time between two rate changes.
 const MIN_CHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -23,8 +23,10 @@
 
 use crate::problem::Problem;
 
-/// Longest and shortest time between two updates of what the agents serve.
+/// Maximum time between two updates of what the agents serve.
 const MAX_POLL_PERIOD: Duration = Duration::from_secs(1);
+
+/// Minimum time between two such updates.
 const MIN_POLL_PERIOD: Duration = Duration::from_millis(100);
 
 /// `Retry-After` while no server of the pair accepts the request.
--- a/crates/standin/src/config.rs
+++ b/crates/standin/src/config.rs
@@ -19,7 +19,10 @@
 /// Number of reads per second that the platform allows for all readers together.
 pub const DEFAULT_BUDGET: u32 = 2_000;
 
+/// Period in which reads are counted against the budget.
 const BUDGET_WINDOW: Duration = Duration::from_secs(1);
+
+/// `Retry-After` of a read above the budget, in seconds.
 const RETRY_SECONDS: u64 = 1;
 
 /// Revisions that readers see.
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -19,8 +19,13 @@
 use crate::server::{Call, Reply, json, reply, retry_later};
 use crate::text;
 
+/// `Retry-After` of a refusal, in seconds.
 const RETRY_SECONDS: u64 = 1;
+
+/// Number of tokens of an answer if the request states none.
 const DEFAULT_TOKENS: u32 = 16;
+
+/// Priority of a request that states none.
 const DEFAULT_PRIORITY: u8 = 1;
 
 /// Body of `POST /v1/completions`.
--- a/crates/types/src/catalogue.rs
+++ b/crates/types/src/catalogue.rs
@@ -113,8 +113,13 @@
     pub caller: NonZeroU32,
 }
 
+/// Requests per second of an entry that states no limit.
 const DEFAULT_RATE: NonZeroU32 = NonZeroU32::new(1_000).unwrap();
+
+/// Burst size of an entry that states none.
 const DEFAULT_BURST: NonZeroU32 = NonZeroU32::new(200).unwrap();
+
+/// Requests per second of a caller of an entry that states no limit for callers.
 const DEFAULT_CALLER: NonZeroU32 = NonZeroU32::new(200).unwrap();
 
 impl Default for Limits {
