fix(agent): weights of an earlier process are not vouched for by its successor

Causes: a successor of an agent read the pieces back and took them for those that had been loaded, though its predecessor may have repaired them; it took layers that an engine had kept amid a reload for right; an entry took the word on an earlier life of an engine for none at all and went by the server list; and an engine that entries knew to be doubtful was never used again, as its new agent did not know.

Change: a successor says that it does not know, and never concludes from pieces; layers that an engine holds without a whole version count as bad; a later life of an engine that was heard of before counts as without weights until its agent says otherwise; entries tell the agent if they last heard that its engine's weights may be bad, and it loads them anew.

--- a/crates/decide/src/loaded.rs
+++ b/crates/decide/src/loaded.rs
@@ -213,7 +213,7 @@
         now: Timestamp,
     ) {
         let Some(before) = self.last.replace(Last { seen, asked }) else {
-            self.start(seen, asked, now);
+            self.start(seen);
             return;
         };
         let is_new_life = seen.born != before.seen.born;
@@ -248,13 +248,26 @@
         }
     }
 
-    /// Records the first report. An order of an earlier process may have been accepted before.
-    fn start(&mut self, seen: Observation, asked: Timestamp, now: Timestamp) {
+    /// Records the first report. What an earlier process ordered and wrote is not known.
+    fn start(&mut self, seen: Observation) {
         self.weights = at_start(seen);
-        if seen.orders > 0 {
-            self.weights = Weights::Unknown;
-            let (after, by) = (asked, now);
-            self.unproven = Some(Acceptance { after, by });
+        if seen.orders == 0 {
+            return;
+        }
+        self.weights = Weights::Unknown;
+        if seen.version.is_none() {
+            // Layers that it held before may be bad.
+            self.kept = seen.layers.filter(|held| !held.is_empty());
+            self.stale = self.kept.map(|_| LayerRange::ALL);
+        }
+    }
+
+    /// Records that other daemons last heard of the engine that started at `born` that its weights
+    /// may be bad. An earlier process of this agent told them.
+    pub fn record_doubt(&mut self, born: u64) {
+        if self.weights == Weights::Unknown && self.born() == Some(born) {
+            self.weights = Weights::Unverified;
+            self.stale = Some(LayerRange::ALL);
         }
     }
 
@@ -272,17 +285,15 @@
             return;
         };
         let is_correct = are_correct && pieces.written <= accepted.after;
-        if is_correct || self.weights != Weights::Unknown {
-            self.conclude(is_correct, pieces.version);
-        }
+        self.conclude(is_correct, pieces.version);
     }
 
     /// Concludes whether the layers that an order loaded are correct. Those that the engine had kept
     /// were not loaded.
     fn conclude(&mut self, is_correct: bool, version: u64) {
+        let is_reload = self.reload.is_some_and(|r| r.version == version) || self.kept.is_some();
         // Without an answer it is not known which layers were kept.
         let kept = self.kept.take().unwrap_or(LayerRange::ALL);
-        let is_reload = self.reload.is_some_and(|r| r.version == version);
         self.stale = match self.stale {
             _ if !is_correct => Some(LayerRange::ALL),
             Some(stale) if is_reload => stale.intersection(kept),
@@ -342,19 +353,31 @@
 
 impl HeardWeights {
     /// Records what the agent says of an engine that started at `born`, 0 if it does not respond. What
-    /// was known stays if the agent does not know.
+    /// was known stays if the agent does not know; a later life began without weights.
     pub fn record(&mut self, born: u64, weights: Weights) {
-        let is_unreachable = born == 0 && self.born != 0;
-        let is_news = born != self.born || weights != Weights::Unknown;
-        if is_news && !is_unreachable {
-            *self = Self { born, weights };
+        let is_later = born != self.born && self.born != 0;
+        match weights {
+            _ if born == 0 && self.born != 0 => {}
+            Weights::Unknown if born == self.born => {}
+            Weights::Unknown if is_later => {
+                let weights = Weights::Unverified;
+                *self = Self { born, weights };
+            }
+            _ => *self = Self { born, weights },
         }
     }
 
-    /// Whether an engine that started at `born`, 0 if that is unknown, may be used with `version`.
+    /// Whether an engine that started at `born`, 0 if that is unknown, may be used with `version`. Of
+    /// another life than the last one heard of nothing is known: it began without weights.
+    #[must_use]
+    pub const fn permits(&self, born: u64, version: u64) -> bool {
+        let is_other_life = born != 0 && self.born != 0 && born != self.born;
+        !is_other_life && self.weights.permits(version)
+    }
+
+    /// Start of the engine, if its weights may be bad.
     #[must_use]
-    pub fn permits(&self, born: u64, version: u64) -> bool {
-        let is_other_life = born != 0 && born != self.born;
-        is_other_life || self.weights.permits(version)
+    pub fn doubted(&self) -> Option<u64> {
+        (self.weights == Weights::Unverified).then_some(self.born)
     }
 }
--- a/crates/decide/tests/loaded.rs
+++ b/crates/decide/tests/loaded.rs
@@ -364,9 +364,12 @@
     heard.record(5, Weights::Unknown);
     heard.record(0, Weights::Verified(NEW));
     assert!(!heard.permits(5, NEW) && !heard.permits(0, NEW));
-    assert!(heard.permits(6, NEW));
+    assert!(!heard.permits(6, NEW), "it began without weights");
+    assert_eq!(heard.doubted(), Some(5));
     heard.record(5, Weights::Verified(NEW));
     assert!(heard.permits(5, NEW) && !heard.permits(5, OLD));
+    heard.record(6, Weights::Unknown);
+    assert!(!heard.permits(6, NEW) && heard.doubted() == Some(6));
 }
 
 /// Guards against an engine without orders that is not used although it was started with a version.
@@ -387,6 +390,53 @@
         ..Engine::new().observe()
     };
     tracker.observe(seen, &PieceHistory::default(), at(1), at(2));
-    tracker.record_read_back(false, &PieceHistory::default());
+    assert!(
+        !tracker.awaits_read_back(),
+        "an earlier process may have repaired pieces"
+    );
     assert_eq!(tracker.weights(), Weights::Unknown);
 }
+
+/// Guards against an engine that is not used any more as its agent does not know what others heard.
+#[test]
+fn a_doubted_load_of_an_earlier_process_is_loaded_anew() {
+    let mut tracker = LoadTracker::default();
+    let seen = Observation {
+        orders: 1,
+        ..Engine::new().observe()
+    };
+    tracker.observe(seen, &PieceHistory::default(), at(1), at(2));
+    tracker.record_doubt(seen.born + 1);
+    assert_eq!(tracker.weights(), Weights::Unknown, "of another life");
+    tracker.record_doubt(seen.born);
+    assert_eq!(tracker.weights(), Weights::Unverified);
+    let first = Operation::Keep(LayerRange::single(0));
+    assert_eq!(tracker.reload_step(), Some(first));
+}
+
+/// Guards against a bad layer that stays loaded as the agent ends while the version is loaded anew.
+#[test]
+fn layers_kept_by_an_earlier_process_are_loaded_anew() {
+    let mut tracker = LoadTracker::default();
+    let part = Observation {
+        orders: 2,
+        version: None,
+        layers: Some(LayerRange::single(0)),
+        ..Engine::new().observe()
+    };
+    tracker.observe(part, &PieceHistory::default(), at(1), at(2));
+    let (after, by) = (at(3_000), at(3_010));
+    let accepted = OrderOutcome::Accepted(Acceptance { after, by });
+    tracker.record_order(Operation::Load, accepted);
+    let whole = Observation {
+        orders: 3,
+        version: Some(NEW),
+        layers: Some(WHOLE),
+        ..part
+    };
+    let pieces = history(2_000, 2_500, false);
+    tracker.observe(whole, &pieces, at(3_020), at(3_030));
+    assert_eq!(tracker.weights(), Weights::Unverified);
+    let keep = Operation::Keep(LayerRange::single(1));
+    assert_eq!(tracker.reload_step(), Some(keep));
+}
--- a/crates/gateway/src/agent/piece_store.rs
+++ b/crates/gateway/src/agent/piece_store.rs
@@ -18,6 +18,15 @@
     pub version: u64,
 }
 
+impl From<&(SmolStr, u64)> for VersionId {
+    fn from((model, version): &(SmolStr, u64)) -> Self {
+        Self {
+            model: model.clone(),
+            version: *version,
+        }
+    }
+}
+
 struct StoredVersion {
     id: VersionId,
     digests: Vec<[u8; 32]>,
--- a/crates/gateway/src/agent/updater.rs
+++ b/crates/gateway/src/agent/updater.rs
@@ -95,6 +95,7 @@
             if let Some(wanted) = &wanted {
                 let target = self.fetch_target(wanted, now);
                 self.advance_fetch(&target).await;
+                self.note_doubt();
                 self.verify_weights().await;
                 self.load_if_due(wanted).await;
             }
--- a/crates/gateway/src/agent/updater/weights.rs
+++ b/crates/gateway/src/agent/updater/weights.rs
@@ -38,6 +38,15 @@
         self.log_weights(weights);
     }
 
+    /// Takes into account what other daemons heard of the engine from an earlier process.
+    pub(super) fn note_doubt(&mut self) {
+        let before = self.tracker.weights();
+        if let Some(born) = self.context.fleet.doubt() {
+            self.tracker.record_doubt(born);
+        }
+        self.log_weights(before);
+    }
+
     /// What is known of the staged pieces.
     fn history(&self) -> PieceHistory {
         let staged = self.staged.as_ref();
@@ -92,14 +101,10 @@
             return None;
         }
         let staged = self.staged.as_ref().map(|(id, _)| id.clone());
-        if self.tracker.weights() == Weights::Unverified && staged.is_some() {
-            return staged;
-        }
-        // An earlier process staged what the engine has loaded.
-        let (model, version) = report.loaded.first().filter(|_| !report.busy)?.clone();
-        let id = VersionId { model, version };
-        let is_held = self.piece_store.all_pieces(&id).is_some();
-        (is_held || self.tracker.weights() == Weights::Unverified).then_some(id)
+        let loaded = || report.loaded.first().map(VersionId::from);
+        staged
+            .or_else(loaded)
+            .or_else(|| self.piece_store.current())
     }
 
     /// Whether the staged pieces are those of `id`. If it is not held any more, they count as wrong.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -69,6 +69,8 @@
     state: Mutex<State>,
     engine_status: Mutex<Option<EngineStatus>>,
     fetching: AtomicBool,
+    /// Start of the engine on this VM, if others heard that its weights may be bad.
+    doubt: Mutex<Option<u64>>,
 }
 
 /// Identifies a server by its id and address.
@@ -171,6 +173,7 @@
             }),
             engine_status: Mutex::default(),
             fetching: AtomicBool::new(false),
+            doubt: Mutex::default(),
         }
     }
 
@@ -193,6 +196,23 @@
             .unwrap_or_else(PoisonError::into_inner) = Some(status);
     }
 
+    /// Start of the engine at `address`, if this daemon last heard that its weights may be bad.
+    #[must_use]
+    pub fn doubted(&self, address: SocketAddr) -> Option<u64> {
+        self.state().weights.get(&address)?.doubted()
+    }
+
+    /// Records what another daemon heard of the engine on this VM.
+    pub fn record_doubt(&self, born: u64) {
+        *self.doubt.lock().unwrap_or_else(PoisonError::into_inner) = Some(born);
+    }
+
+    /// Start of the engine on this VM, if others heard that its weights may be bad.
+    #[must_use]
+    pub fn doubt(&self) -> Option<u64> {
+        *self.doubt.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether this agent is fetching weights.
     #[must_use]
     pub fn is_fetching(&self) -> bool {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -122,6 +122,9 @@
         let far = gossip.hello.region != context.settings().region;
         context.fleet.record_engine_status(status, far, now);
     }
+    if let Some(born) = gossip.doubted {
+        context.fleet.record_doubt(born);
+    }
     merge_ages(context, gossip, now);
     let published = &context.published;
     published.merge_checked(gossip.revision, gossip.checked);
@@ -382,6 +385,10 @@
             context.server_limits.records(now)
         },
         engine: context.fleet.engine_status(),
+        doubted: context
+            .peers
+            .engine_address(to)
+            .and_then(|engine| context.fleet.doubted(engine)),
         known: context
             .peers
             .sample(MAX_KNOWN_ADDRESSES, &mut rand::rng(), now),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -156,6 +156,8 @@
     pub limits: Vec<LimitRecord>,
     /// Status of the sender's engine; agents only.
     pub engine: Option<EngineStatus>,
+    /// Start of the receiver's engine, if the sender last heard that its weights may be bad.
+    pub doubted: Option<u64>,
     /// Addresses of other daemons.
     pub known: Vec<SocketAddr>,
     /// Number of rounds between two messages to the receiver.
@@ -402,6 +404,14 @@
         known.get(address).is_some_and(|p| p.is_alive(now))
     }
 
+    /// Address of the engine of the agent at `address`.
+    #[must_use]
+    pub fn engine_address(&self, address: &SocketAddr) -> Option<SocketAddr> {
+        let known = self.known();
+        let engine = known.get(address)?.engine.as_ref()?;
+        Some(engine.address)
+    }
+
     /// Kind of the daemon at `address`, if it is in the list.
     #[must_use]
     pub fn kind(&self, address: &SocketAddr) -> Option<Receivers> {
