test(apricotd): callers of cut answers read by the time that has passed

A pause after each read made slow machines read slower (stops of up to 6.9 s of the 7.6 s that a stop may take, load average 28).

--- a/crates/apricotd/tests/cut_answers.rs
+++ b/crates/apricotd/tests/cut_answers.rs
@@ -40,9 +40,6 @@
 /// Bytes that a caller's kernel may hold: Linux doubles the size that is set.
 const HELD_BY_CALLER: usize = 2 * RECEIVE_BUFFER as usize;
 
-/// Interval at which a caller reads.
-const READ_INTERVAL: Duration = Duration::from_millis(10);
-
 /// Sizes of answers in bytes: more than a send buffer holds, and less.
 const LARGE: usize = 12 << 20;
 const MEDIUM: usize = 2 << 20;
@@ -100,6 +97,7 @@
         from_entry: Instant::now(),
         connection,
     };
+    let begun = tokio::time::Instant::now();
     let mut block = vec![0; rate / 100];
     while received.body < size {
         // A cut connection shows as a body that is too short.
@@ -111,7 +109,9 @@
         if size - received.body > HELD_BY_CALLER {
             received.from_entry = Instant::now();
         }
-        tokio::time::sleep(READ_INTERVAL).await;
+        let share = u32::try_from(received.body).expect("small");
+        let due = f64::from(share) / f64::from(u32::try_from(rate).expect("small"));
+        tokio::time::sleep_until(begun + Duration::from_secs_f64(due)).await;
     }
     received
 }
