feat(decide,gateway): data residency and evacuations of zones

Routes and client accounts may list the regions in which their requests may be processed, and operators may evacuate a zone.

Both bind each placement, so first attempts, retries, resumed streams and plain calls. If the configuration has changed since a request was accepted, the restrictions of both versions apply. A request without a permitted server is refused at once as not run.

--- a/crates/decide/src/routes.rs
+++ b/crates/decide/src/routes.rs
@@ -6,6 +6,8 @@
 
 use smol_str::SmolStr;
 
+use crate::residency::AllowedRegions;
+
 /// Whether a request can be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -53,6 +55,8 @@
     pub resumable: bool,
     /// Destination services.
     pub targets: Vec<Target>,
+    /// Regions in which its requests may be processed.
+    pub regions: AllowedRegions,
 }
 
 impl Route {
@@ -130,6 +134,14 @@
         list.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// Regions in which the requests of all routes of `host` may be processed.
+    #[must_use]
+    pub fn host_regions(&self, host: &str) -> AllowedRegions {
+        let routes = self.hosts.get(host.to_ascii_lowercase().as_str());
+        let regions = routes.into_iter().flatten().map(|r| &r.regions);
+        regions.fold(AllowedRegions::ANY, |all, one| all.intersection(one))
+    }
+
     /// Priority range of the routes to `service`.
     #[must_use]
     pub fn priorities(&self, service: &str) -> Option<PriorityRange> {
@@ -149,6 +161,8 @@
     pub name: SmolStr,
     /// Priority of its requests, which overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be processed, in addition to the restriction of the route.
+    pub regions: AllowedRegions,
 }
 
 /// Client accounts by API key. Without configured accounts, no key is required.
@@ -200,6 +214,15 @@
         self.highest
     }
 
+    /// The account named `name`.
+    #[must_use]
+    pub fn named(&self, name: &str) -> Option<&Arc<Account>> {
+        self.keys
+            .iter()
+            .flat_map(HashMap::values)
+            .find(|a| a.name == name)
+    }
+
     /// Authenticates a call of `route` with `key`.
     #[must_use]
     pub fn caller(&self, route: &Route, key: Option<&str>) -> Caller {
--- a/crates/decide/tests/routes.rs
+++ b/crates/decide/tests/routes.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use apricothall_decide::residency::AllowedRegions;
 use apricothall_decide::routes::{
     Account, Accounts, CallKind, Caller, PriorityRange, Route, RouteTable, Target,
     is_highest_priority,
@@ -22,6 +23,7 @@
         public: false,
         resumable: false,
         targets: vec![target("main", 90), target("trial", 10)],
+        regions: AllowedRegions::ANY,
     }
 }
 
@@ -74,6 +76,7 @@
     let account = Account {
         name: "school".into(),
         priority: Some(0),
+        regions: AllowedRegions::ANY,
     };
     Accounts::new([(account, vec!["k1".into(), "k2".into()])])
 }
@@ -90,6 +93,29 @@
     assert_eq!(caller, Caller::Unknown);
 }
 
+/// Guards against entry discovery that goes by one route of a host only.
+#[test]
+fn a_host_permits_the_regions_of_all_its_routes() {
+    let allow = |prefix: &str, names: &[&str]| Route {
+        regions: AllowedRegions::only(names.iter().map(|n| n.parse().expect("valid"))),
+        ..route(prefix, "a.example", prefix)
+    };
+    let table = RouteTable::new(vec![
+        allow("/x/", &["east", "west"]),
+        allow("/y/", &["west"]),
+        route("open", "a.example", "/z/"),
+    ]);
+    assert_eq!(table.host_regions("A.example").to_string(), "west");
+    assert_eq!(table.host_regions("b.example"), AllowedRegions::ANY);
+}
+
+#[test]
+fn an_account_is_found_by_its_name() {
+    let accounts = accounts();
+    assert_eq!(accounts.named("school").map(|a| a.priority), Some(Some(0)));
+    assert_eq!(accounts.named("other"), None);
+}
+
 #[test]
 fn a_public_route_needs_no_key() {
     let open = Route {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -10,7 +10,7 @@
 use apricothall_decide::servers::Server;
 pub use apricothall_decide::store_reachability::Subject;
 use apricothall_decide::transfer::ChunkSet;
-use apricothall_types::{Era, MemberId, PartId, StoreRevision, TokenCount};
+use apricothall_types::{Era, MemberId, PartId, StoreRevision, TokenCount, Zone};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName};
 use smol_str::SmolStr;
@@ -162,6 +162,8 @@
     pub read_item: fn(&Item) -> Result<Fact, DialectError>,
     /// Id of the server whose entry has this key.
     pub server_of: fn(&str) -> Option<MemberId>,
+    /// Zone that is evacuated while an item with this key exists.
+    pub evacuated_zone: fn(&str) -> Option<Zone>,
 }
 
 /// Status report of an engine.
@@ -239,13 +241,15 @@
     pub piece: fn(&str, u64, u32) -> String,
 }
 
-/// Location of a caller.
+/// Location of a caller, and the host that it wants to reach.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CallerLocation {
     /// Its availability zone.
     pub zone: Option<SmolStr>,
     /// Its region.
     pub region: Option<SmolStr>,
+    /// The host.
+    pub host: Option<SmolStr>,
 }
 
 /// Endpoints called by callers and by the platform.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use apricothall_decide::residency::AllowedRegions;
 use apricothall_fleet::http_server::{Body, listen, serve, text, with_content_type};
 use apricothall_kernel::StartError;
 use apricothall_types::Role;
@@ -83,7 +84,11 @@
 
 fn entries(context: &Context, location: &CallerLocation) -> Response<Body> {
     let calls = &context.dialect.directory;
-    let chosen = choose_entries(&known_entries(context), location);
+    let chosen = choose_entries(
+        &known_entries(context),
+        location,
+        &host_regions(context, location),
+    );
     if chosen.is_empty() {
         return text(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -103,9 +108,24 @@
     all
 }
 
+/// Regions in which the requests to the host that the caller wants to reach may be processed.
+fn host_regions(context: &Context, location: &CallerLocation) -> AllowedRegions {
+    let in_force = context.published.in_force();
+    let host = in_force.as_ref().zip(location.host.as_ref());
+    host.map_or(AllowedRegions::ANY, |(in_force, host)| {
+        in_force.configuration.routes.host_regions(host)
+    })
+}
+
 /// Selects serving entries, only from the caller's zone if it has enough of them. If no entry is
-/// serving, starting entries are returned, as they may become ready first.
-fn choose_entries(all: &[DaemonInfo], location: &CallerLocation) -> Vec<SocketAddr> {
+/// serving, starting entries are returned, as they may become ready first. If requests may only be
+/// processed in some regions, entries of the caller's own region come first, then those of these
+/// regions.
+fn choose_entries(
+    all: &[DaemonInfo],
+    location: &CallerLocation,
+    regions: &AllowedRegions,
+) -> Vec<SocketAddr> {
     let in_phase = |phase| {
         all.iter()
             .filter(move |h| h.phase == phase)
@@ -119,6 +139,8 @@
     let zone: Vec<_> = usable.iter().filter(same_zone).copied().collect();
     let chosen = if zone.len() >= MIN_SAME_ZONE {
         zone
+    } else if regions.is_restricted() {
+        within_regions(&usable, location, regions)
     } else {
         usable
     };
@@ -128,3 +150,22 @@
         .take(MAX_ADDRESSES)
         .collect()
 }
+
+/// Entries of the caller's region, or else of the permitted regions, or else all.
+fn within_regions<'a>(
+    usable: &[&'a DaemonInfo],
+    location: &CallerLocation,
+    regions: &AllowedRegions,
+) -> Vec<&'a DaemonInfo> {
+    let is_own = |h: &DaemonInfo| location.region.as_deref() == Some(h.region.as_str());
+    let is_permitted = |h: &DaemonInfo| regions.permits(Some(&h.region));
+    let own: Vec<_> = usable.iter().copied().filter(|h| is_own(h)).collect();
+    if !own.is_empty() {
+        return own;
+    }
+    let permitted: Vec<_> = usable.iter().copied().filter(|h| is_permitted(h)).collect();
+    if !permitted.is_empty() {
+        return permitted;
+    }
+    usable.to_vec()
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Load and health of the backend servers, as observed by this daemon.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -13,11 +13,12 @@
 use apricothall_decide::outlier::{Attempt, OutlierDetector};
 use apricothall_decide::placement::{self, Choice, PlacementConfig, Requirements};
 use apricothall_decide::prompt_parts::Trial;
+use apricothall_decide::residency::AllowedRegions;
 use apricothall_decide::server_limits::PassedOver;
 use apricothall_decide::servers::Server;
 use apricothall_decide::signals::Signals;
 use apricothall_decide::versions::Versions;
-use apricothall_types::{Interval, MemberId, PromptPart, Timestamp};
+use apricothall_types::{Interval, MemberId, PromptPart, Timestamp, Zone};
 use smol_str::SmolStr;
 
 use crate::Context;
@@ -29,6 +30,8 @@
 
 mod eligible;
 
+use eligible::Eligible;
+
 /// Maximum age of an engine status that is used.
 const STATUS_MAX_AGE: Duration = Duration::from_millis(900);
 
@@ -110,6 +113,10 @@
     pub crashes: u32,
     /// A suspect part of its prompt, which one server tries.
     pub trial: Option<&'a Trial>,
+    /// Regions in which it may be processed.
+    pub regions: &'a AllowedRegions,
+    /// Zones whose servers get no requests.
+    pub evacuated: &'a BTreeSet<Zone>,
 }
 
 /// Server selected for a request.
@@ -146,6 +153,28 @@
     Limited(Box<PassedOver>),
     /// The server list contains no server of the service that accepts requests.
     NoServer,
+    /// Servers accept requests, but only in regions or zones that the request must not use.
+    Excluded(Exclusion),
+}
+
+/// Why a server must not run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exclusion {
+    /// The request may not be processed in its region.
+    Region,
+    /// Its zone is evacuated.
+    Evacuated,
+}
+
+impl Exclusion {
+    /// Reason for the refusal of a request, for callers and logs.
+    #[must_use]
+    pub const fn reason(self) -> &'static str {
+        match self {
+            Self::Region => "no server in the allowed regions",
+            Self::Evacuated => "the zones of all servers are evacuated",
+        }
+    }
 }
 
 impl Fleet {
@@ -264,7 +293,11 @@
         let mut state = self.state();
         context.published.servers(|servers| {
             let limits = &context.server_limits;
-            let (eligible, passed_over) = state.eligible(&settings, servers, limits, request, now);
+            let Eligible {
+                servers: eligible,
+                passed_over,
+                excluded,
+            } = state.eligible(&settings, servers, limits, request, now);
             if passed_over.is_some() {
                 metrics::counter!("apricothall_limit_passed_over_total").increment(1);
             }
@@ -294,10 +327,11 @@
                 Choice::Refuse(after) => Placement::Refused(after),
                 Choice::NoServer => {
                     let pause = state.shortest_pause(servers, request.service, now);
-                    match (passed_over, pause) {
-                        (Some(passed), _) => Placement::Limited(Box::new(passed)),
-                        (None, Some(after)) => Placement::Refused(after),
-                        (None, None) => Placement::NoServer,
+                    match (passed_over, pause, excluded) {
+                        (Some(passed), ..) => Placement::Limited(Box::new(passed)),
+                        (None, Some(after), _) => Placement::Refused(after),
+                        (None, None, Some(exclusion)) => Placement::Excluded(exclusion),
+                        (None, None, None) => Placement::NoServer,
                     }
                 }
             }
--- a/crates/gateway/src/fleet/eligible.rs
+++ b/crates/gateway/src/fleet/eligible.rs
@@ -12,7 +12,7 @@
 use apricothall_decide::signals::Availability;
 use apricothall_types::Timestamp;
 
-use super::{Placed, PlacementRequest, State};
+use super::{Exclusion, Placed, PlacementRequest, State};
 use crate::server_limits::SharedLimits;
 use crate::settings::Settings;
 
@@ -20,6 +20,15 @@
 /// that version.
 const VERSION_MARGIN: Duration = Duration::from_millis(900);
 
+/// Servers that are able to run a request, and why others are not.
+pub(super) struct Eligible<'a> {
+    pub(super) servers: Vec<EligibleServer<'a>>,
+    /// Of the servers whose limit is reached, the one that takes another request first.
+    pub(super) passed_over: Option<PassedOver>,
+    /// Why a server that accepts requests must not run this one.
+    pub(super) excluded: Option<Exclusion>,
+}
+
 /// A server that is able to run a request.
 pub(super) struct EligibleServer<'a> {
     pub(super) server: &'a Server,
@@ -43,8 +52,7 @@
 }
 
 impl State {
-    /// Servers that are able to run a request, with the forecast for each, and of those whose limit
-    /// is reached the one that takes another request first.
+    /// Servers that are able to run a request, with the forecast for each.
     pub(super) fn eligible<'a>(
         &self,
         settings: &Settings,
@@ -52,10 +60,11 @@
         limits: &SharedLimits,
         request: &PlacementRequest<'_>,
         now: Timestamp,
-    ) -> (Vec<EligibleServer<'a>>, Option<PassedOver>) {
+    ) -> Eligible<'a> {
         let unknown = Load::default();
         let mut eligible = Vec::new();
         let mut passed_over: Option<PassedOver> = None;
+        let mut excluded = None;
         let mut same_zone_index = 0;
         for server in servers.ready(request.service) {
             if request.tried.contains(&server.id) {
@@ -72,6 +81,10 @@
             let verdict = limits.verdict(server, now);
             let relation = self.relation(distance, same_zone_index, &verdict);
             same_zone_index += u32::from(near);
+            if let Some(exclusion) = exclusion(settings, server, request) {
+                excluded = Some(exclusion);
+                continue;
+            }
             let load = self.loads.get(&server.address).unwrap_or(&unknown);
             if load.is_backing_off(now) {
                 continue;
@@ -108,7 +121,11 @@
             self.anti_affinity
                 .retain_least_exposed(&mut eligible, |e| e.server.address);
         }
-        (eligible, passed_over)
+        Eligible {
+            servers: eligible,
+            passed_over,
+            excluded,
+        }
     }
 
     /// Keeps only the server that tries a suspect part: one that did not crash with it, and that
@@ -230,3 +247,16 @@
         Some(Some(version))
     }
 }
+
+/// Why `server` must not run a request, if that is so.
+fn exclusion(
+    settings: &Settings,
+    server: &Server,
+    request: &PlacementRequest<'_>,
+) -> Option<Exclusion> {
+    if request.evacuated.contains(&server.zone) {
+        return Some(Exclusion::Evacuated);
+    }
+    let region = settings.regions.get(&server.zone);
+    (!request.regions.permits(region)).then_some(Exclusion::Region)
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -279,6 +279,7 @@
         }
         Placement::Refused(after) => (after, "no room in time"),
         Placement::OnTrial(after) => (after, "another entry tries a part of its prompt"),
+        Placement::Excluded(exclusion) => (NO_SERVER_RETRY_AFTER, exclusion.reason()),
         Placement::Selected(_) | Placement::NoServer => (NO_SERVER_RETRY_AFTER, "no server"),
     };
     refuse_call(context, call, progress, after, reason, now)
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -8,6 +8,7 @@
 use apricothall_decide::placement::Requirements;
 use apricothall_decide::prompt_parts::{PartStanding, Trial, is_designated};
 use apricothall_decide::repeat::End;
+use apricothall_decide::residency::AllowedRegions;
 use apricothall_types::{MemberId, Role, Timestamp};
 
 use crate::Context;
@@ -15,6 +16,7 @@
 use crate::exchange::AttemptError;
 use crate::fleet::{Placed, Placement, PlacementRequest, ServerRef};
 use crate::peers::Phase;
+use crate::published::InForce;
 use crate::request::Call;
 
 /// Maximum predicted wait for a request that has already exceeded its target latency.
@@ -57,6 +59,8 @@
             metrics::counter!("apricothall_parts_deferred_total").increment(1);
             return Placement::OnTrial(TRIAL_ELSEWHERE_RETRY_AFTER);
         }
+        let regions = self.allowed_regions(call);
+        let evacuated = self.context.published.evacuated_zones();
         let request = PlacementRequest {
             service: &call.service,
             engines: call.engines.as_ref(),
@@ -74,10 +78,28 @@
             tried,
             crashes: self.context.quarantine.crashes(&call.fingerprint),
             trial: trial.as_ref(),
+            regions: &regions,
+            evacuated: &evacuated,
         };
         self.context.fleet.place(&self.context, &request, now)
     }
 
+    /// Regions in which `call` may be processed. If the configuration has changed since the request
+    /// was accepted, the restrictions of both apply.
+    fn allowed_regions(&self, call: &Call) -> AllowedRegions {
+        let in_force = self.context.published.in_force();
+        let Some(in_force) = in_force.filter(|f| f.revision != call.configuration) else {
+            return call.regions.clone();
+        };
+        let InForce { configuration, .. } = in_force.as_ref();
+        let route = configuration.routes.find(&call.route.host, call.uri.path());
+        let account = call.account.as_ref();
+        let account = account.and_then(|a| configuration.accounts.named(&a.name));
+        let regions = route.map_or(AllowedRegions::ANY, |r| r.regions.clone());
+        let regions = account.map_or(regions.clone(), |a| regions.intersection(&a.regions));
+        call.regions.intersection(&regions)
+    }
+
     /// Whether this entry is the one that tries a strong suspect for all entries that it hears.
     fn is_designated(&self, trial: &Trial, now: Timestamp) -> bool {
         let mut entries = Vec::new();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -127,6 +127,7 @@
     }
     merge_ages(context, gossip, now);
     let published = &context.published;
+    published.replace_evacuations(gossip.evacuations.clone(), Reader::Peer, now);
     published.merge_checked(gossip.revision, gossip.checked);
     if was_alive {
         return;
@@ -373,6 +374,7 @@
         }),
         servers: context.published.servers_revision(),
         checked: context.published.checked_revision(),
+        evacuations: context.published.evacuations(),
         lost: context.published.lost_subjects(),
         answered: context.published.servers(|s| s.outages.answer_ages(now)),
         versions: versions(context, now),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use apricothall_decide::cadence::{ROUND, Receivers, silence_timeout};
+use apricothall_decide::evacuation::EvacuationSet;
 use apricothall_decide::loaded::Weights;
 use apricothall_decide::outage::AnsweredAge;
 use apricothall_decide::placement::Distance;
@@ -140,6 +141,8 @@
     pub servers: StoreRevision,
     /// Revision of the store up to which the configuration is known to be the latest.
     pub checked: Option<StoreRevision>,
+    /// Evacuated zones in the store.
+    pub evacuations: EvacuationSet,
     /// Subjects that the sender cannot read from the store.
     pub lost: LostSubjects,
     /// Periods in which the store answered any daemon.
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -1,17 +1,18 @@
 //! This daemon's copy of the state published by operators and backend servers. It never reverts to
 //! an older revision, not even if the store does.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use apricothall_decide::evacuation::{EvacuationChange, EvacuationSet, Evacuations};
 use apricothall_decide::lease::Lease;
 use apricothall_decide::outage::{AnsweredAge, OutageConfig};
 use apricothall_decide::servers::{Listing, Server, Servers};
 use apricothall_decide::store_reachability::{LostSubjects, ReadFailure, StoreReachability};
 use apricothall_decide::versions::{Versions, earliest_change};
-use apricothall_types::{ConfigurationRevision, Digest, Era, StoreRevision, Timestamp};
+use apricothall_types::{ConfigurationRevision, Digest, Era, StoreRevision, Timestamp, Zone};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
@@ -48,6 +49,7 @@
     lease: Lease,
     versions: BTreeMap<SmolStr, Versions>,
     servers: KnownServers,
+    evacuations: Evacuations,
     reachability: StoreReachability,
     /// When the last answer of the store about the items of operators was received.
     operators_read: Option<Timestamp>,
@@ -323,6 +325,56 @@
         self.state().reachability.lost()
     }
 
+    /// Zones whose servers get no requests.
+    #[must_use]
+    pub fn evacuated_zones(&self) -> BTreeSet<Zone> {
+        self.state().evacuations.zones().clone()
+    }
+
+    /// Evacuated zones in the store, for other daemons.
+    #[must_use]
+    pub fn evacuations(&self) -> EvacuationSet {
+        self.state().evacuations.stored().clone()
+    }
+
+    /// Takes the complete set of evacuated zones, unless the current one is as recent.
+    pub fn replace_evacuations(&self, set: EvacuationSet, reader: Reader, now: Timestamp) {
+        self.update_evacuations(reader, |evacuations| evacuations.replace(set, now));
+    }
+
+    /// Ends the hold against an older copy of the store once its time is over.
+    pub fn refresh_evacuations(&self, now: Timestamp) {
+        self.update_evacuations(Reader::Store, |evacuations| evacuations.refresh(now));
+    }
+
+    fn update_evacuations(
+        &self,
+        reader: Reader,
+        update: impl FnOnce(&mut Evacuations) -> Vec<EvacuationChange>,
+    ) {
+        let mut state = self.state();
+        let changes = update(&mut state.evacuations);
+        let as_of = state.evacuations.stored().as_of;
+        let count = state.evacuations.zones().len();
+        drop(state);
+        if changes.is_empty() {
+            return;
+        }
+        for EvacuationChange { zone, evacuated } in &changes {
+            tracing::info!(%zone, evacuated, %as_of, ?reader, "evacuation of a zone changed");
+        }
+        metrics::gauge!("apricothall_evacuated_zones").set(saturating_gauge(count as u64));
+        self.notify();
+    }
+
+    /// Revision of the store from which the items of operators may be followed without a list.
+    #[must_use]
+    pub fn followed_revision(&self) -> Option<StoreRevision> {
+        let state = self.state();
+        let known = state.evacuations.stored().as_of;
+        state.checked.map(|checked| checked.min(known))
+    }
+
     /// Revision of the store up to which the current configuration is known to be the latest.
     #[must_use]
     pub fn checked_revision(&self) -> Option<StoreRevision> {
@@ -415,6 +467,12 @@
         for item in items {
             self.take_item(calls, item, Reader::Store, published_at);
         }
+        let zones = items.iter().filter_map(|i| (calls.evacuated_zone)(&i.key));
+        let evacuations = EvacuationSet {
+            as_of: revision,
+            zones: zones.collect(),
+        };
+        self.replace_evacuations(evacuations, Reader::Store, now);
         self.record_checked(revision, sent);
     }
 
@@ -423,6 +481,7 @@
     fn record_checked(&self, revision: StoreRevision, sent: Timestamp) {
         let mut state = self.state();
         state.checked = state.checked.max(Some(revision));
+        state.evacuations.confirm(revision);
         // The answer includes the last write, so the configuration held now was the latest at `sent`
         // if the store has it.
         let held = state.in_force.as_ref().map(|f| f.revision);
@@ -446,7 +505,7 @@
             Subject::Operators => {
                 let previous = self.state().operators_read.replace(now);
                 let made = earliest_change(previous, asked, now);
-                self.take_operator_changes(calls, changes, made);
+                self.take_operator_changes(calls, changes, made, now);
                 self.record_checked(changes.revision, asked);
             }
             Subject::Servers => {
@@ -458,8 +517,17 @@
         }
     }
 
-    fn take_operator_changes(&self, calls: &StoreCalls, changes: &Changes, made: Timestamp) {
+    fn take_operator_changes(
+        &self,
+        calls: &StoreCalls,
+        changes: &Changes,
+        made: Timestamp,
+        now: Timestamp,
+    ) {
         for change in &changes.changes {
+            if self.take_evacuation(calls, change, now) {
+                continue;
+            }
             match change {
                 Change::Written(item) => self.take_item(calls, item, Reader::Store, Some(made)),
                 Change::Removed { key, .. } => {
@@ -469,6 +537,23 @@
         }
     }
 
+    /// Applies a change of an evacuation. Returns whether it is one.
+    fn take_evacuation(&self, calls: &StoreCalls, change: &Change, now: Timestamp) -> bool {
+        let revision = change.revision();
+        let key = match change {
+            Change::Written(item) => &item.key,
+            Change::Removed { key, .. } => key,
+        };
+        let Some(zone) = (calls.evacuated_zone)(key) else {
+            return false;
+        };
+        self.update_evacuations(Reader::Store, |evacuations| match change {
+            Change::Written(_) => evacuations.begin(zone, revision, now),
+            Change::Removed { .. } => evacuations.end(&zone, revision, now),
+        });
+        true
+    }
+
     /// The current server list.
     #[must_use]
     pub fn server_refs(&self) -> Vec<ServerRef> {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -69,6 +69,9 @@
     let id = attempt.to_str().unwrap_or_default();
     let uri = path_and_query(&parts.uri);
     let prompt_parts = prompt_parts(context, &parts.headers, engines.as_ref());
+    let account_regions = account.as_ref().map(|a| &a.regions);
+    let regions =
+        account_regions.map_or_else(|| route.regions.clone(), |r| route.regions.intersection(r));
     Ok(Call {
         fingerprint: fingerprint(&uri, account.as_deref(), &body),
         id: SmolStr::new(id),
@@ -82,6 +85,8 @@
         service,
         engines,
         account,
+        configuration: in_force.revision,
+        regions,
         arrival,
         deadline: arrival + wait,
         returning,
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use apricothall_decide::patience::answer_due;
+use apricothall_decide::residency::AllowedRegions;
 use apricothall_decide::routes::{Account, CallKind, Route};
-use apricothall_types::{Digest, PromptPart, Timestamp};
+use apricothall_types::{ConfigurationRevision, Digest, PromptPart, Timestamp};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use smol_str::{SmolStr, ToSmolStr};
@@ -37,6 +38,10 @@
     pub engines: Option<EngineService>,
     /// Client account.
     pub account: Option<Arc<Account>>,
+    /// Revision of the configuration by which it was admitted.
+    pub configuration: ConfigurationRevision,
+    /// Regions in which it may be processed.
+    pub regions: AllowedRegions,
     /// When the request arrived.
     pub arrival: Timestamp,
     /// When the final response is due.
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -94,6 +94,7 @@
             Placement::Selected(placed) => Ok(Some(placed)),
             Placement::Limited(_) => Err("the limits of servers are reached"),
             Placement::Refused(_) | Placement::NoServer => Err("no room"),
+            Placement::Excluded(exclusion) => Err(exclusion.reason()),
             Placement::OnTrial(_) => Err("another entry tries a part of its prompt"),
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -162,6 +162,7 @@
             tokio::time::sleep(MAINTENANCE_INTERVAL).await;
             let now = keeping.clock.now();
             keeping.published.expire_servers(now);
+            keeping.published.refresh_evacuations(now);
             keeping.fleet.retain(keeping.published.server_refs());
             keeping.fleet.set_entries(count_entries(&keeping));
             keeping.server_limits.maintain(&keeping);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -110,7 +110,7 @@
 /// list also corrects what peers reported.
 fn start_revision(context: &Context, subject: Subject) -> Option<StoreRevision> {
     match subject {
-        Subject::Operators => context.published.checked_revision(),
+        Subject::Operators => context.published.followed_revision(),
         Subject::Servers => None,
     }
 }
@@ -311,7 +311,7 @@
     context: &Context,
     client: &HttpClient,
 ) -> Result<StoreRevision, ReadError> {
-    if let Some(revision) = context.published.checked_revision() {
+    if let Some(revision) = context.published.followed_revision() {
         let checked = catch_up(context, client, revision).await;
         if !checked.as_ref().is_err_and(ReadError::needs_list) {
             return checked;
