perf(decide,gateway): each piece leaves the origin once

A version reached its first engine 4.7 s and half of them 8 s after its name where the links need about 2 and 4 s, and 2 to 3.4 copies of it left the origin. Causes, by reading and by a model without a network:

- a holder that was busy for a moment counted as if it did not hold the piece, so the next agent fetched it from the origin again;
- a fetch that took longer than a second counted as lost, although 24 of them share a slow link;
- other regions fetched from the origin after 2.5 s.

Now a few fetchers divide the pieces and fetch one at a time each. A fetcher without own pieces takes over the last ones of the others, of which each has one fixed successor. A stalled fetch is repeated only while the origin answers others. Other regions use the origin only without an agent of its region. Sources are chosen by the measured time of their uploads, and a slow link carries each piece once.

--- a/crates/decide/src/pieces.rs
+++ b/crates/decide/src/pieces.rs
@@ -1,10 +1,12 @@
 //! Source selection for the pieces of a version.
 //!
-//! Each piece is sent once by the origin and once to each other region. The agents of the origin's
-//! region divide the pieces among themselves and fetch them from the origin; the agents of another
-//! region divide the pieces in the same way and fetch them from outside the region. The next agent
-//! in order takes over after [`PiecesConfig::takeover`], or after [`PiecesConfig::origin_takeover`]
-//! for fetches from the origin. Within a region agents copy from each other.
+//! Each piece is sent once by the origin and once to each other region. A few agents of the origin's
+//! region, the fetchers, divide the pieces among themselves and fetch them from the origin, as many
+//! at a time as fill its link. A fetcher that has none left takes over the last pieces of the others,
+//! each of which has one fixed successor, so that no two agents take over the same piece. A fetch
+//! that makes no progress is repeated only while the origin answers others. The agents of another
+//! region divide the pieces in the same way and fetch them from outside the region. Within a region
+//! agents copy from each other.
 
 use std::time::Duration;
 
@@ -13,6 +15,13 @@
 use crate::rank;
 use crate::transfer::ChunkSet;
 
+mod origin;
+
+pub use origin::{
+    OriginReason, OriginView, origin_backoff, origin_fetchers, origin_fetches_per_agent,
+    origin_stall,
+};
+
 /// Another agent that holds or fetches the version, as known to the planner.
 #[derive(Clone, Debug)]
 pub struct PeerState {
@@ -26,6 +35,11 @@
     pub fetching: ChunkSet,
     /// Number of pieces being fetched from this agent.
     pub fetches: usize,
+    /// Mean time of the fetches from this agent, or of all if there were none.
+    pub pace: Duration,
+    /// Whether its upload queue was full a moment ago. It is not asked, but what it holds and
+    /// fetches still counts.
+    pub busy: bool,
     /// Whether a fetch from the agent failed recently, so that it is not used.
     pub down: bool,
 }
@@ -39,22 +53,33 @@
     Peer(MemberId),
 }
 
+/// A fetch to be started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannedFetch {
+    /// Index of the piece.
+    pub chunk: ChunkIndex,
+    /// Where to fetch it from.
+    pub source: Source,
+    /// Why this agent fetches it from the origin, if it does.
+    pub reason: Option<OriginReason>,
+}
+
 /// Settings of [`plan`].
 #[derive(Clone, Copy, Debug)]
 pub struct PiecesConfig {
     /// Take-over delay per rank for fetching a piece into a region.
     pub takeover: Duration,
-    /// Take-over delay per rank for fetching a piece from the origin, which sends slowly.
-    pub origin_takeover: Duration,
     /// Maximum number of concurrent fetches from peers.
     pub peer_fetches: usize,
     /// Maximum number of concurrent fetches from one peer.
     pub per_peer: usize,
     /// Maximum number of concurrent fetches from the origin, whose link is shared by all agents.
     pub origin_fetches: usize,
-    /// Time after which a piece that another agent is fetching may be fetched a second time.
+    /// Time after which a piece that another agent is fetching into the region may be fetched a
+    /// second time.
     pub duplicate_after: Duration,
-    /// Time for which only agents of the origin's region fetch from the origin.
+    /// Time after which agents of other regions fetch from the origin if no agent of its region is
+    /// known to fetch or hold the version.
     pub home_priority: Duration,
 }
 
@@ -62,7 +87,6 @@
     fn default() -> Self {
         Self {
             takeover: Duration::from_millis(500),
-            origin_takeover: Duration::from_millis(900),
             peer_fetches: 3,
             per_peer: 2,
             origin_fetches: 2,
@@ -109,6 +133,8 @@
     /// All of them must divide the pieces in the same way, although the report that another one has
     /// started arrives with a delay.
     pub region_peers: &'a [MemberId],
+    /// What the agent knows of the origin and of the division of the pieces among its fetchers.
+    pub origin: OriginView<'a>,
 }
 
 /// Returns which of the `wanted` pieces to fetch now, and from which source.
@@ -120,25 +146,23 @@
     in_flight: InFlight,
     peers: &[PeerState],
     now: Timestamp,
-) -> Vec<(ChunkIndex, Source)> {
+) -> Vec<PlannedFetch> {
     let mut used: Vec<usize> = peers.iter().map(|p| p.fetches).collect();
-    let ordered = in_agent_order(me, wanted);
     // The origin is slow and may become unavailable, so keeping its link busy takes precedence.
-    let mut chosen: Vec<_> = ordered
-        .iter()
-        .filter(|w| should_fetch_from_origin(config, me, **w, peers, now))
-        .map(|w| (w.chunk, Source::Origin))
-        .take(config.origin_fetches.saturating_sub(in_flight.origin))
-        .collect();
+    let mut chosen = origin::fetches(config, me, wanted, in_flight, peers, now);
     let mut room = config
         .peer_fetches
         .saturating_sub(in_flight.all - in_flight.origin);
-    for piece in ordered {
+    for piece in in_agent_order(me, wanted) {
         if room == 0 {
             break;
         }
         if let Some(source) = peer_source(config, me, piece, peers, &mut used, now) {
-            chosen.push((piece.chunk, source));
+            chosen.push(PlannedFetch {
+                chunk: piece.chunk,
+                source,
+                reason: None,
+            });
             room -= 1;
         }
     }
@@ -157,57 +181,27 @@
     format!("{version}/{chunk}/{purpose}").into_bytes()
 }
 
-/// Returns the indices of the peers that hold the piece and are not down.
+/// Returns the indices of the peers that hold the piece and can be asked for it.
 fn holders(piece: MissingPiece, peers: &[PeerState]) -> Vec<usize> {
+    let can_be_asked = |p: &PeerState| !p.down && !p.busy;
     (0..peers.len())
-        .filter(|i| peers[*i].held.contains(piece.chunk) && !peers[*i].down)
+        .filter(|i| peers[*i].held.contains(piece.chunk) && can_be_asked(&peers[*i]))
         .collect()
 }
 
-/// Returns whether another agent is fetching the piece; if `near`, only the region's agents count.
-fn is_being_fetched(
+/// Returns whether another agent of the region is fetching the piece into it.
+fn is_being_imported(
     config: &PiecesConfig,
     me: Planner<'_>,
     piece: MissingPiece,
     peers: &[PeerState],
-    near: bool,
     now: Timestamp,
 ) -> bool {
-    let mut others = peers.iter().filter(|p| !near || p.region == *me.region);
     let is_recent = piece
         .fetching_since
         .is_some_and(|since| now.since(since) < config.duplicate_after);
-    is_recent && others.any(|p| !p.down && p.fetching.contains(piece.chunk))
-}
-
-/// Returns whether this agent must fetch the piece from the origin now.
-fn should_fetch_from_origin(
-    config: &PiecesConfig,
-    me: Planner<'_>,
-    piece: MissingPiece,
-    peers: &[PeerState],
-    now: Timestamp,
-) -> bool {
-    let held = !holders(piece, peers).is_empty();
-    if held || is_being_fetched(config, me, piece, peers, false, now) {
-        return false;
-    }
-    let is_home = |region: &Region| me.home.is_none_or(|home| home == region);
-    let is_in_home_region = is_home(me.region);
-    let mut waited = now.since(me.since);
-    if !is_in_home_region && peers.iter().any(|p| is_home(&p.region)) {
-        if waited <= config.home_priority {
-            return false;
-        }
-        waited = waited.saturating_sub(config.home_priority);
-    }
-    is_takeover_due(
-        config.origin_takeover,
-        ORIGIN_FETCHERS,
-        me,
-        piece.chunk,
-        waited,
-    )
+    let mut near = peers.iter().filter(|p| p.region == *me.region);
+    is_recent && near.any(|p| !p.down && p.fetching.contains(piece.chunk))
 }
 
 /// Returns the peer to fetch the piece from, if this agent must fetch it from a peer now.
@@ -219,24 +213,25 @@
     used: &mut [usize],
     now: Timestamp,
 ) -> Option<Source> {
+    let is_near = |p: &PeerState| p.region == *me.region;
+    let is_held_near = |p: &PeerState| is_near(p) && !p.down && p.held.contains(piece.chunk);
     let holders = holders(piece, peers);
-    let is_near = |i: &usize| peers[*i].region == *me.region;
-    if holders.iter().any(is_near) {
-        let near = holders.into_iter().filter(|i| is_near(i));
+    if peers.iter().any(is_held_near) {
+        let near = holders.into_iter().filter(|i| is_near(&peers[*i]));
         return take_least_used(config, me, piece.chunk, peers, used, near);
     }
-    if is_being_fetched(config, me, piece, peers, true, now) {
+    if is_being_imported(config, me, piece, peers, now) {
         return None;
     }
     let held = now.since(piece.held_since.unwrap_or(now));
-    if !is_takeover_due(config.takeover, u32::MAX, me, piece.chunk, held) {
+    if !is_takeover_due(config.takeover, me, piece.chunk, held) {
         return None;
     }
     take_least_used(config, me, piece.chunk, peers, used, holders.into_iter())
 }
 
-/// Takes the holder with the fewest fetches that is below the limit per peer. Ties are broken in
-/// an order specific to the agent, so that agents do not all choose the same holder.
+/// Takes the holder below the limit per peer that is expected to have sent the piece first. Ties are
+/// broken in an order specific to the agent, so that agents do not all choose the same holder.
 fn take_least_used(
     config: &PiecesConfig,
     me: Planner<'_>,
@@ -248,18 +243,20 @@
     let subject = subject(me.subject, chunk, me.id.as_str());
     let best = holders
         .filter(|i| used[*i] < config.per_peer)
-        .min_by_key(|i| (used[*i], rank::weight(&subject, &peers[*i].id)))?;
+        .min_by_key(|i| {
+            let ahead = u32::try_from(used[*i]).unwrap_or(u32::MAX);
+            let expected = peers[*i].pace.saturating_mul(ahead.saturating_add(1));
+            (expected, used[*i], rank::weight(&subject, &peers[*i].id))
+        })?;
     used[best] += 1;
     Some(Source::Peer(peers[best].id.clone()))
 }
 
-/// Returns whether the take-over delays of all agents ranked before this one have passed.
-///
-/// The first `sharers` agents in id order each own every n-th piece, which gives them equal
-/// shares, and the next in order takes over. Any further agents come after all of these.
+/// Returns whether the take-over delays of all agents of the region ranked before this one have
+/// passed. The agents in id order each own every n-th piece, which gives them equal shares, and the
+/// next in order takes over.
 fn is_takeover_due(
     takeover: Duration,
-    sharers: u32,
     me: Planner<'_>,
     chunk: ChunkIndex,
     waited: Duration,
@@ -270,51 +267,6 @@
         all += 1;
         before += u32::from(peer < me.id);
     }
-    let sharing = all.min(sharers);
-    let delays = if before < sharing {
-        (before + sharing - chunk.0 % sharing) % sharing
-    } else {
-        before
-    };
+    let delays = (before + all - chunk.0 % all) % all;
     waited >= takeover.saturating_mul(delays)
 }
-
-/// Number of agents that initially share the fetches from the origin, and upper bound on their
-/// concurrent connections. This fills the origin's link and stays below the number of connections
-/// that it accepts. With more connections each piece takes longer, so an interrupted fetch wastes
-/// more time.
-const ORIGIN_FETCHERS: u32 = 24;
-
-const MAX_ORIGIN_FETCHES: usize = ORIGIN_FETCHERS as usize;
-
-/// Returns how many pieces each of the `agents` of the origin's region fetches from it at once.
-#[must_use]
-pub fn origin_fetches_per_agent(agents: usize) -> usize {
-    let max = PiecesConfig::default().origin_fetches;
-    (MAX_ORIGIN_FETCHES / agents.max(1)).clamp(1, max)
-}
-
-/// Returns how many of the `agents` of the origin's region initially fetch from it.
-#[must_use]
-pub fn origin_fetchers(agents: usize) -> usize {
-    agents.min(MAX_ORIGIN_FETCHES)
-}
-
-/// Back-off after the second consecutive failure of the origin.
-const ORIGIN_BACKOFF: Duration = Duration::from_millis(150);
-
-/// Upper bound on the back-off from the origin.
-const MAX_ORIGIN_BACKOFF: Duration = Duration::from_millis(1_200);
-
-/// Returns the back-off after `failures` consecutive failures of the origin.
-///
-/// A single failure is usually a truncated response, and the origin may soon become unavailable,
-/// so the first retry is immediate.
-#[must_use]
-pub fn origin_backoff(failures: u32) -> Duration {
-    let Some(doublings) = failures.checked_sub(2) else {
-        return Duration::ZERO;
-    };
-    let longer = ORIGIN_BACKOFF.saturating_mul(1_u32.checked_shl(doublings).unwrap_or(u32::MAX));
-    longer.min(MAX_ORIGIN_BACKOFF)
-}
--- a/crates/decide/tests/pieces.rs
+++ b/crates/decide/tests/pieces.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use apricothall_decide::pieces::{
-    InFlight, MissingPiece, PeerState, PiecesConfig, Planner, Source, origin_backoff,
-    origin_fetchers, origin_fetches_per_agent, plan,
+    InFlight, MissingPiece, OriginView, PeerState, PiecesConfig, PlannedFetch, Planner, Source,
+    origin_backoff, origin_fetchers, origin_fetches_per_agent, origin_stall, plan,
 };
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{ChunkIndex, MemberId, Region, Timestamp};
@@ -29,6 +29,9 @@
     held: ChunkSet,
     held_since: BTreeMap<u32, Timestamp>,
     fetching_since: BTreeMap<u32, Timestamp>,
+    /// When the agent last learned that a piece had left the origin.
+    progress: Timestamp,
+    answered: Option<Timestamp>,
     /// Whether the agent's fetches from the origin never finish.
     stalled: bool,
     fetches: Vec<(ChunkIndex, Source, u64)>,
@@ -64,6 +67,8 @@
         held: ChunkSet::default(),
         held_since: BTreeMap::new(),
         fetching_since: BTreeMap::new(),
+        progress: Timestamp::default(),
+        answered: None,
         stalled: false,
         fetches: Vec::new(),
         down: false,
@@ -137,8 +142,12 @@
                 .cloned()
                 .collect::<Vec<_>>();
             agent.fetches.retain(|f| f.2 > now);
-            for (chunk, ..) in done {
+            for (chunk, source, _) in done {
                 agent.held.insert(chunk);
+                if source == Source::Origin {
+                    agent.answered = Some(Timestamp::from_millis(now));
+                    agent.progress = Timestamp::from_millis(now);
+                }
             }
         }
         let live = agents.iter().filter(|a| !a.down);
@@ -189,6 +198,8 @@
                 held: advertised.held.clone(),
                 fetching: advertised.fetching.clone(),
                 fetches: 0,
+                pace: Duration::ZERO,
+                busy: false,
                 down: agents[j].down,
             })
         })
@@ -205,8 +216,9 @@
         if me.held.contains(chunk) || me.fetches.iter().any(|f| f.0 == chunk) {
             continue;
         }
-        if peers.iter().any(|p| p.held.contains(chunk)) {
-            me.held_since.entry(chunk.0).or_insert(at);
+        if peers.iter().any(|p| p.held.contains(chunk)) && !me.held_since.contains_key(&chunk.0) {
+            me.held_since.insert(chunk.0, at);
+            me.progress = at;
         }
         let held_since = me.held_since.get(&chunk.0).copied();
         if peers.iter().any(|p| p.fetching.contains(chunk)) {
@@ -221,6 +233,7 @@
             fetching_since,
         });
     }
+    let fetchers = origin_fetchers_of(&region_peers, &me.id);
     let planner = Planner {
         id: &me.id,
         region: &me.region,
@@ -228,12 +241,19 @@
         since: Timestamp::default(),
         subject: "m/2",
         region_peers: &region_peers,
+        origin: OriginView {
+            fetchers: &fetchers,
+            answered: me.answered,
+            progress: me.progress,
+            stall: origin_stall(None),
+        },
     };
     let in_flight = InFlight {
         all: me.fetches.len(),
         origin: me.fetches.iter().filter(|f| f.1 == Source::Origin).count(),
     };
-    for (chunk, source) in plan(config, planner, &wanted, in_flight, &peers, at) {
+    for PlannedFetch { chunk, source, .. } in plan(config, planner, &wanted, in_flight, &peers, at)
+    {
         let takes = match &source {
             Source::Origin if me.stalled => LIMIT_MS,
             Source::Origin => {
@@ -252,6 +272,15 @@
     }
 }
 
+/// Returns the agents of a region that fetch from the origin.
+fn origin_fetchers_of(others: &[MemberId], own: &MemberId) -> Vec<MemberId> {
+    let mut all = others.to_vec();
+    all.push(own.clone());
+    all.sort();
+    all.truncate(origin_fetchers(all.len()));
+    all
+}
+
 /// Maximum number of pieces that the origin may send, or that may be sent into a region: one copy
 /// plus 10 %.
 const MAX_PIECES_SENT: u32 = PIECES + PIECES / 10;
--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -6,8 +6,8 @@
 
 use apricothall_clients::http_client::{Answer, HttpClient, get};
 use apricothall_decide::pieces::{
-    InFlight, MissingPiece, PeerState, PiecesConfig, Planner, Source, origin_backoff,
-    origin_fetches_per_agent, plan,
+    InFlight, MissingPiece, OriginReason, OriginView, PeerState, PiecesConfig, PlannedFetch,
+    Planner, Source, origin_backoff, origin_fetchers, origin_fetches_per_agent, origin_stall, plan,
 };
 use apricothall_decide::reload::loads_before;
 use apricothall_decide::transfer::ChunkSet;
@@ -20,6 +20,7 @@
 use crate::Context;
 use crate::agent::piece_store::{PieceStore, VersionId};
 use crate::agent::pieces::{self, PeerError, Rank};
+use crate::log_budgets::millis;
 use crate::peer_sync::connector;
 use crate::peers::{EngineStatus, Peer, Phase};
 
@@ -90,7 +91,18 @@
     /// Number of times that the digest of a missing piece differed.
     mismatches: HashMap<ChunkIndex, u32>,
     peer_backoff: HashMap<MemberId, Timestamp>,
+    /// Peers whose upload queue was full, until when they are not asked.
+    busy_peers: HashMap<MemberId, Timestamp>,
     mean_fetch_time: Duration,
+    /// Mean fetch time from each peer.
+    peer_times: HashMap<MemberId, Duration>,
+    /// Agents among which the pieces are divided for fetches from the origin.
+    origin_fetchers: Vec<MemberId>,
+    mean_origin_time: Option<Duration>,
+    /// When the origin last sent a piece to this agent.
+    origin_answered: Option<Timestamp>,
+    /// When a piece was last heard of as held for the first time.
+    origin_progress: Timestamp,
     started: Timestamp,
     wanted_id: Option<VersionId>,
     wanted_since: Timestamp,
@@ -117,7 +129,13 @@
             tasks: JoinSet::new(),
             mismatches: HashMap::new(),
             peer_backoff: HashMap::new(),
+            busy_peers: HashMap::new(),
             mean_fetch_time: Duration::ZERO,
+            peer_times: HashMap::new(),
+            origin_fetchers: Vec::new(),
+            mean_origin_time: None,
+            origin_answered: None,
+            origin_progress: now,
             started: now,
             wanted_id: None,
             wanted_since: now,
@@ -153,6 +171,8 @@
             Ok(digests) => {
                 tracing::info!(model = %wanted.model, version = wanted.version, pieces = digests.len(), "fetching a version");
                 self.started = self.context.clock.now();
+                self.origin_progress = self.started;
+                self.origin_fetchers = self.region_fetchers(self.started);
                 self.in_flight.clear();
                 self.held_since.clear();
                 self.fetching_since.clear();
@@ -190,6 +210,15 @@
         region_peers
     }
 
+    /// Returns the agents of this region among which the pieces are divided, in id order.
+    fn region_fetchers(&self, now: Timestamp) -> Vec<MemberId> {
+        let mut agents = self.region_peers(now);
+        agents.push(self.context.settings().id.clone());
+        agents.sort();
+        agents.truncate(origin_fetchers(agents.len()));
+        agents
+    }
+
     /// Starts the fetches that the planner selects.
     pub fn advance(&mut self, wanted: &VersionId) {
         let mut missing = self.piece_store.missing();
@@ -212,6 +241,12 @@
             since: self.started,
             subject: &subject,
             region_peers: &region_peers,
+            origin: OriginView {
+                fetchers: &self.origin_fetchers,
+                answered: self.origin_answered,
+                progress: self.origin_progress,
+                stall: origin_stall(self.mean_origin_time),
+            },
         };
         let mut config = PiecesConfig {
             peer_fetches: max_peer_fetches(self.mean_fetch_time),
@@ -221,7 +256,7 @@
         if now < self.origin_retry_at {
             config.origin_fetches = 0;
         }
-        for (index, source) in plan(
+        for fetch in plan(
             &config,
             planner,
             &missing,
@@ -229,7 +264,7 @@
             &holders,
             now,
         ) {
-            self.start_fetch(wanted, index, source, &agents);
+            self.start_fetch(wanted, fetch, &agents);
         }
     }
 
@@ -242,8 +277,10 @@
     ) -> Vec<MissingPiece> {
         let mut wanted = Vec::new();
         for chunk in missing {
-            if holders.iter().any(|h| h.held.contains(*chunk)) {
-                self.held_since.entry(*chunk).or_insert(now);
+            let is_held = holders.iter().any(|h| h.held.contains(*chunk));
+            if is_held && !self.held_since.contains_key(chunk) {
+                self.held_since.insert(*chunk, now);
+                self.origin_progress = now;
             }
             if holders.iter().any(|h| h.fetching.contains(*chunk)) {
                 self.fetching_since.entry(*chunk).or_insert(now);
@@ -317,6 +354,7 @@
         for index in (0..).take(count) {
             all.insert(ChunkIndex(index));
         }
+        let mean = self.mean_fetch_time;
         let holder = |peer: &Peer| {
             let engine_status = peer.engine.as_ref()?;
             let fetches = engine_status.version == wanted.version;
@@ -332,6 +370,8 @@
                     ChunkSet::default()
                 },
                 fetches: self.in_flight.values().filter(from_peer).count(),
+                pace: self.peer_times.get(&id).copied().unwrap_or(mean),
+                busy: self.busy_peers.get(&id).is_some_and(|until| now < *until),
                 down: self.peer_backoff.get(&id).is_some_and(|until| now < *until),
                 id,
             })
@@ -354,14 +394,16 @@
         (number(held), number(count))
     }
 
-    fn start_fetch(
-        &mut self,
-        wanted: &VersionId,
-        index: ChunkIndex,
-        source: Source,
-        agents: &[Peer],
-    ) {
+    fn start_fetch(&mut self, wanted: &VersionId, fetch: PlannedFetch, agents: &[Peer]) {
+        let PlannedFetch {
+            chunk: index,
+            source,
+            reason,
+        } = fetch;
         self.in_flight.insert(index, source.clone());
+        if let Some(reason) = reason {
+            self.log_origin_fetch(wanted, index, reason);
+        }
         let id = wanted.clone();
         let since = self.context.clock.now();
         match &source {
@@ -410,12 +452,24 @@
         }
     }
 
+    /// Logs a fetch from the origin, with the age of the fetch by another agent that it repeats.
+    fn log_origin_fetch(&self, wanted: &VersionId, index: ChunkIndex, reason: OriginReason) {
+        let now = self.context.clock.now();
+        let other_ms = self.fetching_since.get(&index);
+        let other_ms = other_ms.map(|since| millis(now.since(*since)));
+        let after_ms = millis(now.since(self.started));
+        let reason = reason.label();
+        tracing::info!(version = wanted.version, %index, reason, after_ms, other_ms, "fetching a piece from the origin");
+        metrics::counter!("apricothall_origin_fetches_total", "reason" => reason).increment(1);
+    }
+
     /// Stores a fetched piece, or backs off from its source.
     fn complete(&mut self, fetched: FetchResult) {
         self.in_flight.remove(&fetched.index);
-        if let Source::Peer(_) = fetched.source {
-            let took = self.context.clock.now().since(fetched.since);
-            self.mean_fetch_time = (self.mean_fetch_time * 3 + took) / 4;
+        let now = self.context.clock.now();
+        let took = now.since(fetched.since);
+        if let Source::Peer(id) = &fetched.source {
+            self.record_fetch_time(id, &fetched.bytes, took);
         }
         let from = match &fetched.source {
             Source::Origin => "origin",
@@ -426,7 +480,7 @@
                 let size = bytes.len() as u64;
                 if self.piece_store.put(&fetched.id, fetched.index, bytes) {
                     if fetched.source == Source::Origin {
-                        self.origin_failures = 0;
+                        self.record_origin_answer(took, now);
                     }
                     self.mismatches.remove(&fetched.index);
                     metrics::counter!("apricothall_piece_bytes_total", "source" => from)
@@ -438,21 +492,45 @@
             }
             Err(error) => error,
         };
-        let backoff = match error {
-            FetchError::Peer(PeerError::Busy) => BUSY_PEER_BACKOFF,
-            _ => PEER_BACKOFF,
-        };
+        let is_busy = matches!(error, FetchError::Peer(PeerError::Busy));
         tracing::info!(version = fetched.id.version, index = %fetched.index, source = ?fetched.source, %error, "piece not fetched");
         metrics::counter!("apricothall_piece_failures_total", "source" => from).increment(1);
-        let now = self.context.clock.now();
         match fetched.source {
+            Source::Peer(id) if is_busy => {
+                self.busy_peers.insert(id, now + BUSY_PEER_BACKOFF);
+            }
             Source::Peer(id) => {
-                self.peer_backoff.insert(id, now + backoff);
+                self.peer_backoff.insert(id, now + PEER_BACKOFF);
             }
             Source::Origin => self.back_off_origin(),
         }
     }
 
+    /// Records how long a fetch from the peer `id` took. A peer without room has sent nothing, which
+    /// says nothing about its link.
+    fn record_fetch_time(
+        &mut self,
+        id: &MemberId,
+        bytes: &Result<Bytes, FetchError>,
+        took: Duration,
+    ) {
+        self.mean_fetch_time = (self.mean_fetch_time * 3 + took) / 4;
+        if matches!(bytes, Err(FetchError::Peer(PeerError::Busy))) {
+            return;
+        }
+        let mean = self.peer_times.entry(id.clone()).or_insert(took);
+        *mean = (*mean * 3 + took) / 4;
+    }
+
+    /// Records a piece that the origin sent in the time `took`.
+    fn record_origin_answer(&mut self, took: Duration, now: Timestamp) {
+        self.origin_failures = 0;
+        self.origin_answered = Some(now);
+        self.origin_progress = now;
+        let mean = self.mean_origin_time.unwrap_or(took);
+        self.mean_origin_time = Some((mean * 3 + took) / 4);
+    }
+
     /// Sends no requests to the origin for a time that grows with its consecutive failures.
     fn back_off_origin(&mut self) {
         self.origin_failures = self.origin_failures.saturating_add(1);
--- a/crates/gateway/src/agent/piece_store.rs
+++ b/crates/gateway/src/agent/piece_store.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 
 /// Identifies a version of a model.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct VersionId {
     /// Name of the model.
     pub model: SmolStr,
--- a/crates/gateway/src/agent/pieces.rs
+++ b/crates/gateway/src/agent/pieces.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use apricothall_types::{Bytes as Size, ChunkIndex};
+use apricothall_types::{Bytes as Size, ChunkIndex, Timestamp};
 use apricothall_wire::{Channel, Connector, Incoming, Payload, TrafficClass, WireError};
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -11,7 +11,7 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::Notify;
@@ -31,7 +31,18 @@
 
 /// Maximum number of queued uploads ahead of a new request. Requests beyond it are answered with
 /// [`PieceResponse::Busy`], so that the requester uses another source.
-const MAX_QUEUED: usize = 2;
+const MAX_QUEUED: u32 = 4;
+
+/// Maximum expected wait of a queued upload. A slow link has a shorter queue, so that requests do
+/// not time out before their turn.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(900);
+
+/// Mean time of an upload from which a link counts as slow. Pieces are sent only once over it, as
+/// others copy them faster from whoever has received them.
+const SLOW_UPLOAD: Duration = Duration::from_millis(300);
+
+/// Time after which a piece may be sent over a slow link again.
+const RESEND_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Time limit for the other agent to receive a piece.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -103,11 +114,18 @@
             .piece_store
             .digests(&id)
             .map_or(PieceResponse::Absent, PieceResponse::Digests),
-        RequestedItem::Piece(_) if context.uploads.is_busy(request.rank) => PieceResponse::Busy,
-        RequestedItem::Piece(index) => match context.piece_store.get(&id, index) {
-            Some(piece) => return send_piece(context, &mut channel, request.rank, piece).await,
-            None => PieceResponse::Absent,
-        },
+        RequestedItem::Piece(index) => {
+            let now = context.clock.now();
+            let key = (id, index);
+            match context.piece_store.get(&key.0, index) {
+                None => PieceResponse::Absent,
+                Some(_) if context.uploads.is_busy(request.rank, &key, now) => PieceResponse::Busy,
+                Some(piece) => {
+                    context.uploads.record_sent(key, now);
+                    return send_piece(context, &mut channel, request.rank, piece).await;
+                }
+            }
+        }
     };
     channel.send(response).await?;
     channel.close().await
@@ -122,6 +140,25 @@
     arrivals: u64,
     sending: bool,
     unreceived: usize,
+    /// Mean time from the start of an upload until the other agent has the piece.
+    mean_time: Duration,
+    /// When each piece was last sent.
+    sent: HashMap<(VersionId, ChunkIndex), Timestamp>,
+}
+
+impl Queue {
+    /// Whether the link is slow and has just carried the piece.
+    fn has_just_sent(&self, piece: &(VersionId, ChunkIndex), now: Timestamp) -> bool {
+        let sent = self.sent.get(piece);
+        let is_recent = sent.is_some_and(|at| now.since(*at) < RESEND_INTERVAL);
+        self.mean_time >= SLOW_UPLOAD && is_recent
+    }
+
+    /// Whether `ahead` queued uploads are too many for another one.
+    fn is_full(&self, ahead: usize) -> bool {
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        ahead >= MAX_QUEUED || self.mean_time.saturating_mul(ahead) > MAX_QUEUE_TIME
+    }
 }
 
 /// Priority queue of uploads to other agents.
@@ -139,10 +176,15 @@
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether the queue ahead of a request of `rank` is full.
-    fn is_busy(&self, rank: Rank) -> bool {
+    /// Returns whether the queue ahead of a request of `rank` is full, or the piece was sent over a
+    /// slow link a moment ago.
+    fn is_busy(&self, rank: Rank, piece: &(VersionId, ChunkIndex), now: Timestamp) -> bool {
         let queue = self.queue();
-        queue.waiting.range(..=(rank, u64::MAX)).count() >= MAX_QUEUED
+        if queue.has_just_sent(piece, now) {
+            return true;
+        }
+        let waiting = queue.waiting.range(..=(rank, u64::MAX)).count();
+        queue.is_full(waiting + usize::from(queue.sending))
     }
 
     /// Waits until an upload of `rank` may start.
@@ -157,15 +199,26 @@
         }
     }
 
+    /// Records that a piece is sent, and forgets those sent long ago.
+    fn record_sent(&self, piece: (VersionId, ChunkIndex), now: Timestamp) {
+        let mut queue = self.queue();
+        queue.sent.retain(|_, at| now.since(*at) < RESEND_INTERVAL);
+        queue.sent.insert(piece, now);
+    }
+
     /// Lets the next upload start.
     fn release_link(&self) {
         self.queue().sending = false;
         self.changed.notify_waiters();
     }
 
-    /// Records that an upload was received, or that the wait for it timed out.
-    fn mark_received(&self) {
-        self.queue().unreceived -= 1;
+    /// Records that an upload was received, or that the wait for it timed out, `took` after it
+    /// began.
+    fn mark_received(&self, took: Duration) {
+        let mut queue = self.queue();
+        queue.unreceived -= 1;
+        queue.mean_time = (queue.mean_time * 3 + took) / 4;
+        drop(queue);
         self.changed.notify_waiters();
     }
 }
@@ -217,6 +270,7 @@
     let size = Size(u64::try_from(piece.len()).unwrap_or(u64::MAX));
     let transmission_time = context.settings().link.time_for(size);
     context.uploads.wait_for_turn(rank).await;
+    let started = context.clock.now();
     context.traffic.record(Kind::Pieces, piece.len());
     let sent = channel.send(PieceResponse::Piece(Payload(piece))).await;
     tokio::time::sleep(transmission_time * 100 / LINK_SHARE_PERCENT).await;
@@ -224,7 +278,8 @@
     // The receiver closes the stream once it has the piece, which takes longer on a slow link. The
     // next piece may be sent even if the stream is not closed in time.
     let _ = tokio::time::timeout(RECEIVE_TIMEOUT, channel.next()).await;
-    context.uploads.mark_received();
+    let took = context.clock.now().since(started);
+    context.uploads.mark_received(took);
     sent
 }
 
