feat(decide,gateway): limits of cold servers over all entries

A server that has just started, or whose zone returns from an evacuation, takes only some requests per second, and each entry sent to it as to a warm one.

The division of a limit among a few senders, used for limits that servers name, now takes its tolerance as data. `cold` knows until when each server is cold; the gateway asks for one verdict on both kinds of limits when it selects a server, and again before it sends. Configuration, server entries and settings provide the limit, the time and the tolerance; without `coldPerS` nothing changes.

--- a/crates/decide/src/server_limits.rs
+++ b/crates/decide/src/server_limits.rs
@@ -3,23 +3,33 @@
 //! A server in need names in its answers how many requests a second it takes. Each entry tells the
 //! others what it heard, so that all know the limit of each server, and a few of them, chosen alike
 //! by all, use it. The limit ends after a few answers without it, or with the server process.
+//!
+//! A cold server has a limit from the configuration, which is divided in the same way ([`cold`]).
+//! If a server has both, the stricter applies.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use apricothall_types::{MemberId, Quota, Region, Timestamp, WallTime, Zone};
 
-use crate::limits::TokenBucket;
+use crate::servers::Server;
 use crate::update_queue::UpdateQueue;
 
+pub mod cold;
+mod known_entries;
 mod record;
 mod share;
+mod usage;
 
-pub use record::{LimitChange, LimitRecord, PassedOver, ServerLife, ShareChange, Source};
-pub use share::{Place, Sender, WINDOW};
+pub use record::{
+    ColdChange, ColdSource, LimitChange, LimitRecord, PassedOver, ServerLife, ShareChange, Source,
+};
+pub use share::{Place, Sender, Tolerance, WINDOW};
 
+use cold::{ColdServers, ServerEntry};
 use record::Knowledge;
-use share::{Share, share_of, used_rate};
+use share::share_of;
+use usage::Usage;
 
 /// Consecutive answers without the limit after which it has ended.
 const CLEAN_ANSWERS: u8 = 3;
@@ -60,9 +70,14 @@
     named_here: Option<Timestamp>,
     /// Time of the latest immediate message.
     updated: Option<Timestamp>,
-    share: Option<Share>,
-    bucket: TokenBucket,
-    sent: VecDeque<Timestamp>,
+    usage: Usage,
+}
+
+/// Limits of a server in which the room of a request was taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reservation {
+    named: bool,
+    cold: bool,
 }
 
 impl Limited {
@@ -74,31 +89,8 @@
             named_here: None,
             known,
             updated: None,
-            share: None,
-            bucket: TokenBucket::new(0, now),
-            sent: VecDeque::new(),
-        }
-    }
-
-    fn refill(&mut self, now: Timestamp) {
-        if let Some(share) = self.share {
-            self.bucket.refill(share.rate, share.burst, now);
-        }
-    }
-
-    /// Sets the share. A new sender starts without tokens, as the one that it replaces may still
-    /// use its share.
-    fn set_share(&mut self, share: Option<Share>, now: Timestamp) {
-        if self.share.is_none() {
-            self.bucket = TokenBucket::new(0, now);
+            usage: Usage::new(WINDOW, now),
         }
-        self.refill(now);
-        self.share = share;
-    }
-
-    fn record_sent(&mut self, now: Timestamp) {
-        self.sent.retain(|at| now.since(*at) < WINDOW);
-        self.sent.push_back(now);
     }
 }
 
@@ -113,6 +105,8 @@
     servers: BTreeMap<MemberId, Limited>,
     updates: UpdateQueue<MemberId>,
     cursor: usize,
+    /// Servers that are cold.
+    pub cold: ColdServers,
 }
 
 impl ServerLimits {
@@ -120,6 +114,7 @@
     #[must_use]
     pub fn new(own: MemberId, started: Timestamp) -> Self {
         Self {
+            cold: ColdServers::new(own.clone()),
             own,
             started,
             entries: Vec::new(),
@@ -150,6 +145,7 @@
     /// changes.
     pub fn set_entries(&mut self, entries: Vec<Sender>, now: Timestamp) -> Vec<ShareChange> {
         let has_joined = now.since(self.started) >= JOIN_TIME;
+        self.cold.set_entries(&entries, has_joined, now);
         if entries == self.entries && has_joined == self.has_joined {
             return Vec::new();
         }
@@ -180,6 +176,29 @@
         }
     }
 
+    /// Takes the entry of a server in the store into account. Returns the change if the server has
+    /// become cold.
+    pub fn observe_entry(&mut self, server: &Server, now: Timestamp) -> Option<ColdChange> {
+        let remaining = server.cold_remaining;
+        let is_known = || self.cold.knows(&server.id, server.born, remaining);
+        if !self.cold.is_limiting(&server.service) || is_known() {
+            return None;
+        }
+        let entry = ServerEntry {
+            server: ServerLife {
+                id: server.id.clone(),
+                born: server.born,
+                place: Place {
+                    zone: server.zone.clone(),
+                    region: self.regions.get(&server.zone).cloned(),
+                },
+            },
+            service: server.service.clone(),
+            remaining,
+        };
+        self.cold.observe(entry, now)
+    }
+
     fn observe_limit(
         &mut self,
         server: &ServerLife,
@@ -300,8 +319,8 @@
         let limit = state.known.limit.filter(|_| self.has_joined);
         let share =
             limit.and_then(|limit| share_of(&self.own, id, &state.place, limit, &self.entries));
-        let before = state.share.map(|share| share.rate);
-        state.set_share(share, now);
+        let before = state.usage.rate();
+        state.usage.set_share(share, now);
         let share = share.map(|share| share.rate);
         (before != share).then(|| ShareChange {
             server: id.clone(),
@@ -322,55 +341,101 @@
 
     /// Whether a request may be sent to the server `id`, started at `born`.
     pub fn verdict(&mut self, id: &MemberId, born: WallTime, now: Timestamp) -> Verdict {
+        let cold = self.cold.verdict(id, born, now);
+        match (self.named_verdict(id, born, now), cold) {
+            (Verdict::PassedOver(named), Verdict::PassedOver(cold)) => {
+                let longest = if cold.wait > named.wait { cold } else { named };
+                Verdict::PassedOver(longest)
+            }
+            (Verdict::PassedOver(passed), _) | (_, Verdict::PassedOver(passed)) => {
+                Verdict::PassedOver(passed)
+            }
+            (Verdict::Unlimited, Verdict::Unlimited) => Verdict::Unlimited,
+            _ => Verdict::Allowed,
+        }
+    }
+
+    fn named_verdict(&mut self, id: &MemberId, born: WallTime, now: Timestamp) -> Verdict {
         let Some((state, limit)) = limited(&mut self.servers, id, born) else {
             return Verdict::Unlimited;
         };
-        state.refill(now);
-        if state.share.is_some() && state.bucket.has_one() {
+        if state.usage.has_room(now) {
             return Verdict::Allowed;
         }
-        let wait = match state.share {
-            Some(share) => state.bucket.wait(share.rate),
-            None => TokenBucket::new(0, now).wait(used_rate(limit)),
-        };
-        state.sent.retain(|at| now.since(*at) < WINDOW);
         Verdict::PassedOver(PassedOver {
             server: id.clone(),
             limit,
-            share: state.share.map(|share| share.rate),
-            taken: state.sent.len(),
+            share: state.usage.rate(),
+            taken: state.usage.sent_in_window(now),
             source: state.known.source,
             age: now.since(state.known.observed),
-            wait,
+            wait: state.usage.wait(limit, now),
         })
     }
 
-    /// Takes the room of one request in the limit of a server. Returns whether the request may be
+    /// Takes the room of one request in the limits of a server. Returns whether the request may be
     /// sent.
     pub fn take(&mut self, id: &MemberId, born: WallTime, now: Timestamp) -> bool {
-        let Some((state, _)) = limited(&mut self.servers, id, born) else {
-            return true;
-        };
-        state.refill(now);
-        if state.share.is_none() || !state.bucket.take() {
-            return false;
+        let has_room = !matches!(self.verdict(id, born, now), Verdict::PassedOver(_));
+        has_room && self.confirm(id, born, Reservation::default(), now)
+    }
+
+    /// Takes the room of a request that will be sent soon in the limits of a server.
+    pub fn reserve(&mut self, id: &MemberId, born: WallTime, now: Timestamp) -> Reservation {
+        if matches!(self.verdict(id, born, now), Verdict::PassedOver(_)) {
+            return Reservation::default();
+        }
+        let cold = self.cold.usage(id, born, now);
+        let cold = cold.is_some_and(|usage| usage.take(now));
+        let named = limited(&mut self.servers, id, born);
+        let named = named.is_some_and(|(state, _)| state.usage.take(now));
+        if named && let Some(state) = self.servers.get_mut(id) {
+            state.usage.record_sent(now);
+        }
+        Reservation { named, cold }
+    }
+
+    /// Whether a request may be sent now. Takes its room in limits that the server did not have
+    /// when the room was reserved.
+    pub fn confirm(
+        &mut self,
+        id: &MemberId,
+        born: WallTime,
+        reserved: Reservation,
+        now: Timestamp,
+    ) -> bool {
+        if let Some(usage) = self.cold.usage(id, born, now) {
+            let has_room = reserved.cold || usage.take(now);
+            if !has_room || !usage.may_send(now) {
+                return false;
+            }
+        }
+        if !reserved.named
+            && let Some((state, _)) = limited(&mut self.servers, id, born)
+        {
+            if !state.usage.take(now) {
+                return false;
+            }
+            state.usage.record_sent(now);
+        }
+        if let Some(usage) = self.cold.usage(id, born, now) {
+            usage.record_sent(now);
         }
-        state.record_sent(now);
         true
     }
 
-    /// Whether the server `id`, started at `born`, has a limit.
+    /// Whether the server `id`, started at `born`, names a limit.
     #[must_use]
     pub fn is_limited(&self, id: &MemberId, born: WallTime) -> bool {
         let state = self.servers.get(id).filter(|k| k.born == born);
         state.is_some_and(|k| k.known.limit.is_some())
     }
 
-    /// Number of servers with a limit, and of those to which this entry sends.
+    /// Number of servers that name a limit, and of those to which this entry sends.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
         let limited = || self.servers.values().filter(|k| k.known.limit.is_some());
-        let sending = limited().filter(|k| k.share.is_some());
+        let sending = limited().filter(|k| k.usage.share().is_some());
         (limited().count(), sending.count())
     }
 
@@ -433,7 +498,7 @@
     }
 }
 
-/// State of a server with a limit.
+/// State of a server that names a limit.
 fn limited<'a>(
     servers: &'a mut BTreeMap<MemberId, Limited>,
     id: &MemberId,
--- /dev/null
+++ b/crates/decide/src/server_limits/known_entries.rs
@@ -0,0 +1,81 @@
+//! Entries among which the limit of a cold server is divided.
+//!
+//! Limits of cold servers must hold while entries are partitioned from each other, and an entry
+//! that no longer hears from others can't tell a partition from their end. It therefore goes on
+//! counting those that fell silent.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use apricothall_types::{MemberId, Timestamp};
+
+use super::share::{Sender, TOLERATED_EXTRA};
+
+/// Time after which a silent entry no longer counts, if the shares leave room for it to send still.
+const SILENT_TIME: Duration = Duration::from_secs(30);
+
+/// Time after which any silent entry no longer counts.
+const PARTITION_TIME: Duration = Duration::from_mins(10);
+
+#[derive(Clone, Debug)]
+struct Silent {
+    entry: Sender,
+    since: Timestamp,
+    counts: bool,
+}
+
+/// Entries that serve, and those that did when they were last heard from.
+#[derive(Clone, Debug, Default)]
+pub(super) struct KnownEntries {
+    heard: Vec<Sender>,
+    silent: Vec<Silent>,
+    all: Vec<Sender>,
+}
+
+impl KnownEntries {
+    /// All entries that count.
+    pub(super) fn all(&self) -> &[Sender] {
+        &self.all
+    }
+
+    /// Sets the entries that serve. Returns whether others count than before.
+    pub(super) fn update(&mut self, own: &MemberId, entries: &[Sender], now: Timestamp) -> bool {
+        if entries != self.heard {
+            let ids: HashSet<_> = entries.iter().map(|e| &e.id).collect();
+            self.silent.retain(|s| !ids.contains(&s.entry.id));
+            let lost = self.heard.iter();
+            let lost = lost.filter(|e| e.id != *own && !ids.contains(&e.id));
+            let lost = lost.map(|entry| Silent {
+                entry: entry.clone(),
+                since: now,
+                counts: true,
+            });
+            self.silent.extend(lost);
+            self.heard = entries.to_vec();
+        }
+        self.silent.retain(|s| now.since(s.since) < PARTITION_TIME);
+        let count = u64::try_from(self.silent.len()).unwrap_or(u64::MAX);
+        // More of them may mean that this entry is partitioned, and that they count each other.
+        if count <= TOLERATED_EXTRA {
+            for silent in &mut self.silent {
+                silent.counts &= now.since(silent.since) < SILENT_TIME;
+            }
+        }
+        if self.counted().eq(&self.all) {
+            return false;
+        }
+        self.all = self.counted().cloned().collect();
+        true
+    }
+
+    fn counted(&self) -> impl Iterator<Item = &Sender> {
+        let silent = self.silent.iter().filter(|s| s.counts).map(|s| &s.entry);
+        self.heard.iter().chain(silent)
+    }
+
+    /// Records that an entry has told that it does not serve.
+    pub(super) fn record_departure(&mut self, id: &MemberId) {
+        self.heard.retain(|e| e.id != *id);
+        self.silent.retain(|s| s.entry.id != *id);
+    }
+}
--- a/crates/decide/src/server_limits/record.rs
+++ b/crates/decide/src/server_limits/record.rs
@@ -35,6 +35,34 @@
     Answer,
     /// From another entry.
     Peer,
+    /// From what shows that a server is cold.
+    Cold(ColdSource),
+}
+
+/// What shows that a server is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdSource {
+    /// Its entry in the store.
+    Entry,
+    /// Its start.
+    Start,
+    /// The end of the evacuation of its zone.
+    Evacuation,
+}
+
+/// A server that became cold, or whose limit was lifted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ColdChange {
+    /// Id of the server.
+    pub server: MemberId,
+    /// Limit from now on; `None` if it was lifted.
+    pub limit: Option<Quota>,
+    /// What shows that it is, or was, cold.
+    pub source: ColdSource,
+    /// Time since that was seen.
+    pub age: Duration,
+    /// Time until it is no longer cold.
+    pub left: Duration,
 }
 
 /// A server process, in terms of limits.
@@ -83,11 +111,11 @@
     pub limit: Quota,
     /// Rate that this entry uses of it; `None` if other entries send to the server.
     pub share: Option<Quota>,
-    /// Requests that this entry has sent to the server in the last window.
+    /// Requests that this entry has sent to the server in the last window of its limit.
     pub taken: usize,
     /// Who told the limit.
     pub source: Source,
-    /// Age of the answer that told it.
+    /// Age of what told it.
     pub age: Duration,
     /// Time until the server takes another request, from this entry or another one.
     pub wait: Duration,
--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -57,6 +57,8 @@
     pub born: WallTime,
     /// Loaded model versions; empty for a service without models.
     pub loaded: Vec<Loaded>,
+    /// Time for which the server stays cold, if its entry states one.
+    pub cold_remaining: Option<Duration>,
 }
 
 /// A server in a [`Listing`].
--- a/crates/decide/tests/outage.rs
+++ b/crates/decide/tests/outage.rs
@@ -224,6 +224,7 @@
         state: ServerState::Ready,
         born: WallTime(1),
         loaded: Vec::new(),
+        cold_remaining: None,
     }
 }
 
--- a/crates/decide/tests/store_era.rs
+++ b/crates/decide/tests/store_era.rs
@@ -32,6 +32,7 @@
         state,
         born: WallTime(1),
         loaded: Vec::new(),
+        cold_remaining: None,
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -50,7 +50,8 @@
     /// The version that the request is bound to was retired before the request was sent.
     #[error("the version was retired")]
     VersionRetired,
-    /// The server named a limit after it was selected, which has no room for the request.
+    /// A limit of the server has no room for the request, as it became known after the server was
+    /// selected, or as too many requests were delayed before they were sent.
     #[error("the server's limit is reached")]
     LimitReached,
     /// The request was condemned before it was sent, because servers crashed while they ran it.
@@ -167,7 +168,7 @@
         return Err(AttemptError::Closed);
     }
     let limits = &context.server_limits;
-    if !placed.took_limit && !limits.take(&placed.server, now) {
+    if !limits.confirm(context, &placed.server, placed.reserved, now) {
         return Err(AttemptError::LimitReached);
     }
     let request = build(context, call, placed, resume, left);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -13,7 +13,7 @@
 use apricothall_decide::outlier::{Attempt, OutlierDetector};
 use apricothall_decide::placement::{self, Choice, PlacementConfig, Requirements};
 use apricothall_decide::prompt_parts::Trial;
-use apricothall_decide::server_limits::PassedOver;
+use apricothall_decide::server_limits::{PassedOver, Reservation};
 use apricothall_decide::servers::Server;
 use apricothall_decide::signals::Signals;
 use apricothall_decide::versions::Versions;
@@ -24,6 +24,7 @@
 use crate::model::EngineService;
 use crate::peers::EngineStatus;
 use crate::retry_budgets::RetryBudgets;
+use crate::server_limits::count_passed_over;
 use crate::servers::ServerListAge;
 use crate::settings::Settings;
 
@@ -125,8 +126,8 @@
     pub load: u32,
     /// Age of the server list.
     pub list_age: Option<ServerListAge>,
-    /// Whether the request was counted against a limit of the server.
-    pub took_limit: bool,
+    /// Limits of the server against which the request was counted.
+    pub reserved: Reservation,
     /// A server that was passed over because of its limit.
     pub passed_over: Option<PassedOver>,
     /// The suspect part for whose trial the server was selected.
@@ -261,13 +262,12 @@
     ) -> Placement {
         let settings = context.settings();
         let list_age = context.published.server_list_age(now);
+        context.server_limits.follow_configuration(context, now);
         let mut state = self.state();
         context.published.servers(|servers| {
             let limits = &context.server_limits;
             let (eligible, passed_over) = state.eligible(&settings, servers, limits, request, now);
-            if passed_over.is_some() {
-                metrics::counter!("apricothall_limit_passed_over_total").increment(1);
-            }
+            passed_over.as_ref().inspect(|p| count_passed_over(p));
             let candidates: Vec<_> = eligible
                 .iter()
                 .map(|e| e.candidate(state.outlier.permit(&e.server.id, now)))
@@ -281,12 +281,11 @@
             match choice {
                 Choice::Send(index) => {
                     let selected = &eligible[index];
-                    let took_limit =
-                        limits.is_limited(selected.server) && limits.take(selected.server, now);
+                    let reserved = limits.reserve(selected.server, now);
                     let placed = state.start_request(selected, request, now);
                     Placement::Selected(Box::new(Placed {
                         list_age,
-                        took_limit,
+                        reserved,
                         passed_over,
                         ..placed
                     }))
--- a/crates/gateway/src/fleet/eligible.rs
+++ b/crates/gateway/src/fleet/eligible.rs
@@ -7,7 +7,7 @@
 use apricothall_decide::path_delay::arrival_margin;
 use apricothall_decide::placement::{Candidate, Distance};
 use apricothall_decide::prompt_parts::{Trial, trial_server};
-use apricothall_decide::server_limits::{PassedOver, Verdict};
+use apricothall_decide::server_limits::{PassedOver, Reservation, Verdict};
 use apricothall_decide::servers::{Server, Servers};
 use apricothall_decide::signals::Availability;
 use apricothall_types::Timestamp;
@@ -187,7 +187,7 @@
             predicted: selected.forecast.latency,
             load: selected.forecast.occupied,
             list_age: None,
-            took_limit: false,
+            reserved: Reservation::default(),
             passed_over: None,
             tried: request.trial.map(|trial| trial.part.clone()),
         }
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -1,10 +1,11 @@
 //! Data published by operators: the configuration.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use apricothall_decide::routes::{Accounts, RouteTable};
+use apricothall_decide::server_limits::cold::ColdStart;
 use apricothall_decide::timing::Timing;
 use apricothall_types::{TokenCount, Zone};
 use smol_str::SmolStr;
@@ -18,6 +19,8 @@
     pub routes: RouteTable,
     /// Services by name.
     pub services: HashMap<SmolStr, Service>,
+    /// How servers start, of services whose cold servers have a limit.
+    pub cold_starts: BTreeMap<SmolStr, ColdStart>,
     /// Client accounts and their keys.
     pub accounts: Accounts,
     /// Limits on requests of callers.
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -1,12 +1,13 @@
-//! Limits that servers name, shared with other entries by gossip.
+//! Limits that servers name, shared with other entries by gossip, and limits of cold servers.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use apricothall_decide::server_limits::{
-    LimitChange, LimitRecord, Place, Sender, ServerLife, ServerLimits, ShareChange, Verdict,
+    ColdChange, LimitChange, LimitRecord, PassedOver, Place, Reservation, Sender, ServerLife,
+    ServerLimits, ShareChange, Source, Verdict,
 };
 use apricothall_decide::servers::Server;
-use apricothall_types::{Quota, Role, Timestamp};
+use apricothall_types::{ConfigurationRevision, MemberId, Quota, Role, Timestamp, Zone};
 
 use crate::Context;
 use crate::gossip::phase;
@@ -20,6 +21,8 @@
 /// Limits of all servers, as known to this entry.
 pub struct SharedLimits {
     limits: Mutex<ServerLimits>,
+    /// Configuration from which the limits of cold servers were taken.
+    configuration: Mutex<ConfigurationRevision>,
 }
 
 impl SharedLimits {
@@ -31,6 +34,7 @@
         limits.set_regions(regions.map(|(z, r)| (z.clone(), r.clone())).collect());
         Self {
             limits: Mutex::new(limits),
+            configuration: Mutex::default(),
         }
     }
 
@@ -67,21 +71,59 @@
         }
     }
 
-    /// Whether a request may be sent to `server`.
+    /// Takes the limits of cold servers from the configuration in force.
+    pub fn follow_configuration(&self, context: &Context, now: Timestamp) {
+        let Some(in_force) = context.published.in_force() else {
+            return;
+        };
+        let lock = self.configuration.lock();
+        let mut followed = lock.unwrap_or_else(PoisonError::into_inner);
+        if *followed != in_force.revision {
+            *followed = in_force.revision;
+            let services = in_force.configuration.cold_starts.clone();
+            self.limits().cold.set_services(services, now);
+        }
+    }
+
+    /// Whether a request may be sent to `server`, whose entry may have changed.
     #[must_use]
     pub fn verdict(&self, server: &Server, now: Timestamp) -> Verdict {
-        self.limits().verdict(&server.id, server.born, now)
+        let mut limits = self.limits();
+        let change = limits.observe_entry(server, now);
+        let verdict = limits.verdict(&server.id, server.born, now);
+        drop(limits);
+        log_cold(change);
+        verdict
     }
 
-    /// Takes the room of one request in the limit of `server`. Returns whether it may be sent.
-    pub fn take(&self, server: &Server, now: Timestamp) -> bool {
-        self.limits().take(&server.id, server.born, now)
+    /// Takes the room of one request in the limits of `server`.
+    pub fn reserve(&self, server: &Server, now: Timestamp) -> Reservation {
+        self.limits().reserve(&server.id, server.born, now)
     }
 
-    /// Whether `server` has a limit.
-    #[must_use]
-    pub fn is_limited(&self, server: &Server) -> bool {
-        self.limits().is_limited(&server.id, server.born)
+    /// Whether a request may be sent to `server` now, for which room was `reserved`.
+    pub fn confirm(
+        &self,
+        context: &Context,
+        server: &Server,
+        reserved: Reservation,
+        now: Timestamp,
+    ) -> bool {
+        self.follow_configuration(context, now);
+        // The server may have become cold since it was selected.
+        let change = context.published.servers(|servers| {
+            let current = servers.get(&server.id)?;
+            self.limits().observe_entry(current, now)
+        });
+        log_cold(change);
+        let mut limits = self.limits();
+        limits.confirm(&server.id, server.born, reserved, now)
+    }
+
+    /// Records that the evacuation of `zone` was removed. Its servers may be cold.
+    pub fn zone_restored(&self, zone: &Zone, now: Timestamp) {
+        let changes = self.limits().cold.zone_restored(zone, now);
+        log_cold(changes);
     }
 
     /// Moves changes that are due into the messages of the next rounds.
@@ -104,27 +146,62 @@
     /// Updates the senders to limited servers, and forgets old limits.
     pub fn maintain(&self, context: &Context) {
         let now = context.clock.now();
-        let senders = serving_entries(context);
+        let (senders, departed) = entries(context);
         let mut limits = self.limits();
         let entries = senders.len();
+        for entry in &departed {
+            limits.cold.record_departure(entry);
+        }
         let changes = limits.set_entries(senders, now);
         limits.expire(now);
         let (known, sending) = limits.counts();
         drop(limits);
         log_shares(&changes, entries);
-        set_gauge("known", known);
-        set_gauge("sending", sending);
+        metrics::gauge!("apricothall_limited_servers", "kind" => "known").set(gauge(known));
+        metrics::gauge!("apricothall_limited_servers", "kind" => "sending").set(gauge(sending));
+        if context.settings().role == Role::Entry {
+            self.maintain_cold(context, now);
+        }
+    }
+
+    /// Takes changes of server entries into account, and reports servers that are no longer cold.
+    fn maintain_cold(&self, context: &Context, now: Timestamp) {
+        self.follow_configuration(context, now);
+        let tolerance = context.settings().bounds.cold;
+        let began = context.published.servers(|servers| {
+            let mut limits = self.limits();
+            limits.cold.set_tolerance(tolerance, now);
+            limits.cold.retain(servers.iter().map(|s| &s.id), now);
+            let began = servers.iter().filter_map(|s| limits.observe_entry(s, now));
+            began.collect::<Vec<_>>()
+        });
+        let mut limits = self.limits();
+        let ended = limits.cold.take_ended(now);
+        let (cold, sending) = limits.cold.counts(now);
+        drop(limits);
+        log_cold(began);
+        log_cold(ended);
+        metrics::gauge!("apricothall_cold_servers", "kind" => "known").set(gauge(cold));
+        metrics::gauge!("apricothall_cold_servers", "kind" => "sending").set(gauge(sending));
+    }
+}
+
+/// Counts a server selection that passed over a server because of a limit.
+pub fn count_passed_over(passed: &PassedOver) {
+    metrics::counter!("apricothall_limit_passed_over_total").increment(1);
+    if matches!(passed.source, Source::Cold(_)) {
+        metrics::counter!("apricothall_cold_passed_over_total").increment(1);
     }
 }
 
-fn set_gauge(kind: &'static str, count: usize) {
-    let count = u32::try_from(count).unwrap_or(u32::MAX);
-    metrics::gauge!("apricothall_limited_servers", "kind" => kind).set(f64::from(count));
+fn gauge(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
 
-/// Entries that serve, including this one if it does.
-fn serving_entries(context: &Context) -> Vec<Sender> {
+/// Entries that serve, including this one if it does, and other ones that told that they do not.
+fn entries(context: &Context) -> (Vec<Sender>, Vec<MemberId>) {
     let mut senders = Vec::new();
+    let mut departed = Vec::new();
     let settings = context.settings();
     if settings.role == Role::Entry && phase(context) == Phase::Serving {
         senders.push(Sender {
@@ -135,15 +212,20 @@
     }
     context.peers.each(context.clock.now(), |peer| {
         let hello = &peer.hello;
-        if hello.role == Role::Entry && hello.phase == Phase::Serving {
-            senders.push(Sender {
-                id: hello.id.clone(),
-                zone: hello.zone.clone(),
-                region: hello.region.clone(),
-            });
+        if hello.role != Role::Entry {
+            return;
         }
+        if hello.phase != Phase::Serving {
+            departed.push(hello.id.clone());
+            return;
+        }
+        senders.push(Sender {
+            id: hello.id.clone(),
+            zone: hello.zone.clone(),
+            region: hello.region.clone(),
+        });
     });
-    senders
+    (senders, departed)
 }
 
 fn log_shares(changes: &[ShareChange], entries: usize) {
@@ -154,6 +236,24 @@
     }
 }
 
+fn log_cold(changes: impl IntoIterator<Item = ColdChange>) {
+    for change in changes {
+        let ColdChange {
+            server,
+            limit,
+            source,
+            age,
+            left,
+        } = change;
+        let (age_ms, left_ms) = (millis(age), millis(left));
+        if let Some(limit) = limit {
+            tracing::info!(%server, %limit, ?source, age_ms, left_ms, "server is cold");
+        } else {
+            tracing::info!(%server, ?source, age_ms, "server is no longer cold");
+        }
+    }
+}
+
 fn log_change(change: Option<LimitChange>) {
     let Some(change) = change else {
         return;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use apricothall_decide::placement::Distance;
+use apricothall_decide::server_limits::Tolerance;
 use apricothall_types::{Bytes, MemberId, Rate, Region, Role, Zone};
 use smol_str::SmolStr;
 
@@ -97,4 +98,6 @@
     pub repeat_ratio: f64,
     /// Retries allowed in addition to that fraction, over all entries.
     pub repeat_extra: f64,
+    /// Requests that a cold server tolerates beyond its limit.
+    pub cold: Tolerance,
 }
--- a/crates/types/src/quota.rs
+++ b/crates/types/src/quota.rs
@@ -25,6 +25,21 @@
         Self(count as u64 * MILLI)
     }
 
+    /// A rate of `rate` requests per second; `None` if it is negative, infinite or not a number.
+    /// Rates above the largest one are cut off.
+    #[must_use]
+    pub fn from_rate(rate: f64) -> Option<Self> {
+        if !rate.is_finite() || rate < 0.0 {
+            return None;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "it is not negative, and larger values saturate"
+        )]
+        Some(Self((rate * 1_000.0).floor() as u64))
+    }
+
     /// Subtracts `other`, with zero as the lower bound.
     #[must_use]
     pub const fn saturating_sub(self, other: Self) -> Self {
@@ -65,15 +80,7 @@
     fn from_str(text: &str) -> Result<Self, QuotaError> {
         let error = || QuotaError { found: text.into() };
         let rate: f64 = text.trim().parse().map_err(|_| error())?;
-        if !rate.is_finite() || rate < 0.0 {
-            return Err(error());
-        }
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "it is not negative, and larger values saturate"
-        )]
-        Ok(Self((rate * 1_000.0).floor() as u64))
+        Self::from_rate(rate).ok_or_else(error)
     }
 }
 
