test(decide): a model of entries and cold servers

Checks that in each second a cold server gets at most its limit times 1.5 and 5 more, and that at least half of the limit is used, with 1, 8, 36, 50 and 300 entries: servers that become cold in turn, a zone that returns from an evacuation cold under the demand of all entries, and random partitions, restarts and changes with slow connections. Single entries are checked for repeated, odd and missing statements, the rise at the end, and the stricter of two limits.

--- a/crates/decide/tests/server_limits/main.rs
+++ b/crates/decide/tests/server_limits/main.rs
@@ -1,6 +1,9 @@
 //! Limits that servers name for all entries together, checked on a model of many entries.
 
+mod cold;
+mod cold_world;
 mod delivery;
+mod pending;
 mod server;
 mod world;
 
--- a/crates/decide/tests/server_limits/world.rs
+++ b/crates/decide/tests/server_limits/world.rs
@@ -13,7 +13,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::delivery::{Delivery, Pending};
+use crate::delivery::Delivery;
+use crate::pending::Pending;
 use crate::server::{CONTACT, Server};
 
 /// Step of the virtual clock.
@@ -70,7 +71,7 @@
     senders: Vec<Sender>,
     entries: Vec<Entry>,
     servers: Vec<Server>,
-    pending: BinaryHeap<Pending>,
+    pending: BinaryHeap<Pending<Delivery>>,
     /// Windows in which a server got too many requests.
     pub violations: Vec<String>,
 }
