--- a/crates/decide/examples/server_limits_scale.rs
+++ b/crates/decide/examples/server_limits_scale.rs
@@ -1,12 +1,15 @@
 //! Cost of limits that servers name, by the number of entries: time to choose the senders anew after
-//! a change of the entries, time of a decision, and state.
+//! a change of the entries, time of a decision for a server that names a limit and for one that is
+//! cold, and state.
 //!
 //! `cargo run --release -p apricothall-decide --example server_limits_scale`
 
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
+use apricothall_decide::server_limits::cold::ColdStart;
 use apricothall_decide::server_limits::{Place, Sender, ServerLife, ServerLimits};
+use apricothall_decide::servers::{Server, ServerState};
 use apricothall_types::{Quota, Timestamp, WallTime};
 
 /// Number of limited servers.
@@ -39,8 +42,46 @@
     }
 }
 
+/// The entry of a server that stays cold for a long time.
+fn cold_server(index: usize) -> Server {
+    let life = server(index);
+    Server {
+        id: format!("c-{index:010x}").parse().expect("valid"),
+        service: "p".into(),
+        address: "10.0.0.1:80".parse().expect("valid"),
+        zone: life.place.zone,
+        slots: 8,
+        state: ServerState::Ready,
+        born: life.born,
+        loaded: Vec::new(),
+        cold_remaining: Some(Duration::from_mins(5)),
+    }
+}
+
+/// Time of a decision for a server that is cold, as an entry makes it for each candidate.
+fn time_cold_decision(limits: &mut ServerLimits, now: Timestamp) -> Duration {
+    let start = ColdStart {
+        duration: Duration::from_mins(5),
+        limit: Quota::per_second(17),
+    };
+    limits.cold.set_services([("p".into(), start)].into(), now);
+    for index in 0..SERVERS {
+        limits.observe_entry(&cold_server(index), now);
+    }
+    let server = cold_server(0);
+    let started = Instant::now();
+    for step in 0..DECISIONS {
+        let now = now + Duration::from_micros(u64::from(step));
+        black_box(limits.observe_entry(&server, now));
+        black_box(limits.verdict(&server.id, server.born, now));
+    }
+    started.elapsed() / DECISIONS
+}
+
 fn main() {
-    println!("entries  choice, us a server  decision, ns  senders of a limit of 1.6");
+    println!(
+        "entries  choice, us a server  decision, ns  cold decision, ns  senders of a limit of 1.6"
+    );
     for entries in [8, 60, 300, 2_400] {
         let now = Timestamp::from_millis(100_000);
         let all: Vec<_> = (0..entries).map(sender).collect();
@@ -63,6 +104,7 @@
             black_box(limits.verdict(&life.id, life.born, now));
         }
         let decision = started.elapsed() / DECISIONS;
+        let cold = time_cold_decision(&mut limits, now).as_nanos();
         let sending = all.iter().filter(|own| {
             let mut limits = ServerLimits::new(own.id.clone(), Timestamp::default());
             limits.set_entries(all.clone(), now);
@@ -71,6 +113,6 @@
         });
         let sending = sending.count();
         let (choice, decision) = (choice.as_secs_f64() * 1e6, decision.as_nanos());
-        println!("{entries:7}  {choice:19.1}  {decision:12}  {sending}");
+        println!("{entries:7}  {choice:19.1}  {decision:12}  {cold:17}  {sending}");
     }
 }
