fix(decide): departures of entries are recorded in one step, and a zone's latest return counts

Each announced departure searched all known entries, every 200 ms. A return of a zone that is told late must not replace a later one. A test covers for how long shares of silent entries stay unused.

--- a/crates/decide/src/server_limits/cold.rs
+++ b/crates/decide/src/server_limits/cold.rs
@@ -209,10 +209,12 @@
         }
     }
 
-    /// Records that an entry has told that it accepts no requests. Others are counted for a while
+    /// Records that entries have told that they accept no requests. Others are counted for a while
     /// after they were last heard from.
-    pub fn record_departure(&mut self, entry: &MemberId) {
-        self.entries.record_departure(entry);
+    pub fn record_departures(&mut self, entries: &[MemberId]) {
+        if !entries.is_empty() {
+            self.entries.record_departures(entries);
+        }
     }
 
     fn ids(&self) -> Vec<MemberId> {
@@ -254,7 +256,8 @@
     /// Records that the evacuation of `zone` was removed. Its servers may be cold. Returns those
     /// that were not.
     pub fn zone_restored(&mut self, zone: &Zone, now: Timestamp) -> Vec<ColdChange> {
-        self.restored.insert(zone.clone(), now);
+        let restored = self.restored.entry(zone.clone()).or_insert(now);
+        *restored = now.max(*restored);
         let mut ids = self.ids();
         ids.retain(|id| self.servers[id].entry.server.place.zone == *zone);
         let changes = ids.iter().filter_map(|id| {
--- a/crates/decide/src/server_limits/known_entries.rs
+++ b/crates/decide/src/server_limits/known_entries.rs
@@ -73,9 +73,10 @@
         self.heard.iter().chain(silent)
     }
 
-    /// Records that an entry has told that it does not serve.
-    pub(super) fn record_departure(&mut self, id: &MemberId) {
-        self.heard.retain(|e| e.id != *id);
-        self.silent.retain(|s| s.entry.id != *id);
+    /// Records that entries have told that they do not serve.
+    pub(super) fn record_departures(&mut self, ids: &[MemberId]) {
+        let ids: HashSet<_> = ids.iter().collect();
+        self.heard.retain(|e| !ids.contains(&e.id));
+        self.silent.retain(|s| !ids.contains(&s.entry.id));
     }
 }
--- a/crates/decide/tests/server_limits/cold.rs
+++ b/crates/decide/tests/server_limits/cold.rs
@@ -408,6 +408,52 @@
     }
 }
 
+/// Rate of the share of the first of eight entries of which `heard` still serve, some time after
+/// the others fell silent or told that they leave.
+fn share_after(heard: usize, announced: bool, after: Duration) -> Option<Quota> {
+    let entries: Vec<_> = (0..8)
+        .map(|index| Sender {
+            id: format!("e{index}").parse().expect("valid"),
+            zone: "z".parse().expect("valid"),
+            region: "r".parse().expect("valid"),
+        })
+        .collect();
+    let mut limits = ServerLimits::new(entries[0].id.clone(), START - secs(60));
+    limits
+        .cold
+        .set_services([("p".into(), start())].into(), START);
+    limits.set_entries(entries.clone(), START);
+    if announced {
+        let gone: Vec<_> = entries[heard..].iter().map(|e| e.id.clone()).collect();
+        limits.cold.record_departures(&gone);
+    }
+    limits.set_entries(entries[..heard].to_vec(), START);
+    let now = START + after;
+    limits.set_entries(entries[..heard].to_vec(), now);
+    let server = listed(None);
+    limits.observe_entry(&server, now);
+    match limits.verdict(&server.id, server.born, now) {
+        Verdict::PassedOver(passed) => passed.share,
+        other => panic!("a new sender has no tokens: {other:?}"),
+    }
+}
+
+/// Guards against shares of ended entries that stay unused, and against shares of silent ones that
+/// are used twice.
+#[test]
+fn shares_of_silent_entries_stay_unused_for_a_while() {
+    let minutes = Duration::from_mins;
+    let (all, six, four) = (Quota(1_700), Quota(2_266), Quota(3_400));
+    assert_eq!(share_after(6, false, secs(29)), Some(all));
+    assert_eq!(share_after(6, false, secs(31)), Some(six));
+    assert_eq!(share_after(4, false, secs(31)), Some(all));
+    assert_eq!(share_after(4, false, minutes(9)), Some(all));
+    assert_eq!(share_after(4, false, minutes(11)), Some(four));
+    assert_eq!(share_after(4, true, Duration::ZERO), Some(four));
+    let alone = share_after(1, false, minutes(9));
+    assert_eq!(alone, Some(all), "it may be partitioned");
+}
+
 /// Guards against one kind of limit that replaces the other.
 #[test]
 fn the_stricter_of_both_limits_applies() {
--- a/crates/decide/tests/server_limits/cold_world.rs
+++ b/crates/decide/tests/server_limits/cold_world.rs
@@ -374,9 +374,9 @@
         // An entry does not serve before it knows the evacuations.
         entry.evacuated = old.evacuated;
         if announced {
-            let id = self.senders[index].id.clone();
+            let id = [self.senders[index].id.clone()];
             for entry in &mut self.entries {
-                entry.limits.cold.record_departure(&id);
+                entry.limits.cold.record_departures(&id);
             }
         }
         for other in 0..self.entries.len() {
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -149,9 +149,7 @@
         let (senders, departed) = entries(context);
         let mut limits = self.limits();
         let entries = senders.len();
-        for entry in &departed {
-            limits.cold.record_departure(entry);
-        }
+        limits.cold.record_departures(&departed);
         let changes = limits.set_entries(senders, now);
         limits.expire(now);
         let (known, sending) = limits.counts();
