feat(routing): weigh the time that a cached prompt saves against the wait

Cause: a preferred replica was used while its load was within a fixed percentage of the mean. A short prompt queued for a cache that saves it nothing, and a long one left its cache for a small difference in load.

Change: a catalogue entry may state with `prompt_cache` for how long and how many tokens its engines retain prompts. Entries then measure the prefill time per token and the time in a slot, remember which prefixes they sent to which engine, and choose the replica whose time saved exceeds its additional wait. Nothing is saved after later prompts have used up the memory, after the retention time, or after a restart. `Choice` records time saved and wait, `explain` and the log show them, and `apricothall_choices_total` and `apricothall_prefill_saved_seconds` count choices by cause. Entries of the catalogue without `prompt_cache` use the fixed rule unchanged. `Router::hints` had no caller and is replaced by `note_cache_event`, which also updates what engines hold.

--- a/crates/apricotctl/src/explain.rs
+++ b/crates/apricotctl/src/explain.rs
@@ -34,6 +34,15 @@
     /// Value of its `Idempotency-Key`, for plain services.
     #[arg(long)]
     key: Option<SmolStr>,
+    /// Beginning of the prompt, for models; shows the time that a cached prefix saves.
+    #[arg(long)]
+    prompt: Option<SmolStr>,
+}
+
+fn query_part(name: &str, value: Option<&SmolStr>) -> String {
+    value.map_or_else(String::new, |value| {
+        format!("&{name}={}", utf8_percent_encode(value, KEY_CHARACTERS))
+    })
 }
 
 /// Asks an entry how it would handle the request. Nothing is forwarded to an agent.
@@ -41,13 +50,10 @@
 /// # Errors
 /// When the entry does not answer.
 pub async fn run(arguments: &ExplainArguments) -> Result<(), ControlError> {
-    let key = arguments
-        .key
-        .as_ref()
-        .map(|key| format!("&key={}", utf8_percent_encode(key, KEY_CHARACTERS)))
-        .unwrap_or_default();
     let (name, caller) = (&arguments.entry_name, &arguments.caller);
-    let path = format!("/explain?name={name}&caller={caller}{key}");
+    let key = query_part("key", arguments.key.as_ref());
+    let prompt = query_part("prompt", arguments.prompt.as_ref());
+    let path = format!("/explain?name={name}&caller={caller}{key}{prompt}");
     let answer: Value = read(arguments.target.operator, &path).await?;
     if arguments.target.json {
         println!("{answer}");
--- a/crates/apricotctl/tests/commands.rs
+++ b/crates/apricotctl/tests/commands.rs
@@ -144,6 +144,20 @@
     assert!(head.contains("&key=a%20b%26name%3Dx%2350%25 "), "{head}");
 }
 
+// Guards against a prompt that is sent as text and cut at its first space.
+#[test]
+fn explain_escapes_the_prompt() {
+    let (address, serving) = serve(answer("application/json", "{}"));
+    let explain = ["explain", "--operator", &address, "--entry-name", "drafter"];
+    let output = run(&[&explain[..], &["--prompt", "Span notes & more"]].concat());
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let head = serving.join().expect("answered");
+    assert!(
+        head.contains("&prompt=Span%20notes%20%26%20more "),
+        "{head}"
+    );
+}
+
 /// An event of an answer whose text is `event: error`, and what ends a complete answer.
 const COMPLETE: &str =
     "data: {\"text\":\"a line `event: error` ends a stream\"}\n\ndata: [DONE]\n\n";
--- a/crates/apricothall/examples/embed.rs
+++ b/crates/apricothall/examples/embed.rs
@@ -40,6 +40,7 @@
             replicas: &replicas,
             excluded: &excluded,
             prefix,
+            prompt: None,
         };
         let now = Timestamp::from_millis(step);
         let choice = router.choose(query, now, &mut rng).ok_or("no replica")?;
--- a/crates/decide/src/configs/routing.rs
+++ b/crates/decide/src/configs/routing.rs
@@ -36,6 +36,8 @@
     pub hints: usize,
     /// Age at which a hint expires.
     pub expiry: Interval,
+    /// Maximum number of prompt prefixes remembered for engines that retain prompts.
+    pub prompts: usize,
 }
 
 impl Default for RoutingConfig {
@@ -49,6 +51,7 @@
             subset: 64,
             hints: 4_096,
             expiry: Interval::secs(60),
+            prompts: 65_536,
         }
     }
 }
--- a/crates/decide/src/routing.rs
+++ b/crates/decide/src/routing.rs
@@ -3,10 +3,16 @@
 //! Nearby replicas are used first, and more distant ones once the nearby ones are loaded. Among the
 //! candidates, a replica that probably has the prompt's prefix in its cache is preferred while its
 //! load stays close to the mean. Otherwise the less loaded of two random replicas is chosen.
+//!
+//! For models whose engines retain prompts, the prefill time that a replica saves is weighed against
+//! the additional wait there instead, once both have been measured.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
-use apricothall_types::{Digest, Load, Member, MemberId, Region, Timestamp, Zone};
+use apricothall_types::{
+    Digest, EntryName, Load, Member, MemberId, Region, Sequence, Timestamp, TokenCount, Zone,
+};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
@@ -14,9 +20,12 @@
 use crate::rank;
 
 mod hints;
+mod prompts;
 mod score;
 
 pub use hints::{CacheEvent, Hints};
+use prompts::Prompts;
+pub use prompts::{EngineStart, PromptAttempt, PromptPrefixes, PromptQuery, Timing};
 use score::Scores;
 
 /// Length in bytes of the leading part of a prompt that is hashed for cache affinity.
@@ -79,6 +88,8 @@
     pub excluded: &'a BTreeSet<MemberId>,
     /// Prefix of the prompt, if any.
     pub prefix: Option<Prefix>,
+    /// The prompt, if the engines of the model retain prompts.
+    pub prompt: Option<PromptQuery<'a>>,
 }
 
 /// Why a replica was chosen.
@@ -89,6 +100,8 @@
     Hint,
     /// It ranks first for the prefix by rendezvous hashing, and its load is close to the mean.
     Affinity,
+    /// It probably holds a prefix that saves more time than the additional wait there.
+    TimeSaved,
     /// It was the less loaded of two random candidates.
     TwoChoices,
     /// Selected in round-robin order.
@@ -99,6 +112,35 @@
     Only,
 }
 
+impl Cause {
+    /// Name in metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Hint => "hint",
+            Self::Affinity => "affinity",
+            Self::TimeSaved => "time_saved",
+            Self::TwoChoices => "two_choices",
+            Self::RoundRobin => "round_robin",
+            Self::Random => "random",
+            Self::Only => "only",
+        }
+    }
+}
+
+/// What the replica saves that is best for the prompt by time saved less wait.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Saving {
+    /// Member ID of the replica's agent. Another replica is chosen if the wait is not worth it.
+    pub member: MemberId,
+    /// Prompt tokens that it probably holds.
+    pub tokens: u64,
+    /// Prefill time that they save, in milliseconds.
+    pub saved_ms: u64,
+    /// Additional wait for a slot there over the best other replica, in milliseconds.
+    pub wait_ms: u64,
+}
+
 /// The selected replica, with the data that explains the selection.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Choice {
@@ -114,18 +156,54 @@
     pub mean: f64,
     /// The rejected candidate of a two-choices selection, with its load.
     pub rival: Option<(MemberId, f64)>,
+    /// Time saved by a replica that probably holds a prefix of the prompt, with the wait there.
+    pub saving: Option<Saving>,
     /// Number of candidates.
     pub considered: usize,
     /// Number of replicas skipped because they were excluded.
     pub excluded: usize,
 }
 
+impl Choice {
+    /// Prefill time that the chosen replica probably saves.
+    #[must_use]
+    pub fn saved(&self) -> Duration {
+        let saving = self.saving.as_ref().filter(|s| s.member == self.member);
+        saving.map_or(Duration::ZERO, |s| Duration::from_millis(s.saved_ms))
+    }
+}
+
+/// A candidate that probably holds a prefix of the prompt.
+struct Holder<'a> {
+    replica: &'a Replica,
+    tokens: TokenCount,
+    saved: Duration,
+    additional_wait: Duration,
+}
+
+impl Holder<'_> {
+    fn is_worth_the_wait(&self) -> bool {
+        self.saved > self.additional_wait
+    }
+
+    fn saving(&self) -> Saving {
+        let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        Saving {
+            member: self.replica.id.clone(),
+            tokens: self.tokens.0,
+            saved_ms: millis(self.saved),
+            wait_ms: millis(self.additional_wait),
+        }
+    }
+}
+
 /// Load and cache information with which one entry selects replicas.
 #[derive(Clone, Debug)]
 pub struct Router {
     config: RoutingConfig,
     scores: Scores,
     hints: Hints,
+    prompts: Prompts,
     next_index: usize,
 }
 
@@ -135,10 +213,12 @@
     pub fn new(config: RoutingConfig) -> Self {
         let scores = Scores::new(config.halving.0);
         let hints = Hints::new(config.hints, config.expiry.0);
+        let prompts = Prompts::new(config.prompts);
         Self {
             config,
             scores,
             hints,
+            prompts,
             next_index: 0,
         }
     }
@@ -159,11 +239,21 @@
         let excluded = query.replicas.len() - candidates.len();
         let (nearest, mean) = self.nearest(candidates, now);
         let first = *nearest.first()?;
+        let timing = query.prompt.and_then(|p| self.prompts.timing(p.model));
+        let holder = query.prompt.zip(timing);
+        let holder = holder.and_then(|(p, timing)| self.best_holder(&nearest, &p, &timing, now));
         let (replica, cause, rival) = if nearest.len() == 1 {
             (first, Cause::Only, None)
+        } else if self.config.strategy != RoutingStrategy::TwoChoices {
+            self.apply_strategy(&nearest, query.prefix, mean, now, rng)
+        } else if let Some(holder) = holder.as_ref().filter(|h| h.is_worth_the_wait()) {
+            (holder.replica, Cause::TimeSaved, None)
+        } else if let Some(timing) = timing {
+            self.without_saving(&nearest, query, &timing, mean, now, rng)
         } else {
             self.apply_strategy(&nearest, query.prefix, mean, now, rng)
         };
+        let saving = holder.map(|h| h.saving());
         let rival = rival.map(|r| (r.id.clone(), self.scores.load(&r.id, now)));
         Some(Choice {
             member: replica.id.clone(),
@@ -172,6 +262,7 @@
             load: self.scores.load(&replica.id, now),
             mean,
             rival,
+            saving,
             considered: nearest.len(),
             excluded,
         })
@@ -192,9 +283,66 @@
         self.scores.report(id, load, measured);
     }
 
-    /// Cache hints, updated with the cache events of replicas.
-    pub fn hints(&mut self) -> &mut Hints {
-        &mut self.hints
+    /// Applies a cache event of `id`. Returns false for a late or duplicate event, which is ignored.
+    pub fn note_cache_event(
+        &mut self,
+        id: &MemberId,
+        sequence: Sequence,
+        event: CacheEvent,
+        now: Timestamp,
+    ) -> bool {
+        let is_new = self.hints.apply(id, sequence, event, now);
+        if is_new {
+            self.prompts.apply(id, event);
+        }
+        is_new
+    }
+
+    /// Sets the number of entries that send to the replicas, including this one.
+    pub fn set_entries(&mut self, count: usize) {
+        self.prompts.set_entries(count);
+    }
+
+    /// Records that a prompt is sent to an engine of `id`, before [`Self::note_start`].
+    pub fn note_prompt(
+        &mut self,
+        prompt: &PromptQuery<'_>,
+        id: &MemberId,
+        start: EngineStart,
+        now: Timestamp,
+    ) -> PromptAttempt {
+        let has_free_slot = self.scores.queued(id, now) <= 0.0;
+        self.prompts.start(prompt, id, start, has_free_slot, now)
+    }
+
+    /// Records that the first token of the answer arrived.
+    pub fn note_prefilled(&mut self, attempt: &mut PromptAttempt, now: Timestamp) {
+        self.prompts.prefilled(attempt, now);
+    }
+
+    /// Records that the answer is complete.
+    pub fn note_prompt_end(&mut self, attempt: &PromptAttempt, now: Timestamp) {
+        self.prompts.end(attempt, now);
+    }
+
+    /// Forgets the prompts of engines of which `is_running` is false, such as restarted ones.
+    pub fn retain_engines(
+        &mut self,
+        is_running: impl Fn(&EntryName, &MemberId, &EngineStart) -> bool,
+    ) {
+        self.prompts.retain_engines(is_running);
+    }
+
+    /// Measured times of a model whose engines retain prompts, or `None` before they are known.
+    #[must_use]
+    pub fn timing(&self, model: &EntryName) -> Option<Timing> {
+        self.prompts.timing(model)
+    }
+
+    /// Number of prompt prefixes that engines probably hold.
+    #[must_use]
+    pub fn held_prefixes(&self) -> usize {
+        self.prompts.len()
     }
 
     /// Requests of this entry in progress at `id`.
@@ -213,6 +361,7 @@
     pub fn retain(&mut self, members: &BTreeSet<MemberId>) {
         for id in self.scores.retain(members) {
             self.hints.remove_member(&id);
+            self.prompts.remove_member(&id);
         }
     }
 
@@ -268,6 +417,79 @@
         }
     }
 
+    /// Returns the candidate with the largest time saved less wait, if any holds a prefix.
+    fn best_holder<'a>(
+        &self,
+        nearest: &[&'a Replica],
+        prompt: &PromptQuery<'_>,
+        timing: &Timing,
+        now: Timestamp,
+    ) -> Option<Holder<'a>> {
+        let waits: Vec<_> = nearest
+            .iter()
+            .map(|r| self.wait(&r.id, timing, now))
+            .collect();
+        let holders = nearest.iter().enumerate().filter_map(|(index, replica)| {
+            let tokens = self.prompts.cached(prompt, &replica.id, now);
+            if tokens.0 == 0 {
+                return None;
+            }
+            let others = waits
+                .iter()
+                .enumerate()
+                .filter(|(other, _)| *other != index);
+            let shortest = others.map(|(_, wait)| *wait).min().unwrap_or_default();
+            let gain = timing.prefill_time(tokens).as_secs_f64() - waits[index].as_secs_f64();
+            let holder = Holder {
+                replica,
+                tokens,
+                saved: timing.prefill_time(tokens),
+                additional_wait: waits[index].saturating_sub(shortest),
+            };
+            Some((gain, holder))
+        });
+        let best = holders.max_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, holder)| holder)
+    }
+
+    /// Expected wait for a slot at `id`.
+    fn wait(&self, id: &MemberId, timing: &Timing, now: Timestamp) -> Duration {
+        let turns = self.scores.queued(id, now) * self.scores.load_per_request(id);
+        timing.slot_time.mul_f64(turns)
+    }
+
+    /// Selects a replica when no held prefix is worth its wait: the first one by rendezvous hashing
+    /// within the load bound whose wait is worth what the prompt could save, since other entries send
+    /// the prefix there too, else the less loaded of two.
+    fn without_saving<'a>(
+        &self,
+        nearest: &[&'a Replica],
+        query: Query<'_>,
+        timing: &Timing,
+        mean: f64,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> (&'a Replica, Cause, Option<&'a Replica>) {
+        let waits = nearest.iter().map(|r| self.wait(&r.id, timing, now));
+        let shortest = waits.min().unwrap_or_default();
+        let shareable = query.prompt.map(|p| p.prompt.shareable());
+        let most = shortest + timing.prefill_time(shareable.unwrap_or_default());
+        let is_worth_the_wait = |id: &MemberId| {
+            let wait = self.wait(id, timing, now);
+            (wait <= shortest || wait < most) && self.is_within_bound(id, mean, now)
+        };
+        let first = query.prefix.and_then(|prefix| {
+            let order = rank::order(&prefix.0.0, nearest.iter().map(|r| &r.id));
+            let mut first = order.into_iter().take(self.config.preferred);
+            let id = first.find(|id| is_worth_the_wait(id))?;
+            nearest.iter().find(|r| r.id == *id)
+        });
+        first.map_or_else(
+            || self.two_choices(nearest, now, rng),
+            |replica| (*replica, Cause::Affinity, None),
+        )
+    }
+
     /// Returns a replica that probably caches the prefix and stays within the load bound.
     fn preferred<'a>(
         &self,
--- a/crates/decide/src/routing/score.rs
+++ b/crates/decide/src/routing/score.rs
@@ -70,6 +70,16 @@
 
     /// Load of `id`, in requests per slot.
     pub fn load(&self, id: &MemberId, now: Timestamp) -> f64 {
+        self.requests(id, now) * self.load_per_request(id)
+    }
+
+    /// Estimated number of requests that one more request would wait for at `id`, including itself.
+    pub fn queued(&self, id: &MemberId, now: Timestamp) -> f64 {
+        let slots = self.scores.get(id).map_or(1, |score| score.slots.max(1));
+        (self.requests(id, now) + 1.0 - f64::from(slots)).max(0.0)
+    }
+
+    fn requests(&self, id: &MemberId, now: Timestamp) -> f64 {
         let Some(score) = self.scores.get(id) else {
             return 0.0;
         };
@@ -78,7 +88,7 @@
             let half_lives = age / self.half_life.as_secs_f64().max(f64::MIN_POSITIVE);
             report.others * (-half_lives).exp2()
         });
-        (f64::from(score.in_flight) + others) * self.load_per_request(id)
+        f64::from(score.in_flight) + others
     }
 
     /// Load that one request adds, in requests per slot.
--- a/crates/decide/tests/routing.rs
+++ b/crates/decide/tests/routing.rs
@@ -34,6 +34,7 @@
         replicas,
         excluded,
         prefix: Some(Prefix::of(prompt)),
+        prompt: None,
     }
 }
 
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use apricothall_decide::retry::{Failure, Verdict, retry_after};
+use apricothall_decide::routing::PromptPrefixes;
 use apricothall_fleet::Trace;
 use apricothall_fleet::http_server::Body;
 use apricothall_types::{CatalogueEntry, Class, EntryKind, MemberId, Outcome, Timestamp, Version};
@@ -53,6 +54,8 @@
     class: Class,
     meta: &'a RequestMeta,
     completion: &'a CompletionCall,
+    /// Present if the model's engines retain prompts.
+    prompt: Option<PromptPrefixes>,
     deadline: Timestamp,
     tracker: CompletionTracker,
 }
@@ -89,6 +92,9 @@
         class,
         meta: &meta,
         completion: &completion,
+        prompt: model
+            .prompt_cache
+            .and_then(|_| completion.prompt_prefixes()),
         deadline: entry.clock.now() + meta.budget,
         tracker,
     };
@@ -131,6 +137,7 @@
             let query = ReplicaQuery {
                 model: self.model,
                 prefix: self.completion.prefix,
+                prompt: self.prompt.as_ref(),
                 excluded: &excluded,
             };
             let Some((flight, choice)) = routing.choose(query) else {
@@ -148,7 +155,12 @@
                 }
                 break;
             };
-            tracing::debug!(agent = %choice.member, cause = ?choice.cause, "chosen");
+            tracing::debug!(
+                agent = %choice.member,
+                cause = ?choice.cause,
+                saving = ?choice.saving,
+                "chosen"
+            );
             let member = flight.member.id.clone();
             let error = match self.attempt(flight).await {
                 Ok(started) => return Ok(started),
@@ -216,7 +228,7 @@
         }
     }
 
-    async fn attempt(&self, flight: InFlightAttempt) -> Result<StartedAnswer, ForwardError> {
+    async fn attempt(&self, mut flight: InFlightAttempt) -> Result<StartedAnswer, ForwardError> {
         let silence = self.entry.retry.silence.0;
         let trace = self.meta.trace.child(&mut rand::rng()).to_string();
         let connector = &self.entry.connector;
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use apricothall_decide::routing::{Prefix, PromptPrefixes};
 use apricothall_fleet::{CatalogueState, StatusBoard};
 use apricothall_kernel::{Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
 use apricothall_types::{CallerId, CatalogueEntry, EntryKind, EntryName, Role};
 use linkme::distributed_slice;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 
 use crate::limits::{LimitQuery, Limits};
@@ -42,8 +44,8 @@
     Ok(())
 }
 
-/// Returns the value of `key` in a query string. Names and callers contain no characters that need
-/// percent-encoding.
+/// Returns the value of `key` in a query string as it is. Names and callers contain no characters
+/// that need percent-encoding.
 fn query_param<'a>(query: &'a str, key: &str) -> Option<&'a str> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let mut found = pairs.filter(|(name, _)| *name == key);
@@ -70,22 +72,30 @@
             tokens: Some(1),
             body: 0,
         });
-        json!({
+        let mut answer = json!({
             "intake": intake,
             "revision": adopted.revision,
             "catalogue": { "kind": entry.kind, "current": entry.current, "class": entry.class },
             "limits": limits,
-            "routing": self.route(entry),
-        })
+            "routing": self.route(entry, query_param(query, "prompt")),
+        });
+        if let Some(prompts) = self.routing.explain_prompts(entry) {
+            answer["prompts"] = prompts;
+        }
+        answer
     }
 
-    fn route(&self, entry: &CatalogueEntry) -> Value {
+    /// Explains the choice for `prompt`, the percent-encoded beginning of the prompt.
+    fn route(&self, entry: &CatalogueEntry, prompt: Option<&str>) -> Value {
         if entry.kind != EntryKind::Model {
             return json!("by the home of its key");
         }
+        let prompt: Option<Vec<u8>> = prompt.map(|text| percent_decode_str(text).collect());
+        let prefixes = prompt.as_deref().map(PromptPrefixes::of);
         let query = ReplicaQuery {
             model: entry,
-            prefix: None,
+            prefix: prompt.as_deref().map(Prefix::of),
+            prompt: prefixes.as_ref(),
             excluded: &BTreeSet::new(),
         };
         let choice = self.routing.explain(query);
--- a/crates/entry/src/prompt.rs
+++ b/crates/entry/src/prompt.rs
@@ -1,6 +1,8 @@
 //! Parses the fields of a completion call that the entry uses.
 
-use apricothall_decide::routing::Prefix;
+use std::borrow::Cow;
+
+use apricothall_decide::routing::{Prefix, PromptPrefixes};
 use apricothall_types::EntryName;
 use bytes::Bytes;
 use serde::Deserialize;
@@ -35,6 +37,12 @@
     prompt: Value,
 }
 
+#[derive(Deserialize)]
+struct PromptField<'a> {
+    #[serde(borrow)]
+    prompt: Cow<'a, str>,
+}
+
 impl CompletionCall {
     /// Parses the body of a completion call.
     ///
@@ -56,6 +64,14 @@
             body,
         })
     }
+
+    /// Hashes the leading parts of the prompt, if the prompt is a string. Parses the body again, so
+    /// that calls of models whose engines retain no prompts keep no copy of theirs.
+    #[must_use]
+    pub fn prompt_prefixes(&self) -> Option<PromptPrefixes> {
+        let fields: PromptField<'_> = serde_json::from_slice(&self.body).ok()?;
+        Some(PromptPrefixes::of(fields.prompt.as_bytes()))
+    }
 }
 
 fn with_streaming(body: &[u8]) -> Result<Bytes, Problem> {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -58,7 +58,10 @@
         }
         match step {
             Ok(AnswerEvent::Data(data)) => Ok(Some(data)),
-            Ok(AnswerEvent::End(_)) => Ok(None),
+            Ok(AnswerEvent::End(_)) => {
+                self.flight.completed();
+                Ok(None)
+            }
             Ok(AnswerEvent::Head(_)) => Err(self.record_failure(ForwardError::OutOfSequence)),
             Err(error) => Err(self.record_failure(error)),
         }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -7,7 +7,10 @@
 use apricothall_decide::membership::Membership;
 use apricothall_decide::outlier::{self, OutlierDetector, Permit};
 use apricothall_decide::retry::{Budget, Failure, Verdict};
-use apricothall_decide::routing::{Choice, Distance, Prefix, Query, Replica, Router, subset};
+use apricothall_decide::routing::{
+    Choice, Distance, EngineStart, Prefix, PromptAttempt, PromptPrefixes, PromptQuery, Query,
+    Replica, Router, subset,
+};
 use apricothall_fleet::{MembershipView, StatusBoard};
 use apricothall_kernel::{Clock, Context, PLUGINS, Plugin, Stage, StartError, StartFuture};
 use apricothall_types::{
@@ -37,10 +40,22 @@
     pub model: &'a CatalogueEntry,
     /// Prefix of the prompt, if any.
     pub prefix: Option<Prefix>,
+    /// Leading parts of the prompt, if the model's engines retain prompts.
+    pub prompt: Option<&'a PromptPrefixes>,
     /// Members that must not be chosen.
     pub excluded: &'a BTreeSet<MemberId>,
 }
 
+impl<'a> ReplicaQuery<'a> {
+    fn prompt(&self) -> Option<PromptQuery<'a>> {
+        Some(PromptQuery {
+            model: &self.model.name,
+            cache: self.model.prompt_cache?,
+            prompt: self.prompt?,
+        })
+    }
+}
+
 /// Cached replicas of one model.
 struct CachedReplicas {
     versions: Vec<ModelVersion>,
@@ -78,6 +93,8 @@
     /// Version that the replica serves; the attempt is pinned to it.
     pub version: Version,
     started: Timestamp,
+    /// Present if the model's engines retain prompts.
+    prompt: Option<PromptAttempt>,
 }
 
 impl Drop for InFlightAttempt {
@@ -88,11 +105,22 @@
 
 impl InFlightAttempt {
     /// Records that the first piece of the answer has arrived.
-    pub fn answered(&self) {
+    pub fn answered(&mut self) {
         let now = self.routing.clock.now();
         let latency = now.since(self.started);
         metrics::histogram!("apricothall_first_piece_seconds").record(latency.as_secs_f64());
         self.record(outlier::Attempt::Answered(latency), now);
+        if let Some(prompt) = &mut self.prompt {
+            self.routing.lock().router.note_prefilled(prompt, now);
+        }
+    }
+
+    /// Records that the answer is complete.
+    pub fn completed(&self) {
+        if let Some(prompt) = &self.prompt {
+            let now = self.routing.clock.now();
+            self.routing.lock().router.note_prompt_end(prompt, now);
+        }
     }
 
     /// Records a failed attempt if it counts against the replica.
@@ -130,14 +158,26 @@
         let mut state = self.lock();
         let (choice, member) = self.choose_replica(&mut state, query, now)?;
         let version = served_version(query.model, &member)?.clone();
+        let start = EngineStart {
+            incarnation: member.incarnation,
+            version: version.clone(),
+        };
+        let prompt = query.prompt();
+        let prompt = prompt.map(|prompt| {
+            state
+                .router
+                .note_prompt(&prompt, &choice.member, start, now)
+        });
         state.router.note_start(&choice.member);
         state.outlier.note_start(&choice.member, now);
         drop(state);
+        record_choice(&choice);
         let flight = InFlightAttempt {
             routing: self.clone(),
             member,
             version,
             started: now,
+            prompt,
         };
         Some((flight, choice))
     }
@@ -188,13 +228,27 @@
         json!(sections.collect::<Vec<_>>())
     }
 
+    /// Describes what the engines of `model` retain of prompts and the measured times with which it
+    /// is weighed. `None` if they retain nothing.
+    #[must_use]
+    pub fn explain_prompts(&self, model: &CatalogueEntry) -> Option<Value> {
+        let cache = model.prompt_cache?;
+        let state = self.lock();
+        Some(json!({
+            "retention": cache.retention,
+            "tokens": cache.tokens,
+            "measured": state.router.timing(&model.name),
+            "prefixes_of_all_models": state.router.held_prefixes(),
+        }))
+    }
+
     fn choose_replica(
         &self,
         state: &mut State,
         query: ReplicaQuery<'_>,
         now: Timestamp,
     ) -> Option<(Choice, Member)> {
-        let replicas = self.replicas(&mut state.cache, query);
+        let replicas = self.replicas(state, query);
         let suspects = self.suspects(&replicas);
         let ejected = replicas.iter().map(|r| &r.id);
         let ejected = ejected.filter(|id| state.outlier.permit(id, now) == Permit::Ejected);
@@ -206,6 +260,7 @@
                 replicas: &replicas,
                 excluded,
                 prefix: query.prefix,
+                prompt: query.prompt(),
             };
             let chosen = state.router.choose(candidates, now, &mut rand::rng());
             if let Some(choice) = chosen {
@@ -216,13 +271,15 @@
         None
     }
 
-    fn replicas(&self, cache: &mut ReplicaCache, query: ReplicaQuery<'_>) -> Arc<Vec<Replica>> {
+    fn replicas(&self, state: &mut State, query: ReplicaQuery<'_>) -> Arc<Vec<Replica>> {
         let model = query.model;
+        let State { router, cache, .. } = state;
         self.view.with(|membership| {
             let generation = membership.generation();
             if cache.generation != generation {
                 cache.models.clear();
                 cache.generation = generation;
+                forget_stopped_engines(router, membership);
             }
             let cached = cache.models.get(&model.name);
             if let Some(cached) = cached.filter(|c| c.versions == model.versions) {
@@ -273,6 +330,9 @@
         let agents = self.live_agents();
         let mut state = self.lock();
         state.router.retain(&agents);
+        let router = &mut state.router;
+        self.view
+            .with(|membership| forget_stopped_engines(router, membership));
         state.outlier.retain(agents);
     }
 
@@ -281,6 +341,29 @@
     }
 }
 
+/// Drops what is known of the prompts of engines that have stopped or restarted, and updates the
+/// number of entries.
+fn forget_stopped_engines(router: &mut Router, membership: &Membership) {
+    let entries = membership.alive().filter(|m| m.role == Role::Entry);
+    router.set_entries(entries.count() + 1);
+    router.retain_engines(|model, id, start| {
+        membership.member(id).is_some_and(|view| {
+            let member = view.member;
+            member.incarnation == start.incarnation && member.serves(model, &start.version)
+        })
+    });
+}
+
+fn record_choice(choice: &Choice) {
+    let cause = choice.cause.label();
+    metrics::counter!("apricothall_choices_total", "cause" => cause).increment(1);
+    let saved = choice.saved();
+    if !saved.is_zero() {
+        metrics::histogram!("apricothall_prefill_saved_seconds", "cause" => cause)
+            .record(saved.as_secs_f64());
+    }
+}
+
 /// Returns the version of the model that a member serves, if any.
 fn served_version<'a>(model: &'a CatalogueEntry, member: &Member) -> Option<&'a Version> {
     let mut versions = model.versions.iter().map(|v| &v.version);
--- a/crates/types/src/catalogue.rs
+++ b/crates/types/src/catalogue.rs
@@ -6,12 +6,13 @@
 use std::collections::BTreeSet;
 use std::fmt;
 use std::num::NonZeroU32;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 use thiserror::Error;
 
-use crate::{CallerId, Digest, EntryName, MemberId, Owner, Version};
+use crate::{CallerId, Digest, EntryName, Interval, MemberId, Owner, Version};
 
 /// Maximum size of a catalogue in bytes: the largest value of the configuration service.
 pub const MAX_CATALOGUE_BYTES: usize = 1 << 20;
@@ -142,6 +143,19 @@
     pub rate: NonZeroU32,
 }
 
+/// Least memory for prompts in tokens: the shortest prefix that entries recognize.
+const MIN_CACHED_TOKENS: u32 = 64;
+
+/// States that the engines of a model retain prompts after their requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PromptCache {
+    /// Time after its last use for which a prompt is retained.
+    pub retention: Interval,
+    /// Prompt tokens that one engine retains; later prompts displace earlier ones.
+    pub tokens: NonZeroU32,
+}
+
 /// A model or plain service with its owner, class and limits.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -178,6 +192,9 @@
     /// Agents that may run calls that are not repeatable.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub pool: Vec<MemberId>,
+    /// What its engines retain of prompts; models only. Absent if they retain nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prompt_cache: Option<PromptCache>,
     /// Limits on its requests.
     #[serde(default)]
     pub limits: Limits,
@@ -222,6 +239,9 @@
         if !self.pool.is_empty() {
             return Some("`pool` is for services whose calls are not repeatable".into());
         }
+        if let Some(error) = self.prompt_cache_error() {
+            return Some(error);
+        }
         let mut seen = BTreeSet::new();
         let duplicate = self.versions.iter().find(|v| !seen.insert(&v.version))?;
         Some(format_smolstr!(
@@ -230,10 +250,26 @@
         ))
     }
 
+    fn prompt_cache_error(&self) -> Option<SmolStr> {
+        let cache = self.prompt_cache?;
+        if cache.retention.0 == Duration::ZERO {
+            return Some("`prompt_cache` needs a `retention` above 0, or must be absent".into());
+        }
+        (cache.tokens.get() < MIN_CACHED_TOKENS).then(|| {
+            format_smolstr!(
+                "`prompt_cache` has {} tokens; entries recognize prefixes from {MIN_CACHED_TOKENS} on",
+                cache.tokens
+            )
+        })
+    }
+
     fn service_error(&self) -> Option<SmolStr> {
         if self.current.is_some() || !self.versions.is_empty() {
             return Some("a service has neither `current` nor `versions`".into());
         }
+        if self.prompt_cache.is_some() {
+            return Some("`prompt_cache` is for models; a service has no prompts".into());
+        }
         if !self.repeatable && self.pool.is_empty() {
             return Some("a service with `repeatable = false` needs a `pool` of agents".into());
         }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod vms;
 
 pub use catalogue::{
-    CallerLimit, Catalogue, CatalogueEntry, Class, EntryKind, Limits, ModelVersion,
+    CallerLimit, Catalogue, CatalogueEntry, Class, EntryKind, Limits, ModelVersion, PromptCache,
 };
 pub use catalogue::{CatalogueError, TransferObjective};
 pub use digest::Digest;
--- a/crates/types/tests/values.rs
+++ b/crates/types/tests/values.rs
@@ -62,18 +62,34 @@
     current_not_listed: format!("{MODEL_ENTRY}current = \"1\"\n") => "not under `versions`";
     unknown_key: format!("{MODEL_ENTRY}colour = \"red\"\n") => "line 6: unknown field `colour`";
     no_replicas: MODEL_ENTRY.replace('2', "0") => "line 5";
+    prompt_cache_without_tokens: cached_model("{ retention = \"5m\" }") => "line 7: missing field `tokens`";
+    prompt_cache_without_time: cached_model("{ retention = \"0s\", tokens = 9000 }") => "a `retention` above 0";
+    prompt_cache_below_a_prefix: cached_model("{ retention = \"5m\", tokens = 63 }") => "63 tokens";
+    prompt_cache_of_a_service: format!("{SERVICE_ENTRY}prompt_cache = {{ retention = \"5m\", tokens = 9000 }}\n") => "is for models";
     not_toml: "entries = [" => "line 1";
     same_name_twice: SERVICE_ENTRY.repeat(2) => "line 8: entry s: the name is used twice";
     booking_without_pool: SERVICE_ENTRY.replace("pool = [\"a\"]", "") => "needs a `pool`";
     duplicate_agent_in_pool: SERVICE_ENTRY.replace("[\"a\"]", "[\"a\", \"a\"]") => "in the pool twice";
 }
 
+/// A valid model but for what `prompt_cache` states.
+fn cached_model(prompt_cache: &str) -> String {
+    let digest = "0".repeat(64);
+    format!(
+        "{MODEL_ENTRY}current = \"1\"\nprompt_cache = {prompt_cache}\n\
+         [[entries.versions]]\nversion = \"1\"\nmanifest = \"{digest}\"\n"
+    )
+}
+
 const SERVICE_ENTRY: &str = "[[entries]]\nname = \"s\"\nkind = \"service\"\nowner = \"o\"\nreplicas = 1\n\
                        repeatable = false\npool = [\"a\"]\n";
 
 #[test]
 fn catalogue_reads_back() {
-    let catalogue = Catalogue::parse(SERVICE_ENTRY).expect("valid");
-    let text = catalogue.to_text().expect("has a text form");
-    assert_eq!(Catalogue::parse(&text), Ok(catalogue));
+    let model = cached_model("{ retention = \"5m\", tokens = 64 }");
+    for text in [SERVICE_ENTRY, &model] {
+        let catalogue = Catalogue::parse(text).expect("valid");
+        let text = catalogue.to_text().expect("has a text form");
+        assert_eq!(Catalogue::parse(&text), Ok(catalogue));
+    }
 }
