feat(apricotctl): check an operators' configuration before it is published

Cause: the daemons skip what they cannot parse and apply the rest, so operators learn of a route that never matches, of a service that does not exist or of an API key of two accounts from failed requests.

Errors give exit code 1, warnings alone 0. Checks of `allowedRegions`, `coldStartS` and `coldPerS` against other items are not part of this change, as the parser does not read them yet.

--- a/crates/apricotctl/tests/commands.rs
+++ b/crates/apricotctl/tests/commands.rs
@@ -31,6 +31,7 @@
     check_without_file_is_usage: ["check"] => 2, "required";
     missing_file_fails: ["check", "no-such-file.toml"] => 1, "no-such-file.toml";
     default_is_printed: ["check", "--print-default"] => 0, "[daemon]";
+    comparison_without_configuration_is_usage: ["check", "--in-force", "a.json"] => 2, "--configuration";
     completions_are_printed: ["completions", "bash"] => 0, "apricotctl";
     silent_daemon_fails: ["status", "--operator", "127.0.0.1:1"] => 1, "cannot connect";
     silent_entry_fails: ["entries", "--entry", "127.0.0.1:1"] => 1, "cannot connect";
@@ -43,6 +44,42 @@
     path.to_str().expect("valid").to_owned()
 }
 
+/// A configuration with one route, to `service`.
+fn configuration(version: u64, service: &str) -> String {
+    format!(
+        r#"{{"version":{version},"routes":[{{"name":"r","host":"h.example","prefix":"/","kind":"idempotent",
+        "timeoutMs":900,"targetLatencyMs":300,"maxAttempts":2,"service":"{service}"}}],
+        "services":[{{"name":"s"}},{{"name":"spare"}}]}}"#
+    )
+}
+
+// Guards against a faulty configuration with exit code 0, and against warnings that stop publishing.
+#[test]
+fn check_of_a_configuration_exits_by_its_errors() {
+    let fine = file("fine.json", &configuration(2, "s"));
+    let faulty = file("faulty.json", &configuration(2, "t"));
+    let older = file("older.json", &configuration(1, "spare"));
+    let cases: [(&[&str], i32, &str); 6] = [
+        (&[&fine], 0, "fine, configuration 2, warnings: 1"),
+        (
+            &[&fine, "--in-force", &older],
+            0,
+            "service: \"spare\" -> \"s\"",
+        ),
+        (&[&older, "--in-force", &fine], 1, "1 is not higher than 2"),
+        (&[&faulty], 1, "service t does not exist"),
+        (&[&faulty, "--json"], 1, "\"fine\":false"),
+        (&[&fine, "--json"], 0, "\"severity\":\"warning\""),
+    ];
+    for (arguments, code, message) in cases {
+        let output = run(&[&["check", "--configuration"], arguments].concat());
+        let text = [output.stdout, output.stderr].concat();
+        let text = String::from_utf8_lossy(&text);
+        assert_eq!(output.status.code(), Some(code), "{text}");
+        assert!(text.contains(message), "{text}");
+    }
+}
+
 const SECOND: &str = r#"{"timestamp":"2026-12-04T04:00:01.2Z","level":"INFO","message":"refused","request":"q1","reason":"no room in time"}
 {"timestamp":"2026-12-04T04:00:01.3Z","level":"INFO","message":"answered","request":"q10"}
 not a line of ours, though it names q1 {
