fix(entry): drop what an engine held also when it restarts within a second

Cause: entries looked at the membership view for restarted engines only with a request or with the cleanup each second. An engine that restarted and served again in between was still thought to hold its prompts.

Change: each change of the view is looked at. The number of entries is counted with the cleanup.

--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -330,10 +330,23 @@
         let agents = self.live_agents();
         let mut state = self.lock();
         state.router.retain(&agents);
+        state.router.set_entries(self.entries());
+        state.outlier.retain(agents);
+    }
+
+    fn forget_stopped_engines(&self) {
+        let mut state = self.lock();
         let router = &mut state.router;
         self.view
             .with(|membership| forget_stopped_engines(router, membership));
-        state.outlier.retain(agents);
+    }
+
+    /// Number of entries, including this one.
+    fn entries(&self) -> usize {
+        self.view.with(|membership| {
+            let entries = membership.alive().filter(|m| m.role == Role::Entry);
+            entries.count() + 1
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -341,11 +354,8 @@
     }
 }
 
-/// Drops what is known of the prompts of engines that have stopped or restarted, and updates the
-/// number of entries.
+/// Drops what is known of the prompts of engines that have stopped or restarted.
 fn forget_stopped_engines(router: &mut Router, membership: &Membership) {
-    let entries = membership.alive().filter(|m| m.role == Role::Entry);
-    router.set_entries(entries.count() + 1);
     router.retain_engines(|model, id, start| {
         membership.member(id).is_some_and(|view| {
             let member = view.member;
@@ -392,6 +402,15 @@
     let board = context.component::<StatusBoard>()?;
     board.add_section("routing", move || status_source.status());
     let mut changes = view.changes();
+    let restarts = routing.clone();
+    // Each change is looked at, as an engine that restarts may serve again before the next cleanup.
+    context.lifecycle.spawn(async move {
+        while changes.changed().await.is_ok() {
+            changes.borrow_and_update();
+            restarts.forget_stopped_engines();
+        }
+    });
+    let mut changes = view.changes();
     context.lifecycle.spawn(async move {
         while changes.changed().await.is_ok() {
             changes.borrow_and_update();
