fix(gateway): answers without a final status are lost, not forwarded

An engine or service that answered with status 101 or 600 to 999 had that status forwarded to the caller as an answer; with the header that says that a request was not run, the caller got 503. The HTTP library rejects numbers below 100 and hands on all others, and no code looked at them. After 000 and other heads that the library rejects, the server counted as crashed under the request although it had answered.

The head of each attempt is checked before anything else in it is used, so first attempts, repetitions and continuations of streams are covered. All others count as a lost answer: a request that may be repeated goes to another server, otherwise the caller gets 502.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod servers;
 pub mod signals;
 pub mod staging;
+pub mod statuses;
 pub mod store_era;
 pub mod store_reachability;
 pub mod timing;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 use apricothall_decide::path_delay::{arrival_margin, withdrawal_margin};
 use apricothall_decide::repeat::End;
 use apricothall_decide::servers::Server;
+use apricothall_decide::statuses::is_final;
 use apricothall_types::Timestamp;
 use bytes::Bytes;
 use http::header::{CONTENT_ENCODING, RETRY_AFTER};
@@ -71,6 +72,9 @@
     /// The request had not begun when the version that it is bound to was about to retire.
     #[error("not begun before the retirement of its version")]
     NotBegun,
+    /// The response has no final status. The server may be running the request.
+    #[error("response without a final status: {0}")]
+    InvalidStatus(SmolStr),
     /// The response does not belong to this request.
     #[error("response does not match the request: {0}")]
     Mismatched(SmolStr),
@@ -88,7 +92,11 @@
             | Self::LimitReached
             | Self::Condemned => End::Unsent,
             Self::Refused { .. } => End::Refused,
-            Self::Lost(_) | Self::TimedOut | Self::NotBegun | Self::Mismatched(_) => End::Lost,
+            Self::Lost(_)
+            | Self::TimedOut
+            | Self::NotBegun
+            | Self::InvalidStatus(_)
+            | Self::Mismatched(_) => End::Lost,
         }
     }
 
@@ -195,14 +203,22 @@
                 in_flight.settle();
                 return Err(AttemptError::Closed);
             }
+            let error = error.into_error();
+            if error.is_parse_status() {
+                in_flight.settle();
+                return Err(AttemptError::InvalidStatus(error.to_smolstr()));
+            }
             in_flight.lost(Loss::Broken);
-            return Err(AttemptError::Lost(error.into_error().to_smolstr()));
+            return Err(AttemptError::Lost(error.to_smolstr()));
         }
         Ok(Ok(response)) => response,
     };
     connection.allowance().head_received();
     let (parts, body) = response.into_parts();
     in_flight.settle();
+    if !is_final(parts.status.as_u16()) {
+        return Err(AttemptError::InvalidStatus(parts.status.to_smolstr()));
+    }
     record_signals(context, call, placed, &parts, now);
     check_head(context, call, parts.status, &parts.headers)?;
     in_flight.answered();
