fix(entry): answers and refusals without a final status are lost

An agent took status 101 and 600 to 999 of a service for its answer, and of an engine for a refusal that states that the request was not run. An entry passed any number that an agent sent on to the caller, in answers and in refusals.

All calls to servers, to the store and to the platform's services go through HttpClient::send, which now rejects what is not a final status as a lost answer; the agent reports that as unknown with 502, and a call by key is not started again. The entry rejects heads and refusals of agents likewise.

--- a/crates/clients/src/error.rs
+++ b/crates/clients/src/error.rs
@@ -11,8 +11,9 @@
     /// No connection was made, so the server did not receive the call.
     #[error("cannot connect: {0}")]
     Connect(SmolStr),
-    /// The connection ended before the answer was complete. The server may have received the call.
-    #[error("connection lost: {0}")]
+    /// The connection ended before the answer was complete, or the answer has no final status. The
+    /// server may have received the call.
+    #[error("answer lost: {0}")]
     Lost(SmolStr),
     /// No answer in time. The server may have received the call.
     #[error("no answer in time")]
--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use apricothall_decide::statuses::is_final;
 use bytes::{Bytes, BytesMut};
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -87,19 +88,21 @@
     /// Sends `request` and returns the answer as soon as its headers have arrived.
     ///
     /// # Errors
-    /// When there is no answer; see [`PlatformError::is_unsent`].
+    /// When there is no answer with a final status; see [`PlatformError::is_unsent`].
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, PlatformError> {
-        self.client.request(request).await.map_err(|e| {
+        let answer = self.client.request(request).await.map_err(|e| {
             let text = error_chain(&e);
             if e.is_connect() {
                 PlatformError::Connect(text)
             } else {
                 PlatformError::Lost(text)
             }
-        })
+        })?;
+        check_final(answer.status())?;
+        Ok(answer)
     }
 
     /// Sends `request` and reads the complete answer, of at most `limit` bytes, within `wait`.
@@ -148,6 +151,19 @@
     }
 }
 
+/// Returns `status` if it is a final one.
+///
+/// # Errors
+/// [`PlatformError::Lost`] for all others: the server may have run the call.
+pub fn check_final(status: StatusCode) -> Result<StatusCode, PlatformError> {
+    if is_final(status.as_u16()) {
+        return Ok(status);
+    }
+    Err(PlatformError::Lost(format_smolstr!(
+        "{status} is not a final status"
+    )))
+}
+
 /// Builds a GET request to `address`.
 ///
 /// # Errors
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use apricothall_decide::statuses::is_final;
 use apricothall_types::{Load, Member, Outcome, RequestId, Sequence};
 use apricothall_wire::answer::RETRY_IMMEDIATELY;
 use apricothall_wire::{
@@ -29,6 +30,9 @@
     /// A frame has another request id or sequence number than expected.
     #[error("a frame is out of place")]
     OutOfSequence,
+    /// The answer or refusal has no final status.
+    #[error("status {0} is not a final one")]
+    InvalidStatus(u16),
     /// The length of the received data differs from the length stated in the last frame.
     #[error("the answer is not whole")]
     Truncated,
@@ -73,6 +77,7 @@
             Self::Lost(WireError::Timeout) => "silent",
             Self::Lost(_) => "lost",
             Self::OutOfSequence => "crossed",
+            Self::InvalidStatus(_) => "status",
             Self::Truncated => "truncated",
         }
     }
@@ -234,6 +239,12 @@
                 Ok(Some(AnswerEvent::End(load)))
             }
             Answer::End { .. } => Err(ForwardError::Truncated),
+            Answer::Head { status, .. } if !is_final(status) => {
+                Err(ForwardError::InvalidStatus(status))
+            }
+            Answer::Refused { refusal, .. } if !is_final(refusal.status) => {
+                Err(ForwardError::InvalidStatus(refusal.status))
+            }
             Answer::Refused { refusal, load } => {
                 self.load = Some(load);
                 Err(ForwardError::Refused(refusal))
--- a/crates/gateway/src/agent/order.rs
+++ b/crates/gateway/src/agent/order.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use apricothall_clients::PlatformError;
+use apricothall_clients::http_client::check_final;
 use apricothall_kernel::Clock;
 use apricothall_types::Timestamp;
 use bytes::Bytes;
@@ -74,7 +75,7 @@
     let (mut sender, connection) = handshake(TokioIo::new(limited)).await.map_err(fail)?;
     let _connection = AbortOnDrop(tokio::spawn(connection).abort_handle());
     let answer = sender.send_request(request).await.map_err(fail)?;
-    Ok(answer.status())
+    Ok(check_final(answer.status())?)
 }
 
 struct AbortOnDrop(AbortHandle);
