--- a/crates/apricotd/tests/services.rs
+++ b/crates/apricotd/tests/services.rs
@@ -12,7 +12,7 @@
 use apricothall_standin::fleet::{Fleet, until};
 use apricothall_standin::service::PlainService;
 use fixture::{MODEL, SERVICE, caller, catalogue, plan, start_fleet, wait_serving};
-use http::{HeaderValue, Method};
+use http::{HeaderValue, Method, StatusCode};
 use serde_json::Value;
 
 /// Agent with the service.
@@ -161,6 +161,38 @@
     limit_named_by_a_service_with_calls_by_ticket: check_named_limit(CallKind::Ticket);
 }
 
+// Guard against a status that is not a final one, passed on as an answer, and against a second run
+// of the call after it.
+rows! {
+    odd_status_of_plain_calls: check_odd_status(CallKind::Plain);
+    odd_status_of_calls_by_ticket: check_odd_status(CallKind::Ticket);
+    odd_status_of_calls_by_key: check_odd_status(CallKind::Key);
+}
+
+/// The service executes each call and answers with a status that is not a final one.
+async fn check_odd_status(kind: CallKind) {
+    let limits = "limits = { rate = 10000, burst = 1000, caller = 10000 }";
+    let harness = Arc::new(ServiceFleet::start(kind, limits).await);
+    for status in [600, 999] {
+        let odd = StatusCode::from_u16(status).expect("an HTTP status");
+        harness.service().set_status(Some(odd));
+        let name = format!("call-{status}");
+        let options = harness.options(&name).await;
+        // A caller that repeats a call with its key gets the same outcome.
+        for _ in 0..2 {
+            let answer = harness.call(&name, &options).await;
+            assert_eq!(answer.status.as_u16(), 502, "{status}");
+            let problem: Value = answer.json().expect("a problem");
+            assert_eq!(problem["outcome"], "unknown", "{problem}");
+            if kind == CallKind::Plain {
+                break;
+            }
+        }
+        assert_eq!(harness.executions_of(&name), 1, "{status}");
+    }
+    close(harness).await;
+}
+
 /// Limit that the service names, in requests per second.
 const NAMED_LIMIT: &str = "2";
 
