fix(gateway): entries that are gone are not named to callers

An entry named others for as long as they counted as alive. Messages that had waited in its socket while it stood still counted as just sent: an entry that was killed 0.3 s after the pause of another one began was named until 1.6 s after that one went on, 8.6 s after its end. And an entry that hears from 50 entries of another region every 2.5 s, by computation, waits for 7.9 s before one counts as gone.

Of each message the time is kept at which the socket was last known to be empty; the message did not arrive before that. Entries are named for at most 6 s after it, or their time-out if that is shorter. All else still goes by the time of receipt, so that a busy process does not take its peers for gone.

--- a/crates/apricotd/tests/machines/entries.rs
+++ b/crates/apricotd/tests/machines/entries.rs
@@ -92,6 +92,11 @@
         self.all.iter().map(at).collect()
     }
 
+    /// Address at which an entry names entries to callers.
+    pub fn directory_address(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.all[index].ip, BASE_PORT + 4)
+    }
+
     /// Process id of an entry.
     pub fn process_id(&self, index: usize) -> u32 {
         let process = self.all[index].process.as_ref();
@@ -123,6 +128,14 @@
         }
     }
 
+    /// Kills an entry for good.
+    pub async fn remove(&mut self, index: usize) {
+        if let Some(process) = self.all[index].process.take() {
+            process.kill();
+            process.close().await;
+        }
+    }
+
     /// Kills an entry and restarts it.
     pub async fn kill(&mut self, index: usize) -> String {
         if let Some(process) = self.all[index].process.take() {
--- a/crates/decide/src/cadence.rs
+++ b/crates/decide/src/cadence.rs
@@ -35,6 +35,10 @@
 /// Number of consecutive messages that may be lost before their sender counts as gone.
 const TOLERATED_LOSSES: u32 = 2;
 
+/// Maximum silence of an entry that is still named to callers. They must not be sent to an entry 7 s
+/// after its end; the rest of this time is for the last messages on their way.
+const MAX_NAMED_SILENCE: Duration = Duration::from_secs(6);
+
 /// Rounds between two samples of agents in other regions while weights are fetched.
 const FAR_SAMPLE_INTERVAL: u64 = 2;
 
@@ -82,6 +86,13 @@
     ROUND * rounds.saturating_add(REGION_INTERVAL)
 }
 
+/// Time without messages after which an entry that sends one every `every` rounds is no longer named
+/// to callers.
+#[must_use]
+pub fn naming_timeout(every: u32) -> Duration {
+    silence_timeout(every).min(MAX_NAMED_SILENCE)
+}
+
 /// Number of agents that an agent fetching weights reports to in a round, in addition to its
 /// periodic messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/decide/tests/cadence.rs
+++ b/crates/decide/tests/cadence.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use apricothall_decide::cadence::{
-    ROUND, Receivers, fetch_sample, is_due, period, silence_timeout,
+    ROUND, Receivers, fetch_sample, is_due, naming_timeout, period, silence_timeout,
 };
 use apricothall_decide::placement::Distance;
 use apricothall_types::Role;
@@ -126,3 +126,26 @@
         assert!(due.count() <= 8, "round {round}");
     }
 }
+
+/// Guards against callers that are sent to an entry 7 s after its end, because many entries of
+/// another region hear from it so rarely that it counts as alive for longer.
+#[test]
+fn entries_that_are_gone_are_not_named_for_long() {
+    const LIMIT: Duration = Duration::from_secs(7);
+    /// Time that the last message may take to arrive.
+    const DELAY: Duration = Duration::from_millis(500);
+    for count in 1..=300 {
+        for distance in [Distance::Zone, Distance::Region, Distance::Far] {
+            let role = Role::Entry;
+            let every = period(Role::Entry, Receivers { role, distance }, count);
+            let timeout = naming_timeout(every);
+            assert!(
+                timeout + DELAY <= LIMIT,
+                "{count} {distance:?}: {timeout:?}"
+            );
+            // In a deployment of 50 entries, one lost message changes nothing.
+            let is_named = timeout > ROUND * every * 2;
+            assert!(is_named || count > 50, "{count} {distance:?}: {timeout:?}");
+        }
+    }
+}
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -98,7 +98,11 @@
 fn known_entries(context: &Context) -> Vec<DaemonInfo> {
     let now = context.clock.now();
     let mut all = vec![daemon_info(context)];
-    context.peers.each(now, |peer| all.push(peer.hello.clone()));
+    context.peers.each(now, |peer| {
+        if peer.may_be_named(now) {
+            all.push(peer.hello.clone());
+        }
+    });
     all.retain(|h| h.role == Role::Entry && h.public.is_some());
     all
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,6 +4,7 @@
 //! a confirmation in the message to a time of its own clock.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,6 +42,9 @@
 /// Maximum size of a datagram, in bytes.
 const DATAGRAM_BYTES: usize = 2_048;
 
+/// Precision of the time before which a message did not arrive.
+const ARRIVAL_PRECISION: Duration = Duration::from_millis(100);
+
 /// Sends and receives gossip until the process ends.
 ///
 /// # Errors
@@ -64,34 +68,60 @@
     Ok(())
 }
 
+/// Receives messages. While this process stands still, they wait in the socket: all that is known of
+/// their age is that they arrived after the socket was last empty.
 async fn receive(context: &Context, socket: &UdpSocket) {
     let mut buffer = [0; DATAGRAM_BYTES];
+    let mut empty_at = context.clock.now();
     loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
+        let checked_at = context.clock.now();
+        match socket.try_recv_from(&mut buffer) {
+            Ok((length, from)) => match decode::<Gossip>(&buffer[..length]) {
+                Ok(gossip) => handle_message(context, socket, &gossip, empty_at).await,
+                Err(error) => {
+                    metrics::counter!("apricothall_gossip_unusable_total").increment(1);
+                    tracing::warn!(%from, %error, "cannot decode gossip message");
+                }
+            },
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                empty_at = wait_readable(context, socket, checked_at).await;
+            }
             Err(error) => {
                 // The error may stem from an earlier datagram that its receiver refused; receiving
                 // can go on.
                 tracing::debug!(%error, "cannot receive gossip message");
-                continue;
-            }
-        };
-        match decode::<Gossip>(&buffer[..length]) {
-            Ok(gossip) => handle_message(context, socket, &gossip).await,
-            Err(error) => {
-                metrics::counter!("apricothall_gossip_unusable_total").increment(1);
-                tracing::warn!(%from, %error, "cannot decode gossip message");
             }
         }
+        tokio::task::coop::consume_budget().await;
     }
 }
 
-async fn handle_message(context: &Context, socket: &UdpSocket, gossip: &Gossip) {
+/// Waits for a message. Returns the latest known time, from `empty_at` on, at which there was none.
+async fn wait_readable(context: &Context, socket: &UdpSocket, empty_at: Timestamp) -> Timestamp {
+    let mut empty_at = empty_at;
+    loop {
+        let waiting_since = context.clock.now();
+        let waited = tokio::time::timeout(ARRIVAL_PRECISION, socket.readable()).await;
+        if waited.is_ok() {
+            return empty_at;
+        }
+        // The socket was looked at after the wait began and before it ended.
+        empty_at = waiting_since;
+    }
+}
+
+async fn handle_message(
+    context: &Context,
+    socket: &UdpSocket,
+    gossip: &Gossip,
+    arrived_after: Timestamp,
+) {
     let now = context.clock.now();
     let was_alive = context.peers.is_alive(&gossip.hello.address, now);
+    let settings = context.settings();
     match context
         .peers
-        .record_message(gossip, &context.settings(), now)
+        .record_message(gossip, &settings, arrived_after, now)
     {
         GossipEffect::Stale => return,
         GossipEffect::Unchanged => {}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use apricothall_decide::cadence::{ROUND, Receivers, silence_timeout};
+use apricothall_decide::cadence::{ROUND, Receivers, naming_timeout, silence_timeout};
 use apricothall_decide::loaded::Weights;
 use apricothall_decide::outage::AnsweredAge;
 use apricothall_decide::placement::Distance;
@@ -171,6 +171,9 @@
     pub hello: DaemonInfo,
     /// When the last message was received.
     pub last_heard: Timestamp,
+    /// A time before which the last message did not arrive at this VM. It may have waited to be
+    /// received while this process stood still.
+    pub arrived_after: Timestamp,
     /// Timestamp in the last message.
     pub stamp: Timestamp,
     /// Revision of its current configuration.
@@ -191,6 +194,8 @@
     pub message_interval: Duration,
     /// Silence after which it counts as failed.
     pub timeout: Duration,
+    /// Silence after which it is no longer named to callers.
+    pub naming_timeout: Duration,
 }
 
 impl Gossip {
@@ -208,6 +213,12 @@
         now.since(self.last_heard) < self.timeout
     }
 
+    /// Whether it may be named to callers, which must not be sent to an entry that is gone.
+    #[must_use]
+    pub fn may_be_named(&self, now: Timestamp) -> bool {
+        self.is_alive(now) && now.since(self.arrived_after) < self.naming_timeout
+    }
+
     /// Whether it serves and can read `subject` from the store, so that other daemons may fetch
     /// updates from it.
     #[must_use]
@@ -262,11 +273,13 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Accepts a message unless it is older than an accepted one.
+    /// Accepts a message unless it is older than an accepted one. It arrived after `arrived_after`
+    /// and is received now.
     pub fn record_message(
         &self,
         gossip: &Gossip,
         settings: &Settings,
+        arrived_after: Timestamp,
         now: Timestamp,
     ) -> GossipEffect {
         let mut known = self.known();
@@ -281,6 +294,7 @@
         let peer = Peer {
             hello: gossip.hello.clone(),
             last_heard: now,
+            arrived_after,
             stamp: gossip.stamp,
             revision: gossip.revision,
             servers: gossip.servers,
@@ -294,6 +308,7 @@
             far: distance == Distance::Far,
             message_interval: ROUND * gossip.every,
             timeout: silence_timeout(gossip.every),
+            naming_timeout: naming_timeout(gossip.every),
         };
         let before = known.insert(address, peer);
         if before.is_none() {
