fix(gateway): a caller that does not read holds 16 KiB, not 512

Up to 32 events waited for each caller, whatever their size, and bodies of up to 16 KiB are accepted whatever others hold. A caller that read a few bytes per second thus held 538 KB for a stream with events of 15 KiB; 600 of them exceed the 260 MB of the settings. The buffer of each connection to a server also grew to 128 KiB while it was read, and stayed so while the rest waited.

Events now wait for a caller up to 16 KiB in total, or a single one; their room is free again once they are written. Reads from servers are of 16 KiB.

--- a/crates/apricotd/tests/departures/world.rs
+++ b/crates/apricotd/tests/departures/world.rs
@@ -40,6 +40,13 @@
     pub failed: Mutex<Vec<(Instant, String)>>,
 }
 
+impl Requests {
+    /// Number of requests that were served.
+    pub fn served(&self) -> u32 {
+        self.served.load(Ordering::Relaxed)
+    }
+}
+
 /// Processes, stand-ins and callers of one run.
 pub struct World {
     /// The store, to which operators and servers publish.
@@ -129,7 +136,7 @@
 
     /// Stops everything and fails if `violations` is not empty; keeps the logs in that case.
     pub async fn finish(mut self, violations: &[String]) {
-        let served = self.requests.served.load(Ordering::Relaxed);
+        let served = self.requests.served();
         let log_dir = (!violations.is_empty()).then(|| self.entries.keep_logs());
         self.stop().await;
         assert!(violations.is_empty(), "{violations:?}; logs in {log_dir:?}");
--- a/crates/gateway/src/head_limit.rs
+++ b/crates/gateway/src/head_limit.rs
@@ -16,6 +16,10 @@
 /// it.
 const HEAD_BYTES: usize = 1 << 20;
 
+/// Maximum number of bytes per read. The buffer of a connection grows with the size of reads, and is
+/// kept for as long as the rest of the answer waits for a slow caller.
+const READ_BYTES: usize = 16 << 10;
+
 /// Number of bytes that may still be read. Clones share it.
 #[derive(Clone, Debug)]
 pub struct Allowance(Arc<AtomicUsize>);
@@ -67,9 +71,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        if self.allowance.try_consume(buf.filled().len() - before) {
+        let size = READ_BYTES.min(buf.remaining());
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(size));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let count = part.filled().len();
+        buf.advance(count);
+        if self.allowance.try_consume(count) {
             return Poll::Ready(Ok(()));
         }
         metrics::counter!("apricothall_endless_heads_total").increment(1);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,5 +1,6 @@
 //! Event streams: forwarded as events arrive, and resumed at another server after a failure.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use apricothall_clients::sse::RawEvent;
@@ -10,7 +11,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use smol_str::ToSmolStr;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
 use crate::answers::{Body, ResponseAborted};
 use crate::forwarder::Forwarder;
@@ -21,6 +22,10 @@
 /// Maximum number of events buffered for a slow caller.
 const MAX_BUFFERED_EVENTS: usize = 32;
 
+/// Maximum size of the events buffered for a slow caller, in bytes, unless a single one is larger.
+/// Many callers may read slowly at once.
+const MAX_BUFFERED_BYTES: u32 = 16 << 10;
+
 /// Time without an event after which a stream is resumed at another server.
 const STALL_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -57,6 +62,7 @@
     let mut next = first;
     let context = relay.forwarder.context.clone();
     record_first_event(&relay, &mut stream);
+    let room = Arc::new(Semaphore::new(MAX_BUFFERED_BYTES as usize));
     let mut forwarded = 0_u32;
     let mut stalled = false;
     loop {
@@ -64,7 +70,7 @@
             last = event.id.or(last);
             forwarded += 1;
             stalled = false;
-            if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
+            if forward(&sender, &room, event.bytes).await.is_err() {
                 return record_caller_left(&relay, &stream, forwarded);
             }
         }
@@ -111,6 +117,38 @@
     }
 }
 
+/// The caller has left.
+struct CallerLeft;
+
+/// Passes an event on to the caller, once those before it have left room for it.
+async fn forward(sender: &Sender, room: &Arc<Semaphore>, event: Bytes) -> Result<(), CallerLeft> {
+    let size = u32::try_from(event.len()).unwrap_or(u32::MAX);
+    let size = size.min(MAX_BUFFERED_BYTES);
+    let room = room.clone().acquire_many_owned(size);
+    let taken = tokio::select! {
+        taken = room => taken.map_err(|_| CallerLeft)?,
+        () = sender.closed() => return Err(CallerLeft),
+    };
+    let event = Bytes::from_owner(BufferedEvent {
+        event,
+        _taken: taken,
+    });
+    let sent = sender.send(Ok(Frame::data(event))).await;
+    sent.map_err(|_| CallerLeft)
+}
+
+/// An event that takes room until it has been written to the caller's connection.
+struct BufferedEvent {
+    event: Bytes,
+    _taken: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for BufferedEvent {
+    fn as_ref(&self) -> &[u8] {
+        &self.event
+    }
+}
+
 enum Step {
     Forward(RawEvent),
     Skip,
