--- a/crates/apricotd/tests/slow_readers.rs
+++ b/crates/apricotd/tests/slow_readers.rs
@@ -39,6 +39,9 @@
 const STREAM_SERVERS: usize = 60;
 const MIN_STREAMS: u32 = 300;
 
+/// Servers that read slowly beside those with streams.
+const SLOW_SERVERS: usize = 20;
+
 /// Bytes that a slow caller reads at once, and the pause after it.
 const READ_BYTES: usize = 4;
 const READ_PAUSE: Duration = Duration::from_secs(1);
@@ -210,6 +213,40 @@
     finish("slow_callers_end_alone", world, process, violations).await;
 }
 
+/// Guards against an entry that the platform ends, as what it holds for slow callers and for a server
+/// that reads slowly is bounded only for each of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_callers_and_a_slow_server_fit_the_memory_together() {
+    let case = "slow_callers_and_a_slow_server";
+    let _slot = SLOTS.acquire().await.expect("never closed");
+    let mut world = World::start(case, &["a", "a"], 2).await;
+    let process = world.entries.process_id(0);
+    for number in 0..STREAM_SERVERS {
+        let (listener, address) = listen().await;
+        tokio::spawn(serve(listener, STREAM, ServerLog::default()));
+        let id = format!("i-stream-{number}");
+        world.store.put_server(&id, address, "ready");
+    }
+    for number in 0..SLOW_SERVERS {
+        let (listener, address) = listen().await;
+        tokio::spawn(read_slowly(listener));
+        let id = format!("i-slow-{number}");
+        world.store.put_server(&id, address, "ready");
+    }
+    world.start_callers(0, CALLERS);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let at = world.entries.caller_addresses()[0];
+    let mut callers: Vec<JoinHandle<_>> = (0..SLOW_READERS)
+        .map(|number| tokio::spawn(slow_reader(at, number)))
+        .collect();
+    callers.extend((0..SLOW_BODIES).map(|number| tokio::spawn(large_body(at, number))));
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    for caller in callers {
+        caller.abort();
+    }
+    finish(case, world, process, Vec::new()).await;
+}
+
 /// Guards against an entry that the platform ends, as it holds bodies for a server that does not
 /// read them.
 #[tokio::test(flavor = "multi_thread")]
