--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -295,6 +295,7 @@
         let mut state = self.state();
         context.published.servers(|servers| {
             let limits = &context.server_limits;
+            limits.follow_evacuations(request.evacuated, now);
             let Eligible {
                 servers: eligible,
                 passed_over,
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -1,5 +1,6 @@
 //! Limits that servers name, shared with other entries by gossip, and limits of cold servers.
 
+use std::collections::BTreeSet;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use apricothall_decide::server_limits::{
@@ -23,6 +24,8 @@
     limits: Mutex<ServerLimits>,
     /// Configuration from which the limits of cold servers were taken.
     configuration: Mutex<ConfigurationRevision>,
+    /// Zones that were evacuated when a server was last selected.
+    evacuated: Mutex<BTreeSet<Zone>>,
 }
 
 impl SharedLimits {
@@ -35,6 +38,7 @@
         Self {
             limits: Mutex::new(limits),
             configuration: Mutex::default(),
+            evacuated: Mutex::default(),
         }
     }
 
@@ -120,10 +124,18 @@
         limits.confirm(&server.id, server.born, reserved, now)
     }
 
-    /// Records that the evacuation of `zone` was removed. Its servers may be cold.
-    pub fn zone_restored(&self, zone: &Zone, now: Timestamp) {
-        let changes = self.limits().cold.zone_restored(zone, now);
-        log_cold(changes);
+    /// Takes the zones that are evacuated. Servers of a zone that no longer is may be cold.
+    pub fn follow_evacuations(&self, zones: &BTreeSet<Zone>, now: Timestamp) {
+        let lock = self.evacuated.lock();
+        let mut evacuated = lock.unwrap_or_else(PoisonError::into_inner);
+        if *evacuated == *zones {
+            return;
+        }
+        for zone in evacuated.difference(zones) {
+            let changes = self.limits().cold.zone_restored(zone, now);
+            log_cold(changes);
+        }
+        evacuated.clone_from(zones);
     }
 
     /// Moves changes that are due into the messages of the next rounds.
