fix(decide,gateway): pieces whose fetchers are unable are taken over

Found in review. Only the owner of a piece and its successor could ever fetch it, so two agents that cannot reach the origin would have stopped a version; other regions waited for any agent of the origin's region; the list of fetchers was fixed at an agent's own start; a piece was refused for 5 s although nobody had received it. The reach of a take-over now grows while nothing leaves the origin, the list follows the live agents, and only received uploads count.

--- a/crates/decide/src/pieces.rs
+++ b/crates/decide/src/pieces.rs
@@ -2,9 +2,9 @@
 //!
 //! Each piece is sent once by the origin and once to each other region. A few agents of the origin's
 //! region, the fetchers, divide the pieces among themselves and fetch them from the origin, as many
-//! at a time as fill its link. A fetcher that has none left takes over the last pieces of the others,
-//! each of which has one fixed successor, so that no two agents take over the same piece. A fetch
-//! that makes no progress is repeated only while the origin answers others. The agents of another
+//! at a time as fill its link. A fetcher that has none left takes over the last pieces of the others.
+//! Each piece has one fixed successor of its owner, so that no two agents take over the same piece. A fetch
+//! that makes no progress is repeated only while other pieces leave the origin. The agents of another
 //! region divide the pieces in the same way and fetch them from outside the region. Within a region
 //! agents copy from each other.
 
@@ -18,7 +18,7 @@
 mod origin;
 
 pub use origin::{
-    OriginReason, OriginView, origin_backoff, origin_fetchers, origin_fetches_per_agent,
+    OriginReason, OriginView, origin_backoff, origin_fetcher_count, origin_fetches_per_agent,
     origin_stall,
 };
 
@@ -129,9 +129,9 @@
     pub since: Timestamp,
     /// Identifier of the version, used as key of the rendezvous hash.
     pub subject: &'a str,
-    /// Other agents of the region that share the work, whether or not they have started fetching.
-    /// All of them must divide the pieces in the same way, although the report that another one has
-    /// started arrives with a delay.
+    /// Other agents of the region, whether or not they have started fetching. All of them must divide
+    /// the pieces that are fetched into the region in the same way, although the report that another
+    /// one has started arrives with a delay.
     pub region_peers: &'a [MemberId],
     /// What the agent knows of the origin and of the division of the pieces among its fetchers.
     pub origin: OriginView<'a>,
--- a/crates/decide/src/pieces/origin.rs
+++ b/crates/decide/src/pieces/origin.rs
@@ -2,7 +2,7 @@
 //!
 //! The origin's link is slow and shared, and a piece that it sends twice delays all others. So each
 //! piece has a fixed order of fetchers: its owner, one successor, and then the rest. All agents
-//! derive the same order from the list of fetchers that was known when the version was named.
+//! derive the same order from the agents of the region that they hear.
 
 use std::time::Duration;
 
@@ -10,8 +10,8 @@
 
 use super::{InFlight, MissingPiece, PeerState, PiecesConfig, PlannedFetch, Planner, Source};
 
-/// Maximum number of agents that fetch from the origin, one piece at a time each if there are so
-/// many. They fill its link with some to spare for slow ones; with more of them each piece takes
+/// Maximum number of agents among which the pieces are divided, each of which fetches one at a time
+/// if there are so many. They fill its link with some to spare for slow ones; with more of them each piece takes
 /// longer, so that an interrupted fetch wastes more.
 const MAX_FETCHERS: usize = 8;
 
@@ -25,17 +25,23 @@
 /// Bounds of the time after which a fetch from the origin counts as stalled.
 const STALL_BOUNDS: (Duration, Duration) = (Duration::from_millis(800), Duration::from_secs(4));
 
+/// Time in which nothing leaves the origin for each further agent that may take over a piece. It is
+/// longer than a fetch that is given up.
+const TAKEOVER_STEP: Duration = Duration::from_secs(4);
+
+/// Time without progress after which agents of other regions use the origin although one of its
+/// region is heard. It is longer than the origin is usually away.
+const FAR_TAKEOVER: Duration = Duration::from_secs(10);
+
 /// Time after which a fetch counts as stalled if no fetch time has been measured.
 const DEFAULT_STALL: Duration = Duration::from_millis(1_600);
 
 /// What an agent knows of the origin.
 #[derive(Clone, Copy, Debug)]
 pub struct OriginView<'a> {
-    /// Agents among which the pieces were divided, in id order.
+    /// Agents among which the pieces are divided, in id order.
     pub fetchers: &'a [MemberId],
-    /// When this agent last received a piece from the origin.
-    pub answered: Option<Timestamp>,
-    /// When this agent last learned that a piece had left the origin.
+    /// When this agent last received a piece from the origin, or heard of one that others had.
     pub progress: Timestamp,
     /// Time after which a fetch that does not end counts as stalled, see [`origin_stall`].
     pub stall: Duration,
@@ -97,10 +103,16 @@
     if in_flight.origin > 0 {
         return Vec::new();
     }
-    let behind = || left.iter().filter(|w| position(me, w.chunk, &gone) <= 1);
-    let stalled = behind().find(|w| is_stalled(me, **w, peers, now));
-    let last = behind().filter(|w| is_idle(w)).map(|w| w.chunk).max();
-    let last = last.filter(|c| left_to_owner(me, *c, &left, peers) >= MIN_LEFT_TO_OWNER);
+    let (left, gone) = (&left, &gone);
+    let within = |reach: usize| {
+        let all = left.iter();
+        all.filter(move |w| position(me, w.chunk, gone) <= reach)
+    };
+    let is_far_behind =
+        |w: &&MissingPiece| left_to_owner(me, w.chunk, left, peers) >= MIN_LEFT_TO_OWNER;
+    let unowned = within(1).filter(|w| is_idle(w)).filter(is_far_behind);
+    let last = unowned.map(|w| w.chunk).max();
+    let stalled = within(takeover_reach(me, now)).find(|w| is_stalled(me, **w, peers, now));
     match (last, stalled) {
         (Some(chunk), _) => vec![fetch(chunk, OriginReason::Idle)],
         (None, Some(piece)) => vec![fetch(piece.chunk, OriginReason::Stalled)],
@@ -129,7 +141,16 @@
         return true;
     }
     let waited = now.since(me.since);
-    waited > config.home_priority && !peers.iter().any(|p| is_home(&p.region) && !p.down)
+    let is_heard = peers.iter().any(|p| is_home(&p.region) && !p.down);
+    let quiet = now.since(me.origin.progress);
+    waited > config.home_priority && !is_heard || quiet > FAR_TAKEOVER
+}
+
+/// Highest position in the order of a piece from which a stalled fetch may be taken over. It grows
+/// while nothing leaves the origin, as those ahead may all be unable to fetch.
+fn takeover_reach(me: Planner<'_>, now: Timestamp) -> usize {
+    let steps = now.since(me.origin.progress).as_secs() / TAKEOVER_STEP.as_secs();
+    1 + usize::try_from(steps).unwrap_or(usize::MAX - 1)
 }
 
 /// Whether the piece has left the origin and can be copied from another agent. A holder from which
@@ -144,8 +165,8 @@
     peers.iter().any(|p| p.fetching.contains(piece.chunk))
 }
 
-/// Whether the agent that fetches the piece, or should, makes no progress although the origin
-/// answers.
+/// Whether the agent that fetches the piece, or should, makes no progress. While the origin sends
+/// nothing to others either, a running fetch is not repeated.
 fn is_stalled(me: Planner<'_>, piece: MissingPiece, peers: &[PeerState], now: Timestamp) -> bool {
     let stall = me.origin.stall;
     if !is_being_fetched(piece, peers) {
@@ -154,8 +175,9 @@
     let Some(since) = piece.fetching_since else {
         return false;
     };
-    let answers = me.origin.answered.is_some_and(|at| at >= since);
-    answers && now.since(since) >= stall
+    let age = now.since(since);
+    let origin_sends = me.origin.progress >= since;
+    origin_sends && age >= stall || age >= TAKEOVER_STEP
 }
 
 /// Number of pieces that the owner of `chunk` has to fetch before it.
@@ -219,9 +241,9 @@
     (MAX_FETCHERS / agents.max(1)).clamp(1, max)
 }
 
-/// Returns how many of the `agents` of the origin's region fetch from it.
+/// Returns among how many of the `agents` of the origin's region the pieces are divided.
 #[must_use]
-pub fn origin_fetchers(agents: usize) -> usize {
+pub fn origin_fetcher_count(agents: usize) -> usize {
     agents.min(MAX_FETCHERS)
 }
 
--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -7,7 +7,8 @@
 use apricothall_clients::http_client::{Answer, HttpClient, get};
 use apricothall_decide::pieces::{
     InFlight, MissingPiece, OriginReason, OriginView, PeerState, PiecesConfig, PlannedFetch,
-    Planner, Source, origin_backoff, origin_fetchers, origin_fetches_per_agent, origin_stall, plan,
+    Planner, Source, origin_backoff, origin_fetcher_count, origin_fetches_per_agent, origin_stall,
+    plan,
 };
 use apricothall_decide::reload::loads_before;
 use apricothall_decide::transfer::ChunkSet;
@@ -37,6 +38,10 @@
 /// Time for which a peer is not used after it reported a full upload queue.
 const BUSY_PEER_BACKOFF: Duration = Duration::from_millis(60);
 
+/// Time after the start of the process in which it hears of other agents, and fetches nothing from the
+/// origin.
+const ORIGIN_START_DELAY: Duration = Duration::from_millis(400);
+
 /// Minimum time between two attempts to fetch digests.
 const DIGESTS_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -96,13 +101,11 @@
     mean_fetch_time: Duration,
     /// Mean fetch time from each peer.
     peer_times: HashMap<MemberId, Duration>,
-    /// Agents among which the pieces are divided for fetches from the origin.
-    origin_fetchers: Vec<MemberId>,
     mean_origin_time: Option<Duration>,
-    /// When the origin last sent a piece to this agent.
-    origin_answered: Option<Timestamp>,
-    /// When a piece was last heard of as held for the first time.
+    /// When this agent last received a piece from the origin, or heard of one that others had.
     origin_progress: Timestamp,
+    /// Time of the first request to the origin: before it, other agents are not known yet.
+    origin_start: Timestamp,
     started: Timestamp,
     wanted_id: Option<VersionId>,
     wanted_since: Timestamp,
@@ -132,10 +135,9 @@
             busy_peers: HashMap::new(),
             mean_fetch_time: Duration::ZERO,
             peer_times: HashMap::new(),
-            origin_fetchers: Vec::new(),
             mean_origin_time: None,
-            origin_answered: None,
             origin_progress: now,
+            origin_start: now + ORIGIN_START_DELAY,
             started: now,
             wanted_id: None,
             wanted_since: now,
@@ -151,7 +153,11 @@
         match self.tasks.join_next().await {
             Some(Ok(Fetched::Piece(fetched))) => self.complete(fetched),
             Some(Ok(Fetched::Digests(id, digests))) => self.correct_digests(&id, digests),
-            Some(Err(error)) => tracing::error!(%error, "fetch task panicked or was cancelled"),
+            Some(Err(error)) => {
+                tracing::error!(%error, "fetch task panicked or was cancelled; starting all anew");
+                self.tasks = JoinSet::new();
+                self.in_flight.clear();
+            }
             None => std::future::pending().await,
         }
     }
@@ -172,7 +178,7 @@
                 tracing::info!(model = %wanted.model, version = wanted.version, pieces = digests.len(), "fetching a version");
                 self.started = self.context.clock.now();
                 self.origin_progress = self.started;
-                self.origin_fetchers = self.region_fetchers(self.started);
+                self.peer_times.clear();
                 self.in_flight.clear();
                 self.held_since.clear();
                 self.fetching_since.clear();
@@ -211,11 +217,11 @@
     }
 
     /// Returns the agents of this region among which the pieces are divided, in id order.
-    fn region_fetchers(&self, now: Timestamp) -> Vec<MemberId> {
-        let mut agents = self.region_peers(now);
+    fn region_fetchers(&self, region_peers: &[MemberId]) -> Vec<MemberId> {
+        let mut agents = region_peers.to_vec();
         agents.push(self.context.settings().id.clone());
         agents.sort();
-        agents.truncate(origin_fetchers(agents.len()));
+        agents.truncate(origin_fetcher_count(agents.len()));
         agents
     }
 
@@ -234,6 +240,7 @@
         let subject = format!("{}/{}", wanted.model, wanted.version);
         let origin_region = self.origin_region();
         let region_peers = self.region_peers(now);
+        let fetchers = self.region_fetchers(&region_peers);
         let planner = Planner {
             id: &settings.id,
             region: &settings.region,
@@ -242,8 +249,7 @@
             subject: &subject,
             region_peers: &region_peers,
             origin: OriginView {
-                fetchers: &self.origin_fetchers,
-                answered: self.origin_answered,
+                fetchers: &fetchers,
                 progress: self.origin_progress,
                 stall: origin_stall(self.mean_origin_time),
             },
@@ -253,7 +259,7 @@
             origin_fetches: origin_fetches_per_agent(region_peers.len() + 1),
             ..PiecesConfig::default()
         };
-        if now < self.origin_retry_at {
+        if now < self.origin_retry_at.max(self.origin_start) {
             config.origin_fetches = 0;
         }
         for fetch in plan(
@@ -278,7 +284,9 @@
         let mut wanted = Vec::new();
         for chunk in missing {
             let is_held = holders.iter().any(|h| h.held.contains(*chunk));
-            if is_held && !self.held_since.contains_key(chunk) {
+            if !is_held {
+                self.held_since.remove(chunk);
+            } else if !self.held_since.contains_key(chunk) {
                 self.held_since.insert(*chunk, now);
                 self.origin_progress = now;
             }
@@ -404,6 +412,7 @@
         if let Some(reason) = reason {
             self.log_origin_fetch(wanted, index, reason);
         }
+        self.fetching_since.remove(&index);
         let id = wanted.clone();
         let since = self.context.clock.now();
         match &source {
@@ -506,18 +515,19 @@
         }
     }
 
-    /// Records how long a fetch from the peer `id` took. A peer without room has sent nothing, which
-    /// says nothing about its link.
+    /// Records how long a fetch from the peer `id` took. One that failed at once, or that the peer had
+    /// no room for, says nothing about the links.
     fn record_fetch_time(
         &mut self,
         id: &MemberId,
         bytes: &Result<Bytes, FetchError>,
         took: Duration,
     ) {
-        self.mean_fetch_time = (self.mean_fetch_time * 3 + took) / 4;
-        if matches!(bytes, Err(FetchError::Peer(PeerError::Busy))) {
+        let is_measured = matches!(bytes, Ok(_) | Err(FetchError::Peer(PeerError::Timeout)));
+        if !is_measured {
             return;
         }
+        self.mean_fetch_time = (self.mean_fetch_time * 3 + took) / 4;
         let mean = self.peer_times.entry(id.clone()).or_insert(took);
         *mean = (*mean * 3 + took) / 4;
     }
@@ -525,7 +535,6 @@
     /// Records a piece that the origin sent in the time `took`.
     fn record_origin_answer(&mut self, took: Duration, now: Timestamp) {
         self.origin_failures = 0;
-        self.origin_answered = Some(now);
         self.origin_progress = now;
         let mean = self.mean_origin_time.unwrap_or(took);
         self.mean_origin_time = Some((mean * 3 + took) / 4);
--- a/crates/gateway/src/agent/pieces.rs
+++ b/crates/gateway/src/agent/pieces.rs
@@ -120,9 +120,8 @@
             match context.piece_store.get(&key.0, index) {
                 None => PieceResponse::Absent,
                 Some(_) if context.uploads.is_busy(request.rank, &key, now) => PieceResponse::Busy,
-                Some(piece) => {
-                    context.uploads.record_sent(key, now);
-                    return send_piece(context, &mut channel, request.rank, piece).await;
+                Some(bytes) => {
+                    return send_piece(context, &mut channel, request.rank, key, bytes).await;
                 }
             }
         }
@@ -212,12 +211,16 @@
         self.changed.notify_waiters();
     }
 
-    /// Records that an upload was received, or that the wait for it timed out, `took` after it
-    /// began.
-    fn mark_received(&self, took: Duration) {
+    /// Records that an upload was received, after the time `took`, or that the wait for it timed out.
+    fn mark_received(&self, piece: &(VersionId, ChunkIndex), took: Option<Duration>) {
         let mut queue = self.queue();
         queue.unreceived -= 1;
-        queue.mean_time = (queue.mean_time * 3 + took) / 4;
+        match took {
+            Some(took) => queue.mean_time = (queue.mean_time * 3 + took) / 4,
+            None => {
+                queue.sent.remove(piece);
+            }
+        }
         drop(queue);
         self.changed.notify_waiters();
     }
@@ -265,21 +268,26 @@
     context: &Context,
     channel: &mut Channel<PieceRequest, PieceResponse>,
     rank: Rank,
-    piece: Bytes,
+    piece: (VersionId, ChunkIndex),
+    bytes: Bytes,
 ) -> Result<(), WireError> {
-    let size = Size(u64::try_from(piece.len()).unwrap_or(u64::MAX));
+    let size = Size(u64::try_from(bytes.len()).unwrap_or(u64::MAX));
     let transmission_time = context.settings().link.time_for(size);
     context.uploads.wait_for_turn(rank).await;
     let started = context.clock.now();
-    context.traffic.record(Kind::Pieces, piece.len());
-    let sent = channel.send(PieceResponse::Piece(Payload(piece))).await;
+    context.uploads.record_sent(piece.clone(), started);
+    context.traffic.record(Kind::Pieces, bytes.len());
+    let sent = channel.send(PieceResponse::Piece(Payload(bytes))).await;
     tokio::time::sleep(transmission_time * 100 / LINK_SHARE_PERCENT).await;
     context.uploads.release_link();
     // The receiver closes the stream once it has the piece, which takes longer on a slow link. The
     // next piece may be sent even if the stream is not closed in time.
-    let _ = tokio::time::timeout(RECEIVE_TIMEOUT, channel.next()).await;
+    let closed = tokio::time::timeout(RECEIVE_TIMEOUT, channel.next()).await;
     let took = context.clock.now().since(started);
-    context.uploads.mark_received(took);
+    let is_received = sent.is_ok() && closed.is_ok();
+    context
+        .uploads
+        .mark_received(&piece, is_received.then_some(took));
     sent
 }
 
