fix(decide,gateway): evacuations and cold times found in review

- a cold time stated again after an entry without one was ignored;
- the return of a zone was noticed only when a server was selected;
- an evacuation written after a restore of the store, and learned as a set, was ignored for 5 s;
- a change of an answer with several was lost if a later one came first;
- a request whose zone was evacuated while it connected was still sent;
- a pause of a server in another region decided the retry time of a request that must not go there.

--- a/crates/decide/src/evacuation.rs
+++ b/crates/decide/src/evacuation.rs
@@ -37,8 +37,8 @@
     pub evacuated: bool,
 }
 
-/// Differences from an older copy of the store that apply until operators have written their items
-/// again.
+/// Differences from an older copy of the store, from which it was restored. They apply until
+/// operators have written their items again.
 #[derive(Clone, Debug)]
 struct CopyHold {
     until: Timestamp,
@@ -55,6 +55,7 @@
     hold: Option<CopyHold>,
     /// When evacuations were removed.
     removed: BTreeMap<Zone, Timestamp>,
+    /// The zones in the store, with the differences of the hold.
     evacuated: BTreeSet<Zone>,
 }
 
@@ -86,12 +87,20 @@
                 kept: self.evacuated.clone(),
                 withheld: self.removed.keys().cloned().collect(),
             });
+        } else if let Some(hold) = &mut self.hold {
+            // What has changed since then was written in the new era.
+            let before = &self.stored.zones;
+            hold.withheld
+                .retain(|zone| before.contains(zone) || !set.zones.contains(zone));
+            hold.kept
+                .retain(|zone| set.zones.contains(zone) || !before.contains(zone));
         }
         self.stored = set;
         self.refresh(now)
     }
 
-    /// Applies the evacuation of a zone written at `revision`.
+    /// Applies the evacuation of a zone written at `revision`. Once all changes up to a revision
+    /// are applied, [`Self::confirm`] records it.
     pub fn begin(
         &mut self,
         zone: Zone,
@@ -101,7 +110,6 @@
         if revision <= self.stored.as_of {
             return Vec::new();
         }
-        self.stored.as_of = revision;
         if let Some(hold) = &mut self.hold {
             hold.withheld.remove(&zone);
         }
@@ -119,7 +127,6 @@
         if revision <= self.stored.as_of {
             return Vec::new();
         }
-        self.stored.as_of = revision;
         if let Some(hold) = &mut self.hold {
             hold.kept.remove(zone);
         }
@@ -132,7 +139,8 @@
         self.stored.as_of = self.stored.as_of.max(revision);
     }
 
-    /// Ends the hold against an older copy once its time is over.
+    /// Ends the hold against an older copy once its time is over, and determines the evacuated
+    /// zones anew.
     pub fn refresh(&mut self, now: Timestamp) -> Vec<EvacuationChange> {
         self.hold.take_if(|hold| hold.until <= now);
         let mut zones = self.stored.zones.clone();
--- a/crates/decide/src/server_limits/cold.rs
+++ b/crates/decide/src/server_limits/cold.rs
@@ -83,7 +83,8 @@
 /// A cold time that server entries stated.
 #[derive(Clone, Copy, Debug)]
 struct Stated {
-    remaining: Duration,
+    /// Absent if the latest entry stated none.
+    remaining: Option<Duration>,
     time: Option<ColdTime>,
 }
 
@@ -123,7 +124,7 @@
     /// new cold time, as lists of servers are fetched repeatedly.
     fn record_statement(&mut self, remaining: Duration, now: Timestamp) {
         let before = self.stated;
-        if before.is_some_and(|s| s.remaining == remaining) {
+        if before.is_some_and(|s| s.remaining == Some(remaining)) {
             return;
         }
         let ended = before.and_then(|s| s.time).map(|time| ColdTime {
@@ -131,7 +132,10 @@
             ..time
         });
         let time = ColdTime::new(now, remaining, ColdSource::Entry).or(ended);
-        self.stated = Some(Stated { remaining, time });
+        self.stated = Some(Stated {
+            remaining: Some(remaining),
+            time,
+        });
     }
 
     /// The cold time that ends last.
@@ -225,7 +229,7 @@
     #[must_use]
     pub fn knows(&self, id: &MemberId, born: WallTime, remaining: Option<Duration>) -> bool {
         let known = self.servers.get(id).filter(|s| s.entry.server.born == born);
-        known.is_some_and(|s| remaining.is_none() || s.stated.map(|s| s.remaining) == remaining)
+        known.is_some_and(|s| s.stated.and_then(|s| s.remaining) == remaining)
     }
 
     /// Takes the entry of a server into account. Returns the change if the server has become cold.
@@ -246,8 +250,11 @@
         }
         let server = self.servers.get_mut(&id)?;
         server.last_seen = now;
-        if let Some(remaining) = remaining {
-            server.record_statement(remaining, now);
+        match (remaining, &mut server.stated) {
+            (Some(remaining), _) => server.record_statement(remaining, now),
+            // The same time stated again later is another cold time.
+            (None, Some(stated)) => stated.remaining = None,
+            (None, None) => {}
         }
         self.update_time(&id);
         self.report_beginning(&id, now)
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -60,6 +60,7 @@
 fn an_older_set_of_a_peer_is_ignored() {
     let mut known = daemon(&["a"]);
     known.end(&zone("a"), rev(1, 12), at(1));
+    known.confirm(rev(1, 12));
     known.replace(set(1, 11, &["a"]), at(2));
     assert!(names(&known).is_empty());
 }
@@ -105,6 +106,30 @@
     assert_eq!(names(&known), ["a"]);
 }
 
+/// Guards against an evacuation that daemons which learn of it from peers ignore for as long as
+/// their hold against the copy lasts.
+#[test]
+fn an_evacuation_in_a_later_set_of_the_new_era_holds_at_once() {
+    let mut known = daemon(&["a"]);
+    known.end(&zone("a"), rev(1, 12), at(500));
+    known.replace(set(2, 8, &[]), at(1_000));
+    known.replace(set(2, 9, &["a"]), at(1_500));
+    assert_eq!(names(&known), ["a"]);
+    known.replace(set(2, 10, &[]), at(2_000));
+    assert!(names(&known).is_empty());
+}
+
+/// Guards against a change that is lost as another one of the same answer of the store has a later
+/// revision.
+#[test]
+fn all_changes_of_an_answer_are_applied() {
+    let mut known = daemon(&[]);
+    known.begin(zone("b"), rev(1, 12), at(1));
+    known.begin(zone("a"), rev(1, 11), at(1));
+    known.confirm(rev(1, 12));
+    assert_eq!(names(&known), ["a", "b"]);
+}
+
 /// Guards against a daemon that takes its first list for a restored copy.
 #[test]
 fn a_new_daemon_takes_the_first_set_as_it_is() {
@@ -138,6 +163,7 @@
             } else {
                 daemons[0].end(&changed, truth.as_of, now);
             }
+            daemons[0].confirm(truth.as_of);
             for _ in 0..2 {
                 let told = daemons
                     .choose(&mut rng)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -51,6 +51,9 @@
     /// The version that the request is bound to was retired before the request was sent.
     #[error("the version was retired")]
     VersionRetired,
+    /// The zone of the server was evacuated after it was selected.
+    #[error("the zone of the server is evacuated")]
+    Evacuated,
     /// A limit of the server has no room for the request, as it became known after the server was
     /// selected, or as too many requests were delayed before they were sent.
     #[error("the server's limit is reached")]
@@ -90,6 +93,7 @@
             | Self::Closed
             | Self::Stale
             | Self::VersionRetired
+            | Self::Evacuated
             | Self::LimitReached
             | Self::Condemned => End::Unsent,
             Self::Refused { .. } => End::Refused,
@@ -119,6 +123,7 @@
             Self::Refused { .. }
                 | Self::Stale
                 | Self::VersionRetired
+                | Self::Evacuated
                 | Self::LimitReached
                 | Self::Condemned
                 | Self::NotBegun
@@ -161,6 +166,9 @@
     if call.account.is_some() && !may_use_keys(context, now) {
         return Err(AttemptError::Stale);
     }
+    if context.published.is_evacuated(&placed.server.zone) {
+        return Err(AttemptError::Evacuated);
+    }
     if !is_version_usable(context, call, placed, now) {
         return Err(AttemptError::VersionRetired);
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -159,7 +159,7 @@
 }
 
 /// Why a server must not run a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Exclusion {
     /// The request may not be processed in its region.
     Region,
@@ -173,7 +173,7 @@
     pub const fn reason(self) -> &'static str {
         match self {
             Self::Region => "no server in the allowed regions",
-            Self::Evacuated => "the zones of all servers are evacuated",
+            Self::Evacuated => "the zones of the allowed servers are evacuated",
         }
     }
 }
@@ -326,7 +326,7 @@
                 }
                 Choice::Refuse(after) => Placement::Refused(after),
                 Choice::NoServer => {
-                    let pause = state.shortest_pause(servers, request.service, now);
+                    let pause = state.shortest_pause(servers, &settings, request, now);
                     match (passed_over, pause, excluded) {
                         (Some(passed), ..) => Placement::Limited(Box::new(passed)),
                         (None, Some(after), _) => Placement::Refused(after),
--- a/crates/gateway/src/fleet/eligible.rs
+++ b/crates/gateway/src/fleet/eligible.rs
@@ -25,7 +25,7 @@
     pub(super) servers: Vec<EligibleServer<'a>>,
     /// Of the servers whose limit is reached, the one that takes another request first.
     pub(super) passed_over: Option<PassedOver>,
-    /// Why a server that accepts requests must not run this one.
+    /// Why servers that accept requests must not run this one, if there are such servers.
     pub(super) excluded: Option<Exclusion>,
 }
 
@@ -82,7 +82,7 @@
             let relation = self.relation(distance, same_zone_index, &verdict);
             same_zone_index += u32::from(near);
             if let Some(exclusion) = exclusion(settings, server, request) {
-                excluded = Some(exclusion);
+                excluded = excluded.max(Some(exclusion));
                 continue;
             }
             let load = self.loads.get(&server.address).unwrap_or(&unknown);
@@ -167,15 +167,17 @@
         }
     }
 
-    /// Time until the first paused server of `service` accepts requests again.
+    /// Time until the first paused server that may run `request` accepts requests again.
     pub(super) fn shortest_pause(
         &self,
         servers: &Servers,
-        service: &str,
+        settings: &Settings,
+        request: &PlacementRequest<'_>,
         now: Timestamp,
     ) -> Option<Duration> {
         let availabilities = servers
-            .ready(service)
+            .ready(request.service)
+            .filter(|s| exclusion(settings, s, request).is_none())
             .map(|s| self.signals.availability(&s.id, s.born, now));
         let waits = availabilities.filter_map(|availability| match availability {
             Availability::PausedFor(wait) => Some(wait),
@@ -254,9 +256,10 @@
     server: &Server,
     request: &PlacementRequest<'_>,
 ) -> Option<Exclusion> {
-    if request.evacuated.contains(&server.zone) {
-        return Some(Exclusion::Evacuated);
-    }
     let region = settings.regions.get(&server.zone);
-    (!request.regions.permits(region)).then_some(Exclusion::Region)
+    if !request.regions.permits(region) {
+        return Some(Exclusion::Region);
+    }
+    let is_evacuated = request.evacuated.contains(&server.zone);
+    is_evacuated.then_some(Exclusion::Evacuated)
 }
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -331,6 +331,12 @@
         self.state().evacuations.zones().clone()
     }
 
+    /// Whether the servers of `zone` get no requests.
+    #[must_use]
+    pub fn is_evacuated(&self, zone: &Zone) -> bool {
+        self.state().evacuations.zones().contains(zone)
+    }
+
     /// Evacuated zones in the store, for other daemons.
     #[must_use]
     pub fn evacuations(&self) -> EvacuationSet {
@@ -367,7 +373,8 @@
         self.notify();
     }
 
-    /// Revision of the store from which the items of operators may be followed without a list.
+    /// Revision of the store from which the items of operators may be followed without a list. The
+    /// configuration and the evacuations may come from different peers, so the lower one counts.
     #[must_use]
     pub fn followed_revision(&self) -> Option<StoreRevision> {
         let state = self.state();
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -24,7 +24,7 @@
     limits: Mutex<ServerLimits>,
     /// Configuration from which the limits of cold servers were taken.
     configuration: Mutex<ConfigurationRevision>,
-    /// Zones that were evacuated when a server was last selected.
+    /// Evacuated zones, as last seen.
     evacuated: Mutex<BTreeSet<Zone>>,
 }
 
@@ -82,7 +82,7 @@
         };
         let lock = self.configuration.lock();
         let mut followed = lock.unwrap_or_else(PoisonError::into_inner);
-        if *followed != in_force.revision {
+        if *followed < in_force.revision {
             *followed = in_force.revision;
             let services = in_force.configuration.cold_starts.clone();
             self.limits().cold.set_services(services, now);
@@ -177,6 +177,7 @@
     /// Takes changes of server entries into account, and reports servers that are no longer cold.
     fn maintain_cold(&self, context: &Context, now: Timestamp) {
         self.follow_configuration(context, now);
+        self.follow_evacuations(&context.published.evacuated_zones(), now);
         let tolerance = context.settings().bounds.cold;
         let began = context.published.servers(|servers| {
             let mut limits = self.limits();
