feat(decide): forecasts and margins by priority rank

Callers saw a middle priority with a short objective refused while the lowest one with a long objective was accepted. Only requests of the highest priority were forecast to wait for the next free slot; all others were forecast behind the whole queue, which the lowest priority keeps filled up to its objective.

The priorities of a service's routes and of all accounts now have up to four ranks. The forecast of a rank counts the queued requests of its own and of higher ranks, estimated from what this entry sent. The margin of a rank falls to nothing while a higher one is served up to 5 percentage points less often over 10 s. Both apply only to services with three or more priorities or with a lower priority that has a longer objective; forecasts of the highest rank and of services with one priority are computed as before.

--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -11,7 +11,8 @@
 use crate::latency_average::LatencyAverage;
 use crate::path_delay::PathDelay;
 use crate::placement::Distance;
-use crate::timing::{Backlog, Timing, Work};
+use crate::priorities::{MAX_RANKS, Rank};
+use crate::timing::{Backlog, QueuedRequests, Timing, Work};
 
 /// Time until a sent request appears in a load report.
 const REPORT_LAG: Duration = Duration::from_millis(60);
@@ -110,8 +111,8 @@
 pub struct Prompt {
     /// Length in tokens.
     pub tokens: f64,
-    /// Whether the engine starts it before all requests in its queue that are not urgent.
-    pub urgent: bool,
+    /// Its rank. The engine starts it before all requests of lower ranks in its queue.
+    pub rank: Rank,
 }
 
 /// A load report of an engine.
@@ -122,6 +123,13 @@
     slowdown: f64,
 }
 
+/// Requests of some ranks that were sent to an engine and may still be in its queue.
+#[derive(Clone, Copy, Debug, Default)]
+struct RankQueue {
+    requests: QueuedRequests,
+    backlog: Backlog,
+}
+
 /// Load state of one server.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
@@ -131,6 +139,8 @@
     report: Option<LoadReport>,
     backlog: Backlog,
     urgent: Backlog,
+    /// For each rank, its requests and those of higher ranks.
+    ranks: [RankQueue; MAX_RANKS],
     latency: Option<LatencyAverage>,
     correction: Option<f64>,
     backoff_until: Timestamp,
@@ -219,11 +229,22 @@
         let factor = 1.0 + f64::from(at.sender_count.saturating_sub(1)) * unreported;
         let prefill = timing.prefill_ms(prompt.tokens);
         self.backlog.add(prefill * factor, now);
-        if prompt.urgent {
-            let completion_interval = timing.completion_interval_ms();
+        let completion_interval = timing.completion_interval_ms();
+        if prompt.rank.is_highest() {
             self.urgent
                 .add((prefill + completion_interval) * factor, now);
         }
+        let slowdown = self.valid_report(now).map_or(1.0, |n| n.slowdown.max(1.0));
+        for queue in &mut self.ranks[prompt.rank.index()..] {
+            queue
+                .requests
+                .add(factor, completion_interval * slowdown, now);
+            queue.backlog.add(prefill * factor, now);
+        }
+    }
+
+    fn valid_report(&self, now: Timestamp) -> Option<LoadReport> {
+        self.report.filter(|n| now < n.until)
     }
 
     /// Predicts the effect of a request with `prompt` at an engine.
@@ -235,7 +256,7 @@
         at: ServerRelation,
         now: Timestamp,
     ) -> Forecast {
-        let report = self.report.filter(|n| now < n.until);
+        let report = self.valid_report(now);
         let taken = match report {
             Some(report) => {
                 self.estimated_requests(at.sender_count, report.received_at - REPORT_LAG)
@@ -249,10 +270,15 @@
             backlog_ms: self.backlog.remaining_ms(now),
             slowdown: report.map_or(1.0, |n| n.slowdown),
         };
-        if prompt.urgent && taken >= timing.slots {
+        if prompt.rank.is_highest() && taken >= timing.slots {
             // Only other urgent requests are ahead of it in the queue.
             work.waiting = 0;
             work.backlog_ms = work.backlog_ms.min(self.urgent.remaining_ms(now));
+        } else if !prompt.rank.is_lowest() && taken >= timing.slots {
+            let queue = &self.ranks[prompt.rank.index()];
+            let interval = timing.completion_interval_ms() * work.slowdown.max(1.0);
+            work.waiting = work.waiting.min(queue.requests.remaining(interval, now));
+            work.backlog_ms = work.backlog_ms.min(queue.backlog.remaining_ms(now));
         }
         let first = timing.first_event(work, prompt.tokens);
         Forecast {
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -6,6 +6,9 @@
 
 use crate::outlier::Permit;
 
+/// Percentage of the usual margin below which a request leaves half of the slots free.
+const HALF_PERCENT: u32 = 50;
+
 /// Topological distance between an entry and a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -36,6 +39,29 @@
     pub under_half_full: bool,
 }
 
+/// Part of its objective that the predicted latency of a request may use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Margin {
+    /// The configured margin.
+    #[default]
+    Usual,
+    /// A percentage of the configured margin, while higher priorities are served less often.
+    Reduced {
+        /// The percentage.
+        percent: u32,
+    },
+}
+
+impl Margin {
+    /// Percentage of the usual part of the servers' slots that the request may use.
+    const fn slot_percent(self) -> u32 {
+        match self {
+            Self::Usual => 100,
+            Self::Reduced { percent } => percent,
+        }
+    }
+}
+
 /// Latency requirements of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Requirements {
@@ -48,6 +74,8 @@
     pub max_wait: Duration,
     /// Maximum pause in a stream, if bounded.
     pub max_pause: Option<Duration>,
+    /// Part of the objective that may be used.
+    pub margin: Margin,
 }
 
 /// Result of a server selection.
@@ -83,14 +111,20 @@
 
 impl PlacementConfig {
     /// Maximum predicted latency at which a request is accepted.
-    fn limit(&self, need: Requirements) -> Duration {
-        if need.is_retry {
-            return need.objective * self.return_margin / 100;
-        }
-        if need.objective.is_zero() {
+    #[must_use]
+    pub fn limit(&self, need: Requirements) -> Duration {
+        if !need.is_retry && need.objective.is_zero() {
             return need.max_wait;
         }
-        need.objective * self.margin / 100
+        let usual = if need.is_retry {
+            self.return_margin
+        } else {
+            self.margin
+        };
+        match need.margin {
+            Margin::Usual => need.objective * usual / 100,
+            Margin::Reduced { percent } => need.objective * usual / 100 * percent / 100,
+        }
     }
 }
 
@@ -150,8 +184,9 @@
         .collect();
     let (index, chosen) = cheapest[rng.random_range(0..cheapest.len())];
     let limit = config.limit(need);
-    // Retried requests leave the last free slots to new requests that can still be served in time.
-    let has_spare_slot = if need.is_retry {
+    // Retried requests leave the last free slots to new requests that can still be served in time,
+    // and those of lower priorities leave them to higher ones that are served less often.
+    let has_spare_slot = if need.is_retry || need.margin.slot_percent() < HALF_PERCENT {
         chosen.under_half_full
     } else {
         chosen.has_free_slot
--- a/crates/decide/src/routes.rs
+++ b/crates/decide/src/routes.rs
@@ -6,6 +6,8 @@
 
 use smol_str::SmolStr;
 
+use crate::priorities::{Rank, ServicePriorities};
+
 /// Whether a request can be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -81,20 +83,11 @@
     }
 }
 
-/// Range of the priorities of all routes to one service; 0 is the highest priority.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PriorityRange {
-    /// Highest priority, as the smallest number.
-    pub highest: u8,
-    /// Lowest priority, as the largest number.
-    pub lowest: u8,
-}
-
 /// Routes by host, ordered by descending prefix length.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     hosts: HashMap<SmolStr, Vec<Arc<Route>>>,
-    priorities: HashMap<SmolStr, PriorityRange>,
+    priorities: HashMap<SmolStr, ServicePriorities>,
 }
 
 impl RouteTable {
@@ -102,15 +95,11 @@
     #[must_use]
     pub fn new(routes: Vec<Route>) -> Self {
         let mut hosts: HashMap<SmolStr, Vec<Arc<Route>>> = HashMap::new();
-        let mut priorities: HashMap<SmolStr, PriorityRange> = HashMap::new();
+        let mut stated: HashMap<SmolStr, Vec<_>> = HashMap::new();
         for route in routes {
-            let priority = route.priority;
             for target in &route.targets {
-                let (highest, lowest) = (priority, priority);
-                let known = priorities.entry(target.service.clone());
-                let known = known.or_insert(PriorityRange { highest, lowest });
-                known.highest = known.highest.min(priority);
-                known.lowest = known.lowest.max(priority);
+                let of_service = stated.entry(target.service.clone()).or_default();
+                of_service.push((route.priority, route.target));
             }
             let list = hosts.entry(route.host.clone()).or_default();
             list.push(Arc::new(route));
@@ -118,7 +107,12 @@
         for list in hosts.values_mut() {
             list.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        Self { hosts, priorities }
+        let priorities = stated.into_iter();
+        let priorities = priorities.map(|(service, of)| (service, ServicePriorities::new(&of)));
+        Self {
+            hosts,
+            priorities: priorities.collect(),
+        }
     }
 
     /// Returns the route with the longest prefix of `path` at `host`. The port and case of `host`
@@ -130,10 +124,12 @@
         list.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
-    /// Priority range of the routes to `service`.
+    /// Rank of a request to `service` among all of its requests. `accounts` are the priorities
+    /// that client accounts set.
     #[must_use]
-    pub fn priorities(&self, service: &str) -> Option<PriorityRange> {
-        self.priorities.get(service).copied()
+    pub fn rank(&self, service: &str, priority: u8, accounts: &[u8]) -> Rank {
+        let known = self.priorities.get(service);
+        known.map_or(Rank::ONLY, |routes| routes.rank(priority, accounts))
     }
 
     /// Iterates over all routes.
@@ -155,15 +151,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Accounts {
     keys: Option<HashMap<SmolStr, Arc<Account>>>,
-    highest: Option<u8>,
-}
-
-/// Whether `priority` is the highest among the requests of a service whose priorities differ. False
-/// if all requests of the service have the same priority.
-#[must_use]
-pub fn is_highest_priority(priority: u8, routes: PriorityRange, accounts: Option<u8>) -> bool {
-    let highest = accounts.map_or(routes.highest, |a| a.min(routes.highest));
-    priority == highest && highest < routes.lowest
+    priorities: Vec<u8>,
 }
 
 /// Result of the authentication of a request.
@@ -182,22 +170,24 @@
     #[must_use]
     pub fn new(accounts: impl IntoIterator<Item = (Account, Vec<SmolStr>)>) -> Self {
         let mut keys = HashMap::new();
-        let mut highest = None;
+        let mut priorities = Vec::new();
         for (account, held) in accounts {
-            highest = highest.into_iter().chain(account.priority).min();
+            priorities.extend(account.priority);
             let account = Arc::new(account);
             keys.extend(held.into_iter().map(|key| (key, account.clone())));
         }
+        priorities.sort_unstable();
+        priorities.dedup();
         Self {
             keys: Some(keys),
-            highest,
+            priorities,
         }
     }
 
-    /// Highest priority set by an account, if any account sets one.
+    /// Distinct priorities set by accounts, in ascending order.
     #[must_use]
-    pub const fn highest_priority(&self) -> Option<u8> {
-        self.highest
+    pub fn priorities(&self) -> &[u8] {
+        &self.priorities
     }
 
     /// Authenticates a call of `route` with `key`.
--- a/crates/decide/src/timing.rs
+++ b/crates/decide/src/timing.rs
@@ -156,3 +156,40 @@
         (self.ms - elapsed).max(0.0)
     }
 }
+
+/// Upper bound of the requests that are expected in an engine's queue.
+const MAX_QUEUED: f64 = 1_000.0;
+
+/// Estimated number of requests in the queue of a full engine, which takes one from it for each that
+/// it completes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QueuedRequests {
+    count: f64,
+    at: Timestamp,
+}
+
+impl QueuedRequests {
+    /// Adds `count` requests to the queue of an engine that completes one every `interval_ms`
+    /// milliseconds.
+    pub fn add(&mut self, count: f64, interval_ms: f64, now: Timestamp) {
+        self.count = (self.at_time(interval_ms, now) + count).min(MAX_QUEUED);
+        self.at = now;
+    }
+
+    /// Remaining number of requests.
+    #[must_use]
+    pub fn remaining(&self, interval_ms: f64, now: Timestamp) -> u32 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "between 0 and MAX_QUEUED"
+        )]
+        let count = self.at_time(interval_ms, now).round() as u32;
+        count
+    }
+
+    fn at_time(&self, interval_ms: f64, now: Timestamp) -> f64 {
+        let completed = now.since(self.at).as_secs_f64() * MS_PER_SECOND / interval_ms;
+        (self.count - completed).max(0.0)
+    }
+}
--- a/crates/decide/tests/load.rs
+++ b/crates/decide/tests/load.rs
@@ -6,16 +6,17 @@
 
 use apricothall_decide::load::{Entries, Load, Prompt, ServerRelation};
 use apricothall_decide::placement::Distance;
+use apricothall_decide::priorities::{Rank, ServicePriorities};
 use apricothall_types::Timestamp;
 use published::TIMING;
 
 const NORMAL: Prompt = Prompt {
     tokens: 964.0,
-    urgent: false,
+    rank: Rank::ONLY,
 };
 
 const URGENT: Prompt = Prompt {
-    urgent: true,
+    rank: Rank::URGENT,
     ..NORMAL
 };
 
@@ -228,3 +229,80 @@
         "{taken} urgent requests within the objective"
     );
 }
+
+/// The ranks of three priorities.
+fn three_ranks() -> [Rank; 3] {
+    let target = Duration::from_millis(300);
+    let routes = ServicePriorities::new(&[(1, target), (2, target), (3, target)]);
+    [1, 2, 3].map(|priority| routes.rank(priority, &[]))
+}
+
+/// Guards against an order of admission that is the reverse of the priorities: of three priorities,
+/// the middle one with a short objective was predicted to wait behind the queue that the lowest one
+/// with a long objective was admitted to.
+#[test]
+fn the_middle_priority_does_not_wait_behind_the_lowest() {
+    let [highest, middle, lowest] = three_ranks().map(|rank| Prompt { rank, ..NORMAL });
+    let mut load = Load::default();
+    load.record_report(30, 1.0, at(1_000), at(1_000) + REPORT_VALIDITY);
+    for _ in 0..10 {
+        load.add_prompt(&TIMING, lowest, PRIMARY, at(1_000));
+    }
+    let latency = |load: &Load, prompt| {
+        load.forecast_engine(&TIMING, prompt, PRIMARY, at(1_000))
+            .latency
+    };
+    let objective = Duration::from_millis(300);
+    let last = latency(&load, lowest);
+    assert!(last > objective * 3, "{last:?}");
+    assert!(latency(&load, middle) < objective);
+    assert_eq!(latency(&load, lowest), latency(&load, NORMAL));
+    // Requests of its own and of higher ranks are ahead of it.
+    let mut before = latency(&load, middle);
+    for prompt in [middle, highest, middle] {
+        load.add_prompt(&TIMING, prompt, PRIMARY, at(1_000));
+        let after = latency(&load, middle);
+        assert!(after > before, "{after:?} after {before:?}");
+        before = after;
+    }
+    assert!(before > objective && before < last, "{before:?}");
+}
+
+/// The highest of three ranks is predicted as the highest of two was, and the lowest as requests
+/// without ranks were.
+#[test]
+fn only_the_middle_ranks_have_a_forecast_of_their_own() {
+    let [highest, _, lowest] = three_ranks().map(|rank| Prompt { rank, ..NORMAL });
+    let (mut ranked, mut plain) = (Load::default(), Load::default());
+    for (load, prompts) in [
+        (&mut ranked, [highest, lowest]),
+        (&mut plain, [URGENT, NORMAL]),
+    ] {
+        load.record_report(40, 1.0, at(1_000), at(1_000) + REPORT_VALIDITY);
+        for prompt in prompts.repeat(4) {
+            load.add_prompt(&TIMING, prompt, PRIMARY, at(1_000));
+        }
+    }
+    for (prompt, plain_prompt) in [(highest, URGENT), (lowest, NORMAL)] {
+        assert_eq!(
+            ranked.forecast_engine(&TIMING, prompt, PRIMARY, at(1_050)),
+            plain.forecast_engine(&TIMING, plain_prompt, PRIMARY, at(1_050))
+        );
+    }
+}
+
+/// Guards against requests that stay in the estimate of the queue after the engine ran them.
+#[test]
+fn the_engine_works_off_the_requests_of_a_rank() {
+    let [_, middle, _] = three_ranks().map(|rank| Prompt { rank, ..NORMAL });
+    let mut load = Load::default();
+    load.record_report(40, 1.0, at(1_000), at(1_000) + REPORT_VALIDITY);
+    let idle = load.forecast_engine(&TIMING, middle, PRIMARY, at(1_000));
+    for _ in 0..5 {
+        load.add_prompt(&TIMING, middle, PRIMARY, at(1_000));
+    }
+    let full = load.forecast_engine(&TIMING, middle, PRIMARY, at(1_000));
+    assert!(full.latency > idle.latency * 2);
+    let later = load.forecast_engine(&TIMING, middle, PRIMARY, at(2_000));
+    assert_eq!(later.latency, idle.latency);
+}
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -4,7 +4,7 @@
 
 use apricothall_decide::outlier::Permit;
 use apricothall_decide::placement::{
-    Candidate, Choice, Distance, PlacementConfig, Requirements, choose,
+    Candidate, Choice, Distance, Margin, PlacementConfig, Requirements, choose,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -39,6 +39,7 @@
         is_retry: false,
         max_wait: ms(900),
         max_pause: Some(ms(300)),
+        margin: Margin::Usual,
     }
 }
 
@@ -57,6 +58,14 @@
     }
 }
 
+/// A request of a lower priority while a higher one is served less often.
+fn reduced(percent: u32) -> Requirements {
+    Requirements {
+        margin: Margin::Reduced { percent },
+        ..new_request()
+    }
+}
+
 macro_rules! chooses {
     ($($case:ident: $need:expr, [$($candidate:expr),*] => $choice:expr;)*) => {
         $(#[test] fn $case() {
@@ -97,4 +106,8 @@
         [candidate(10), Candidate { permit: Permit::Probe, ..candidate(200) }] => Choice::Send(1);
     primary_server_is_preferred_among_equals: new_request(),
         [Candidate { is_primary: false, ..candidate(100) }, candidate(105)] => Choice::Send(1);
+    lower_priority_queues_less_while_a_higher_one_is_refused: reduced(60), [full(250)] => Choice::Refuse(ms(46));
+    lower_priority_leaves_half_of_the_slots_to_a_higher_one: reduced(0),
+        [Candidate { under_half_full: false, ..candidate(100) }] => Choice::Refuse(ms(100));
+    lower_priority_uses_idle_servers: reduced(0), [candidate(100)] => Choice::Send(0);
 }
--- a/crates/decide/tests/routes.rs
+++ b/crates/decide/tests/routes.rs
@@ -2,10 +2,8 @@
 
 use std::time::Duration;
 
-use apricothall_decide::routes::{
-    Account, Accounts, CallKind, Caller, PriorityRange, Route, RouteTable, Target,
-    is_highest_priority,
-};
+use apricothall_decide::priorities::{Rank, ServicePriorities};
+use apricothall_decide::routes::{Account, Accounts, CallKind, Caller, Route, RouteTable, Target};
 use smol_str::SmolStr;
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -106,7 +104,7 @@
 }
 
 #[test]
-fn priority_range_covers_all_routes_of_a_service() {
+fn ranks_cover_all_routes_of_a_service() {
     let with_priority = |name: &str, service: &str, priority| Route {
         priority,
         targets: vec![target(service, 1)],
@@ -117,29 +115,20 @@
         with_priority("hazard", "drafts", 1),
         with_priority("booking", "bookings", 2),
     ]);
-    assert_eq!(
-        table.priorities("drafts"),
-        Some(PriorityRange {
-            highest: 1,
-            lowest: 3
-        })
-    );
-    assert_eq!(
-        table.priorities("bookings"),
-        Some(PriorityRange {
-            highest: 2,
-            lowest: 2
-        })
-    );
-    assert_eq!(table.priorities("none"), None);
-    assert_eq!(accounts().highest_priority(), Some(0));
+    assert_eq!(table.rank("drafts", 1, &[]), Rank::URGENT);
+    assert_eq!(table.rank("drafts", 3, &[]), Rank::BELOW_URGENT);
+    assert_eq!(table.rank("bookings", 2, &[]), Rank::ONLY);
+    assert_eq!(table.rank("none", 0, &[]), Rank::ONLY);
+    assert_eq!(accounts().priorities(), [0]);
 }
 
 macro_rules! urgent {
     ($($case:ident: priority $priority:literal among $first:literal to $last:literal, accounts $accounts:expr => $urgent:literal;)*) => {
         $(#[test] fn $case() {
-            let priorities = PriorityRange { highest: $first, lowest: $last };
-            assert_eq!(is_highest_priority($priority, priorities, $accounts), $urgent);
+            let target = Duration::from_millis(300);
+            let routes = ServicePriorities::new(&[($first, target), ($last, target)]);
+            let accounts: Vec<u8> = Option::into_iter($accounts).collect();
+            assert_eq!(routes.rank($priority, &accounts).is_highest(), $urgent);
         })*
     };
 }
@@ -152,3 +141,38 @@
     routes_are_below_such_an_account: priority 1 among 1 to 3, accounts Some(0) => false;
     account_of_lower_priority_has_no_effect: priority 1 among 1 to 3, accounts Some(2) => true;
 }
+
+/// Indices of the ranks of `priorities`.
+fn ranks(routes: &[(u8, u64)], accounts: &[u8], priorities: &[u8]) -> Vec<(usize, bool)> {
+    let routes = routes
+        .iter()
+        .map(|(p, ms)| (*p, Duration::from_millis(*ms)));
+    let routes = ServicePriorities::new(&routes.collect::<Vec<_>>());
+    let ranks = priorities.iter().map(|p| routes.rank(*p, accounts));
+    ranks.map(|r| (r.index(), r.is_protected())).collect()
+}
+
+macro_rules! ranked {
+    ($($case:ident: routes $routes:expr, accounts $accounts:expr, $priorities:expr => $ranks:expr;)*) => {
+        $(#[test] fn $case() {
+            assert_eq!(ranks(&$routes, &$accounts, &$priorities), $ranks);
+        })*
+    };
+}
+
+ranked! {
+    three_priorities_have_three_ranks: routes [(1, 300), (2, 300), (4, 300)], accounts [], [1, 2, 4]
+        => [(0, true), (1, true), (2, true)];
+    an_account_adds_a_rank: routes [(1, 300), (2, 300), (4, 300)], accounts [0, 2], [0, 1, 2, 4]
+        => [(0, true), (1, true), (2, true), (3, true)];
+    the_lowest_priorities_share_a_rank: routes [(1, 300), (2, 300), (4, 300), (5, 300), (6, 300)], accounts [], [1, 4, 5, 6]
+        => [(0, true), (2, true), (3, true), (3, true)];
+    two_priorities_with_equal_objectives_are_not_protected: routes [(1, 300), (2, 300)], accounts [], [1, 2]
+        => [(0, false), (1, false)];
+    a_shorter_objective_of_the_lower_priority_needs_no_protection: routes [(1, 900), (2, 300)], accounts [], [1, 2]
+        => [(0, false), (1, false)];
+    a_longer_objective_of_the_lower_priority_does: routes [(1, 300), (2, 900)], accounts [], [1, 2]
+        => [(0, true), (1, true)];
+    equal_priorities_with_different_objectives_have_one_rank: routes [(1, 300), (1, 900)], accounts [], [1, 1]
+        => [(0, false), (0, false)];
+}
--- a/crates/gateway/src/departures.rs
+++ b/crates/gateway/src/departures.rs
@@ -3,6 +3,7 @@
 use apricothall_types::{MemberId, Timestamp};
 
 use crate::Context;
+use crate::fleet::CallEnd;
 use crate::log_budgets::millis;
 use crate::request::Call;
 
@@ -48,6 +49,8 @@
         }
         metrics::counter!("apricothall_callers_left_total").increment(1);
         let now = self.context.clock.now();
+        let fleet = &self.context.fleet;
+        fleet.record_end(self.call, CallEnd::CallerLeft, now);
         if !self.context.log_budgets.allow_failure(now) {
             return;
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use apricothall_decide::anti_affinity::AntiAffinity;
 use apricothall_decide::configs::OutlierConfig;
+use apricothall_decide::contention::Contention;
 use apricothall_decide::load::{Entries, Load, Prompt};
 use apricothall_decide::loaded::HeardWeights;
 use apricothall_decide::outlier::{Attempt, OutlierDetector};
@@ -27,8 +28,11 @@
 use crate::servers::ServerListAge;
 use crate::settings::Settings;
 
+mod contention;
 mod eligible;
 
+pub use self::contention::{CallEnd, rank_name};
+
 /// Maximum age of an engine status that is used.
 const STATUS_MAX_AGE: Duration = Duration::from_millis(900);
 
@@ -62,6 +66,8 @@
     signals: Signals,
     retry_budgets: RetryBudgets,
     placement: PlacementConfig,
+    /// Requests of this entry by service.
+    contention: HashMap<SmolStr, Contention>,
 }
 
 /// Load and health of all servers.
@@ -170,6 +176,7 @@
                 signals: Signals::default(),
                 retry_budgets: RetryBudgets::new(&settings.bounds),
                 placement: PlacementConfig::default(),
+                contention: HashMap::new(),
             }),
             engine_status: Mutex::default(),
             fetching: AtomicBool::new(false),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use crate::answers::{Body, RequestOutcome, error_response, retry_later_response};
 use crate::departures::DepartureWatch;
 use crate::exchange::{Answer, AttemptError, begin_limit, exchange, log_withdrawal};
-use crate::fleet::{Placed, Placement, ServerRef};
+use crate::fleet::{CallEnd, Placed, Placement, ServerRef, rank_name};
 use crate::forwarder::{Forwarder, count_attempt};
 use crate::in_flight::AntiAffinityGuard;
 use crate::log_budgets::millis;
@@ -59,6 +59,13 @@
         let mut watch = DepartureWatch::new(&self.context, &call);
         let response = self.run_attempts(&call, &mut watch).await;
         watch.answered();
+        let end = if response.status().is_server_error() {
+            CallEnd::Refused
+        } else {
+            CallEnd::Answered
+        };
+        let now = self.context.clock.now();
+        self.context.fleet.record_end(&call, end, now);
         response
     }
 
@@ -301,9 +308,10 @@
         .max(left / MIN_RETRY_AFTER_DIVISOR)
         .min(left / MAX_RETRY_AFTER_DIVISOR);
     if context.log_budgets.allow_failure(now) {
-        tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, returning = call.returning, prompt = call.prompt, after_ms = millis(after), config_age_ms = context.published.age(now).map(millis), reason, "refused");
+        tracing::info!(request = %call.id, fingerprint = %call.fingerprint.short(), route = %call.route.name, service = %call.service, returning = call.returning, prompt = call.prompt, rank = call.rank.index(), margin = ?context.fleet.margin(call, now), after_ms = millis(after), config_age_ms = context.published.age(now).map(millis), reason, "refused");
     }
-    metrics::counter!("apricothall_refusals_total", "reason" => reason).increment(1);
+    metrics::counter!("apricothall_refusals_total", "reason" => reason, "rank" => rank_name(call))
+        .increment(1);
     retry_later_response(after, reason)
 }
 
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -5,7 +5,7 @@
 
 use apricothall_decide::load::Prompt;
 use apricothall_decide::outlier::Attempt;
-use apricothall_decide::placement::Requirements;
+use apricothall_decide::placement::{Margin, Requirements};
 use apricothall_decide::prompt_parts::{PartStanding, Trial, is_designated};
 use apricothall_decide::repeat::End;
 use apricothall_types::{MemberId, Role, Timestamp};
@@ -66,10 +66,15 @@
                 is_retry: returning,
                 max_wait: MAX_LATE_WAIT.min(call.deadline.since(now)),
                 max_pause: call.route.gap,
+                margin: self.margin(call, tried, now),
             },
             prompt: Prompt {
                 tokens: call.prompt,
-                urgent: call.urgent,
+                rank: if call.returning {
+                    call.rank.of_returning()
+                } else {
+                    call.rank
+                },
             },
             tried,
             crashes: self.context.quarantine.crashes(&call.fingerprint),
@@ -78,6 +83,15 @@
         self.context.fleet.place(&self.context, &request, now)
     }
 
+    /// Margin of `call` for its first attempt. Once it was admitted, it has the usual one.
+    #[must_use]
+    pub fn margin(&self, call: &Call, tried: &[MemberId], now: Timestamp) -> Margin {
+        if !tried.is_empty() {
+            return Margin::Usual;
+        }
+        self.context.fleet.margin(call, now)
+    }
+
     /// Whether this entry is the one that tries a strong suspect for all entries that it hears.
     fn is_designated(&self, trial: &Trial, now: Timestamp) -> bool {
         let mut entries = Vec::new();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -10,7 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use apricothall_decide::routes::{Account, Route, is_highest_priority};
+use apricothall_decide::priorities::Rank;
+use apricothall_decide::routes::{Account, Route};
 use apricothall_types::{Digest, Timestamp};
 use http::{Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
@@ -65,7 +66,7 @@
     let prompt = prompt_tokens(context, &parts.headers, engines.as_ref(), wait)?;
     let body = read_body(context, &in_force, body).await?;
     let returning = stated.is_some() && stated_timeouts.record(&route.name, wait);
-    let urgent = is_urgent(&in_force, &route, account.as_deref(), &service);
+    let rank = rank(&in_force, &route, account.as_deref(), &service);
     let id = attempt.to_str().unwrap_or_default();
     let uri = path_and_query(&parts.uri);
     let prompt_parts = prompt_parts(context, &parts.headers, engines.as_ref());
@@ -86,7 +87,7 @@
         deadline: arrival + wait,
         returning,
         prompt,
-        urgent,
+        rank,
         route,
     })
 }
@@ -121,14 +122,12 @@
     })
 }
 
-/// Whether a request takes precedence over all others to `service`.
-fn is_urgent(in_force: &InForce, route: &Route, account: Option<&Account>, service: &str) -> bool {
+/// Rank of a request among all requests to `service`.
+fn rank(in_force: &InForce, route: &Route, account: Option<&Account>, service: &str) -> Rank {
     let configuration = &in_force.configuration;
-    let accounts = configuration.accounts.highest_priority();
-    let route_priorities = configuration.routes.priorities(service);
-    route_priorities.is_some_and(|route_priorities| {
-        is_highest_priority(request_priority(route, account), route_priorities, accounts)
-    })
+    let accounts = configuration.accounts.priorities();
+    let priority = request_priority(route, account);
+    configuration.routes.rank(service, priority, accounts)
 }
 
 fn path_and_query(uri: &Uri) -> Uri {
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use apricothall_decide::patience::answer_due;
+use apricothall_decide::priorities::Rank;
 use apricothall_decide::routes::{Account, CallKind, Route};
 use apricothall_types::{Digest, PromptPart, Timestamp};
 use bytes::Bytes;
@@ -45,8 +46,8 @@
     pub returning: bool,
     /// Number of prompt tokens.
     pub prompt: f64,
-    /// Whether servers run it before all other queued requests.
-    pub urgent: bool,
+    /// Rank of its priority among those of the service.
+    pub rank: Rank,
     /// Digest that is equal for all attempts of the same request.
     pub fingerprint: Digest,
     /// Parts of the prompt that other requests may share.
--- a/crates/standin/src/emulator.rs
+++ b/crates/standin/src/emulator.rs
@@ -26,6 +26,8 @@
     pub prompt: f64,
     /// Number of tokens to generate.
     pub answer: f64,
+    /// Order of admission: of the queued requests, those with the smallest number start first.
+    pub urgency: usize,
 }
 
 /// Progress of a request.
@@ -79,7 +81,8 @@
 
     /// Adds a request to the queue.
     pub fn push(&mut self, job: Job) {
-        self.waiting.push_back(job);
+        let behind = self.waiting.iter().rposition(|j| j.urgency <= job.urgency);
+        self.waiting.insert(behind.map_or(0, |at| at + 1), job);
     }
 
     /// Simulates a crash: drops all requests and returns their ids.
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -12,8 +12,10 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
+use apricothall_decide::contention::{Contention, RequestOutcome};
 use apricothall_decide::load::Load;
 use apricothall_decide::placement::PlacementConfig;
+use apricothall_decide::priorities::{Rank, ServicePriorities};
 use apricothall_decide::timing::Timing;
 use apricothall_types::Timestamp;
 use rand::{Rng, SeedableRng};
@@ -57,6 +59,17 @@
     pub answer: f64,
     /// Time to the first event within which a response is timely.
     pub objective: Duration,
+    /// Priority of its requests; 0 is the highest.
+    pub priority: u8,
+}
+
+/// Ranks of the priorities in forecasts and margins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ranks {
+    /// Those that follow from the priorities and objectives of the kinds.
+    Configured,
+    /// The highest priority and all others, without protection.
+    Two,
 }
 
 /// Parameters of a simulation run.
@@ -78,6 +91,8 @@
     pub length: u64,
     /// Settings of the placement decisions.
     pub placement: PlacementConfig,
+    /// Ranks that the entries use.
+    pub ranks: Ranks,
     /// Seed of arrival times and request sizes.
     pub seed: u64,
 }
@@ -106,12 +121,31 @@
     }
 }
 
+impl Experiment {
+    /// Rank of each kind of request.
+    fn kind_ranks(&self) -> Vec<Rank> {
+        let kinds = || self.kinds.iter();
+        let routes: Vec<_> = kinds().map(|k| (k.priority, k.objective)).collect();
+        let priorities = ServicePriorities::new(&routes);
+        let rank = |kind: &RequestKind| {
+            let rank = priorities.rank(kind.priority, &[]);
+            match self.ranks {
+                Ranks::Configured => rank,
+                Ranks::Two if rank.is_highest() => Rank::URGENT,
+                Ranks::Two => Rank::BELOW_URGENT,
+            }
+        };
+        kinds().map(rank).collect()
+    }
+}
+
 struct Request {
     kind: usize,
     job: Job,
     arrived: u64,
     entry: usize,
     engine: usize,
+    is_retry: bool,
     sent: Timestamp,
     predicted: Duration,
     first: Option<f64>,
@@ -123,6 +157,10 @@
     engines: Vec<Emulator>,
     totals: Vec<Vec<usize>>,
     entries: Vec<Vec<Load>>,
+    /// For each entry, the requests that it served.
+    contention: Vec<Contention>,
+    /// Rank of each kind.
+    ranks: Vec<Rank>,
     requests: Vec<Request>,
     outcomes: Vec<Outcome>,
     /// Refused requests, by the time of their retry.
@@ -142,6 +180,8 @@
         engines: engines().map(|_| Emulator::new(timing)).collect(),
         totals: engines().map(|_| Vec::new()).collect(),
         entries: (0..entries).map(|_| loads()).collect(),
+        contention: vec![Contention::default(); entries],
+        ranks: experiment.kind_ranks(),
         requests: Vec::new(),
         outcomes: vec![Outcome::default(); experiment.kinds.len()],
         retries: BinaryHeap::new(),
@@ -204,6 +244,12 @@
                 let now = Timestamp::from_millis(now);
                 let latency = now.since(request.sent);
                 load.record_latency(latency, request.predicted, now);
+                let outcome = RequestOutcome {
+                    is_returning: request.is_retry,
+                    is_served: true,
+                };
+                let rank = self.ranks[request.kind];
+                self.contention[request.entry].record(rank, outcome, now);
             }
             EmulatorEvent::Completed { pause } => {
                 load.request_ended();
--- a/crates/standin/src/experiment/arrivals.rs
+++ b/crates/standin/src/experiment/arrivals.rs
@@ -39,6 +39,7 @@
             id: self.requests.len(),
             prompt: size(kinds[kind].prompt),
             answer: size(kinds[kind].answer),
+            urgency: kinds[kind].priority.into(),
         };
         let entry = self.rng.random_range(0..self.entries.len());
         self.outcomes[kind].total += 1;
@@ -48,6 +49,7 @@
             arrived: now,
             entry,
             engine: 0,
+            is_retry: false,
             sent: Timestamp::default(),
             predicted: Duration::ZERO,
             first: None,
--- a/crates/standin/src/experiment/dispatch.rs
+++ b/crates/standin/src/experiment/dispatch.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use apricothall_decide::contention::RequestOutcome;
 use apricothall_decide::load::{Prompt, ServerRelation};
 use apricothall_decide::outlier::Permit;
 use apricothall_decide::placement::{Candidate, Choice, Distance, Requirements, choose};
@@ -16,9 +17,17 @@
 /// Shortest and longest time that a refused client waits before it retries, in ms.
 const RETRY_DELAY_MS: (u64, u64) = (1_200, 2_000);
 
+/// Offset of the admission order for retried requests.
+const RETRY_URGENCY_OFFSET: usize = 4;
+
 impl Simulation<'_> {
     /// Sends the request to an engine, schedules its retry or refuses it.
     pub(super) fn place(&mut self, id: usize, is_retry: bool, now: u64) {
+        let request = &mut self.requests[id];
+        request.is_retry = is_retry;
+        if is_retry {
+            request.job.urgency += RETRY_URGENCY_OFFSET;
+        }
         let at = Timestamp::from_millis(now);
         let available: Vec<_> = (0..self.engines.len())
             .filter(|index| !self.experiment.pattern.is_down(*index, now))
@@ -27,13 +36,25 @@
             .iter()
             .map(|index| self.candidate(id, *index, at))
             .collect();
+        let (kind, entry) = (self.requests[id].kind, self.requests[id].entry);
+        let rank = self.ranks[kind];
         let need = Requirements {
-            objective: self.experiment.kinds[self.requests[id].kind].objective,
+            objective: self.experiment.kinds[kind].objective,
             is_retry,
             max_wait: MAX_RETRY_WAIT,
             max_pause: Some(MAX_PAUSE),
+            margin: self.contention[entry].margin(rank, at),
         };
-        match choose(&self.experiment.placement, &candidates, need, &mut self.rng) {
+
+        let choice = choose(&self.experiment.placement, &candidates, need, &mut self.rng);
+        if !matches!(choice, Choice::Send(_)) {
+            let outcome = RequestOutcome {
+                is_returning: is_retry,
+                is_served: false,
+            };
+            self.contention[entry].record(rank, outcome, at);
+        }
+        match choice {
             Choice::Send(chosen) => {
                 self.send(id, available[chosen], candidates[chosen].latency, at);
             }
@@ -89,9 +110,15 @@
     }
 
     fn prompt(&self, id: usize) -> Prompt {
+        let request = &self.requests[id];
+        let rank = self.ranks[request.kind];
         Prompt {
-            tokens: self.requests[id].job.prompt,
-            urgent: false,
+            tokens: request.job.prompt,
+            rank: if request.is_retry {
+                rank.of_returning()
+            } else {
+                rank
+            },
         }
     }
 }
--- a/crates/standin/src/experiment/pattern.rs
+++ b/crates/standin/src/experiment/pattern.rs
@@ -3,6 +3,9 @@
 /// Factor of the load while it is raised.
 const RAISED_LOAD: f64 = 2.0;
 
+/// Factor of the load in `Priorities`, for which the load before is two thirds of the capacity.
+const SHORTAGE_LOAD: f64 = 2.25;
+
 /// Factor of the duration of an engine's steps while it is slow.
 const SLOWDOWN: f64 = 3.0;
 
@@ -23,6 +26,8 @@
     Lost,
     /// Half of the engines is available only from the eighth second on.
     Arriving,
+    /// A load of 1.5 times the capacity from the fourth second on.
+    Priorities,
 }
 
 impl Pattern {
@@ -31,9 +36,14 @@
         let raised = match self {
             Self::Burst => (10_000..13_000).contains(&now),
             Self::Overload | Self::Shortage => now >= 8_000,
+            Self::Priorities => now >= 4_000,
             Self::Calm | Self::Slow | Self::Lost | Self::Arriving => false,
         };
-        if raised { RAISED_LOAD } else { 1.0 }
+        match self {
+            _ if !raised => 1.0,
+            Self::Priorities => SHORTAGE_LOAD,
+            _ => RAISED_LOAD,
+        }
     }
 
     /// Whether engine `index` is down at `now`.
@@ -42,7 +52,7 @@
             Self::Lost => index.is_multiple_of(3) && (10_000..16_000).contains(&now),
             Self::Arriving => index.is_multiple_of(2) && now < 8_000,
             Self::Shortage => index.is_multiple_of(5) && now >= 8_000,
-            Self::Calm | Self::Burst | Self::Overload | Self::Slow => false,
+            Self::Calm | Self::Burst | Self::Overload | Self::Slow | Self::Priorities => false,
         }
     }
 
--- a/crates/standin/tests/experiment.rs
+++ b/crates/standin/tests/experiment.rs
@@ -4,7 +4,7 @@
 
 use apricothall_decide::placement::PlacementConfig;
 use apricothall_standin::emulator::{Emulator, EmulatorEvent, Job, TIMING};
-use apricothall_standin::experiment::{Experiment, Outcome, Pattern, RequestKind, simulate};
+use apricothall_standin::experiment::{Experiment, Outcome, Pattern, Ranks, RequestKind, simulate};
 
 fn experiment(pattern: Pattern, rate: f64) -> Experiment {
     let kind = |name: &str, share, prompt, answer, objective| RequestKind {
@@ -13,6 +13,7 @@
         prompt,
         answer,
         objective: Duration::from_millis(objective),
+        priority: 0,
     };
     Experiment {
         timing: TIMING,
@@ -26,6 +27,7 @@
         pattern,
         length: 24_000,
         placement: PlacementConfig::default(),
+        ranks: Ranks::Configured,
         seed: 7,
     }
 }
@@ -42,6 +44,7 @@
         id: 0,
         prompt: 900.0,
         answer: 120.0,
+        urgency: 0,
     });
     let (mut first, mut end) = (0.0, 0.0);
     for now in 0..3_000_u32 {
@@ -124,3 +127,59 @@
     twice_the_load_for_long_with_a_fifth_of_the_engines_lost: Shortage at 75.0;
     twice_the_load_for_three_seconds: Burst at 75.0;
 }
+
+/// Shares of requests that were served, by descending priority, summed over five seeds. The lowest
+/// of the three priorities has a long objective.
+fn served_by_priority(pattern: Pattern, rate: f64, shares: [f64; 3], ranks: Ranks) -> [f64; 3] {
+    let objectives = [300, 300, 1_500].map(Duration::from_millis);
+    let kind = |index: usize| RequestKind {
+        name: "kind".into(),
+        share: shares[index],
+        prompt: 964.0,
+        answer: 119.0,
+        objective: objectives[index],
+        priority: [1, 2, 3][index],
+    };
+    let mut sums = [(0.0, 0.0); 3];
+    for seed in 1..=5 {
+        let outcomes = simulate(&Experiment {
+            kinds: (0..3).map(kind).collect(),
+            ranks,
+            seed,
+            ..experiment(pattern, rate)
+        });
+        for (sum, outcome) in sums.iter_mut().zip(&outcomes) {
+            sum.0 += f64::from(outcome.timely + outcome.late);
+            sum.1 += f64::from(outcome.total);
+        }
+    }
+    sums.map(|(served, total)| served / total)
+}
+
+macro_rules! order_of_priorities {
+    ($($case:ident: $pattern:ident at $rate:literal, shares $shares:expr;)*) => {
+        $(#[test] fn $case() {
+            let served =
+                served_by_priority(Pattern::$pattern, $rate, $shares, Ranks::Configured);
+            let [highest, middle, lowest] = served;
+            assert!(middle <= highest + 0.05, "{served:?}");
+            assert!(lowest <= middle.min(highest) + 0.05, "{served:?}");
+        })*
+    };
+}
+
+// Guards against a lower priority with a long objective that is served while a higher one with a
+// short objective is refused.
+order_of_priorities! {
+    three_priorities_at_one_and_a_half_times_the_capacity: Calm at 180.0, shares [0.34, 0.33, 0.33];
+    the_middle_priority_doubles_twice: Calm at 170.0, shares [0.2, 0.6, 0.2];
+    the_lowest_priority_doubles_twice: Overload at 80.0, shares [0.2, 0.2, 0.6];
+}
+
+/// With two ranks, the simulation shows the fault that the ranks are for.
+#[test]
+fn two_ranks_serve_the_lowest_priority_before_the_middle_one() {
+    let shares = [0.34, 0.33, 0.33];
+    let [_, middle, lowest] = served_by_priority(Pattern::Calm, 180.0, shares, Ranks::Two);
+    assert!(lowest > middle + 0.3, "{middle:.2} {lowest:.2}");
+}
--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -5,7 +5,7 @@
 
 use apricothall_decide::placement::PlacementConfig;
 use apricothall_standin::emulator::TIMING;
-use apricothall_standin::experiment::{Experiment, Outcome, Pattern, RequestKind, simulate};
+use apricothall_standin::experiment::{Experiment, Outcome, Pattern, Ranks, RequestKind, simulate};
 use clap::{Args, ValueEnum};
 use comfy_table::Table;
 
@@ -39,6 +39,9 @@
     /// Cost of a server for which another entry is the primary, in ms.
     #[arg(long)]
     shared_cost: Option<u64>,
+    /// Tell only the highest priority from the others, as for services without protected ranks.
+    #[arg(long)]
+    two_ranks: bool,
 }
 
 #[derive(Clone, Copy, Debug, ValueEnum)]
@@ -50,6 +53,7 @@
     Slow,
     Lost,
     Arriving,
+    Priorities,
 }
 
 impl From<PatternName> for Pattern {
@@ -62,6 +66,7 @@
             PatternName::Slow => Self::Slow,
             PatternName::Lost => Self::Lost,
             PatternName::Arriving => Self::Arriving,
+            PatternName::Priorities => Self::Priorities,
         }
     }
 }
@@ -119,12 +124,26 @@
 
 /// Engines with 16 slots and three kinds of requests.
 fn experiment(arguments: &LoadArguments, pattern: Pattern) -> Experiment {
-    let kind = |name: &str, share, prompt, answer, objective| RequestKind {
+    let kind = |name: &str, share, prompt, answer, objective, priority| RequestKind {
         name: name.into(),
         share,
         prompt,
         answer,
         objective: Duration::from_millis(objective),
+        priority,
+    };
+    let kinds = if pattern == Pattern::Priorities {
+        vec![
+            kind("hazard", 0.34, 964.0, 119.0, 300, 1),
+            kind("draft", 0.33, 964.0, 119.0, 300, 2),
+            kind("digest", 0.33, 964.0, 119.0, 1_500, 3),
+        ]
+    } else {
+        vec![
+            kind("report", 0.39, 1_330.0, 144.0, 400, 0),
+            kind("summary", 0.28, 827.0, 144.0, 400, 0),
+            kind("note", 0.33, 647.0, 72.0, 300, 0),
+        ]
     };
     let default = PlacementConfig::default();
     let shared_cost = arguments.shared_cost.map(Duration::from_millis);
@@ -132,11 +151,7 @@
     let engines = arguments.engines as f64;
     Experiment {
         timing: TIMING,
-        kinds: vec![
-            kind("report", 0.39, 1_330.0, 144.0, 400),
-            kind("summary", 0.28, 827.0, 144.0, 400),
-            kind("note", 0.33, 647.0, 72.0, 300),
-        ],
+        kinds,
         engines: arguments.engines,
         entries: arguments.entries,
         rate: arguments.rate * engines,
@@ -148,6 +163,11 @@
             shared_cost: shared_cost.unwrap_or(default.shared_cost),
             ..default
         },
+        ranks: if arguments.two_ranks {
+            Ranks::Two
+        } else {
+            Ranks::Configured
+        },
         seed: 1,
     }
 }
