feat(decide): client accounts that are served too seldom have a larger margin

While capacity is short, an account whose routes have short objectives or low priorities is refused nearly always, and its returning callers meet the stricter rules of a retry on top.

An entry counts the requests of each account of a service over 10 s, for up to 256 accounts. Nothing changes without accounts.

--- a/crates/decide/src/contention.rs
+++ b/crates/decide/src/contention.rs
@@ -1,13 +1,14 @@
-//! How often the requests of each priority rank of one service are served, and what follows for the
-//! next ones while capacity is insufficient.
+//! How often the requests of each priority rank and client account of one service are served, and
+//! what follows for the next ones while capacity is insufficient.
 //!
 //! An entry counts only its own requests. A returning caller is not counted as a new request, so
 //! that a caller gains nothing by repeating a refused one.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use apricothall_types::Timestamp;
+use smol_str::SmolStr;
 
 use crate::placement::Margin;
 use crate::priorities::{MAX_RANKS, Rank};
@@ -21,6 +22,12 @@
 /// Difference of the shares served at which a lower rank gets nothing, in percentage points.
 const MAX_LEAD_PERCENT: f64 = 5.0;
 
+/// Ratio of the shares served below which an account is preferred.
+const MIN_ACCOUNT_RATIO: f64 = 0.5;
+
+/// Maximum number of accounts of a service that are counted.
+const MAX_ACCOUNTS: usize = 256;
+
 const PERCENT: f64 = 100.0;
 
 /// Requests of one interval.
@@ -81,6 +88,10 @@
         let (received, served) = self.sums(now);
         ((served + 1.0) / received.max(1.0)).min(1.0)
     }
+
+    fn is_empty(&self, now: Timestamp) -> bool {
+        self.sums(now) == (0.0, 0.0)
+    }
 }
 
 /// Result of a request.
@@ -92,21 +103,46 @@
     pub is_served: bool,
 }
 
-/// Requests of one service at this entry, by rank.
+/// Requests of one service at this entry, by rank and by client account.
 #[derive(Clone, Debug, Default)]
 pub struct Contention {
     ranks: [Recent; MAX_RANKS],
+    of_accounts: Recent,
+    accounts: HashMap<SmolStr, Recent>,
 }
 
 impl Contention {
     /// Records the result of a request.
-    pub fn record(&mut self, rank: Rank, outcome: RequestOutcome, now: Timestamp) {
+    pub fn record(
+        &mut self,
+        rank: Rank,
+        account: Option<&SmolStr>,
+        outcome: RequestOutcome,
+        now: Timestamp,
+    ) {
         self.ranks[rank.index()].record(outcome, now);
+        let Some(account) = account else {
+            return;
+        };
+        self.of_accounts.record(outcome, now);
+        if !self.accounts.contains_key(account) {
+            if self.accounts.len() >= MAX_ACCOUNTS {
+                self.accounts.retain(|_, recent| !recent.is_empty(now));
+            }
+            if self.accounts.len() >= MAX_ACCOUNTS {
+                return;
+            }
+        }
+        let recent = self.accounts.entry(account.clone()).or_default();
+        recent.record(outcome, now);
     }
 
-    /// Margin of a request of `rank`.
+    /// Margin of a request of `rank` and `account`.
     #[must_use]
-    pub fn margin(&self, rank: Rank, now: Timestamp) -> Margin {
+    pub fn margin(&self, rank: Rank, account: Option<&SmolStr>, now: Timestamp) -> Margin {
+        if account.is_some_and(|account| self.is_underserved(account, now)) {
+            return Margin::Whole;
+        }
         if !rank.is_protected() {
             return Margin::Usual;
         }
@@ -124,4 +160,14 @@
         let percent = ((1.0 - lead / MAX_LEAD_PERCENT).clamp(0.0, 1.0) * PERCENT).round() as u32;
         Margin::Reduced { percent }
     }
+
+    /// Whether `account` is served less than half as often as all, while requests are refused.
+    fn is_underserved(&self, account: &SmolStr, now: Timestamp) -> bool {
+        let Some(recent) = self.accounts.get(account) else {
+            return false;
+        };
+        let (received, served) = self.of_accounts.sums(now);
+        let share = self.of_accounts.share(now);
+        served < received && recent.upper_share(now) < share * MIN_ACCOUNT_RATIO
+    }
 }
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -50,13 +50,16 @@
         /// The percentage.
         percent: u32,
     },
+    /// The whole objective, with the rules of a new request, for a client account that is served
+    /// much less often than others.
+    Whole,
 }
 
 impl Margin {
     /// Percentage of the usual part of the servers' slots that the request may use.
     const fn slot_percent(self) -> u32 {
         match self {
-            Self::Usual => 100,
+            Self::Usual | Self::Whole => 100,
             Self::Reduced { percent } => percent,
         }
     }
@@ -78,6 +81,13 @@
     pub margin: Margin,
 }
 
+impl Requirements {
+    /// Whether requests that can still meet their objective come first.
+    fn yields(&self) -> bool {
+        self.is_retry && self.margin != Margin::Whole
+    }
+}
+
 /// Result of a server selection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -113,10 +123,10 @@
     /// Maximum predicted latency at which a request is accepted.
     #[must_use]
     pub fn limit(&self, need: Requirements) -> Duration {
-        if !need.is_retry && need.objective.is_zero() {
+        if !need.yields() && need.objective.is_zero() {
             return need.max_wait;
         }
-        let usual = if need.is_retry {
+        let usual = if need.yields() {
             self.return_margin
         } else {
             self.margin
@@ -124,6 +134,7 @@
         match need.margin {
             Margin::Usual => need.objective * usual / 100,
             Margin::Reduced { percent } => need.objective * usual / 100 * percent / 100,
+            Margin::Whole => need.objective,
         }
     }
 }
@@ -186,7 +197,7 @@
     let limit = config.limit(need);
     // Retried requests leave the last free slots to new requests that can still be served in time,
     // and those of lower priorities leave them to higher ones that are served less often.
-    let has_spare_slot = if need.is_retry || need.margin.slot_percent() < HALF_PERCENT {
+    let has_spare_slot = if need.yields() || need.margin.slot_percent() < HALF_PERCENT {
         chosen.under_half_full
     } else {
         chosen.has_free_slot
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -66,6 +66,14 @@
     }
 }
 
+/// A returning caller of an account that is served much less often than others.
+fn underserved() -> Requirements {
+    Requirements {
+        margin: Margin::Whole,
+        ..retried()
+    }
+}
+
 macro_rules! chooses {
     ($($case:ident: $need:expr, [$($candidate:expr),*] => $choice:expr;)*) => {
         $(#[test] fn $case() {
@@ -110,4 +118,8 @@
     lower_priority_leaves_half_of_the_slots_to_a_higher_one: reduced(0),
         [Candidate { under_half_full: false, ..candidate(100) }] => Choice::Refuse(ms(100));
     lower_priority_uses_idle_servers: reduced(0), [candidate(100)] => Choice::Send(0);
+    underserved_account_uses_its_whole_objective: underserved(), [full(390)] => Choice::Send(0);
+    underserved_account_uses_the_last_slot: underserved(),
+        [Candidate { under_half_full: false, ..candidate(500) }] => Choice::Send(0);
+    underserved_account_does_not_queue_beyond_its_objective: underserved(), [full(410)] => Choice::Refuse(ms(10));
 }
--- a/crates/gateway/src/fleet/contention.rs
+++ b/crates/gateway/src/fleet/contention.rs
@@ -1,4 +1,4 @@
-//! Requests of this entry that were served, by priority.
+//! Requests of this entry that were served, by priority and client account.
 
 use apricothall_decide::contention::RequestOutcome;
 use apricothall_decide::placement::Margin;
@@ -51,16 +51,18 @@
             is_returning: call.returning,
             is_served: end == CallEnd::Answered,
         };
-        contention.record(call.rank, outcome, now);
+        let account = call.account.as_ref().map(|a| &a.name);
+        contention.record(call.rank, account, outcome, now);
     }
 
-    /// Margin of `call` for the current share of its priority.
+    /// Margin of `call` for the current shares of its priority and client account.
     #[must_use]
     pub fn margin(&self, call: &Call, now: Timestamp) -> Margin {
         let state = self.state();
         let Some(contention) = state.contention.get(&call.service) else {
             return Margin::Usual;
         };
-        contention.margin(call.rank, now)
+        let account = call.account.as_ref().map(|a| &a.name);
+        contention.margin(call.rank, account, now)
     }
 }
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -249,7 +249,7 @@
                     is_served: true,
                 };
                 let rank = self.ranks[request.kind];
-                self.contention[request.entry].record(rank, outcome, now);
+                self.contention[request.entry].record(rank, None, outcome, now);
             }
             EmulatorEvent::Completed { pause } => {
                 load.request_ended();
--- a/crates/standin/src/experiment/dispatch.rs
+++ b/crates/standin/src/experiment/dispatch.rs
@@ -43,7 +43,7 @@
             is_retry,
             max_wait: MAX_RETRY_WAIT,
             max_pause: Some(MAX_PAUSE),
-            margin: self.contention[entry].margin(rank, at),
+            margin: self.contention[entry].margin(rank, None, at),
         };
 
         let choice = choose(&self.experiment.placement, &candidates, need, &mut self.rng);
@@ -52,7 +52,7 @@
                 is_returning: is_retry,
                 is_served: false,
             };
-            self.contention[entry].record(rank, outcome, at);
+            self.contention[entry].record(rank, None, outcome, at);
         }
         match choice {
             Choice::Send(chosen) => {
