feat(gateway): requests are sent only to engines with memory for their tokens

An engine terminates if its requests exceed its memory. Entries compared a prompt with the capacity of an empty engine, without its answer and without the requests that the engine already held.

The engine report's kvUsed and kvTotal travel in the engine status. `Load` counts the tokens of this entry's requests from the choice of the server until their end; `Token-Usage` now gives the maximum output too, and a request without it counts with the published mean. A server without room is not eligible, and if none has room the request is refused with the time in which a full engine frees the lacking tokens. Until the next report an entry uses only its part of the room that was reported, as others use it too. Services that publish no capacity are not affected.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod store_era;
 pub mod store_reachability;
 pub mod timing;
+pub mod token_memory;
 pub mod transfer;
 pub mod transfer_timeout;
 pub mod update_queue;
--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -6,13 +6,14 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use apricothall_types::Timestamp;
+use apricothall_types::{Timestamp, TokenCount};
 
 use crate::latency_average::LatencyAverage;
 use crate::path_delay::PathDelay;
 use crate::placement::Distance;
 use crate::priorities::{MAX_RANKS, Rank};
 use crate::timing::{Backlog, QueuedRequests, Timing, Work};
+use crate::token_memory::{Senders, TokenMemory};
 
 /// Time until a sent request appears in a load report.
 const REPORT_LAG: Duration = Duration::from_millis(60);
@@ -146,6 +147,8 @@
     backoff_until: Timestamp,
     /// Delay of the path to the server.
     pub path: PathDelay,
+    /// Memory of the server for the tokens of requests.
+    pub memory: TokenMemory,
 }
 
 impl Load {
@@ -290,6 +293,26 @@
         }
     }
 
+    /// Time until an engine with `capacity` has room for a request of `tokens` tokens; zero if it
+    /// has.
+    #[must_use]
+    pub fn room_after(
+        &self,
+        timing: &Timing,
+        tokens: TokenCount,
+        capacity: TokenCount,
+        at: ServerRelation,
+        now: Timestamp,
+    ) -> Duration {
+        let senders = Senders {
+            count: at.sender_count,
+            is_primary: at.is_primary,
+        };
+        let lag = REPORT_LAG + self.path.slowest(now);
+        let lacking = self.memory.lacking(tokens, capacity, senders, lag, now);
+        timing.time_to_free(lacking)
+    }
+
     /// Predicts the effect of a request at a plain service with `slots` slots.
     #[must_use]
     pub fn forecast_plain(&self, slots: u32, now: Timestamp) -> Forecast {
--- a/crates/decide/src/timing.rs
+++ b/crates/decide/src/timing.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use apricothall_types::Timestamp;
+use apricothall_types::{Timestamp, TokenCount};
 
 const MS_PER_SECOND: f64 = 1_000.0;
 const TOKENS_PER_K: f64 = 1_000.0;
@@ -111,6 +111,25 @@
         prediction(self.prefill_ms(tokens)) <= limit
     }
 
+    /// Mean number of tokens of a request, prompt and answer.
+    #[must_use]
+    pub fn mean_tokens(&self) -> TokenCount {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "positive; a cast saturates"
+        )]
+        let tokens = (self.prompt + self.answer).max(0.0) as u64;
+        TokenCount(tokens)
+    }
+
+    /// Time in which a fully loaded engine completes requests that hold `tokens` tokens.
+    #[must_use]
+    pub fn time_to_free(&self, tokens: TokenCount) -> Duration {
+        let requests = tokens.as_f64() / self.mean_tokens().as_f64().max(1.0);
+        prediction(requests * self.completion_interval_ms())
+    }
+
     /// Mean time between two completions at a fully loaded engine, in ms.
     #[must_use]
     pub fn completion_interval_ms(&self) -> f64 {
--- a/crates/gateway/src/agent/updater.rs
+++ b/crates/gateway/src/agent/updater.rs
@@ -387,6 +387,7 @@
             running: report.running,
             queued: report.queued,
             pace: to_percent(report.pace),
+            memory: report.memory.map(Into::into),
             version: held.map_or(0, |h| h.version),
             whole: self.piece_store.newest_complete().map_or(0, |w| w.version),
             progress,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -9,6 +9,7 @@
 use apricothall_decide::layers::LayerRange;
 use apricothall_decide::servers::Server;
 pub use apricothall_decide::store_reachability::Subject;
+use apricothall_decide::token_memory::MemoryReport;
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{Era, MemberId, PartId, StoreRevision, TokenCount};
 use bytes::Bytes;
@@ -30,8 +31,8 @@
     pub headers: Headers,
     /// Parts of a prompt that a request may share with others.
     pub read_parts: fn(&HeaderMap) -> Vec<PartId>,
-    /// Number of prompt tokens, if a request states it.
-    pub read_usage: fn(&HeaderMap) -> Result<Option<TokenCount>, DialectError>,
+    /// Numbers of tokens, if a request states them.
+    pub read_usage: fn(&HeaderMap) -> Result<Option<StatedTokens>, DialectError>,
     /// Calls to the platform's store.
     pub store: StoreCalls,
     /// Calls to model engines.
@@ -164,6 +165,15 @@
     pub server_of: fn(&str) -> Option<MemberId>,
 }
 
+/// Numbers of tokens that a request states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StatedTokens {
+    /// Tokens of its prompt.
+    pub prompt: TokenCount,
+    /// Maximum tokens of its answer, if it states them.
+    pub answer: Option<TokenCount>,
+}
+
 /// Status report of an engine.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineReport {
@@ -181,6 +191,8 @@
     pub running: u32,
     /// Slowdown factor compared with the published timing.
     pub pace: f64,
+    /// Memory for the tokens of requests, if it tells.
+    pub memory: Option<MemoryReport>,
     /// Start time of the engine, in ms since the Unix epoch.
     pub born: u64,
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -176,7 +176,7 @@
         parts: call.parts.clone(),
         tried: placed.tried.clone(),
     };
-    let in_flight = InFlight::begin(context, &placed.server, suspect, now);
+    let in_flight = InFlight::begin(context, placed, suspect, now);
     connection.allowance().await_head();
     let sending = connection.sender().try_send_request(request);
     let begin_wait =
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use apricothall_decide::anti_affinity::AntiAffinity;
@@ -18,7 +18,7 @@
 use apricothall_decide::servers::Server;
 use apricothall_decide::signals::Signals;
 use apricothall_decide::versions::Versions;
-use apricothall_types::{Interval, MemberId, PromptPart, Timestamp};
+use apricothall_types::{Interval, MemberId, PromptPart, Timestamp, TokenCount};
 use smol_str::SmolStr;
 
 use crate::Context;
@@ -30,8 +30,10 @@
 
 mod contention;
 mod eligible;
+mod memory;
 
 pub use self::contention::{CallEnd, rank_name};
+pub use self::memory::TokenReservation;
 
 /// Maximum age of an engine status that is used.
 const STATUS_MAX_AGE: Duration = Duration::from_millis(900);
@@ -110,6 +112,8 @@
     pub need: Requirements,
     /// The prompt, for engines.
     pub prompt: Prompt,
+    /// Tokens that it may need in the memory of an engine.
+    pub tokens: TokenCount,
     /// Servers that already received the request.
     pub tried: &'a [MemberId],
     /// Number of server crashes at which the request was present.
@@ -137,6 +141,8 @@
     pub passed_over: Option<PassedOver>,
     /// The suspect part for whose trial the server was selected.
     pub tried: Option<PromptPart>,
+    /// Its tokens in the memory of the server, if that is limited.
+    pub reservation: Option<Arc<TokenReservation>>,
 }
 
 /// Decision on where to send a request.
@@ -150,6 +156,8 @@
     OnTrial(Duration),
     /// Refuse it for now, as the limits of all servers that could run it are reached.
     Limited(Box<PassedOver>),
+    /// Refuse it for now, as no server has memory for its tokens; there may be after this time.
+    NoMemory(Duration),
     /// The server list contains no server of the service that accepts requests.
     NoServer,
 }
@@ -244,6 +252,8 @@
         let pace = f64::from(status.pace) / PUBLISHED_PACE;
         let total = status.running.saturating_add(status.queued);
         load.record_report(total, pace, now, until);
+        load.memory
+            .record_report(status.memory.map(Into::into), now, until);
         let weights = state.weights.entry(status.address).or_default();
         weights.record(status.born, status.weights);
         let status = status.clone();
@@ -271,7 +281,8 @@
         let mut state = self.state();
         context.published.servers(|servers| {
             let limits = &context.server_limits;
-            let (eligible, passed_over) = state.eligible(&settings, servers, limits, request, now);
+            let found = state.eligible(&settings, servers, limits, request, now);
+            let (eligible, passed_over, room_after) = found;
             if passed_over.is_some() {
                 metrics::counter!("apricothall_limit_passed_over_total").increment(1);
             }
@@ -295,16 +306,18 @@
                         list_age,
                         took_limit,
                         passed_over,
+                        reservation: state.reserve_tokens(context, selected.server, request, now),
                         ..placed
                     }))
                 }
                 Choice::Refuse(after) => Placement::Refused(after),
                 Choice::NoServer => {
                     let pause = state.shortest_pause(servers, request.service, now);
-                    match (passed_over, pause) {
-                        (Some(passed), _) => Placement::Limited(Box::new(passed)),
-                        (None, Some(after)) => Placement::Refused(after),
-                        (None, None) => Placement::NoServer,
+                    match (passed_over, room_after, pause) {
+                        (Some(passed), _, _) => Placement::Limited(Box::new(passed)),
+                        (None, Some(after), _) => Placement::NoMemory(after),
+                        (None, None, Some(after)) => Placement::Refused(after),
+                        (None, None, None) => Placement::NoServer,
                     }
                 }
             }
--- a/crates/gateway/src/fleet/eligible.rs
+++ b/crates/gateway/src/fleet/eligible.rs
@@ -42,9 +42,24 @@
     }
 }
 
+/// Time until a server has memory for the tokens of a request, if it has none now and the service
+/// publishes how much there is.
+fn missing_room(
+    load: &Load,
+    request: &PlacementRequest<'_>,
+    relation: ServerRelation,
+    now: Timestamp,
+) -> Option<Duration> {
+    let engines = request.engines?;
+    let capacity = engines.capacity?;
+    let wait = load.room_after(&engines.timing, request.tokens, capacity, relation, now);
+    (!wait.is_zero()).then_some(wait)
+}
+
 impl State {
-    /// Servers that are able to run a request, with the forecast for each, and of those whose limit
-    /// is reached the one that takes another request first.
+    /// Servers that are able to run a request, with the forecast for each, of those whose limit is
+    /// reached the one that takes another request first, and the time until the first of those
+    /// without memory for its tokens has some.
     pub(super) fn eligible<'a>(
         &self,
         settings: &Settings,
@@ -52,10 +67,15 @@
         limits: &SharedLimits,
         request: &PlacementRequest<'_>,
         now: Timestamp,
-    ) -> (Vec<EligibleServer<'a>>, Option<PassedOver>) {
+    ) -> (
+        Vec<EligibleServer<'a>>,
+        Option<PassedOver>,
+        Option<Duration>,
+    ) {
         let unknown = Load::default();
         let mut eligible = Vec::new();
         let mut passed_over: Option<PassedOver> = None;
+        let mut room_after: Option<Duration> = None;
         let mut same_zone_index = 0;
         for server in servers.ready(request.service) {
             if request.tried.contains(&server.id) {
@@ -94,6 +114,10 @@
                 }
                 continue;
             }
+            if let Some(wait) = missing_room(load, request, relation, now) {
+                room_after = Some(room_after.map_or(wait, |known| known.min(wait)));
+                continue;
+            }
             eligible.push(EligibleServer {
                 server,
                 version,
@@ -108,7 +132,7 @@
             self.anti_affinity
                 .retain_least_exposed(&mut eligible, |e| e.server.address);
         }
-        (eligible, passed_over)
+        (eligible, passed_over, room_after)
     }
 
     /// Keeps only the server that tries a suspect part: one that did not crash with it, and that
@@ -190,6 +214,7 @@
             took_limit: false,
             passed_over: None,
             tried: request.trial.map(|trial| trial.part.clone()),
+            reservation: None,
         }
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -285,6 +285,7 @@
             return refuse_limited(context, call, progress, &passed, now);
         }
         Placement::Refused(after) => (after, "no room in time"),
+        Placement::NoMemory(after) => (after, "no memory for its tokens"),
         Placement::OnTrial(after) => (after, "another entry tries a part of its prompt"),
         Placement::Selected(_) | Placement::NoServer => (NO_SERVER_RETRY_AFTER, "no server"),
     };
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -76,6 +76,7 @@
                     call.rank
                 },
             },
+            tokens: call.tokens,
             tried,
             crashes: self.context.quarantine.crashes(&call.fingerprint),
             trial: trial.as_ref(),
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -1,14 +1,14 @@
 //! Requests in flight at a server, and what their result indicates about the server.
 
 use std::net::SocketAddr;
-use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use apricothall_decide::quarantine::Crash;
-use apricothall_decide::servers::Server;
 use apricothall_types::{Digest, Timestamp};
 
 use crate::Context;
+use crate::fleet::{Placed, TokenReservation};
 use crate::quarantine::{Loss, Suspect, crash_of};
 
 /// Counts a request that may have crashed servers as being at, or being sent to, a server until
@@ -52,13 +52,16 @@
     /// When the first event arrived.
     begun: OnceLock<Timestamp>,
     _anti_affinity: AntiAffinityGuard,
+    _reservation: Option<Arc<TokenReservation>>,
     settled: AtomicBool,
 }
 
 impl InFlight {
-    /// Counts the request that may crash its server, `suspect`, as in flight at `server`.
+    /// Counts the request that may crash its server, `suspect`, as in flight at the server in
+    /// `placed`.
     #[must_use]
-    pub fn begin(context: &Context, server: &Server, suspect: Suspect, now: Timestamp) -> Self {
+    pub fn begin(context: &Context, placed: &Placed, suspect: Suspect, now: Timestamp) -> Self {
+        let server = &placed.server;
         context.fleet.request_started(server.address, now);
         let fingerprint = &suspect.fingerprint;
         Self {
@@ -68,6 +71,7 @@
             sent: now,
             begun: OnceLock::new(),
             _anti_affinity: AntiAffinityGuard::begin(context, server.address, fingerprint),
+            _reservation: placed.reservation.clone(),
             suspect,
             settled: AtomicBool::new(false),
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,10 +15,11 @@
 use apricothall_decide::reload::Progress;
 use apricothall_decide::server_limits::LimitRecord;
 use apricothall_decide::store_reachability::{LostSubjects, Subject};
+use apricothall_decide::token_memory::MemoryReport;
 use apricothall_decide::transfer::ChunkSet;
 use apricothall_types::{
     ConfigurationRevision, Digest, Incarnation, MemberId, Region, Role, StoreRevision, Timestamp,
-    Zone,
+    TokenCount, Zone,
 };
 use rand::Rng;
 use rand::seq::IteratorRandom;
@@ -91,6 +92,8 @@
     pub queued: u32,
     /// Slowdown compared with the published timing, in percent: 200 means half as fast.
     pub pace: u32,
+    /// Memory for the tokens of requests, if the engine tells.
+    pub memory: Option<EngineMemory>,
     /// Version that the agent fetches or holds.
     pub version: u64,
     /// Latest version that the agent holds completely; zero if there is none.
@@ -103,6 +106,33 @@
     pub flying: ChunkSet,
 }
 
+/// Memory of an engine for the tokens of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineMemory {
+    /// Tokens that cannot be freed.
+    pub used: u64,
+    /// Tokens that fit.
+    pub total: u64,
+}
+
+impl From<MemoryReport> for EngineMemory {
+    fn from(report: MemoryReport) -> Self {
+        Self {
+            used: report.used.0,
+            total: report.total.0,
+        }
+    }
+}
+
+impl From<EngineMemory> for MemoryReport {
+    fn from(memory: EngineMemory) -> Self {
+        Self {
+            used: TokenCount(memory.used),
+            total: TokenCount(memory.total),
+        }
+    }
+}
+
 /// A published version of a model.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionStatus {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -25,7 +25,7 @@
 pub use self::call::{Call, logged_parts};
 pub use self::headers::end_to_end;
 use self::headers::{forwarded_headers, header_number};
-use self::prompt::{prompt_parts, prompt_tokens};
+use self::prompt::{prompt_parts, request_size};
 pub use self::stated_timeouts::StatedTimeouts;
 use crate::Context;
 use crate::answers::{Body, RequestOutcome, error_response, retry_later_response};
@@ -63,7 +63,7 @@
     let stated = header_number(&parts.headers, &names.deadline).map(Duration::from_millis);
     let wait = stated.unwrap_or(route.timeout).min(route.timeout);
     let engines = in_force.configuration.engines(&service).cloned();
-    let prompt = prompt_tokens(context, &parts.headers, engines.as_ref(), wait)?;
+    let size = request_size(context, &parts.headers, engines.as_ref(), wait)?;
     let body = read_body(context, &in_force, body).await?;
     let returning = stated.is_some() && stated_timeouts.record(&route.name, wait);
     let rank = rank(&in_force, &route, account.as_deref(), &service);
@@ -86,7 +86,8 @@
         arrival,
         deadline: arrival + wait,
         returning,
-        prompt,
+        prompt: size.prompt,
+        tokens: size.tokens,
         rank,
         route,
     })
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -5,7 +5,7 @@
 use apricothall_decide::patience::answer_due;
 use apricothall_decide::priorities::Rank;
 use apricothall_decide::routes::{Account, CallKind, Route};
-use apricothall_types::{Digest, PromptPart, Timestamp};
+use apricothall_types::{Digest, PromptPart, Timestamp, TokenCount};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use smol_str::{SmolStr, ToSmolStr};
@@ -46,6 +46,8 @@
     pub returning: bool,
     /// Number of prompt tokens.
     pub prompt: f64,
+    /// Tokens that it may need in the memory of an engine, prompt and answer.
+    pub tokens: TokenCount,
     /// Rank of its priority among those of the service.
     pub rank: Rank,
     /// Digest that is equal for all attempts of the same request.
--- a/crates/gateway/src/request/prompt.rs
+++ b/crates/gateway/src/request/prompt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use apricothall_types::PromptPart;
+use apricothall_types::{PromptPart, TokenCount};
 use http::{HeaderMap, Response, StatusCode};
 
 use crate::Context;
@@ -14,16 +14,25 @@
 /// longest one that callers heed.
 const TOO_LARGE_RETRY_DIVISOR: u32 = 3;
 
-/// Number of prompt tokens of a request to `engines`, or the mean number if it states none. Requests
-/// that no engine can run are rejected: they need not wait for their body, nor for their deadline.
-pub(super) fn prompt_tokens(
+/// Size of a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RequestSize {
+    /// Number of prompt tokens.
+    pub(super) prompt: f64,
+    /// Tokens that it may need in the memory of an engine.
+    pub(super) tokens: TokenCount,
+}
+
+/// Size of a request to `engines`, or the mean size if it states none. Requests that no engine can
+/// run are rejected: they need not wait for their body, nor for their deadline.
+pub(super) fn request_size(
     context: &Context,
     headers: &HeaderMap,
     engines: Option<&EngineService>,
     wait: Duration,
-) -> Result<f64, Box<Response<Body>>> {
+) -> Result<RequestSize, Box<Response<Body>>> {
     let Some(engines) = engines else {
-        return Ok(0.0);
+        return Ok(RequestSize::default());
     };
     let stated = (context.dialect.read_usage)(headers).map_err(|error| {
         tracing::info!(%error, "number of prompt tokens not understood");
@@ -34,18 +43,27 @@
             reason,
         ))
     })?;
-    let Some(tokens) = stated else {
-        return Ok(engines.timing.prompt);
+    let timing = &engines.timing;
+    let Some(stated) = stated else {
+        return Ok(RequestSize {
+            prompt: timing.prompt,
+            tokens: timing
+                .mean_tokens()
+                .min(engines.capacity.unwrap_or_default()),
+        });
     };
+    let answer = stated.answer.unwrap_or_default();
+    let tokens = TokenCount(stated.prompt.0.saturating_add(answer.0));
     let fits = engines.capacity.is_none_or(|capacity| tokens <= capacity);
-    if !fits || !engines.timing.can_read_within(tokens.as_f64(), wait) {
+    let prompt = stated.prompt.as_f64();
+    if !fits || !timing.can_read_within(prompt, wait) {
         metrics::counter!("apricothall_prompts_too_large_total").increment(1);
         return Err(Box::new(retry_later_response(
             wait / TOO_LARGE_RETRY_DIVISOR,
             "no engine can read a prompt of this size in time",
         )));
     }
-    Ok(tokens.as_f64())
+    Ok(RequestSize { prompt, tokens })
 }
 
 /// Parts of the prompt that a request to `engines` may share with others.
--- a/crates/gateway/src/resume.rs
+++ b/crates/gateway/src/resume.rs
@@ -93,7 +93,7 @@
         match self.place_within(call, tried, Duration::ZERO, false, now) {
             Placement::Selected(placed) => Ok(Some(placed)),
             Placement::Limited(_) => Err("the limits of servers are reached"),
-            Placement::Refused(_) | Placement::NoServer => Err("no room"),
+            Placement::Refused(_) | Placement::NoMemory(_) | Placement::NoServer => Err("no room"),
             Placement::OnTrial(_) => Err("another entry tries a part of its prompt"),
         }
     }
