--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -6,12 +6,14 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use apricothall_types::Timestamp;
+use apricothall_types::{Timestamp, TokenCount};
 
 use crate::latency_average::LatencyAverage;
 use crate::path_delay::PathDelay;
 use crate::placement::Distance;
-use crate::timing::{Backlog, Timing, Work};
+use crate::priorities::{MAX_RANKS, Rank};
+use crate::timing::{Backlog, QueuedRequests, Timing, Work};
+use crate::token_memory::{Senders, TokenMemory};
 
 /// Time until a sent request appears in a load report.
 const REPORT_LAG: Duration = Duration::from_millis(60);
@@ -110,8 +112,8 @@
 pub struct Prompt {
     /// Length in tokens.
     pub tokens: f64,
-    /// Whether the engine starts it before all requests in its queue that are not urgent.
-    pub urgent: bool,
+    /// Its rank. The engine starts it before all requests of lower ranks in its queue.
+    pub rank: Rank,
 }
 
 /// A load report of an engine.
@@ -122,6 +124,13 @@
     slowdown: f64,
 }
 
+/// Requests of some ranks that were sent to an engine and may still be in its queue.
+#[derive(Clone, Copy, Debug, Default)]
+struct RankQueue {
+    requests: QueuedRequests,
+    backlog: Backlog,
+}
+
 /// Load state of one server.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
@@ -131,11 +140,15 @@
     report: Option<LoadReport>,
     backlog: Backlog,
     urgent: Backlog,
+    /// For each rank, its requests and those of higher ranks.
+    ranks: [RankQueue; MAX_RANKS],
     latency: Option<LatencyAverage>,
     correction: Option<f64>,
     backoff_until: Timestamp,
     /// Delay of the path to the server.
     pub path: PathDelay,
+    /// Memory of the server for the tokens of requests.
+    pub memory: TokenMemory,
 }
 
 impl Load {
@@ -219,11 +232,22 @@
         let factor = 1.0 + f64::from(at.sender_count.saturating_sub(1)) * unreported;
         let prefill = timing.prefill_ms(prompt.tokens);
         self.backlog.add(prefill * factor, now);
-        if prompt.urgent {
-            let completion_interval = timing.completion_interval_ms();
+        let completion_interval = timing.completion_interval_ms();
+        if prompt.rank.is_highest() {
             self.urgent
                 .add((prefill + completion_interval) * factor, now);
         }
+        let slowdown = self.valid_report(now).map_or(1.0, |n| n.slowdown.max(1.0));
+        for queue in &mut self.ranks[prompt.rank.index()..] {
+            queue
+                .requests
+                .add(factor, completion_interval * slowdown, now);
+            queue.backlog.add(prefill * factor, now);
+        }
+    }
+
+    fn valid_report(&self, now: Timestamp) -> Option<LoadReport> {
+        self.report.filter(|n| now < n.until)
     }
 
     /// Predicts the effect of a request with `prompt` at an engine.
@@ -235,7 +259,7 @@
         at: ServerRelation,
         now: Timestamp,
     ) -> Forecast {
-        let report = self.report.filter(|n| now < n.until);
+        let report = self.valid_report(now);
         let taken = match report {
             Some(report) => {
                 self.estimated_requests(at.sender_count, report.received_at - REPORT_LAG)
@@ -249,10 +273,15 @@
             backlog_ms: self.backlog.remaining_ms(now),
             slowdown: report.map_or(1.0, |n| n.slowdown),
         };
-        if prompt.urgent && taken >= timing.slots {
+        if prompt.rank.is_highest() && taken >= timing.slots {
             // Only other urgent requests are ahead of it in the queue.
             work.waiting = 0;
             work.backlog_ms = work.backlog_ms.min(self.urgent.remaining_ms(now));
+        } else if !prompt.rank.is_lowest() && taken >= timing.slots {
+            let queue = &self.ranks[prompt.rank.index()];
+            let interval = timing.completion_interval_ms() * work.slowdown.max(1.0);
+            work.waiting = work.waiting.min(queue.requests.remaining(interval, now));
+            work.backlog_ms = work.backlog_ms.min(queue.backlog.remaining_ms(now));
         }
         let first = timing.first_event(work, prompt.tokens);
         Forecast {
@@ -264,6 +293,26 @@
         }
     }
 
+    /// Time until an engine with `capacity` has room for a request of `tokens` tokens; zero if it
+    /// has.
+    #[must_use]
+    pub fn room_after(
+        &self,
+        timing: &Timing,
+        tokens: TokenCount,
+        capacity: TokenCount,
+        at: ServerRelation,
+        now: Timestamp,
+    ) -> Duration {
+        let senders = Senders {
+            count: at.sender_count,
+            is_primary: at.is_primary,
+        };
+        let lag = REPORT_LAG + self.path.slowest(now);
+        let lacking = self.memory.lacking(tokens, capacity, senders, lag, now);
+        timing.time_to_free(lacking)
+    }
+
     /// Predicts the effect of a request at a plain service with `slots` slots.
     #[must_use]
     pub fn forecast_plain(&self, slots: u32, now: Timestamp) -> Forecast {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,11 +3,12 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use apricothall_decide::anti_affinity::AntiAffinity;
 use apricothall_decide::configs::OutlierConfig;
+use apricothall_decide::contention::Contention;
 use apricothall_decide::load::{Entries, Load, Prompt};
 use apricothall_decide::loaded::HeardWeights;
 use apricothall_decide::outlier::{Attempt, OutlierDetector};
@@ -18,7 +19,7 @@
 use apricothall_decide::servers::Server;
 use apricothall_decide::signals::Signals;
 use apricothall_decide::versions::Versions;
-use apricothall_types::{Interval, MemberId, PromptPart, Timestamp, Zone};
+use apricothall_types::{Interval, MemberId, PromptPart, Timestamp, TokenCount, Zone};
 use smol_str::SmolStr;
 
 use crate::Context;
@@ -29,7 +30,12 @@
 use crate::servers::ServerListAge;
 use crate::settings::Settings;
 
+mod contention;
 mod eligible;
+mod memory;
+
+pub use self::contention::{CallEnd, rank_name};
+pub use self::memory::TokenReservation;
 
 use eligible::Eligible;
 
@@ -66,6 +72,8 @@
     signals: Signals,
     retry_budgets: RetryBudgets,
     placement: PlacementConfig,
+    /// Requests of this entry by service.
+    contention: HashMap<SmolStr, Contention>,
 }
 
 /// Load and health of all servers.
@@ -108,6 +116,8 @@
     pub need: Requirements,
     /// The prompt, for engines.
     pub prompt: Prompt,
+    /// Tokens that it may need in the memory of an engine.
+    pub tokens: TokenCount,
     /// Servers that already received the request.
     pub tried: &'a [MemberId],
     /// Number of server crashes at which the request was present.
@@ -139,6 +149,8 @@
     pub passed_over: Option<PassedOver>,
     /// The suspect part for whose trial the server was selected.
     pub tried: Option<PromptPart>,
+    /// Its tokens in the memory of the server, if that is limited.
+    pub reservation: Option<Arc<TokenReservation>>,
 }
 
 /// Decision on where to send a request.
@@ -152,6 +164,8 @@
     OnTrial(Duration),
     /// Refuse it for now, as the limits of all servers that could run it are reached.
     Limited(Box<PassedOver>),
+    /// Refuse it for now, as no server has memory for its tokens; there may be after this time.
+    NoMemory(Duration),
     /// The server list contains no server of the service that accepts requests.
     NoServer,
     /// Servers accept requests, but only in regions or zones that the request must not use.
@@ -200,6 +214,7 @@
                 signals: Signals::default(),
                 retry_budgets: RetryBudgets::new(&settings.bounds),
                 placement: PlacementConfig::default(),
+                contention: HashMap::new(),
             }),
             engine_status: Mutex::default(),
             fetching: AtomicBool::new(false),
@@ -267,6 +282,8 @@
         let pace = f64::from(status.pace) / PUBLISHED_PACE;
         let total = status.running.saturating_add(status.queued);
         load.record_report(total, pace, now, until);
+        load.memory
+            .record_report(status.memory.map(Into::into), now, until);
         let weights = state.weights.entry(status.address).or_default();
         weights.record(status.born, status.weights);
         let status = status.clone();
@@ -300,6 +317,7 @@
                 servers: eligible,
                 passed_over,
                 excluded,
+                room_after,
             } = state.eligible(&settings, servers, limits, request, now);
             passed_over.as_ref().inspect(|p| count_passed_over(p));
             let candidates: Vec<_> = eligible
@@ -321,17 +339,19 @@
                         list_age,
                         reserved,
                         passed_over,
+                        reservation: state.reserve_tokens(context, selected.server, request, now),
                         ..placed
                     }))
                 }
                 Choice::Refuse(after) => Placement::Refused(after),
                 Choice::NoServer => {
                     let pause = state.shortest_pause(servers, &settings, request, now);
-                    match (passed_over, pause, excluded) {
+                    match (passed_over, room_after, pause, excluded) {
                         (Some(passed), ..) => Placement::Limited(Box::new(passed)),
-                        (None, Some(after), _) => Placement::Refused(after),
-                        (None, None, Some(exclusion)) => Placement::Excluded(exclusion),
-                        (None, None, None) => Placement::NoServer,
+                        (None, Some(after), ..) => Placement::NoMemory(after),
+                        (None, None, Some(after), _) => Placement::Refused(after),
+                        (None, None, None, Some(exclusion)) => Placement::Excluded(exclusion),
+                        (None, None, None, None) => Placement::NoServer,
                     }
                 }
             }
--- a/crates/gateway/src/fleet/eligible.rs
+++ b/crates/gateway/src/fleet/eligible.rs
@@ -27,6 +27,8 @@
     pub(super) passed_over: Option<PassedOver>,
     /// Why servers that accept requests must not run this one, if there are such servers.
     pub(super) excluded: Option<Exclusion>,
+    /// Time until the first of the servers without memory for its tokens has some.
+    pub(super) room_after: Option<Duration>,
 }
 
 /// A server that is able to run a request.
@@ -51,6 +53,20 @@
     }
 }
 
+/// Time until a server has memory for the tokens of a request, if it has none now and the service
+/// publishes how much there is.
+fn missing_room(
+    load: &Load,
+    request: &PlacementRequest<'_>,
+    relation: ServerRelation,
+    now: Timestamp,
+) -> Option<Duration> {
+    let engines = request.engines?;
+    let capacity = engines.capacity?;
+    let wait = load.room_after(&engines.timing, request.tokens, capacity, relation, now);
+    (!wait.is_zero()).then_some(wait)
+}
+
 impl State {
     /// Servers that are able to run a request, with the forecast for each.
     pub(super) fn eligible<'a>(
@@ -65,6 +81,7 @@
         let mut eligible = Vec::new();
         let mut passed_over: Option<PassedOver> = None;
         let mut excluded = None;
+        let mut room_after: Option<Duration> = None;
         let mut same_zone_index = 0;
         for server in servers.ready(request.service) {
             if request.tried.contains(&server.id) {
@@ -107,6 +124,10 @@
                 }
                 continue;
             }
+            if let Some(wait) = missing_room(load, request, relation, now) {
+                room_after = Some(room_after.map_or(wait, |known| known.min(wait)));
+                continue;
+            }
             eligible.push(EligibleServer {
                 server,
                 version,
@@ -125,6 +146,7 @@
             servers: eligible,
             passed_over,
             excluded,
+            room_after,
         }
     }
 
@@ -209,6 +231,7 @@
             reserved: Reservation::default(),
             passed_over: None,
             tried: request.trial.map(|trial| trial.part.clone()),
+            reservation: None,
         }
     }
 
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use apricothall_decide::patience::answer_due;
+use apricothall_decide::priorities::Rank;
 use apricothall_decide::residency::AllowedRegions;
 use apricothall_decide::routes::{Account, CallKind, Route};
-use apricothall_types::{ConfigurationRevision, Digest, PromptPart, Timestamp};
+use apricothall_types::{ConfigurationRevision, Digest, PromptPart, Timestamp, TokenCount};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use smol_str::{SmolStr, ToSmolStr};
@@ -50,8 +51,10 @@
     pub returning: bool,
     /// Number of prompt tokens.
     pub prompt: f64,
-    /// Whether servers run it before all other queued requests.
-    pub urgent: bool,
+    /// Tokens that it may need in the memory of an engine, prompt and answer.
+    pub tokens: TokenCount,
+    /// Rank of its priority among those of the service.
+    pub rank: Rank,
     /// Digest that is equal for all attempts of the same request.
     pub fingerprint: Digest,
     /// Parts of the prompt that other requests may share.
