perf(gateway): importers of a piece hear of it at once

Reports reach a given agent of another region every 2.5 s with 25 agents a region, so the other regions had their first version 1.4 s after the origin's. An agent that has a piece from the origin now reports to the one agent of each other region that fetches it next.

--- a/crates/decide/src/pieces.rs
+++ b/crates/decide/src/pieces.rs
@@ -252,21 +252,23 @@
     Some(Source::Peer(peers[best].id.clone()))
 }
 
+/// Returns which of the `agents` of a region, in id order, fetches the piece into it.
+#[must_use]
+pub fn importer_index(agents: usize, chunk: ChunkIndex) -> usize {
+    chunk.0 as usize % agents.max(1)
+}
+
 /// Returns whether the take-over delays of all agents of the region ranked before this one have
-/// passed. The agents in id order each own every n-th piece, which gives them equal shares, and the
-/// next in order takes over.
+/// passed. The agents in id order each own every n-th piece ([`importer_index`]), which gives them
+/// equal shares, and the next in order takes over.
 fn is_takeover_due(
     takeover: Duration,
     me: Planner<'_>,
     chunk: ChunkIndex,
     waited: Duration,
 ) -> bool {
-    let mut before = 0;
-    let mut all = 1;
-    for peer in me.region_peers {
-        all += 1;
-        before += u32::from(peer < me.id);
-    }
-    let delays = (before + all - chunk.0 % all) % all;
-    waited >= takeover.saturating_mul(delays)
+    let all = me.region_peers.len() + 1;
+    let before = me.region_peers.iter().filter(|p| *p < me.id).count();
+    let delays = (before + all - importer_index(all, chunk)) % all;
+    waited >= takeover.saturating_mul(u32::try_from(delays).unwrap_or(u32::MAX))
 }
--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -1,14 +1,14 @@
 //! Fetch of a version's pieces from the origin and from other agents.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use apricothall_clients::http_client::{Answer, HttpClient, get};
 use apricothall_decide::pieces::{
     InFlight, MissingPiece, OriginReason, OriginView, PeerState, PiecesConfig, PlannedFetch,
-    Planner, Source, origin_backoff, origin_fetcher_count, origin_fetches_per_agent, origin_stall,
-    plan,
+    Planner, Source, importer_index, origin_backoff, origin_fetcher_count,
+    origin_fetches_per_agent, origin_stall, plan,
 };
 use apricothall_decide::reload::loads_before;
 use apricothall_decide::transfer::ChunkSet;
@@ -490,6 +490,7 @@
                 if self.piece_store.put(&fetched.id, fetched.index, bytes) {
                     if fetched.source == Source::Origin {
                         self.record_origin_answer(took, now);
+                        self.report_to_importers(fetched.index, now);
                     }
                     self.mismatches.remove(&fetched.index);
                     metrics::counter!("apricothall_piece_bytes_total", "source" => from)
@@ -532,6 +533,27 @@
         *mean = (*mean * 3 + took) / 4;
     }
 
+    /// Reports at once to the agents that fetch the piece into their regions. Periodic reports reach
+    /// an agent of another region too seldom for that.
+    fn report_to_importers(&self, chunk: ChunkIndex, now: Timestamp) {
+        let own = &self.context.settings().region;
+        let mut regions: BTreeMap<Region, BTreeMap<MemberId, SocketAddr>> = BTreeMap::new();
+        self.context.peers.each(now, |peer| {
+            let hello = &peer.hello;
+            let is_agent = hello.role == Role::Agent && hello.phase != Phase::Leaving;
+            if is_agent && hello.region != *own {
+                let region = regions.entry(hello.region.clone()).or_default();
+                region.insert(hello.id.clone(), hello.address);
+            }
+        });
+        for agents in regions.values() {
+            let importer = importer_index(agents.len(), chunk);
+            if let Some(address) = agents.values().nth(importer) {
+                self.context.fleet.request_report(*address);
+            }
+        }
+    }
+
     /// Records a piece that the origin sent in the time `took`.
     fn record_origin_answer(&mut self, took: Duration, now: Timestamp) {
         self.origin_failures = 0;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -81,6 +81,8 @@
     state: Mutex<State>,
     engine_status: Mutex<Option<EngineStatus>>,
     fetching: AtomicBool,
+    /// Daemons to which the status of this agent is sent in the next round of gossip.
+    report_to: Mutex<BTreeSet<SocketAddr>>,
     /// Start of the engine on this VM, if others heard that its weights may be bad.
     doubt: Mutex<Option<u64>>,
 }
@@ -218,6 +220,7 @@
             }),
             engine_status: Mutex::default(),
             fetching: AtomicBool::new(false),
+            report_to: Mutex::default(),
             doubt: Mutex::default(),
         }
     }
@@ -269,6 +272,22 @@
         self.fetching.store(fetching, Ordering::Relaxed);
     }
 
+    fn report_to(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
+        let lock = self.report_to.lock();
+        lock.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends the status of this agent to `address` in the next round of gossip.
+    pub fn request_report(&self, address: SocketAddr) {
+        self.report_to().insert(address);
+    }
+
+    /// Takes the daemons to which the status of this agent is to be sent.
+    #[must_use]
+    pub fn take_report_receivers(&self) -> BTreeSet<SocketAddr> {
+        std::mem::take(&mut *self.report_to())
+    }
+
     /// Records the engine status reported by an agent.
     pub fn record_engine_status(&self, status: &EngineStatus, far: bool, now: Timestamp) {
         let until = now
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -300,6 +300,8 @@
     });
     let mut rng = rand::rng();
     let mut chosen: Vec<_> = due.choose_multiple(&mut rng, MAX_FANOUT).copied().collect();
+    let requested = context.fleet.take_report_receivers();
+    chosen.extend(requested.into_iter().filter(|a| !due.contains(a)));
     if context.fleet.is_fetching() {
         let sample = fetch_sample(round);
         chosen.extend(near.choose_multiple(&mut rng, sample.near));
