perf(decide): pieces that a region lacks are fetched before copies

All agents of a region had a version at the same moment, 1.3 s after the origin's region: an agent fetched the pieces of which it is the importer in its own random order among copies of others, so the last ones came late for all.

pieces_that_a_region_lacks_come_before_copies fails without the change.

--- a/crates/decide/src/pieces.rs
+++ b/crates/decide/src/pieces.rs
@@ -153,7 +153,11 @@
     let mut room = config
         .peer_fetches
         .saturating_sub(in_flight.all - in_flight.origin);
-    for piece in in_agent_order(me, wanted) {
+    let (copies, imports): (Vec<_>, Vec<_>) = in_agent_order(me, wanted)
+        .into_iter()
+        .partition(|piece| is_held_near(me, *piece, peers));
+    // The other agents of the region wait for the pieces that this one fetches into it.
+    for piece in imports.into_iter().chain(copies) {
         if room == 0 {
             break;
         }
@@ -189,6 +193,12 @@
         .collect()
 }
 
+/// Returns whether an agent of the region holds the piece.
+fn is_held_near(me: Planner<'_>, piece: MissingPiece, peers: &[PeerState]) -> bool {
+    let mut near = peers.iter().filter(|p| p.region == *me.region && !p.down);
+    near.any(|p| p.held.contains(piece.chunk))
+}
+
 /// Returns whether another agent of the region is fetching the piece into it.
 fn is_being_imported(
     config: &PiecesConfig,
@@ -213,11 +223,10 @@
     used: &mut [usize],
     now: Timestamp,
 ) -> Option<Source> {
-    let is_near = |p: &PeerState| p.region == *me.region;
-    let is_held_near = |p: &PeerState| is_near(p) && !p.down && p.held.contains(piece.chunk);
     let holders = holders(piece, peers);
-    if peers.iter().any(is_held_near) {
-        let near = holders.into_iter().filter(|i| is_near(&peers[*i]));
+    if is_held_near(me, piece, peers) {
+        let is_near = |i: &usize| peers[*i].region == *me.region;
+        let near = holders.into_iter().filter(is_near);
         return take_least_used(config, me, piece.chunk, peers, used, near);
     }
     if is_being_imported(config, me, piece, peers, now) {
--- a/crates/decide/tests/pieces.rs
+++ b/crates/decide/tests/pieces.rs
@@ -382,6 +382,61 @@
     assert!(outcome.last_sent_ms <= 2_300, "{} ms", outcome.last_sent_ms);
 }
 
+/// Guards against a region that waits for its last pieces because the agents that fetch them into it
+/// copy others first.
+#[test]
+fn pieces_that_a_region_lacks_come_before_copies() {
+    let (own, near) = (region("east"), region("east"));
+    let holder = |name: &str, region: Region, held: &[u32]| {
+        let mut set = ChunkSet::default();
+        for chunk in held {
+            set.insert(ChunkIndex(*chunk));
+        }
+        PeerState {
+            id: name.parse().expect("valid"),
+            region,
+            held: set,
+            fetching: ChunkSet::default(),
+            fetches: 0,
+            pace: Duration::ZERO,
+            busy: false,
+            down: false,
+        }
+    };
+    let copies: Vec<_> = (0..PIECES).filter(|c| *c != 20).collect();
+    let peers = [
+        holder("east-1", near, &copies),
+        holder("home-0", region("home"), &[20]),
+    ];
+    let id: MemberId = "east-0".parse().expect("valid");
+    let home = region("home");
+    let region_peers = ["east-1".parse().expect("valid")];
+    let planner = Planner {
+        id: &id,
+        region: &own,
+        home: Some(&home),
+        since: Timestamp::default(),
+        subject: "m/2",
+        region_peers: &region_peers,
+        origin: OriginView {
+            fetchers: &[],
+            progress: Timestamp::default(),
+            stall: origin_stall(None),
+        },
+    };
+    let wanted: Vec<_> = (0..PIECES)
+        .map(|chunk| MissingPiece {
+            chunk: ChunkIndex(chunk),
+            held_since: Some(Timestamp::default()),
+            fetching_since: None,
+        })
+        .collect();
+    let now = Timestamp::from_millis(10);
+    let config = PiecesConfig::default();
+    let planned = plan(&config, planner, &wanted, InFlight::default(), &peers, now);
+    assert_eq!(planned.first().map(|p| p.chunk), Some(ChunkIndex(20)));
+}
+
 macro_rules! origin_backoffs {
     ($($case:ident: after $failures:literal failures => $ms:literal ms;)*) => {
         $(#[test] fn $case() {
