fix(gateway): a slow link carries a piece once to its region and once to others

An agent of another region that had taken a piece first kept those of the holder's own region from it for 5 s at a time.

--- a/crates/decide/tests/origin_link.rs
+++ b/crates/decide/tests/origin_link.rs
@@ -94,7 +94,8 @@
     /// Requests to other agents: which agent, and when it was asked.
     copies: BTreeMap<ChunkIndex, (usize, u64)>,
     uploads: VecDeque<(usize, ChunkIndex, u64)>,
-    uploaded: BTreeSet<ChunkIndex>,
+    /// Pieces that were sent to this region, or to another one.
+    uploaded: BTreeSet<(ChunkIndex, bool)>,
     heard: BTreeMap<usize, Report>,
     held_since: BTreeMap<ChunkIndex, Timestamp>,
     fetching_since: BTreeMap<ChunkIndex, Timestamp>,
@@ -417,7 +418,8 @@
     let slow = all[from].is_slow || all[i].is_slow;
     let each = if slow { SEND_MS * 20 } else { SEND_MS };
     let waiting = all[from].uploads.len();
-    let is_resent = all[from].is_slow && all[from].uploaded.contains(&chunk);
+    let is_far = all[from].region != all[i].region;
+    let is_resent = all[from].is_slow && all[from].uploaded.contains(&(chunk, is_far));
     if is_resent || waiting >= MAX_QUEUED || each * waiting as u64 > MAX_QUEUE_MS {
         all[i].busy.insert(from, now + BUSY_MS);
         return;
@@ -425,7 +427,7 @@
     let last = all[from].uploads.back().map_or(now, |(.., due)| *due);
     let due = last.max(now) + each + rng.random_range(0..4);
     all[from].uploads.push_back((i, chunk, due));
-    all[from].uploaded.insert(chunk);
+    all[from].uploaded.insert((chunk, is_far));
     all[i].copies.insert(chunk, (from, now));
 }
 
--- a/crates/decide/tests/pieces.rs
+++ b/crates/decide/tests/pieces.rs
@@ -433,8 +433,8 @@
         .collect();
     let now = Timestamp::from_millis(10);
     let config = PiecesConfig::default();
-    let planned = plan(&config, planner, &wanted, InFlight::default(), &peers, now);
-    assert_eq!(planned.first().map(|p| p.chunk), Some(ChunkIndex(20)));
+    let fetches = plan(&config, planner, &wanted, InFlight::default(), &peers, now);
+    assert_eq!(fetches.first().map(|p| p.chunk), Some(ChunkIndex(20)));
 }
 
 macro_rules! origin_backoffs {
--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -314,7 +314,7 @@
     /// Returns the priority of this agent for uploads from `peer`.
     fn rank(&self, peer: &Peer) -> Rank {
         if peer.far {
-            return Rank(0);
+            return Rank::FAR;
         }
         let settings = self.context.settings();
         let mut before = 1;
--- a/crates/gateway/src/agent/pieces.rs
+++ b/crates/gateway/src/agent/pieces.rs
@@ -37,8 +37,8 @@
 /// not time out before their turn.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(900);
 
-/// Mean time of an upload from which a link counts as slow. Pieces are sent only once over it, as
-/// others copy them faster from whoever has received them.
+/// Mean time of an upload from which a link counts as slow. Pieces are sent over it only once to this
+/// region and once to others, where they are copied faster from whoever has received them.
 const SLOW_UPLOAD: Duration = Duration::from_millis(300);
 
 /// Time after which a piece may be sent over a slow link again.
@@ -56,6 +56,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Rank(pub u16);
 
+impl Rank {
+    /// An agent of another region.
+    pub const FAR: Self = Self(0);
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct PieceRequest {
     model: SmolStr,
@@ -116,12 +121,17 @@
             .map_or(PieceResponse::Absent, PieceResponse::Digests),
         RequestedItem::Piece(index) => {
             let now = context.clock.now();
-            let key = (id, index);
-            match context.piece_store.get(&key.0, index) {
+            let upload = Upload {
+                version: id,
+                chunk: index,
+                is_far: request.rank == Rank::FAR,
+            };
+            let rank = request.rank;
+            match context.piece_store.get(&upload.version, index) {
                 None => PieceResponse::Absent,
-                Some(_) if context.uploads.is_busy(request.rank, &key, now) => PieceResponse::Busy,
+                Some(_) if context.uploads.is_busy(rank, &upload, now) => PieceResponse::Busy,
                 Some(bytes) => {
-                    return send_piece(context, &mut channel, request.rank, key, bytes).await;
+                    return send_piece(context, &mut channel, rank, upload, bytes).await;
                 }
             }
         }
@@ -130,6 +140,14 @@
     channel.close().await
 }
 
+/// A piece that is sent to this region or to another one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Upload {
+    version: VersionId,
+    chunk: ChunkIndex,
+    is_far: bool,
+}
+
 /// Queued uploads, ordered by rank and then by arrival.
 type WaitQueue = BTreeSet<(Rank, u64)>;
 
@@ -142,12 +160,12 @@
     /// Mean time from the start of an upload until the other agent has the piece.
     mean_time: Duration,
     /// When each piece was last sent.
-    sent: HashMap<(VersionId, ChunkIndex), Timestamp>,
+    sent: HashMap<Upload, Timestamp>,
 }
 
 impl Queue {
     /// Whether the link is slow and has just carried the piece.
-    fn has_just_sent(&self, piece: &(VersionId, ChunkIndex), now: Timestamp) -> bool {
+    fn has_just_sent(&self, piece: &Upload, now: Timestamp) -> bool {
         let sent = self.sent.get(piece);
         let is_recent = sent.is_some_and(|at| now.since(*at) < RESEND_INTERVAL);
         self.mean_time >= SLOW_UPLOAD && is_recent
@@ -177,7 +195,7 @@
 
     /// Returns whether the queue ahead of a request of `rank` is full, or the piece was sent over a
     /// slow link a moment ago.
-    fn is_busy(&self, rank: Rank, piece: &(VersionId, ChunkIndex), now: Timestamp) -> bool {
+    fn is_busy(&self, rank: Rank, piece: &Upload, now: Timestamp) -> bool {
         let queue = self.queue();
         if queue.has_just_sent(piece, now) {
             return true;
@@ -199,7 +217,7 @@
     }
 
     /// Records that a piece is sent, and forgets those sent long ago.
-    fn record_sent(&self, piece: (VersionId, ChunkIndex), now: Timestamp) {
+    fn record_sent(&self, piece: Upload, now: Timestamp) {
         let mut queue = self.queue();
         queue.sent.retain(|_, at| now.since(*at) < RESEND_INTERVAL);
         queue.sent.insert(piece, now);
@@ -212,7 +230,7 @@
     }
 
     /// Records that an upload was received, after the time `took`, or that the wait for it timed out.
-    fn mark_received(&self, piece: &(VersionId, ChunkIndex), took: Option<Duration>) {
+    fn mark_received(&self, piece: &Upload, took: Option<Duration>) {
         let mut queue = self.queue();
         queue.unreceived -= 1;
         match took {
@@ -268,7 +286,7 @@
     context: &Context,
     channel: &mut Channel<PieceRequest, PieceResponse>,
     rank: Rank,
-    piece: (VersionId, ChunkIndex),
+    piece: Upload,
     bytes: Bytes,
 ) -> Result<(), WireError> {
     let size = Size(u64::try_from(bytes.len()).unwrap_or(u64::MAX));
@@ -318,7 +336,7 @@
     peer: SocketAddr,
     id: &VersionId,
 ) -> Result<Vec<[u8; 32]>, PeerError> {
-    match request(connector, peer, id, RequestedItem::Digests, Rank(0)).await? {
+    match request(connector, peer, id, RequestedItem::Digests, Rank::FAR).await? {
         PieceResponse::Digests(digests) => Ok(digests),
         PieceResponse::Piece(_) | PieceResponse::Absent | PieceResponse::Busy => {
             Err(PeerError::Absent)
