fix(decide,gateway): an entry that hears from no other takes no share of cold servers

Cause: an entry that was started while it is partitioned from all others counted only itself, and took 13.6 of 17 requests a second of a cold server when it learned of the servers before it heard from the others.

Change: an entry whose settings name other daemons takes no share of cold servers until 5 s after it first heard of another entry, or until it heard of none for 10 min, when the others no longer count it either. Without seeds other than itself nothing changes. The model restarts entries at any time, also during partitions, without a pause after it. Its entries that start "known to each other" have heard of each other a minute before.

--- a/crates/decide/src/server_limits.rs
+++ b/crates/decide/src/server_limits.rs
@@ -145,7 +145,7 @@
     /// changes.
     pub fn set_entries(&mut self, entries: Vec<Sender>, now: Timestamp) -> Vec<ShareChange> {
         let has_joined = now.since(self.started) >= JOIN_TIME;
-        self.cold.set_entries(&entries, has_joined, now);
+        self.cold.set_entries(&entries, self.started, now);
         if entries == self.entries && has_joined == self.has_joined {
             return Vec::new();
         }
--- a/crates/decide/src/server_limits/cold.rs
+++ b/crates/decide/src/server_limits/cold.rs
@@ -200,9 +200,17 @@
         self.services.contains_key(service)
     }
 
-    /// Sets the entries that accept requests, and whether this entry knows all of them.
-    pub(super) fn set_entries(&mut self, entries: &[Sender], has_joined: bool, now: Timestamp) {
+    /// Sets whether the settings of this entry name other daemons. If they do, it takes no share
+    /// until it has heard of another entry, as it may have been started while it is partitioned.
+    pub fn set_expects_others(&mut self, expects_others: bool) {
+        self.entries.set_expects_others(expects_others);
+    }
+
+    /// Sets the entries that accept requests, as known to this entry, which was started at
+    /// `started`.
+    pub(super) fn set_entries(&mut self, entries: &[Sender], started: Timestamp, now: Timestamp) {
         let changed = self.entries.update(&self.own, entries, now);
+        let has_joined = self.entries.has_joined(started, now);
         if changed || has_joined != self.has_joined {
             self.has_joined = has_joined;
             self.update_shares(now);
--- a/crates/decide/src/server_limits/known_entries.rs
+++ b/crates/decide/src/server_limits/known_entries.rs
@@ -9,6 +9,7 @@
 
 use apricothall_types::{MemberId, Timestamp};
 
+use super::JOIN_TIME;
 use super::share::{Sender, TOLERATED_EXTRA};
 
 /// Time after which a silent entry no longer counts, if the shares leave room for it to send still.
@@ -30,6 +31,10 @@
     heard: Vec<Sender>,
     silent: Vec<Silent>,
     all: Vec<Sender>,
+    /// Whether the settings name other daemons.
+    expects_others: bool,
+    /// When another entry was first heard from.
+    others_heard: Option<Timestamp>,
 }
 
 impl KnownEntries {
@@ -38,8 +43,30 @@
         &self.all
     }
 
+    /// Sets whether the settings name other daemons.
+    pub(super) fn set_expects_others(&mut self, expects_others: bool) {
+        self.expects_others = expects_others;
+    }
+
+    /// Whether this entry, which was started at `started`, knows the others well enough to take a
+    /// share. An entry that was started while it is partitioned from all others hears from none of
+    /// them, and would otherwise use the whole limit in addition to their shares.
+    pub(super) fn has_joined(&self, started: Timestamp, now: Timestamp) -> bool {
+        if !self.expects_others {
+            return now.since(started) >= JOIN_TIME;
+        }
+        match self.others_heard {
+            Some(heard) => now.since(heard) >= JOIN_TIME,
+            // The others no longer count this entry either.
+            None => now.since(started) >= PARTITION_TIME,
+        }
+    }
+
     /// Sets the entries that serve. Returns whether others count than before.
     pub(super) fn update(&mut self, own: &MemberId, entries: &[Sender], now: Timestamp) -> bool {
+        if self.others_heard.is_none() && entries.iter().any(|e| e.id != *own) {
+            self.others_heard = Some(now);
+        }
         if entries != self.heard {
             let ids: HashSet<_> = entries.iter().map(|e| &e.id).collect();
             self.silent.retain(|s| !ids.contains(&s.entry.id));
--- a/crates/decide/tests/server_limits/cold.rs
+++ b/crates/decide/tests/server_limits/cold.rs
@@ -17,9 +17,6 @@
 /// Time over which the use of a limit is measured.
 const USE_TIME: Duration = Duration::from_secs(5);
 
-/// Time within which an entry that was started knows the others.
-const START_TIME: Duration = Duration::from_secs(2);
-
 /// Time within which all entries know each other after a partition.
 const HEAL_TIME: Duration = Duration::from_secs(4);
 
@@ -111,40 +108,32 @@
     a_zone_returns_with_300_entries: 0..1, 300;
 }
 
-/// Runs random partitions and restarts of entries while servers become cold again and again. A
-/// process that starts while it is partitioned can't know how many others there are, so that entries
-/// are not restarted then.
+/// Runs random partitions and restarts of entries, also of partitioned ones, while servers become
+/// cold again and again.
 fn run_faults(seed: u64, entries: usize) -> Vec<String> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut world = ColdWorld::new(seed, busy(entries), SERVERS);
     let mut evacuated = None;
-    let mut partitioned = false;
     for _ in 0..24 {
         match rng.random_range(0..10) {
             0..4 => {
                 let server = rng.random_range(0..SERVERS);
                 world.make_cold(server, rng.random(), rng.random());
             }
-            4 if !partitioned => {
-                world.restart(rng.random_range(0..entries), rng.random());
-                world.run(START_TIME);
-            }
+            4 => world.restart(rng.random_range(0..entries), rng.random()),
             5 => {
                 let most = entries.div_ceil(2).min(4);
                 let group = rng.random_range(1..=most);
                 let group: Vec<_> = (0..group).map(|_| rng.random_range(0..entries)).collect();
                 world.partition(&group);
-                partitioned = true;
             }
             6 => {
                 let group: Vec<_> = (0..entries).filter(|e| e % ZONES == 0).collect();
                 world.partition(&group);
-                partitioned = true;
             }
             7 => {
                 world.heal();
                 world.run(HEAL_TIME);
-                partitioned = false;
             }
             _ => {
                 if let Some(zone) = evacuated.take() {
@@ -181,6 +170,76 @@
     faults_with_50_entries_and_cold_servers: 0..6, 50;
 }
 
+// Guards against restarts during partitions that add up with partitioned entries to 31 requests in
+// a second.
+faults! {
+    restarts_during_partitions_with_seed_187: 187..188, 8;
+}
+
+// Guards against four entries that lose each other and restart one by one, count few or no others,
+// and each take most of a limit.
+faults! {
+    restarts_during_partitions_with_four_entries: 193..194, 4;
+}
+
+/// Guards against an entry that is restarted while it is partitioned from all others and takes the
+/// whole limit when it learns of the servers before it hears from the others.
+#[test]
+fn an_entry_restarted_while_partitioned_waits_for_the_others() {
+    let mut world = ColdWorld::new(187, busy(8), SERVERS);
+    world.partition(&[0]);
+    world.run(HEAL_TIME);
+    world.restart(0, false);
+    world.run(secs(10));
+    for server in 0..SERVERS {
+        world.make_cold(server, true, true);
+    }
+    world.run(secs(1));
+    world.heal();
+    for _ in 0..60 {
+        world.run(Duration::from_millis(100));
+        for server in 0..SERVERS {
+            let share = world.share(0, server);
+            assert!(share.is_none_or(|s| s <= Quota(1_700)), "{share:?}");
+        }
+    }
+    world.run(secs(5));
+    assert_eq!(world.share(0, 0), Some(Quota(1_700)));
+    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+}
+
+/// Share of an entry whose settings name others of which it never hears, some time after its start.
+fn share_alone(expects_others: bool, after: Duration) -> Option<Quota> {
+    let own = Sender {
+        id: "e".parse().expect("valid"),
+        zone: "z".parse().expect("valid"),
+        region: "r".parse().expect("valid"),
+    };
+    let mut limits = ServerLimits::new(own.id.clone(), START);
+    limits.cold.set_expects_others(expects_others);
+    let services = [("p".into(), start())].into();
+    limits.cold.set_services(services, START);
+    let now = START + after;
+    limits.set_entries(vec![own], now);
+    let server = listed(None);
+    limits.observe_entry(&server, now);
+    match limits.verdict(&server.id, server.born, now) {
+        Verdict::PassedOver(passed) => passed.share,
+        other => panic!("a new sender has no tokens: {other:?}"),
+    }
+}
+
+/// Guards against a single entry that sends nothing as it waits for others, without any in its
+/// settings or for ever.
+#[test]
+fn an_entry_that_hears_from_nobody_waits_only_for_expected_others() {
+    let whole = Some(Quota(13_600));
+    assert_eq!(share_alone(false, secs(4)), None);
+    assert_eq!(share_alone(false, secs(5)), whole);
+    assert_eq!(share_alone(true, secs(599)), None);
+    assert_eq!(share_alone(true, secs(600)), whole);
+}
+
 /// Guards against an entry that takes more of a limit as it no longer hears from the others.
 #[test]
 fn a_partitioned_entry_keeps_its_share() {
--- a/crates/decide/tests/server_limits/cold_world.rs
+++ b/crates/decide/tests/server_limits/cold_world.rs
@@ -195,7 +195,9 @@
             });
         }
         for index in 0..conditions.entries {
-            let mut entry = world.new_entry(index, 0, START - Duration::from_mins(1));
+            let started = START - Duration::from_mins(1);
+            let mut entry = world.new_entry(index, 0, started);
+            entry.limits.set_entries(world.senders.clone(), started);
             entry.view = vec![true; conditions.entries];
             entry.servers = world
                 .servers
@@ -223,6 +225,8 @@
         limits
             .cold
             .set_services([("p".into(), start)].into(), self.now);
+        let expects_others = self.conditions.entries > 1;
+        limits.cold.set_expects_others(expects_others);
         Entry {
             limits,
             view: vec![false; self.conditions.entries],
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -1,5 +1,6 @@
 //! Limits that servers name, shared with other entries by gossip, and limits of cold servers.
 
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use apricothall_decide::server_limits::{
@@ -32,6 +33,9 @@
         let mut limits = ServerLimits::new(settings.id.clone(), now);
         let regions = settings.regions.iter();
         limits.set_regions(regions.map(|(z, r)| (z.clone(), r.clone())).collect());
+        let own = SocketAddr::new(settings.ip, settings.peer_port);
+        let expects_others = settings.seeds.iter().any(|seed| *seed != own);
+        limits.cold.set_expects_others(expects_others);
         Self {
             limits: Mutex::new(limits),
             configuration: Mutex::default(),
