--- a/crates/decide/src/evacuation.rs
+++ b/crates/decide/src/evacuation.rs
@@ -73,7 +73,7 @@
     }
 
     /// Takes a complete set, unless the current one is as recent. If it is the first one since the
-    /// store came back from an older copy, earlier changes stay in effect for [`REWRITE_TIME`].
+    /// store came back from an older copy, earlier changes stay in effect for 5 s.
     pub fn replace(&mut self, set: EvacuationSet, now: Timestamp) -> Vec<EvacuationChange> {
         if set.as_of <= self.stored.as_of {
             return Vec::new();
