--- a/crates/decide/src/pieces/origin.rs
+++ b/crates/decide/src/pieces/origin.rs
@@ -13,7 +13,7 @@
 /// Maximum number of agents among which the pieces are divided, each of which fetches one at a time
 /// if there are so many. They fill its link with some to spare for slow ones; with more of them each piece takes
 /// longer, so that an interrupted fetch wastes more.
-const MAX_FETCHERS: usize = 8;
+const MAX_FETCHERS: usize = 12;
 
 /// Number of mean fetch times after which a fetch from the origin counts as stalled.
 const STALL_FETCH_TIMES: u32 = 3;
