refactor: names and comments from a newcomer's read-through

Private names that read like something else are renamed, constants stand at the top, and comments say what they lacked; no behaviour changes.

--- a/crates/decide/src/evacuation.rs
+++ b/crates/decide/src/evacuation.rs
@@ -37,8 +37,8 @@
     pub evacuated: bool,
 }
 
-/// Differences from an older copy of the store, from which it was restored. They apply until
-/// operators have written their items again.
+/// What stays in effect after the store was restored from an older copy of itself, until operators
+/// have written their items again.
 #[derive(Clone, Debug)]
 struct CopyHold {
     until: Timestamp,
--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -139,6 +139,7 @@
     recent: VecDeque<Timestamp>,
     report: Option<LoadReport>,
     backlog: Backlog,
+    /// Backlog of the requests of the highest rank.
     urgent: Backlog,
     /// For each rank, its requests and those of higher ranks.
     ranks: [RankQueue; MAX_RANKS],
@@ -274,7 +275,7 @@
             slowdown: report.map_or(1.0, |n| n.slowdown),
         };
         if prompt.rank.is_highest() && taken >= timing.slots {
-            // Only other urgent requests are ahead of it in the queue.
+            // Only other requests of the highest rank are ahead of it in the queue.
             work.waiting = 0;
             work.backlog_ms = work.backlog_ms.min(self.urgent.remaining_ms(now));
         } else if !prompt.rank.is_lowest() && taken >= timing.slots {
--- a/crates/decide/src/pieces.rs
+++ b/crates/decide/src/pieces.rs
@@ -3,10 +3,10 @@
 //! Each piece is sent once by the origin and once to each other region. A few agents of the origin's
 //! region, the fetchers, divide the pieces among themselves and fetch them from the origin, as many
 //! at a time as fill its link. A fetcher that has none left takes over the last pieces of the others.
-//! Each piece has one fixed successor of its owner, so that no two agents take over the same piece. A fetch
-//! that makes no progress is repeated only while other pieces leave the origin. The agents of another
-//! region divide the pieces in the same way and fetch them from outside the region. Within a region
-//! agents copy from each other.
+//! Each piece has one fixed successor of its owner, so that no two agents take over the same piece. A
+//! fetch that makes no progress is repeated only while other pieces leave the origin. The agents of
+//! another region divide the pieces in the same way and fetch them from outside the region. Within a
+//! region agents copy from each other.
 
 use std::time::Duration;
 
@@ -227,7 +227,7 @@
     if is_held_near(me, piece, peers) {
         let is_near = |i: &usize| peers[*i].region == *me.region;
         let near = holders.into_iter().filter(is_near);
-        return take_least_used(config, me, piece.chunk, peers, used, near);
+        return take_fastest(config, me, piece.chunk, peers, used, near);
     }
     if is_being_imported(config, me, piece, peers, now) {
         return None;
@@ -236,12 +236,12 @@
     if !is_takeover_due(config.takeover, me, piece.chunk, held) {
         return None;
     }
-    take_least_used(config, me, piece.chunk, peers, used, holders.into_iter())
+    take_fastest(config, me, piece.chunk, peers, used, holders.into_iter())
 }
 
 /// Takes the holder below the limit per peer that is expected to have sent the piece first. Ties are
 /// broken in an order specific to the agent, so that agents do not all choose the same holder.
-fn take_least_used(
+fn take_fastest(
     config: &PiecesConfig,
     me: Planner<'_>,
     chunk: ChunkIndex,
@@ -253,9 +253,13 @@
     let best = holders
         .filter(|i| used[*i] < config.per_peer)
         .min_by_key(|i| {
-            let ahead = u32::try_from(used[*i]).unwrap_or(u32::MAX);
-            let expected = peers[*i].pace.saturating_mul(ahead.saturating_add(1));
-            (expected, used[*i], rank::weight(&subject, &peers[*i].id))
+            let queued = u32::try_from(used[*i]).unwrap_or(u32::MAX);
+            let expected_time = peers[*i].pace.saturating_mul(queued.saturating_add(1));
+            (
+                expected_time,
+                used[*i],
+                rank::weight(&subject, &peers[*i].id),
+            )
         })?;
     used[best] += 1;
     Some(Source::Peer(peers[best].id.clone()))
--- a/crates/decide/src/pieces/origin.rs
+++ b/crates/decide/src/pieces/origin.rs
@@ -8,11 +8,13 @@
 
 use apricothall_types::{ChunkIndex, MemberId, Region, Timestamp};
 
-use super::{InFlight, MissingPiece, PeerState, PiecesConfig, PlannedFetch, Planner, Source};
+use super::{
+    InFlight, MissingPiece, PeerState, PiecesConfig, PlannedFetch, Planner, Source, importer_index,
+};
 
-/// Maximum number of agents among which the pieces are divided, each of which fetches one at a time
-/// if there are so many. They fill its link with some to spare for slow ones; with more of them each piece takes
-/// longer, so that an interrupted fetch wastes more.
+/// Maximum number of agents among which the pieces are divided. With this many, each fetches one
+/// piece at a time. They fill the origin's link, with some to spare for slow agents; with more of them
+/// each piece takes longer, so that an interrupted fetch wastes more.
 const MAX_FETCHERS: usize = 12;
 
 /// Number of mean fetch times after which a fetch from the origin counts as stalled.
@@ -36,6 +38,12 @@
 /// Time after which a fetch counts as stalled if no fetch time has been measured.
 const DEFAULT_STALL: Duration = Duration::from_millis(1_600);
 
+/// Back-off after the second consecutive failure of the origin.
+const ORIGIN_BACKOFF: Duration = Duration::from_millis(150);
+
+/// Upper bound on the back-off from the origin.
+const MAX_ORIGIN_BACKOFF: Duration = Duration::from_millis(1_200);
+
 /// What an agent knows of the origin.
 #[derive(Clone, Copy, Debug)]
 pub struct OriginView<'a> {
@@ -89,10 +97,10 @@
         .filter(|w| !is_held(me, **w, peers, now))
         .copied()
         .collect();
-    let is_idle = |w: &MissingPiece| !is_being_fetched(*w, peers);
+    let is_unfetched = |w: &MissingPiece| !is_being_fetched(*w, peers);
     let mut own: Vec<_> = left
         .iter()
-        .filter(|w| is_idle(w) && position(me, w.chunk, &gone) == 0)
+        .filter(|w| is_unfetched(w) && position(me, w.chunk, &gone) == 0)
         .map(|w| w.chunk)
         .collect();
     own.sort_unstable();
@@ -103,6 +111,7 @@
     if in_flight.origin > 0 {
         return Vec::new();
     }
+    // No own piece is left, and nothing is being fetched: take over one piece of another agent.
     let (left, gone) = (&left, &gone);
     let within = |reach: usize| {
         let all = left.iter();
@@ -110,10 +119,10 @@
     };
     let is_far_behind =
         |w: &&MissingPiece| left_to_owner(me, w.chunk, left, peers) >= MIN_LEFT_TO_OWNER;
-    let unowned = within(1).filter(|w| is_idle(w)).filter(is_far_behind);
-    let last = unowned.map(|w| w.chunk).max();
+    let untaken = within(1).filter(|w| is_unfetched(w)).filter(is_far_behind);
+    let last_untaken = untaken.map(|w| w.chunk).max();
     let stalled = within(takeover_reach(me, now)).find(|w| is_stalled(me, **w, peers, now));
-    match (last, stalled) {
+    match (last_untaken, stalled) {
         (Some(chunk), _) => vec![fetch(chunk, OriginReason::Idle)],
         (None, Some(piece)) => vec![fetch(piece.chunk, OriginReason::Stalled)],
         (None, None) => Vec::new(),
@@ -195,7 +204,7 @@
 }
 
 fn index_of_owner(me: Planner<'_>, chunk: ChunkIndex) -> usize {
-    chunk.0 as usize % me.origin.fetchers.len().max(1)
+    importer_index(me.origin.fetchers.len(), chunk)
 }
 
 /// Agents that are not waited for, as nothing leaves the origin and fetches from them fail.
@@ -256,12 +265,6 @@
     })
 }
 
-/// Back-off after the second consecutive failure of the origin.
-const ORIGIN_BACKOFF: Duration = Duration::from_millis(150);
-
-/// Upper bound on the back-off from the origin.
-const MAX_ORIGIN_BACKOFF: Duration = Duration::from_millis(1_200);
-
 /// Returns the back-off after `failures` consecutive failures of the origin.
 ///
 /// A single failure is usually a truncated response, and the origin may soon become unavailable,
--- a/crates/decide/src/server_limits/cold.rs
+++ b/crates/decide/src/server_limits/cold.rs
@@ -4,6 +4,9 @@
 //! entry learns from the server list and the configuration until when a server is cold; there are
 //! no messages about it. The limit is divided like one that a server names, but also counts entries
 //! that fell silent.
+//!
+//! "Entry" alone is a daemon that accepts requests; the item of a server in the store is its "server
+//! entry".
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -127,6 +130,7 @@
         if before.is_some_and(|s| s.remaining == Some(remaining)) {
             return;
         }
+        // A time of zero ends the earlier cold time now, and the limit rises from here.
         let ended = before.and_then(|s| s.time).map(|time| ColdTime {
             until: time.until.min(now),
             ..time
@@ -352,12 +356,13 @@
                 server.before = None;
                 server.limit = None;
             }
-            self.limited(&id, now);
+            self.refresh_share(&id, now);
         }
     }
 
-    /// State of a server with a limit, and the limit at `now`.
-    fn limited(&mut self, id: &MemberId, now: Timestamp) -> Option<(&mut ColdServer, Quota)> {
+    /// Updates the share in the limit of a server. Returns its state and the limit at `now`, if it has
+    /// one.
+    fn refresh_share(&mut self, id: &MemberId, now: Timestamp) -> Option<(&mut ColdServer, Quota)> {
         let server = self.servers.get_mut(id)?;
         let time = server.time?;
         let start = self.services.get(&server.entry.service)?;
@@ -376,19 +381,20 @@
         Some((server, limit))
     }
 
-    fn limited_life(
+    /// Like [`Self::refresh_share`], only for the process started at `born`.
+    fn refresh_share_of_life(
         &mut self,
         id: &MemberId,
         born: WallTime,
         now: Timestamp,
     ) -> Option<(&mut ColdServer, Quota)> {
-        let limited = self.limited(id, now)?;
+        let limited = self.refresh_share(id, now)?;
         (limited.0.entry.server.born == born).then_some(limited)
     }
 
     /// Whether a request may be sent to the server `id`, started at `born`.
     pub(super) fn verdict(&mut self, id: &MemberId, born: WallTime, now: Timestamp) -> Verdict {
-        let Some((server, limit)) = self.limited_life(id, born, now) else {
+        let Some((server, limit)) = self.refresh_share_of_life(id, born, now) else {
             return Verdict::Unlimited;
         };
         if server.usage.has_room(now) {
@@ -415,7 +421,7 @@
         born: WallTime,
         now: Timestamp,
     ) -> Option<&mut Usage> {
-        let (server, _) = self.limited_life(id, born, now)?;
+        let (server, _) = self.refresh_share_of_life(id, born, now)?;
         Some(&mut server.usage)
     }
 
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -42,6 +42,7 @@
     known
 }
 
+/// Guards against a change that is logged twice.
 #[test]
 fn a_change_is_reported_once() {
     let mut known = daemon(&[]);
@@ -97,6 +98,7 @@
     assert!(names(&known).is_empty());
 }
 
+/// Guards against an evacuation that is withheld because an earlier one of the zone was removed.
 #[test]
 fn an_evacuation_written_in_the_new_era_holds_at_once() {
     let mut known = daemon(&["a"]);
--- a/crates/decide/tests/origin_link.rs
+++ b/crates/decide/tests/origin_link.rs
@@ -18,8 +18,8 @@
 const STEP_MS: u64 = 25;
 /// Rounds between two reports of an agent to some others.
 const REPORT_ROUNDS: u64 = 4;
-/// Agents of the region, and of other regions, that hear each report.
-const HEARERS: (usize, usize) = (8, 2);
+/// Number of agents of the region, and of other regions, that receive each report.
+const RECEIVERS: (usize, usize) = (8, 2);
 /// Delay of a report.
 const REPORT_DELAY_MS: u64 = 20;
 /// Time for a piece on the link of an agent's VM.
@@ -30,13 +30,16 @@
 const MAX_QUEUE_MS: u64 = 900;
 /// Time for which an agent is not asked after it was busy.
 const BUSY_MS: u64 = 60;
-/// Time after which an agent gives up a request, and for which it does not ask that agent again.
+/// Time after which an agent gives up a request.
 const TIMEOUT_MS: u64 = 1_800;
+/// Time for which an agent does not ask another one again that did not answer.
 const BACKOFF_MS: u64 = 1_500;
+/// Time after which a run is ended.
 const LIMIT_MS: u64 = 40_000;
 
-/// Time after which an agent gives up a fetch from the origin, and until it begins another one.
+/// Time after which an agent gives up a fetch from the origin.
 const ORIGIN_TIMEOUT_MS: u64 = 3_000;
+/// Time until it begins another one.
 const ORIGIN_BACKOFF_MS: u64 = 150;
 
 /// Expected time of a fetch from an agent that was not asked before.
@@ -305,8 +308,8 @@
         let (near, far): (Vec<_>, Vec<_>) = (0..all.len())
             .filter(|j| *j != i)
             .partition(|j| all[*j].region == agent.region);
-        let mut hearers = near.into_iter().choose_multiple(rng, HEARERS.0);
-        hearers.extend(far.into_iter().choose_multiple(rng, HEARERS.1));
+        let mut hearers = near.into_iter().choose_multiple(rng, RECEIVERS.0);
+        hearers.extend(far.into_iter().choose_multiple(rng, RECEIVERS.1));
         for to in hearers {
             reports.push_back((now + REPORT_DELAY_MS, i, to, report.clone()));
         }
@@ -458,7 +461,7 @@
     /// 4.3 s a copy. All fetches together take longer than a second.
     a_slow_link_for_twelve_agents: Load { agents: [12, 11, 11], pieces: 96, origin_ms: 45.0, ..Load::default() },
         half by 10_500 ms, all by 14_000 ms;
-    /// A few agents have a link of a twentieth.
+    /// Every sixth agent has a link with a twentieth of the rate.
     a_sixth_of_the_agents_on_slow_links: Load { slow_every: Some(6), ..Load::default() }, half by 9_000 ms, all by 13_400 ms;
     a_third_of_the_agents_begins_late: Load { late_every: Some(3), ..Load::default() }, half by 6_500 ms, all by 9_000 ms;
     /// Two owners and the successors of some of their pieces cannot fetch anything.
--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -154,7 +154,7 @@
             Some(Ok(Fetched::Piece(fetched))) => self.complete(fetched),
             Some(Ok(Fetched::Digests(id, digests))) => self.correct_digests(&id, digests),
             Some(Err(error)) => {
-                tracing::error!(%error, "fetch task panicked or was cancelled; starting all anew");
+                tracing::error!(%error, "fetch task panicked or was cancelled; all fetches are restarted");
                 self.tasks = JoinSet::new();
                 self.in_flight.clear();
             }
--- a/crates/gateway/src/agent/pieces.rs
+++ b/crates/gateway/src/agent/pieces.rs
@@ -164,8 +164,8 @@
 }
 
 impl Queue {
-    /// Whether the link is slow and has just carried the piece.
-    fn has_just_sent(&self, piece: &Upload, now: Timestamp) -> bool {
+    /// Whether the link is slow and has carried the piece a moment ago.
+    fn is_resent_too_soon(&self, piece: &Upload, now: Timestamp) -> bool {
         let sent = self.sent.get(piece);
         let is_recent = sent.is_some_and(|at| now.since(*at) < RESEND_INTERVAL);
         self.mean_time >= SLOW_UPLOAD && is_recent
@@ -197,7 +197,7 @@
     /// slow link a moment ago.
     fn is_busy(&self, rank: Rank, piece: &Upload, now: Timestamp) -> bool {
         let queue = self.queue();
-        if queue.has_just_sent(piece, now) {
+        if queue.is_resent_too_soon(piece, now) {
             return true;
         }
         let waiting = queue.waiting.range(..=(rank, u64::MAX)).count();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -338,7 +338,9 @@
                 excluded,
                 room_after,
             } = state.eligible(&settings, servers, limits, request, now);
-            passed_over.as_ref().inspect(|p| count_passed_over(p));
+            if let Some(passed) = &passed_over {
+                count_passed_over(passed);
+            }
             let candidates: Vec<_> = eligible
                 .iter()
                 .map(|e| e.candidate(state.outlier.permit(&e.server.id, now)))
