--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -51,6 +51,9 @@
 /// Maximum size of a response from the origin, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Time for which a piece is not fetched again after its digest differed.
+const MISMATCH_BACKOFF: Duration = Duration::from_millis(300);
+
 /// Number of times that the digest of a piece must differ before the digests are fetched again.
 const MAX_MISMATCHES: u32 = 2;
 
@@ -95,6 +98,8 @@
     tasks: JoinSet<Fetched>,
     /// Number of times that the digest of a missing piece differed.
     mismatches: HashMap<ChunkIndex, u32>,
+    /// Pieces whose digest differed, until when they are not fetched again.
+    mismatch_backoff: HashMap<ChunkIndex, Timestamp>,
     peer_backoff: HashMap<MemberId, Timestamp>,
     /// Peers whose upload queue was full, until when they are not asked.
     busy_peers: HashMap<MemberId, Timestamp>,
@@ -131,6 +136,7 @@
             fetching_since: HashMap::new(),
             tasks: JoinSet::new(),
             mismatches: HashMap::new(),
+            mismatch_backoff: HashMap::new(),
             peer_backoff: HashMap::new(),
             busy_peers: HashMap::new(),
             mean_fetch_time: Duration::ZERO,
@@ -184,6 +190,7 @@
                 self.fetching_since.clear();
                 self.tasks = JoinSet::new();
                 self.mismatches.clear();
+                self.mismatch_backoff.clear();
                 self.piece_store.begin(wanted.clone(), digests);
             }
             Err(error @ (DigestsError::Deferred | DigestsError::OriginBackoff)) => {
@@ -231,8 +238,12 @@
         if missing.is_empty() {
             return;
         }
-        missing.retain(|index| !self.in_flight.contains_key(index));
         let now = self.context.clock.now();
+        missing.retain(|index| !self.in_flight.contains_key(index));
+        missing.retain(|index| {
+            let until = self.mismatch_backoff.get(index);
+            until.is_none_or(|until| now >= *until)
+        });
         let agents = self.agents(wanted);
         let holders = self.holders(wanted, &agents, now);
         let missing = self.track_missing(&missing, &holders, now);
@@ -497,6 +508,8 @@
                         .increment(size);
                     return;
                 }
+                let until = now + MISMATCH_BACKOFF;
+                self.mismatch_backoff.insert(fetched.index, until);
                 self.record_mismatch(&fetched.id, fetched.index);
                 FetchError::DigestMismatch
             }
