review: case 6, answers to clients that read slowly are lost

Cause: the connections of callers have TCP_USER_TIMEOUT of 1.5 s, which the kernel also counts while the window of a caller that does not read is zero. The write time-out of 8 s is never reached.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 
 mod bounds;
 mod promise;
+mod slow_reader;
 mod storm;
 mod unread;
 mod world;
@@ -29,6 +30,7 @@
         "promise" => promise::run(trouble, &record),
         "revoked-key" => unread::revoked_key(trouble, &record),
         "wrong-service" => unread::wrong_service(trouble, &record),
+        "slow-reader" => slow_reader::run(trouble, &record),
         "storm" => storm::run(trouble, &record),
         other => Err(std::io::Error::other(format!("no case {other}"))),
     };
--- a/review/standin-2/promise.rs
+++ b/review/standin-2/promise.rs
@@ -36,6 +36,7 @@
             failing: if id == "i-2" { failing.clone() } else { Arc::default() },
             percent: PERCENT,
             status: "503 Service Unavailable",
+            answer_bytes: 0,
         };
         let server = PlainServer::start(&record, "agenda", id, behaviour)?;
         store.put(&format!("servers/{id}"), &server.entry(ZONE, unix_ms()));
