--- a/review/standin-2/slow_reader.rs
+++ b/review/standin-2/slow_reader.rs
@@ -10,19 +10,19 @@
 use crate::Outcome;
 use crate::world::{
     Behaviour, Deployment, HOST, PlainServer, Record, SIGTERM, Store, ZONE, configuration,
-    read_body, read_head, route, small_window, unix_ms,
+    connect_with_window, read_body, read_head, route, unix_ms,
 };
 
-/// Time budget of a client and `timeoutMs` of the route, as of the streams of the site.
-const BUDGET_MS: u64 = 6_000;
+/// Time budget of a client and `timeoutMs` of the route, as of the payments of the site.
+const BUDGET_MS: u64 = 2_500;
 
 /// Size of an answer, what a client reads of it before its pause, and the length of the pause.
-const ANSWER_BYTES: usize = 400_000;
-const READ_FIRST: usize = 10_000;
-const PAUSE: Duration = Duration::from_secs(3);
+const ANSWER_BYTES: usize = 4_800;
+const READ_FIRST: usize = 500;
+const PAUSE: Duration = Duration::from_millis(2_200);
 
-/// Receive buffer of a client in bytes.
-const WINDOW: i32 = 32 << 10;
+/// Receive buffer of a client in bytes, the least that the system has.
+const WINDOW: i32 = 2_304;
 
 const CHANNELS: usize = 8;
 
@@ -76,7 +76,7 @@
     let (steady, stopped) = (lost(steady), lost(stopped));
     let is_broken = steady > ALLOWED || stopped > 0;
     let verdict = format!(
-        "{}: of {CHANNELS} kept channels to an entry that ran on, {steady} were closed before the answer to an order that had run was complete; of {CHANNELS} to an entry that was stopped by SIGTERM meanwhile, {stopped}",
+        "{}: of {CHANNELS} kept channels to an entry that ran on, {steady} were closed before the answer to a request that had run was complete; of {CHANNELS} to an entry that was stopped by SIGTERM meanwhile, {stopped}",
         if is_broken { "LOST broken" } else { "LOST held" },
     );
     record.write(path, &verdict);
@@ -86,14 +86,13 @@
 /// Sends two orders on one channel. The answer to the first is read at once.
 fn channel(record: &Record, to: SocketAddr, number: usize, pause: Duration) -> Ended {
     let mut ended = Ended { id: format!("c{number}-second"), complete: false, took: 0 };
-    let mut stream = match TcpStream::connect_timeout(&to, Duration::from_secs(1)) {
+    let mut stream = match connect_with_window(to, WINDOW) {
         Ok(stream) => stream,
         Err(error) => {
             record.note(format!("channel {number} not opened: {error}"));
             return ended;
         }
     };
-    small_window(&stream, WINDOW);
     let first = order(record, &mut stream, &format!("c{number}-first"), Duration::ZERO);
     if let Err(error) = first {
         record.note(format!("answered c{number}-first not completely: {error}"));
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::fs;
 use std::io::{self, Read, Write};
-use std::os::fd::AsRawFd;
+use std::os::fd::FromRawFd;
 use std::os::unix::process::CommandExt;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -17,16 +17,50 @@
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, argument: u64) -> i32;
+    fn socket(family: i32, kind: i32, protocol: i32) -> i32;
+    fn connect(socket: i32, address: *const CAddress, length: u32) -> i32;
     fn setsockopt(socket: i32, level: i32, option: i32, value: *const i32, length: u32) -> i32;
 }
 
+const AF_INET: i32 = 2;
+const SOCK_STREAM: i32 = 1;
 const SOL_SOCKET: i32 = 1;
 const SO_RCVBUF: i32 = 8;
 
-/// Sets the size of the receive buffer of `stream`.
-pub fn small_window(stream: &TcpStream, bytes: i32) {
-    // SAFETY: the value is an int that lives during the call.
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &raw const bytes, 4) };
+/// An IPv4 address of the C library.
+#[repr(C)]
+struct CAddress {
+    family: u16,
+    port: [u8; 2],
+    ip: [u8; 4],
+    zero: [u8; 8],
+}
+
+/// Connects to `to` with a receive buffer of `bytes`, which has to be set before.
+pub fn connect_with_window(to: SocketAddr, bytes: i32) -> io::Result<TcpStream> {
+    let SocketAddr::V4(to) = to else {
+        return Err(io::ErrorKind::AddrNotAvailable.into());
+    };
+    let address = CAddress {
+        family: AF_INET as u16,
+        port: to.port().to_be_bytes(),
+        ip: to.ip().octets(),
+        zero: [0; 8],
+    };
+    // SAFETY: the socket is owned by the stream as soon as there is one, and both values live during
+    // the calls.
+    unsafe {
+        let descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        if descriptor < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(descriptor);
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &raw const bytes, 4);
+        if connect(descriptor, &raw const address, size_of::<CAddress>() as u32) != 0 {
+            return Err(io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
 }
 
 /// Option of `prctl` by which a process gets a signal when its parent ends.
