review: case 6, weights of a spoilt piece stay in use after all processes were killed

Cause: what is known of the weights that an engine loaded is in the memory of agents and entries only. An agent that finds a load of an earlier process says that it does not know, and entries use the engine then.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,7 +2,10 @@
 //! held, and 2 if the case could not run.
 
 mod bounds;
+mod engine;
+mod forgotten;
 mod promise;
+mod sha256;
 mod slow_reader;
 mod storm;
 mod unread;
@@ -27,6 +30,7 @@
     let record = PathBuf::from(folder).join("record.txt");
     let result = match case.as_str() {
         "bounds" => bounds::run(trouble, &record),
+        "forgotten" => forgotten::run(trouble, &record),
         "promise" => promise::run(trouble, &record),
         "revoked-key" => unread::revoked_key(trouble, &record),
         "wrong-service" => unread::wrong_service(trouble, &record),
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -69,6 +69,14 @@
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
+
+/// Sends a signal to a process that this one has started.
+pub fn signal(pid: u32, signal: i32) {
+    // SAFETY: the process is a child of this one that has not been waited for.
+    unsafe { kill(pid as i32, signal) };
+}
 
 pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -570,10 +578,13 @@
         })
     }
 
-    pub fn signal(&self, signal: i32) {
-        self.record.note(format!("signal {signal} to {}", self.name));
-        // SAFETY: the process is a child of this one that has not been waited for.
-        unsafe { kill(self.child.id() as i32, signal) };
+    pub fn signal(&self, number: i32) {
+        self.record.note(format!("signal {number} to {}", self.name));
+        signal(self.child.id(), number);
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
     }
 
     /// Status with which the process has ended, if it has.
@@ -768,6 +779,7 @@
 pub struct Deployment {
     pub store: Store,
     pub entries: Vec<Process>,
+    pub agents: Vec<Process>,
     pub ports: Ports,
     folder: PathBuf,
 }
@@ -785,7 +797,7 @@
         let net = std::process::id() % 200 + 20;
         let ips: Vec<String> = (1..=count).map(|n| format!("127.77.{net}.{n}")).collect();
         let ports = Ports::find(&ips)?;
-        let mut started = Self { store, entries: Vec::new(), ports, folder };
+        let mut started = Self { store, entries: Vec::new(), agents: Vec::new(), ports, folder };
         for (number, ip) in ips.iter().enumerate() {
             let name = format!("front-{ZONE}-{}", number + 1);
             let store = started.store.address;
@@ -802,6 +814,26 @@
         Ok(started)
     }
 
+    /// Starts an agent beside the engine at `app`.
+    pub fn start_agent(&mut self, record: &Record, app: SocketAddr, service: &str) -> io::Result<()> {
+        let ips: Vec<String> = self.entries.iter().map(|e| e.ip.clone()).collect();
+        let net = ips[0].rsplit_once('.').map_or("127.0.0", |(net, _)| net);
+        let ip = format!("{net}.101");
+        let name = format!("side-{ZONE}-1");
+        let settings = entry_settings(&name, &ip, ZONE, &[ZONE], &ips, self.ports, self.store.address);
+        let (before, listen) = settings.split_once("[listen]").unwrap_or_default();
+        let (_, after) = listen.split_once("[limits]").unwrap_or_default();
+        let head = before
+            .replace("machineClass = \"front\"", "machineClass = \"side\"")
+            .replace(r#"serves = ["front","control","directory"]"#, r#"serves = ["side"]"#)
+            .replace("[zones]", &format!("app = \"{app}\"\nservice = \"{service}\"\n[zones]"));
+        let after = after.replace("memoryMb = 260", "memoryMb = 128").replace("linkMbps = 1000.0", "linkMbps = 7.6");
+        let settings = format!("{head}[listen]\n[limits]{after}");
+        let agent = Process::start(record, &self.folder, "agent", &name, &ip, &settings)?;
+        self.agents.push(agent);
+        Ok(())
+    }
+
     /// Addresses of the entries for callers.
     pub fn fronts(&self) -> Vec<SocketAddr> {
         let address = |e: &Process| format!("{}:{}", e.ip, self.ports.front).parse().ok();
@@ -824,6 +856,7 @@
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.entries.clear();
+        self.agents.clear();
         if std::env::var("KEEP").is_err() {
             let _ = fs::remove_dir_all(&self.folder);
         }
@@ -854,6 +887,14 @@
     )
 }
 
+/// A configuration without client accounts whose services are given in JSON.
+pub fn raw_configuration(version: u64, routes: &[String], services: &str) -> String {
+    let routes = routes.join(",");
+    format!(
+        r#"{{"version":{version},"routes":[{routes}],"services":[{services}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
+    )
+}
+
 /// Starts `count` plain servers of `service` and registers them.
 pub fn start_servers(record: &Record, store: &Store, service: &str, count: usize) -> io::Result<()> {
     for number in 1..=count {
@@ -891,6 +932,12 @@
         Self { threads: threads.collect(), stop: stop.clone() }
     }
 
+    /// Clients that ask each entry for a draft every 100 ms.
+    pub fn start_drafts(record: &Record, to: &[SocketAddr], model: &str) -> Self {
+        let headers = format!("Model: {model}\r\nToken-Usage: 900,24\r\nPrompt-Prefix: 5c1e07a2:40,91bd3f06:860");
+        Self::start(record, to, "draft", "POST", "/drafts/x", &format!("none\r\n{headers}"))
+    }
+
     /// Stops the clients and returns their attempts.
     pub fn stop(self) -> Vec<Attempt> {
         self.stop.store(true, Ordering::Relaxed);
@@ -900,15 +947,16 @@
 
 fn client(record: &Record, to: SocketAddr, name: &str, method: &str, path: &str, key: &str, stop: &AtomicBool) -> Vec<Attempt> {
     let mut attempts = Vec::new();
+    let budget = if path.starts_with("/drafts/") { "6000" } else { "1500" };
     while !stop.load(Ordering::Relaxed) {
         let id = format!("{name}-{}", attempts.len());
-        let headers = [("Host", HOST), ("Attempt-Id", &id), ("Deadline-Ms", "1500"), ("X-Api-Key", key)];
+        let headers = [("Host", HOST), ("Attempt-Id", &id), ("Deadline-Ms", budget), ("X-Api-Key", key)];
         let ms = record.note(format!("sent {id} {method} {path}"));
         let body: &[u8] = if method == "POST" { b"order" } else { b"" };
         let answer = send_body(to, method, path, &headers, body, Duration::from_secs(3));
         let status = answer.as_ref().map_or(0, Message::status);
         let text = answer.map(|a| String::from_utf8_lossy(&a.body).into_owned()).unwrap_or_default();
-        record.note(format!("answered {id} {status} {}", text.chars().take(80).collect::<String>()));
+        record.note(format!("answered {id} {status} {}", text.chars().take(80).collect::<String>().replace('\n', " ")));
         attempts.push(Attempt { id, ms, status });
         thread::sleep(Duration::from_millis(100));
     }
