--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -794,8 +794,10 @@
     pub fn start(record: &Record, store: Store, count: usize) -> io::Result<Self> {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        let net = std::process::id() % 200 + 20;
-        let ips: Vec<String> = (1..=count).map(|n| format!("127.77.{net}.{n}")).collect();
+        // Runs side by side need addresses of their own, as the port of the metrics is fixed.
+        let pid = std::process::id();
+        let (high, low) = (pid / 200 % 180 + 64, pid % 200 + 20);
+        let ips: Vec<String> = (1..=count).map(|n| format!("127.{high}.{low}.{n}")).collect();
         let ports = Ports::find(&ips)?;
         let mut started = Self { store, entries: Vec::new(), agents: Vec::new(), ports, folder };
         for (number, ip) in ips.iter().enumerate() {
