fix(platform): a bound that is a fraction, or no number, keeps no process from starting

Cause: `revokeMs`, `version_ms`, `heartbeatMs` and `memoryMb` were read as u64, and any value that doesn't fit its field failed the whole file. The log names the field: "invalid type: floating point `4500.5`, expected u64". Second half of it: a negative, missing or unreadable bound, an odd seed or zone did the same, and `strictRevoke` without `revokeMs` set no limit.

Addresses and names stay errors.

--- a/crates/apricotctl/src/check.rs
+++ b/crates/apricotctl/src/check.rs
@@ -107,16 +107,28 @@
 fn check_machine(path: &Path, json: bool) -> Result<(), ControlError> {
     let name = path.display();
     let text = fs::read_to_string(path)?;
-    let settings = apricothall_platform::read_text(&text)
+    let read = apricothall_platform::read_text(&text, None)
         .map_err(|e| ControlError::Refused(format_smolstr!("{name}: {e}")))?;
-    let (id, role) = (&settings.id, settings.role);
+    let (id, role) = (&read.settings.id, read.settings.role);
+    let unusable = &read.unusable;
+    let is_fine = unusable.is_empty();
     if json {
         println!(
             "{}",
-            json!({ "file": path, "role": role, "id": id, "fine": true })
+            json!({ "file": path, "role": role, "id": id, "fine": is_fine, "unusable": unusable })
         );
-    } else {
+    } else if is_fine {
         println!("{name}: fine, machine settings of {role} {id}");
+    } else {
+        unusable
+            .iter()
+            .for_each(|reason| println!("error: {reason}"));
+    }
+    if !is_fine {
+        let count = unusable.len();
+        return Err(ControlError::Refused(format_smolstr!(
+            "{name}: settings that cannot be used: {count}"
+        )));
     }
     Ok(())
 }
--- a/crates/apricotd/tests/machines/entries.rs
+++ b/crates/apricotd/tests/machines/entries.rs
@@ -32,6 +32,8 @@
 pub struct Entries {
     all: Vec<Entry>,
     store: SocketAddr,
+    /// Line of the settings with its replacement.
+    changed: Option<(String, String)>,
     log_dir: PathBuf,
     _addresses: Addresses,
 }
@@ -56,6 +58,7 @@
         let mut started = Self {
             all: entries.collect(),
             store,
+            changed: None,
             log_dir,
             _addresses: addresses,
         };
@@ -65,19 +68,35 @@
         started
     }
 
-    fn launch(&mut self, index: usize) {
+    /// Replaces `line` of the settings of all entries by `by`, and tells the running ones.
+    pub fn change_settings(&mut self, line: &str, by: &str) {
+        self.changed = Some((line.to_owned(), by.to_owned()));
+        for (index, entry) in self.all.iter().enumerate() {
+            self.write_settings(index);
+            if let Some(process) = &entry.process {
+                process.hang_up();
+            }
+        }
+    }
+
+    /// Writes the settings file of an entry and returns its path.
+    fn write_settings(&self, index: usize) -> PathBuf {
         let seed = self.all[usize::from(index == 0)].ip;
-        let entry = &mut self.all[index];
-        let file = self.log_dir.join(format!("{}.toml", entry.name));
-        let settings = boot_file(
-            &entry.name,
-            entry.zone,
-            entry.ip,
-            BASE_PORT,
-            seed,
-            self.store,
-        );
+        let Entry { name, zone, ip, .. } = &self.all[index];
+        let mut settings = boot_file(name, zone, *ip, BASE_PORT, seed, self.store);
+        if let Some((line, by)) = &self.changed {
+            let before = std::mem::take(&mut settings);
+            settings = before.replace(&format!("{line}\n"), &format!("{by}\n"));
+            assert_ne!(settings, before, "nothing was replaced");
+        }
+        let file = self.log_dir.join(format!("{name}.toml"));
         std::fs::write(&file, settings).expect("written");
+        file
+    }
+
+    fn launch(&mut self, index: usize) {
+        let file = self.write_settings(index);
+        let entry = &mut self.all[index];
         let program = Path::new(env!("CARGO_BIN_EXE_apricotd"));
         let args = ["entry", "--machine"];
         let variables = [(BOOT_VARIABLE, file.as_path())];
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,7 +14,7 @@
 
 use crate::dialect::{Dialect, DialectError};
 
-use crate::settings::Settings;
+use crate::settings::{ReadSettings, Settings};
 use crate::{Context, agent, callers, directory, gossip, peer_sync, store, traffic};
 
 /// Time for which a draining entry still forwards requests, so that callers can discover other
@@ -47,23 +47,25 @@
     Settings(#[from] DialectError),
 }
 
-/// Reads the settings, at start and whenever they may have changed.
-pub type ReadSettings = fn() -> Result<Settings, DialectError>;
+/// Reads the settings, at start and whenever they may have changed. The argument is the settings in
+/// effect, whose values replace those that cannot be used.
+pub type SettingsReader = fn(Option<&Settings>) -> Result<ReadSettings, DialectError>;
 
 /// Runs until the drain after a termination signal is complete.
 ///
 /// # Errors
 /// If it fails to start.
-pub async fn run(read: ReadSettings, dialect: Dialect) -> Result<(), RunError> {
+pub async fn run(read: SettingsReader, dialect: Dialect) -> Result<(), RunError> {
     let mut term = signal(SignalKind::terminate())?;
-    let settings = read()?;
+    let ReadSettings { settings, unusable } = read(None)?;
     let role = settings.role;
     let lifecycle = Lifecycle::new(drain_config(&settings), role, Clock);
     let context = Context::new(settings, dialect, lifecycle, Telemetry::install()?);
     start(&context).await?;
     let settings = context.settings();
     tracing::info!(id = %settings.id, %role, zone = %settings.zone, incarnation = %context.incarnation, "started");
-    watch_settings(&context, read)?;
+    report_unusable(&unusable, &[]);
+    watch_settings(&context, read, unusable)?;
     term.recv().await;
     context.lifecycle.start_drain(DrainTrigger::Signal);
     if context.lifecycle.drained().await == Step::Abort {
@@ -106,8 +108,13 @@
     }
 }
 
-/// Reloads the settings on a hang-up signal and periodically.
-fn watch_settings(context: &Context, read: ReadSettings) -> Result<(), RunError> {
+/// Reloads the settings on a hang-up signal and periodically. `unusable` is what was found unusable
+/// at the start.
+fn watch_settings(
+    context: &Context,
+    read: SettingsReader,
+    mut unusable: Vec<SmolStr>,
+) -> Result<(), RunError> {
     let mut hangup = signal(SignalKind::hangup())?;
     let watching = context.clone();
     context.lifecycle.spawn(async move {
@@ -116,26 +123,42 @@
                 _ = hangup.recv() => "signal",
                 () = tokio::time::sleep(RELOAD_INTERVAL) => "time",
             };
-            reload(&watching, read, reason);
+            if let Some(found) = reload(&watching, read, reason) {
+                report_unusable(&found, &unusable);
+                unusable = found;
+            }
         }
     });
     Ok(())
 }
 
-fn reload(context: &Context, read: ReadSettings, reason: &str) {
-    match read() {
-        Ok(settings) => {
+/// Applies the current settings. Returns what in them is unusable; `None` if they cannot be read.
+fn reload(context: &Context, read: SettingsReader, reason: &str) -> Option<Vec<SmolStr>> {
+    match read(Some(&context.settings())) {
+        Ok(ReadSettings { settings, unusable }) => {
             if context.set_settings(settings) {
                 tracing::info!(reason, "settings changed");
             }
+            Some(unusable)
         }
         Err(error) => {
             let error: SmolStr = error.0;
+            metrics::counter!("apricothall_settings_unreadable_total").increment(1);
             tracing::warn!(reason, %error, "cannot read the settings; the previous ones stay in effect");
+            None
         }
     }
 }
 
+/// Reports settings that cannot be used, once for each that was not among those found `before`.
+fn report_unusable(found: &[SmolStr], before: &[SmolStr]) {
+    let count = u32::try_from(found.len()).unwrap_or(u32::MAX);
+    metrics::gauge!("apricothall_settings_unusable").set(f64::from(count));
+    for reason in found.iter().filter(|reason| !before.contains(reason)) {
+        tracing::warn!(%reason, "a setting is not used as it stands");
+    }
+}
+
 fn count_entries(context: &Context) -> Entries {
     let settings = context.settings();
     let mut entries = Entries::ALONE;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -42,6 +42,16 @@
     pub bounds: Bounds,
 }
 
+/// Settings as read, with what in them cannot be used.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReadSettings {
+    /// The settings to apply.
+    pub settings: Settings,
+    /// Fields that were replaced or left out, with what was found and what is used, in words for
+    /// operators.
+    pub unusable: Vec<SmolStr>,
+}
+
 impl Settings {
     /// Distance of `zone`.
     #[must_use]
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -77,6 +77,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells the process that its settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Kills the process (SIGKILL).
     pub fn kill(&self) {
         self.signal(Signal::KILL);
