fix(gateway): a caller that reads slowly is not taken for one that is gone

Cause: TCP_USER_TIMEOUT of 1.5 s on every connection. Linux counts it while the peer's window is closed as well, though the peer answers each probe. The write time-out of 8 s was never reached, and is too short for callers with more time. The same option cut off servers that pause before they read an order.

Change: the option follows the state of the connection (gateway/src/user_timeout.rs, decide/src/patience.rs): none while a whole answer is delivered or an order is sent, the longest pause of the caller and 1 s for streams, 1.5 s for requests that can be sent again; writes without progress fail after 8 s or the caller's time. Peers that are gone while nothing is unacknowledged are found by keep-alive probes after 2 s, as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod quarantine;
 pub mod rpc;
 pub mod shared;
+pub mod shared_timeout;
 pub mod status;
 pub mod subject;
 pub mod trace;
--- a/crates/fleet/src/write_timeout.rs
+++ b/crates/fleet/src/write_timeout.rs
@@ -1,5 +1,4 @@
-//! TCP stream with a write time-out, so that the connection of a client that stops reading is
-//! closed.
+//! Stream with a write time-out, so that the connection of a client that stops reading is closed.
 
 use std::io;
 use std::pin::Pin;
@@ -7,20 +6,28 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
-/// TCP stream that fails once a write has been pending for longer than the time-out.
-pub struct WriteTimeout {
-    stream: TcpStream,
-    timeout: Duration,
+use crate::shared_timeout::SharedTimeout;
+
+/// Stream that fails once a write has been pending for longer than the time-out.
+pub struct WriteTimeout<S> {
+    stream: S,
+    timeout: SharedTimeout,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
-impl WriteTimeout {
+impl<S> WriteTimeout<S> {
     /// Wraps `stream` with a write time-out.
     #[must_use]
-    pub const fn new(stream: TcpStream, timeout: Duration) -> Self {
+    pub fn new(stream: S, timeout: Duration) -> Self {
+        Self::with_shared(stream, SharedTimeout::new(Some(timeout)))
+    }
+
+    /// Wraps `stream` with a write time-out that may change. A write that is pending keeps the
+    /// time-out with which it began.
+    #[must_use]
+    pub const fn with_shared(stream: S, timeout: SharedTimeout) -> Self {
         Self {
             stream,
             timeout,
@@ -30,7 +37,7 @@
 
     /// The stream itself.
     #[must_use]
-    pub fn into_inner(self) -> TcpStream {
+    pub fn into_inner(self) -> S {
         self.stream
     }
 
@@ -44,7 +51,9 @@
             self.timer = None;
             return result;
         }
-        let timeout = self.timeout;
+        let Some(timeout) = self.timeout.get() else {
+            return Poll::Pending;
+        };
         let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(timeout)));
         ready!(timer.as_mut().poll(cx));
         metrics::counter!("apricothall_slow_readers_total").increment(1);
@@ -52,7 +61,7 @@
     }
 }
 
-impl AsyncRead for WriteTimeout {
+impl<S: AsyncRead + Unpin> AsyncRead for WriteTimeout<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -62,7 +71,7 @@
     }
 }
 
-impl AsyncWrite for WriteTimeout {
+impl<S: AsyncWrite + Unpin> AsyncWrite for WriteTimeout<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -6,7 +6,9 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use apricothall_decide::patience::{MIN_READ_PAUSE, ReadPause};
 use apricothall_fleet::lingering::Lingering;
+use apricothall_fleet::shared_timeout::SharedTimeout;
 use apricothall_fleet::wake_timer::WakeTimer;
 use apricothall_fleet::write_timeout::WriteTimeout;
 use apricothall_kernel::lifecycle::WorkGuard;
@@ -22,17 +24,15 @@
 
 use crate::Context;
 use crate::answers::{Body, ResponseAborted, retry_later_response};
-use crate::connections::{ConnectionPool, set_options};
+use crate::connections::ConnectionPool;
 use crate::forwarder::Forwarder;
 use crate::model::CallerLimits;
 use crate::request::{StatedTimeouts, admit};
+use crate::user_timeout::UserTimeoutStream;
 
 /// Maximum number of open caller connections.
 const MAX_CONNECTIONS: usize = 3_000;
 
-/// Time after which a write that the caller does not read fails.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(8);
-
 /// Extra time for which an idle connection is kept open beyond the published limit, because callers
 /// reuse connections up to that limit.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
@@ -57,6 +57,28 @@
     lingering: Lingering,
 }
 
+/// How long the caller of a connection may take nothing of what is sent.
+#[derive(Clone)]
+struct ReadLimits {
+    unread: SharedTimeout,
+    unacknowledged: SharedTimeout,
+}
+
+impl ReadLimits {
+    fn new() -> Self {
+        Self {
+            unread: SharedTimeout::new(Some(MIN_READ_PAUSE)),
+            unacknowledged: SharedTimeout::new(None),
+        }
+    }
+
+    /// Sets the limits for the answer to the next request.
+    fn expect(&self, pause: ReadPause) {
+        self.unread.set(Some(pause.unread));
+        self.unacknowledged.set(pause.unacknowledged);
+    }
+}
+
 /// Serves callers until the process ends.
 ///
 /// # Errors
@@ -72,7 +94,7 @@
             pool: Arc::new(ConnectionPool::default()),
         },
         stated_timeouts: Arc::default(),
-        lingering: Lingering::new(context.lifecycle.clone(), WRITE_TIMEOUT),
+        lingering: Lingering::new(context.lifecycle.clone(), MIN_READ_PAUSE),
     };
     context.lifecycle.spawn(accept(listener, service));
     Ok(())
@@ -103,10 +125,15 @@
 }
 
 async fn serve_connection(stream: TcpStream, service: CallerService) {
-    if let Err(error) = set_options(&stream) {
-        tracing::debug!(%error, "caller left before it was served");
-        return;
-    }
+    let read_limits = ReadLimits::new();
+    let stream = match UserTimeoutStream::new(stream, read_limits.unacknowledged.clone()) {
+        Ok(stream) => stream,
+        Err(error) => {
+            tracing::debug!(%error, "caller left before it was served");
+            return;
+        }
+    };
+    let stream = WriteTimeout::with_shared(stream, read_limits.unread.clone());
     let context = service.forwarder.context.clone();
     let in_force = context.published.in_force();
     let limits = in_force.map_or_else(CallerLimits::default, |f| f.configuration.limits);
@@ -114,12 +141,12 @@
     let delivery = Arc::new(OnceLock::new());
     let held = delivery.clone();
     let handler = service_fn(move |request| {
-        let service = service.clone();
+        let (service, read_limits) = (service.clone(), read_limits.clone());
         let lifecycle = &service.forwarder.context.lifecycle;
         held.get_or_init(|| lifecycle.begin_delivery());
-        async move { Ok::<_, Infallible>(handle_request(&service, request).await) }
+        async move { Ok::<_, Infallible>(handle_request(&service, &read_limits, request).await) }
     });
-    let io = TokioIo::new(WriteTimeout::new(stream, WRITE_TIMEOUT));
+    let io = TokioIo::new(stream);
     let mut serving = http1::Builder::new()
         .timer(WakeTimer)
         .header_read_timeout(limits.idle + IDLE_MARGIN)
@@ -139,7 +166,7 @@
     match ended {
         Ok(()) => {
             let stream = serving.into_parts().io.into_inner();
-            lingering.close(stream.into_inner()).await;
+            lingering.close(stream.into_inner().into_inner()).await;
         }
         Err(error) => {
             metrics::counter!("apricothall_caller_connections_broken_total").increment(1);
@@ -149,7 +176,11 @@
     drop(delivery);
 }
 
-async fn handle_request(service: &CallerService, request: Request<Incoming>) -> Response<Body> {
+async fn handle_request(
+    service: &CallerService,
+    read_limits: &ReadLimits,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let context = &service.forwarder.context;
     let arrival = context.clock.now();
     let id = request
@@ -168,7 +199,10 @@
                 metrics::counter!("apricothall_leaving_refused_total").increment(1);
                 retry_later_response(DRAIN_RETRY_AFTER, "this entry ends too soon")
             }
-            Ok(call) => service.forwarder.forward(call).await,
+            Ok(call) => {
+                read_limits.expect(call.read_pause());
+                service.forwarder.forward(call).await
+            }
             Err(answer) => {
                 let status = answer.status().as_u16();
                 if context.log_budgets.allow_failure(arrival) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 
 use crate::Context;
-use crate::connections::{ConnectError, ConnectionPool, ServerConnection};
+use crate::connections::{ConnectError, ConnectionPool, Patience, ServerConnection};
 use crate::fleet::Placed;
 use crate::in_flight::InFlight;
 use crate::log_budgets::millis;
@@ -292,12 +292,18 @@
 ) -> Result<ServerConnection, AttemptError> {
     let address = placed.server.address;
     let now = context.clock.now();
-    if call.route.is_repeatable()
+    let patience = if call.route.is_repeatable() {
+        Patience::Repeatable
+    } else {
+        Patience::Once
+    };
+    if patience == Patience::Repeatable
         && let Some(connection) = pool.acquire(address, now)
     {
+        connection.expect(patience);
         return Ok(connection);
     }
-    let connected = ConnectionPool::connect(address, now).await;
+    let connected = ConnectionPool::connect(address, patience, now).await;
     let after = context.clock.now();
     let took = after.since(now);
     context.fleet.record_round_trip(address, took, after);
--- a/crates/gateway/src/head_limit.rs
+++ b/crates/gateway/src/head_limit.rs
@@ -10,7 +10,8 @@
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::user_timeout::UserTimeoutStream;
 
 /// Maximum number of bytes read up to the end of the head, including body data read together with
 /// it.
@@ -53,14 +54,14 @@
 
 /// Connection that fails when more bytes are read than allowed.
 pub struct HeadLimit {
-    stream: TcpStream,
+    stream: UserTimeoutStream,
     allowance: Allowance,
 }
 
 impl HeadLimit {
     /// Limits the bytes read from `stream`.
     #[must_use]
-    pub const fn new(stream: TcpStream, allowance: Allowance) -> Self {
+    pub const fn new(stream: UserTimeoutStream, allowance: Allowance) -> Self {
         Self { stream, allowance }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod store_reads;
 pub mod stream;
 pub mod traffic;
+pub mod user_timeout;
 pub mod whole_body;
 
 pub use context::Context;
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use apricothall_decide::patience::answer_due;
+use apricothall_decide::patience::{
+    ReadPause, answer_due, answer_pause, longest_pause, stream_pause,
+};
 use apricothall_decide::priorities::Rank;
 use apricothall_decide::residency::AllowedRegions;
 use apricothall_decide::routes::{Account, CallKind, Route};
@@ -76,6 +78,15 @@
         self.route.kind == CallKind::Stream
     }
 
+    /// How long the caller may take nothing of the answer.
+    #[must_use]
+    pub fn read_pause(&self) -> ReadPause {
+        if self.is_stream() {
+            return stream_pause(longest_pause(self.route.target, self.route.gap));
+        }
+        answer_pause(self.deadline.since(self.arrival))
+    }
+
     /// When the response must begin. The caller of a stream leaves earlier than its deadline if no
     /// event arrives.
     #[must_use]
