fix(gateway): a configuration that cannot be read ends the confirmation of the one before it

Cause: `Published::take_item` only logged it, and `record_checked` then confirmed the configuration in force as the latest one of the store, by each answer.

Change: the revision of such a configuration is kept; until one that can be read is written, the lease isn't renewed and the revision up to which all is known doesn't advance.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -134,7 +134,7 @@
 #[derive(Clone, Debug)]
 pub enum Fact {
     /// The latest configuration.
-    Configuration(Configuration),
+    Configuration(Box<Configuration>),
     /// The latest version of a model.
     Version {
         /// Name of the model.
@@ -161,6 +161,8 @@
     pub read_changes: fn(Era, &[u8]) -> Result<Changes, DialectError>,
     /// Parses an item.
     pub read_item: fn(&Item) -> Result<Fact, DialectError>,
+    /// Whether the item with this key is the configuration.
+    pub is_configuration: fn(&str) -> bool,
     /// Id of the server whose entry has this key.
     pub server_of: fn(&str) -> Option<MemberId>,
     /// Zone that is evacuated while an item with this key exists.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -469,7 +469,11 @@
     }
     let limit = context.settings().bounds.revoke.unwrap_or(Duration::MAX);
     let now = context.clock.now();
-    if context.published.is_fresh(limit, now) && context.quarantine.is_synced(now) {
+    // The last configuration still serves requests without a key if a later one cannot be read.
+    let published = &context.published;
+    let is_superseded = published.is_unreadable() && published.in_force().is_some();
+    let is_usable = published.is_fresh(limit, now) || is_superseded;
+    if is_usable && context.quarantine.is_synced(now) {
         return Phase::Serving;
     }
     Phase::Starting
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -55,6 +55,8 @@
     operators_read: Option<Timestamp>,
     /// Revision of the store up to which the current configuration is known to be the latest.
     checked: Option<StoreRevision>,
+    /// Revision of a later configuration that cannot be read.
+    unreadable: Option<StoreRevision>,
     /// Latest known era of the store.
     era: Era,
     /// Last era stated by the store that is not a number.
@@ -242,18 +244,55 @@
         published_at: Option<Timestamp>,
     ) {
         match (calls.read_item)(item) {
-            Ok(Fact::Configuration(c)) => self.adopt(item, c, reader),
+            Ok(Fact::Configuration(c)) => {
+                self.record_readable(item);
+                self.adopt(item, *c, reader);
+            }
             Ok(Fact::Version { model, version }) => {
                 self.publish_version(&model, version, published_at, reader);
             }
             Ok(Fact::Server(_) | Fact::Other) => {}
             Err(error) => {
+                if (calls.is_configuration)(&item.key) && !self.record_unreadable(item) {
+                    return;
+                }
                 tracing::warn!(key = %item.key, revision = %item.revision, %error, "cannot parse item of the store");
                 metrics::counter!("apricothall_items_unusable_total").increment(1);
             }
         }
     }
 
+    /// Records a configuration that cannot be read. What is in force may no longer hold, so it is not
+    /// confirmed from then on. Returns whether this is a new one.
+    fn record_unreadable(&self, item: &Item) -> bool {
+        let mut state = self.state();
+        let known = state
+            .held()
+            .written
+            .max(state.unreadable.unwrap_or_default());
+        if item.revision <= known {
+            return false;
+        }
+        state.unreadable = Some(item.revision);
+        metrics::gauge!("apricothall_configuration_unreadable").set(1.0);
+        true
+    }
+
+    /// Records a configuration that can be read; an earlier one that cannot be no longer matters.
+    fn record_readable(&self, item: &Item) {
+        let mut state = self.state();
+        if state.unreadable.is_some_and(|at| at < item.revision) {
+            state.unreadable = None;
+            metrics::gauge!("apricothall_configuration_unreadable").set(0.0);
+        }
+    }
+
+    /// Whether the latest configuration in the store cannot be read.
+    #[must_use]
+    pub fn is_unreadable(&self) -> bool {
+        self.state().unreadable.is_some()
+    }
+
     fn adopt(&self, item: &Item, configuration: Configuration, reader: Reader) {
         let revision = ConfigurationRevision {
             version: configuration.version,
@@ -267,9 +306,11 @@
             }
             return;
         }
-        for name in &configuration.unusable {
-            tracing::warn!(item = %name, "cannot parse item of the configuration; ignoring it");
+        for reason in &configuration.unusable {
+            tracing::warn!(version = configuration.version, %revision, %reason, "an item of the configuration is not used as it stands");
         }
+        metrics::gauge!("apricothall_configuration_unusable_items")
+            .set(saturating_gauge(configuration.unusable.len() as u64));
         let is_checked = |checked| item.revision <= checked && item.revision.era == checked.era;
         if state.checked.is_some_and(is_checked) {
             tracing::error!(%revision, checked = ?state.checked, ?reader, "an answer of the store left out a configuration");
@@ -487,8 +528,11 @@
     /// was requested at `sent`.
     fn record_checked(&self, revision: StoreRevision, sent: Timestamp) {
         let mut state = self.state();
-        state.checked = state.checked.max(Some(revision));
         state.evacuations.confirm(revision);
+        if state.unreadable.is_some() {
+            return;
+        }
+        state.checked = state.checked.max(Some(revision));
         // The answer includes the last write, so the configuration held now was the latest at `sent`
         // if the store has it.
         let held = state.in_force.as_ref().map(|f| f.revision);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -326,6 +326,10 @@
     if published.in_force().is_none() || context.reads_store(subject, now) {
         return false;
     }
+    if published.is_unreadable() {
+        // The readers wait for the next one.
+        return false;
+    }
     let role = context.reader_role(subject, now);
     let settings = context.settings();
     let healthy = |peer: &Peer| peer.is_healthy(subject, now);
