--- a/crates/apricotctl/src/check.rs
+++ b/crates/apricotctl/src/check.rs
@@ -120,9 +120,9 @@
     } else if is_fine {
         println!("{name}: fine, machine settings of {role} {id}");
     } else {
-        unusable
-            .iter()
-            .for_each(|reason| println!("error: {reason}"));
+        for reason in unusable {
+            println!("error: {reason}");
+        }
     }
     if !is_fine {
         let count = unusable.len();
--- a/crates/apricotctl/tests/commands.rs
+++ b/crates/apricotctl/tests/commands.rs
@@ -146,6 +146,21 @@
     settings_with_text_for_a_list: "nodeName = \"a\"\ninternalPorts = \"7000\"" => "line 2";
 }
 
+/// Guards against settings that pass the check, although the daemon replaces one of them.
+#[test]
+fn settings_that_are_replaced_fail_the_check() {
+    let text = "nodeName = \"a\"\nmachineClass = \"front\"\nip = \"127.0.0.1\"\nzone = \"z\"\n\
+        region = \"r\"\ninternalPorts = [7000]\n[limits]\nlinkMbps = 10\n[bounds]\nstrictRevoke = true\n\
+        revokeMs = nan\ngraceS = 7.5\nversion_ms = 8000\nttl_max_s = 5\nretryBudgetRatio = 0.2\n\
+        budgetExtra = 10\n[platform]\naddress = \"127.0.0.1:9\"\n";
+    let path = file("replaced.toml", text);
+    let output = run(&["check", "--machine", &path]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert_eq!(output.status.code(), Some(1), "{text}");
+    assert_eq!(text, "error: revokeMs: cannot use NaN; 5s is used\n");
+    std::fs::remove_file(path).expect("removed");
+}
+
 /// Answers one HTTP request with `answer`. Returns the address, and the head of the request once it
 /// has been answered.
 fn serve(answer: String) -> (String, JoinHandle<String>) {
