fix(platform): a route that cannot be read keeps its place, and fractions are read

Cause: weights were u32, times and limits u64, so `0.5` and `7500.0` failed their item; and an item that fails vanished, so that another route matched its requests, engines counted as plain servers, keys got 401, and one limit dropped the whole configuration.

A route that can't be used keeps host and prefix and refuses its requests at once, not run; what is unusable in accounts, services and splits takes no more away than itself. Weights are finite f64 (decide/src/routes/weight.rs); a split of zeros runs nothing.

--- a/crates/decide/src/routes.rs
+++ b/crates/decide/src/routes.rs
@@ -1,11 +1,16 @@
 //! Route table of a configuration: maps a request to a service and its handling rules.
 
+mod accounts;
+mod weight;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 
+pub use self::accounts::{Account, Accounts, Caller, UnusableAccounts};
+pub use self::weight::{Weight, WeightError};
 use crate::priorities::{Rank, ServicePriorities};
 use crate::residency::AllowedRegions;
 
@@ -26,7 +31,7 @@
     /// Name of the service.
     pub service: SmolStr,
     /// Share of requests relative to the other targets.
-    pub weight: u32,
+    pub weight: Weight,
 }
 
 /// Rules for the requests to one host under one path prefix.
@@ -71,25 +76,87 @@
         }
     }
 
-    /// Selects the service for one request by weight. `draw` is uniform in 0..1.
+    /// Selects the service for one request by weight; `None` if all weights are zero. `draw` is
+    /// uniform in 0..1.
     #[must_use]
     pub fn service(&self, draw: f64) -> Option<&SmolStr> {
-        let total: u32 = self.targets.iter().map(|t| t.weight).sum();
-        let mut left = draw * f64::from(total);
-        for target in &self.targets {
-            left -= f64::from(target.weight);
+        let targets = self.targets.iter().filter(|t| !t.weight.is_zero());
+        let total: f64 = targets.clone().map(|t| t.weight.as_f64()).sum();
+        let mut left = draw * total;
+        let mut last = None;
+        for target in targets {
+            left -= target.weight.as_f64();
+            last = Some(&target.service);
             if left < 0.0 {
-                return Some(&target.service);
+                break;
             }
         }
-        self.targets.last().map(|t| &t.service)
+        last
     }
 }
 
+/// A route that cannot be used, but whose host and prefix are known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnusableRoute {
+    /// Name shown in logs.
+    pub name: SmolStr,
+    /// Host name of the request, in lower case.
+    pub host: SmolStr,
+    /// Path prefix that starts and ends with a slash.
+    pub prefix: SmolStr,
+}
+
+/// A route at its place in the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RouteEntry {
+    /// It is in use.
+    Usable(Arc<Route>),
+    /// Its requests are refused, so that no other route runs them.
+    Unusable(Arc<UnusableRoute>),
+}
+
+impl RouteEntry {
+    fn host(&self) -> &SmolStr {
+        match self {
+            Self::Usable(route) => &route.host,
+            Self::Unusable(route) => &route.host,
+        }
+    }
+
+    fn prefix(&self) -> &SmolStr {
+        match self {
+            Self::Usable(route) => &route.prefix,
+            Self::Unusable(route) => &route.prefix,
+        }
+    }
+
+    fn route(&self) -> Option<&Arc<Route>> {
+        match self {
+            Self::Usable(route) => Some(route),
+            Self::Unusable(_) => None,
+        }
+    }
+}
+
+/// Result of a search for the route of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Lookup<'a> {
+    /// The route.
+    Found(&'a Arc<Route>),
+    /// The request belongs to a route that cannot be used.
+    Unusable(&'a UnusableRoute),
+    /// No route matches, but the host or prefix of some route cannot be read.
+    Unknown,
+    /// No route matches.
+    Missing,
+}
+
 /// Routes by host, ordered by descending prefix length.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
-    hosts: HashMap<SmolStr, Vec<Arc<Route>>>,
+    hosts: HashMap<SmolStr, Vec<RouteEntry>>,
+    /// Whether the host or prefix of some route cannot be read.
+    hides_places: bool,
     priorities: HashMap<SmolStr, ServicePriorities>,
 }
 
@@ -97,23 +164,33 @@
     /// Builds the table from `routes`.
     #[must_use]
     pub fn new(routes: Vec<Route>) -> Self {
-        let mut hosts: HashMap<SmolStr, Vec<Arc<Route>>> = HashMap::new();
+        let entries = routes.into_iter().map(Arc::new).map(RouteEntry::Usable);
+        Self::with_unusable(entries.collect(), false)
+    }
+
+    /// Builds the table from routes of which some cannot be used. `hides_places` states that there
+    /// are others whose host or prefix cannot be read.
+    #[must_use]
+    pub fn with_unusable(entries: Vec<RouteEntry>, hides_places: bool) -> Self {
+        let mut hosts: HashMap<SmolStr, Vec<RouteEntry>> = HashMap::new();
         let mut stated: HashMap<SmolStr, Vec<_>> = HashMap::new();
-        for route in routes {
-            for target in &route.targets {
-                let of_service = stated.entry(target.service.clone()).or_default();
-                of_service.push((route.priority, route.target));
+        for entry in entries {
+            if let Some(route) = entry.route() {
+                for target in &route.targets {
+                    let of_service = stated.entry(target.service.clone()).or_default();
+                    of_service.push((route.priority, route.target));
+                }
             }
-            let list = hosts.entry(route.host.clone()).or_default();
-            list.push(Arc::new(route));
+            hosts.entry(entry.host().clone()).or_default().push(entry);
         }
         for list in hosts.values_mut() {
-            list.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+            list.sort_by_key(|entry| std::cmp::Reverse(entry.prefix().len()));
         }
         let priorities = stated.into_iter();
         let priorities = priorities.map(|(service, of)| (service, ServicePriorities::new(&of)));
         Self {
             hosts,
+            hides_places,
             priorities: priorities.collect(),
         }
     }
@@ -121,17 +198,33 @@
     /// Returns the route with the longest prefix of `path` at `host`. The port and case of `host`
     /// are ignored.
     #[must_use]
-    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+    pub fn lookup(&self, host: &str, path: &str) -> Lookup<'_> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let list = self.hosts.get(name.to_ascii_lowercase().as_str())?;
-        list.iter().find(|r| path.starts_with(r.prefix.as_str()))
+        let list = self.hosts.get(name.to_ascii_lowercase().as_str());
+        let mut list = list.into_iter().flatten();
+        match list.find(|entry| path.starts_with(entry.prefix().as_str())) {
+            Some(RouteEntry::Usable(route)) => Lookup::Found(route),
+            Some(RouteEntry::Unusable(route)) => Lookup::Unusable(route),
+            None if self.hides_places => Lookup::Unknown,
+            None => Lookup::Missing,
+        }
+    }
+
+    /// The route of [`Self::lookup`], if it can be used.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        match self.lookup(host, path) {
+            Lookup::Found(route) => Some(route),
+            Lookup::Unusable(_) | Lookup::Unknown | Lookup::Missing => None,
+        }
     }
 
     /// Regions in which the requests of all routes of `host` may be processed.
     #[must_use]
     pub fn host_regions(&self, host: &str) -> AllowedRegions {
         let routes = self.hosts.get(host.to_ascii_lowercase().as_str());
-        let regions = routes.into_iter().flatten().map(|r| &r.regions);
+        let routes = routes.into_iter().flatten().filter_map(RouteEntry::route);
+        let regions = routes.map(|r| &r.regions);
         regions.fold(AllowedRegions::ANY, |all, one| all.intersection(one))
     }
 
@@ -143,85 +236,8 @@
         known.map_or(Rank::ONLY, |routes| routes.rank(priority, accounts))
     }
 
-    /// Iterates over all routes.
+    /// Iterates over all routes that can be used.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.hosts.values().flatten()
-    }
-}
-
-/// A client account.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Account {
-    /// Name sent to servers.
-    pub name: SmolStr,
-    /// Priority of its requests, which overrides that of the route.
-    pub priority: Option<u8>,
-    /// Regions in which its requests may be processed, in addition to the restriction of the route.
-    pub regions: AllowedRegions,
-}
-
-/// Client accounts by API key. Without configured accounts, no key is required.
-#[derive(Clone, Debug, Default)]
-pub struct Accounts {
-    keys: Option<HashMap<SmolStr, Arc<Account>>>,
-    priorities: Vec<u8>,
-}
-
-/// Result of the authentication of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Caller {
-    /// No key is required.
-    Anonymous,
-    /// The account to which the key belongs.
-    Known(Arc<Account>),
-    /// The key is missing or belongs to no account.
-    Unknown,
-}
-
-impl Accounts {
-    /// Builds the table from accounts and their keys.
-    #[must_use]
-    pub fn new(accounts: impl IntoIterator<Item = (Account, Vec<SmolStr>)>) -> Self {
-        let mut keys = HashMap::new();
-        let mut priorities = Vec::new();
-        for (account, held) in accounts {
-            priorities.extend(account.priority);
-            let account = Arc::new(account);
-            keys.extend(held.into_iter().map(|key| (key, account.clone())));
-        }
-        priorities.sort_unstable();
-        priorities.dedup();
-        Self {
-            keys: Some(keys),
-            priorities,
-        }
-    }
-
-    /// Distinct priorities set by accounts, in ascending order.
-    #[must_use]
-    pub fn priorities(&self) -> &[u8] {
-        &self.priorities
-    }
-
-    /// The account named `name`.
-    #[must_use]
-    pub fn named(&self, name: &str) -> Option<&Arc<Account>> {
-        self.keys
-            .iter()
-            .flat_map(HashMap::values)
-            .find(|a| a.name == name)
-    }
-
-    /// Authenticates a call of `route` with `key`.
-    #[must_use]
-    pub fn caller(&self, route: &Route, key: Option<&str>) -> Caller {
-        let Some(keys) = &self.keys else {
-            return Caller::Anonymous;
-        };
-        if route.public {
-            return Caller::Anonymous;
-        }
-        let account = key.and_then(|k| keys.get(k));
-        account.map_or(Caller::Unknown, |a| Caller::Known(a.clone()))
+        self.hosts.values().flatten().filter_map(RouteEntry::route)
     }
 }
--- a/crates/decide/tests/routes.rs
+++ b/crates/decide/tests/routes.rs
@@ -1,10 +1,15 @@
 //! Route table: host and prefix matching, traffic split, priorities and API keys.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use apricothall_decide::priorities::{Rank, ServicePriorities};
 use apricothall_decide::residency::AllowedRegions;
-use apricothall_decide::routes::{Account, Accounts, CallKind, Caller, Route, RouteTable, Target};
+use apricothall_decide::routes::{
+    Account, Accounts, CallKind, Caller, Lookup, Route, RouteEntry, RouteTable, Target,
+    UnusableAccounts, UnusableRoute, Weight,
+};
+use proptest::prelude::*;
 use smol_str::SmolStr;
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -28,7 +33,7 @@
 fn target(service: &str, weight: u32) -> Target {
     Target {
         service: service.into(),
-        weight,
+        weight: weight.into(),
     }
 }
 
@@ -70,6 +75,144 @@
     draw_at_the_end: 0.999_999 => "trial";
 }
 
+fn split(weights: &[f64]) -> Route {
+    let names = ["first", "second", "third"];
+    let targets = weights.iter().zip(names).map(|(weight, name)| Target {
+        service: name.into(),
+        weight: Weight::new(*weight).expect("a weight"),
+    });
+    Route {
+        targets: targets.collect(),
+        ..route("r", "h", "/")
+    }
+}
+
+macro_rules! odd_splits {
+    ($($(#[doc = $guards:literal])* $case:ident: $weights:expr, $draw:expr => $service:expr;)*) => {
+        $($(#[doc = $guards])* #[test] fn $case() {
+            let route = split(&$weights);
+            assert_eq!(route.service($draw).map(SmolStr::as_str), $service);
+        })*
+    };
+}
+
+odd_splits! {
+    /// Guards against shares that are fractions, which took a route away (review/8).
+    a_draw_within_a_share_of_a_fraction: [99.5, 0.5], 0.994 => Some("first");
+    a_draw_beyond_a_share_of_a_fraction: [99.5, 0.5], 0.996 => Some("second");
+    shares_below_one: [0.25, 0.75], 0.26 => Some("second");
+    a_tiny_share_gets_nothing_by_rounding: [1e300, 5e-324], 0.999_999 => Some("first");
+    /// Guards against sums that are not finite, or beyond the type.
+    huge_shares: [f64::MAX, f64::MAX], 0.49 => Some("first");
+    the_other_of_huge_shares: [f64::MAX, f64::MAX], 0.51 => Some("second");
+    shares_beyond_32_bits: [4_294_967_295.0, 4_294_967_295.0], 0.51 => Some("second");
+    /// Guards against requests to a service that gets none.
+    only_zero_shares: [0.0, 0.0], 0.5 => None;
+    a_zero_share_at_the_end: [1.0, 0.0], 1.0 - f64::EPSILON / 2.0 => Some("first");
+    a_zero_share_at_the_end_and_a_draw_of_one: [1.0, 0.0], 1.0 => Some("first");
+    a_zero_share_at_the_start: [0.0, 1.0], 0.0 => Some("second");
+    no_service: [0.0; 0], 0.5 => None;
+}
+
+macro_rules! weights {
+    ($($case:ident: $text:literal => $found:expr;)*) => {
+        $(#[test] fn $case() {
+            let found: Option<Weight> = $text.parse().ok();
+            assert_eq!(found.map(|w| w.to_string()).as_deref(), $found);
+        })*
+    };
+}
+
+weights! {
+    weight_of_a_fraction: "99.5" => Some("99.5");
+    whole_weight: "3" => Some("3");
+    negative_weight: "-0.5" => None;
+    weight_that_is_not_a_number: "NaN" => None;
+    infinite_weight: "inf" => None;
+    weight_that_is_text: "half" => None;
+}
+
+proptest! {
+    /// Guards against shares of whole weights that differ from those before weights were fractions.
+    #[test]
+    fn whole_weights_keep_their_shares(weights in prop::collection::vec(0_u32..1_000, 1..4), draw in 0.0..1.0_f64) {
+        let total: u32 = weights.iter().sum();
+        prop_assume!(total > 0);
+        let mut left = draw * f64::from(total);
+        let found = weights.iter().position(|weight| {
+            left -= f64::from(*weight);
+            left < 0.0
+        });
+        let found = found.map(|index| ["first", "second", "third"][index]);
+        let route = split(&weights.iter().map(|w| f64::from(*w)).collect::<Vec<_>>());
+        prop_assert_eq!(route.service(draw).map(SmolStr::as_str), found);
+    }
+}
+
+/// A table with a route that cannot be used below one that can.
+fn table_with_unusable(hides_places: bool) -> RouteTable {
+    let usable = |prefix: &str| RouteEntry::Usable(Arc::new(route(prefix, "a.example", prefix)));
+    let unusable = RouteEntry::Unusable(Arc::new(UnusableRoute {
+        name: "odd".into(),
+        host: "a.example".into(),
+        prefix: "/x/odd/".into(),
+    }));
+    RouteTable::with_unusable(
+        vec![usable("/x/"), unusable, usable("/x/odd/deep/")],
+        hides_places,
+    )
+}
+
+macro_rules! places {
+    ($($(#[doc = $guards:literal])* $case:ident: $hides:literal, $host:literal $path:literal => $found:literal;)*) => {
+        $($(#[doc = $guards])* #[test] fn $case() {
+            let table = table_with_unusable($hides);
+            let found = match table.lookup($host, $path) {
+                Lookup::Found(route) => route.name.as_str(),
+                Lookup::Unusable(route) => route.name.as_str(),
+                Lookup::Unknown => "unknown",
+                Lookup::Missing => "missing",
+            };
+            assert_eq!(found, $found);
+            assert_eq!(table.find($host, $path).is_some(), $found.starts_with('/'));
+        })*
+    };
+}
+
+places! {
+    /// Guards against requests that a shorter prefix runs, as their own route cannot be used (review/8).
+    an_unusable_route_keeps_its_place: false, "a.example" "/x/odd/1" => "odd";
+    a_longer_prefix_goes_first: false, "A.example:80" "/x/odd/deep/1" => "/x/odd/deep/";
+    a_shorter_prefix_has_the_rest: false, "a.example" "/x/1" => "/x/";
+    nothing_matches: false, "a.example" "/y/" => "missing";
+    nothing_matches_and_a_place_is_not_known: true, "b.example" "/y/" => "unknown";
+    a_place_that_is_not_known_takes_no_other: true, "a.example" "/x/1" => "/x/";
+}
+
+macro_rules! unusable_accounts {
+    ($($(#[doc = $guards:literal])* $case:ident: $hides:literal, $key:expr => $caller:literal;)*) => {
+        $($(#[doc = $guards])* #[test] fn $case() {
+            let account = Account { name: "school".into(), priority: None, regions: AllowedRegions::ANY };
+            let unusable = UnusableAccounts {
+                keys: [SmolStr::new_static("k9")].into(),
+                hides_keys: $hides,
+            };
+            let accounts = Accounts::with_unusable([(account, vec!["k1".into()])], unusable);
+            let caller = accounts.caller(&route("r", "h", "/"), $key);
+            assert!(format!("{caller:?}").starts_with($caller), "{caller:?}");
+        })*
+    };
+}
+
+// Guard against keys that are denied for good, as their account cannot be used.
+unusable_accounts! {
+    key_of_a_usable_account: true, Some("k1") => "Known";
+    key_of_an_unusable_account: false, Some("k9") => "Unusable";
+    unknown_key: false, Some("k3") => "Unknown";
+    unknown_key_beside_keys_that_cannot_be_read: true, Some("k3") => "Unusable";
+    no_key_beside_keys_that_cannot_be_read: true, None => "Unknown";
+}
+
 fn accounts() -> Accounts {
     let account = Account {
         name: "school".into(),
--- a/crates/gateway/src/request/access.rs
+++ b/crates/gateway/src/request/access.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use apricothall_decide::routes::{Account, Caller, Route};
+use apricothall_decide::routes::{Account, Caller, Lookup, Route};
 use apricothall_types::Timestamp;
 use http::header::HOST;
 use http::request::Parts;
@@ -17,6 +17,9 @@
 /// Safety margin subtracted from the time limit on accepting revoked keys.
 const REVOKE_MARGIN: Duration = Duration::from_millis(600);
 
+/// `retry-after` of a request whose route or client account cannot be used.
+const UNUSABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// Maximum age of a configuration by which a request is answered with "not found" or
 /// "unauthorized".
 const MAX_DENY_AGE: Duration = Duration::from_millis(1_800);
@@ -34,13 +37,20 @@
     let configuration = &in_force.configuration;
     let host = parts.headers.get(HOST).and_then(|v| v.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let Some(route) = configuration.routes.find(host, parts.uri.path()) else {
-        return Err(Box::new(deny(
-            context,
-            StatusCode::NOT_FOUND,
-            "no such route",
-            now,
-        )));
+    let route = match configuration.routes.lookup(host, parts.uri.path()) {
+        Lookup::Found(route) => route,
+        Lookup::Unusable(_) => return Err(Box::new(unusable("the route cannot be used"))),
+        Lookup::Unknown => {
+            return Err(Box::new(unusable("the place of a route cannot be read")));
+        }
+        Lookup::Missing => {
+            return Err(Box::new(deny(
+                context,
+                StatusCode::NOT_FOUND,
+                "no such route",
+                now,
+            )));
+        }
     };
     let key = parts.headers.get(&context.dialect.headers.key);
     let key = key.and_then(|v| v.to_str().ok());
@@ -52,6 +62,7 @@
             "no such key",
             now,
         ))),
+        Caller::Unusable => Err(Box::new(unusable("the client account cannot be used"))),
         Caller::Known(account) => {
             if !may_use_keys(context, now) {
                 return Err(Box::new(retry_later_response(
@@ -64,6 +75,12 @@
     }
 }
 
+/// Refuses a request whose item of the configuration cannot be used. Operators may correct it.
+fn unusable(reason: &'static str) -> Response<Body> {
+    metrics::counter!("apricothall_unusable_items_refused_total", "reason" => reason).increment(1);
+    retry_later_response(UNUSABLE_RETRY_AFTER, reason)
+}
+
 /// Whether the configuration is recent enough to rule out that a key has been revoked.
 #[must_use]
 pub fn may_use_keys(context: &Context, now: Timestamp) -> bool {
