fix(gateway): a time limit with a fraction is not taken for none

What callers saw: a request with `Deadline-Ms: 1500.0` was given the route's time, at servers too. `Retry-After: 1.5` and `Keep-Alive: timeout=5.0` counted as absent.

Cause: these heads were read as integers, and a value that doesn't fit counts as none.

Change: fractions are read; a time limit is rounded down to a ms, so that nobody is given more than is left. What is no number counts as absent, as before.

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -225,8 +225,8 @@
 }
 
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_secs(seconds))
+    let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.trim();
+    Duration::try_from_secs_f64(seconds.parse().ok()?).ok()
 }
 
 fn error_chain(error: &dyn std::error::Error) -> SmolStr {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -447,5 +447,5 @@
     let value = text
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    Some(Duration::from_secs(value.parse().ok()?))
+    Duration::try_from_secs_f64(value.trim().parse().ok()?).ok()
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -24,7 +24,7 @@
 use self::call::request_priority;
 pub use self::call::{Call, logged_parts};
 pub use self::headers::end_to_end;
-use self::headers::{forwarded_headers, header_number};
+use self::headers::{forwarded_headers, header_millis, header_number};
 use self::prompt::{prompt_parts, request_size};
 pub use self::stated_timeouts::StatedTimeouts;
 use crate::Context;
@@ -60,7 +60,7 @@
         )));
     };
     let service = draw_service(&route)?;
-    let stated = header_number(&parts.headers, &names.deadline).map(Duration::from_millis);
+    let stated = header_millis(&parts.headers, &names.deadline);
     let wait = stated.unwrap_or(route.timeout).min(route.timeout);
     let engines = in_force.configuration.engines(&service).cloned();
     let size = request_size(context, &parts.headers, engines.as_ref(), wait)?;
--- a/crates/gateway/src/request/headers.rs
+++ b/crates/gateway/src/request/headers.rs
@@ -1,5 +1,7 @@
 //! Which headers of a request are read and forwarded.
 
+use std::time::Duration;
+
 use apricothall_decide::routes::Account;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
@@ -9,6 +11,8 @@
 
 use crate::Context;
 
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
 /// Hop-by-hop headers, which are not forwarded.
 const HOP_BY_HOP: [HeaderName; 8] = [
     CONNECTION,
@@ -26,6 +30,16 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
+/// The time in ms in header `name`, if there is one. A fraction is dropped, so that nobody is given
+/// more time than is left.
+pub(super) fn header_millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
+    if let Some(millis) = header_number(headers, name) {
+        return Some(Duration::from_millis(millis));
+    }
+    let millis: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(millis.floor() / MILLIS_PER_SECOND).ok()
+}
+
 /// Headers to forward: those of the caller without hop-by-hop headers and those that only this
 /// daemon may set.
 pub(super) fn forwarded_headers(
