--- a/crates/gateway/src/agent/fetch.rs
+++ b/crates/gateway/src/agent/fetch.rs
@@ -1,14 +1,13 @@
 //! Fetch of a version's pieces from the origin and from other agents.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use apricothall_clients::http_client::{Answer, HttpClient, get};
 use apricothall_decide::pieces::{
     InFlight, MissingPiece, OriginReason, OriginView, PeerState, PiecesConfig, PlannedFetch,
-    Planner, Source, importer_index, origin_backoff, origin_fetcher_count,
-    origin_fetches_per_agent, origin_stall, plan,
+    Planner, Source, origin_fetcher_count, origin_fetches_per_agent, origin_stall, plan,
 };
 use apricothall_decide::reload::loads_before;
 use apricothall_decide::transfer::ChunkSet;
@@ -20,24 +19,20 @@
 
 use crate::Context;
 use crate::agent::piece_store::{PieceStore, VersionId};
-use crate::agent::pieces::{self, PeerError, Rank};
+use crate::agent::pieces::{self, Rank};
 use crate::log_budgets::millis;
 use crate::peer_sync::connector;
 use crate::peers::{EngineStatus, Peer, Phase};
 
 mod digests;
+mod results;
 
 use digests::DigestsError;
+use results::{FetchError, FetchResult, Fetched};
 
 /// Time limit for a piece from the origin.
 const ORIGIN_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time for which a peer is not used after a failed fetch.
-const PEER_BACKOFF: Duration = Duration::from_millis(1_500);
-
-/// Time for which a peer is not used after it reported a full upload queue.
-const BUSY_PEER_BACKOFF: Duration = Duration::from_millis(60);
-
 /// Time after the start of the process in which it hears of other agents, and fetches nothing from the
 /// origin.
 const ORIGIN_START_DELAY: Duration = Duration::from_millis(400);
@@ -51,41 +46,9 @@
 /// Maximum size of a response from the origin, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
-/// Time for which a piece is not fetched again after its digest differed.
-const MISMATCH_BACKOFF: Duration = Duration::from_millis(300);
-
 /// Number of times that the digest of a piece must differ before the digests are fetched again.
 const MAX_MISMATCHES: u32 = 2;
 
-/// What a task has fetched.
-enum Fetched {
-    Piece(FetchResult),
-    Digests(VersionId, Result<Vec<[u8; 32]>, SmolStr>),
-}
-
-/// Result of the fetch of a piece.
-struct FetchResult {
-    id: VersionId,
-    since: Timestamp,
-    index: ChunkIndex,
-    source: Source,
-    bytes: Result<Bytes, FetchError>,
-}
-
-/// Reason for which a piece was not fetched.
-#[derive(Debug, thiserror::Error)]
-enum FetchError {
-    /// The fetch from a peer failed.
-    #[error(transparent)]
-    Peer(#[from] PeerError),
-    /// The fetch from the origin failed.
-    #[error("origin: {0}")]
-    Origin(SmolStr),
-    /// The digest of the bytes is not that of the piece.
-    #[error("digest mismatch, or the version is no longer being fetched")]
-    DigestMismatch,
-}
-
 /// Fetches the wanted version.
 pub struct Fetcher {
     context: Context,
@@ -482,104 +445,6 @@
         tracing::info!(version = wanted.version, %index, reason, after_ms, other_ms, "fetching a piece from the origin");
         metrics::counter!("apricothall_origin_fetches_total", "reason" => reason).increment(1);
     }
-
-    /// Stores a fetched piece, or backs off from its source.
-    fn complete(&mut self, fetched: FetchResult) {
-        self.in_flight.remove(&fetched.index);
-        let now = self.context.clock.now();
-        let took = now.since(fetched.since);
-        if let Source::Peer(id) = &fetched.source {
-            self.record_fetch_time(id, &fetched.bytes, took);
-        }
-        let from = match &fetched.source {
-            Source::Origin => "origin",
-            Source::Peer(_) => "peer",
-        };
-        let error = match fetched.bytes {
-            Ok(bytes) => {
-                let size = bytes.len() as u64;
-                if self.piece_store.put(&fetched.id, fetched.index, bytes) {
-                    if fetched.source == Source::Origin {
-                        self.record_origin_answer(took, now);
-                        self.report_to_importers(fetched.index, now);
-                    }
-                    self.mismatches.remove(&fetched.index);
-                    metrics::counter!("apricothall_piece_bytes_total", "source" => from)
-                        .increment(size);
-                    return;
-                }
-                let until = now + MISMATCH_BACKOFF;
-                self.mismatch_backoff.insert(fetched.index, until);
-                self.record_mismatch(&fetched.id, fetched.index);
-                FetchError::DigestMismatch
-            }
-            Err(error) => error,
-        };
-        let is_busy = matches!(error, FetchError::Peer(PeerError::Busy));
-        tracing::info!(version = fetched.id.version, index = %fetched.index, source = ?fetched.source, %error, "piece not fetched");
-        metrics::counter!("apricothall_piece_failures_total", "source" => from).increment(1);
-        match fetched.source {
-            Source::Peer(id) if is_busy => {
-                self.busy_peers.insert(id, now + BUSY_PEER_BACKOFF);
-            }
-            Source::Peer(id) => {
-                self.peer_backoff.insert(id, now + PEER_BACKOFF);
-            }
-            Source::Origin => self.back_off_origin(),
-        }
-    }
-
-    /// Records how long a fetch from the peer `id` took. One that failed at once, or that the peer had
-    /// no room for, says nothing about the links.
-    fn record_fetch_time(
-        &mut self,
-        id: &MemberId,
-        bytes: &Result<Bytes, FetchError>,
-        took: Duration,
-    ) {
-        let is_measured = matches!(bytes, Ok(_) | Err(FetchError::Peer(PeerError::Timeout)));
-        if !is_measured {
-            return;
-        }
-        self.mean_fetch_time = (self.mean_fetch_time * 3 + took) / 4;
-        let mean = self.peer_times.entry(id.clone()).or_insert(took);
-        *mean = (*mean * 3 + took) / 4;
-    }
-
-    /// Reports at once to the agents that fetch the piece into their regions. Periodic reports reach
-    /// an agent of another region too seldom for that.
-    fn report_to_importers(&self, chunk: ChunkIndex, now: Timestamp) {
-        let own = &self.context.settings().region;
-        let mut regions: BTreeMap<Region, BTreeMap<MemberId, SocketAddr>> = BTreeMap::new();
-        self.context.peers.each(now, |peer| {
-            let hello = &peer.hello;
-            let is_agent = hello.role == Role::Agent && hello.phase != Phase::Leaving;
-            if is_agent && hello.region != *own {
-                let region = regions.entry(hello.region.clone()).or_default();
-                region.insert(hello.id.clone(), hello.address);
-            }
-        });
-        for agents in regions.values() {
-            let importer = importer_index(agents.len(), chunk);
-            if let Some(address) = agents.values().nth(importer) {
-                self.context.fleet.request_report(*address);
-            }
-        }
-    }
-
-    /// Records a piece that the origin sent in the time `took`.
-    fn record_origin_answer(&mut self, took: Duration, now: Timestamp) {
-        self.origin_failures = 0;
-        self.origin_progress = now;
-        let mean = self.mean_origin_time.unwrap_or(took);
-        self.mean_origin_time = Some((mean * 3 + took) / 4);
-    }
-
-    /// Sends no requests to the origin for a time that grows with its consecutive failures.
-    fn back_off_origin(&mut self) {
-        self.origin_failures = self.origin_failures.saturating_add(1);
-        self.origin_retry_at = self.context.clock.now() + origin_backoff(self.origin_failures);
-    }
 }
 
 async fn read_origin(
