fix(gateway): changes that are too many for one answer are replaced by a list

Cause: the answer to a watch holds each change as a whole item; beyond 8 MiB it was cut off and counted as lost, and the same changes were asked for again until the store dropped its history.

Change: beyond 3 MiB, by the stated length before the body is read, the items are listed, which have each key once. Memory is bounded and no answer is loaded twice.

--- a/crates/clients/src/error.rs
+++ b/crates/clients/src/error.rs
@@ -21,6 +21,9 @@
     /// The answer was not complete in time, although bytes were received.
     #[error("answer not complete in time")]
     Slow,
+    /// The answer is larger than allowed.
+    #[error("answer too large")]
+    TooLarge,
     /// The server is over its limit.
     #[error("over its limit")]
     Busy {
--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -9,8 +9,8 @@
 use bytes::{Bytes, BytesMut};
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -124,7 +124,7 @@
     /// body to `counters` as they arrive.
     ///
     /// # Errors
-    /// When there is no complete answer.
+    /// When there is no complete answer. One whose length is stated and too large is not read.
     pub async fn read_counted<const N: usize>(
         &self,
         request: Request<Full<Bytes>>,
@@ -132,6 +132,9 @@
         counters: [&ReceivedBytes; N],
     ) -> Result<Answer, PlatformError> {
         let (parts, body) = self.send(request).await?.into_parts();
+        if usize::try_from(body.size_hint().lower()).is_ok_and(|size| size > limit) {
+            return Err(PlatformError::TooLarge);
+        }
         let body = body.map_frame(|frame| {
             let bytes = frame.data_ref().map_or(0, Bytes::len);
             for counter in counters {
@@ -140,9 +143,13 @@
             frame
         });
         let read = Limited::new(body, limit).collect().await;
-        let body = read
-            .map_err(|e| PlatformError::Lost(e.to_smolstr()))?
-            .to_bytes();
+        let body = read.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                return PlatformError::TooLarge;
+            }
+            PlatformError::Lost(error.to_smolstr())
+        })?;
+        let body = body.to_bytes();
         Ok(Answer {
             status: parts.status,
             headers: parts.headers,
--- a/crates/gateway/src/repeated_call.rs
+++ b/crates/gateway/src/repeated_call.rs
@@ -53,6 +53,8 @@
         let waiting = async {
             loop {
                 match timeout(repeats.wait(), calls.next()).await {
+                    // The answer to a repetition is no smaller.
+                    Ok(Some(Err(PlatformError::TooLarge))) => return Err(PlatformError::TooLarge),
                     Ok(Some(Err(_))) if !calls.is_empty() => continue,
                     Ok(Some(answered)) => return answered,
                     Ok(None) | Err(_) => {}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -395,7 +395,7 @@
         tracing::info!(
             ?subject,
             %error,
-            "the store has no changes after the revision; listing again"
+            "the changes after the revision cannot be had; listing again"
         );
         return;
     }
@@ -411,6 +411,7 @@
         | ReadError::NotReader
         | ReadError::Malformed(_)
         | ReadError::Compacted
+        | ReadError::TooManyChanges
         | ReadError::NewEra
         | ReadError::EndedEra(_) => ReadFailure::Unreachable,
     }
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -28,8 +28,12 @@
 /// Maximum time for receiving an answer.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// Maximum size of a response from the store, in bytes.
-const ANSWER_BYTES: usize = 8 << 20;
+/// Maximum size of a page of a list, in bytes.
+const PAGE_BYTES: usize = 8 << 20;
+
+/// Maximum size of the changes in the answer to a watch, in bytes: those of two of the largest items.
+/// A list of the items, which has each once, costs less beyond that.
+const CHANGES_BYTES: usize = 3 << 20;
 
 /// Timeout for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -49,6 +53,9 @@
     /// The history after the requested revision is gone.
     #[error("revision is no longer available: history compacted")]
     Compacted,
+    /// The changes after the requested revision are too many for one answer.
+    #[error("too many changes for one answer")]
+    TooManyChanges,
     /// A response is of a later era than the requested revision.
     #[error("the store has come back from an older copy")]
     NewEra,
@@ -58,11 +65,11 @@
 }
 
 impl ReadError {
-    /// Whether the store does not have the changes after the requested revision, so that its items
-    /// have to be listed.
+    /// Whether the changes after the requested revision cannot be had, so that the items have to be
+    /// listed.
     #[must_use]
     pub const fn needs_list(&self) -> bool {
-        matches!(self, Self::Compacted | Self::NewEra)
+        matches!(self, Self::Compacted | Self::NewEra | Self::TooManyChanges)
     }
 }
 
@@ -96,8 +103,13 @@
             again: IDLE_TIMEOUT,
             total: TRANSFER_TIMEOUT,
         },
+        limit: CHANGES_BYTES,
     };
-    let answer = call(context, client, watch).await?;
+    let answer = call(context, client, watch).await;
+    let answer = answer.map_err(|error| match error {
+        PlatformError::TooLarge => ReadError::TooManyChanges,
+        other => ReadError::Call(other),
+    })?;
     if answer.status == StatusCode::GONE {
         return Err(ReadError::Compacted);
     }
@@ -137,6 +149,7 @@
             again: IDLE_TIMEOUT,
             total: TRANSFER_TIMEOUT,
         },
+        limit: PAGE_BYTES,
     };
     let answer = call(context, client, list).await?;
     let answer = answer.error_for_status()?;
@@ -172,6 +185,8 @@
     /// Path of a repetition.
     again: &'a str,
     patience: Patience,
+    /// Maximum size of the answer, in bytes.
+    limit: usize,
 }
 
 async fn call(
@@ -186,7 +201,7 @@
         first: get(store, call.path)?,
         again: get(store, call.again)?,
         patience: call.patience,
-        limit: ANSWER_BYTES,
+        limit: call.limit,
     };
     let reads = &context.store_reads;
     let read = reads.begin(name, subject, hold, context.clock.now());
