fix(gateway): a server's 503 is no promise unless it states that it has not run the request

Change: for requests that may run once it counts as a lost answer: 502 of our own, without the server's seal. Requests that may be repeated get it unchanged.

--- a/crates/decide/src/statuses.rs
+++ b/crates/decide/src/statuses.rs
@@ -8,3 +8,9 @@
 pub const fn is_final(status: u16) -> bool {
     matches!(status, 200..=599)
 }
+
+/// Whether callers take `status` for a promise that the request has not run and never will.
+#[must_use]
+pub const fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use apricothall_decide::path_delay::{arrival_margin, withdrawal_margin};
 use apricothall_decide::repeat::End;
 use apricothall_decide::servers::Server;
-use apricothall_decide::statuses::is_final;
+use apricothall_decide::statuses::{is_final, promises_not_run};
 use apricothall_types::Timestamp;
 use bytes::Bytes;
 use http::header::{CONTENT_ENCODING, RETRY_AFTER};
@@ -79,6 +79,13 @@
     /// The response has no final status. The server may be running the request.
     #[error("response without a final status: {0}")]
     InvalidStatus(SmolStr),
+    /// The server answers with a status by which callers send the request again, but does not state
+    /// that it has not run it.
+    #[error("{status} without the statement that the request was not run")]
+    Unstated {
+        /// Status of the response.
+        status: StatusCode,
+    },
     /// The response does not belong to this request.
     #[error("response does not match the request: {0}")]
     Mismatched(SmolStr),
@@ -101,6 +108,7 @@
             | Self::TimedOut
             | Self::NotBegun
             | Self::InvalidStatus(_)
+            | Self::Unstated { .. }
             | Self::Mismatched(_) => End::Lost,
         }
     }
@@ -428,6 +436,9 @@
     if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptError::Refused { status });
     }
+    if !call.route.is_repeatable() && promises_not_run(status.as_u16()) {
+        return Err(AttemptError::Unstated { status });
+    }
     if headers.contains_key(CONTENT_ENCODING) {
         return Err(AttemptError::Mismatched(
             "body has a content encoding".into(),
