--- a/crates/apricotd/tests/settings_bounds.rs
+++ b/crates/apricotd/tests/settings_bounds.rs
@@ -12,7 +12,7 @@
 #[path = "departures/world.rs"]
 mod world;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use world::World;
 
@@ -50,6 +50,34 @@
     warned
 }
 
+/// Whether a process has a handler for a signal, by its number.
+fn handles(process: u32, signal: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+    let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+    caught.is_some_and(|mask| mask >> (signal - 1) & 1 == 1)
+}
+
+/// Guards against a process that ends as its settings change while it starts: the signal has a handler
+/// before anything else.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_of_the_settings_during_the_start_ends_no_process() {
+    const HANG_UP: u32 = 1;
+    const TERMINATE: u32 = 15;
+    let case = "a_change_of_the_settings_during_the_start_ends_no_process";
+    let mut world = World::start(case, &["a", "a"], 1).await;
+    for _ in 0..20 {
+        world.entries.kill(1).await;
+        let process = world.entries.process_id(1);
+        let seen = Instant::now();
+        while !handles(process, TERMINATE) {
+            assert!(seen.elapsed() < RELOAD, "it does not start");
+        }
+        assert!(handles(process, HANG_UP), "a change would end the process");
+    }
+    world.stop().await;
+}
+
 macro_rules! changes {
     ($($(#[doc = $guards:literal])* $case:ident: $line:literal => $by:literal, $warned:expr;)*) => {
         $($(#[doc = $guards])* #[tokio::test(flavor = "multi_thread")] async fn $case() {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -10,7 +10,7 @@
 use apricothall_types::{Interval, Role};
 use smol_str::SmolStr;
 use thiserror::Error;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::dialect::{Dialect, DialectError};
 
@@ -56,6 +56,8 @@
 /// # Errors
 /// If it fails to start.
 pub async fn run(read: SettingsReader, dialect: Dialect) -> Result<(), RunError> {
+    // Without a handler, a change of the settings ends the process.
+    let hangup = signal(SignalKind::hangup())?;
     let mut term = signal(SignalKind::terminate())?;
     let ReadSettings { settings, unusable } = read(None)?;
     let role = settings.role;
@@ -65,7 +67,7 @@
     let settings = context.settings();
     tracing::info!(id = %settings.id, %role, zone = %settings.zone, incarnation = %context.incarnation, "started");
     report_unusable(&unusable, &[]);
-    watch_settings(&context, read, unusable)?;
+    watch_settings(&context, read, hangup, unusable);
     term.recv().await;
     context.lifecycle.start_drain(DrainTrigger::Signal);
     if context.lifecycle.drained().await == Step::Abort {
@@ -113,9 +115,9 @@
 fn watch_settings(
     context: &Context,
     read: SettingsReader,
+    mut hangup: Signal,
     mut unusable: Vec<SmolStr>,
-) -> Result<(), RunError> {
-    let mut hangup = signal(SignalKind::hangup())?;
+) {
     let watching = context.clone();
     context.lifecycle.spawn(async move {
         loop {
@@ -129,7 +131,6 @@
             }
         }
     });
-    Ok(())
 }
 
 /// Applies the current settings. Returns what in them is unusable; `None` if they cannot be read.
