--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -96,6 +96,8 @@
     directory::start(context).await?;
     callers::start(context).await?;
     maintain_servers(context);
+    let telemetry = context.telemetry.clone();
+    context.lifecycle.spawn(telemetry.condense_repeatedly());
     traffic::start(context);
     Ok(())
 }
--- a/crates/kernel/src/run.rs
+++ b/crates/kernel/src/run.rs
@@ -39,6 +39,8 @@
     start(&context).await?;
     tracing::info!(id = %context.settings.daemon.id, %role, "started");
     watch_signals(&context, term, interrupt);
+    let telemetry = context.telemetry.clone();
+    context.lifecycle.spawn(telemetry.condense_repeatedly());
     context.lifecycle.drain_started().await;
     finish(context).await;
     Ok(())
--- a/crates/kernel/src/telemetry.rs
+++ b/crates/kernel/src/telemetry.rs
@@ -1,9 +1,14 @@
 //! Metrics of the process in Prometheus text form.
 
+use std::time::Duration;
+
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use smol_str::{SmolStr, ToSmolStr};
 use thiserror::Error;
 
+/// Interval at which samples are summed up.
+const CONDENSE_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Metrics cannot be recorded.
 #[derive(Debug, Error)]
 #[error("metrics cannot be set up: {0}")]
@@ -26,10 +31,24 @@
         Ok(Self { handle })
     }
 
+    /// Sums up what was recorded since the last call. Each sample takes memory until then, also if
+    /// nobody fetches the metrics.
+    pub fn condense(&self) {
+        self.handle.run_upkeep();
+    }
+
+    /// Condenses the metrics until the process ends.
+    pub async fn condense_repeatedly(self) {
+        loop {
+            tokio::time::sleep(CONDENSE_INTERVAL).await;
+            self.condense();
+        }
+    }
+
     /// All metrics as Prometheus text.
     #[must_use]
     pub fn render(&self) -> String {
-        self.handle.run_upkeep();
+        self.condense();
         self.handle.render()
     }
 }
