--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -73,7 +73,7 @@
     }
 
     /// Sets the limits for the answer to the next request.
-    fn expect(&self, pause: ReadPause) {
+    fn set(&self, pause: ReadPause) {
         self.unread.set(Some(pause.unread));
         self.unacknowledged.set(pause.unacknowledged);
     }
@@ -200,7 +200,7 @@
                 retry_later_response(DRAIN_RETRY_AFTER, "this entry ends too soon")
             }
             Ok(call) => {
-                read_limits.expect(call.read_pause());
+                read_limits.set(call.read_pause());
                 service.forwarder.forward(call).await
             }
             Err(answer) => {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -42,18 +42,18 @@
 
 /// How long a server may leave a request unacknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Patience {
+pub enum AckLimit {
     /// A short time, as another server can run the request.
-    Repeatable,
+    Short,
     /// Until the deadline, as the request is lost otherwise: the server may only be slow to read it.
-    Once,
+    Deadline,
 }
 
-impl Patience {
+impl AckLimit {
     const fn user_timeout(self) -> Option<Duration> {
         match self {
-            Self::Repeatable => Some(USER_TIMEOUT),
-            Self::Once => None,
+            Self::Short => Some(USER_TIMEOUT),
+            Self::Deadline => None,
         }
     }
 }
@@ -88,8 +88,8 @@
     }
 
     /// Sets for how long the server may leave the next request unacknowledged.
-    pub fn expect(&self, patience: Patience) {
-        self.user_timeout.set(patience.user_timeout());
+    pub fn set_ack_limit(&self, limit: AckLimit) {
+        self.user_timeout.set(limit.user_timeout());
     }
 
     /// Limits the idle time to half of the keep-alive timeout announced by the server.
@@ -133,13 +133,13 @@
         }
     }
 
-    /// Opens a new connection for a request with `patience`.
+    /// Opens a new connection for a request with `ack_limit`.
     ///
     /// # Errors
     /// If it is not established within the timeout.
     pub async fn connect(
         address: SocketAddr,
-        patience: Patience,
+        ack_limit: AckLimit,
         now: Timestamp,
     ) -> Result<ServerConnection, ConnectError> {
         let fail = |e: &dyn std::fmt::Display| ConnectError(e.to_smolstr());
@@ -152,7 +152,7 @@
         // later.
         let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         linger.map_err(|e| fail(&e))?;
-        let user_timeout = SharedTimeout::new(patience.user_timeout());
+        let user_timeout = SharedTimeout::new(ack_limit.user_timeout());
         let stream = UserTimeoutStream::new(stream, user_timeout.clone()).map_err(|e| fail(&e))?;
         let allowance = Allowance::default();
         let (sender, connection) = Builder::new()
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 
 use crate::Context;
-use crate::connections::{ConnectError, ConnectionPool, Patience, ServerConnection};
+use crate::connections::{AckLimit, ConnectError, ConnectionPool, ServerConnection};
 use crate::fleet::Placed;
 use crate::in_flight::InFlight;
 use crate::log_budgets::millis;
@@ -300,18 +300,18 @@
 ) -> Result<ServerConnection, AttemptError> {
     let address = placed.server.address;
     let now = context.clock.now();
-    let patience = if call.route.is_repeatable() {
-        Patience::Repeatable
+    let ack_limit = if call.route.is_repeatable() {
+        AckLimit::Short
     } else {
-        Patience::Once
+        AckLimit::Deadline
     };
-    if patience == Patience::Repeatable
+    if call.route.is_repeatable()
         && let Some(connection) = pool.acquire(address, now)
     {
-        connection.expect(patience);
+        connection.set_ack_limit(ack_limit);
         return Ok(connection);
     }
-    let connected = ConnectionPool::connect(address, patience, now).await;
+    let connected = ConnectionPool::connect(address, ack_limit, now).await;
     let after = context.clock.now();
     let took = after.since(now);
     context.fleet.record_round_trip(address, took, after);
