fix(gateway): a staged piece that has become longer is written again

Evidence: the new case a_piece_that_has_become_longer of staged_pieces failed without this (not loaded in 30 s) and passes. The other places that look at lost answers were read; none of them has a limit of its own.

--- a/crates/gateway/src/agent/loading.rs
+++ b/crates/gateway/src/agent/loading.rs
@@ -158,7 +158,9 @@
         let model = &self.version.model;
         match self.engine.get_piece(model, index.0, limit).await {
             Ok(bytes) => Ok(bytes == *expected),
-            Err(PlatformError::Status { .. } | PlatformError::Lost(_)) => Ok(false),
+            Err(
+                PlatformError::Status { .. } | PlatformError::Lost(_) | PlatformError::TooLarge,
+            ) => Ok(false),
             Err(error) => Err(error),
         }
     }
