--- /dev/null
+++ b/review/standin-3/engine.rs
@@ -0,0 +1,500 @@
+//! A model engine with its staging area, and the origin of its weights.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http::{Connection, Message, chunk, response};
+use crate::record::Record;
+use crate::sha256;
+use crate::store::{Store, hex};
+
+/// Pieces of a version.
+pub const PIECES: usize = 64;
+
+/// Layers of the model.
+const LAYERS: usize = 16;
+
+/// Pieces of a layer.
+const LAYER_PIECES: usize = PIECES / LAYERS;
+
+/// Bytes of a piece.
+const PIECE_BYTES: usize = 32_768;
+
+/// Time that a load takes.
+const LOAD_TIME: Duration = Duration::from_millis(100);
+
+/// Time for which a piece that has turned bad at the engine is excused by the rule WHOLE.
+const EXCUSED: Duration = Duration::from_secs(3);
+
+/// Events of a stream.
+const EVENTS: usize = 6;
+
+/// Bytes of a piece.
+pub fn piece(version: u64, index: usize) -> Vec<u8> {
+    let text = format!("piece {index} of version {version};");
+    text.bytes().cycle().take(PIECE_BYTES).collect()
+}
+
+/// Serves the digests and pieces of all versions.
+pub fn start_origin(listener: TcpListener) -> SocketAddr {
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut connection = Connection::new(stream);
+                while let Ok(Some(request)) = connection.read() {
+                    if connection.write(&origin_answer(&request)).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+fn origin_answer(request: &Message) -> Vec<u8> {
+    let number = |name| request.query(name).and_then(|v| v.parse::<u64>().ok());
+    let version = number("version").unwrap_or(1);
+    if request.path() == "/api/manifest/m" {
+        let digests = (0..PIECES).map(|i| hex(&sha256::digest(&piece(version, i))));
+        let digests: Vec<_> = digests.map(|d| format!("\"{d}\"")).collect();
+        let body = format!(
+            r#"{{"model":"m","version":{version},"chunkBytes":{PIECE_BYTES},"layers":{LAYERS},"digests":[{}]}}"#,
+            digests.join(",")
+        );
+        return response(
+            "200 OK",
+            "Content-Type: application/json\r\n",
+            body.as_bytes(),
+        );
+    }
+    match number("num") {
+        Some(index) => response("200 OK", "", &piece(version, index as usize)),
+        None => response("404 Not Found", "", b""),
+    }
+}
+
+struct Staged {
+    bytes: Vec<u8>,
+    bad_since: Option<Instant>,
+}
+
+#[derive(Clone)]
+struct Layer {
+    version: u64,
+    /// Pieces that it must not have been taken from.
+    wrong: Vec<usize>,
+}
+
+struct State {
+    staged: Vec<Staged>,
+    layers: Vec<Option<Layer>>,
+    /// Whether the slow write has arrived.
+    has_slow_put: bool,
+    has_rot: bool,
+    /// Load orders that have arrived, accepted or not.
+    arrived: u64,
+    orders: u64,
+    busy_until: Instant,
+    runs: u64,
+    wrong_runs: u64,
+}
+
+/// How long calls take, and what goes wrong with them.
+pub struct Conduct {
+    /// Time that it takes to store a piece.
+    pub put_time: Duration,
+    /// A piece that it takes this time to store when it is written for the first time.
+    pub slow_put: Option<(usize, Duration)>,
+    /// A piece that turns bad as soon as it was written for the first time.
+    pub rot_at: Option<usize>,
+    /// Time that it takes to return a piece.
+    pub get_time: Duration,
+    /// Time from the arrival of the first order until it is accepted.
+    pub order_time: Duration,
+    /// A piece whose write is answered, before it is done, by a second copy of the answer before it
+    /// on the same channel.
+    pub extra_at: Option<usize>,
+}
+
+/// An engine that has version 1 loaded and staged. Clones share it.
+#[derive(Clone)]
+pub struct Engine {
+    state: Arc<Mutex<State>>,
+    conduct: Arc<Conduct>,
+    record: Record,
+}
+
+impl Engine {
+    /// An engine with `conduct`.
+    pub fn new(conduct: Conduct, record: &Record) -> Self {
+        let first = Layer {
+            version: 1,
+            wrong: Vec::new(),
+        };
+        let staged = |index| Staged {
+            bytes: piece(1, index),
+            bad_since: None,
+        };
+        let state = State {
+            staged: (0..PIECES).map(staged).collect(),
+            layers: vec![Some(first); LAYERS],
+            has_slow_put: false,
+            has_rot: false,
+            arrived: 0,
+            orders: 0,
+            busy_until: Instant::now(),
+            runs: 0,
+            wrong_runs: 0,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            conduct: Arc::new(conduct),
+            record: record.clone(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no panic")
+    }
+
+    /// Serves `listener`, and writes its entry in `store` at each heartbeat and change.
+    pub fn start(&self, listener: TcpListener, store: &Store) -> SocketAddr {
+        let address = listener.local_addr().expect("an address");
+        let engine = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let engine = engine.clone();
+                thread::spawn(move || engine.serve(Connection::new(stream)));
+            }
+        });
+        let (engine, store) = (self.clone(), store.clone());
+        thread::spawn(move || engine.register(address, &store));
+        address
+    }
+
+    fn register(&self, address: SocketAddr, store: &Store) {
+        let mut written = Instant::now();
+        let mut last = None;
+        for sequence in 1_u64.. {
+            let models = models(self.state().served());
+            if last.as_ref() != Some(&models) || written.elapsed() >= Duration::from_millis(1_200) {
+                let entry = format!(
+                    r#"{{"service":"redactor","address":"{address}","zone":"za","version":"v1","slots":16,"state":"ready","coldRemainingMs":0,"stage":"unified","models":[{models}],"born":1000,"sequence":{sequence}}}"#
+                );
+                store.put("servers/i-1", &entry);
+                written = Instant::now();
+                last = Some(models);
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Requests that were run, and those of them that were run on wrong weights.
+    pub fn runs(&self) -> (u64, u64) {
+        let state = self.state();
+        (state.runs, state.wrong_runs)
+    }
+
+    /// The version that it serves.
+    pub fn served(&self) -> Option<u64> {
+        self.state().served()
+    }
+
+    /// Whether the slow write has arrived.
+    pub fn has_slow_put(&self) -> bool {
+        self.state().has_slow_put
+    }
+
+    /// Load orders that have arrived, accepted or not.
+    pub fn arrived(&self) -> u64 {
+        self.state().arrived
+    }
+
+    /// A staged piece turns bad.
+    fn spoil(&self, index: usize) {
+        let mut state = self.state();
+        state.staged[index].bytes[0] ^= 1;
+        state.staged[index].bad_since = Some(Instant::now());
+        drop(state);
+        self.record.add(format!("staged piece {index} turns bad"));
+    }
+
+    fn serve(&self, mut connection: Connection) {
+        let mut before: Option<Vec<u8>> = None;
+        while let Ok(Some(request)) = connection.read() {
+            let index = request.query("num").and_then(|n| n.parse().ok());
+            if request.method() == "PUT" && index == self.conduct.extra_at && index.is_some() {
+                if let Some(copy) = &before {
+                    self.record
+                        .add("the engine sends a second copy of the answer before, late");
+                    if connection.write(copy).is_err() {
+                        return;
+                    }
+                }
+            }
+            let answer = self.answer(&request, index);
+            if connection.write(&answer).is_err() {
+                return;
+            }
+            before = Some(answer);
+        }
+    }
+
+    fn answer(&self, request: &Message, index: Option<usize>) -> Vec<u8> {
+        match (request.method(), request.path(), index) {
+            ("PUT", "/api/stage-put/m", Some(index)) => self.put(index, request),
+            ("GET", "/api/stage-get/m", Some(index)) => {
+                thread::sleep(self.conduct.get_time);
+                response("200 OK", "", &self.state().staged[index].bytes)
+            }
+            ("GET", "/api/stage-get/m", None) => {
+                let held: Vec<_> = (0..PIECES).map(|i| i.to_string()).collect();
+                json(&format!(r#"{{"held":[{}]}}"#, held.join(",")))
+            }
+            ("GET", "/api/report", _) => json(&self.report()),
+            ("POST", "/api/order", _) => self.order(request),
+            ("POST", path, _) if path.starts_with("/draft/") => self.run(request),
+            _ => response("404 Not Found", "", b""),
+        }
+    }
+
+    fn put(&self, index: usize, request: &Message) -> Vec<u8> {
+        let text: String = request
+            .body
+            .iter()
+            .take(40)
+            .map(|b| char::from(*b))
+            .collect();
+        let what = text.split(';').next().unwrap_or_default().to_owned();
+        thread::sleep(self.time_to_store(index, &what));
+        self.state().staged[index] = Staged {
+            bytes: request.body.clone(),
+            bad_since: None,
+        };
+        self.record.add(format!("{what} stored"));
+        if self.conduct.rot_at == Some(index) && !self.state().has_rot {
+            self.state().has_rot = true;
+            self.spoil(index);
+        }
+        response("200 OK", "", b"")
+    }
+
+    fn time_to_store(&self, index: usize, what: &str) -> Duration {
+        match self.conduct.slow_put {
+            Some((slow, time)) if slow == index && !self.state().has_slow_put => {
+                self.state().has_slow_put = true;
+                self.record
+                    .add(format!("{what} arrives, and takes {time:?} to be stored"));
+                time
+            }
+            _ => self.conduct.put_time,
+        }
+    }
+
+    fn report(&self) -> String {
+        let state = self.state();
+        let version = state.version();
+        let layers = version.map_or("null".to_owned(), |version| {
+            let (from, to) = state.held();
+            format!(r#"{{"from":{from},"to":{to},"version":{version}}}"#)
+        });
+        let (models, busy) = (models(state.served()), state.is_busy());
+        let orders = state.orders;
+        format!(
+            r#"{{"stage":"unified","models":[{models}],"layers":{layers},"busy":{busy},"sequence":{orders},"queued":0,"running":0,"kvUsed":0,"kvTotal":1640000,"handles":0,"pace":1.0,"born":1000}}"#
+        )
+    }
+
+    fn order(&self, request: &Message) -> Vec<u8> {
+        let text = String::from_utf8_lossy(&request.body).into_owned();
+        let number = |name| field(&text, name);
+        self.record.add(format!("order arrives: {text}"));
+        let is_first = {
+            let mut state = self.state();
+            state.arrived += 1;
+            state.arrived == 1
+        };
+        if is_first {
+            thread::sleep(self.conduct.order_time);
+        }
+        let mut state = self.state();
+        let version = number("version").unwrap_or(0);
+        let from = number("from").unwrap_or(0) as usize;
+        let to = number("to").unwrap_or(LAYERS as u64) as usize;
+        if number("expected").is_some_and(|n| n != state.orders) || state.is_busy() {
+            self.record.add("order answered 409");
+            return response("409 Conflict", "", b"");
+        }
+        if state.version() == Some(version) && state.held() == (from, to) {
+            self.record.add("order answered 200");
+            return response("200 OK", "", b"");
+        }
+        let wrong = state.take(version, from, to);
+        state.orders += 1;
+        state.busy_until = Instant::now() + LOAD_TIME;
+        drop(state);
+        self.record.add(format!(
+            "order for version {version}, layers {from} to {to}, accepted; pieces that must not be taken: {wrong:?}"
+        ));
+        response("202 Accepted", "", b"")
+    }
+
+    /// Runs a request whose version it serves.
+    fn run(&self, request: &Message) -> Vec<u8> {
+        let id = request.header("attempt-id");
+        let refuse = |reason: &str| {
+            let head = format!("Attempt-Id: {id}\r\nNot-Executed: 1\r\nInstance-Id: i-1\r\n");
+            response("421 Misdirected Request", &head, reason.as_bytes())
+        };
+        if request.header("expect-instance") != "i-1" {
+            return refuse("instance");
+        }
+        let mut state = self.state();
+        let expected = request.header("expect-version").parse::<u64>().ok();
+        let Some(version) = state.served() else {
+            return refuse("no weights");
+        };
+        if expected.is_some_and(|expected| expected != version) {
+            return refuse("version");
+        }
+        let layers = state.layers.iter().flatten();
+        let wrong: Vec<_> = layers.flat_map(|l| l.wrong.clone()).collect();
+        state.runs += 1;
+        if !wrong.is_empty() {
+            state.wrong_runs += 1;
+        }
+        drop(state);
+        self.record.add(format!(
+            "request {id} is run on version {version}; pieces that its layers must not be taken from: {wrong:?}"
+        ));
+        let mut answer = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: s.{id}\r\nWeight-Versions: {version}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        .into_bytes();
+        for event in 1..=EVENTS {
+            answer.extend(chunk(
+                format!("id: {event}\ndata: token {event}\n\n").as_bytes(),
+            ));
+        }
+        answer.extend(b"0\r\n\r\n");
+        answer
+    }
+}
+
+impl State {
+    fn is_busy(&self) -> bool {
+        Instant::now() < self.busy_until
+    }
+
+    /// The layers that it holds.
+    fn held(&self) -> (usize, usize) {
+        let first = self.layers.iter().position(Option::is_some).unwrap_or(0);
+        (first, first + self.layers.iter().flatten().count())
+    }
+
+    fn version(&self) -> Option<u64> {
+        self.layers.iter().flatten().next().map(|l| l.version)
+    }
+
+    fn served(&self) -> Option<u64> {
+        let is_whole = self.held() == (0, LAYERS) && !self.is_busy();
+        self.version().filter(|_| is_whole)
+    }
+
+    /// Takes the layers that it does not hold, and gives up those outside the range. Returns the
+    /// pieces that must not be taken.
+    fn take(&mut self, version: u64, from: usize, to: usize) -> Vec<usize> {
+        let mut all = Vec::new();
+        for at in 0..LAYERS {
+            let is_held = self.layers[at]
+                .as_ref()
+                .is_some_and(|l| l.version == version);
+            if !(from..to).contains(&at) {
+                self.layers[at] = None;
+            } else if !is_held {
+                let pieces = at * LAYER_PIECES..(at + 1) * LAYER_PIECES;
+                let wrong: Vec<_> = pieces.filter(|i| !self.is_permitted(version, *i)).collect();
+                all.extend(&wrong);
+                self.layers[at] = Some(Layer { version, wrong });
+            }
+        }
+        all
+    }
+
+    /// Whether the rule WHOLE permits to take a staged piece.
+    fn is_permitted(&self, version: u64, index: usize) -> bool {
+        let staged = &self.staged[index];
+        let is_excused = staged
+            .bad_since
+            .is_some_and(|since| since.elapsed() < EXCUSED);
+        is_excused || staged.bytes == piece(version, index)
+    }
+}
+
+fn json(body: &str) -> Vec<u8> {
+    response(
+        "200 OK",
+        "Content-Type: application/json\r\n",
+        body.as_bytes(),
+    )
+}
+
+fn models(version: Option<u64>) -> String {
+    version.map_or(String::new(), |version| {
+        format!(r#"{{"name":"m","version":{version},"adapters":[]}}"#)
+    })
+}
+
+/// A number in a JSON text.
+fn field(text: &str, name: &str) -> Option<u64> {
+    let (_, rest) = text.split_once(&format!("\"{name}\":"))?;
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
+
+/// The configuration: a route with streams to the engines, whose weights lie at `origin`.
+pub fn configuration(origin: SocketAddr) -> String {
+    format!(
+        r#"{{"version":1,"routes":[{{"name":"draft","host":"h.example","prefix":"/draft/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":400,"priority":1,"service":"redactor","maxAttempts":2,"public":true,"sticky":true,"resumable":true,"gapTargetMs":300}}],"services":[{{"name":"redactor","healthPath":"/health","maxConnections":364,"protocol":"h1","tls":false,"engine":{{"slots":16,"kvCapacity":1640000,"kvTokenBytes":163840,"linkMbps":400000.0,"stride":6,"models":[{{"name":"m","pace":1.0,"loadTimeS":4.0,"warmupS":0.3}}],"sizeMb":282000.0,"step_ms":6.73,"per_seq_ms":0.0219,"context_per_k":0.0068,"read_per_s":30600.0,"pairs_per_m":0.647,"chunk":2048,"report_lag_ms":200.0,"usual":{{"prompt":964,"answer":119}},"layers":{LAYERS},"layer_mb":4540.0,"chunks":{PIECES},"chunkBytes":{PIECE_BYTES}}}}},{{"name":"weights","origin":"{origin}","zone":"za","linkMbps":9.9,"maxConnections":48}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
+    )
+}
+
+/// Sends streams to `front` until `end`, and counts those that were answered whole.
+pub fn send_streams(front: SocketAddr, pause: Duration, end: Instant, record: &Record) -> u64 {
+    let wait = Duration::from_secs(3);
+    let mut whole = 0;
+    let mut channel = None;
+    for at in 0_u64.. {
+        if Instant::now() >= end {
+            break;
+        }
+        thread::sleep(pause);
+        let Some(mut open) = channel
+            .take()
+            .or_else(|| Connection::open(front, wait).ok())
+        else {
+            continue;
+        };
+        let request = format!(
+            "POST /draft/{at} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {at:016x}\r\nModel: m\r\nToken-Usage: 60,36\r\nPrompt-Prefix: a1:40,{at:x}:20\r\nDeadline-Ms: 6000\r\nContent-Length: 4\r\n\r\nbody"
+        );
+        let sent = open.write(request.as_bytes());
+        match sent.and_then(|()| open.read()) {
+            Ok(Some(answer)) => {
+                let version = answer.header("weight-versions");
+                let status = answer.status();
+                record.add(format!(
+                    "request {at:016x} sent; answered {status}, Weight-Versions {version:?}"
+                ));
+                whole += u64::from(status == 200);
+                channel = Some(open);
+            }
+            _ => record.add(format!("request {at:016x} sent; channel closed")),
+        }
+    }
+    whole
+}
