Review 3: the former case 13 gives way to review/6, which shows it already

Change: the case and its part of the stand-ins are removed; the case of statuses that no server gave becomes case 13.

--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -25,9 +25,6 @@
 /// Time that a load takes.
 const LOAD_TIME: Duration = Duration::from_millis(100);
 
-/// Time for which a piece that has turned bad at the engine is excused by the rule WHOLE.
-const EXCUSED: Duration = Duration::from_secs(3);
-
 /// Events of a stream.
 const EVENTS: usize = 6;
 
@@ -77,11 +74,6 @@
     }
 }
 
-struct Staged {
-    bytes: Vec<u8>,
-    bad_since: Option<Instant>,
-}
-
 #[derive(Clone)]
 struct Layer {
     version: u64,
@@ -90,13 +82,11 @@
 }
 
 struct State {
-    staged: Vec<Staged>,
+    /// Bytes of the staged pieces.
+    staged: Vec<Vec<u8>>,
     layers: Vec<Option<Layer>>,
     /// Whether the slow write has arrived.
     has_slow_put: bool,
-    has_rot: bool,
-    /// Load orders that have arrived, accepted or not.
-    arrived: u64,
     orders: u64,
     busy_until: Instant,
     runs: u64,
@@ -109,12 +99,8 @@
     pub put_time: Duration,
     /// A piece that it takes this time to store when it is written for the first time.
     pub slow_put: Option<(usize, Duration)>,
-    /// A piece that turns bad as soon as it was written for the first time.
-    pub rot_at: Option<usize>,
     /// Time that it takes to return a piece.
     pub get_time: Duration,
-    /// Time from the arrival of the first order until it is accepted.
-    pub order_time: Duration,
     /// A piece whose write is answered, before it is done, by a second copy of the answer before it
     /// on the same channel.
     pub extra_at: Option<usize>,
@@ -135,16 +121,10 @@
             version: 1,
             wrong: Vec::new(),
         };
-        let staged = |index| Staged {
-            bytes: piece(1, index),
-            bad_since: None,
-        };
         let state = State {
-            staged: (0..PIECES).map(staged).collect(),
+            staged: (0..PIECES).map(|index| piece(1, index)).collect(),
             layers: vec![Some(first); LAYERS],
             has_slow_put: false,
-            has_rot: false,
-            arrived: 0,
             orders: 0,
             busy_until: Instant::now(),
             runs: 0,
@@ -209,20 +189,6 @@
         self.state().has_slow_put
     }
 
-    /// Load orders that have arrived, accepted or not.
-    pub fn arrived(&self) -> u64 {
-        self.state().arrived
-    }
-
-    /// A staged piece turns bad.
-    fn spoil(&self, index: usize) {
-        let mut state = self.state();
-        state.staged[index].bytes[0] ^= 1;
-        state.staged[index].bad_since = Some(Instant::now());
-        drop(state);
-        self.record.add(format!("staged piece {index} turns bad"));
-    }
-
     fn serve(&self, mut connection: Connection) {
         let mut before: Option<Vec<u8>> = None;
         while let Ok(Some(request)) = connection.read() {
@@ -249,7 +215,7 @@
             ("PUT", "/api/stage-put/m", Some(index)) => self.put(index, request),
             ("GET", "/api/stage-get/m", Some(index)) => {
                 thread::sleep(self.conduct.get_time);
-                response("200 OK", "", &self.state().staged[index].bytes)
+                response("200 OK", "", &self.state().staged[index])
             }
             ("GET", "/api/stage-get/m", None) => {
                 let held: Vec<_> = (0..PIECES).map(|i| i.to_string()).collect();
@@ -271,15 +237,8 @@
             .collect();
         let what = text.split(';').next().unwrap_or_default().to_owned();
         thread::sleep(self.time_to_store(index, &what));
-        self.state().staged[index] = Staged {
-            bytes: request.body.clone(),
-            bad_since: None,
-        };
+        self.state().staged[index] = request.body.clone();
         self.record.add(format!("{what} stored"));
-        if self.conduct.rot_at == Some(index) && !self.state().has_rot {
-            self.state().has_rot = true;
-            self.spoil(index);
-        }
         response("200 OK", "", b"")
     }
 
@@ -313,14 +272,6 @@
         let text = String::from_utf8_lossy(&request.body).into_owned();
         let number = |name| field(&text, name);
         self.record.add(format!("order arrives: {text}"));
-        let is_first = {
-            let mut state = self.state();
-            state.arrived += 1;
-            state.arrived == 1
-        };
-        if is_first {
-            thread::sleep(self.conduct.order_time);
-        }
         let mut state = self.state();
         let version = number("version").unwrap_or(0);
         let from = number("from").unwrap_or(0) as usize;
@@ -417,22 +368,15 @@
                 self.layers[at] = None;
             } else if !is_held {
                 let pieces = at * LAYER_PIECES..(at + 1) * LAYER_PIECES;
-                let wrong: Vec<_> = pieces.filter(|i| !self.is_permitted(version, *i)).collect();
+                let wrong: Vec<_> = pieces
+                    .filter(|i| self.staged[*i] != piece(version, *i))
+                    .collect();
                 all.extend(&wrong);
                 self.layers[at] = Some(Layer { version, wrong });
             }
         }
         all
     }
-
-    /// Whether the rule WHOLE permits to take a staged piece.
-    fn is_permitted(&self, version: u64, index: usize) -> bool {
-        let staged = &self.staged[index];
-        let is_excused = staged
-            .bad_since
-            .is_some_and(|since| since.elapsed() < EXCUSED);
-        is_excused || staged.bytes == piece(version, index)
-    }
 }
 
 fn json(body: &str) -> Vec<u8> {
--- a/review/standin-3/extra_answer.rs
+++ b/review/standin-3/extra_answer.rs
@@ -31,8 +31,6 @@
         put_time: PUT_TIME,
         slow_put: None,
         get_time: Duration::from_millis(2),
-        rot_at: None,
-        order_time: Duration::ZERO,
         extra_at: is_disturbed.then_some(PIECES - 1),
     };
     let engine = Engine::new(conduct, &record);
--- a/review/standin-3/header_limit.rs
+++ b/review/standin-3/header_limit.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use crate::Outcome;
-use crate::http::{Connection, response};
+use crate::http::Connection;
 use crate::machines::{Machines, Role};
+use crate::plain;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -29,14 +30,8 @@
 const LONG_TIME: Duration = Duration::from_secs(20);
 
 /// Clients, each with a channel of its own, and their pause between two requests.
-const CLIENTS: u64 = 10;
-const PAUSE: Duration = Duration::from_millis(200);
-
-fn configuration(version: u64, limit: usize) -> String {
-    format!(
-        r#"{{"version":{version},"routes":[{{"name":"status","host":"h.example","prefix":"/status/","kind":"idempotent","timeoutMs":800,"targetLatencyMs":300,"priority":1,"service":"agenda","maxAttempts":2,"public":true}}],"services":[{{"name":"agenda","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":{limit},"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
-    )
-}
+const CLIENTS: u64 = 30;
+const PAUSE: Duration = Duration::from_millis(500);
 
 /// Runs the case.
 pub fn run(is_disturbed: bool) -> Outcome {
@@ -44,23 +39,14 @@
     let store = Store::default();
     let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
     let store_address = store.start(bind());
-    let server = start_server(bind());
+    let server = plain::start_server(bind(), &record);
     let first = if is_disturbed {
         LIMIT_BEFORE
     } else {
         LIMIT_AFTER
     };
-    store.put("op/config", &configuration(1, first));
-    let registered = store.clone();
-    thread::spawn(move || {
-        for sequence in 1_u64.. {
-            let entry = format!(
-                r#"{{"service":"agenda","address":"{server}","zone":"za","version":"v1","slots":16,"state":"ready","coldRemainingMs":0,"born":1000,"sequence":{sequence}}}"#
-            );
-            registered.put("servers/i-1", &entry);
-            thread::sleep(Duration::from_millis(1_200));
-        }
-    });
+    store.put("op/config", &plain::configuration(1, first));
+    plain::keep_registered(&store, "agenda", server, 1_000);
     let mut machines = Machines::new(store_address);
     machines.add(Role::Front, None);
     if !machines.wait_ready(0) {
@@ -77,7 +63,7 @@
         })
         .collect();
     thread::sleep(BEFORE_CHANGE);
-    store.put("op/config", &configuration(2, LIMIT_AFTER));
+    store.put("op/config", &plain::configuration(2, LIMIT_AFTER));
     record.add(format!(
         "version 2 acknowledged: heads of {LIMIT_AFTER} bytes are permitted"
     ));
@@ -103,25 +89,6 @@
     }
 }
 
-fn start_server(listener: TcpListener) -> SocketAddr {
-    let address = listener.local_addr().expect("an address");
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            thread::spawn(move || {
-                let mut connection = Connection::new(stream);
-                while let Ok(Some(request)) = connection.read() {
-                    let id = request.header("attempt-id");
-                    let head = format!("Attempt-Id: {id}\r\nResponse-Seal: s.{id}\r\n");
-                    if connection.write(&response("200 OK", &head, b"ok")).is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    address
-}
-
 /// Sends requests on a kept channel. Returns how many, and how many of them were denied.
 fn client(number: u64, front: SocketAddr, changed: Instant, record: &Record) -> (u64, u64) {
     let wait = Duration::from_secs(2);
--- a/review/standin-3/late_write.rs
+++ b/review/standin-3/late_write.rs
@@ -41,8 +41,6 @@
         put_time: PUT_TIME,
         slow_put: Some(SLOW_PUT),
         get_time: Duration::from_millis(2),
-        rot_at: None,
-        order_time: Duration::ZERO,
         extra_at: None,
     };
     let engine = Engine::new(conduct, &record);
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,14 +1,15 @@
 //! Stand-ins of the third review, with one case for each folder. Exits with 1 if the rule was
 //! broken, 0 if it held, and 2 if the case could not run.
 
-mod all_killed;
 mod engine;
 mod extra_answer;
+mod foreign_entry;
 mod header_limit;
 mod http;
 mod late_bytes;
 mod late_write;
 mod machines;
+mod plain;
 mod record;
 mod sha256;
 mod store;
@@ -41,9 +42,8 @@
     });
     let is_disturbed = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
-        "all-killed" => all_killed::run(is_disturbed),
-        "agent-away" => all_killed::run_one_by_one(is_disturbed),
         "extra-answer" => extra_answer::run(is_disturbed),
+        "foreign-entry" => foreign_entry::run(is_disturbed),
         "header-limit" => header_limit::run(is_disturbed),
         "late-write" => late_write::run(is_disturbed),
         "late-bytes" => late_bytes::run(is_disturbed),
