--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -28,6 +28,10 @@
 /// Events of a stream.
 const EVENTS: usize = 6;
 
+/// Events of a stream whose events come one by one, and the pause between them.
+const LIVE_EVENTS: usize = 12;
+const LIVE_PAUSE: Duration = Duration::from_millis(150);
+
 /// Bytes of a piece.
 pub fn piece(version: u64, index: usize) -> Vec<u8> {
     let text = format!("piece {index} of version {version};");
@@ -36,12 +40,22 @@
 
 /// Serves the digests and pieces of all versions.
 pub fn start_origin(listener: TcpListener) -> SocketAddr {
+    start_origin_until(listener, u64::MAX)
+}
+
+/// Serves the digests and pieces of versions up to `newest`, and closes other channels without an
+/// answer, as an origin that is away.
+pub fn start_origin_until(listener: TcpListener, newest: u64) -> SocketAddr {
     let address = listener.local_addr().expect("an address");
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             thread::spawn(move || {
                 let mut connection = Connection::new(stream);
                 while let Ok(Some(request)) = connection.read() {
+                    let version = request.query("version").and_then(|v| v.parse().ok());
+                    if version.is_some_and(|version: u64| version > newest) {
+                        return;
+                    }
                     if connection.write(&origin_answer(&request)).is_err() {
                         return;
                     }
@@ -91,6 +105,12 @@
     busy_until: Instant,
     runs: u64,
     wrong_runs: u64,
+    /// Time from the head of a stream to its first event.
+    begin_time: Duration,
+    /// Number of its crashes. A crash ends all connections.
+    crashes: u64,
+    /// Versions with the times at which runs on them began.
+    begun: Vec<(u64, Instant)>,
 }
 
 /// How long calls take, and what goes wrong with them.
@@ -112,11 +132,12 @@
     state: Arc<Mutex<State>>,
     conduct: Arc<Conduct>,
     record: Record,
+    id: &'static str,
 }
 
 impl Engine {
     /// An engine with `conduct`.
-    pub fn new(conduct: Conduct, record: &Record) -> Self {
+    pub fn new(id: &'static str, conduct: Conduct, record: &Record) -> Self {
         let first = Layer {
             version: 1,
             wrong: Vec::new(),
@@ -129,11 +150,15 @@
             busy_until: Instant::now(),
             runs: 0,
             wrong_runs: 0,
+            begin_time: Duration::from_millis(20),
+            crashes: 0,
+            begun: Vec::new(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
             conduct: Arc::new(conduct),
             record: record.clone(),
+            id,
         }
     }
 
@@ -165,7 +190,7 @@
                 let entry = format!(
                     r#"{{"service":"redactor","address":"{address}","zone":"za","version":"v1","slots":16,"state":"ready","coldRemainingMs":0,"stage":"unified","models":[{models}],"born":1000,"sequence":{sequence}}}"#
                 );
-                store.put("servers/i-1", &entry);
+                store.put(&format!("servers/{}", self.id), &entry);
                 written = Instant::now();
                 last = Some(models);
             }
@@ -179,6 +204,26 @@
         (state.runs, state.wrong_runs)
     }
 
+    /// Sets the time from the head of a stream to its first event.
+    pub fn set_begin_time(&self, time: Duration) {
+        self.state().begin_time = time;
+        self.record
+            .add(format!("{} takes {time:?} to begin", self.id));
+    }
+
+    /// Ends all its connections, as a process that crashes. It serves again at once.
+    pub fn crash(&self) {
+        self.state().crashes += 1;
+        self.record.add(format!("{} crashes", self.id));
+    }
+
+    /// Times at which runs on `version` began.
+    pub fn begun(&self, version: u64) -> Vec<Instant> {
+        let state = self.state();
+        let of_version = state.begun.iter().filter(|(v, _)| *v == version);
+        of_version.map(|(_, at)| *at).collect()
+    }
+
     /// The version that it serves.
     pub fn served(&self) -> Option<u64> {
         self.state().served()
@@ -202,6 +247,12 @@
                     }
                 }
             }
+            if request.method() == "POST" && request.path().starts_with("/live/") {
+                if self.stream(&mut connection, &request).is_err() {
+                    return;
+                }
+                continue;
+            }
             let answer = self.answer(&request, index);
             if connection.write(&answer).is_err() {
                 return;
@@ -294,14 +345,65 @@
         response("202 Accepted", "", b"")
     }
 
+    /// Sends a stream, with its head at once, whose events come one by one.
+    fn stream(&self, connection: &mut Connection, request: &Message) -> std::io::Result<()> {
+        let id = request.header("attempt-id").to_owned();
+        let expected = request.header("expect-version").parse::<u64>().ok();
+        let served = self.state().served();
+        let version = served.filter(|v| expected.is_none_or(|e| e == *v));
+        let (Some(version), true) = (version, request.header("expect-instance") == self.id) else {
+            let head = format!(
+                "Attempt-Id: {id}\r\nNot-Executed: 1\r\nInstance-Id: {}\r\n",
+                self.id
+            );
+            return connection.write(&response("421 Misdirected Request", &head, b""));
+        };
+        let begin_time = self.state().begin_time;
+        let crashes = self.state().crashes;
+        let wait = |time: Duration| {
+            let end = Instant::now() + time;
+            while Instant::now() < end {
+                thread::sleep(Duration::from_millis(5));
+                if self.state().crashes != crashes || connection.is_closed() {
+                    return Err(std::io::Error::from(std::io::ErrorKind::ConnectionReset));
+                }
+            }
+            Ok(())
+        };
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: s.{id}\r\nWeight-Versions: {version}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        let mut connection_copy = connection.writer()?;
+        std::io::Write::write_all(&mut connection_copy, head.as_bytes())?;
+        wait(begin_time)?;
+        self.state().begun.push((version, Instant::now()));
+        let last = request
+            .header("last-event-id")
+            .parse::<usize>()
+            .unwrap_or(0);
+        self.record.add(format!(
+            "{} begins {id} on version {version}, after event {last}",
+            self.id
+        ));
+        for event in last + 1..=LIVE_EVENTS {
+            let data = chunk(format!("id: {event}\ndata: token {event}\n\n").as_bytes());
+            std::io::Write::write_all(&mut connection_copy, &data)?;
+            wait(LIVE_PAUSE)?;
+        }
+        std::io::Write::write_all(&mut connection_copy, b"0\r\n\r\n")
+    }
+
     /// Runs a request whose version it serves.
     fn run(&self, request: &Message) -> Vec<u8> {
         let id = request.header("attempt-id");
         let refuse = |reason: &str| {
-            let head = format!("Attempt-Id: {id}\r\nNot-Executed: 1\r\nInstance-Id: i-1\r\n");
+            let head = format!(
+                "Attempt-Id: {id}\r\nNot-Executed: 1\r\nInstance-Id: {}\r\n",
+                self.id
+            );
             response("421 Misdirected Request", &head, reason.as_bytes())
         };
-        if request.header("expect-instance") != "i-1" {
+        if request.header("expect-instance") != self.id {
             return refuse("instance");
         }
         let mut state = self.state();
@@ -403,7 +505,7 @@
 /// The configuration: a route with streams to the engines, whose weights lie at `origin`.
 pub fn configuration(origin: SocketAddr) -> String {
     format!(
-        r#"{{"version":1,"routes":[{{"name":"draft","host":"h.example","prefix":"/draft/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":400,"priority":1,"service":"redactor","maxAttempts":2,"public":true,"sticky":true,"resumable":true,"gapTargetMs":300}}],"services":[{{"name":"redactor","healthPath":"/health","maxConnections":364,"protocol":"h1","tls":false,"engine":{{"slots":16,"kvCapacity":1640000,"kvTokenBytes":163840,"linkMbps":400000.0,"stride":6,"models":[{{"name":"m","pace":1.0,"loadTimeS":4.0,"warmupS":0.3}}],"sizeMb":282000.0,"step_ms":6.73,"per_seq_ms":0.0219,"context_per_k":0.0068,"read_per_s":30600.0,"pairs_per_m":0.647,"chunk":2048,"report_lag_ms":200.0,"usual":{{"prompt":964,"answer":119}},"layers":{LAYERS},"layer_mb":4540.0,"chunks":{PIECES},"chunkBytes":{PIECE_BYTES}}}}},{{"name":"weights","origin":"{origin}","zone":"za","linkMbps":9.9,"maxConnections":48}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
+        r#"{{"version":1,"routes":[{{"name":"draft","host":"h.example","prefix":"/draft/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":400,"priority":1,"service":"redactor","maxAttempts":2,"public":true,"sticky":true,"resumable":true,"gapTargetMs":300}},{{"name":"live","host":"h.example","prefix":"/live/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":400,"priority":1,"service":"redactor","maxAttempts":2,"public":true,"sticky":true,"resumable":true,"gapTargetMs":300}}],"services":[{{"name":"redactor","healthPath":"/health","maxConnections":364,"protocol":"h1","tls":false,"engine":{{"slots":16,"kvCapacity":1640000,"kvTokenBytes":163840,"linkMbps":400000.0,"stride":6,"models":[{{"name":"m","pace":1.0,"loadTimeS":4.0,"warmupS":0.3}}],"sizeMb":282000.0,"step_ms":6.73,"per_seq_ms":0.0219,"context_per_k":0.0068,"read_per_s":30600.0,"pairs_per_m":0.647,"chunk":2048,"report_lag_ms":200.0,"usual":{{"prompt":964,"answer":119}},"layers":{LAYERS},"layer_mb":4540.0,"chunks":{PIECES},"chunkBytes":{PIECE_BYTES}}}}},{{"name":"weights","origin":"{origin}","zone":"za","linkMbps":9.9,"maxConnections":48}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
     )
 }
 
@@ -442,3 +544,38 @@
     }
     whole
 }
+
+/// Sends streams whose events come one by one, and counts those that were answered whole.
+pub fn send_live(
+    number: u64,
+    front: SocketAddr,
+    pause: Duration,
+    end: Instant,
+    record: &Record,
+) -> u64 {
+    let wait = Duration::from_secs(4);
+    let mut whole = 0;
+    for at in 0_u64.. {
+        if Instant::now() >= end {
+            break;
+        }
+        thread::sleep(pause);
+        let Ok(mut open) = Connection::open(front, wait) else {
+            continue;
+        };
+        let id = format!("{number:02x}{at:014x}");
+        let request = format!(
+            "POST /live/{number}/{at} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nModel: m\r\nToken-Usage: 60,72\r\nPrompt-Prefix: a1:40,{id}:20\r\nDeadline-Ms: 6000\r\nContent-Length: 4\r\n\r\nbody"
+        );
+        let sent = open.write(request.as_bytes());
+        match sent.and_then(|()| open.read()) {
+            Ok(Some(answer)) => {
+                let status = answer.status();
+                record.add(format!("request {id} answered {status}"));
+                whole += u64::from(status == 200);
+            }
+            _ => record.add(format!("request {id}: channel closed")),
+        }
+    }
+    whole
+}
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -69,6 +69,23 @@
         Ok(Self::new(stream))
     }
 
+    /// Another handle for writing.
+    pub fn writer(&self) -> io::Result<TcpStream> {
+        self.reader.get_ref().try_clone()
+    }
+
+    /// Whether the peer has closed or reset the connection.
+    pub fn is_closed(&self) -> bool {
+        let stream = self.reader.get_ref();
+        let _ = stream.set_nonblocking(true);
+        let peeked = stream.peek(&mut [0]);
+        let _ = stream.set_nonblocking(false);
+        match peeked {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Writes bytes.
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.reader.get_mut().write_all(bytes)
--- a/review/standin-3/late_write.rs
+++ b/review/standin-3/late_write.rs
@@ -43,7 +43,7 @@
         get_time: Duration::from_millis(2),
         extra_at: None,
     };
-    let engine = Engine::new(conduct, &record);
+    let engine = Engine::new("i-1", conduct, &record);
     store.put("op/config", &configuration(origin));
     let address = engine.start(bind(), &store);
     let mut machines = Machines::new(store_address);
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,6 +6,7 @@
 mod foreign_entry;
 mod header_limit;
 mod http;
+mod late_begin;
 mod late_bytes;
 mod late_write;
 mod machines;
@@ -46,6 +47,7 @@
         "foreign-entry" => foreign_entry::run(is_disturbed),
         "header-limit" => header_limit::run(is_disturbed),
         "late-write" => late_write::run(is_disturbed),
+        "late-begin" => late_begin::run(is_disturbed),
         "late-bytes" => late_bytes::run(is_disturbed),
         _ => Outcome::NotRun,
     };
