--- a/crates/decide/src/routes.rs
+++ b/crates/decide/src/routes.rs
@@ -195,6 +195,11 @@
         }
     }
 
+    /// Services to which routes send requests.
+    pub fn services(&self) -> impl Iterator<Item = &SmolStr> {
+        self.priorities.keys()
+    }
+
     /// Returns the route with the longest prefix of `path` at `host`. The port and case of `host`
     /// are ignored.
     #[must_use]
--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -7,9 +7,10 @@
 //! A store that comes back from an older copy is trusted again once live servers have had the time
 //! to write their entries again ([`Servers::begin_era`]).
 
+mod addresses;
 mod hold;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use smol_str::SmolStr;
 
 use crate::outage::{AnsweredAge, OutageConfig, Outages};
+use addresses::Addresses;
 use hold::Hold;
 
 /// Whether a server accepts new requests.
@@ -135,9 +137,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Servers {
     known: BTreeMap<MemberId, Known>,
-    /// Latest start time at each address. The entry of a crashed server remains until it expires,
-    /// in addition to that of the server that now has its address.
-    latest: BTreeMap<SocketAddr, WallTime>,
+    addresses: Addresses,
     hold: Hold,
     /// Outages of the store.
     pub outages: Outages,
@@ -154,24 +154,28 @@
         }
     }
 
+    /// Sets the services that the configuration in force names. Entries of other services come from
+    /// other writers: they name no server to use, and do not take the address of one.
+    pub fn name_services(&mut self, services: BTreeSet<SmolStr>) {
+        if self.addresses.name_services(services) {
+            for Known { server, .. } in self.known.values() {
+                self.addresses.add(server);
+            }
+        }
+    }
+
     /// Adds or replaces the entry of a server.
     pub fn put(&mut self, server: Server) {
         self.insert(server, false);
-        self.rebuild_address_index();
     }
 
     fn insert(&mut self, server: Server, missing: bool) {
         let id = server.id.clone();
         self.hold.record_entry(&id);
-        self.known.insert(id, Known { server, missing });
-    }
-
-    /// Recomputes the latest start time at each address.
-    fn rebuild_address_index(&mut self) {
-        self.latest.clear();
-        for Known { server, .. } in self.known.values() {
-            let latest = self.latest.entry(server.address).or_default();
-            *latest = server.born.max(*latest);
+        self.addresses.add(&server);
+        let replaced = self.known.insert(id, Known { server, missing });
+        if let Some(Known { server, .. }) = replaced {
+            self.addresses.remove(&server);
         }
     }
 
@@ -214,8 +218,8 @@
 
     /// Removes a server at once, for an entry whose current value no longer describes a server.
     pub fn forget(&mut self, id: &MemberId) {
-        if self.known.remove(id).is_some() {
-            self.rebuild_address_index();
+        if let Some(Known { server, .. }) = self.known.remove(id) {
+            self.addresses.remove(&server);
         }
     }
 
@@ -234,7 +238,6 @@
                 self.insert_listed(server, false, now);
             }
         }
-        self.rebuild_address_index();
         removed
     }
 
@@ -275,7 +278,6 @@
                 self.insert(latest, missing);
             }
         }
-        self.rebuild_address_index();
         effects
     }
 
@@ -311,7 +313,6 @@
                 self.insert_listed(server, missing, now);
             }
         }
-        self.rebuild_address_index();
     }
 
     /// Drops a server that a peer does not list. If the store has come back from an older copy, the
@@ -358,14 +359,10 @@
     /// Servers of `service` that accept new requests.
     pub fn ready<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Server> {
         self.iter().filter(move |s| {
-            s.service == service && s.state == ServerState::Ready && self.is_latest_at_address(s)
+            s.service == service && s.state == ServerState::Ready && self.addresses.is_latest(s)
         })
     }
 
-    fn is_latest_at_address(&self, server: &Server) -> bool {
-        self.latest.get(&server.address) == Some(&server.born)
-    }
-
     /// Whether an outage ended, or the store came back from an older copy, so recently that entries
     /// of live servers may still be missing.
     #[must_use]
--- a/crates/gateway/src/model.rs
+++ b/crates/gateway/src/model.rs
@@ -1,6 +1,6 @@
 //! Data published by operators: the configuration.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,6 +19,8 @@
     pub routes: RouteTable,
     /// Services by name.
     pub services: HashMap<SmolStr, Service>,
+    /// Names of the services that cannot be used, and so are not in `services`.
+    pub unusable_services: BTreeSet<SmolStr>,
     /// How servers start, of services whose cold servers have a limit.
     pub cold_starts: BTreeMap<SmolStr, ColdStart>,
     /// Client accounts and their keys.
@@ -98,6 +100,14 @@
         }
     }
 
+    /// Names of all services: those that are listed, usable or not, and those to which routes send
+    /// requests.
+    #[must_use]
+    pub fn service_names(&self) -> BTreeSet<SmolStr> {
+        let listed = self.services.keys().chain(&self.unusable_services);
+        listed.chain(self.routes.services()).cloned().collect()
+    }
+
     /// The origin of weights.
     #[must_use]
     pub fn origin(&self) -> Option<&OriginService> {
--- a/crates/gateway/src/published/operators.rs
+++ b/crates/gateway/src/published/operators.rs
@@ -97,6 +97,10 @@
         metrics::gauge!("apricothall_configuration_version")
             .set(saturating_gauge(configuration.version));
         state.checked = state.checked.max(Some(item.revision));
+        state
+            .servers
+            .servers
+            .name_services(configuration.service_names());
         let in_force = Arc::new(InForce {
             revision,
             item: item.clone(),
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -179,7 +179,7 @@
     fn write(&mut self, calls: &StoreCalls, item: &Item) {
         match (calls.read_item)(item) {
             Ok(Fact::Server(server)) => {
-                tracing::info!(server = %server.id, address = %server.address, state = ?server.state, loaded = ?server.loaded, revision = %item.revision, "server changed");
+                tracing::info!(server = %server.id, service = %server.service, address = %server.address, state = ?server.state, loaded = ?server.loaded, revision = %item.revision, "server changed");
                 self.servers.put(server);
             }
             Ok(_) => {}
