--- a/crates/decide/src/loaded.rs
+++ b/crates/decide/src/loaded.rs
@@ -338,7 +338,9 @@
         let held = seen.layers.filter(|_| !seen.busy)?;
         let version = seen.version?;
         let whole = match self.reload {
-            Some(reload) if reload.version == version => reload.whole,
+            Some(reload) if reload.version == version && reload.whole.len() > held.len() => {
+                reload.whole
+            }
             _ => held,
         };
         self.reload = Some(Reload { version, whole });
--- a/crates/decide/tests/loaded/main.rs
+++ b/crates/decide/tests/loaded/main.rs
@@ -222,6 +222,31 @@
     assert!(tracker.awaits_read_back());
 }
 
+/// Guards against an engine that is never used again, as it tells the version of which it holds a part
+/// and its new agent takes that part for all of it.
+#[test]
+fn a_part_that_the_engine_tells_is_not_taken_for_the_whole() {
+    let mut tracker = LoadTracker::default();
+    let pieces = EarlierWrites::UNKNOWN.history();
+    let part = Observation {
+        orders: 2,
+        version: Some(NEW),
+        layers: Some(LayerRange::single(0)),
+        ..STARTED
+    };
+    tracker.observe(part, &pieces, at(1), at(2));
+    tracker.record_doubt(part.born);
+    assert_eq!(tracker.reload_step(), None, "one layer can't be given up");
+    let whole = Observation {
+        orders: 3,
+        layers: Some(WHOLE),
+        ..part
+    };
+    tracker.observe(whole, &pieces, at(101), at(102));
+    let keep = Operation::Keep(LayerRange::single(0));
+    assert_eq!(tracker.reload_step(), Some(keep));
+}
+
 /// Guards against an order of a killed process that is accepted after its successor's first look: its
 /// pieces may have been bad and written since.
 #[test]
