--- a/crates/decide/src/loaded.rs
+++ b/crates/decide/src/loaded.rs
@@ -371,14 +371,16 @@
 }
 
 impl HeardWeights {
-    /// Records what the agent says of an engine that started at `born`, 0 if it does not respond. What
-    /// was known stays if the agent does not know; a later life began without weights.
-    pub fn record(&mut self, born: u64, weights: Weights) {
-        let is_later = born != self.born && self.born != 0;
+    /// Records what the agent says of an engine that started at `born`, 0 if it does not respond, and
+    /// of the version that it serves. What was known stays if the agent does not know, unless it was
+    /// of another version; a later life began without weights.
+    pub fn record(&mut self, born: u64, weights: Weights, serving: Option<u64>) {
+        let is_known_life = born == self.born || self.born == 0;
+        let is_known_version = serving.is_none_or(|version| self.weights.permits(version));
         match weights {
             _ if born == 0 && self.born != 0 => {}
-            Weights::Unknown if born == self.born => {}
-            Weights::Unknown if is_later => {
+            Weights::Unknown if born == self.born && is_known_version => {}
+            Weights::Unknown if !is_known_life || !is_known_version => {
                 let weights = Weights::Unverified;
                 *self = Self { born, weights };
             }
--- a/crates/decide/tests/loaded/main.rs
+++ b/crates/decide/tests/loaded/main.rs
@@ -41,24 +41,29 @@
 /// Seeds of a run in CI.
 const SEEDS: u64 = 3_000;
 
-/// Plays the seeds from `first` on. Bad weights must never be used, and the engine must be used again
-/// in the end.
-fn play(odds: Odds, first: u64, count: u64) {
-    let mut verified = 0_u64;
-    for seed in first..first + count {
-        let mut world = World::new(seed, odds);
-        for _ in 0..ROUNDS {
-            world.round();
-        }
-        let is_used = world.settle(CALM_ROUNDS);
-        assert!(is_used, "unused for good: seed {seed}: {world:?}");
-        verified += u64::from(world.verified > 0);
+/// Seeds that failed once. 204723: an engine that nobody used, after an order that was accepted late
+/// and two kills.
+const KEPT_SEEDS: [u64; 1] = [204_723];
+
+/// Plays a seed. Bad weights must never be used, and the engine must be used again in the end. Returns
+/// whether a published version was verified.
+fn play(odds: Odds, seed: u64) -> bool {
+    let mut world = World::new(seed, odds);
+    for _ in 0..ROUNDS {
+        world.round();
     }
-    // Most runs load a version, and see it verified.
-    assert!(
-        verified * 30 > count * 29,
-        "verified in {verified} of {count} runs"
-    );
+    let is_used = world.settle(CALM_ROUNDS);
+    assert!(is_used, "unused for good: seed {seed}: {world:?}");
+    world.verified > 0
+}
+
+/// Plays `count` seeds from `first` on.
+fn play_many(odds: Odds, first: u64, count: u64) {
+    let seeds = first..first + count;
+    let verified = seeds.filter(|seed| play(odds, *seed)).count();
+    let verified = u64::try_from(verified).expect("few");
+    let is_most = verified * 30 > count * 29;
+    assert!(is_most, "verified in {verified} of {count} runs");
 }
 
 /// A number of the environment.
@@ -69,7 +74,17 @@
 
 macro_rules! models {
     ($($(#[doc = $doc:literal])* $case:ident: $odds:expr;)*) => {
-        $($(#[doc = $doc])* #[test] fn $case() { play($odds, 0, SEEDS); })*
+        $($(#[doc = $doc])* #[test] fn $case() { play_many($odds, 0, SEEDS); })*
+
+        /// Plays seeds that failed once.
+        #[test]
+        fn kept_seeds() {
+            for odds in [$($odds),*] {
+                for seed in KEPT_SEEDS {
+                    play(odds, seed);
+                }
+            }
+        }
 
         /// Plays other seeds, started by hand: `SOAK_FIRST=100000 SOAK_SEEDS=500000 cargo test -p
         /// apricothall-decide --test loaded -- --ignored`
@@ -79,7 +94,7 @@
             let first = number("SOAK_FIRST", SEEDS);
             let count = number("SOAK_SEEDS", 10 * SEEDS);
             for odds in [$($odds),*] {
-                play(odds, first, count);
+                play_many(odds, first, count);
             }
         }
     };
@@ -274,18 +289,33 @@
 #[test]
 fn what_was_heard_holds_for_one_life() {
     let mut heard = HeardWeights::default();
-    heard.record(5, Weights::Unverified);
-    heard.record(5, Weights::Unknown);
-    heard.record(0, Weights::Verified(NEW));
+    heard.record(5, Weights::Unverified, None);
+    heard.record(5, Weights::Unknown, Some(NEW));
+    heard.record(0, Weights::Verified(NEW), None);
     assert!(!heard.permits(5, NEW) && !heard.permits(0, NEW));
     assert!(!heard.permits(6, NEW), "it began without weights");
     assert_eq!(heard.doubted(), Some(5));
-    heard.record(5, Weights::Verified(NEW));
+    heard.record(5, Weights::Verified(NEW), Some(NEW));
     assert!(heard.permits(5, NEW) && !heard.permits(5, OLD));
-    heard.record(6, Weights::Unknown);
+    heard.record(6, Weights::Unknown, Some(NEW));
     assert!(!heard.permits(6, NEW) && heard.doubted() == Some(6));
 }
 
+/// Guards against an engine that no entry uses until the next version: a killed agent's order was
+/// accepted late, and neither of its successors knows what it loaded.
+#[test]
+fn a_version_of_which_nobody_knows_is_doubted() {
+    let mut heard = HeardWeights::default();
+    heard.record(5, Weights::Verified(OLD), Some(OLD));
+    heard.record(5, Weights::Unknown, Some(OLD));
+    assert_eq!(heard.doubted(), None, "it is the version that was verified");
+    heard.record(5, Weights::Unknown, None);
+    assert_eq!(heard.doubted(), None, "it serves nothing now");
+    heard.record(5, Weights::Unknown, Some(NEW));
+    assert_eq!(heard.doubted(), Some(5));
+    assert!(!heard.permits(5, OLD) && !heard.permits(5, NEW));
+}
+
 /// Guards against an engine without orders that is not used although it was started with a version.
 #[test]
 fn an_engine_that_was_started_with_a_version_is_verified() {
--- a/crates/decide/tests/loaded/world.rs
+++ b/crates/decide/tests/loaded/world.rs
@@ -278,7 +278,7 @@
 impl World {
     pub fn new(seed: u64, odds: Odds) -> Self {
         let mut heard = HeardWeights::default();
-        heard.record(1, Weights::Verified(OLD));
+        heard.record(1, Weights::Verified(OLD), Some(OLD));
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             odds,
@@ -409,7 +409,8 @@
     fn load(&mut self) {
         let version = self.newest;
         // The agent tells others before it loads.
-        self.heard.record(self.engine.born, Weights::Unverified);
+        self.heard
+            .record(self.engine.born, Weights::Unverified, None);
         let is_loaded = self.engine.observe().version == Some(version);
         let step = if is_loaded {
             self.agent.tracker.reload_step()
@@ -549,7 +550,8 @@
         if !self.is_killed && self.rng.random_bool(0.8) {
             let tracker = &self.agent.tracker;
             let born = tracker.born().unwrap_or_default();
-            self.heard.record(born, tracker.weights());
+            let serving = self.agent.serving(&self.engine);
+            self.heard.record(born, tracker.weights(), serving);
         }
         self.check();
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -304,7 +304,8 @@
         load.memory
             .record_report(status.memory.map(Into::into), now, until);
         let weights = state.weights.entry(status.address).or_default();
-        weights.record(status.born, status.weights);
+        let serving = status.serving.as_ref().map(|(_, version)| *version);
+        weights.record(status.born, status.weights, serving);
         let status = status.clone();
         state
             .statuses
