--- a/crates/decide/tests/loaded/world.rs
+++ b/crates/decide/tests/loaded/world.rs
@@ -283,7 +283,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             odds,
             now: Timestamp::from_millis(10_000),
-            engine: Engine::new(seed % 2 == 0),
+            engine: Engine::new(seed.is_multiple_of(2)),
             agent: Agent::new(0),
             is_killed: false,
             heard,
