--- a/crates/apricotd/tests/foreign_entries.rs
+++ b/crates/apricotd/tests/foreign_entries.rs
@@ -25,6 +25,12 @@
 /// Least number of requests that all callers together must get served in that time.
 const MIN_SERVED: u32 = 50;
 
+/// Entries of another writer in [`thousands_of_entries_leave_memory_and_callers_alone`].
+const MANY: usize = 5_000;
+
+/// Memory that a daemon may take for control, in kB.
+const MEMORY_KB: u64 = 128 * 1_024;
+
 /// Another writer's entry for each server, of `service`, with a later start.
 fn write_foreign(world: &World, service: &str) {
     for (index, (_, address)) in world.servers.iter().enumerate() {
@@ -35,6 +41,38 @@
     }
 }
 
+/// Guards against an entry whose memory another writer fills, and that serves nobody meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn thousands_of_entries_leave_memory_and_callers_alone() {
+    let case = "thousands_of_entries_leave_memory_and_callers_alone";
+    let mut world = World::start(case, &["a", "a"], 2).await;
+    for index in 0..2 {
+        world.start_callers(index, 2);
+    }
+    let before = world.entries.peak_memory(0);
+    for number in 0..MANY {
+        let (_, address) = world.servers[number % 2];
+        let entry = format!(
+            r#"{{"service":"elsewhere-{number}","address":"{address}","zone":"a","slots":8,"state":"ready","born":9}}"#
+        );
+        world.store.put(&format!("servers/x-{number}"), &entry);
+    }
+    let during = served(&world).await;
+    world.entries.kill(1).await;
+    world.entries.wait_ready().await;
+    let after = served(&world).await;
+    let peaks = [0, 1].map(|index| world.entries.peak_memory(index));
+    println!("{before} kB before, {peaks:?} kB after; {during} and {after} served");
+    let mut violations = Vec::new();
+    if during.min(after) < MIN_SERVED {
+        violations.push(format!("{during} and {after} served"));
+    }
+    if peaks.iter().any(|peak| *peak > MEMORY_KB) {
+        violations.push(format!("{peaks:?} kB"));
+    }
+    world.finish(&violations).await;
+}
+
 /// Requests that are served in [`SERVED_TIME`].
 async fn served(world: &World) -> u32 {
     let before = world.requests.served();
--- a/crates/apricotd/tests/machines/entries.rs
+++ b/crates/apricotd/tests/machines/entries.rs
@@ -122,6 +122,15 @@
         process.and_then(Process::id).expect("a running process")
     }
 
+    /// Largest resident memory of an entry so far, in kB.
+    pub fn peak_memory(&self, index: usize) -> u64 {
+        let process = self.process_id(index);
+        let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("it runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let value = line.and_then(|l| l.trim().strip_suffix(" kB")?.parse().ok());
+        value.expect("a size")
+    }
+
     /// IP address of the VM of an entry.
     pub fn ip(&self, index: usize) -> IpAddr {
         self.all[index].ip
--- a/crates/apricotd/tests/memory.rs
+++ b/crates/apricotd/tests/memory.rs
@@ -106,18 +106,9 @@
     }
 }
 
-/// Largest resident memory of a process so far, in kB.
-fn peak_memory(process: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("it runs");
-    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-    let value = line.and_then(|l| l.trim().strip_suffix(" kB")?.parse().ok());
-    value.expect("a size")
-}
-
 async fn run(case: &str, heavy: Heavy, script: Script) {
     let _slot = SLOTS.acquire().await.expect("never closed");
     let mut world = World::start(case, &["a", "a"], SERVERS).await;
-    let process = world.entries.process_id(0);
     start_server(&world, script).await;
     world.start_callers(0, CALLERS);
     let at = world.entries.caller_addresses()[0];
@@ -130,7 +121,7 @@
         .map(|number| tokio::spawn(heavy_caller(at, number, heavy)))
         .collect();
     tokio::time::sleep(FLOOD_TIME).await;
-    let peak = peak_memory(process);
+    let peak = world.entries.peak_memory(0);
     println!("{case}: {peak} kB of {MEMORY_KB}");
     for caller in callers {
         caller.abort();
--- a/crates/apricotd/tests/slow_readers.rs
+++ b/crates/apricotd/tests/slow_readers.rs
@@ -83,14 +83,6 @@
     Action::Send(standin::answer(request, "200 OK", "fine"))
 };
 
-/// Largest resident memory of a process so far, in kB.
-fn peak_memory(process: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("it runs");
-    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-    let value = line.and_then(|l| l.trim().strip_suffix(" kB")?.parse().ok());
-    value.expect("a size")
-}
-
 /// Connects with a small receive buffer.
 async fn connect(at: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = TcpSocket::new_v4()?;
@@ -142,8 +134,8 @@
 }
 
 /// Checks the memory of the entry, and that the usual callers were served meanwhile.
-async fn finish(case: &str, world: World, process: u32, mut violations: Vec<String>) {
-    let peak = peak_memory(process);
+async fn finish(case: &str, world: World, mut violations: Vec<String>) {
+    let peak = world.entries.peak_memory(0);
     let served = world.requests.served();
     let failed = world.requests.failed.lock().expect("no panic").clone();
     println!(
@@ -169,7 +161,6 @@
 async fn slow_callers_end_alone() {
     let _slot = SLOTS.acquire().await.expect("never closed");
     let mut world = World::start("slow_callers_end_alone", &["a", "a"], 2).await;
-    let process = world.entries.process_id(0);
     let log = ServerLog::default();
     for number in 0..STREAM_SERVERS {
         let (listener, address) = listen().await;
@@ -210,7 +201,7 @@
     for caller in callers {
         caller.abort();
     }
-    finish("slow_callers_end_alone", world, process, violations).await;
+    finish("slow_callers_end_alone", world, violations).await;
 }
 
 /// Guards against an entry that the platform ends, as what it holds for slow callers and for a server
@@ -220,7 +211,6 @@
     let case = "slow_callers_and_a_slow_server";
     let _slot = SLOTS.acquire().await.expect("never closed");
     let mut world = World::start(case, &["a", "a"], 2).await;
-    let process = world.entries.process_id(0);
     for number in 0..STREAM_SERVERS {
         let (listener, address) = listen().await;
         tokio::spawn(serve(listener, STREAM, ServerLog::default()));
@@ -244,7 +234,7 @@
     for caller in callers {
         caller.abort();
     }
-    finish(case, world, process, Vec::new()).await;
+    finish(case, world, Vec::new()).await;
 }
 
 /// Guards against an entry that the platform ends, as it holds bodies for a server that does not
@@ -254,7 +244,6 @@
     let case = "a_server_that_reads_bodies_slowly";
     let _slot = SLOTS.acquire().await.expect("never closed");
     let mut world = World::start(case, &["a", "a"], 2).await;
-    let process = world.entries.process_id(0);
     let (listener, address) = listen().await;
     tokio::spawn(read_slowly(listener));
     world.store.put_server("i-slow", address, "ready");
@@ -272,5 +261,5 @@
         }
     }
     println!("{case}: all ended after {:?}", begun.elapsed());
-    finish(case, world, process, violations).await;
+    finish(case, world, violations).await;
 }
