--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod outlier;
 pub mod path_delay;
 pub mod patience;
+pub mod pending_writes;
 pub mod pieces;
 pub mod placement;
 pub mod priorities;
--- a/crates/decide/src/loaded.rs
+++ b/crates/decide/src/loaded.rs
@@ -5,11 +5,16 @@
 //! Therefore an engine counts as serving only once it is known that the pieces were correct when
 //! the order was accepted. Otherwise the version is loaded anew.
 
+mod heard;
+mod proof;
+
 use apricothall_types::Timestamp;
 use serde::{Deserialize, Serialize};
 
 use crate::layers::LayerRange;
-use crate::staging::{MAX_PIECE_AGE, PendingWrites};
+
+pub use heard::HeardWeights;
+pub use proof::{Acceptance, PieceHistory, Proof};
 
 /// What is known of the weights that an engine has loaded.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,65 +56,6 @@
     pub busy: bool,
 }
 
-/// Period in which an engine accepted an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Acceptance {
-    /// It had not accepted the order yet.
-    pub after: Timestamp,
-    /// It had accepted the order.
-    pub by: Timestamp,
-}
-
-/// What the agent knows of the pieces that it staged.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct PieceHistory {
-    /// Their version.
-    pub version: u64,
-    /// When the oldest of the last checks was sent; `None` while a piece has none.
-    pub checked: Option<Timestamp>,
-    /// When the last write was answered.
-    pub written: Timestamp,
-    /// Writes without an answer that may yet take effect.
-    pub pending: PendingWrites,
-}
-
-/// How the pieces are known to have been correct when an order was accepted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Proof {
-    /// They were checked shortly before.
-    Correct,
-    /// They are, if they are still correct when they are read back now.
-    ReadBack,
-    /// They very likely are, if they are still correct when they are read back now. But two late writes
-    /// of one piece, of another version before the acceptance and of this one after it, look the same.
-    Likely,
-    /// It cannot be known any more.
-    Impossible,
-}
-
-impl PieceHistory {
-    /// Returns how the pieces are known to have been correct when an order was accepted.
-    ///
-    /// A piece that turns bad, or is overwritten with another version, stays so until it is written.
-    /// Hence a piece that was not written since the acceptance and is correct later was correct then.
-    #[must_use]
-    pub fn proof(&self, accepted: Acceptance) -> Proof {
-        if self.written > accepted.after {
-            return Proof::Impossible;
-        }
-        let is_recent = |checked| accepted.by.since(checked) <= MAX_PIECE_AGE;
-        let PendingWrites { same, other } = self.pending;
-        match (self.checked.is_some_and(is_recent), same, other) {
-            (true, false, false) => Proof::Correct,
-            // A late write of another version shows when the pieces are read back.
-            (_, false, _) | (true, true, false) => Proof::ReadBack,
-            (true, true, true) => Proof::Likely,
-            // A late write of this version may hide that a piece had been bad.
-            (false, true, _) => Proof::Impossible,
-        }
-    }
-}
-
 /// What an engine does on an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Operation {
@@ -362,43 +308,3 @@
         _ => Weights::Unverified,
     }
 }
-
-/// What a daemon has heard of the weights of an engine on another VM.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct HeardWeights {
-    born: u64,
-    weights: Weights,
-}
-
-impl HeardWeights {
-    /// Records what the agent says of an engine that started at `born`, 0 if it does not respond, and
-    /// of the version that it serves. What was known stays if the agent does not know, unless it was
-    /// of another version; a later life began without weights.
-    pub fn record(&mut self, born: u64, weights: Weights, serving: Option<u64>) {
-        let is_known_life = born == self.born || self.born == 0;
-        let is_known_version = serving.is_none_or(|version| self.weights.permits(version));
-        match weights {
-            _ if born == 0 && self.born != 0 => {}
-            Weights::Unknown if born == self.born && is_known_version => {}
-            Weights::Unknown if !is_known_life || !is_known_version => {
-                let weights = Weights::Unverified;
-                *self = Self { born, weights };
-            }
-            _ => *self = Self { born, weights },
-        }
-    }
-
-    /// Whether an engine that started at `born`, 0 if that is unknown, may be used with `version`. Of
-    /// another life than the last one heard of nothing is known: it began without weights.
-    #[must_use]
-    pub const fn permits(&self, born: u64, version: u64) -> bool {
-        let is_other_life = born != 0 && self.born != 0 && born != self.born;
-        !is_other_life && self.weights.permits(version)
-    }
-
-    /// Start of the engine, if its weights may be bad.
-    #[must_use]
-    pub fn doubted(&self) -> Option<u64> {
-        (self.weights == Weights::Unverified).then_some(self.born)
-    }
-}
--- a/crates/decide/src/staging.rs
+++ b/crates/decide/src/staging.rs
@@ -14,6 +14,7 @@
 use apricothall_types::{ChunkIndex, Timestamp};
 
 use crate::loaded::PieceHistory;
+use crate::pending_writes::{EarlierWrites, PendingWrites};
 
 /// Time for which a bad piece may have been staged when the engine accepts the order.
 pub const MAX_PIECE_AGE: Duration = Duration::from_secs(3);
@@ -55,55 +56,6 @@
     GiveUp,
 }
 
-/// Versions of which pieces may have been written to the engine, in its present life, by calls of
-/// which nobody knows whether they have taken effect.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum EarlierWrites {
-    /// None: every write since the start of the engine was answered.
-    #[default]
-    None,
-    /// This one and earlier ones.
-    UpTo(u64),
-}
-
-impl EarlierWrites {
-    /// What a process assumes that did not see the engine start: another one may have written any
-    /// version.
-    pub const UNKNOWN: Self = Self::UpTo(u64::MAX);
-
-    /// Leaves out versions after `newest`, which was the newest one to be published.
-    #[must_use]
-    pub fn limit(self, newest: u64) -> Self {
-        self.min(Self::UpTo(newest))
-    }
-
-    /// What is known of the pieces before the first staging.
-    #[must_use]
-    pub fn history(self) -> PieceHistory {
-        let may_exist = self != Self::None;
-        PieceHistory {
-            pending: PendingWrites {
-                same: may_exist,
-                other: may_exist,
-            },
-            ..PieceHistory::default()
-        }
-    }
-
-    fn may_include(self, version: u64) -> bool {
-        self >= Self::UpTo(version)
-    }
-}
-
-/// Writes without an answer that may yet take effect while a version is staged.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct PendingWrites {
-    /// Whether some may be of that version, and thus correct.
-    pub same: bool,
-    /// Whether some may be of other versions.
-    pub other: bool,
-}
-
 /// State of the staging of one version.
 #[derive(Clone, Debug)]
 pub struct Staging {
--- a/crates/decide/tests/loaded/main.rs
+++ b/crates/decide/tests/loaded/main.rs
@@ -1,6 +1,7 @@
 //! Tests when loaded weights count as verified, with orders that are accepted late, pieces that turn
 //! bad, writes without an answer, and engines and agents that start again.
 
+mod engine;
 mod world;
 
 use apricothall_decide::layers::LayerRange;
@@ -8,9 +9,10 @@
     Acceptance, HeardWeights, LoadTracker, Observation, Operation, OrderOutcome, PieceHistory,
     Proof, Weights,
 };
-use apricothall_decide::staging::{EarlierWrites, PendingWrites};
+use apricothall_decide::pending_writes::{EarlierWrites, PendingWrites};
 use apricothall_types::Timestamp;
-use world::{NEW, OLD, Odds, WHOLE, World};
+use engine::{NEW, OLD, WHOLE};
+use world::{Odds, World};
 
 /// Number of rounds of the agent in a run, and of those without faults after them.
 const ROUNDS: usize = 40;
--- a/crates/decide/tests/loaded/world.rs
+++ b/crates/decide/tests/loaded/world.rs
@@ -1,202 +1,22 @@
-//! A model of an engine, its agent and an entry: pieces turn bad, writes and orders take effect late,
-//! engines start again, and the agent is killed and forgets.
+//! A model of an engine, its agent and an entry: writes and orders take effect late, and the agent is
+//! killed and forgets.
 
 use std::time::Duration;
 
-use apricothall_decide::layers::LayerRange;
 use apricothall_decide::loaded::{
-    Acceptance, HeardWeights, LoadTracker, Observation, Operation, OrderOutcome, PieceHistory,
-    Weights,
+    Acceptance, HeardWeights, LoadTracker, Operation, OrderOutcome, PieceHistory, Weights,
 };
-use apricothall_decide::staging::{Check, EarlierWrites, MAX_PIECE_AGE, Staging, Step};
+use apricothall_decide::pending_writes::EarlierWrites;
+use apricothall_decide::staging::{Check, Staging, Step};
 use apricothall_types::{ChunkIndex, Timestamp};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Number of pieces, one a layer.
-pub const PIECES: usize = 4;
+use crate::engine::{Engine, LateWrite, NEW, OLD, Order, PIECES, Piece};
 
-/// All layers.
-pub const WHOLE: LayerRange = LayerRange { from: 0, to: 4 };
-
-/// Version that the engine is started with.
-pub const OLD: u64 = 1;
-
-/// First version that is published later, and the last one.
-pub const NEW: u64 = 2;
+/// Last version that is published.
 const LAST: u64 = 4;
 
-/// A load order.
-#[derive(Clone, Copy, Debug)]
-struct Order {
-    /// Number of orders that the sender knew of.
-    expected: u64,
-    version: u64,
-    operation: Operation,
-    /// Number of the process that sent it.
-    sender: u64,
-}
-
-impl Order {
-    /// Layers that the engine holds afterwards.
-    const fn range(self) -> LayerRange {
-        match self.operation {
-            Operation::Load => WHOLE,
-            Operation::Keep(range) => range,
-        }
-    }
-}
-
-/// A piece that lies at the engine.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Piece {
-    version: u64,
-    bad_since: Option<Timestamp>,
-}
-
-impl Piece {
-    const fn new(version: u64) -> Self {
-        Self {
-            version,
-            bad_since: None,
-        }
-    }
-}
-
-/// A write that the engine has received and not carried out.
-#[derive(Clone, Copy, Debug)]
-struct LateWrite {
-    index: usize,
-    version: u64,
-}
-
-#[derive(Debug)]
-struct Engine {
-    born: u64,
-    orders: u64,
-    version: Option<u64>,
-    /// Layers that it holds, and whether each may be used.
-    layers: Vec<Option<bool>>,
-    pieces: Vec<Option<Piece>>,
-    /// Orders that it may yet accept.
-    waiting: Vec<Order>,
-    /// Writes that it may yet carry out.
-    late: Vec<LateWrite>,
-    /// Whether it tells a version of which it holds a part.
-    tells_part: bool,
-}
-
-impl Engine {
-    fn new(tells_part: bool) -> Self {
-        Self {
-            born: 1,
-            orders: 0,
-            version: Some(OLD),
-            layers: vec![Some(true); PIECES],
-            pieces: vec![None; PIECES],
-            waiting: Vec::new(),
-            late: Vec::new(),
-            tells_part,
-        }
-    }
-
-    fn held(&self) -> LayerRange {
-        let first = self.layers.iter().position(Option::is_some);
-        let from = u32::try_from(first.unwrap_or(0)).expect("few");
-        let count = u32::try_from(self.layers.iter().flatten().count()).expect("few");
-        let to = from + count;
-        LayerRange { from, to }
-    }
-
-    /// Whether a layer of `version` may be taken from the piece at `index`.
-    fn is_permitted(&self, index: usize, version: u64, now: Timestamp) -> bool {
-        let piece = self.pieces[index].filter(|p| p.version == version);
-        let is_excused = |since: Timestamp| now.since(since) <= MAX_PIECE_AGE;
-        piece.is_some_and(|p| p.bad_since.is_none_or(is_excused))
-    }
-
-    /// Whether it would begin to execute `order`: no other was accepted since it was sent, and it is
-    /// not in effect.
-    fn accepts(&self, order: Order) -> bool {
-        let is_same = self.version == Some(order.version);
-        let is_in_effect = is_same && self.held() == order.range();
-        order.expected == self.orders && !is_in_effect
-    }
-
-    /// Accepts `order`, or refuses it.
-    fn accept(&mut self, order: Order, now: Timestamp) -> bool {
-        if !self.accepts(order) {
-            return false;
-        }
-        let range = order.range();
-        let is_same = self.version == Some(order.version);
-        self.orders += 1;
-        self.version = Some(order.version);
-        for index in 0..PIECES {
-            let number = u32::try_from(index).expect("few");
-            if !range.contains(number) {
-                self.layers[index] = None;
-            } else if !is_same || self.layers[index].is_none() {
-                self.layers[index] = Some(self.is_permitted(index, order.version, now));
-            }
-        }
-        true
-    }
-
-    /// Carries out a write that was received earlier.
-    fn write_late(&mut self, at: usize) {
-        let LateWrite { index, version } = self.late.remove(at);
-        self.pieces[index] = Some(Piece::new(version));
-    }
-
-    /// Carries out the late writes of pieces with some of `version` and some of others. If both waited
-    /// for one order, reading back could not tell whether the order met the wrong one.
-    fn write_mixed(&mut self, version: u64) {
-        let is_mixed = |late: &[LateWrite], index: usize| {
-            let mut same = late.iter().filter(|w| w.index == index);
-            let of_version = same.clone().any(|w| w.version == version);
-            of_version && same.any(|w| w.version != version)
-        };
-        while let Some(at) = self.late.iter().position(|w| is_mixed(&self.late, w.index)) {
-            self.write_late(at);
-        }
-    }
-
-    fn observe(&self) -> Observation {
-        let is_told = self.tells_part || self.held() == WHOLE;
-        Observation {
-            born: self.born,
-            orders: self.orders,
-            version: self.version.filter(|_| is_told),
-            layers: self.version.map(|_| self.held()),
-            busy: false,
-        }
-    }
-
-    /// A start ends the orders and writes that it has not carried out.
-    fn restart(&mut self, keeps_pieces: bool) {
-        self.born += 1;
-        self.orders = 0;
-        self.version = None;
-        self.layers = vec![None; PIECES];
-        if !keeps_pieces {
-            self.pieces = vec![None; PIECES];
-        }
-        self.waiting.clear();
-        self.late.clear();
-    }
-
-    /// Whether all layers that it holds may be used.
-    fn is_sound(&self) -> bool {
-        self.layers.iter().flatten().all(|is_good| *is_good)
-    }
-
-    /// Whether it serves `version`.
-    fn serves(&self, version: u64) -> bool {
-        self.version == Some(version) && self.held() == WHOLE
-    }
-}
-
 /// A process of the agent, and what it knows.
 #[derive(Debug)]
 struct Agent {
--- a/crates/decide/tests/staging.rs
+++ b/crates/decide/tests/staging.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use apricothall_decide::staging::{
-    ACCEPTANCE_TIME, Check, EarlierWrites, MAX_PIECE_AGE, Staging, Step,
-};
+use apricothall_decide::pending_writes::EarlierWrites;
+use apricothall_decide::staging::{ACCEPTANCE_TIME, Check, MAX_PIECE_AGE, Staging, Step};
 use apricothall_types::{ChunkIndex, Timestamp};
 use proptest::prelude::*;
 
--- a/crates/gateway/src/agent/updater.rs
+++ b/crates/gateway/src/agent/updater.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use apricothall_decide::loaded::{LoadTracker, OrderOutcome, Weights};
+use apricothall_decide::pending_writes::EarlierWrites;
 use apricothall_decide::reload::{
     MIN_SERVICE_TIME, Neighbour, PartialFetch, Progress, ReloadConfig, may_load,
     should_finish_older,
 };
-use apricothall_decide::staging::{EarlierWrites, Staging};
+use apricothall_decide::staging::Staging;
 use apricothall_types::{Role, Timestamp};
 use bytes::Bytes;
 use smol_str::SmolStr;
--- a/crates/gateway/src/agent/updater/weights.rs
+++ b/crates/gateway/src/agent/updater/weights.rs
@@ -2,7 +2,8 @@
 
 use apricothall_clients::PlatformError;
 use apricothall_decide::loaded::{Observation, Operation, OrderOutcome, PieceHistory, Weights};
-use apricothall_decide::staging::{EarlierWrites, Staging};
+use apricothall_decide::pending_writes::EarlierWrites;
+use apricothall_decide::staging::Staging;
 use apricothall_types::Timestamp;
 use bytes::Bytes;
 
