--- a/crates/gateway/src/agent/updater.rs
+++ b/crates/gateway/src/agent/updater.rs
@@ -366,6 +366,7 @@
                         report.busy = true;
                     }
                     self.refresh_report().await;
+                    self.verify_weights().await;
                 }
             }
             Err(error) => tracing::warn!(version = version.version, %error, "load not ordered"),
