--- a/crates/apricotd/tests/departures/world.rs
+++ b/crates/apricotd/tests/departures/world.rs
@@ -102,6 +102,17 @@
         self.store.remove_server(&format!("i-{index}"));
     }
 
+    /// Writes another writer's entry for each server: of a `service` that no configuration names, with
+    /// the server's address and a later start.
+    pub fn write_foreign_entries(&self, service: &str) {
+        for (index, (_, address)) in self.servers.iter().enumerate() {
+            let entry = format!(
+                r#"{{"service":"{service}","address":"{address}","zone":"a","slots":8,"state":"ready","born":9}}"#
+            );
+            self.store.put(&format!("servers/x-{index}"), &entry);
+        }
+    }
+
     /// Starts `callers` that send requests to the entry `index` in a loop. Attempt ids begin with
     /// the index of the entry.
     pub fn start_callers(&mut self, index: usize, callers: usize) {
--- a/crates/decide/src/staging.rs
+++ b/crates/decide/src/staging.rs
@@ -28,6 +28,10 @@
 /// Maximum number of concurrent calls to the engine, which also serves requests.
 const MAX_CALLS: usize = 16;
 
+/// Pieces that were not there, after which an earlier process counts as not having staged the version.
+/// One of them may have turned bad or been overwritten.
+const MAX_FIRST_MISSES: usize = 2;
+
 /// Time in which all pieces should be checked, to leave some for a repetition.
 const PASS_TIME: Duration = Duration::from_secs(1);
 
@@ -70,6 +74,8 @@
     lost: Option<Timestamp>,
     earlier: EarlierWrites,
     pending: PendingWrites,
+    /// Number of pieces that were read for the first time and were not there.
+    first_misses: usize,
 }
 
 /// What is known of the piece that is staged.
@@ -115,6 +121,7 @@
                 same: false,
                 other: earlier != EarlierWrites::None,
             },
+            first_misses: 0,
         }
     }
 
@@ -191,6 +198,7 @@
             // Somebody staged this version, and may have sent other pieces of it.
             self.pending.same = true;
         }
+        self.count_first_miss(index, done);
         let must_read_back = self.lost.is_some();
         let Some(piece) = self.pieces.get_mut(index.0 as usize) else {
             return;
@@ -200,6 +208,22 @@
         piece.checked = is_check.then_some(sent);
     }
 
+    /// Counts pieces of which nothing was known and that were not there. Pieces are staged in order, so
+    /// two of them mean that nobody staged this version; the others need not be read first.
+    fn count_first_miss(&mut self, index: ChunkIndex, done: Check) {
+        let piece = self.pieces.get(index.0 as usize);
+        let was_unknown = piece.is_some_and(|p| p.content == Content::Unknown);
+        self.first_misses += usize::from(was_unknown && done == Check::Write);
+        if self.pending.same || self.first_misses < MAX_FIRST_MISSES {
+            return;
+        }
+        for piece in &mut self.pieces {
+            if piece.content == Content::Unknown {
+                piece.content = Content::Other;
+            }
+        }
+    }
+
     /// Records at `now` that a write has no answer.
     pub fn record_lost_write(&mut self, now: Timestamp) {
         self.lost = Some(now);
@@ -219,7 +243,8 @@
     }
 
     /// Number of concurrent calls with which all pieces are checked within [`PASS_TIME`].
-    fn call_count(&self) -> usize {
+    #[must_use]
+    pub fn call_count(&self) -> usize {
         let millis = self.call_time.as_millis() * self.pieces.len() as u128;
         let needed = millis.div_ceil(PASS_TIME.as_millis());
         usize::try_from(needed).map_or(MAX_CALLS, |calls| calls.clamp(1, MAX_CALLS))
--- a/crates/gateway/src/agent/loading.rs
+++ b/crates/gateway/src/agent/loading.rs
@@ -22,9 +22,6 @@
 /// Minimum of the bytes that are read of an answer in place of a piece, for the text of an error.
 const MIN_READ_BYTES: usize = 4 << 10;
 
-/// Maximum number of pieces that are read back at once.
-const MAX_READS: usize = 8;
-
 /// Statuses by which an engine refuses an order.
 const CLIENT_ERRORS: RangeInclusive<u16> = 400..=499;
 
@@ -167,15 +164,15 @@
         }
     }
 
-    /// Whether all staged pieces are correct.
+    /// Whether all staged pieces are correct. Reads `concurrency` of them at once.
     ///
     /// # Errors
     /// If the engine does not answer.
-    pub async fn read_back(&self) -> Result<bool, PlatformError> {
+    pub async fn read_back(&self, concurrency: usize) -> Result<bool, PlatformError> {
         let indices = (0..).map(ChunkIndex).take(self.pieces.len());
         let mut reads = stream::iter(indices)
             .map(|index| self.is_correct(index))
-            .buffer_unordered(MAX_READS);
+            .buffer_unordered(concurrency);
         while let Some(is_correct) = reads.next().await {
             if !is_correct? {
                 return Ok(false);
--- a/crates/gateway/src/agent/updater/weights.rs
+++ b/crates/gateway/src/agent/updater/weights.rs
@@ -12,6 +12,9 @@
 use crate::agent::piece_store::VersionId;
 use crate::dialect::{EngineReport, LoadOrder};
 
+/// Number of pieces that are read back at once from an engine of unknown speed.
+const MAX_READS: usize = 8;
+
 impl EngineUpdater {
     /// Follows which orders the engine accepted, and whether what it loaded is correct.
     pub(super) fn observe(&mut self, report: &EngineReport, asked: Timestamp) {
@@ -122,7 +125,10 @@
             pieces: &pieces,
             orders: 0,
         };
-        load.read_back().await
+        // What staging found of the engine's speed holds for reading back.
+        let staged = self.staged.as_ref();
+        let concurrency = staged.map_or(MAX_READS, |(_, staging)| staging.call_count());
+        load.read_back(concurrency).await
     }
 
     /// Orders the engine to load `version`, or to give up layers of it that may be bad.
