--- a/crates/decide/src/staging.rs
+++ b/crates/decide/src/staging.rs
@@ -242,7 +242,7 @@
         }
     }
 
-    /// Number of concurrent calls with which all pieces are checked within [`PASS_TIME`].
+    /// Number of concurrent calls with which all pieces are checked within a second.
     #[must_use]
     pub fn call_count(&self) -> usize {
         let millis = self.call_time.as_millis() * self.pieces.len() as u128;
