--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -137,6 +137,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Servers {
     known: BTreeMap<MemberId, Known>,
+    /// Which server started last at each address.
     addresses: Addresses,
     hold: Hold,
     /// Outages of the store.
--- a/crates/decide/src/staging.rs
+++ b/crates/decide/src/staging.rs
@@ -72,7 +72,9 @@
     written: Timestamp,
     /// When this process last learned that a write has no answer.
     lost: Option<Timestamp>,
+    /// What may have been written before, by this process or an earlier one, and is still pending.
     earlier: EarlierWrites,
+    /// What of that, and of the writes of this version, may yet take effect.
     pending: PendingWrites,
     /// Number of pieces that were read for the first time and were not there.
     first_misses: usize,
--- a/crates/gateway/src/agent/updater.rs
+++ b/crates/gateway/src/agent/updater.rs
@@ -59,7 +59,7 @@
     loading: bool,
     /// What was staged in this life of the engine.
     staged: Option<(VersionId, Staging)>,
-    /// What may have been written in this life of the engine before that.
+    /// What others, or this process unseen, may have written in this life of the engine before that.
     earlier: EarlierWrites,
     /// When the last report was requested.
     last_asked: Timestamp,
