--- a/crates/decide/src/loaded/proof.rs
+++ b/crates/decide/src/loaded/proof.rs
@@ -21,6 +21,8 @@
     pub version: u64,
     /// When the oldest of the last checks was sent; `None` while a piece has none.
     pub checked: Option<Timestamp>,
+    /// When the newest of them was sent.
+    pub last_check: Option<Timestamp>,
     /// When the last write was answered.
     pub written: Timestamp,
     /// Writes without an answer that may yet take effect.
@@ -51,9 +53,12 @@
         if self.written > accepted.after {
             return Proof::Impossible;
         }
-        let is_recent = |checked| accepted.by.since(checked) <= MAX_PIECE_AGE;
         let PendingWrites { same, other } = self.pending;
-        match (self.checked.is_some_and(is_recent), same, other) {
+        let is_recent = |checked| accepted.by.since(checked) <= MAX_PIECE_AGE;
+        // After the acceptance, a late write of this version may have made a bad piece right.
+        let is_earlier = self.last_check.is_some_and(|last| last <= accepted.after);
+        let is_checked = self.checked.is_some_and(is_recent) && (is_earlier || !same);
+        match (is_checked, same, other) {
             (true, false, false) => Proof::Correct,
             // A late write of another version shows when the pieces are read back.
             (_, false, _) | (true, true, false) => Proof::ReadBack,
--- a/crates/decide/src/staging.rs
+++ b/crates/decide/src/staging.rs
@@ -242,6 +242,7 @@
         PieceHistory {
             version: self.version,
             checked: self.oldest_check(),
+            last_check: self.pieces.iter().filter_map(|p| p.checked).max(),
             written: self.written,
             pending: self.pending,
         }
--- a/crates/decide/tests/loaded/main.rs
+++ b/crates/decide/tests/loaded/main.rs
@@ -43,10 +43,31 @@
 /// Seeds of a run in CI.
 const SEEDS: u64 = 3_000;
 
+/// Guards against a late write of this version that makes a bad piece right after an order was accepted
+/// late and before the piece is checked again.
+#[test]
+fn a_check_after_the_acceptance_proves_nothing_amid_writes_of_this_version() {
+    let accepted = Acceptance {
+        after: at(1_060),
+        by: at(1_200),
+    };
+    let checked_later = PieceHistory {
+        last_check: Some(at(1_100)),
+        ..history(1_050, 1_000, SAME)
+    };
+    assert_eq!(checked_later.proof(accepted), Proof::Impossible);
+    let without_writes = PieceHistory {
+        pending: OTHER,
+        ..checked_later
+    };
+    assert_eq!(without_writes.proof(accepted), Proof::ReadBack);
+}
+
 /// Seeds that failed once. 204723: an engine that nobody used, after an order that was accepted late
 /// and two kills. 542292: bad weights, as a write that was lost at an engine which had started again
-/// hid a bad piece.
-const KEPT_SEEDS: [u64; 2] = [204_723, 542_292];
+/// hid a bad piece. 672046: bad weights, as a lost write took effect between a late acceptance and the
+/// next check.
+const KEPT_SEEDS: [u64; 3] = [204_723, 542_292, 672_046];
 
 /// Plays a seed. Bad weights must never be used, and the engine must be used again in the end. Returns
 /// whether a published version was verified.
@@ -143,6 +164,7 @@
     PieceHistory {
         version: NEW,
         checked: Some(at(checked)),
+        last_check: Some(at(checked)),
         written: at(written),
         pending,
     }
--- a/crates/decide/tests/loaded/world.rs
+++ b/crates/decide/tests/loaded/world.rs
@@ -203,7 +203,11 @@
     }
 
     fn assert_sound(&self, how: &str) {
-        assert!(self.engine.is_sound(), "bad weights {how}: {self:?}");
+        let seed = self.seed;
+        assert!(
+            self.engine.is_sound(),
+            "bad weights {how}, seed {seed}: {self:?}"
+        );
     }
 
     /// Reads back the pieces of the version that was staged.
