--- a/crates/decide/src/loaded.rs
+++ b/crates/decide/src/loaded.rs
@@ -112,6 +112,8 @@
     reload: Option<Reload>,
     /// Layers that the engine kept when it gave up the others, until these are loaded again.
     kept: Option<LayerRange>,
+    /// Whether this process saw the engine start, so that no earlier one sent it orders.
+    saw_start: bool,
     /// Version that was loaded anew as its first load was correct only very likely.
     repeated: Option<u64>,
 }
@@ -175,6 +177,7 @@
             *self = Self {
                 last: self.last,
                 outstanding: self.outstanding,
+                saw_start: true,
                 weights: at_start(seen),
                 ..Self::default()
             };
@@ -185,8 +188,7 @@
         }
         self.weights = Weights::Unverified;
         self.unproven = None;
-        let sent = self.outstanding.take().unwrap_or_default();
-        let (after, by) = (before.asked.max(sent), now);
+        let (after, by) = (self.earliest_acceptance(before.asked), now);
         // Staged pieces may be lost when the engine starts again.
         let pieces = &PieceHistory {
             checked: pieces.checked.filter(|_| !is_new_life),
@@ -198,10 +200,25 @@
                 self.kept = Some(part);
             }
             Some((Operation::Load, accepted)) => self.judge(accepted, pieces),
+            None if holds_part(seen) => self.distrust_part(seen),
             None => self.judge(Acceptance { after, by }, pieces),
         }
     }
 
+    /// Returns when the engine may first have accepted an order after it was asked for a report at
+    /// `asked`. It may be one of an earlier process, unless this one saw the engine start.
+    fn earliest_acceptance(&mut self, asked: Timestamp) -> Timestamp {
+        let sent = self.outstanding.take().filter(|_| self.saw_start);
+        asked.max(sent.unwrap_or_default())
+    }
+
+    /// Records that the engine holds a part of the layers by an order that this process does not know.
+    /// They may be bad, and are not loaded again with the others.
+    fn distrust_part(&mut self, seen: Observation) {
+        self.kept = seen.layers;
+        self.stale = Some(LayerRange::ALL);
+    }
+
     /// Records the first report. What an earlier process ordered and wrote is not known.
     fn start(&mut self, seen: Observation) {
         self.weights = at_start(seen);
@@ -209,10 +226,8 @@
             return;
         }
         self.weights = Weights::Unknown;
-        if seen.version.is_none() {
-            // Layers that it held before may be bad.
-            self.kept = seen.layers.filter(|held| !held.is_empty());
-            self.stale = self.kept.map(|_| LayerRange::ALL);
+        if holds_part(seen) {
+            self.distrust_part(seen);
         }
     }
 
@@ -300,6 +315,11 @@
     }
 }
 
+/// Whether the engine holds some layers and no version.
+fn holds_part(seen: Observation) -> bool {
+    seen.version.is_none() && seen.layers.is_some_and(|held| !held.is_empty())
+}
+
 /// What is known of the weights of an engine that has accepted no order: it may have been started
 /// with a version.
 const fn at_start(seen: Observation) -> Weights {
--- a/crates/decide/tests/loaded/main.rs
+++ b/crates/decide/tests/loaded/main.rs
@@ -66,8 +66,9 @@
 /// Seeds that failed once. 204723: an engine that nobody used, after an order that was accepted late
 /// and two kills. 542292: bad weights, as a write that was lost at an engine which had started again
 /// hid a bad piece. 672046: bad weights, as a lost write took effect between a late acceptance and the
-/// next check.
-const KEPT_SEEDS: [u64; 3] = [204_723, 542_292, 672_046];
+/// next check. 467503: bad weights, as the order of a killed agent was taken for that of its successor.
+/// 768061: a bad layer that stayed, as a killed agent's order to keep it was accepted late.
+const KEPT_SEEDS: [u64; 5] = [204_723, 467_503, 542_292, 672_046, 768_061];
 
 /// Plays a seed. Bad weights must never be used, and the engine must be used again in the end. Returns
 /// whether a published version was verified.
