--- a/crates/decide/src/loaded.rs
+++ b/crates/decide/src/loaded.rs
@@ -188,7 +188,7 @@
         }
         self.weights = Weights::Unverified;
         self.unproven = None;
-        let (after, by) = (self.earliest_acceptance(before.asked), now);
+        let (after, by) = (self.earliest_acceptance(before.asked, pieces), now);
         // Staged pieces may be lost when the engine starts again.
         let pieces = &PieceHistory {
             checked: pieces.checked.filter(|_| !is_new_life),
@@ -200,15 +200,17 @@
                 self.kept = Some(part);
             }
             Some((Operation::Load, accepted)) => self.judge(accepted, pieces),
-            None if holds_part(seen) => self.distrust_part(seen),
+            None if gave_up_layers(before.seen, seen) => self.distrust_part(seen),
             None => self.judge(Acceptance { after, by }, pieces),
         }
     }
 
     /// Returns when the engine may first have accepted an order after it was asked for a report at
-    /// `asked`. It may be one of an earlier process, unless this one saw the engine start.
-    fn earliest_acceptance(&mut self, asked: Timestamp) -> Timestamp {
-        let sent = self.outstanding.take().filter(|_| self.saw_start);
+    /// `asked`. It may be one of an earlier process that staged the same pieces, unless this one saw
+    /// the engine start. An order for another version shows in the report.
+    fn earliest_acceptance(&mut self, asked: Timestamp, pieces: &PieceHistory) -> Timestamp {
+        let is_own = self.saw_start || !pieces.pending.same;
+        let sent = self.outstanding.take().filter(|_| is_own);
         asked.max(sent.unwrap_or_default())
     }
 
@@ -226,7 +228,8 @@
             return;
         }
         self.weights = Weights::Unknown;
-        if holds_part(seen) {
+        let holds_some = seen.layers.is_some_and(|held| !held.is_empty());
+        if seen.version.is_none() && holds_some {
             self.distrust_part(seen);
         }
     }
@@ -315,9 +318,10 @@
     }
 }
 
-/// Whether the engine holds some layers and no version.
-fn holds_part(seen: Observation) -> bool {
-    seen.version.is_none() && seen.layers.is_some_and(|held| !held.is_empty())
+/// Whether the engine holds some of the layers that it held before. While it loads it tells all of them.
+fn gave_up_layers(before: Observation, seen: Observation) -> bool {
+    let count = |seen: Observation| seen.layers.map_or(0, LayerRange::len);
+    (1..count(before)).contains(&count(seen))
 }
 
 /// What is known of the weights of an engine that has accepted no order: it may have been started
--- a/crates/decide/src/staging.rs
+++ b/crates/decide/src/staging.rs
@@ -29,8 +29,8 @@
 const MAX_CALLS: usize = 16;
 
 /// Pieces that were not there, after which an earlier process counts as not having staged the version.
-/// One of them may have turned bad or been overwritten.
-const MAX_FIRST_MISSES: usize = 2;
+/// Some of them may have turned bad or been overwritten.
+const MAX_FIRST_MISSES: usize = 4;
 
 /// Time in which all pieces should be checked, to leave some for a repetition.
 const PASS_TIME: Duration = Duration::from_secs(1);
@@ -214,7 +214,7 @@
     }
 
     /// Counts pieces of which nothing was known and that were not there. Pieces are staged in order, so
-    /// two of them mean that nobody staged this version; the others need not be read first.
+    /// a few of them mean that nobody staged this version; the others need not be read first.
     fn count_first_miss(&mut self, index: ChunkIndex, done: Check) {
         let piece = self.pieces.get(index.0 as usize);
         let was_unknown = piece.is_some_and(|p| p.content == Content::Unknown);
--- a/crates/decide/tests/loaded/main.rs
+++ b/crates/decide/tests/loaded/main.rs
@@ -70,6 +70,9 @@
 /// 768061: a bad layer that stayed, as a killed agent's order to keep it was accepted late.
 const KEPT_SEEDS: [u64; 5] = [204_723, 467_503, 542_292, 672_046, 768_061];
 
+/// Seeds that fail, of 240,000 for each of four odds; not traced.
+const OPEN_SEEDS: [u64; 3] = [450_899, 524_562, 588_690];
+
 /// Plays a seed. Bad weights must never be used, and the engine must be used again in the end. Returns
 /// whether a published version was verified.
 fn play(odds: Odds, seed: u64) -> bool {
@@ -111,6 +114,16 @@
             }
         }
 
+        /// Guards against bad weights after kills in the rare seeds that fail still (KNOWN-RED.txt).
+        #[test]
+        fn open_seeds() {
+            for odds in [$($odds),*] {
+                for seed in OPEN_SEEDS {
+                    play(odds, seed);
+                }
+            }
+        }
+
         /// Plays other seeds, started by hand: `SOAK_FIRST=100000 SOAK_SEEDS=500000 cargo test -p
         /// apricothall-decide --test loaded -- --ignored`
         #[test]
